--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test lint format clean
+.PHONY: demo test lint format dist clean
 
 $(STAMP): requirements.lock
 	$(PYTHON) -m venv $(VENV)
@@ -24,5 +24,8 @@
 	$(BIN)/ruff check --fix .
 	$(BIN)/black --quiet .
 
+dist: $(STAMP)
+	$(BIN)/python -m bench.dist
+
 clean:
-	rm -rf $(VENV)
+	rm -rf $(VENV) dist
