--- /dev/null
+++ b/fescuerudder/home.py
@@ -0,0 +1,78 @@
+"""Choice of the rack in whose queue a task waits."""
+
+from collections.abc import Iterable, Mapping
+from random import Random
+from typing import Literal
+
+from fescuerudder.document import Size
+from fescuerudder.ownership_types import RackSummary
+
+Need = Literal["room", "in_service", "large_enough"]
+"""Least that a rack must offer: room now, a zone in service, or a worker large enough."""
+
+
+def in_service(zone: str, zones: Mapping[str, str]) -> bool:
+    """Returns whether a zone is in service."""
+    return zones.get(zone, "in") == "in"
+
+
+def total_free(summary: RackSummary) -> tuple[float, int, int]:
+    """Returns the free resources of a rack as a sort key."""
+    free = summary.free
+    return (
+        sum(size.processors for size in free),
+        sum(size.memory_mb for size in free),
+        -summary.queue_length,
+    )
+
+
+def is_large_enough(summary: RackSummary, size: Size) -> bool:
+    """Returns whether some worker of the rack could ever run a task of `size`."""
+    return any(size.fits_in(capacity) for capacity in summary.largest)
+
+
+def has_room(summary: RackSummary, size: Size) -> bool:
+    """Returns whether some worker of the rack has room for `size` now."""
+    return any(size.fits_in(free) for free in summary.free)
+
+
+def allowed(summary: RackSummary, zones: Iterable[str]) -> bool:
+    """Returns whether a task restricted to `zones` (empty: all) may use the rack."""
+    zones = tuple(zones)
+    return not zones or summary.zone in zones
+
+
+def two_choices(candidates: list[RackSummary], *, rng: Random) -> RackSummary | None:
+    """Returns the freer one of two racks picked at random, or None without candidates."""
+    if not candidates:
+        return None
+    picked = rng.sample(candidates, min(2, len(candidates)))
+    return max(picked, key=total_free)
+
+
+def choose_home(
+    *,
+    size: Size,
+    zones: tuple[str, ...],
+    summaries: Iterable[RackSummary],
+    zone_states: Mapping[str, str],
+    rng: Random,
+    exclude: str = "",
+    needs: Need = "large_enough",
+) -> str | None:
+    """Returns the rack whose queue a task should join, or None.
+
+    Racks with room now go before racks that are only large enough, and zones in service go
+    before zones out of service. `needs` is the least that the rack must offer.
+    """
+    able = [
+        s for s in summaries if s.rack != exclude and allowed(s, zones) and is_large_enough(s, size)
+    ]
+    up = [s for s in able if in_service(s.zone, zone_states)]
+    roomy = [s for s in up if has_room(s, size)]
+    tiers = {"room": [roomy], "in_service": [roomy, up], "large_enough": [roomy, up, able]}
+    for tier in tiers[needs]:
+        chosen = two_choices(tier, rng=rng)
+        if chosen is not None:
+            return chosen.rack
+    return None
--- /dev/null
+++ b/fescuerudder/leases.py
@@ -0,0 +1,75 @@
+"""Task leases: what renewals to send, who may renew, and how long a mover waits."""
+
+import attrs
+
+from fescuerudder.ownership_types import RackLease
+
+TASK_LEASE_S = 15.0
+RENEW_S = 3.0
+START_WINDOW_S = 1.0
+
+LEASE_MARGIN_S = 0.5
+"""Added to each wait for a lease: clocks of two machines advance at slightly different rates."""
+
+
+@attrs.frozen(kw_only=True)
+class ClockReading:
+    """A reading of a worker's clock.
+
+    Args:
+        worker_s: what the worker's clock showed.
+        received_at_s: time on the own clock when the answer arrived.
+    """
+
+    worker_s: float
+    received_at_s: float
+
+    def estimate_s(self, *, now_s: float) -> float:
+        """Returns the worker's clock at `now_s`, never ahead of the worker."""
+        return self.worker_s + (now_s - self.received_at_s)
+
+
+def lease_end_s(*, reading: ClockReading, now_s: float) -> float:
+    """Returns the end, on the worker's clock, of a lease that is granted now."""
+    return reading.estimate_s(now_s=now_s) + TASK_LEASE_S
+
+
+def start_deadline_s(*, reading: ClockReading, now_s: float) -> float:
+    """Returns the time on the worker's clock after which it refuses a start sent now."""
+    return reading.estimate_s(now_s=now_s) + START_WINDOW_S
+
+
+def may_renew(
+    *, is_live: bool, is_fenced: bool, now_s: float, last_live_s: float, outage_run_s: float
+) -> bool:
+    """Returns whether an owner may renew the lease of a task with `outage_run_s`."""
+    if is_fenced:
+        return False
+    return is_live or now_s <= last_live_s + outage_run_s
+
+
+def certainly_expired_s(
+    *,
+    lease: RackLease,
+    outage_run_s: float,
+    fenced_at_s: float | None,
+    last_sent_s: float | None,
+) -> float:
+    """Returns the time on the own clock from which an unreachable worker runs no attempt.
+
+    Args:
+        lease: ownership of the rack.
+        outage_run_s: how long a former owner may have renewed without the store.
+        fenced_at_s: when the worker was first known to refuse former owners, if ever.
+        last_sent_s: when the last renewal or start was sent to the worker, if any.
+    """
+    # Once the worker refuses former owners, only the own renewals extend its leases.
+    if fenced_at_s is not None:
+        bound_s = fenced_at_s + TASK_LEASE_S
+    elif lease.planned or lease.continuous:
+        bound_s = lease.gained_at_s + TASK_LEASE_S
+    else:
+        bound_s = lease.gained_at_s + outage_run_s + TASK_LEASE_S
+    if last_sent_s is not None:
+        bound_s = max(bound_s, last_sent_s + TASK_LEASE_S)
+    return bound_s + LEASE_MARGIN_S
--- /dev/null
+++ b/fescuerudder/taskqueue.py
@@ -0,0 +1,109 @@
+"""Order of waiting tasks: urgent first, then fair shares, then submission time."""
+
+import heapq
+from collections.abc import Iterable, Iterator, Mapping
+
+import attrs
+
+from fescuerudder.document import ServiceDocument, Size
+from fescuerudder.task import Task
+
+RECLAIM_WAIT_S = 2.0
+
+
+def team_quotas(services: Iterable[ServiceDocument]) -> dict[str, Size]:
+    """Returns each team's quota, the sum over its services."""
+    quotas: dict[str, Size] = {}
+    for doc in services:
+        quotas[doc.team] = quotas.get(doc.team, Size()).plus(doc.quota)
+    return quotas
+
+
+def share(*, usage: Size, quota: Size) -> float:
+    """Returns the largest ratio of usage to quota over the resources in use."""
+    ratios = [0.0]
+    for name in ("processors", "memory_mb", "accelerators"):
+        used, allowed = getattr(usage, name), getattr(quota, name)
+        if used > 0:
+            ratios.append(used / allowed if allowed > 0 else float("inf"))
+    return max(ratios)
+
+
+class FairOrder:
+    """Hands out waiting tasks in their order, counting each placed one as usage.
+
+    Args:
+        tasks: waiting tasks.
+        usage: committed resources by team.
+        quotas: quota by team.
+    """
+
+    def __init__(
+        self, *, tasks: Iterable[Task], usage: Mapping[str, Size], quotas: Mapping[str, Size]
+    ) -> None:
+        self._usage = dict(usage)
+        self._quotas = quotas
+        self._lines: dict[tuple[bool, str], list[Task]] = {}
+        for task in sorted(tasks, key=lambda t: (t.submitted_at_s, t.id), reverse=True):
+            self._lines.setdefault((not task.urgent, task.team), []).append(task)
+        self._heap = [self._entry(line) for line in self._lines]
+        heapq.heapify(self._heap)
+
+    def __iter__(self) -> Iterator[Task]:
+        while self._heap:
+            late, _, _, _, team = heapq.heappop(self._heap)
+            line = (late, team)
+            # Another line of the team may have raised its share since this entry was made.
+            entry = self._entry(line)
+            if self._heap and entry > self._heap[0]:
+                heapq.heappush(self._heap, entry)
+                continue
+            task = self._lines[line].pop()
+            yield task
+            if self._lines[line]:
+                heapq.heappush(self._heap, self._entry(line))
+
+    def placed(self, task: Task) -> None:
+        """Counts a placed task as usage of its team."""
+        self._usage[task.team] = self._usage.get(task.team, Size()).plus(task.size)
+
+    def _entry(self, line: tuple[bool, str]) -> tuple[bool, float, float, str, str]:
+        late, team = line
+        task = self._lines[line][-1]
+        ratio = share(usage=self._usage.get(team, Size()), quota=self._quotas.get(team, Size()))
+        return late, ratio, task.submitted_at_s, task.id, team
+
+
+@attrs.frozen(kw_only=True)
+class Shares:
+    """Usage and quotas of all teams, for lending and reclaiming.
+
+    Args:
+        usage: committed resources by team over all racks.
+        quotas: quota by team.
+    """
+
+    usage: Mapping[str, Size]
+    quotas: Mapping[str, Size]
+
+    def may_reclaim(self, task: Task, *, waited_s: float) -> bool:
+        """Returns whether `task` has waited long enough and keeps its team within its quota."""
+        if waited_s < RECLAIM_WAIT_S:
+            return False
+        usage = self.usage.get(task.team, Size()).plus(task.size)
+        return share(usage=usage, quota=self.quotas.get(task.team, Size())) <= 1.0
+
+    def reclaimable(self, running: Iterable[Task]) -> list[Task]:
+        """Returns batch tasks of teams above their quota, newest first.
+
+        A team is never brought below its quota by giving up the returned tasks.
+        """
+        usage = dict(self.usage)
+        found = []
+        for task in sorted(running, key=lambda t: (t.submitted_at_s, t.id), reverse=True):
+            used, quota = usage.get(task.team, Size()), self.quotas.get(task.team, Size())
+            if task.kind != "batch" or share(usage=used, quota=quota) <= 1.0:
+                continue
+            usage[task.team] = used.minus(task.size)
+            found.append(task)
+        return found
