Add the control loop of a rack

The owner of a rack must bring rows and worker reports into agreement, assign, start, evict and re-home. Not yet covered by tests.

--- /dev/null
+++ b/fescuerudder/assign.py
@@ -0,0 +1,134 @@
+"""Assigns waiting tasks to workers and sends starts."""
+
+import functools
+
+import attrs
+
+from fescuerudder.errors import WorkerRefusedError, WorkerUnreachableError
+from fescuerudder.fleet import WorkerState
+from fescuerudder.leases import lease_end_s, start_deadline_s
+from fescuerudder.placement import WorkerLoad
+from fescuerudder.rackstate import RackState, StartRecord
+from fescuerudder.task import Task, assigned
+from fescuerudder.taskqueue import FairOrder
+from fescuerudder.transitions import HeldTask
+from fescuerudder.workers import StartOrder
+
+REFUSALS_OF_KNOWN = frozenset({"attempt_known", "task_running"})
+"""Refusals after which the next status still decides whether the attempt runs."""
+
+
+def assign_queue(state: RackState) -> None:
+    """Writes assignments for waiting tasks in fair order."""
+    if not state.may_assign():
+        return
+    held = {h.task.id: h for h in state.rows.queued() if not h.task.cancel_requested}
+    if not held:
+        return
+    shares = state.shares()
+    order = FairOrder(
+        tasks=[h.task for h in held.values()], usage=shares.usage, quotas=shares.quotas
+    )
+    loads = {load.worker: load for load in state.loads()}
+    services = state.services()
+    for task in order:
+        sized = _with_learned_size(state, task, list(loads.values()))
+        if sized.zones and state.zone not in sized.zones:
+            continue
+        worker = state.placement.choose(task=sized, loads=list(loads.values()), services=services)
+        if worker is None:
+            continue
+        _assign(state, held[task.id], sized, worker)
+        order.placed(sized)
+        loads[worker] = _after(state, loads[worker], sized)
+
+
+def send_starts(state: RackState) -> None:
+    """Sends the starts of durable assignments that were not sent yet."""
+    calls = []
+    for held in state.rows.assigned():
+        worker = state.fleet.states.get(held.task.worker)
+        if worker is not None and _is_startable(state, held.task, worker):
+            calls.append(functools.partial(_start, state, held.task, worker))
+    state.fleet.run(calls)
+
+
+def _with_learned_size(state: RackState, task: Task, loads: list[WorkerLoad]) -> Task:
+    size = state.learned.sizes.committed(
+        service=task.service, declared=task.size, capacities=[load.capacity for load in loads]
+    )
+    return attrs.evolve(task, size=size)
+
+
+def _assign(state: RackState, held: HeldTask, sized: Task, worker: str) -> None:
+    status = state.fleet.states[worker].status
+    new = assigned(
+        sized,
+        worker=worker,
+        worker_incarnation=status.incarnation,
+        epoch=state.lease.epoch,
+        txn=state.new_id(),
+    )
+    state.rows.write(held=held, new=new)
+
+
+def _after(state: RackState, load: WorkerLoad, task: Task) -> WorkerLoad:
+    """Returns the load with `task`; a quarantined worker takes no second probe."""
+    after = load.with_task(task)
+    if not state.quarantine.is_quarantined(worker=load.worker):
+        return after
+    state.probes[load.worker] = task.id
+    state.quarantine.probed(worker=load.worker)
+    return attrs.evolve(after, takes_work=False)
+
+
+def _is_startable(state: RackState, task: Task, worker: WorkerState) -> bool:
+    return (
+        task.epoch == state.lease.epoch
+        and (task.id, task.attempt) not in state.starts
+        and not task.cancel_requested
+        and worker.is_reachable
+        and worker.is_fenced
+        and not worker.is_leaving
+        and worker.status.incarnation == task.worker_incarnation
+    )
+
+
+def _start(state: RackState, task: Task, worker: WorkerState) -> None:
+    """Sends one start, unless work may no longer start on the rack.
+
+    The deadline is fixed before the check, so a pause after the check can't prolong it.
+    """
+    now_s = state.clock.now_s()
+    order = _order(state, task, worker, now_s)
+    if not state.may_assign():
+        return
+    # Noted before sending: a lost answer does not prove that the start was lost.
+    record = StartRecord(start_by_s=order.start_by_s, sent_at_s=now_s)
+    state.starts[(task.id, task.attempt)] = record
+    worker.last_sent_s = now_s
+    try:
+        worker.control.start(order)
+    except WorkerUnreachableError:
+        return
+    except WorkerRefusedError as exc:
+        state.fleet.note_refusal(exc)
+        record.is_refused = exc.reason not in REFUSALS_OF_KNOWN
+        if exc.reason == "broken":
+            state.quarantine.failed(worker=worker.member.id, task=task.id)
+
+
+def _order(state: RackState, task: Task, worker: WorkerState, now_s: float) -> StartOrder:
+    return StartOrder(
+        task=task.id,
+        attempt=task.attempt,
+        epoch=state.lease.epoch,
+        service=task.service,
+        kind=task.kind,
+        size=task.size,
+        payload=task.payload,
+        checkpoint=task.checkpoint,
+        lease_until_s=lease_end_s(reading=worker.reading, now_s=now_s),
+        start_by_s=start_deadline_s(reading=worker.reading, now_s=now_s),
+        trace_id=task.trace_id,
+    )
--- /dev/null
+++ b/fescuerudder/fleet.py
@@ -0,0 +1,161 @@
+"""The workers of a rack as their owner last saw them."""
+
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+
+from fescuerudder.clock import Clock
+from fescuerudder.errors import WorkerRefusedError, WorkerUnreachableError
+from fescuerudder.leases import ClockReading
+from fescuerudder.ownership_types import RackLease
+from fescuerudder.rackports import RackWorker, RunAll, WorkerSource
+from fescuerudder.workers import Attempt, StopOutcome, WorkerControl, WorkerStatus
+
+
+@attrs.define(kw_only=True)
+class WorkerState:
+    """What the owner knows of one worker. Times are on the owner's clock.
+
+    Args:
+        member: entry of the membership list.
+        status: last status, if any.
+        reading: clock reading that came with the status.
+        is_reachable: whether the last request for a status was answered.
+        is_fenced: whether the status shows that the worker refuses former owners.
+        fenced_at_s: when the first such status arrived.
+        last_sent_s: when the last renewal or start was sent.
+        renewed_at_s: when the leases were last renewed with an answer.
+        renewed: attempts that the last renewal covered.
+    """
+
+    member: RackWorker
+    status: WorkerStatus | None = None
+    reading: ClockReading | None = None
+    is_reachable: bool = False
+    is_fenced: bool = False
+    fenced_at_s: float | None = None
+    last_sent_s: float | None = None
+    renewed_at_s: float | None = None
+    renewed: frozenset[tuple[str, int]] = frozenset()
+
+    @property
+    def control(self) -> WorkerControl:
+        """Control interface."""
+        return self.member.control
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the worker takes no new work."""
+        return self.member.leaving or (self.status is not None and self.status.leaving)
+
+    @property
+    def attempts(self) -> tuple[Attempt, ...]:
+        """Attempts of the last status."""
+        return self.status.tasks if self.status else ()
+
+    def attempt_of(self, *, task: str, attempt: int) -> Attempt | None:
+        """Returns an attempt of the last status."""
+        found = [a for a in self.attempts if a.task == task and a.attempt == attempt]
+        return found[0] if found else None
+
+
+class Fleet:
+    """Reads statuses and sends commands with the epoch of the rack.
+
+    Args:
+        lease: ownership of the rack.
+        source: current workers of the rack.
+        clock: source of time.
+        run_all: runs requests to several workers at the same time.
+    """
+
+    def __init__(
+        self, *, lease: RackLease, source: WorkerSource, clock: Clock, run_all: RunAll
+    ) -> None:
+        self._lease = lease
+        self._source = source
+        self._clock = clock
+        self._run_all = run_all
+        self.states: dict[str, WorkerState] = {}
+        self.superseded = False
+
+    def refresh(self) -> None:
+        """Asks every worker for its status."""
+        members = self._source()
+        for name, member in members.items():
+            state = self.states.setdefault(name, WorkerState(member=member))
+            state.member = member
+        # Workers that left the list are kept: their attempts may still run.
+        states = list(self.states.values())
+        self._run_all([lambda s=state: self._read_status(s) for state in states])
+
+    def task_ids(self) -> set[str]:
+        """Returns the tasks that workers report."""
+        return {a.task for state in self.reachable() for a in state.attempts}
+
+    def reachable(self) -> list[WorkerState]:
+        """Returns the workers that answered in this cycle."""
+        return [state for _, state in sorted(self.states.items()) if state.is_reachable]
+
+    def run(self, calls: list[Callable[[], Any]]) -> list[Any]:
+        """Runs calls to several workers at the same time."""
+        return self._run_all(calls)
+
+    def stop(
+        self, state: WorkerState, *, task: str, attempt: int, checkpoint: bool
+    ) -> StopOutcome | None:
+        """Stops an attempt; returns None unless the worker confirmed it.
+
+        If the checkpoint is refused, the attempt is stopped without one.
+        """
+        for wanted in (True, False) if checkpoint else (False,):
+            try:
+                outcome = state.control.stop(
+                    task=task, attempt=attempt, epoch=self._lease.epoch, checkpoint=wanted
+                )
+            except WorkerUnreachableError:
+                return None
+            except WorkerRefusedError as exc:
+                self.note_refusal(exc)
+                continue
+            self._note_stopped(state, task, attempt, outcome)
+            return outcome
+        return None
+
+    def note_refusal(self, exc: WorkerRefusedError) -> None:
+        """Notes what a refusal says about the own epoch."""
+        if exc.reason == "stale_epoch":
+            self.superseded = True
+
+    def _read_status(self, state: WorkerState) -> None:
+        try:
+            status = state.control.status()
+        except (WorkerUnreachableError, WorkerRefusedError):
+            state.is_reachable = False
+            return
+        now_s = self._clock.now_s()
+        state.status = status
+        state.reading = ClockReading(worker_s=status.clock_s, received_at_s=now_s)
+        state.is_reachable = True
+        state.is_fenced = status.highest_epoch >= self._lease.epoch
+        if status.highest_epoch > self._lease.epoch:
+            self.superseded = True
+        if state.is_fenced and state.fenced_at_s is None:
+            state.fenced_at_s = now_s
+
+    def _note_stopped(
+        self, state: WorkerState, task: str, attempt: int, outcome: StopOutcome
+    ) -> None:
+        """Enters a confirmed end into the last status."""
+        if state.status is None:
+            return
+        tasks = tuple(
+            (
+                attrs.evolve(a, state=outcome.state, checkpoint=outcome.checkpoint or a.checkpoint)
+                if (a.task, a.attempt) == (task, attempt)
+                else a
+            )
+            for a in state.status.tasks
+        )
+        state.status = attrs.evolve(state.status, tasks=tasks)
--- /dev/null
+++ b/fescuerudder/rack.py
@@ -0,0 +1,229 @@
+"""The owner's control loop for one rack."""
+
+from collections import deque
+from collections.abc import Callable, Iterable
+from random import Random
+
+from fescuerudder.assign import assign_queue, send_starts
+from fescuerudder.clock import Clock
+from fescuerudder.document import Size
+from fescuerudder.evict import evict_all_due
+from fescuerudder.fleet import Fleet, WorkerState
+from fescuerudder.interference import Remedies
+from fescuerudder.ownership_types import RackLease, RackSummary, UpstreamState
+from fescuerudder.placement import LeastInterference, Placement
+from fescuerudder.quarantine import Quarantine
+from fescuerudder.rackports import Committer, RunAll, Session, View, WorkerSource, run_in_order
+from fescuerudder.rackrows import RackRows
+from fescuerudder.rackstate import Learned, RackState
+from fescuerudder.reconcile import cancel_queued, clean_up_attempts, reconcile
+from fescuerudder.rehome import rehome_queue
+from fescuerudder.renewals import renew_leases
+from fescuerudder.table import Table, new_txn_id
+
+
+def no_summaries() -> tuple[RackSummary, ...]:
+    """Returns no summaries, for a rack that knows of no other."""
+    return ()
+
+
+class RackController:
+    """Schedules tasks on the workers of one rack while this instance owns it.
+
+    One controller serves one lease. `step` is called by one thread; `hint` and `summary`
+    may be called by any.
+
+    Args:
+        rack: rack id.
+        zone: availability zone of the rack.
+        lease: ownership of the rack.
+        committer: group commit.
+        table: for reads.
+        workers: returns the workers that the membership list shows on the rack.
+        clock: source of time.
+        view: configuration.
+        session: session of this instance.
+        rng: source of randomness.
+        summaries: returns the published summaries of all racks.
+        placement: choice of a worker; the least interference if None.
+        learned: learned slowdowns, sizes and run times, shared or new.
+        run_all: runs requests to several workers at the same time.
+        new_id: returns unique ids for transactions.
+    """
+
+    def __init__(
+        self,
+        *,
+        rack: str,
+        zone: str,
+        lease: RackLease,
+        committer: Committer,
+        table: Table,
+        workers: WorkerSource,
+        clock: Clock,
+        view: View,
+        session: Session,
+        rng: Random,
+        summaries: Callable[[], Iterable[RackSummary]] = no_summaries,
+        placement: Placement | None = None,
+        learned: Learned | None = None,
+        run_all: RunAll = run_in_order,
+        new_id: Callable[[], str] = new_txn_id,
+    ) -> None:
+        learned = learned or Learned()
+        self.rack = rack
+        self._hints: deque[str] = deque()
+        self._is_stopped = False
+        self._state = RackState(
+            lease=lease,
+            zone=zone,
+            clock=clock,
+            rng=rng,
+            view=view,
+            session=session,
+            fleet=Fleet(lease=lease, source=workers, clock=clock, run_all=run_all),
+            rows=RackRows(lease=lease, table=table, committer=committer),
+            quarantine=Quarantine(clock=clock),
+            placement=placement or LeastInterference(slowdowns=learned.slowdowns),
+            learned=learned,
+            remedies=Remedies(slowdowns=learned.slowdowns),
+            summaries=summaries,
+            new_id=new_id,
+        )
+        self._summary = RackSummary(rack=rack, zone=zone, epoch=lease.epoch)
+
+    @property
+    def is_superseded(self) -> bool:
+        """Whether another instance was seen to own the rack."""
+        return self._state.is_superseded
+
+    def hint(self, task_id: str) -> None:
+        """Asks the next cycle to read a task."""
+        self._hints.append(task_id)
+
+    def summary(self) -> RackSummary:
+        """Returns the summary of the last cycle."""
+        return self._summary
+
+    def stop(self) -> None:
+        """Makes every later cycle do nothing, for a handover."""
+        self._is_stopped = True
+
+    def step(self) -> None:
+        """Runs one control cycle."""
+        state = self._state
+        if not self._is_active():
+            return
+        self._drain_hints()
+        state.fleet.refresh()
+        self._observe()
+        # With a slow store, reading first could let leases expire.
+        was_loaded = state.rows.loaded
+        if was_loaded and self._is_active():
+            renew_leases(state)
+        is_loaded = state.rows.load(seen=state.fleet.task_ids())
+        if not was_loaded and self._is_active():
+            renew_leases(state)
+        if is_loaded:
+            self._act()
+        self._summary = self._summarise()
+
+    def _act(self) -> None:
+        """Runs the parts that write, each after the writes of the one before."""
+        self._note_waiting()
+        self._forget_attempts()
+        for part in (
+            reconcile,
+            clean_up_attempts,
+            cancel_queued,
+            evict_all_due,
+            assign_queue,
+            send_starts,
+            rehome_queue,
+        ):
+            if not self._is_active():
+                return
+            part(self._state)
+            self._state.rows.collect()
+
+    def _is_active(self) -> bool:
+        state = self._state
+        return not (self._is_stopped or state.is_superseded or state.session.fenced)
+
+    def _drain_hints(self) -> None:
+        while self._hints:
+            self._state.rows.mark(self._hints.popleft())
+
+    def _observe(self) -> None:
+        """Learns from the reports that arrived with the statuses."""
+        state = self._state
+        state.fresh_usage = {}
+        for worker in state.fleet.reachable():
+            fresh = state.learned.slowdowns.observe(worker.status)
+            state.fresh_usage[worker.member.id] = fresh
+            for usage in fresh:
+                state.learned.sizes.observe(usage)
+
+    def _note_waiting(self) -> None:
+        """Keeps since when each waiting task has been seen."""
+        state = self._state
+        now_s = state.clock.now_s()
+        state.queued_since_s = {
+            held.task.id: state.queued_since_s.get(held.task.id, now_s)
+            for held in state.rows.queued()
+        }
+
+    def _forget_attempts(self) -> None:
+        """Drops notes on attempts that no row names any more; their numbers never return."""
+        state = self._state
+        for notes in (state.starts, state.running_since_s):
+            for task_id, attempt in list(notes):
+                held = state.rows.get(task_id)
+                is_named = held is not None and held.task.attempt <= attempt
+                if state.rows.is_settled(task_id) and not is_named or held is None:
+                    del notes[(task_id, attempt)]
+
+    def _summarise(self) -> RackSummary:
+        state = self._state
+        loads = state.loads()
+        return RackSummary(
+            rack=self.rack,
+            zone=state.zone,
+            epoch=state.lease.epoch,
+            free=tuple(load.free for load in loads if load.takes_work),
+            largest=_maximal([load.capacity for load in loads]),
+            used=state.used_here(),
+            queue_length=len(state.rows.queued()),
+            upstreams=tuple(
+                self._upstream(worker)
+                for _, worker in sorted(state.fleet.states.items())
+                if worker.status is not None
+            ),
+        )
+
+    def _upstream(self, worker: WorkerState) -> UpstreamState:
+        services = self._state.services()
+        running = {a.service for a in worker.attempts if not a.is_ended}
+        critical = {
+            name
+            for name in running
+            if name in services and services[name].kind == "latency-critical"
+        }
+        return UpstreamState(
+            worker=worker.member.id,
+            data=worker.member.data,
+            slots=worker.status.capacity.slots,
+            services=tuple(sorted(critical)),
+            leaving=worker.is_leaving,
+            status_age_s=self._state.clock.now_s() - worker.reading.received_at_s,
+        )
+
+
+def _maximal(sizes: list[Size]) -> tuple[Size, ...]:
+    """Returns the sizes that fit in no other."""
+    found: list[Size] = []
+    for size in sizes:
+        if any(size.fits_in(other) for other in found):
+            continue
+        found = [other for other in found if not other.fits_in(size)] + [size]
+    return tuple(found)
--- /dev/null
+++ b/fescuerudder/rackrows.py
@@ -0,0 +1,193 @@
+"""The task rows of a rack: cached reads, and writes whose outcome may come late."""
+
+import concurrent.futures
+from collections.abc import Iterable
+from concurrent.futures import Future
+
+from result import Ok
+
+from fescuerudder.errors import ConflictError, StoreUnavailableError
+from fescuerudder.ownership_types import RackLease
+from fescuerudder.rackports import CommitResult, Committer
+from fescuerudder.table import Row, Table
+from fescuerudder.task import Task, load_task, queue_key, task_key
+from fescuerudder.transitions import HeldTask, assigned_prefix, rack_key, transition
+
+COMMIT_WAIT_S = 2.0
+"""Longest wait for writes in one cycle; a slow store must not delay lease renewals."""
+
+REFRESH_ROWS = 16
+"""Assigned rows re-read in each cycle, to find cancel requests whose hint was lost."""
+
+SCAN_CYCLES = 30
+"""Cycles between reads of all assignment rows of the rack."""
+
+
+class RackRows:
+    """Rows of the tasks that wait or run on a rack.
+
+    A task with a write in flight or an outdated row is `settled` only after the outcome was
+    read; no decision is taken on it before.
+
+    Args:
+        lease: ownership of the rack.
+        table: for reads.
+        committer: for writes.
+    """
+
+    def __init__(self, *, lease: RackLease, table: Table, committer: Committer) -> None:
+        self._lease = lease
+        self._table = table
+        self._committer = committer
+        self._held: dict[str, HeldTask | None] = {}
+        self._dirty: set[str] = set()
+        self._pending: dict[str, tuple[Future[CommitResult], Task]] = {}
+        self._cycle = 0
+        self._refresh_at = 0
+        self.loaded = False
+        self.superseded = False
+
+    def mark(self, task_id: str) -> None:
+        """Asks for a re-read of a row."""
+        self._dirty.add(task_id)
+
+    def load(self, *, seen: Iterable[str]) -> bool:
+        """Reads what changed; `seen` are the tasks that workers report.
+
+        Returns:
+            Whether the store could be read.
+        """
+        self.collect(wait_s=0.0)
+        seen = set(seen)
+        asked = self._dirty | {i for i in seen if i not in self._held} | self._next_slice()
+        asked -= self._pending.keys()
+        queue_prefix = queue_key(self._lease.rack, "")
+        prefixes = [queue_prefix]
+        scans = not self.loaded or self._cycle % SCAN_CYCLES == 0
+        if scans:
+            prefixes.append(assigned_prefix(self._lease.rack))
+        keys = (rack_key(self._lease.rack), *map(task_key, sorted(asked)))
+        try:
+            rows = self._table.read(keys=keys, prefixes=tuple(prefixes))
+            indexed = {row.key.rsplit("/", 1)[1] for row in rows if _is_index(row)}
+            more = {i for i in indexed - asked if not self._is_current(i)}
+            if more:
+                rows += self._table.read(keys=tuple(map(task_key, sorted(more))))
+        except StoreUnavailableError:
+            return False
+        self._check_owner(rows)
+        self._take(rows, asked | more)
+        waiting = {row.key.rsplit("/", 1)[1] for row in rows if row.key.startswith(queue_prefix)}
+        self._forget(waiting | seen)
+        self._cycle += 1
+        self.loaded = True
+        return True
+
+    def get(self, task_id: str) -> HeldTask | None:
+        """Returns the last known row of a task, settled or not."""
+        return self._held.get(task_id)
+
+    def is_settled(self, task_id: str) -> bool:
+        """Returns whether the row is known and nothing about it is open."""
+        return task_id in self._held and task_id not in self._pending and task_id not in self._dirty
+
+    def queued(self) -> list[HeldTask]:
+        """Returns the settled tasks that wait in the rack's queue."""
+        return [held for held in self._settled() if held.task.state == "queued"]
+
+    def assigned(self) -> list[HeldTask]:
+        """Returns the settled tasks that are assigned on the rack."""
+        return [held for held in self._settled() if held.task.state == "assigned"]
+
+    def occupying(self) -> list[Task]:
+        """Returns every task that may be assigned, including by a write in flight."""
+        tasks = [h.task for h in self._held.values() if h and h.task.state == "assigned"]
+        tasks += [new for _, new in self._pending.values() if new.state == "assigned"]
+        return [task for task in tasks if task.rack == self._lease.rack]
+
+    def write(self, *, held: HeldTask, new: Task) -> None:
+        """Sends the write that replaces the held task by `new`."""
+        fut = self._committer.submit(transition(lease=self._lease, held=held, new=new))
+        self._pending[new.id] = (fut, new)
+
+    def collect(self, *, wait_s: float = COMMIT_WAIT_S) -> list[HeldTask]:
+        """Waits for writes in flight and returns the applied ones."""
+        futs = [fut for fut, _ in self._pending.values()]
+        concurrent.futures.wait(futs, timeout=wait_s)
+        applied = []
+        for task_id, (fut, new) in list(self._pending.items()):
+            if fut.done():
+                del self._pending[task_id]
+                applied += self._settle(fut.result(), new)
+        return applied
+
+    def _settle(self, result: CommitResult, new: Task) -> list[HeldTask]:
+        if isinstance(result, Ok):
+            held = HeldTask(task=new, version=result.ok_value[task_key(new.id)])
+            self._held[new.id] = held
+            return [held]
+        # The row tells what happened, whatever the error was.
+        self._dirty.add(new.id)
+        exc = result.err_value
+        if isinstance(exc, ConflictError) and rack_key(self._lease.rack) in exc.failed_keys:
+            self.superseded = True
+        return []
+
+    def _check_owner(self, rows: list[Row]) -> None:
+        found = [row.version for row in rows if row.key == rack_key(self._lease.rack)]
+        self.superseded |= found != [self._lease.version]
+
+    def _take(self, rows: list[Row], asked: set[str]) -> None:
+        found = {row.key.removeprefix("task/"): row for row in rows if row.key.startswith("task/")}
+        for task_id in asked:
+            row = found.get(task_id)
+            self._held[task_id] = (
+                HeldTask(task=load_task(row.value), version=row.version) if row else None
+            )
+            self._dirty.discard(task_id)
+
+    def _is_current(self, task_id: str) -> bool:
+        """Returns whether the cache explains why the task is listed under this rack."""
+        if task_id in self._pending:
+            return True
+        held = self._held.get(task_id)
+        return (
+            held is not None
+            and held.task.rack == self._lease.rack
+            and held.task.state in ("queued", "assigned")
+        )
+
+    def _forget(self, listed: set[str]) -> None:
+        """Drops rows that concern neither the rack nor its workers."""
+        for task_id in list(self._held):
+            if task_id in self._pending or task_id in self._dirty or task_id in listed:
+                continue
+            held = self._held[task_id]
+            if held is None or held.task.rack != self._lease.rack:
+                del self._held[task_id]
+            elif held.task.state == "queued":
+                # The queue row is gone, so somebody else changed the task.
+                self._dirty.add(task_id)
+            elif held.task.state != "assigned":
+                del self._held[task_id]
+
+    def _next_slice(self) -> set[str]:
+        """Returns the next few assigned tasks to re-read."""
+        ids = sorted(i for i, h in self._held.items() if h and h.task.state == "assigned")
+        if not ids:
+            return set()
+        self._refresh_at %= len(ids)
+        chosen = ids[self._refresh_at : self._refresh_at + REFRESH_ROWS]
+        self._refresh_at += REFRESH_ROWS
+        return set(chosen)
+
+    def _settled(self) -> list[HeldTask]:
+        return [
+            held
+            for task_id, held in sorted(self._held.items())
+            if held and held.task.rack == self._lease.rack and self.is_settled(task_id)
+        ]
+
+
+def _is_index(row: Row) -> bool:
+    return row.key.startswith(("queue/", "assigned/"))
--- /dev/null
+++ b/fescuerudder/rackstate.py
@@ -0,0 +1,180 @@
+"""State that the parts of a rack's control loop share."""
+
+from collections.abc import Callable, Iterable
+from random import Random
+
+import attrs
+
+from fescuerudder.clock import Clock
+from fescuerudder.document import ServiceDocument, Size
+from fescuerudder.fleet import Fleet, WorkerState
+from fescuerudder.home import Need, choose_home, in_service
+from fescuerudder.interference import Remedies, RunTimes, Sizes, Slowdowns
+from fescuerudder.ownership_types import RackLease, RackSummary
+from fescuerudder.placement import Placement, WorkerLoad, commitments
+from fescuerudder.quarantine import Quarantine
+from fescuerudder.rackports import Session, View
+from fescuerudder.rackrows import RackRows
+from fescuerudder.task import Task
+from fescuerudder.taskqueue import Shares, team_quotas
+from fescuerudder.workers import Usage
+
+
+@attrs.define(kw_only=True)
+class StartRecord:
+    """A start that was sent.
+
+    Args:
+        start_by_s: time on the worker's clock after which the worker refuses the start.
+        sent_at_s: time of sending on the own clock.
+        is_refused: whether the worker certainly refused it.
+    """
+
+    start_by_s: float
+    sent_at_s: float
+    is_refused: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class Learned:
+    """What is learned from reports; may be shared by the racks of one instance."""
+
+    slowdowns: Slowdowns = attrs.field(factory=Slowdowns)
+    sizes: Sizes = attrs.field(factory=Sizes)
+    run_times: RunTimes = attrs.field(factory=RunTimes)
+
+
+@attrs.define(kw_only=True)
+class RackState:
+    """State of one owned rack.
+
+    Args:
+        lease: ownership of the rack.
+        zone: its availability zone.
+        clock: source of time.
+        rng: source of randomness.
+        view: configuration.
+        session: session of this instance.
+        fleet: workers.
+        rows: task rows.
+        quarantine: workers set aside.
+        placement: choice of a worker.
+        learned: learned slowdowns, sizes and run times.
+        remedies: mitigations.
+        summaries: returns the published summaries of all racks.
+        new_id: returns unique ids for transactions.
+        starts: starts sent under this lease, by task and attempt.
+        running_since_s: when an attempt was first seen running.
+        queued_since_s: when a task was first seen in the queue.
+        probes: task assigned last to each quarantined worker.
+        fresh_usage: reports that arrived in this cycle, by worker.
+    """
+
+    lease: RackLease
+    zone: str
+    clock: Clock
+    rng: Random
+    view: View
+    session: Session
+    fleet: Fleet
+    rows: RackRows
+    quarantine: Quarantine
+    placement: Placement
+    learned: Learned
+    remedies: Remedies
+    summaries: Callable[[], Iterable[RackSummary]]
+    new_id: Callable[[], str]
+    starts: dict[tuple[str, int], StartRecord] = attrs.field(factory=dict)
+    running_since_s: dict[tuple[str, int], float] = attrs.field(factory=dict)
+    queued_since_s: dict[str, float] = attrs.field(factory=dict)
+    probes: dict[str, str] = attrs.field(factory=dict)
+    fresh_usage: dict[str, list[Usage]] = attrs.field(factory=dict)
+
+    @property
+    def is_superseded(self) -> bool:
+        """Whether another instance owns the rack now."""
+        return self.fleet.superseded or self.rows.superseded
+
+    def zone_is_in(self) -> bool:
+        """Returns whether the newest known configuration has the zone in service."""
+        return in_service(self.zone, self.view.current().zones)
+
+    def services(self) -> dict[str, ServiceDocument]:
+        """Returns the documents by service."""
+        return dict(self.view.current().services)
+
+    def may_assign(self) -> bool:
+        """Returns whether work may be assigned or started on the rack now.
+
+        Freshness is checked before the zone is read, so the zone's state is at least as
+        new as the read that proved the view fresh.
+        """
+        return self.session.is_live() and self.view.is_fresh() and self.zone_is_in()
+
+    def takes_work(self, state: WorkerState) -> bool:
+        """Returns whether a worker may get new tasks."""
+        if not (state.is_reachable and state.is_fenced) or state.is_leaving:
+            return False
+        name = state.member.id
+        if not self.quarantine.is_quarantined(worker=name):
+            return True
+        return self.quarantine.may_probe(worker=name) and not self._is_probed(name)
+
+    def loads(self) -> list[WorkerLoad]:
+        """Returns the load of each worker that was ever seen."""
+        tasks = self.rows.occupying()
+        loads = []
+        for name, state in sorted(self.fleet.states.items()):
+            if state.status is None:
+                continue
+            committed, services = commitments(
+                attempts=state.attempts, assigned=[t for t in tasks if t.worker == name]
+            )
+            loads.append(
+                WorkerLoad(
+                    worker=name,
+                    capacity=state.status.capacity.size,
+                    committed=committed,
+                    services=services,
+                    takes_work=self.takes_work(state),
+                )
+            )
+        return loads
+
+    def used_here(self) -> dict[str, Size]:
+        """Returns the committed resources on this rack by team."""
+        used: dict[str, Size] = {}
+        for task in self.rows.occupying():
+            used[task.team] = used.get(task.team, Size()).plus(task.size)
+        return used
+
+    def shares(self) -> Shares:
+        """Returns usage over all racks and quotas by team."""
+        usage = self.used_here()
+        for summary in self.summaries():
+            if summary.rack == self.lease.rack:
+                continue
+            for team, size in summary.used.items():
+                usage[team] = usage.get(team, Size()).plus(size)
+        return Shares(usage=usage, quotas=team_quotas(self.services().values()))
+
+    def other_rack(self, task: Task, *, needs: Need) -> str | None:
+        """Returns another rack for `task`, or None."""
+        return choose_home(
+            size=task.size,
+            zones=task.zones,
+            summaries=self.summaries(),
+            zone_states=self.view.current().zones,
+            rng=self.rng,
+            exclude=self.lease.rack,
+            needs=needs,
+        )
+
+    def waited_s(self, task: Task) -> float:
+        """Returns how long a task has been seen in the queue."""
+        now_s = self.clock.now_s()
+        return now_s - self.queued_since_s.get(task.id, now_s)
+
+    def _is_probed(self, worker: str) -> bool:
+        probe = self.probes.get(worker)
+        return any(t.id == probe and t.worker == worker for t in self.rows.occupying())
--- /dev/null
+++ b/fescuerudder/reconcile.py
@@ -0,0 +1,195 @@
+"""Brings task rows and what workers report into agreement."""
+
+from typing import Any
+
+import attrs
+
+from fescuerudder.errors import WorkerRefusedError, WorkerUnreachableError
+from fescuerudder.fleet import WorkerState
+from fescuerudder.leases import START_WINDOW_S, certainly_expired_s
+from fescuerudder.rackstate import RackState
+from fescuerudder.renewals import is_current
+from fescuerudder.task import Task, attempt_failed, cancelled, finished, requeued
+from fescuerudder.transitions import HeldTask
+from fescuerudder.workers import AttemptState
+
+
+@attrs.frozen(kw_only=True)
+class Ending:
+    """How an attempt certainly ended.
+
+    Args:
+        state: state that the worker reported, or `lapsed` if the lease certainly expired.
+        checkpoint: object name of the last checkpoint, or empty.
+        result: result or reason of failure.
+    """
+
+    state: AttemptState
+    checkpoint: str = ""
+    result: str = ""
+
+
+def settle(state: RackState, held: HeldTask, ending: Ending, *, rack: str = "") -> None:
+    """Writes the transition of a task whose attempt ended.
+
+    Args:
+        state: state of the rack.
+        held: the assigned task.
+        ending: how its attempt ended.
+        rack: rack in whose queue it goes if it runs again; empty lets the rack decide.
+    """
+    task, txn = held.task, state.new_id()
+    if ending.state == "finished":
+        new = finished(task, result=ending.result, txn=txn)
+    elif task.cancel_requested:
+        new = cancelled(task, txn=txn)
+    elif ending.state == "failed":
+        home = rack or _next_rack(state, task)
+        new = attempt_failed(task, rack=home, reason=ending.result, txn=txn)
+    else:
+        new = requeued(
+            task,
+            rack=rack or _next_rack(state, task),
+            checkpoint=ending.checkpoint,
+            evicted=ending.state == "checkpointed",
+            txn=txn,
+        )
+    _learn(state, task, ending)
+    state.rows.write(held=held, new=new)
+
+
+def reconcile(state: RackState) -> None:
+    """Handles every assigned task whose attempt ended, lapsed, failed to start or is to end."""
+    for held in state.rows.assigned():
+        worker = state.fleet.states.get(held.task.worker)
+        if worker is None or not worker.is_reachable:
+            _handle_unreachable(state, held, worker)
+            continue
+        attempt = worker.attempt_of(task=held.task.id, attempt=held.task.attempt)
+        if attempt is None:
+            _handle_missing(state, held, worker)
+        elif attempt.is_ended:
+            ending = Ending(
+                state=attempt.state, checkpoint=attempt.checkpoint, result=attempt.result
+            )
+            settle(state, held, ending)
+        else:
+            _handle_running(state, held, worker)
+
+
+def cancel_queued(state: RackState) -> None:
+    """Ends the waiting tasks whose callers asked for cancellation."""
+    for held in state.rows.queued():
+        if held.task.cancel_requested:
+            state.rows.write(held=held, new=cancelled(held.task, txn=state.new_id()))
+
+
+def clean_up_attempts(state: RackState) -> None:
+    """Stops attempts that their rows do not name, and acknowledges settled ones."""
+    for worker in state.fleet.reachable():
+        done = []
+        for attempt in worker.attempts:
+            if not state.rows.is_settled(attempt.task):
+                continue
+            if is_current(state, worker.member.id, attempt):
+                continue
+            if attempt.is_ended:
+                done.append((attempt.task, attempt.attempt))
+                continue
+            state.fleet.stop(worker, task=attempt.task, attempt=attempt.attempt, checkpoint=False)
+        if done:
+            _acknowledge(state, worker, done)
+
+
+def _next_rack(state: RackState, task: Task) -> str:
+    """Returns the rack where a task waits again: this one, unless its zone is out."""
+    if state.zone_is_in():
+        return state.lease.rack
+    return state.other_rack(task, needs="in_service") or state.lease.rack
+
+
+def _handle_unreachable(state: RackState, held: HeldTask, worker: WorkerState | None) -> None:
+    """Ends an attempt once its lease has certainly expired."""
+    if _is_unsent(state, held.task):
+        settle(state, held, Ending(state="lapsed"))
+        return
+    free_at_s = certainly_expired_s(
+        lease=state.lease,
+        outage_run_s=held.task.outage_run_s,
+        fenced_at_s=worker.fenced_at_s if worker else None,
+        last_sent_s=worker.last_sent_s if worker else None,
+    )
+    if state.clock.now_s() >= free_at_s:
+        settle(state, held, Ending(state="lapsed"))
+
+
+def _handle_missing(state: RackState, held: HeldTask, worker: WorkerState) -> None:
+    """Queues a task again if its worker does not run it and never will."""
+    task = held.task
+    if _is_unsent(state, task):
+        is_startable = state.takes_work(worker) or state.quarantine.is_quarantined(
+            worker=worker.member.id
+        )
+        same = worker.status.incarnation == task.worker_incarnation
+        if is_startable and same and state.zone_is_in() and not task.cancel_requested:
+            return
+        settle(state, held, Ending(state="lapsed"))
+    elif _never_starts(state, task, worker):
+        settle(state, held, Ending(state="lapsed"))
+
+
+def _never_starts(state: RackState, task: Task, worker: WorkerState) -> bool:
+    """Returns whether a missing attempt can no longer start."""
+    if task.epoch < state.lease.epoch:
+        return worker.is_fenced
+    record = state.starts[(task.id, task.attempt)]
+    if record.is_refused:
+        return True
+    if worker.status.incarnation != task.worker_incarnation:
+        # The clock of a restarted worker may begin anew, so the own clock decides.
+        return state.clock.now_s() > record.sent_at_s + START_WINDOW_S
+    return worker.status.clock_s > record.start_by_s
+
+
+def _is_unsent(state: RackState, task: Task) -> bool:
+    """Returns whether this owner assigned the attempt and never sent its start."""
+    return task.epoch == state.lease.epoch and (task.id, task.attempt) not in state.starts
+
+
+def _handle_running(state: RackState, held: HeldTask, worker: WorkerState) -> None:
+    task = held.task
+    key = (task.id, task.attempt)
+    now_s = state.clock.now_s()
+    run_s = now_s - state.running_since_s.setdefault(key, now_s)
+    state.quarantine.ran(worker=worker.member.id, run_s=run_s)
+    doc = state.services().get(task.service)
+    is_overdue = doc is not None and 0 < doc.max_run_s < run_s
+    if not (task.cancel_requested or is_overdue):
+        return
+    outcome = state.fleet.stop(worker, task=task.id, attempt=task.attempt, checkpoint=False)
+    if outcome is None or outcome.state == "running":
+        return
+    if outcome.state == "finished":
+        return  # The next status brings its result.
+    reason = "stopped: longest run exceeded"
+    settle(state, held, Ending(state="failed" if is_overdue else "stopped", result=reason))
+
+
+def _learn(state: RackState, task: Task, ending: Ending) -> None:
+    since_s = state.running_since_s.pop((task.id, task.attempt), None)
+    if ending.state == "failed":
+        state.quarantine.failed(worker=task.worker, task=task.id)
+    elif ending.state == "finished":
+        state.quarantine.succeeded(worker=task.worker)
+        if since_s is not None:
+            run_s = state.clock.now_s() - since_s
+            state.learned.run_times.observe(service=task.service, run_s=run_s)
+
+
+def _acknowledge(state: RackState, worker: WorkerState, done: list[Any]) -> None:
+    try:
+        worker.control.acknowledge(epoch=state.lease.epoch, ended=done)
+    except WorkerUnreachableError:
+        return
+    except WorkerRefusedError as exc:
+        state.fleet.note_refusal(exc)
--- /dev/null
+++ b/fescuerudder/rehome.py
@@ -0,0 +1,41 @@
+"""Moves waiting tasks to racks that can run them."""
+
+from fescuerudder.home import Need
+from fescuerudder.rackstate import RackState
+from fescuerudder.task import Task, rehomed
+
+REHOME_S = 2.0
+MOVES_PER_CYCLE = 64
+
+
+def rehome_queue(state: RackState) -> None:
+    """Moves tasks that this rack cannot place."""
+    left = MOVES_PER_CYCLE
+    for held in state.rows.queued():
+        if left == 0:
+            return
+        need = _need(state, held.task)
+        rack = state.other_rack(held.task, needs=need) if need else None
+        if rack is None:
+            continue
+        left -= 1
+        state.rows.write(held=held, new=rehomed(held.task, rack=rack, txn=state.new_id()))
+
+
+def _need(state: RackState, task: Task) -> Need | None:
+    """Returns what another rack must offer to get the task, or None to keep it here.
+
+    A task that can run here moves only to a rack with room now, so that it can't move back
+    and forth between full racks.
+    """
+    if task.cancel_requested:
+        return None
+    if not state.zone_is_in():
+        return "in_service"
+    if state.waited_s(task) < REHOME_S:
+        return None
+    is_allowed = not task.zones or state.zone in task.zones
+    capacities = [w.status.capacity.size for w in state.fleet.states.values() if w.status]
+    if capacities and not (is_allowed and any(task.size.fits_in(c) for c in capacities)):
+        return "large_enough"
+    return "room"
--- /dev/null
+++ b/fescuerudder/renewals.py
@@ -0,0 +1,76 @@
+"""Renews the leases of attempts that agree with their rows."""
+
+import functools
+
+from fescuerudder.errors import WorkerRefusedError, WorkerUnreachableError
+from fescuerudder.fleet import WorkerState
+from fescuerudder.leases import RENEW_S, lease_end_s, may_renew
+from fescuerudder.rackstate import RackState
+from fescuerudder.workers import Attempt
+
+
+def is_current(state: RackState, worker: str, attempt: Attempt) -> bool:
+    """Returns whether the row of a task names exactly this attempt on this worker."""
+    held = state.rows.get(attempt.task)
+    return (
+        held is not None
+        and held.task.state == "assigned"
+        and held.task.rack == state.lease.rack
+        and held.task.worker == worker
+        and held.task.attempt == attempt.attempt
+    )
+
+
+def renew_leases(state: RackState) -> None:
+    """Sends the renewals that are due to all reachable workers.
+
+    The first renewal to a worker fences former owners, even if it renews nothing.
+    """
+    if state.session.fenced:
+        return
+    calls = []
+    for worker in state.fleet.reachable():
+        leases = _leases_due(state, worker)
+        if leases or not worker.is_fenced:
+            calls.append(functools.partial(_send, state, worker, leases))
+    state.fleet.run(calls)
+
+
+def _leases_due(state: RackState, worker: WorkerState) -> dict[str, tuple[int, float]]:
+    """Returns task id to attempt and end of lease on the worker's clock."""
+    now_s = state.clock.now_s()
+    attempts = [a for a in worker.attempts if _is_renewable(state, worker, a, now_s)]
+    keys = {(a.task, a.attempt) for a in attempts}
+    due = worker.renewed_at_s is None or now_s >= worker.renewed_at_s + RENEW_S
+    # Attempts started since the last renewal join at once, so all share one rhythm.
+    if not due and keys <= worker.renewed:
+        return {}
+    until_s = lease_end_s(reading=worker.reading, now_s=now_s)
+    return {a.task: (a.attempt, until_s) for a in attempts}
+
+
+def _is_renewable(state: RackState, worker: WorkerState, attempt: Attempt, now_s: float) -> bool:
+    if attempt.is_ended or not is_current(state, worker.member.id, attempt):
+        return False
+    return may_renew(
+        is_live=state.session.is_live(),
+        is_fenced=state.session.fenced,
+        now_s=now_s,
+        last_live_s=state.session.last_live_s(),
+        outage_run_s=state.rows.get(attempt.task).task.outage_run_s,
+    )
+
+
+def _send(state: RackState, worker: WorkerState, leases: dict[str, tuple[int, float]]) -> None:
+    now_s = state.clock.now_s()
+    # Noted before sending: a lost answer does not prove that the renewal was lost.
+    worker.last_sent_s = now_s
+    try:
+        worker.control.renew(epoch=state.lease.epoch, leases=leases)
+    except WorkerUnreachableError:
+        return
+    except WorkerRefusedError as exc:
+        state.fleet.note_refusal(exc)
+        return
+    worker.renewed_at_s = now_s
+    worker.renewed = frozenset((task, attempt) for task, (attempt, _) in leases.items())
