--- a/fescuerudder/assign.py
+++ b/fescuerudder/assign.py
@@ -113,9 +113,7 @@
         return
     except WorkerRefusedError as exc:
         state.fleet.note_refusal(exc)
-        record.is_refused = exc.reason not in REFUSALS_OF_KNOWN
-        if exc.reason == "broken":
-            state.quarantine.failed(worker=worker.member.id, task=task.id)
+        record.refusal = "" if exc.reason in REFUSALS_OF_KNOWN else exc.reason
 
 
 def _order(state: RackState, task: Task, worker: WorkerState, now_s: float) -> StartOrder:
--- a/fescuerudder/rackstate.py
+++ b/fescuerudder/rackstate.py
@@ -27,12 +27,12 @@
     Args:
         start_by_s: time on the worker's clock after which the worker refuses the start.
         sent_at_s: time of sending on the own clock.
-        is_refused: whether the worker certainly refused it.
+        refusal: reason for which the worker certainly refused it, or empty.
     """
 
     start_by_s: float
     sent_at_s: float
-    is_refused: bool = False
+    refusal: str = ""
 
 
 @attrs.frozen(kw_only=True)
--- a/fescuerudder/reconcile.py
+++ b/fescuerudder/reconcile.py
@@ -13,6 +13,8 @@
 from fescuerudder.transitions import HeldTask
 from fescuerudder.workers import AttemptState
 
+REFUSAL_OF_BROKEN = "broken"
+
 
 @attrs.frozen(kw_only=True)
 class Ending:
@@ -135,7 +137,7 @@
             return
         settle(state, held, Ending(state="lapsed"))
     elif _never_starts(state, task, worker):
-        settle(state, held, Ending(state="lapsed"))
+        settle(state, held, _ending_of_missing(state, task))
 
 
 def _never_starts(state: RackState, task: Task, worker: WorkerState) -> bool:
@@ -143,7 +145,7 @@
     if task.epoch < state.lease.epoch:
         return worker.is_fenced
     record = state.starts[(task.id, task.attempt)]
-    if record.is_refused:
+    if record.refusal:
         return True
     if worker.status.incarnation != task.worker_incarnation:
         # The clock of a restarted worker may begin anew, so the own clock decides.
@@ -151,6 +153,14 @@
     return worker.status.clock_s > record.start_by_s
 
 
+def _ending_of_missing(state: RackState, task: Task) -> Ending:
+    """Returns how an attempt ended that never ran; a broken worker counts as a failure."""
+    record = state.starts.get((task.id, task.attempt))
+    if record is not None and record.refusal == REFUSAL_OF_BROKEN:
+        return Ending(state="failed", result="the worker failed to start the task")
+    return Ending(state="lapsed")
+
+
 def _is_unsent(state: RackState, task: Task) -> bool:
     """Returns whether this owner assigned the attempt and never sent its start."""
     return task.epoch == state.lease.epoch and (task.id, task.attempt) not in state.starts
--- /dev/null
+++ b/tests/rack_world.py
@@ -0,0 +1,311 @@
+"""Two racks, three entry instances and a table, all in memory on one manual clock."""
+
+from concurrent.futures import Future
+from random import Random
+
+import attrs
+from result import Err, Ok
+
+from fescuerudder.clock import ManualClock
+from fescuerudder.document import ServiceDocument, Size
+from fescuerudder.errors import PlatformError
+from fescuerudder.ownership_types import RackLease
+from fescuerudder.rack import RackController
+from fescuerudder.rackports import RackWorker
+from fescuerudder.submission import Tasks
+from fescuerudder.table import ABSENT, Check, Put, Transaction
+from fescuerudder.task import load_task
+from fescuerudder.transitions import rack_key
+from tests.fake_worker import FakeWorker, Witness
+from tests.fakes import FakeTable
+
+TICK_S = 0.5
+SESSION_TTL_S = 4.0
+VIEW_FRESH_S = 1.5
+OUTAGE_RUN_S = 10.0
+
+
+class FakeCommitter:
+    """Applies each transaction on its own."""
+
+    def __init__(self, *, table: FakeTable) -> None:
+        self._table = table
+
+    def commit(self, txn: Transaction):
+        try:
+            return Ok(self._table.transact(txn))
+        except PlatformError as exc:
+            return Err(exc)
+
+    def submit(self, txn: Transaction):
+        fut: Future = Future()
+        fut.set_result(self.commit(txn))
+        return fut
+
+
+@attrs.define
+class FakeConfig:
+    services: dict
+    zones: dict
+
+
+class FakeView:
+    """View that is as new as its last poll."""
+
+    def __init__(self, *, clock: ManualClock, config: FakeConfig) -> None:
+        self._clock, self._config = clock, config
+        self._confirmed_s = -100.0
+        self.poll()
+
+    def poll(self) -> None:
+        self._known = FakeConfig(dict(self._config.services), dict(self._config.zones))
+        self._confirmed_s = self._clock.now_s()
+
+    def current(self) -> FakeConfig:
+        return self._known
+
+    def is_fresh(self) -> bool:
+        return self._clock.now_s() - self._confirmed_s <= VIEW_FRESH_S
+
+
+class FakeSession:
+    """Session that is live for a while after its last heartbeat."""
+
+    def __init__(self, *, clock: ManualClock) -> None:
+        self._clock = clock
+        self._beat_s = clock.now_s()
+        self.fenced = False
+        self.is_fenced_in_store = False
+
+    def beat(self) -> None:
+        self.fenced |= self.is_fenced_in_store
+        if not self.fenced:
+            self._beat_s = self._clock.now_s()
+
+    def last_live_s(self) -> float:
+        return self._beat_s + SESSION_TTL_S
+
+    def is_live(self) -> bool:
+        return not self.fenced and self._clock.now_s() < self.last_live_s()
+
+
+class Instance:
+    """An entry instance that owns at most one rack."""
+
+    def __init__(self, *, name: str, world: "World") -> None:
+        self.name, self._world = name, world
+        self.is_paused = False
+        self.pause_in_cycle_s = 0.0
+        self.rejoin()
+
+    def rejoin(self) -> None:
+        self.controller: RackController | None = None
+        self.session = FakeSession(clock=self._world.clock)
+        self.view = FakeView(clock=self._world.clock, config=self._world.config)
+
+    def own(self, lease: RackLease) -> None:
+        world = self._world
+        members = {w.name: RackWorker(id=w.name, control=w) for w in world.racks[lease.rack]}
+        self.controller = RackController(
+            rack=lease.rack,
+            zone=world.racks[lease.rack][0].zone,
+            lease=lease,
+            committer=FakeCommitter(table=world.table),
+            table=world.table,
+            workers=lambda: members,
+            clock=world.clock,
+            view=self.view,
+            session=self.session,
+            rng=Random(1),
+            summaries=world.summaries,
+            run_all=self._run_all,
+            new_id=world.new_id,
+        )
+
+    def tick(self) -> None:
+        if self.is_paused:
+            return
+        if self.controller is not None:
+            self.controller.step()
+        if not self._world.table.down:
+            self.session.beat()
+            self.view.poll()
+        if self.session.fenced:
+            self.rejoin()
+
+    def _run_all(self, calls):
+        """Runs calls; may be suspended right before the last one of a group."""
+        results = [call() for call in calls[:-1]]
+        if calls and self.pause_in_cycle_s:
+            pause_s, self.pause_in_cycle_s = self.pause_in_cycle_s, 0.0
+            self.is_paused = True
+            self._world.advance(pause_s)
+            self.is_paused = False
+        return results + [call() for call in calls[-1:]]
+
+
+class World:
+    """Everything, with the moves that tests make."""
+
+    def __init__(self, *, services: list[ServiceDocument]) -> None:
+        self.clock = ManualClock(start_s=1000.0)
+        self.table = FakeTable()
+        self.witness = Witness(clock=self.clock)
+        self.config = FakeConfig({doc.name: doc for doc in services}, {"a": "in", "b": "in"})
+        self.racks = {
+            "r1": [self._worker("w1", "a", 50.0), self._worker("w2", "a", -300.0)],
+            "r2": [self._worker("w3", "b", 7.0)],
+        }
+        self.workers = {w.name: w for group in self.racks.values() for w in group}
+        self._ids = 0
+        self._submitted = 0
+        self.task_ids: list[str] = []
+        self._final: dict[str, str] = {}
+        self.instances = {name: Instance(name=name, world=self) for name in ("A", "B", "C")}
+        self.claim("A", "r1")
+        self.claim("C", "r2")
+        self.tasks = Tasks(
+            table=self.table,
+            committer=FakeCommitter(table=self.table),
+            view=self.instances["C"].view,
+            summaries=self.summaries,
+            rng=Random(2),
+            wall_s=self.clock.now_s,
+            new_id=self.new_id,
+        )
+        self.advance(1.5)
+
+    def _worker(self, name: str, zone: str, offset_s: float) -> FakeWorker:
+        return FakeWorker(
+            name=name, clock=self.clock, witness=self.witness, zone=zone, offset_s=offset_s
+        )
+
+    def new_id(self) -> str:
+        self._ids += 1
+        return f"txn-{self._ids}"
+
+    def summaries(self):
+        instances = self.instances.values() if hasattr(self, "instances") else ()
+        return [i.controller.summary() for i in instances if i.controller is not None]
+
+    def advance(self, seconds: float) -> None:
+        for _ in range(int(seconds / TICK_S)):
+            self.clock.advance(seconds=TICK_S)
+            for worker in self.workers.values():
+                worker.expire()
+            for instance in list(self.instances.values()):
+                instance.tick()
+
+    def owner_of(self, rack: str) -> tuple[str, int, int]:
+        """Returns owner, epoch and version of a rack."""
+        rows = self.table.state.read(keys=[rack_key(rack)], prefixes=[])
+        if not rows:
+            return "", 0, ABSENT
+        return rows[0].value["owner"], rows[0].value["epoch"], rows[0].version
+
+    def claim(self, name: str, rack: str) -> None:
+        """Takes a rack without an owner, or with one whose session expired."""
+        owner, epoch, _ = self.owner_of(rack)
+        if owner == name or self.instances[name].controller is not None:
+            return
+        if owner:
+            session = self.instances[owner].session
+            if self.instances[owner].controller is not None and session.is_live():
+                return
+            if not self.table.down:
+                session.is_fenced_in_store = True
+        self._take(name, rack, planned=False)
+
+    def hand_over(self, owner: str, heir: str, rack: str) -> None:
+        """Gives a rack to another instance, as a planned stop does."""
+        giver = self.instances[owner]
+        busy = self.instances[heir].controller is not None or self.instances[heir].is_paused
+        if self.owner_of(rack)[0] != owner or giver.controller is None or giver.is_paused or busy:
+            return
+        if self.table.down or giver.session.is_fenced_in_store:
+            return
+        giver.controller.stop()
+        giver.controller = None
+        self._take(heir, rack, planned=True)
+
+    def _take(self, name: str, rack: str, *, planned: bool) -> None:
+        _, epoch, version = self.owner_of(rack)
+        put = Put(key=rack_key(rack), value={"owner": name, "epoch": epoch + 1})
+        check = Check(key=rack_key(rack), version=version)
+        try:
+            versions = self.table.transact(Transaction(checks=(check,), puts=(put,)))
+        except PlatformError:
+            return
+        lease = RackLease(
+            rack=rack,
+            epoch=epoch + 1,
+            version=versions[rack_key(rack)],
+            gained_at_s=self.clock.now_s(),
+            planned=planned,
+            continuous=version == ABSENT,
+        )
+        self.instances[name].own(lease)
+
+    def set_zone(self, zone: str, state: str) -> None:
+        if self.table.down or self.config.zones[zone] == state:
+            return
+        self.config.zones[zone] = state
+        if state == "out":
+            self.witness.zones[zone] = self.clock.now_s()
+        else:
+            self.witness.zones.pop(zone, None)
+
+    def submit(self, service: str, *, urgent: bool = False):
+        self._submitted += 1
+        answer = self.tasks.submit(
+            service=service, payload="x", urgent=urgent, idempotency_key=str(self._submitted)
+        )
+        if isinstance(answer, Ok):
+            self.task_ids.append(answer.ok_value.id)
+        return answer
+
+    def rows(self) -> dict:
+        rows = self.table.state.read(keys=[], prefixes=["task/"])
+        return {row.key.removeprefix("task/"): load_task(row.value) for row in rows}
+
+    def finish_all(self) -> None:
+        for worker in self.workers.values():
+            if not worker.is_cut:
+                for attempt in worker.running():
+                    worker.end(attempt.task)
+
+    def heal(self) -> None:
+        """Ends every fault and gives rack r1 an owner."""
+        self.table.down = False
+        self.table.lose_answers = self.table.drop_writes = 0
+        for worker in self.workers.values():
+            worker.is_cut = worker.loses_answers = worker.is_broken = False
+        for instance in self.instances.values():
+            instance.is_paused, instance.pause_in_cycle_s = False, 0.0
+        for zone in self.config.zones:
+            self.set_zone(zone, "in")
+        self.advance(6.0)
+        for name in ("A", "B"):
+            self.claim(name, "r1")
+        self.claim("C", "r2")
+
+    def check(self) -> None:
+        """Raises if a guarantee was violated."""
+        assert self.witness.violations == []
+        for task_id, task in self.rows().items():
+            before = self._final.get(task_id)
+            assert before in (None, task.state), f"{task_id} was {before}, is {task.state}"
+            if task.is_final:
+                self._final[task_id] = task.state
+
+
+def batch(name: str, team: str, *, processors: float = 3, quota: float = 12) -> ServiceDocument:
+    """Returns a batch service of one team."""
+    return ServiceDocument(
+        name=name,
+        team=team,
+        kind="batch",
+        size=Size(processors=processors, memory_mb=1000),
+        quota=Size(processors=quota, memory_mb=16000),
+        outage_run_s=OUTAGE_RUN_S,
+    )
