--- a/fescuerudder/errors.py
+++ b/fescuerudder/errors.py
@@ -63,3 +63,43 @@
 
 class KernelError(FescuerudderError):
     """A service is missing or failed to start."""
+
+
+class RequestError(FescuerudderError):
+    """A request was not answered.
+
+    Args:
+        message: reason, shown to the caller.
+        status: HTTP status.
+        outcome: `not_run` if it certainly did not run, otherwise `unknown`.
+        details: further JSON fields of the answer.
+    """
+
+    def __init__(
+        self,
+        message: str,
+        *,
+        status: int,
+        outcome: str = "not_run",
+        details: dict[str, object] | None = None,
+    ) -> None:
+        super().__init__(message)
+        self.status = status
+        self.outcome = outcome
+        self.details = details or {}
+
+
+class MalformedRequestError(RequestError):
+    """The caller's request breaks the interface."""
+
+
+class ShedError(RequestError):
+    """A request got no slot: the queue was full or its time did not suffice."""
+
+
+class UpstreamError(RequestError):
+    """A worker did not answer a request completely."""
+
+
+class IdempotencyError(RequestError):
+    """The record of an idempotency key forbids running the request, or can't be written."""
