--- /dev/null
+++ b/fescuerudder/frontend.py
@@ -0,0 +1,624 @@
+"""HTTP interface for callers and operators."""
+
+import hashlib
+import hmac
+import json
+import re
+import threading
+from collections.abc import Callable, Iterable
+from typing import Any, Protocol
+from urllib.parse import unquote
+
+import attrs
+import structlog
+from cheroot import wsgi
+from cheroot.errors import MaxSizeExceeded
+from cheroot.server import ChunkedRFile
+from result import Ok, Result
+
+from fescuerudder.clock import Clock
+from fescuerudder.document import NAME_PATTERN
+from fescuerudder.errors import (
+    DocumentError,
+    FescuerudderError,
+    MalformedRequestError,
+    RequestError,
+)
+from fescuerudder.upstream import Answer, Headers, Request, end_to_end
+
+_log = structlog.get_logger(__name__)
+
+MAX_BODY_BYTES = 1024 * 1024
+MAX_HEADER_BYTES = 16 * 1024
+MAX_HEADER_COUNT = 100
+MAX_RAW_HEADER_BYTES = 64 * 1024
+MAX_KEY_LENGTH = 255
+DEFAULT_DEADLINE_S = 30.0
+MAX_DEADLINE_S = 24 * 3600.0
+LISTEN_BACKLOG = 512
+KEEPALIVE_S = 10
+DRAIN_POLL_S = 0.02
+DRAIN_QUIET_S = 0.2
+STOP_S = 2
+PRIORITIES = ("normal", "urgent")
+METHODS = frozenset({"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"})
+
+_TRACE_PATTERN = re.compile(r"[A-Za-z0-9._-]{1,64}")
+_TARGET_PATTERN = re.compile(r"[!-~]+")
+_KEY_PATTERN = re.compile(rf"[ -~]{{1,{MAX_KEY_LENGTH}}}")
+_REVISION_PATTERN = re.compile(r'"(\d{1,18})"')
+_REQUEST_KEY = "fescuerudder.request"
+
+Json = dict[str, Any]
+_NO_BODY_STATUS = frozenset({204, 304})
+
+
+class RequestRouter(Protocol):
+    """Takes requests to services."""
+
+    def handle(self, req: Request) -> Result[Answer, RequestError]:
+        """Returns the complete answer, or why there is none."""
+
+
+class Tasks(Protocol):
+    """Batch tasks. Results are JSON objects with at least `task` and `state`."""
+
+    def submit(
+        self,
+        *,
+        service: str,
+        payload: str,
+        urgent: bool,
+        idempotency_key: str,
+        body_hash: str,
+        trace_id: str,
+    ) -> Result[Json, RequestError]:
+        """Stores a task; repeats return the task as it is."""
+
+    def get(self, task_id: str) -> Result[Json, RequestError]:
+        """Returns a task's state; status 404 if there is none."""
+
+    def cancel(self, task_id: str) -> Result[Json, RequestError]:
+        """Asks for cancellation."""
+
+
+class Operations(Protocol):
+    """What operators do."""
+
+    def put_service(
+        self, *, name: str, raw: Any, base_revision: int | None
+    ) -> Result[Json, RequestError | DocumentError]:
+        """Applies a service document; `base_revision` None means without comparison."""
+
+    def get_services(self, name: str | None) -> Result[Json, RequestError]:
+        """Returns one service's document and revision, or all of them."""
+
+    def put_zone(
+        self, *, zone: str, state: str, base_revision: int | None
+    ) -> Result[Json, RequestError]:
+        """Takes a zone out of service or returns it; `provisional` true gives status 202."""
+
+    def get_zones(self) -> Result[Json, RequestError]:
+        """Returns all zones with state and revision."""
+
+    def status(self) -> Result[Json, RequestError]:
+        """Returns the state of the instance and what it knows."""
+
+    def metrics_text(self) -> bytes:
+        """Returns the metrics in the Prometheus text format."""
+
+
+@attrs.frozen(kw_only=True)
+class _Call:
+    """One received HTTP request."""
+
+    method: str
+    path: str
+    query: str
+    headers: Headers
+    body: bytes
+    trace_id: str
+
+    def header(self, name: str) -> str | None:
+        return next((value for key, value in self.headers if key.lower() == name), None)
+
+
+@attrs.frozen(kw_only=True)
+class _Route:
+    """A method and path pattern with its handler."""
+
+    method: str
+    pattern: re.Pattern[str]
+    handler: Callable[..., Answer]
+    needs_key: bool = False
+
+
+class _InFlight:
+    """Counts the requests in flight and when the last one ended."""
+
+    def __init__(self, *, clock: Clock) -> None:
+        self._clock = clock
+        self._count = 0
+        self._last_end_s = clock.now_s()
+        self._lock = threading.Lock()
+
+    def __enter__(self) -> None:
+        with self._lock:
+            self._count += 1
+
+    def __exit__(self, *exc_info: object) -> None:
+        with self._lock:
+            self._count -= 1
+            self._last_end_s = self._clock.now_s()
+
+    def idle_s(self) -> float:
+        """Returns for how long there was no request; negative if there is one."""
+        with self._lock:
+            return -1.0 if self._count else self._clock.now_s() - self._last_end_s
+
+
+class _Server(wsgi.Server):
+    """WSGI server that counts requests until their answers are written."""
+
+    in_flight: _InFlight
+
+
+class _Gateway(wsgi.Gateway_10):
+    """Counts requests, bounds chunked bodies and lets the application close the connection."""
+
+    def get_environ(self) -> dict[str, Any]:
+        if isinstance(self.req.rfile, ChunkedRFile):
+            # Also counts the framing, hence the allowance; the exact limit is checked later.
+            self.req.rfile.maxlen = 2 * MAX_BODY_BYTES
+        return {**super().get_environ(), _REQUEST_KEY: self.req}
+
+    def respond(self) -> None:
+        with self.req.server.in_flight:
+            super().respond()
+
+
+class Frontend:
+    """HTTP server of one entry instance; a context manager.
+
+    Args:
+        address: `ip:port` to listen on; port 0 takes a free one.
+        threads: threads that serve requests.
+        operator_key: key of the operators.
+        clock: source of time.
+        new_id: returns a unique id for requests that bring none.
+        router: takes requests to services.
+        tasks: batch tasks.
+        operations: what operators do.
+    """
+
+    def __init__(
+        self,
+        *,
+        address: str,
+        threads: int,
+        operator_key: str,
+        clock: Clock,
+        new_id: Callable[[], str],
+        router: RequestRouter,
+        tasks: Tasks,
+        operations: Operations,
+    ) -> None:
+        self._operator_key = operator_key.encode()
+        self._clock = clock
+        self._new_id = new_id
+        self._router = router
+        self._tasks = tasks
+        self._operations = operations
+        self._routes = self._make_routes()
+        self._draining = threading.Event()
+        host, _, port = address.rpartition(":")
+        self._server = _Server(
+            (host, int(port)),
+            self._serve,
+            numthreads=threads,
+            max=threads,
+            request_queue_size=LISTEN_BACKLOG,
+            timeout=KEEPALIVE_S,
+            shutdown_timeout=STOP_S,
+        )
+        self._server.gateway = _Gateway
+        self._server.in_flight = _InFlight(clock=clock)
+        self._server.max_request_header_size = MAX_RAW_HEADER_BYTES
+        self._server.error_log = _log_server_error
+        self._thread: threading.Thread | None = None
+
+    def __enter__(self) -> "Frontend":
+        self.start()
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        self.stop()
+
+    @property
+    def port(self) -> int:
+        """Port the server listens on, after `start`."""
+        return self._server.bind_addr[1]
+
+    def start(self) -> None:
+        """Listens and serves in threads of its own.
+
+        Raises:
+            OSError: the address can't be used.
+        """
+        self._server.prepare()
+        self._thread = threading.Thread(target=self._server.serve, name="http", daemon=True)
+        self._thread.start()
+
+    def drain(self, timeout_s: float) -> bool:
+        """Refuses new requests and waits for those in flight; returns whether all ended.
+
+        The listener stays open, so that late requests get an answer instead of a reset,
+        until no request came for `DRAIN_QUIET_S`. Call `stop` afterwards.
+        """
+        self._draining.set()
+        end_s = self._clock.now_s() + timeout_s
+        never = threading.Event()
+        while self._clock.now_s() < end_s:
+            if self._server.in_flight.idle_s() >= DRAIN_QUIET_S:
+                return True
+            self._clock.wait_s(never, DRAIN_POLL_S)
+        return self._server.in_flight.idle_s() >= 0
+
+    def stop(self) -> None:
+        """Stops listening and closes all connections."""
+        self._draining.set()
+        self._server.stop()
+        if self._thread is not None:
+            self._thread.join(timeout=STOP_S)
+            self._thread = None
+
+    def _make_routes(self) -> list[_Route]:
+        table = [
+            ("POST", "/v1/tasks", self._submit_task, False),
+            ("GET", "/v1/tasks/([0-9A-Za-z.-]{1,128})", self._get_task, False),
+            ("POST", "/v1/tasks/([0-9A-Za-z.-]{1,128})/cancel", self._cancel_task, False),
+            ("PUT", "/v1/services/([^/]+)", self._put_service, True),
+            ("GET", "/v1/services", self._get_services, True),
+            ("GET", "/v1/services/([^/]+)", self._get_services, True),
+            ("PUT", "/v1/zones/([^/]+)", self._put_zone, True),
+            ("GET", "/v1/zones", self._get_zones, True),
+            ("GET", "/v1/status", self._get_status, True),
+            ("GET", "/metrics", self._get_metrics, False),
+            ("GET", "/health", self._get_health, False),
+        ]
+        return [
+            _Route(method=method, pattern=re.compile(path), handler=handler, needs_key=needs_key)
+            for method, path, handler, needs_key in table
+        ]
+
+    def _serve(self, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
+        """WSGI application."""
+        start_s = self._clock.now_s()
+        trace_id = self._trace_id(environ)
+        answer, outcome = self._answer(environ, trace_id)
+        headers = [(k, v) for k, v in answer.headers if k.lower() != "x-request-id"]
+        headers.append(("X-Request-Id", trace_id))
+        if answer.status not in _NO_BODY_STATUS:
+            headers.append(("Content-Length", str(len(answer.body))))
+        start_response(_status_line(answer.status), headers)
+        _log.info(
+            "request finished",
+            trace_id=trace_id,
+            method=environ.get("REQUEST_METHOD"),
+            path=environ.get("PATH_INFO"),
+            status=answer.status,
+            outcome=outcome,
+            duration_ms=round((self._clock.now_s() - start_s) * 1000, 3),
+        )
+        has_body = environ["REQUEST_METHOD"] != "HEAD" and answer.status not in _NO_BODY_STATUS
+        return [answer.body] if has_body else []
+
+    def _trace_id(self, environ: dict[str, Any]) -> str:
+        given = environ.get("HTTP_X_REQUEST_ID", "")
+        return given if _TRACE_PATTERN.fullmatch(given) else self._new_id()
+
+    def _answer(self, environ: dict[str, Any], trace_id: str) -> tuple[Answer, str]:
+        """Returns the answer and the outcome for the log."""
+        try:
+            return self._dispatch(self._receive(environ, trace_id)), "answered"
+        except RequestError as exc:
+            return _problem(exc, trace_id), exc.outcome
+        except Exception:
+            _log.exception("request handler failed", trace_id=trace_id)
+            failed = RequestError("internal error", status=500, outcome="unknown")
+            return _problem(failed, trace_id), failed.outcome
+
+    def _receive(self, environ: dict[str, Any], trace_id: str) -> _Call:
+        """Reads one request; closes the connection if the request was not read completely."""
+        try:
+            if self._draining.is_set() and environ["PATH_INFO"] != "/metrics":
+                raise RequestError("this instance is stopping", status=503)
+            return _read_call(environ, trace_id)
+        except RequestError:
+            environ[_REQUEST_KEY].close_connection = True
+            raise
+
+    def _dispatch(self, call: _Call) -> Answer:
+        if call.path.startswith("/s/"):
+            return self._forward(call)
+        allowed = []
+        for route in self._routes:
+            match = route.pattern.fullmatch(call.path)
+            if match is None:
+                continue
+            if route.method == call.method:
+                if route.needs_key:
+                    self._require_operator(call)
+                return route.handler(call, *match.groups())
+            allowed.append(route.method)
+        if allowed:
+            detail = f"method not allowed; use {', '.join(allowed)}"
+            raise MalformedRequestError(detail, status=405)
+        raise MalformedRequestError("no such path", status=404)
+
+    def _require_operator(self, call: _Call) -> None:
+        scheme, _, given = (call.header("authorization") or "").partition(" ")
+        matches = hmac.compare_digest(given.strip().encode(), self._operator_key)
+        if scheme.lower() != "bearer" or not matches:
+            raise MalformedRequestError("a valid operator key is required", status=401)
+
+    def _forward(self, call: _Call) -> Answer:
+        service, _, rest = call.path.removeprefix("/s/").partition("/")
+        if not NAME_PATTERN.fullmatch(service):
+            raise MalformedRequestError("no such service", status=404)
+        query = f"?{call.query}" if call.query else ""
+        key = call.header("idempotency-key")
+        if key is not None:
+            _check_key(key)
+        req = Request(
+            service=service,
+            method=call.method,
+            target=f"/{service}/{rest}{query}",
+            headers=end_to_end(call.headers),
+            body=call.body,
+            deadline_s=self._clock.now_s() + _deadline_s(call),
+            trace_id=call.trace_id,
+        )
+        return _unwrap(self._router.handle(req))
+
+    def _submit_task(self, call: _Call) -> Answer:
+        raw = _json_object(call)
+        key = call.header("idempotency-key")
+        if key is None:
+            raise MalformedRequestError("the header Idempotency-Key is required", status=400)
+        _check_key(key)
+        unknown = sorted(set(raw) - {"service", "payload", "priority"})
+        if unknown:
+            raise MalformedRequestError(f"unknown fields: {', '.join(unknown)}", status=400)
+        service = _text(raw, "service")
+        priority = raw.get("priority", "normal")
+        if priority not in PRIORITIES:
+            detail = f"priority must be one of {', '.join(PRIORITIES)}"
+            raise MalformedRequestError(detail, status=400)
+        res = self._tasks.submit(
+            service=service,
+            payload=_text(raw, "payload"),
+            urgent=priority == "urgent",
+            idempotency_key=key,
+            body_hash=hashlib.sha256(call.body).hexdigest(),
+            trace_id=call.trace_id,
+        )
+        return _json(_unwrap(res), status=202)
+
+    def _get_task(self, call: _Call, task_id: str) -> Answer:
+        return _json(_unwrap(self._tasks.get(task_id)))
+
+    def _cancel_task(self, call: _Call, task_id: str) -> Answer:
+        return _json(_unwrap(self._tasks.cancel(task_id)), status=202)
+
+    def _put_service(self, call: _Call, name: str) -> Answer:
+        raw = _json_object(call)
+        if raw.get("name", name) != name:
+            detail = "the document's name differs from the path"
+            raise MalformedRequestError(detail, status=400)
+        res = self._operations.put_service(name=name, raw=raw, base_revision=_if_match(call))
+        return _json(_unwrap(res))
+
+    def _get_services(self, call: _Call, name: str | None = None) -> Answer:
+        return _json(_unwrap(self._operations.get_services(name)))
+
+    def _put_zone(self, call: _Call, zone: str) -> Answer:
+        raw = _json_object(call)
+        if set(raw) != {"state"} or raw["state"] not in ("in", "out"):
+            detail = 'the body must be {"state": "in"} or {"state": "out"}'
+            raise MalformedRequestError(detail, status=400)
+        res = self._operations.put_zone(
+            zone=zone, state=raw["state"], base_revision=_if_match(call)
+        )
+        body = _unwrap(res)
+        return _json(body, status=202 if body.get("provisional") else 200)
+
+    def _get_zones(self, call: _Call) -> Answer:
+        return _json(_unwrap(self._operations.get_zones()))
+
+    def _get_status(self, call: _Call) -> Answer:
+        return _json(_unwrap(self._operations.status()))
+
+    def _get_metrics(self, call: _Call) -> Answer:
+        headers = (("Content-Type", "text/plain; version=0.0.4; charset=utf-8"),)
+        return Answer(status=200, headers=headers, body=self._operations.metrics_text())
+
+    def _get_health(self, call: _Call) -> Answer:
+        return _json({"state": "serving"})
+
+
+def _read_call(environ: dict[str, Any], trace_id: str) -> _Call:
+    """Checks and reads one request."""
+    method = environ["REQUEST_METHOD"]
+    if method not in METHODS:
+        raise MalformedRequestError("method not supported", status=501)
+    headers = _headers(environ)
+    path, _, query = _target(environ).partition("?")
+    return _Call(
+        method=method,
+        path=path,
+        query=query,
+        headers=headers,
+        body=_read_body(environ),
+        trace_id=trace_id,
+    )
+
+
+def _target(environ: dict[str, Any]) -> str:
+    target = environ["REQUEST_URI"]
+    if not target.startswith("/") or not _TARGET_PATTERN.fullmatch(target):
+        raise MalformedRequestError("malformed path", status=400)
+    # A worker that resolves dot segments would otherwise be led to another service.
+    segments = unquote(target.partition("?")[0]).replace("\\", "/").split("/")
+    if "." in segments or ".." in segments:
+        raise MalformedRequestError("the path must not contain dot segments", status=400)
+    return target
+
+
+def _headers(environ: dict[str, Any]) -> Headers:
+    names = [key for key in environ if key.startswith("HTTP_")]
+    headers = [(key[5:].replace("_", "-").title(), environ[key]) for key in names]
+    if environ.get("CONTENT_TYPE"):
+        headers.append(("Content-Type", environ["CONTENT_TYPE"]))
+    size = sum(len(key) + len(value) for key, value in headers)
+    if len(headers) > MAX_HEADER_COUNT or size > MAX_HEADER_BYTES:
+        raise MalformedRequestError("the headers are too large", status=431)
+    return tuple(headers)
+
+
+def _read_body(environ: dict[str, Any]) -> bytes:
+    declared = environ.get("CONTENT_LENGTH", "")
+    chunked = environ["wsgi.input_terminated"]
+    if chunked and declared:
+        detail = "Content-Length and Transfer-Encoding exclude each other"
+        raise MalformedRequestError(detail, status=400)
+    if chunked:
+        return _read_chunked(environ["wsgi.input"])
+    size = int(declared or 0)
+    if size > MAX_BODY_BYTES:
+        raise _too_large()
+    try:
+        body = environ["wsgi.input"].read(size) if size else b""
+    except OSError as exc:
+        raise MalformedRequestError("the body could not be read", status=400) from exc
+    if len(body) != size:
+        raise MalformedRequestError("the body is shorter than declared", status=400)
+    return body
+
+
+def _read_chunked(rfile: ChunkedRFile) -> bytes:
+    try:
+        body = rfile.read(MAX_BODY_BYTES + 1)
+        if len(body) > MAX_BODY_BYTES:
+            raise _too_large()
+        for _ in rfile.read_trailer_lines():
+            pass
+    except (ValueError, TimeoutError) as exc:
+        raise MalformedRequestError("the chunked body is malformed", status=400) from exc
+    except (MaxSizeExceeded, OSError) as exc:
+        raise _too_large() from exc
+    return body
+
+
+def _too_large() -> MalformedRequestError:
+    return MalformedRequestError(f"the body exceeds {MAX_BODY_BYTES} bytes", status=413)
+
+
+def _deadline_s(call: _Call) -> float:
+    given = call.header("deadline-ms")
+    if given is None:
+        return DEFAULT_DEADLINE_S
+    if not re.fullmatch(r"[0-9]{1,12}", given):
+        raise MalformedRequestError("Deadline-Ms must be a whole number", status=400)
+    return min(MAX_DEADLINE_S, int(given) / 1000)
+
+
+def _check_key(key: str) -> None:
+    if not _KEY_PATTERN.fullmatch(key):
+        detail = f"Idempotency-Key must be 1 to {MAX_KEY_LENGTH} printable ASCII characters"
+        raise MalformedRequestError(detail, status=400)
+
+
+def _if_match(call: _Call) -> int | None:
+    given = call.header("if-match")
+    if given is None or given == "*":
+        return None
+    match = _REVISION_PATTERN.fullmatch(given)
+    if match is None:
+        raise MalformedRequestError('If-Match must be "<revision>"', status=400)
+    return int(match.group(1))
+
+
+def _json_object(call: _Call) -> Json:
+    try:
+        raw = json.loads(call.body)
+    except (ValueError, RecursionError) as exc:
+        raise MalformedRequestError("the body is not valid JSON", status=400) from exc
+    if not isinstance(raw, dict):
+        raise MalformedRequestError("the body must be a JSON object", status=400)
+    return raw
+
+
+def _text(raw: Json, name: str) -> str:
+    value = raw.get(name)
+    if not isinstance(value, str):
+        raise MalformedRequestError(f"{name} must be text", status=400)
+    return value
+
+
+def _unwrap(res: Result[Any, FescuerudderError]) -> Any:
+    """Returns the value of Ok; raises the error of Err as a RequestError."""
+    if isinstance(res, Ok):
+        return res.ok_value
+    exc = res.err_value
+    if isinstance(exc, DocumentError):
+        details: dict[str, object] = {"problems": exc.problems}
+        raise MalformedRequestError("the document is invalid", status=422, details=details)
+    raise exc
+
+
+def _json(body: Json, *, status: int = 200) -> Answer:
+    headers = (("Content-Type", "application/json"),)
+    return Answer(status=status, headers=headers, body=json.dumps(body).encode())
+
+
+def _problem(exc: RequestError, trace_id: str) -> Answer:
+    body = {
+        **exc.details,
+        "type": "about:blank",
+        "title": _TITLES.get(exc.status, "Error"),
+        "status": exc.status,
+        "detail": str(exc),
+        "outcome": exc.outcome,
+        "trace_id": trace_id,
+    }
+    headers = [("Content-Type", "application/problem+json")]
+    if exc.status == 401:
+        headers.append(("WWW-Authenticate", "Bearer"))
+    return Answer(status=exc.status, headers=tuple(headers), body=json.dumps(body).encode())
+
+
+_TITLES = {
+    400: "Bad Request",
+    401: "Unauthorized",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    409: "Conflict",
+    412: "Precondition Failed",
+    413: "Content Too Large",
+    422: "Unprocessable Content",
+    431: "Request Header Fields Too Large",
+    500: "Internal Server Error",
+    501: "Not Implemented",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+
+
+def _status_line(status: int) -> str:
+    return f"{status} {_TITLES.get(status, 'Status')}"
+
+
+def _log_server_error(msg: str = "", level: int = 20, traceback: bool = False) -> None:
+    _log.warning("HTTP server error", error=msg.strip(), exc_info=traceback)
