--- a/fescuerudder/permits.py
+++ b/fescuerudder/permits.py
@@ -107,6 +107,7 @@
         self._seen_s: dict[str, float] = {}
         self._grants: dict[tuple[str, int], _Grant] = {}
         self._demands: dict[tuple[str, str], tuple[int, float]] = {}
+        self._granted_s: dict[str, float] = {}
         self._lock = threading.Lock()
 
     def update_workers(self, workers: Sequence[WorkerSlots]) -> None:
@@ -206,17 +207,32 @@
         granted: list[SlotPermit] = []
         if now >= self._settled_s:
             shares = self._shares(ask.service, now, newcomer=asker)
-            within_share = shares.share - shares.held[asker]
-            unclaimed = shares.free - shares.owed_to_others(asker)
-            for _ in range(min(wanted, shares.free, max(within_share, unclaimed))):
+            for _ in range(min(wanted, self._allowance(asker, shares))):
                 permit = self._grant_one(asker, ask, now)
                 if permit is None:
                     break
                 granted.append(permit)
+                self._granted_s[asker] = now
         if len(granted) < wanted:
             self._demands[asker, ask.service] = (wanted - len(granted), now)
         return granted
 
+    def _allowance(self, asker: str, shares: _Shares) -> int:
+        """Returns how many free slots `asker` may take."""
+        within_share = shares.share - shares.held[asker]
+        unclaimed = shares.free - shares.owed_to_others(asker)
+        allowed = min(shares.free, max(within_share, unclaimed))
+        if not shares.scarce:
+            return allowed
+        # Fewer slots than askers: those served longest ago go first.
+        own_s = self._granted_s.get(asker, float("-inf"))
+        ahead = sum(
+            self._granted_s.get(name, float("-inf")) < own_s
+            for name in shares.deficits
+            if name != asker
+        )
+        return min(allowed, shares.free - ahead)
+
     def _grant_one(self, asker: str, ask: PermitAsk, now: float) -> SlotPermit | None:
         """Grants a slot of the worker with the most free slots; avoided workers come last."""
         usable = [w for w in self._usable(ask.service, now) if self._free_slots(w)]
