Add the worker stand-in

Cause: starts, leases, fencing and requests need a counterpart that enforces the platform's side on its own clock and witnesses what happens.

--- a/standins/_http.py
+++ b/standins/_http.py
@@ -203,6 +203,7 @@
             max_connections=max_connections,
         )
         self._thread = threading.Thread(target=self._server.serve, daemon=True)
+        self._refusing = False
 
     def __enter__(self) -> "HttpServer":
         self._server.prepare()
@@ -228,6 +229,16 @@
             "refused": srv.refused_connections,
         }
 
+    def set_refusing(self, refusing: bool) -> None:
+        """Refuses or accepts new connections."""
+        if refusing == self._refusing:
+            return
+        self._refusing = refusing
+        if refusing:
+            self.refuse_connections()
+        else:
+            self.accept_connections()
+
     def refuse_connections(self) -> None:
         """Refuses new connections (ECONNREFUSED); open ones stay.
 
--- /dev/null
+++ b/standins/workerstate.py
@@ -0,0 +1,459 @@
+"""Simulated worker: attempts, leases, fencing, commitments, slots and usage reports.
+
+Time passes piecewise: each call first replays all ends (finished work, expired leases) up to
+the present at their exact times. A worker that was frozen therefore never shows a task that
+outlived its lease.
+"""
+
+import json
+import threading
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+
+from fescuerudder.clock import Clock
+from fescuerudder.document import Size
+from standins.interference import FactorTable
+
+STEP_MS = 100.0
+"""Solitary duration of one work step of a batch task, as usage reports state it."""
+
+DEFAULT_WORK_S = 1.0
+FAULTY_RUN_S = 0.05
+"""A task that is made to fail runs this long."""
+
+Record = Callable[..., None]
+
+
+class RefusedError(Exception):
+    """The worker refuses a command; `reason` is its code."""
+
+    def __init__(self, *, reason: str) -> None:
+        super().__init__(reason)
+        self.reason = reason
+
+
+@attrs.define(kw_only=True)
+class SimAttempt:
+    """An attempt of a task, running or ended.
+
+    Args:
+        task: task id.
+        attempt: attempt number.
+        service: service of the task.
+        kind: `batch` or `replica`.
+        size: committed resources.
+        payload: decoded payload.
+        lease_until_s: end of the lease on the worker's clock.
+        started_at_s: start on the worker's clock.
+        done_s: work done, in seconds of a solitary run.
+        share: processor share left by throttling, 0 to 1.
+        paused: whether work stands still while a checkpoint is written.
+    """
+
+    task: str
+    attempt: int
+    service: str
+    kind: str
+    size: Size
+    payload: dict[str, Any]
+    lease_until_s: float
+    started_at_s: float
+    done_s: float = 0.0
+    share: float = 1.0
+    paused: bool = False
+    state: str = "running"
+    checkpoint: str = ""
+    result: str = ""
+
+    @property
+    def work_s(self) -> float:
+        """Work until the end, infinite for replicas."""
+        if self.kind == "replica":
+            return float("inf")
+        return float(self.payload.get("work_s", DEFAULT_WORK_S))
+
+    def describe(self) -> dict[str, Any]:
+        """Returns the entry of the status."""
+        names = ("task", "attempt", "service", "state", "lease_until_s", "checkpoint", "result")
+        return {**{n: getattr(self, n) for n in names}, "size": attrs.asdict(self.size)}
+
+
+class WorkerState:
+    """State of one worker. Safe for use by several threads.
+
+    Args:
+        clock: the worker's own clock.
+        capacity: resources for tasks.
+        slots: requests at a time.
+        factors: interference between services.
+        record: called as record(event, at_s, **fields) for the event file.
+        usage_lag_s: age at which usage reports become visible, in seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        capacity: Size,
+        slots: int,
+        factors: FactorTable,
+        record: Record,
+        usage_lag_s: float,
+    ) -> None:
+        self._clock = clock
+        self._capacity = capacity
+        self._slots = slots
+        self._factors = factors
+        self._record = record
+        self._usage_lag_s = usage_lag_s
+        self._lock = threading.RLock()
+        self._now_s = clock.now_s()
+        self._attempts: dict[tuple[str, int], SimAttempt] = {}
+        self._known: dict[str, int] = {}
+        self._usage: list[dict[str, Any]] = []
+        self._service_times: dict[str, list[float]] = {}
+        self._busy_slots = 0
+        self.highest_epoch = 0
+        self.leaving = False
+        self.fail_starts = False
+        self.fail_tasks = False
+        self.counts: Counter[str] = Counter()
+
+    def status(self) -> dict[str, Any]:
+        """Returns the changing part of the status."""
+        with self._lock:
+            now_s = self._advance()
+            return {
+                "clock_s": now_s,
+                "leaving": self.leaving,
+                "highest_epoch": self.highest_epoch,
+                "tasks": [item.describe() for item in self._attempts.values()],
+                "usage": self._visible_usage(now_s),
+            }
+
+    def start(self, command: dict[str, Any], *, done_s: float) -> None:
+        """Starts an attempt that has `done_s` of its work behind it.
+
+        Raises:
+            RefusedError: the attempt does not run.
+        """
+        size = Size(**command["size"])
+        with self._lock:
+            now_s = self._advance()
+            self._fence("start", command)
+            reason = self._start_refusal(command, size, now_s)
+            if reason:
+                self._refuse("start", reason, command)
+            item = SimAttempt(
+                task=command["task"],
+                attempt=command["attempt"],
+                service=command["service"],
+                kind=command["kind"],
+                size=size,
+                payload=decode_payload(command.get("payload", "")),
+                lease_until_s=command["lease_until_s"],
+                started_at_s=now_s,
+                done_s=done_s,
+            )
+            self._known[item.task] = item.attempt
+            self._attempts[(item.task, item.attempt)] = item
+            self._record_start(item, command, now_s)
+
+    def renew(self, command: dict[str, Any]) -> list[str]:
+        """Extends leases; returns the tasks whose attempt does not run here."""
+        with self._lock:
+            self._advance()
+            self._fence("renew", command)
+            unknown = []
+            for task, lease in command["leases"].items():
+                item = self._attempts.get((task, lease["attempt"]))
+                if item is None or item.state != "running":
+                    unknown.append(task)
+                    continue
+                item.lease_until_s = max(item.lease_until_s, lease["until_s"])
+            return unknown
+
+    def begin_stop(self, command: dict[str, Any]) -> SimAttempt | None:
+        """Stops an attempt, or pauses it when a checkpoint is to be written first.
+
+        An attempt that is not here is marked as known, so that a delayed start is refused.
+
+        Returns:
+            The attempt, `paused` when its checkpoint is due; None if it never ran here.
+        """
+        with self._lock:
+            now_s = self._advance()
+            self._fence("stop", command)
+            task, number = command["task"], command["attempt"]
+            item = self._attempts.get((task, number))
+            if item is None:
+                self._known[task] = max(number, self._known.get(task, 0))
+                return None
+            if item.state == "running" and command.get("checkpoint"):
+                item.paused = True
+            elif item.state == "running":
+                self._end(item, "stopped", now_s)
+            return item
+
+    def end_stop(self, item: SimAttempt, *, checkpoint: str) -> None:
+        """Ends a paused attempt with its checkpoint, or resumes it when there is none.
+
+        Raises:
+            RefusedError: the checkpoint was not written and the attempt runs on.
+        """
+        with self._lock:
+            now_s = self._advance()
+            item.paused = False
+            if item.state != "running":
+                item.checkpoint = item.checkpoint or checkpoint
+                return
+            if not checkpoint:
+                self._refuse("stop", "checkpoint_failed", {"task": item.task})
+            item.checkpoint = checkpoint
+            self._end(item, "checkpointed", now_s)
+
+    def throttle(self, command: dict[str, Any]) -> None:
+        """Limits an attempt to a share of its processors."""
+        with self._lock:
+            self._advance()
+            self._fence("throttle", command)
+            item = self._attempts.get((command["task"], command["attempt"]))
+            if item is None or item.state != "running":
+                self._refuse("throttle", "not_running", command)
+            item.share = min(1.0, max(0.0, float(command["share"])))
+
+    def acknowledge(self, command: dict[str, Any]) -> None:
+        """Forgets ended attempts."""
+        with self._lock:
+            now_s = self._advance()
+            self._fence("acknowledge", command)
+            for entry in command["ended"]:
+                key = (entry["task"], entry["attempt"])
+                item = self._attempts.get(key)
+                if item is not None and item.state != "running":
+                    del self._attempts[key]
+                    self._record("acknowledged", now_s, task=key[0], attempt=key[1])
+
+    def set_faults(self, *, leaving: bool, fail_starts: bool, fail_tasks: bool) -> None:
+        """Makes the worker leave, refuse all starts, or fail all tasks."""
+        with self._lock:
+            self._advance()
+            self.leaving = leaving
+            self.fail_starts = fail_starts
+            self.fail_tasks = fail_tasks
+
+    def lapsed_without_checkpoint(self) -> list[SimAttempt]:
+        """Returns expired attempts whose checkpoint is still to be written."""
+        with self._lock:
+            self._advance()
+            items = self._attempts.values()
+            return [i for i in items if i.state == "lapsed" and not i.checkpoint]
+
+    def take_slot(self, service: str) -> tuple[str, float]:
+        """Takes a slot for a request.
+
+        Returns:
+            A reason of refusal (empty if the slot is taken), and the slowdown of the request.
+        """
+        with self._lock:
+            self._advance()
+            if self.leaving:
+                return "leaving", 1.0
+            if not self.runs_replica(service):
+                return "no_replica", 1.0
+            if self._busy_slots >= self._slots:
+                return "no_slot", 1.0
+            self._busy_slots += 1
+            self.counts["peak_slots"] = max(self.counts["peak_slots"], self._busy_slots)
+            return "", self._slowdown(service)
+
+    def free_slot(self, service: str, *, took_ms: float) -> None:
+        """Returns a slot and notes how long the request took."""
+        with self._lock:
+            self._busy_slots -= 1
+            self._service_times.setdefault(service, []).append(took_ms)
+
+    def runs_replica(self, service: str) -> bool:
+        """Whether a replica of `service` runs here."""
+        with self._lock:
+            items = self._running()
+            return any(i.kind == "replica" and i.service == service for i in items)
+
+    def sample_usage(self) -> None:
+        """Measures all running attempts; the reports become visible later."""
+        with self._lock:
+            now_s = self._advance()
+            running = self._running()
+            self._usage += [self._measure(item, running, now_s) for item in running]
+            self._service_times.clear()
+            oldest_s = now_s - self._usage_lag_s - max(self._usage_lag_s, 5.0)
+            self._usage = [u for u in self._usage if u["measured_at_s"] >= oldest_s]
+
+    def shut_down(self) -> None:
+        """Stops all attempts."""
+        with self._lock:
+            now_s = self._advance()
+            for item in self._running():
+                self._end(item, "stopped", now_s)
+
+    def committed(self) -> Size:
+        """Returns the sum of the sizes of running attempts."""
+        total = Size()
+        for item in self._running():
+            total = total.plus(item.size)
+        return total
+
+    def _running(self) -> list[SimAttempt]:
+        return [item for item in self._attempts.values() if item.state == "running"]
+
+    def _advance(self) -> float:
+        """Replays all ends up to now, in order, and returns the present time."""
+        now_s = max(self._clock.now_s(), self._now_s)
+        while True:
+            ends = [(*self._next_end(item), item) for item in self._running()]
+            due = min((e for e in ends if e[0] <= now_s), key=lambda e: e[0], default=None)
+            self._work(max(due[0], self._now_s) if due else now_s)
+            if due is None:
+                return now_s
+            self._end(due[2], due[1], self._now_s)
+
+    def _next_end(self, item: SimAttempt) -> tuple[float, str]:
+        """Returns when and how `item` ends if nothing changes."""
+        if self.fail_tasks and item.kind == "replica":
+            return item.started_at_s + FAULTY_RUN_S, "failed"
+        speed = self._speed(item)
+        work_s = FAULTY_RUN_S if self.fail_tasks else item.work_s
+        left_s = max(0.0, work_s - item.done_s)
+        done_at_s = self._now_s + left_s / speed if speed else float("inf")
+        if item.lease_until_s <= done_at_s:
+            return item.lease_until_s, "lapsed"
+        failed = self.fail_tasks or item.payload.get("fail")
+        return done_at_s, "failed" if failed else "finished"
+
+    def _work(self, until_s: float) -> None:
+        speeds = [(item, self._speed(item)) for item in self._running()]
+        for item, speed in speeds:
+            item.done_s += (until_s - self._now_s) * speed
+        self._now_s = until_s
+
+    def _speed(self, item: SimAttempt) -> float:
+        """Returns progress per second; replicas make none."""
+        if item.paused or item.kind == "replica":
+            return 0.0
+        return item.share / self._slowdown(item.service)
+
+    def _slowdown(self, service: str) -> float:
+        others = [(i.service, i.share) for i in self._running() if i.service != service]
+        return self._factors.slowdown(service, others, load=self._load())
+
+    def _load(self) -> float:
+        return self.committed().processors / max(self._capacity.processors, 1e-9)
+
+    def _end(self, item: SimAttempt, how: str, at_s: float) -> None:
+        item.state = how
+        item.paused = False
+        if how == "finished":
+            item.result = json.dumps({"work_s": item.work_s})
+        elif how == "failed":
+            item.result = "task exited with status 1"
+        self._record(
+            "end",
+            at_s,
+            task=item.task,
+            attempt=item.attempt,
+            how=how,
+            checkpoint=item.checkpoint,
+            committed=attrs.asdict(self.committed()),
+        )
+
+    def _record_start(self, item: SimAttempt, command: dict[str, Any], now_s: float) -> None:
+        self._record(
+            "start",
+            now_s,
+            task=item.task,
+            attempt=item.attempt,
+            epoch=command["epoch"],
+            service=item.service,
+            kind=item.kind,
+            size=attrs.asdict(item.size),
+            checkpoint=command.get("checkpoint", ""),
+            trace_id=command.get("trace_id", ""),
+            committed=attrs.asdict(self.committed()),
+            capacity=attrs.asdict(self._capacity),
+        )
+
+    def _fence(self, name: str, command: dict[str, Any]) -> None:
+        """Refuses a command of a former owner; a higher epoch becomes the highest."""
+        epoch = int(command["epoch"])
+        if epoch < self.highest_epoch:
+            self._refuse(name, "stale_epoch", command)
+        self.highest_epoch = epoch
+
+    def _start_refusal(self, command: dict[str, Any], size: Size, now_s: float) -> str:
+        """Returns why a start is refused, or an empty string."""
+        task = command["task"]
+        if command["attempt"] <= self._known.get(task, 0):
+            return "attempt_known"
+        if self.leaving:
+            return "leaving"
+        if self.fail_starts:
+            return "broken"
+        if now_s > command["start_by_s"] or now_s >= command["lease_until_s"]:
+            return "too_late"
+        if any(item.task == task for item in self._running()):
+            return "task_running"
+        if not self.committed().plus(size).fits_in(self._capacity):
+            self.counts["violation_over_commit_order"] += 1
+            return "over_committed"
+        return ""
+
+    def _refuse(self, name: str, reason: str, command: dict[str, Any]) -> None:
+        self.counts[f"refused_{reason}"] += 1
+        self._record(
+            "refusal",
+            self._now_s,
+            command=name,
+            reason=reason,
+            task=command.get("task", ""),
+            attempt=command.get("attempt", 0),
+            epoch=command.get("epoch", 0),
+        )
+        raise RefusedError(reason=reason)
+
+    def _measure(self, item: SimAttempt, running: list[SimAttempt], now_s: float) -> dict[str, Any]:
+        """Returns the usage report of `item`."""
+        times = self._service_times.get(item.service, [])
+        step_ms = STEP_MS * self._slowdown(item.service) / max(item.share, 0.01)
+        request_ms = sum(times) / len(times) if times else 0.0
+        processors = float(item.payload.get("use_processors", item.size.processors))
+        return {
+            "measured_at_s": now_s,
+            "task": item.task,
+            "service": item.service,
+            "processors": processors * item.share,
+            "memory_mb": int(item.payload.get("use_memory_mb", item.size.memory_mb)),
+            "service_time_ms": request_ms if item.kind == "replica" else step_ms,
+            "neighbours": sorted({i.service for i in running} - {item.service}),
+            "load": self._load(),
+        }
+
+    def _visible_usage(self, now_s: float) -> list[dict[str, Any]]:
+        """Returns the newest report of each task that is old enough to be visible."""
+        newest: dict[str, dict[str, Any]] = {}
+        for report in self._usage:
+            if report["measured_at_s"] <= now_s - self._usage_lag_s:
+                newest[report["task"]] = report
+        return list(newest.values())
+
+
+def decode_payload(payload: Any) -> dict[str, Any]:
+    """Returns the simulation parameters in a payload; other payloads have none."""
+    if isinstance(payload, str):
+        try:
+            payload = json.loads(payload or "{}")
+        except ValueError:
+            return {}
+    return payload if isinstance(payload, dict) else {}
