--- a/standins/_http.py
+++ b/standins/_http.py
@@ -18,6 +18,7 @@
 """Idle connections stay open this long, so that reuse rarely meets a closing connection."""
 
 SHUTDOWN_S = 1.0
+SIGNAL_POLL_S = 0.2
 
 
 @attrs.frozen(kw_only=True)
@@ -283,4 +284,7 @@
     stopped = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: stopped.set())
-    stopped.wait()
+    # After SIGCONT the kernel may deliver a signal to a thread other than the main one, which
+    # then doesn't leave an unlimited wait. Python runs handlers on the main thread only.
+    while not stopped.wait(SIGNAL_POLL_S):
+        pass
