--- a/bench/launcher.py
+++ b/bench/launcher.py
@@ -24,6 +24,9 @@
 
 READY_S = 20.0
 STOP_S = 5.0
+ENTRY_STOP_S = 10.0
+"""Entry instances finish their requests before they end."""
+
 POLL_S = 0.05
 CALL_TIMEOUT_S = 5.0
 
@@ -149,10 +152,12 @@
         self.close()
 
     def close(self) -> None:
-        """Ends every process: SIGTERM first, SIGKILL to what remains after `STOP_S`."""
+        """Ends every process: SIGTERM first, SIGKILL to what remains later."""
         # Entry instances end first, while the store still answers their planned stop.
-        for kinds in (("entry",), ("worker",), ("table", "members", "relay")):
-            self._end([p for p in self.processes.values() if p.kind in kinds])
+        platform = ("table", "members", "relay")
+        groups = ((("entry",), ENTRY_STOP_S), (("worker",), STOP_S), (platform, STOP_S))
+        for kinds, limit_s in groups:
+            self._end([p for p in self.processes.values() if p.kind in kinds], limit_s)
         self._http.clear()
 
     def start_entries(self) -> None:
@@ -449,13 +454,13 @@
         with (self.directory / f"{name}.log").open("ab") as log:
             return subprocess.Popen(argv, stdin=subprocess.DEVNULL, stdout=log, stderr=log)
 
-    def _end(self, processes: list[Process]) -> None:
+    def _end(self, processes: list[Process], limit_s: float) -> None:
         running = [p for p in processes if p.is_running]
         for process in running:
             process.handle.terminate()
             # A frozen process takes the SIGTERM only after it continues.
             process.handle.send_signal(signal.SIGCONT)
-        deadline_s = time.monotonic() + STOP_S
+        deadline_s = time.monotonic() + limit_s
         for process in running:
             try:
                 process.handle.wait(max(0.0, deadline_s - time.monotonic()))
--- a/standins/_http.py
+++ b/standins/_http.py
@@ -19,6 +19,7 @@
 
 SHUTDOWN_S = 1.0
 SIGNAL_POLL_S = 0.2
+WAKE_S = 0.01
 
 
 @attrs.frozen(kw_only=True)
@@ -191,6 +192,9 @@
         handler: answers requests, called from several threads.
         threads: threads that answer requests.
         max_connections: further connections are closed at once; 0 means no limit.
+
+    Attributes:
+        address: the bound `ip:port`, once the context is entered.
     """
 
     def __init__(
@@ -205,22 +209,24 @@
         )
         self._thread = threading.Thread(target=self._server.serve, daemon=True)
         self._refusing = False
+        self.address = ""
 
     def __enter__(self) -> "HttpServer":
         self._server.prepare()
+        self.address = "{}:{}".format(*self._server.bind_addr[:2])
         self._thread.start()
         return self
 
     def __exit__(self, *exc_info: object) -> None:
-        self._server.stop()
+        stopper = threading.Thread(target=self._server.stop, daemon=True)
+        stopper.start()
+        # The server notices the stop only when its selector wakes, hence the connections.
+        while stopper.is_alive():
+            with contextlib.suppress(OSError):
+                socket.create_connection(split_address(self.address), SHUTDOWN_S).close()
+            stopper.join(WAKE_S)
         self._thread.join(SHUTDOWN_S)
 
-    @property
-    def address(self) -> str:
-        """The bound `ip:port`."""
-        host, port = self._server.bind_addr[:2]
-        return f"{host}:{port}"
-
     def connection_counts(self) -> dict[str, int]:
         """Returns open, peak and refused connections."""
         srv = self._server
--- /dev/null
+++ b/standins/relay.py
@@ -0,0 +1,217 @@
+"""TCP relay with routes that can be cut, healed and delayed.
+
+A cut route keeps its connections open but passes no data and no close; what was sent
+meanwhile passes after the route heals, as TCP would retransmit it.
+"""
+
+import asyncio
+import contextlib
+import threading
+from collections.abc import Coroutine
+from typing import Any
+
+import attrs
+
+from standins._http import Answer, HttpServer, Request, split_address, wait_for_signal
+
+CHUNK_BYTES = 65_536
+QUEUE_CHUNKS = 64
+CALL_TIMEOUT_S = 5.0
+NEW_CONNECTIONS = ("hang", "refuse")
+
+
+@attrs.define(kw_only=True)
+class Route:
+    """One relayed address.
+
+    Args:
+        name: name for the control interface.
+        listen: `ip:port` that clients reach.
+        target: `ip:port` that it relays to.
+        delay_ms: one-way delay in milliseconds, added in both directions.
+        passing: set unless the route is cut.
+        bytes_to_target: bytes passed from clients.
+        bytes_from_target: bytes passed to clients.
+    """
+
+    name: str
+    listen: str
+    target: str
+    delay_ms: float = 0.0
+    passing: asyncio.Event = attrs.field(factory=asyncio.Event)
+    server: asyncio.Server | None = None
+    connections: int = 0
+    bytes_to_target: int = 0
+    bytes_from_target: int = 0
+
+    def describe(self) -> dict[str, Any]:
+        """Returns the entry of `GET /routes`."""
+        names = ("name", "listen", "target", "delay_ms", "connections")
+        counts = ("bytes_to_target", "bytes_from_target")
+        fields = {name: getattr(self, name) for name in (*names, *counts)}
+        return {**fields, "cut": not self.passing.is_set(), "refusing": self.server is None}
+
+    async def open(self) -> None:
+        """Accepts connections."""
+        if self.server is None:
+            host, port = split_address(self.listen)
+            self.server = await asyncio.start_server(self._accept, host, port)
+
+    async def heal(self) -> None:
+        """Passes data and accepts connections."""
+        await self.open()
+        self.passing.set()
+
+    async def cut(self, new: str) -> None:
+        """Stops passing data; new connections hang or are refused."""
+        self.passing.clear()
+        if new == "refuse" and self.server is not None:
+            self.server.close()
+            self.server = None
+
+    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        # Cancelled only when the relay stops.
+        with contextlib.suppress(asyncio.CancelledError, OSError):
+            await self.passing.wait()
+            await self._join(reader, writer)
+        self.connections -= 1
+        writer.close()
+
+    async def _join(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Connects to the target and passes data until both directions ended or one failed."""
+        host, port = split_address(self.target)
+        target_reader, target_writer = await asyncio.open_connection(host, port)
+        try:
+            async with asyncio.TaskGroup() as pipes:
+                pipes.create_task(self._pipe(reader, target_writer, "bytes_to_target"))
+                pipes.create_task(self._pipe(target_reader, writer, "bytes_from_target"))
+        except* OSError:
+            pass
+        finally:
+            target_writer.close()
+
+    async def _pipe(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, counter: str
+    ) -> None:
+        """Copies one direction; chunks wait out the delay without holding up reading."""
+        queue: asyncio.Queue[tuple[float, bytes]] = asyncio.Queue(QUEUE_CHUNKS)
+        fill = asyncio.create_task(self._fill(reader, queue))
+        try:
+            while await self._pass_on(queue, writer, counter):
+                pass
+        finally:
+            fill.cancel()
+
+    async def _fill(self, reader: asyncio.StreamReader, queue: asyncio.Queue[Any]) -> None:
+        chunk = b"-"
+        while chunk:
+            try:
+                chunk = await reader.read(CHUNK_BYTES)
+            except OSError:
+                chunk = b""
+            due_s = asyncio.get_running_loop().time() + self.delay_ms / 1000
+            await queue.put((due_s, chunk))
+
+    async def _pass_on(
+        self, queue: asyncio.Queue[Any], writer: asyncio.StreamWriter, counter: str
+    ) -> bool:
+        """Passes one chunk on when it is due; returns False at the end of the stream."""
+        due_s, chunk = await queue.get()
+        await asyncio.sleep(max(0.0, due_s - asyncio.get_running_loop().time()))
+        await self.passing.wait()
+        if not chunk:
+            writer.write_eof()
+            return False
+        writer.write(chunk)
+        setattr(self, counter, getattr(self, counter) + len(chunk))
+        await writer.drain()
+        return True
+
+
+class Relay:
+    """Runs routes on an event loop of its own thread; use as a context manager.
+
+    Args:
+        listen: `ip:port` of the control interface.
+    """
+
+    def __init__(self, *, listen: str) -> None:
+        self._routes: dict[str, Route] = {}
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
+        self.control = HttpServer(address=listen, handler=self._handle, threads=2)
+
+    def __enter__(self) -> "Relay":
+        self._thread.start()
+        self.control.__enter__()
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        self.control.__exit__(*exc_info)
+        self._call(self._close())
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join()
+        self._loop.close()
+
+    def add(self, *, name: str, listen: str, target: str, delay_ms: float = 0.0) -> None:
+        """Adds a route that passes data."""
+        if name in self._routes:
+            raise ValueError(f"route {name} exists")
+        route = Route(name=name, listen=listen, target=target, delay_ms=delay_ms)
+        self._call(route.heal())
+        self._routes[name] = route
+
+    def _handle(self, req: Request) -> Answer:
+        body = req.json()
+        if req.path == "/routes" and req.method == "POST":
+            self.add(**body)
+        elif req.path == "/cut":
+            self._cut(body)
+        elif req.path == "/heal":
+            for route in self._chosen(body):
+                self._call(route.heal())
+        elif req.path == "/delay":
+            for route in self._chosen(body):
+                route.delay_ms = float(body["delay_ms"])
+        elif req.path != "/routes":
+            return Answer(status=404, body={"error": "no such resource"})
+        return Answer(body={"routes": [route.describe() for route in self._routes.values()]})
+
+    def _cut(self, body: dict[str, Any]) -> None:
+        new = body.get("new", "hang")
+        if new not in NEW_CONNECTIONS:
+            raise ValueError(f"new must be one of {', '.join(NEW_CONNECTIONS)}")
+        for route in self._chosen(body):
+            self._call(route.cut(new))
+
+    def _chosen(self, body: dict[str, Any]) -> list[Route]:
+        """Returns the named routes, or all if none are named."""
+        return [self._routes[name] for name in body.get("routes", list(self._routes))]
+
+    def _call(self, coro: Coroutine[Any, Any, None]) -> None:
+        """Runs `coro` on the loop and waits for it."""
+        asyncio.run_coroutine_threadsafe(coro, self._loop).result(CALL_TIMEOUT_S)
+
+    async def _close(self) -> None:
+        for route in self._routes.values():
+            if route.server is not None:
+                route.server.close()
+        tasks = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+def run(*, listen: str, routes: str = "") -> None:
+    """Runs a relay until SIGTERM.
+
+    Args:
+        listen: `ip:port` of the control interface.
+        routes: first routes as `name=ip:port=ip:port`, separated by commas.
+    """
+    with Relay(listen=listen) as relay:
+        for text in filter(None, str(routes).split(",")):
+            name, source, target = text.split("=")
+            relay.add(name=name, listen=source, target=target)
+        wait_for_signal()
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -1,46 +1,29 @@
 """HTTP stand-in for a worker: control and data address, faults, event file."""
 
 import contextlib
-import hashlib
-import json
 import random
 import threading
-import time
 import uuid
 from typing import Any
 
 import attrs
-import urllib3
 
 from fescuerudder.clock import Clock, SystemClock
 from fescuerudder.document import Size
+from standins._checkpoints import CheckpointStore
+from standins._dataplane import DataPlane
 from standins._events import EventLog
 from standins._http import Answer, HttpServer, Request, wait_for_signal
+from standins._workerfault import Fault, FaultSet
 from standins.interference import FactorTable
 from standins.workerstate import RefusedError, SimAttempt, WorkerState
 
 TICK_S = 0.1
-STORE_TIMEOUT_S = 0.7
-"""Shorter than the client's limit for a command, so that a command with a checkpoint answers."""
-
 CHECKPOINT_RETRY_S = 1.0
-MISSING_BYTES = 64
 CONTROL_THREADS = 4
 SPARE_DATA_THREADS = 4
 """Threads beyond the slots, which refuse requests while all slots are busy."""
 
-MODES = (
-    "ok",
-    "fail_starts",
-    "fail_tasks",
-    "refuse",
-    "truncate",
-    "late",
-    "wrong_id",
-    "close_after_read",
-    "leave",
-)
-
 
 class OffsetClock:
     """System clock shifted by an offset, so that no reader can rely on equal clocks."""
@@ -58,213 +41,6 @@
         return event.wait(timeout_s)
 
 
-@attrs.frozen(kw_only=True)
-class Fault:
-    """A fault in force on the data or control address.
-
-    Args:
-        mode: one of `MODES`.
-        probability: share of requests that it hits.
-        delay_ms: delay of `late`.
-        executed: whether `close_after_read` runs the request before it closes.
-        seed: seed of the generator that picks requests.
-    """
-
-    mode: str = attrs.field(validator=attrs.validators.in_(MODES))
-    probability: float = 1.0
-    delay_ms: float = 1000.0
-    executed: bool = True
-    seed: int = 0
-
-
-class FaultSet:
-    """Faults in force; several modes may be in force at once, `ok` ends all."""
-
-    def __init__(self) -> None:
-        self._faults: dict[str, tuple[Fault, random.Random]] = {}
-        self._lock = threading.Lock()
-
-    def set(self, fault: Fault) -> None:
-        """Puts `fault` into force."""
-        with self._lock:
-            if fault.mode == "ok":
-                self._faults.clear()
-                return
-            self._faults[fault.mode] = (fault, random.Random(fault.seed))
-
-    def get(self, mode: str) -> Fault | None:
-        """Returns the fault if it is in force and hits this request."""
-        with self._lock:
-            fault, rng = self._faults.get(mode, (None, None))
-            if fault is None or rng is None or rng.random() >= fault.probability:
-                return None
-            return fault
-
-    def modes(self) -> list[str]:
-        """Returns the modes in force."""
-        with self._lock:
-            return sorted(self._faults)
-
-
-class CheckpointStore:
-    """Reads and writes checkpoints in the object store.
-
-    Args:
-        address: `ip:port` of the object store; empty keeps checkpoints in memory.
-    """
-
-    def __init__(self, *, address: str) -> None:
-        self._url = f"http://{address}/v1/objects/" if address else ""
-        self._local: dict[str, bytes] = {}
-        self._pool = urllib3.PoolManager(
-            num_pools=1, maxsize=4, retries=False, timeout=STORE_TIMEOUT_S
-        )
-
-    def write(self, item: SimAttempt) -> str:
-        """Writes the checkpoint of `item`; returns its name, or an empty string on failure."""
-        name = f"checkpoint/{item.task}/{item.attempt}"
-        data = json.dumps({"task": item.task, "done_s": item.done_s}).encode()
-        if not self._url:
-            self._local[name] = data
-            return name
-        with contextlib.suppress(urllib3.exceptions.HTTPError):
-            if self._pool.request("PUT", self._url + name, body=data).status < 300:
-                return name
-        return ""
-
-    def read_done_s(self, name: str) -> float:
-        """Returns the work done that a checkpoint states.
-
-        Raises:
-            RefusedError: the checkpoint can't be read.
-        """
-        if not name:
-            return 0.0
-        try:
-            return float(json.loads(self._read(name))["done_s"])
-        except (urllib3.exceptions.HTTPError, ValueError, KeyError) as exc:
-            raise RefusedError(reason="checkpoint_unreadable") from exc
-
-    def _read(self, name: str) -> bytes:
-        if not self._url:
-            return self._local[name]
-        return self._pool.request("GET", self._url + name).data
-
-
-class DataPlane:
-    """Answers requests of callers.
-
-    Args:
-        worker: worker id, part of each answer.
-        state: slots and replicas.
-        faults: faults in force.
-        events: event file.
-        mean_ms: mean of the exponential service time of requests that state none.
-        seed: seed of these service times.
-    """
-
-    def __init__(
-        self,
-        *,
-        worker: str,
-        state: WorkerState,
-        faults: FaultSet,
-        events: EventLog,
-        mean_ms: float,
-        seed: int,
-    ) -> None:
-        self._worker = worker
-        self._state = state
-        self._faults = faults
-        self._events = events
-        self._mean_ms = mean_ms
-        self._random = random.Random(seed)
-        self._lock = threading.Lock()
-        self._keys: set[str] = set()
-
-    def handle(self, req: Request) -> Answer:
-        """Answers one request, or refuses it as not processed."""
-        service = req.path.lstrip("/").split("/", 1)[0]
-        closing = self._faults.get("close_after_read")
-        if closing and not closing.executed:
-            return Answer(abort=True)
-        reason, slowdown = self._state.take_slot(service)
-        if reason:
-            return self._refuse(req, service, reason)
-        started_s = time.monotonic()
-        try:
-            self._note(req, service, "request")
-            time.sleep(self._service_ms(req) * slowdown / 1000)
-            return self._finish(req, service, aborted=closing is not None)
-        finally:
-            self._state.free_slot(service, took_ms=(time.monotonic() - started_s) * 1000)
-
-    def _finish(self, req: Request, service: str, *, aborted: bool) -> Answer:
-        """Returns the answer of an executed request, changed by the faults in force."""
-        if not self._state.runs_replica(service):
-            # The replica ended while it answered.
-            self._note(req, service, "request_cut")
-            self._state.counts["violation_request_cut"] += 1
-            return Answer(abort=True)
-        late = self._faults.get("late")
-        if late:
-            time.sleep(late.delay_ms / 1000)
-        self._note(req, service, "completed")
-        if aborted:
-            return Answer(abort=True)
-        missing = MISSING_BYTES if self._faults.get("truncate") else 0
-        headers = _echo_id(req)
-        if self._faults.get("wrong_id"):
-            headers["X-Request-Id"] = f"other-{uuid.uuid4().hex[:8]}"
-        close = "refuse" in self._faults.modes()
-        return Answer(
-            body=self._body(req, service), headers=headers, missing_bytes=missing, close=close
-        )
-
-    def _body(self, req: Request, service: str) -> bytes:
-        """Returns an answer that lets the caller check that it belongs to its request."""
-        content = {
-            "worker": self._worker,
-            "service": service,
-            "method": req.method,
-            "target": req.target,
-            "request_id": req.headers.get("x-request-id", ""),
-            "body_sha256": hashlib.sha256(req.body).hexdigest(),
-        }
-        padding = int(req.query.get("answer_bytes", 0))
-        return json.dumps(content).encode() + b" " * padding
-
-    def _refuse(self, req: Request, service: str, reason: str) -> Answer:
-        self._state.counts[f"request_refused_{reason}"] += 1
-        self._note(req, service, "request_refused", reason=reason)
-        headers = {"Not-Processed": "true", **_echo_id(req)}
-        return Answer(status=503, body={"reason": reason}, headers=headers)
-
-    def _service_ms(self, req: Request) -> float:
-        stated = req.headers.get("work-ms") or req.query.get("work_ms")
-        if stated:
-            return max(0.0, float(stated))
-        with self._lock:
-            return self._random.expovariate(1.0 / self._mean_ms)
-
-    def _note(self, req: Request, service: str, event: str, **fields: Any) -> None:
-        key = req.headers.get("idempotency-key", "")
-        if event == "request" and key:
-            with self._lock:
-                self._state.counts["violation_key_repeated"] += f"{service}|{key}" in self._keys
-                self._keys.add(f"{service}|{key}")
-        self._events.append(
-            event,
-            service=service,
-            method=req.method,
-            target=req.target,
-            nonce=req.query.get("nonce", ""),
-            key=key,
-            request_id=req.headers.get("x-request-id", ""),
-            **fields,
-        )
-
-
 class ControlPlane:
     """Answers commands of the scheduler.
 
@@ -453,6 +229,9 @@
         self._stack.close()
 
     def _record(self, event: str, at_s: float, **fields: Any) -> None:
+        if "leases" in fields:
+            leases = fields.pop("leases").items()
+            fields["leases"] = [[*key, until_s - self._offset_s] for key, until_s in leases]
         self._events.append(event, boot_s=at_s - self._offset_s, **fields)
 
     def _tick(self) -> None:
@@ -475,11 +254,6 @@
                 return
 
 
-def _echo_id(req: Request) -> dict[str, str]:
-    request_id = req.headers.get("x-request-id")
-    return {"X-Request-Id": request_id} if request_id else {}
-
-
 def run(
     *,
     listen: str,
--- a/standins/workerstate.py
+++ b/standins/workerstate.py
@@ -165,15 +165,18 @@
     def renew(self, command: dict[str, Any]) -> list[str]:
         """Extends leases; returns the tasks whose attempt does not run here."""
         with self._lock:
-            self._advance()
+            now_s = self._advance()
             self._fence("renew", command)
-            unknown = []
+            unknown, renewed = [], {}
             for task, lease in command["leases"].items():
                 item = self._attempts.get((task, lease["attempt"]))
                 if item is None or item.state != "running":
                     unknown.append(task)
                     continue
                 item.lease_until_s = max(item.lease_until_s, lease["until_s"])
+                renewed[(task, item.attempt)] = item.lease_until_s
+            if renewed:
+                self._record("renewed", now_s, leases=renewed)
             return unknown
 
     def begin_stop(self, command: dict[str, Any]) -> SimAttempt | None:
@@ -378,6 +381,7 @@
             epoch=command["epoch"],
             service=item.service,
             kind=item.kind,
+            leases={(item.task, item.attempt): item.lease_until_s},
             size=attrs.asdict(item.size),
             checkpoint=command.get("checkpoint", ""),
             trace_id=command.get("trace_id", ""),
--- /dev/null
+++ b/tests/test_standins_worker.py
@@ -0,0 +1,323 @@
+"""Worker stand-in: simulated state by a manual clock, data address over loopback."""
+
+import json
+
+import pytest
+import urllib3
+
+from fescuerudder.clock import ManualClock, SystemClock
+from fescuerudder.document import Size
+from standins._checkpoints import CheckpointStore
+from standins.interference import FactorTable
+from standins.worker import Worker
+from standins.workerstate import RefusedError, WorkerState
+
+FACTORS = {"web|batch": 2.0, "batch|web": 2.0, "batch|other": 1.0, "other|batch": 1.0}
+
+
+class Bench:
+    """A worker state on a manual clock, with its events."""
+
+    def __init__(self) -> None:
+        self.clock = ManualClock(start_s=100.0)
+        self.events: list[tuple[str, float, dict]] = []
+        self.state = WorkerState(
+            clock=self.clock,
+            capacity=Size(processors=10.0, memory_mb=1000, accelerators=1),
+            slots=2,
+            factors=FactorTable(seed=0, fixed=FACTORS),
+            record=lambda event, at_s, **fields: self.events.append((event, at_s, fields)),
+            usage_lag_s=3.0,
+        )
+
+    def start(self, task="t", *, done_s=0.0, work_s=10.0, fail=False, **changes):
+        now_s = self.clock.now_s()
+        order = {
+            "task": task,
+            "attempt": 1,
+            "epoch": 5,
+            "service": "batch",
+            "kind": "batch",
+            "size": {"processors": 1.0, "memory_mb": 100, "accelerators": 0},
+            "payload": json.dumps({"work_s": work_s, "fail": fail}),
+            "checkpoint": "",
+            "lease_until_s": now_s + 15.0,
+            "start_by_s": now_s + 1.0,
+            **changes,
+        }
+        self.state.start(order, done_s=done_s)
+
+    def ends(self):
+        return [
+            (fields["task"], at_s, fields["how"])
+            for event, at_s, fields in self.events
+            if event == "end"
+        ]
+
+    def states(self):
+        return {task["task"]: task["state"] for task in self.state.status()["tasks"]}
+
+
+@pytest.fixture
+def bench():
+    return Bench()
+
+
+@pytest.mark.parametrize(
+    ("changes", "reason"),
+    [
+        ({"epoch": 4}, "stale_epoch"),
+        ({"size": {"processors": 9.5, "memory_mb": 1, "accelerators": 0}}, "over_committed"),
+        ({"size": {"processors": 1.0, "memory_mb": 901, "accelerators": 0}}, "over_committed"),
+        ({"size": {"processors": 1.0, "memory_mb": 1, "accelerators": 2}}, "over_committed"),
+        ({"start_by_s": 99.9}, "too_late"),
+        ({"lease_until_s": 100.0}, "too_late"),
+        ({"task": "first"}, "attempt_known"),
+        ({"task": "first", "attempt": 2}, "task_running"),
+        ({"task": "never"}, "attempt_known"),
+    ],
+)
+def test_start_is_refused(bench, changes, reason):
+    """Guards against a worker that lets the scheduler break a guarantee unnoticed."""
+    bench.start("first")
+    never = {"task": "never", "attempt": 1, "epoch": 5, "checkpoint": True}
+    assert bench.state.begin_stop(never) is None
+    with pytest.raises(RefusedError) as caught:
+        bench.start(**changes)
+    assert caught.value.reason == reason
+    assert bench.states() == {"first": "running"}
+
+
+@pytest.mark.parametrize(
+    ("faults", "reason"), [({"leaving": True}, "leaving"), ({"fail_starts": True}, "broken")]
+)
+def test_faulty_worker_refuses_starts(bench, faults, reason):
+    """Guards against faults without effect."""
+    switches = {"leaving": False, "fail_starts": False, "fail_tasks": False}
+    bench.state.set_faults(**{**switches, **faults})
+    with pytest.raises(RefusedError, match=reason):
+        bench.start()
+
+
+@pytest.mark.parametrize(
+    ("name", "command"),
+    [
+        ("renew", {"leases": {}}),
+        ("begin_stop", {"task": "t", "attempt": 1}),
+        ("throttle", {"task": "t", "attempt": 1, "share": 0.5}),
+        ("acknowledge", {"ended": []}),
+    ],
+)
+def test_each_command_fences(bench, name, command):
+    """Guards against a command of a former owner that takes effect after a takeover."""
+    bench.start()
+    getattr(bench.state, name)({**command, "epoch": 6})
+    assert bench.state.status()["highest_epoch"] == 6
+    with pytest.raises(RefusedError, match="stale_epoch"):
+        getattr(bench.state, name)({**command, "epoch": 5})
+
+
+@pytest.mark.parametrize(
+    ("start", "step_s", "expected"),
+    [
+        ({"work_s": 4.0}, 60.0, ("t", 104.0, "finished")),
+        ({"work_s": 4.0, "done_s": 3.0}, 60.0, ("t", 101.0, "finished")),
+        ({"work_s": 4.0, "fail": True}, 60.0, ("t", 104.0, "failed")),
+        ({"work_s": 40.0}, 60.0, ("t", 115.0, "lapsed")),
+        ({"work_s": 40.0}, 1.0, ("t", 115.0, "lapsed")),
+        ({"kind": "replica"}, 60.0, ("t", 115.0, "lapsed")),
+    ],
+)
+def test_attempt_ends_at_its_exact_time(bench, start, step_s, expected):
+    """Guards against a task that outlives its lease while its worker was frozen."""
+    bench.start(**start)
+    for _ in range(int(60 / step_s)):
+        bench.clock.advance(seconds=step_s)
+        bench.state.status()
+    [(task, at_s, how)] = bench.ends()
+    assert (task, pytest.approx(at_s), how) == expected
+
+
+@pytest.mark.parametrize(
+    ("until_s", "attempt", "end_s", "unknown"),
+    [(130.0, 1, 130.0, []), (101.0, 1, 115.0, []), (130.0, 2, 115.0, ["t"])],
+)
+def test_renewal_extends_the_lease_of_its_attempt_only(bench, until_s, attempt, end_s, unknown):
+    """Guards against delayed renewals that shorten a lease or reach another attempt."""
+    bench.start(work_s=100.0)
+    leases = {"t": {"attempt": attempt, "until_s": until_s}}
+    assert bench.state.renew({"epoch": 5, "leases": leases}) == unknown
+    bench.clock.advance(seconds=50.0)
+    bench.state.status()
+    assert bench.ends() == [("t", end_s, "lapsed")]
+
+
+@pytest.mark.parametrize(
+    ("neighbour", "share", "end_s"),
+    [(None, 1.0, 104.0), ("other", 1.0, 104.0), ("web", 1.0, 108.0), ("web", 0.5, 106.0)],
+)
+def test_neighbours_slow_work_by_their_share(bench, neighbour, share, end_s):
+    """Guards against interference that throttling the neighbour can't reduce."""
+    if neighbour:
+        bench.start("n", service=neighbour, work_s=100.0)
+        bench.state.throttle({"task": "n", "attempt": 1, "epoch": 5, "share": share})
+    bench.start(work_s=4.0)
+    bench.clock.advance(seconds=14.0)
+    bench.state.status()
+    assert bench.ends()[0] == ("t", pytest.approx(end_s), "finished")
+
+
+def test_throttle_slows_the_task_itself(bench):
+    """Guards against a throttle without cost."""
+    bench.start(work_s=4.0)
+    bench.state.throttle({"task": "t", "attempt": 1, "epoch": 5, "share": 0.5})
+    bench.clock.advance(seconds=14.0)
+    bench.state.status()
+    assert bench.ends() == [("t", pytest.approx(108.0), "finished")]
+
+
+@pytest.mark.parametrize(("written", "state"), [(True, "checkpointed"), (False, "running")])
+def test_eviction_ends_only_with_its_checkpoint(bench, written, state):
+    """Guards against work that is lost because the store was down during an eviction."""
+    bench.start(work_s=10.0)
+    bench.clock.advance(seconds=3.0)
+    stop = {"task": "t", "attempt": 1, "epoch": 5, "checkpoint": True}
+    item = bench.state.begin_stop(stop)
+    bench.clock.advance(seconds=2.0)
+    store = CheckpointStore(address="")
+    name = store.write(item)
+    if written:
+        bench.state.end_stop(item, checkpoint=name)
+        assert store.read_done_s(name) == pytest.approx(3.0)
+    else:
+        with pytest.raises(RefusedError, match="checkpoint_failed"):
+            bench.state.end_stop(item, checkpoint="")
+    assert bench.states() == {"t": state}
+
+
+def test_ended_attempt_stays_until_acknowledged(bench):
+    """Guards against results that vanish before the owner stored them, and against reruns."""
+    bench.start(work_s=1.0)
+    ended = {"epoch": 5, "ended": [{"task": "t", "attempt": 1}]}
+    bench.state.acknowledge(ended)
+    bench.clock.advance(seconds=2.0)
+    assert bench.states() == {"t": "finished"}
+    bench.state.acknowledge(ended)
+    assert bench.states() == {}
+    with pytest.raises(RefusedError, match="attempt_known"):
+        bench.start()
+
+
+def test_usage_appears_after_its_lag(bench):
+    """Guards against a scheduler that is tested with measurements fresher than the platform's."""
+    bench.start("w", service="web", kind="replica")
+    bench.start(work_s=100.0)
+    bench.state.sample_usage()
+    bench.clock.advance(seconds=2.9)
+    assert bench.state.status()["usage"] == []
+    bench.clock.advance(seconds=0.2)
+    reports = {report["task"]: report for report in bench.state.status()["usage"]}
+    assert reports["t"]["measured_at_s"] == 100.0
+    assert reports["t"]["neighbours"] == ["web"]
+    assert reports["t"]["service_time_ms"] == pytest.approx(200.0)
+
+
+def test_factors_agree_between_workers_and_differ_between_seeds():
+    """Guards against interference that can't be learned on one worker and used on another."""
+    pairs = [(f"s{i}", f"n{i}") for i in range(20)]
+    tables = [FactorTable(seed=seed) for seed in (1, 1, 2)]
+    first, same, other = ([table.factor(*pair) for pair in pairs] for table in tables)
+    assert first == same != other
+    assert all(1.0 <= factor <= 2.5 for factor in first)
+
+
+@pytest.fixture
+def worker(tmp_path):
+    """A worker that runs one replica of `web`, and its event file."""
+    path = tmp_path / "w.jsonl"
+    local = "127.0.0.1:0"
+    with Worker(
+        worker="w", zone="z", control=local, data=local, clock=SystemClock(), events=str(path)
+    ) as running:
+        now_s = running.state.status()["clock_s"]
+        command = {
+            "task": "web.0",
+            "attempt": 1,
+            "epoch": 1,
+            "service": "web",
+            "kind": "replica",
+            "size": {"processors": 1.0},
+            "lease_until_s": now_s + 60,
+            "start_by_s": now_s + 5,
+        }
+        running.state.start(command, done_s=0.0)
+        yield running, path
+
+
+IDS = {"X-Request-Id": "id-1", "Idempotency-Key": "k"}
+
+
+def ask(worker, service="web"):
+    """Sends one request; returns status, Not-Processed, X-Request-Id and body."""
+    url = f"http://{worker.data.address}/{service}/p?work_ms=0"
+    resp = urllib3.request("POST", url, body=b"in", headers=IDS, retries=False)
+    return (
+        resp.status,
+        resp.headers.get("Not-Processed"),
+        resp.headers.get("X-Request-Id"),
+        resp.json(),
+    )
+
+
+@pytest.mark.parametrize(
+    ("mode", "expected", "executed"),
+    [
+        ("ok", (200, None, "id-1"), True),
+        ("leave", (503, "true", "id-1"), False),
+        ("truncate", urllib3.exceptions.ProtocolError, True),
+        ("close_after_read", urllib3.exceptions.ProtocolError, True),
+        ("refuse", urllib3.exceptions.NewConnectionError, False),
+    ],
+)
+def test_data_fault_is_as_stated(worker, mode, expected, executed):
+    """Guards against a fault that runs a request it reports as not run, or the reverse."""
+    running, path = worker
+    url = f"http://{running.control.address}/fault"
+    assert urllib3.request("POST", url, json={"mode": mode}).json()["modes"] == (
+        [] if mode == "ok" else [mode]
+    )
+    if isinstance(expected, tuple):
+        assert ask(running)[:3] == expected
+    else:
+        with pytest.raises(expected):
+            ask(running)
+    events = [json.loads(line) for line in path.read_text().splitlines()]
+    assert ("request" in {event["event"] for event in events}) == executed
+
+
+def test_answer_proves_whose_it_is(worker):
+    """Guards against callers that can't tell another's answer from their own."""
+    running, _ = worker
+    body = ask(running)[3]
+    assert (body["request_id"], body["target"]) == ("id-1", "/web/p?work_ms=0")
+    assert ask(running, service="none")[:3] == (503, "true", "id-1")
+    url = f"http://{running.control.address}/fault"
+    urllib3.request("POST", url, json={"mode": "wrong_id"})
+    assert ask(running)[2] not in (None, "id-1")
+
+
+def test_worker_counts_a_repeated_key(worker):
+    """Guards against a witness that misses a request which ran twice."""
+    running, _ = worker
+    ask(running)
+    ask(running)
+    url = f"http://{running.control.address}/v1/witness"
+    assert urllib3.request("GET", url).json()["violations"] == {"violation_key_repeated": 1}
+
+
+def test_slots_limit_concurrent_requests(bench):
+    """Guards against a worker that accepts more requests than it has slots."""
+    bench.start("web.0", service="web", kind="replica")
+    assert [bench.state.take_slot("web")[0] for _ in range(3)] == ["", "", "no_slot"]
+    bench.state.free_slot("web", took_ms=1.0)
+    assert bench.state.take_slot("web")[0] == ""
