--- /dev/null
+++ b/fescuerudder/cli.py
@@ -0,0 +1,409 @@
+"""Command line: the entry instance, the client commands and the reports."""
+
+import inspect
+import io
+import json
+import os
+import sys
+import time
+import tomllib
+from collections.abc import Callable
+from contextlib import redirect_stderr
+from pathlib import Path
+from typing import Any
+
+import attrs
+import fire
+from fire import core as fire_core
+
+from fescuerudder import __version__
+from fescuerudder._settingsdoc import describe_setting, settings_page
+from fescuerudder._usage import UsageError, check_command_line, tidy_help
+from fescuerudder.client import (
+    Answer,
+    Client,
+    ClientError,
+    OutcomeUnknownError,
+    outcome_of,
+    refusal_of,
+)
+from fescuerudder.document import ServiceDocument, dump_document, parse_document
+from fescuerudder.errors import FescuerudderError, SettingsError
+from fescuerudder.settings import Settings, load_settings
+
+EXIT_DONE = 0
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+EXIT_UNKNOWN = 3
+EXIT_INTERRUPTED = 130
+
+SERVER_ENV = "FESCUERUDDER_SERVER"
+KEY_ENV = "FESCUERUDDER_OPERATOR_KEY"
+WATCH_S = 1.0
+FINAL_STATES = ("finished", "failed", "cancelled")
+
+
+def check(file: str) -> int:
+    """Checks a service document without a server.
+
+    Args:
+        file: TOML or JSON file with the document.
+    """
+    doc = _read_document(file)
+    print(f"{file}: service {doc.name!r} is valid")
+    return EXIT_DONE
+
+
+def apply(
+    file: str, *, force: bool = False, revision: str = "", server: str = "", key: str = ""
+) -> int:
+    """Applies a service document; it replaces the revision that is in force now.
+
+    Args:
+        file: TOML or JSON file with the document.
+        force: replaces any revision, also one that another operator applied meanwhile.
+        revision: replaces only this revision, as printed by `get`.
+        server: ip:port of an entry instance, or FESCUERUDDER_SERVER.
+        key: operator key, or FESCUERUDDER_OPERATOR_KEY.
+    """
+    if force and revision:
+        raise UsageError("--force and --revision exclude each other")
+    if revision and not revision.isdigit():
+        raise UsageError(f"--revision must be a whole number, got {revision!r}")
+    doc = _read_document(file)
+    with _operator_client(server, key) as client:
+        expected = int(revision) if revision else _current_revision(client, doc.name)
+        answer = client.put_service(
+            doc.name, dump_document(doc), revision=None if force else expected
+        )
+    _print_json(answer)
+    return EXIT_DONE
+
+
+def get(name: str = "", *, server: str = "", key: str = "") -> int:
+    """Prints one service document with its revision, or all of them.
+
+    Args:
+        name: service; all services if left out.
+        server: ip:port of an entry instance, or FESCUERUDDER_SERVER.
+        key: operator key, or FESCUERUDDER_OPERATOR_KEY.
+    """
+    with _operator_client(server, key) as client:
+        _print_json(client.get_service(name) if name else client.list_services())
+    return EXIT_DONE
+
+
+def zone_out(zone: str, *, server: str = "", key: str = "") -> int:
+    """Takes an availability zone out of service.
+
+    Exits with 3 if the store is down and the change is only provisional.
+
+    Args:
+        zone: availability zone.
+        server: ip:port of an entry instance, or FESCUERUDDER_SERVER.
+        key: operator key, or FESCUERUDDER_OPERATOR_KEY.
+    """
+    return _change_zone(zone, "out", server, key)
+
+
+def zone_return(zone: str, *, server: str = "", key: str = "") -> int:
+    """Returns an availability zone to service.
+
+    Args:
+        zone: availability zone.
+        server: ip:port of an entry instance, or FESCUERUDDER_SERVER.
+        key: operator key, or FESCUERUDDER_OPERATOR_KEY.
+    """
+    return _change_zone(zone, "in", server, key)
+
+
+def zones(*, server: str = "", key: str = "") -> int:
+    """Prints the availability zones and their states.
+
+    Args:
+        server: ip:port of an entry instance, or FESCUERUDDER_SERVER.
+        key: operator key, or FESCUERUDDER_OPERATOR_KEY.
+    """
+    with _operator_client(server, key) as client:
+        _print_json(client.list_zones())
+    return EXIT_DONE
+
+
+def status(*, server: str = "", key: str = "") -> int:
+    """Prints the status as one entry instance sees it.
+
+    Args:
+        server: ip:port of an entry instance, or FESCUERUDDER_SERVER.
+        key: operator key, or FESCUERUDDER_OPERATOR_KEY.
+    """
+    with _operator_client(server, key) as client:
+        _print_json(client.read_status())
+    return EXIT_DONE
+
+
+def request(
+    service: str,
+    path: str,
+    *,
+    method: str = "GET",
+    body: str = "",
+    key: str = "",
+    server: str = "",
+) -> int:
+    """Sends a request to a service and prints the body of its answer.
+
+    Args:
+        service: service to ask.
+        path: path below the service, with its query.
+        method: HTTP method.
+        body: body of the request.
+        key: idempotency key; repeat a request with the same key.
+        server: ip:port of an entry instance, or FESCUERUDDER_SERVER.
+    """
+    with _client(server) as client:
+        answer = client.send(
+            service=service, path=path, method=method.upper(), body=body.encode(), key=key
+        )
+    if outcome_of(answer):
+        raise refusal_of(answer)
+    return _print_answer(answer)
+
+
+def submit(service: str, *, payload: str, key: str, urgent: bool = False, server: str = "") -> int:
+    """Submits a batch task; the same key never makes a second task.
+
+    Args:
+        service: batch service.
+        payload: input of the task.
+        key: idempotency key; repeat a submission with the same key.
+        urgent: asks for a start before other tasks.
+        server: ip:port of an entry instance, or FESCUERUDDER_SERVER.
+    """
+    with _client(server) as client:
+        _print_json(client.submit(service=service, payload=payload, key=key, urgent=urgent))
+    return EXIT_DONE
+
+
+def task(id: str, *, watch: bool = False, server: str = "") -> int:
+    """Prints the state of a task; exits with 1 if it failed or was cancelled.
+
+    Args:
+        id: task id, as printed by `submit`.
+        watch: prints every change until the task has ended.
+        server: ip:port of an entry instance, or FESCUERUDDER_SERVER.
+    """
+    with _client(server) as client:
+        last = client.read_task(id)
+        _print_json(last)
+        while watch and last.get("state") not in FINAL_STATES:
+            time.sleep(WATCH_S)
+            seen, last = last, client.read_task(id)
+            if last != seen:
+                _print_json(last)
+    return EXIT_FAILED if last.get("state") in ("failed", "cancelled") else EXIT_DONE
+
+
+def cancel(id: str, *, server: str = "") -> int:
+    """Asks for the cancellation of a task.
+
+    Args:
+        id: task id, as printed by `submit`.
+        server: ip:port of an entry instance, or FESCUERUDDER_SERVER.
+    """
+    with _client(server) as client:
+        _print_json(client.cancel(id))
+    return EXIT_DONE
+
+
+def report_burn(*, json: bool = False, html: str = "", server: str = "", key: str = "") -> int:
+    """Reports the service-level burn: what is at risk, and what the scheduler did about it.
+
+    Args:
+        json: prints JSON instead of text.
+        html: writes one self-contained page to this file instead.
+        server: ip:port of the entry instances, separated by commas, or FESCUERUDDER_SERVER.
+        key: operator key, or FESCUERUDDER_OPERATOR_KEY.
+    """
+    from fescuerudder._burnfetch import fetch_report
+
+    if json and html:
+        raise UsageError("--json and --html exclude each other")
+    servers = [part.strip() for part in _server(server).split(",") if part.strip()]
+    report = fetch_report(servers=servers, operator_key=_operator_key(key))
+    if html:
+        _write_file(html, report.html())
+    else:
+        print(report.json() if json else report.text())
+    return EXIT_DONE
+
+
+def settings() -> int:
+    """Prints the reference of all settings of `entry`, as Markdown."""
+    print(settings_page(), end="")
+    return EXIT_DONE
+
+
+def _make_entry() -> Callable[..., int]:
+    """Returns the command `entry` with one flag for each setting."""
+
+    def entry(**flags: str | None) -> int:
+        given = {name: value for name, value in flags.items() if value is not None}
+        cfg = load_settings(flags=given)
+        from fescuerudder.entry import run_entry
+
+        return run_entry(cfg)
+
+    fields = attrs.fields(Settings)
+    entry.__signature__ = inspect.Signature(
+        [inspect.Parameter(f.name, inspect.Parameter.KEYWORD_ONLY, default=None) for f in fields]
+    )
+    lines = [f"    {field.name}: {describe_setting(field)}" for field in fields]
+    text = "Runs an entry instance until SIGTERM. Each flag may also be set in the environment."
+    entry.__doc__ = "\n".join([text, "", "Args:", *lines])
+    return entry
+
+
+COMMANDS: dict[str, Any] = {
+    "entry": _make_entry(),
+    "check": check,
+    "apply": apply,
+    "get": get,
+    "zone": {"out": zone_out, "return": zone_return},
+    "zones": zones,
+    "status": status,
+    "request": request,
+    "submit": submit,
+    "task": task,
+    "cancel": cancel,
+    "report": {"burn": report_burn},
+    "settings": settings,
+}
+
+
+def main() -> None:
+    """Runs the command line and exits with its code."""
+    sys.exit(run(sys.argv[1:]))
+
+
+def run(args: list[str], *, commands: dict[str, Any] = COMMANDS, name: str = "fescuerudder") -> int:
+    """Runs one command line and returns its exit code; errors take one line on stderr."""
+    if args == ["--version"]:
+        print(__version__)
+        return EXIT_DONE
+    try:
+        return _run_fire(commands, check_command_line(commands, args), name)
+    except (UsageError, SettingsError) as exc:
+        return _fail(name, exc, EXIT_USAGE)
+    except OutcomeUnknownError as exc:
+        return _fail(name, f"outcome unknown: {exc}", EXIT_UNKNOWN)
+    except BrokenPipeError:
+        # The reader of the output left; a flush at exit would raise the error again.
+        sys.stdout = open(os.devnull, "w", encoding="utf-8")  # noqa: SIM115
+        return EXIT_FAILED
+    except KeyboardInterrupt:
+        return EXIT_INTERRUPTED
+    except Exception as exc:
+        known = isinstance(exc, FescuerudderError)
+        return _fail(name, exc if known else f"{type(exc).__name__}: {exc}", EXIT_FAILED)
+
+
+def _run_fire(commands: dict[str, Any], args: list[str], name: str) -> int:
+    if args[-1:] == ["--help"]:
+        return _print_help(commands, args, name)
+    code = fire.Fire(commands, command=args, name=name, serialize=lambda _: None)
+    return code if isinstance(code, int) else EXIT_DONE
+
+
+def _print_help(commands: dict[str, Any], args: list[str], name: str) -> int:
+    text = io.StringIO()
+    show = fire_core.Display
+    fire_core.Display = lambda lines, out: out.write("\n".join(lines) + "\n")
+    try:
+        with redirect_stderr(text):
+            fire.Fire(commands, command=args, name=name)
+    except fire_core.FireExit:
+        pass
+    finally:
+        fire_core.Display = show
+    print(tidy_help(text.getvalue()))
+    return EXIT_DONE
+
+
+def _fail(name: str, reason: object, code: int) -> int:
+    print(f"{name}: {' '.join(str(reason).split())}", file=sys.stderr)
+    return code
+
+
+def _server(flag: str) -> str:
+    server = flag or os.environ.get(SERVER_ENV, "")
+    if not server:
+        raise UsageError(f"no server: pass --server ip:port or set {SERVER_ENV}")
+    return server
+
+
+def _operator_key(flag: str) -> str:
+    key = flag or os.environ.get(KEY_ENV, "")
+    if not key:
+        raise UsageError(f"no operator key: pass --key or set {KEY_ENV}")
+    return key
+
+
+def _client(server: str) -> Client:
+    return Client(server=_server(server))
+
+
+def _operator_client(server: str, key: str) -> Client:
+    return Client(server=_server(server), operator_key=_operator_key(key))
+
+
+def _read_document(file: str) -> ServiceDocument:
+    try:
+        text = Path(file).read_text(encoding="utf-8")
+        raw = json.loads(text) if file.endswith(".json") else tomllib.loads(text)
+    except (OSError, ValueError) as exc:
+        raise ClientError(f"{file}: {exc}") from exc
+    try:
+        return parse_document(raw)
+    except FescuerudderError as exc:
+        raise ClientError(f"{file}: {exc}") from exc
+
+
+def _write_file(file: str, text: str) -> None:
+    try:
+        Path(file).write_text(text, encoding="utf-8")
+    except OSError as exc:
+        raise ClientError(f"{file}: {exc}") from exc
+
+
+def _current_revision(client: Client, name: str) -> int:
+    """Returns the revision in force, 0 for a new service."""
+    try:
+        return int(client.get_service(name)["revision"])
+    except ClientError as exc:
+        if exc.status == 404:
+            return 0
+        raise
+
+
+def _change_zone(zone: str, state: str, server: str, key: str) -> int:
+    with _operator_client(server, key) as client:
+        answer = client.put_zone(zone, state=state)
+    _print_json(answer)
+    if answer.get("provisional"):
+        raise OutcomeUnknownError(
+            f"zone {zone} is {state} provisionally; the store is down and may not keep it"
+        )
+    return EXIT_DONE
+
+
+def _print_answer(answer: Answer) -> int:
+    sys.stdout.write(answer.body.decode("utf-8", errors="replace"))
+    if not answer.body.endswith(b"\n"):
+        sys.stdout.write("\n")
+    if 200 <= answer.status < 400:
+        return EXIT_DONE
+    raise ClientError(f"the service answered {answer.status}", status=answer.status)
+
+
+def _print_json(data: Any) -> None:
+    print(json.dumps(data, indent=2, sort_keys=True))
