--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,69 @@
+"""Command line of the measuring tools: `python -m bench demo|replay|generate`."""
+
+import os
+import sys
+from pathlib import Path
+
+from bench.demo import run_demo
+from bench.generate import DEFAULT_SEED, TRACES_DIR, generate_all
+from bench.replay import DRAIN_S, Replayer
+from fescuerudder._usage import UsageError
+from fescuerudder.cli import EXIT_DONE, EXIT_FAILED, KEY_ENV, run
+from fescuerudder.trace import read_trace
+
+
+def demo() -> int:
+    """Starts a small cluster, replays both example traces and checks their outcomes."""
+    from bench.launcher import open_cluster
+
+    return EXIT_DONE if run_demo(open_cluster=open_cluster) else EXIT_FAILED
+
+
+def replay(
+    trace: str, *, servers: str, key: str = "", record: str = "", drain_s: str = str(DRAIN_S)
+) -> int:
+    """Replays a trace against running entry instances; exits with 0 only if all outcomes hold.
+
+    Args:
+        trace: file of the trace.
+        servers: ip:port of the entry instances, separated by commas.
+        key: operator key, or FESCUERUDDER_OPERATOR_KEY.
+        record: file for the callers' records, as JSON lines.
+        drain_s: longest wait for tasks after the last event, in seconds.
+    """
+    addresses = [part.strip() for part in servers.split(",") if part.strip()]
+    if not addresses:
+        raise UsageError("--servers names no instance")
+    with Replayer(
+        addresses=addresses,
+        operator_key=key or os.environ.get(KEY_ENV, ""),
+        drain_s=_number("--drain-s", drain_s),
+    ) as replayer:
+        result = replayer.run(read_trace(Path(trace)), record=Path(record) if record else None)
+    print(result.summary)
+    return EXIT_DONE if result.held else EXIT_FAILED
+
+
+def generate(*, seed: str = str(DEFAULT_SEED), directory: str = str(TRACES_DIR)) -> int:
+    """Writes the two example traces.
+
+    Args:
+        seed: seed of the random numbers; the same seed gives the same traces.
+        directory: where to write them.
+    """
+    for path in generate_all(seed=int(_number("--seed", seed)), directory=Path(directory)):
+        print(path)
+    return EXIT_DONE
+
+
+def _number(flag: str, text: str) -> float:
+    try:
+        return float(text)
+    except ValueError:
+        raise UsageError(f"{flag} must be a number, got {text!r}") from None
+
+
+COMMANDS = {"demo": demo, "replay": replay, "generate": generate}
+
+if __name__ == "__main__":
+    sys.exit(run(sys.argv[1:], commands=COMMANDS, name="bench"))
