--- a/fescuerudder/cli.py
+++ b/fescuerudder/cli.py
@@ -17,6 +17,9 @@
 from fire import core as fire_core
 
 from fescuerudder import __version__
+from fescuerudder._burnfetch import fetch_report
+from fescuerudder._burnpage import render_page
+from fescuerudder._burntext import render_json, render_text
 from fescuerudder._settingsdoc import describe_setting, settings_page
 from fescuerudder._usage import UsageError, check_command_line, tidy_help
 from fescuerudder.client import (
@@ -224,16 +227,14 @@
         server: ip:port of the entry instances, separated by commas, or FESCUERUDDER_SERVER.
         key: operator key, or FESCUERUDDER_OPERATOR_KEY.
     """
-    from fescuerudder._burnfetch import fetch_report
-
     if json and html:
         raise UsageError("--json and --html exclude each other")
     servers = [part.strip() for part in _server(server).split(",") if part.strip()]
     report = fetch_report(servers=servers, operator_key=_operator_key(key))
     if html:
-        _write_file(html, report.html())
+        _write_file(html, render_page(report))
     else:
-        print(report.json() if json else report.text())
+        print(render_json(report) if json else render_text(report))
     return EXIT_DONE
 
 
--- a/fescuerudder/client.py
+++ b/fescuerudder/client.py
@@ -128,7 +128,7 @@
         deadline_ms: float = 0.0,
     ) -> Answer:
         """Sends a request to a service and returns the upstream's answer, of any status."""
-        headers = {"Idempotency-Key": key} if key else {}
+        headers = _key_headers(key) if key else {}
         if deadline_ms > 0:
             headers["Deadline-Ms"] = f"{deadline_ms:g}"
         url = f"/s/{_quote(service)}/{path.lstrip('/')}"
@@ -139,7 +139,7 @@
         data: dict[str, Any] = {"service": service, "payload": payload}
         if urgent:
             data["priority"] = "urgent"
-        return self._call("POST", "/v1/tasks", data=data, headers={"Idempotency-Key": key}).json()
+        return self._call("POST", "/v1/tasks", data=data, headers=_key_headers(key)).json()
 
     def read_task(self, task_id: str) -> Any:
         """Returns the state of a task."""
@@ -225,5 +225,11 @@
     return OutcomeUnknownError(message)
 
 
+def _key_headers(key: str) -> dict[str, str]:
+    if not key or not (key.isascii() and key.isprintable()):
+        raise ClientError("an idempotency key must be printable ASCII text, nothing was sent")
+    return {"Idempotency-Key": key}
+
+
 def _quote(part: str) -> str:
     return quote(part, safe="")
