--- a/bench/replay.py
+++ b/bench/replay.py
@@ -7,7 +7,7 @@
 import itertools
 import threading
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from concurrent.futures import ThreadPoolExecutor
 from functools import singledispatchmethod
 from pathlib import Path
@@ -118,7 +118,8 @@
             for address in addresses
         }
         self._probes = probes or StatusProbes(clients=list(self._clients.values()))
-        self._turn = itertools.cycle(addresses)
+        self._addresses = tuple(addresses)
+        self._turns = itertools.count()
         self._turn_lock = threading.Lock()
         self._drain_s = drain_s
         self._log = CallLog()
@@ -154,9 +155,14 @@
     def _now_ms(self) -> float:
         return (time.monotonic() - self._start_s) * MS_PER_S
 
-    def _next_address(self) -> str:
+    def _addresses_in_turn(self) -> Iterator[str]:
+        """Returns the addresses from the next one on, without end.
+
+        Each call goes around by itself, so that concurrent calls can't make it skip one.
+        """
         with self._turn_lock:
-            return next(self._turn)
+            first = next(self._turns) % len(self._addresses)
+        return itertools.cycle(self._addresses[first:] + self._addresses[:first])
 
     def _send_safely(self, event: TraceEvent) -> None:
         """Sends an event; a fault of the replayer shows as a failed call, not as a lost one."""
@@ -202,7 +208,7 @@
             key=event.key,
         )
         # Like a load balancer's health check: only a refused connection goes elsewhere.
-        self._attempt(call, attempt, attempts=len(self._clients), retry=(UnreachableError,))
+        self._attempt(call, attempt, attempts=len(self._addresses), retry=(UnreachableError,))
 
     @_send.register
     def _send_submit(self, event: SubmitEvent) -> None:
@@ -266,8 +272,7 @@
         attempts: int,
         retry: tuple[type[ClientError], ...],
     ) -> None:
-        for number in range(1, attempts + 1):
-            address = self._next_address()
+        for number, address in zip(range(1, attempts + 1), self._addresses_in_turn(), strict=False):
             call = attrs.evolve(call, address=address, attempts=number, sent_ms=self._now_ms())
             try:
                 answer = attempt(self._clients[address])
--- a/tests/fake_entry.py
+++ b/tests/fake_entry.py
@@ -31,7 +31,7 @@
 
     def __enter__(self):
         handler = type("Handler", (_Handler,), {"fake": self})
-        self._server = ThreadingHTTPServer(("127.0.0.1", 0), handler)
+        self._server = _Server(("127.0.0.1", 0), handler)
         self.address = f"127.0.0.1:{self._server.server_port}"
         self._thread = threading.Thread(
             target=self._server.serve_forever, kwargs={"poll_interval": 0.01}, daemon=True
@@ -106,6 +106,12 @@
     return status, PROBLEM, body
 
 
+class _Server(ThreadingHTTPServer):
+    # The default backlog of 5 delays bursts of connections by a second.
+    request_queue_size = 256
+    daemon_threads = True
+
+
 class _Handler(BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
 
