Assemble the entry instance: the whole path runs in separate processes

Cause: the modules had no process around them. Change: entry instances with kernel, membership, rack control loops, permits, HTTP and peer interfaces.

--- /dev/null
+++ b/fescuerudder/entry.py
@@ -0,0 +1,536 @@
+"""The entry instance: assembles the services of one process and runs them until a signal."""
+
+import random
+import signal
+import threading
+import time
+import uuid
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any
+
+import attrs
+import structlog
+from result import Ok, Result
+
+from fescuerudder.burn import BurnRecorder
+from fescuerudder.clock import Clock, SystemClock
+from fescuerudder.configuration import Configurator
+from fescuerudder.errors import PeerError, RequestError, WorkerUnreachableError
+from fescuerudder.frontend import Frontend
+from fescuerudder.groupcommit import GroupCommitter
+from fescuerudder.idempotency import IdempotencyRecords
+from fescuerudder.kernel import Kernel
+from fescuerudder.logs import configure_logs
+from fescuerudder.membership import Membership
+from fescuerudder.messages import (
+    Accepted,
+    DrainNotice,
+    FencedNotice,
+    Handover,
+    Hello,
+    Message,
+    PermitAsk,
+    PermitReply,
+    TaskHint,
+    ViewHint,
+)
+from fescuerudder.metrics import Metrics
+from fescuerudder.operators import OperatorOperations, TaskOperations, settle_notice
+from fescuerudder.ownership import Ownership
+from fescuerudder.ownership_types import RackLease
+from fescuerudder.peers import MessageHandlers, PeerClients, PeerServer
+from fescuerudder.permits import PERMIT_RETRY_S, PermitGranter, PermitHolder, WorkerRoute
+from fescuerudder.rack import RackController
+from fescuerudder.racks import Racks
+from fescuerudder.rackstate import Learned
+from fescuerudder.replicas import ReplicaKeeper
+from fescuerudder.routes import make_routes
+from fescuerudder.routing import Router, make_balancer
+from fescuerudder.service import OwnerService, PeriodicService
+from fescuerudder.session import SESSION_BEAT_S, SessionKeeper, SessionObserver
+from fescuerudder.settings import Settings
+from fescuerudder.submission import Tasks as Submission
+from fescuerudder.table import HttpTable, new_txn_id
+from fescuerudder.upstream import Answer, Request, Upstream
+from fescuerudder.view import VIEW_POLL_S, ConfigView, ViewKeeper
+
+PEER_ASK_TIMEOUT_S = 0.5
+LIST_POLL_S = 1.0
+RACKS_STEP_S = 0.2
+ROUTES_STEP_S = 0.25
+UPKEEP_S = 1.0
+STATUS_THREADS = 16
+EXCHANGE_THREADS = 8
+HANDOVER_TRIES = 5
+HANDOVER_PAUSE_S = 0.3
+
+_log = structlog.get_logger(__name__)
+
+
+class EffectiveView:
+    """Configuration view in which provisional drains count as zones taken out.
+
+    Args:
+        view: the view read from the store.
+        configurator: holds provisional drains.
+    """
+
+    def __init__(self, *, view: ViewKeeper, configurator: Configurator) -> None:
+        self._view = view
+        self._configurator = configurator
+
+    def current(self) -> ConfigView:
+        """Returns the configuration in force here."""
+        view = self._view.current()
+        out = self._configurator.zones_out()
+        zones = {**view.zones, **dict.fromkeys(out, "out")}
+        return attrs.evolve(view, zones=zones)
+
+    def is_fresh(self) -> bool:
+        """Returns whether the view may be used to start work."""
+        return self._view.is_fresh()
+
+
+class ObservedRouter:
+    """Router that counts each request in the metrics and the burn data.
+
+    Args:
+        router: takes requests to services.
+        metrics: metrics of this instance.
+        burn: burn data of this instance.
+        clock: source of time.
+    """
+
+    def __init__(
+        self, *, router: Router, metrics: Metrics, burn: BurnRecorder, clock: Clock
+    ) -> None:
+        self._router = router
+        self._metrics = metrics
+        self._burn = burn
+        self._clock = clock
+
+    def handle(self, req: Request) -> Result[Answer, RequestError]:
+        """Handles a request; see `Router.handle`."""
+        start_s = self._clock.now_s()
+        res = self._router.handle(req)
+        seconds = self._clock.now_s() - start_s
+        if isinstance(res, Ok):
+            answered, outcome = res.ok_value.status < 500, "answered"
+        else:
+            answered, outcome = False, res.err_value.outcome
+            if res.err_value.status == 404:
+                # The name comes from the caller; as a label it would be unbounded.
+                return res
+        self._metrics.count_request(service=req.service, outcome=outcome, latency_s=seconds)
+        self._burn.count_request(
+            service=req.service, latency_ms=seconds * 1000, is_answered=answered
+        )
+        return res
+
+
+class EntryInstance:
+    """All parts of one entry instance; a context manager that runs them.
+
+    Args:
+        cfg: checked settings.
+        clock: clock of this machine.
+    """
+
+    def __init__(self, *, cfg: Settings, clock: Clock) -> None:
+        self._cfg = cfg
+        self._clock = clock
+        self._rng = random.Random(uuid.uuid4().int)
+        self._kernel = Kernel()
+        self._pool = ThreadPoolExecutor(STATUS_THREADS, thread_name_prefix="worker-control")
+        self._exchanges = ThreadPoolExecutor(EXCHANGE_THREADS, thread_name_prefix="permits")
+        self._learned = Learned()
+        self._build_state()
+        self._build_scheduling()
+        self._build_requests()
+
+    def __enter__(self) -> "EntryInstance":
+        self._start()
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        self._kernel.stop()
+        self._pool.shutdown(wait=False, cancel_futures=True)
+        self._exchanges.shutdown(wait=False, cancel_futures=True)
+
+    def shut_down(self) -> None:
+        """Ends gracefully: hands racks over, finishes requests, then stops all services."""
+        _log.info("planned stop begins")
+        self._keeper.start_draining()
+        self._membership.beat()
+        self._hand_over()
+        is_idle = self._frontend.drain(self._cfg.drain_s)
+        self._records.flush()
+        _log.info("planned stop drained", idle=is_idle)
+        self._membership.leave()
+
+    def _build_state(self) -> None:
+        cfg, clock = self._cfg, self._clock
+        self._table = HttpTable(address=cfg.store)
+        self._committer = GroupCommitter(table=self._table, clock=clock)
+        self._view = ViewKeeper(table=self._table, clock=clock)
+        self._configurator = Configurator(
+            instance=cfg.instance, table=self._table, view=self._view, clock=clock, rng=self._rng
+        )
+        self._effective = EffectiveView(view=self._view, configurator=self._configurator)
+        self._keeper = SessionKeeper(
+            instance=cfg.instance,
+            zone=cfg.zone,
+            region=cfg.region,
+            peer=cfg.peer,
+            http=cfg.http,
+            table=self._table,
+            clock=clock,
+        )
+        self._observer = SessionObserver(clock=clock)
+        self._handlers = MessageHandlers()
+        self._server = PeerServer(address=cfg.peer, key=cfg.peer_key, handler=self._handlers)
+        self._clients = PeerClients(key=cfg.peer_key, hello=self._hello, clock=clock, rng=self._rng)
+        self._ownership = Ownership(
+            keeper=self._keeper,
+            observer=self._observer,
+            table=self._table,
+            clock=clock,
+            before_release=lambda lease: self._racks.release(lease),
+            tell=self._tell,
+        )
+
+    def _build_scheduling(self) -> None:
+        cfg = self._cfg
+        self._racks = Racks(owned=self._ownership.owned, make=self._make_rack)
+        self._membership = Membership(
+            cfg=cfg,
+            clock=self._clock,
+            table=self._table,
+            keeper=self._keeper,
+            observer=self._observer,
+            ownership=self._ownership,
+            clients=self._clients,
+            racks=self._racks,
+            tell=self._tell,
+        )
+        self._submission = Submission(
+            table=self._table,
+            committer=self._committer,
+            view=self._effective,
+            summaries=self._membership.summaries,
+            rng=self._rng,
+            wall_s=time.time,
+            on_change=self._hint,
+        )
+        self._replicas = ReplicaKeeper(
+            instance=cfg.instance,
+            live=lambda: self._observer.live(),
+            table=self._table,
+            committer=self._committer,
+            view=self._effective,
+            summaries=self._membership.summaries,
+            clock=self._clock,
+            rng=self._rng,
+            wall_s=time.time,
+            on_change=self._hint,
+        )
+
+    def _build_requests(self) -> None:
+        cfg, clock = self._cfg, self._clock
+        self._metrics = Metrics(instance=cfg.instance)
+        self._burn = BurnRecorder(instance=cfg.instance, read_time_s=time.time)
+        self._upstream = Upstream(clock=clock, new_id=_new_id)
+        self._holder = PermitHolder(
+            clock=clock,
+            rng=self._rng,
+            ask=self._ask_permits,
+            probe=self._probe,
+            run=self._run_exchange,
+            on_drop=self._upstream.discard,
+        )
+        self._balancer = make_balancer(
+            policy=cfg.routing, clock=clock, rng=self._rng, holder=self._holder
+        )
+        self._records = IdempotencyRecords(
+            table=self._table,
+            committer=self._committer,
+            is_live=self._observer.is_live,
+            instance=cfg.instance,
+            incarnation=lambda: self._keeper.incarnation,
+            new_id=new_txn_id,
+        )
+        self._router = Router(
+            clock=clock,
+            balancer=self._balancer,
+            forwarder=self._upstream,
+            records=self._records,
+            is_known=self._is_known,
+        )
+        self._frontend = Frontend(
+            address=cfg.http,
+            threads=cfg.threads,
+            operator_key=cfg.operator_key,
+            clock=clock,
+            new_id=_new_id,
+            router=ObservedRouter(
+                router=self._router, metrics=self._metrics, burn=self._burn, clock=clock
+            ),
+            tasks=TaskOperations(submission=self._submission),
+            operations=OperatorOperations(
+                configurator=self._configurator,
+                view=self._view,
+                table=self._table,
+                metrics=self._metrics,
+                burn=self._burn,
+                read_status=self._read_status,
+                tell_all=self._tell_all,
+            ),
+        )
+
+    def _start(self) -> None:
+        """Adds all services to the kernel, in the order in which they depend on each other."""
+        self._add_handlers()
+        self._metrics.watch_view_age(lambda: self._clock.now_s() - self._view.current().sent_at_s)
+        self._add_owner("store", self._table)
+        self._add_owner("commit", self._committer)
+        self._add_owner("metrics", self._metrics)
+        self._add_owner("peer-clients", self._clients)
+        self._add_owner("peer-server", self._server)
+        self._add_owner("members", self._membership)
+        self._add_owner("racks-running", self._racks)
+        self._add_owner("upstream", self._upstream)
+        self._add_periodic("view", VIEW_POLL_S, self._view.poll)
+        self._add_periodic("member-list", LIST_POLL_S, self._membership.read_list)
+        self._add_periodic("session", SESSION_BEAT_S, self._membership.step)
+        self._add_periodic("racks", RACKS_STEP_S, self._racks.step)
+        self._add_periodic("routes", ROUTES_STEP_S, self._update_routes)
+        self._add_periodic("replicas", UPKEEP_S, self._replicas.step)
+        self._add_periodic("upkeep", UPKEEP_S, self._do_upkeep)
+        self._kernel.add("permits", lambda _: _PermitService(holder=self._holder))
+        self._add_owner("frontend", self._frontend)
+
+    def _add_owner(self, name: str, owner: Any) -> None:
+        self._kernel.add(name, lambda _: OwnerService(owner=owner))
+
+    def _add_periodic(self, name: str, interval_s: float, step: Callable[[], Any]) -> None:
+        self._kernel.add(
+            name, lambda _: PeriodicService(name=name, interval_s=interval_s, step=step)
+        )
+
+    def _add_handlers(self) -> None:
+        add = self._handlers.add
+        add(PermitAsk, lambda peer, ask: self._racks.answer(peer, ask))
+        add(TaskHint, self._on_task_hint)
+        add(ViewHint, self._on_view_hint)
+        add(Handover, self._on_handover)
+        add(DrainNotice, self._on_drain_notice)
+        add(FencedNotice, self._on_fenced)
+        add(Hello, lambda peer, message: Accepted())
+
+    def _on_task_hint(self, peer: str, message: TaskHint) -> Message:
+        self._racks.hint(message.rack, message.task)
+        return Accepted()
+
+    def _on_view_hint(self, peer: str, message: ViewHint) -> Message:
+        if message.revision > self._view.current().revision:
+            self._kernel.find("view").wake()
+        return Accepted()
+
+    def _on_handover(self, peer: str, message: Handover) -> Message:
+        if self._ownership.notice(message):
+            self._kernel.find("racks").wake()
+        return Accepted()
+
+    def _on_drain_notice(self, peer: str, message: DrainNotice) -> Message:
+        settle_notice(self._configurator, message)
+        return Accepted()
+
+    def _on_fenced(self, peer: str, message: FencedNotice) -> Message:
+        if message.instance == self._cfg.instance:
+            self._keeper.mark_fenced(incarnation=message.incarnation)
+        return Accepted()
+
+    def _hello(self) -> Hello:
+        return Hello(
+            instance=self._cfg.instance,
+            incarnation=self._keeper.incarnation,
+            zone=self._cfg.zone,
+        )
+
+    def _tell(self, instance: str, message: Message) -> None:
+        """Sends a message whose loss does no harm."""
+        try:
+            self._clients.tell(instance, message)
+        except PeerError as exc:
+            _log.debug("message not sent", peer=instance, reason=str(exc))
+
+    def _tell_all(self, message: Message) -> None:
+        for instance in self._clients.connected():
+            self._tell(instance, message)
+
+    def _hint(self, rack: str, task_id: str) -> None:
+        """Tells the owner of a rack about a task, here or at a peer."""
+        if self._racks.hint(rack, task_id):
+            return
+        owner = self._membership.owner_of(rack)
+        if owner is not None:
+            self._tell(owner, TaskHint(rack=rack, task=task_id))
+
+    def _make_rack(self, lease: RackLease) -> tuple[RackController, PermitGranter]:
+        controller = RackController(
+            rack=lease.rack,
+            zone=self._membership.zone_of(lease.rack),
+            lease=lease,
+            committer=self._committer,
+            table=self._table,
+            workers=lambda: self._membership.workers_of(lease.rack),
+            clock=self._clock,
+            view=self._effective,
+            session=self._keeper,
+            rng=self._rng,
+            summaries=self._membership.summaries,
+            learned=self._learned,
+            run_all=self._run_all,
+        )
+        granter = PermitGranter(
+            rack=lease.rack,
+            epoch=lease.epoch,
+            clock=self._clock,
+            is_owner=lambda: not self._keeper.fenced,
+        )
+        return controller, granter
+
+    def _run_all(self, calls: list[Callable[[], Any]]) -> list[Any]:
+        return [fut.result() for fut in [self._pool.submit(call) for call in calls]]
+
+    def _ask_permits(self, rack: str, ask: PermitAsk) -> PermitReply:
+        if rack in self._racks.leases():
+            return self._racks.answer(self._cfg.instance, ask)
+        owner = self._membership.owner_of(rack)
+        if owner is None or owner == self._cfg.instance:
+            raise PeerError(f"rack {rack} has no reachable owner")
+        reply = self._clients.ask(owner, ask, PEER_ASK_TIMEOUT_S)
+        if not isinstance(reply, PermitReply) or not reply.is_owner:
+            raise PeerError(f"{owner} does not own rack {rack}")
+        return reply
+
+    def _run_exchange(self, work: Callable[[], None]) -> None:
+        self._exchanges.submit(_logged, work)
+
+    def _probe(self, route: WorkerRoute) -> bool:
+        control = self._membership.control_of(route.worker)
+        if control is None:
+            return False
+        try:
+            return not control.status().leaving
+        except WorkerUnreachableError:
+            return False
+
+    def _is_known(self, service: str) -> bool:
+        doc = self._view.current().services.get(service)
+        return doc is not None and doc.kind == "latency-critical"
+
+    def _update_routes(self) -> None:
+        routes = make_routes(
+            summaries=self._membership.summaries_by_rack(),
+            members=self._membership.members(),
+            zones_out=self._configurator.zones_out(),
+            region=self._cfg.region,
+        )
+        self._balancer.update_racks(routes)
+
+    def _do_upkeep(self) -> None:
+        """Retries what waits for the store and refreshes gauges."""
+        self._records.flush()
+        if self._configurator.notices():
+            for notice in self._configurator.notices():
+                self._tell_all(notice)
+            self._configurator.settle()
+        for service, length in self._router.waiting().items():
+            self._metrics.set_queue_length(service=service, length=length)
+            self._metrics.set_permits(service=service, held=self._holder.held(service))
+
+    def _hand_over(self) -> None:
+        for _ in range(HANDOVER_TRIES):
+            if self._ownership.hand_over_all():
+                return
+            time.sleep(HANDOVER_PAUSE_S)
+        _log.warning("some racks were not handed over")
+
+    def _read_status(self) -> dict[str, Any]:
+        view = self._view.current()
+        return {
+            "instance": self._cfg.instance,
+            "incarnation": self._keeper.incarnation,
+            "zone": self._cfg.zone,
+            "region": self._cfg.region,
+            "session": {"live": self._keeper.is_live(), "fenced": self._keeper.fenced},
+            "revision": view.revision,
+            "fresh": self._view.is_fresh(),
+            "peers": self._clients.connected(),
+            "racks": [
+                {
+                    "rack": summary.rack,
+                    "zone": summary.zone,
+                    "epoch": summary.epoch,
+                    "tasks": summary.running,
+                    "queue_length": summary.queue_length,
+                    "workers": [
+                        {"worker": up.worker, "leaving": up.leaving, "services": up.services}
+                        for up in summary.upstreams
+                    ],
+                }
+                for summary in self._racks.summaries()
+            ],
+            "waiting": self._router.waiting(),
+        }
+
+
+class _PermitService:
+    """Drives the permit holder: at once when woken, else at its retry interval."""
+
+    def __init__(self, *, holder: PermitHolder) -> None:
+        self._holder = holder
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="permit-holder", daemon=True)
+
+    def start(self) -> None:
+        """Starts the thread."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Ends the thread."""
+        self._stopped.set()
+        self._holder.wake.set()
+        self._thread.join()
+
+    def _run(self) -> None:
+        while not self._stopped.is_set():
+            self._holder.wake.wait(PERMIT_RETRY_S)
+            _logged(self._holder.step)
+
+
+def _logged(work: Callable[[], None]) -> None:
+    try:
+        work()
+    except Exception:
+        _log.exception("permit exchange failed")
+
+
+def _new_id() -> str:
+    return uuid.uuid4().hex
+
+
+def run_entry(cfg: Settings) -> int:
+    """Runs an entry instance until SIGTERM or SIGINT; returns the exit code."""
+    configure_logs(level=cfg.log_level, instance=cfg.instance)
+    stop = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stop.set())
+    with EntryInstance(cfg=cfg, clock=SystemClock()) as instance:
+        _log.info("entry instance serves", http=cfg.http, peer=cfg.peer, zone=cfg.zone)
+        stop.wait()
+        instance.shut_down()
+    _log.info("entry instance ended")
+    return 0
--- a/fescuerudder/frontend.py
+++ b/fescuerudder/frontend.py
@@ -104,6 +104,9 @@
     def status(self) -> Result[Json, RequestError]:
         """Returns the state of the instance and what it knows."""
 
+    def burn(self) -> Result[Json, RequestError]:
+        """Returns the burn data of the instance."""
+
     def metrics_text(self) -> bytes:
         """Returns the metrics in the Prometheus text format."""
 
@@ -283,6 +286,7 @@
             ("PUT", "/v1/zones/([^/]+)", self._put_zone, True),
             ("GET", "/v1/zones", self._get_zones, True),
             ("GET", "/v1/status", self._get_status, True),
+            ("GET", "/v1/burn", self._get_burn, True),
             ("GET", "/metrics", self._get_metrics, False),
             ("GET", "/health", self._get_health, False),
         ]
@@ -439,6 +443,9 @@
     def _get_status(self, call: _Call) -> Answer:
         return _json(_unwrap(self._operations.status()))
 
+    def _get_burn(self, call: _Call) -> Answer:
+        return _json(_unwrap(self._operations.burn()))
+
     def _get_metrics(self, call: _Call) -> Answer:
         headers = (("Content-Type", "text/plain; version=0.0.4; charset=utf-8"),)
         return Answer(status=200, headers=headers, body=self._operations.metrics_text())
--- a/fescuerudder/idempotency.py
+++ b/fescuerudder/idempotency.py
@@ -69,7 +69,7 @@
         committer: for writing them.
         is_live: whether an (instance, incarnation) still lives.
         instance: id of this instance.
-        incarnation: incarnation of this instance.
+        incarnation: returns the present incarnation of this instance.
         new_id: returns a unique id for the `txn` field.
     """
 
@@ -80,7 +80,7 @@
         committer: Committer,
         is_live: Callable[[str, str], bool],
         instance: str,
-        incarnation: str,
+        incarnation: Callable[[], str],
         new_id: Callable[[], str],
     ) -> None:
         self._table = table
@@ -141,7 +141,7 @@
             "state": "started",
             "body_hash": body_hash,
             "instance": self._instance,
-            "incarnation": self._incarnation,
+            "incarnation": self._incarnation(),
             "txn": self._new_id(),
         }
 
--- a/fescuerudder/logs.py
+++ b/fescuerudder/logs.py
@@ -2,8 +2,19 @@
 
 import logging
 import sys
+from typing import Any
 
 import structlog
+from structlog.typing import EventDict, Processor
+
+
+def _name_instance(instance: str) -> Processor:
+    """Returns a processor that names the instance; context variables reach one thread only."""
+
+    def add(_: Any, __: str, event: EventDict) -> EventDict:
+        return {**event, "instance": instance}
+
+    return add
 
 
 def configure_logs(*, level: str, instance: str) -> None:
@@ -11,6 +22,7 @@
     structlog.configure(
         processors=[
             structlog.contextvars.merge_contextvars,
+            _name_instance(instance),
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
             structlog.processors.format_exc_info,
@@ -20,4 +32,3 @@
         logger_factory=structlog.WriteLoggerFactory(file=sys.stderr),
         cache_logger_on_first_use=True,
     )
-    structlog.contextvars.bind_contextvars(instance=instance)
--- a/fescuerudder/ownership.py
+++ b/fescuerudder/ownership.py
@@ -174,6 +174,15 @@
         self._incarnation = keeper.incarnation
         self._unowned_since_s: dict[str, float] = {}
         self._rebalanced_at_s = float("-inf")
+        self._seen = _Fleet(racks={}, owners={}, live={})
+
+    def owners(self) -> dict[str, str]:
+        """Returns the working owner of each rack at the last reading."""
+        return dict(self._seen.owners)
+
+    def zones(self) -> dict[str, str]:
+        """Returns the zone of each rack at the last reading."""
+        return {rack: row.zone for rack, row in self._seen.racks.items()}
 
     def owned(self) -> dict[str, RackLease]:
         """Returns the racks of this instance.
@@ -257,7 +266,8 @@
                 )
         owners = {rack: row.owner for rack, row in racks.items() if self._has_owner(row)}
         self._note_unowned(set(racks) - set(owners))
-        return _Fleet(racks=racks, owners=owners, live=self._observer.live())
+        self._seen = _Fleet(racks=racks, owners=owners, live=self._observer.live())
+        return self._seen
 
     def _has_owner(self, row: RackRow) -> bool:
         return row.rack in self._leases or self._observer.is_live(row.owner, row.incarnation)
--- a/fescuerudder/ownership_types.py
+++ b/fescuerudder/ownership_types.py
@@ -62,6 +62,7 @@
         largest: capacities of the workers, without those contained in another.
         used: committed resources by team.
         queue_length: tasks that wait.
+        running: tasks that are assigned to its workers.
         upstreams: state of each worker.
     """
 
@@ -72,6 +73,7 @@
     largest: tuple[Size, ...] = ()
     used: dict[str, Size] = attrs.field(factory=dict)
     queue_length: int = 0
+    running: int = 0
     upstreams: tuple[UpstreamState, ...] = ()
 
     def dump(self) -> dict[str, Any]:
--- a/fescuerudder/rack.py
+++ b/fescuerudder/rack.py
@@ -194,6 +194,7 @@
             largest=_maximal([load.capacity for load in loads]),
             used=state.used_here(),
             queue_length=len(state.rows.queued()),
+            running=len(state.rows.assigned()),
             upstreams=tuple(
                 self._upstream(worker)
                 for _, worker in sorted(state.fleet.states.items())
--- /dev/null
+++ b/fescuerudder/racks.py
@@ -0,0 +1,135 @@
+"""Runs a control loop and a permit granter for each rack that this instance owns."""
+
+import threading
+from collections.abc import Callable
+
+import attrs
+import structlog
+
+from fescuerudder.messages import PermitAsk, PermitReply
+from fescuerudder.ownership_types import RackLease, RackSummary
+from fescuerudder.permits import PermitGranter, WorkerSlots
+from fescuerudder.rack import RackController
+from fescuerudder.service import PeriodicService
+
+RACK_STEP_S = 0.5
+
+_log = structlog.get_logger(__name__)
+
+
+@attrs.frozen(kw_only=True)
+class OwnedRack:
+    """One owned rack with its running parts."""
+
+    lease: RackLease
+    controller: RackController
+    granter: PermitGranter
+    service: PeriodicService
+
+    def step(self) -> None:
+        """Runs one control cycle and tells the granter what it saw."""
+        self.controller.step()
+        self.granter.update_workers(slots_of(self.controller.summary()))
+
+
+class Racks:
+    """Keeps exactly the owned racks running. Safe for several threads.
+
+    Args:
+        owned: returns the leases of the owned racks.
+        make: creates the controller and the granter for a lease.
+    """
+
+    def __init__(
+        self,
+        *,
+        owned: Callable[[], dict[str, RackLease]],
+        make: Callable[[RackLease], tuple[RackController, PermitGranter]],
+    ) -> None:
+        self._owned = owned
+        self._make = make
+        self._running: dict[str, OwnedRack] = {}
+        self._lock = threading.RLock()
+
+    def __enter__(self) -> "Racks":
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        with self._lock:
+            for rack in list(self._running):
+                self._end(rack)
+
+    def step(self) -> None:
+        """Starts loops for gained racks and ends those of lost ones."""
+        owned = self._owned()
+        with self._lock:
+            for rack, running in list(self._running.items()):
+                if owned.get(rack) != running.lease:
+                    self._end(rack)
+            for rack, lease in owned.items():
+                if rack not in self._running:
+                    self._begin(lease)
+
+    def release(self, lease: RackLease) -> None:
+        """Ends the loop of a rack before its handover: no start or renewal follows."""
+        with self._lock:
+            self._end(lease.rack)
+
+    def hint(self, rack: str, task_id: str) -> bool:
+        """Tells a rack's loop about a task; returns whether the rack runs here."""
+        running = self._running.get(rack)
+        if running is None:
+            return False
+        running.controller.hint(task_id)
+        running.service.wake()
+        return True
+
+    def answer(self, asker: str, ask: PermitAsk) -> PermitReply:
+        """Answers a request for permits; says so if the rack is not owned here."""
+        running = self._running.get(ask.rack)
+        if running is None:
+            return PermitReply(rack=ask.rack, is_owner=False)
+        return running.granter.answer(asker, ask)
+
+    def summaries(self) -> list[RackSummary]:
+        """Returns the summaries of the owned racks."""
+        return [running.controller.summary() for running in list(self._running.values())]
+
+    def leases(self) -> dict[str, RackLease]:
+        """Returns the leases of the running racks."""
+        return {rack: running.lease for rack, running in list(self._running.items())}
+
+    def _begin(self, lease: RackLease) -> None:
+        controller, granter = self._make(lease)
+        holder: list[OwnedRack] = []
+        service = PeriodicService(
+            name=f"rack {lease.rack}", interval_s=RACK_STEP_S, step=lambda: holder[0].step()
+        )
+        running = OwnedRack(lease=lease, controller=controller, granter=granter, service=service)
+        holder.append(running)
+        self._running[lease.rack] = running
+        service.start()
+        _log.info("rack control started", rack=lease.rack, epoch=lease.epoch)
+
+    def _end(self, rack: str) -> None:
+        running = self._running.pop(rack, None)
+        if running is None:
+            return
+        running.controller.stop()
+        running.service.stop()
+        _log.info("rack control ended", rack=rack, epoch=running.lease.epoch)
+
+
+def slots_of(summary: RackSummary) -> list[WorkerSlots]:
+    """Returns the worker states that the granter needs."""
+    return [
+        WorkerSlots(
+            worker=up.worker,
+            data=up.data,
+            slots=up.slots,
+            services=frozenset(up.services),
+            leaving=up.leaving,
+            status_age_s=up.status_age_s,
+        )
+        for up in summary.upstreams
+    ]
--- /dev/null
+++ b/fescuerudder/routes.py
@@ -0,0 +1,77 @@
+"""Routes to upstreams, from published rack summaries, the list of instances and zone states."""
+
+from collections.abc import Iterable, Mapping
+
+import structlog
+
+from fescuerudder.members import Member
+from fescuerudder.ownership_types import RackSummary
+from fescuerudder.permits import RackRoute, WorkerRoute
+from fescuerudder.session import Session
+
+_log = structlog.get_logger(__name__)
+
+
+def latest_summaries(
+    sessions: Iterable[Session], own: Iterable[RackSummary] = ()
+) -> dict[str, RackSummary]:
+    """Returns the summary with the highest epoch for each rack.
+
+    Args:
+        sessions: sessions of all instances, also of lost ones: their last summary tells which
+            upstreams a rack without an owner has.
+        own: summaries of this instance's racks, newer than the published ones.
+    """
+    latest: dict[str, RackSummary] = {}
+    for summary in [*_published(sessions), *own]:
+        known = latest.get(summary.rack)
+        if known is None or summary.epoch >= known.epoch:
+            latest[summary.rack] = summary
+    return latest
+
+
+def make_routes(
+    *,
+    summaries: Mapping[str, RackSummary],
+    members: Iterable[Member],
+    zones_out: frozenset[str],
+    region: str,
+) -> list[RackRoute]:
+    """Returns the routes that requests may take.
+
+    Workers that leave and zones that are out of service have none.
+    """
+    listed = {member.id: member for member in members if member.kind == "worker"}
+    regions = {member.rack: member.region for member in listed.values()}
+    routes = []
+    for rack, summary in sorted(summaries.items()):
+        if summary.zone in zones_out:
+            continue
+        workers = tuple(
+            WorkerRoute(worker=up.worker, data=up.data, services=frozenset(up.services))
+            for up in summary.upstreams
+            if not up.leaving and not _is_leaving(listed.get(up.worker))
+        )
+        near = regions.get(rack, region) == region
+        routes.append(RackRoute(rack=rack, near=near, workers=workers))
+    return routes
+
+
+def _is_leaving(member: Member | None) -> bool:
+    return member is not None and member.state == "leaving"
+
+
+def _published(sessions: Iterable[Session]) -> list[RackSummary]:
+    found = []
+    for session in sessions:
+        for raw in session.summaries:
+            try:
+                found.append(RackSummary.load(raw))
+            except Exception as exc:
+                # Another version may publish summaries of another shape.
+                _log.warning(
+                    "rack summary is malformed",
+                    peer=session.instance,
+                    reason=type(exc).__name__,
+                )
+    return found
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -37,7 +37,7 @@
         committer=DirectCommitter(table),
         is_live=lambda name, incarnation: name in live,
         instance=instance,
-        incarnation="1",
+        incarnation=lambda: "1",
         new_id=lambda: f"{instance}{next(ids)}",
     )
 
