--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -4,18 +4,28 @@
 import sys
 from pathlib import Path
 
-from bench.demo import run_demo
-from bench.generate import DEFAULT_SEED, TRACES_DIR, generate_all
+from bench.demo import hold_cluster, run_demo
+from bench.generate import DEFAULT_SEED, TRACES_DIR, WORKLOADS, generate_all
 from bench.replay import DRAIN_S, Replayer
 from fescuerudder._usage import UsageError
 from fescuerudder.cli import EXIT_DONE, EXIT_FAILED, KEY_ENV, run
 from fescuerudder.trace import read_trace
 
 
-def demo() -> int:
-    """Starts a small cluster, replays both example traces and checks their outcomes."""
+def demo(*, hold: str = "") -> int:
+    """Starts a small cluster, replays both example traces and checks their outcomes.
+
+    Args:
+        hold: starts only the cluster of this workload (association or swanfield) and keeps it.
+    """
     from bench.launcher import open_cluster
 
+    names = [workload.name for workload in WORKLOADS]
+    if hold and hold not in names:
+        raise UsageError(f"--hold must be one of {', '.join(names)}, got {hold!r}")
+    if hold:
+        hold_cluster(hold, open_cluster=open_cluster)
+        return EXIT_DONE
     return EXIT_DONE if run_demo(open_cluster=open_cluster) else EXIT_FAILED
 
 
@@ -34,24 +44,26 @@
     addresses = [part.strip() for part in servers.split(",") if part.strip()]
     if not addresses:
         raise UsageError("--servers names no instance")
-    with Replayer(
+    replayer = Replayer(
         addresses=addresses,
         operator_key=key or os.environ.get(KEY_ENV, ""),
         drain_s=_number("--drain-s", drain_s),
-    ) as replayer:
-        result = replayer.run(read_trace(Path(trace)), record=Path(record) if record else None)
+    )
+    result = replayer.run(read_trace(Path(trace)), record=Path(record) if record else None)
     print(result.summary)
     return EXIT_DONE if result.held else EXIT_FAILED
 
 
-def generate(*, seed: str = str(DEFAULT_SEED), directory: str = str(TRACES_DIR)) -> int:
+def generate(*, seed: str = str(DEFAULT_SEED), directory: str = "") -> int:
     """Writes the two example traces.
 
     Args:
         seed: seed of the random numbers; the same seed gives the same traces.
-        directory: where to write them.
+        directory: where to write them; bench/traces if left out.
     """
-    for path in generate_all(seed=int(_number("--seed", seed)), directory=Path(directory)):
+    for path in generate_all(
+        seed=int(_number("--seed", seed)), directory=Path(directory or TRACES_DIR)
+    ):
         print(path)
     return EXIT_DONE
 
--- a/bench/demo.py
+++ b/bench/demo.py
@@ -1,5 +1,6 @@
 """Demonstration: starts a small cluster, replays both example traces and checks them."""
 
+import threading
 from collections.abc import Callable, Sequence
 from contextlib import AbstractContextManager
 from pathlib import Path
@@ -7,6 +8,7 @@
 
 from bench.generate import TRACES_DIR, WORKLOADS
 from bench.replay import Probes, Replayer
+from fescuerudder.cli import KEY_ENV, SERVER_ENV
 from fescuerudder.trace import read_trace
 
 RUN_DIR = Path("run")
@@ -39,17 +41,27 @@
     return all(held)
 
 
+def hold_cluster(name: str, *, open_cluster: OpenCluster) -> None:
+    """Starts the cluster of a workload, prints how to reach it, and waits for an interrupt."""
+    with open_cluster(name) as cluster:
+        print(f"export {SERVER_ENV}={cluster.addresses[0]}")
+        print(f"export {KEY_ENV}={cluster.operator_key}")
+        print("Running until Ctrl-C.", flush=True)
+        try:
+            threading.Event().wait()
+        except KeyboardInterrupt:
+            print("Stopping.", flush=True)
+
+
 def _replay_one(name: str, open_cluster: OpenCluster, run_dir: Path) -> bool:
     trace = read_trace(TRACES_DIR / f"{name}.jsonl")
     print(f"Replaying {name}: {len(trace.events)} events", flush=True)
-    with (
-        open_cluster(name) as cluster,
-        Replayer(
+    with open_cluster(name) as cluster:
+        replayer = Replayer(
             addresses=cluster.addresses,
             operator_key=cluster.operator_key,
             probes=cluster.probes,
-        ) as replayer,
-    ):
+        )
         result = replayer.run(trace, record=run_dir / f"{name}-calls.jsonl")
     print(result.summary, flush=True)
     return result.held
--- a/bench/replay.py
+++ b/bench/replay.py
@@ -126,13 +126,6 @@
         self._zone_tasks: dict[str, int | None] = {}
         self._start_s = 0.0
 
-    def __enter__(self) -> "Replayer":
-        return self
-
-    def __exit__(self, *exc_info: object) -> None:
-        for client in self._clients.values():
-            client.__exit__(*exc_info)
-
     def run(self, trace: Trace, *, record: Path | None = None) -> ReplayResult:
         """Replays the trace, waits for its tasks and checks the outcomes."""
         self._start_s = time.monotonic()
--- a/fescuerudder/_burnfetch.py
+++ b/fescuerudder/_burnfetch.py
@@ -16,8 +16,8 @@
     missing: list[str] = []
     for server in servers:
         try:
-            with Client(server=server, operator_key=operator_key) as client:
-                parts.append(load_data(client.read_burn()))
+            client = Client(server=server, operator_key=operator_key)
+            parts.append(load_data(client.read_burn()))
         except (ClientError, BurnError) as exc:
             if getattr(exc, "status", 0) in (401, 403):
                 raise
--- a/fescuerudder/_burnpage.py
+++ b/fescuerudder/_burnpage.py
@@ -25,7 +25,7 @@
         f'<h1>Service-level burn</h1><div class="summary">{summary}</div>'
         f"<h2>Burn rate over six hours</h2>{plot_svg(report, use_matplotlib=use_matplotlib)}"
         f"<h2>Services</h2>{_table(report)}"
-        f"<h2>Events of the last hour</h2><ul>{events or '<li>none</li>'}</ul></body></html>\n"
+        f"<h2>Events of the last 6 h</h2><ul>{events or '<li>none</li>'}</ul></body></html>\n"
     )
 
 
--- a/fescuerudder/_burntext.py
+++ b/fescuerudder/_burntext.py
@@ -22,7 +22,7 @@
     """Returns the report for people; its first three lines are the summary."""
     lines = [*summary_lines(report), "", _table_head()]
     lines += [_table_row(burn) for burn in report.services]
-    lines += ["", "Events of the last hour, latest first:"]
+    lines += ["", "Events of the last 6 h, latest first:"]
     lines += [f"  {event_text(event)}" for event in latest_events(report)] or ["  none"]
     return "\n".join(lines)
 
@@ -59,11 +59,11 @@
     totals: Counter[str] = Counter()
     for event in report.recent:
         totals[event.kind] += event.count
-    parts = [f"{totals[kind]} {plural}" for kind, plural in EVENT_PLURALS.items() if totals[kind]]
+    parts = [f"{plural} {totals[kind]}" for kind, plural in EVENT_PLURALS.items() if totals[kind]]
     if not parts:
-        return "Done by the scheduler in the last hour: nothing was needed."
+        return "Done by the scheduler in the last 6 h: nothing was needed."
     latest = event_text(latest_events(report)[0])
-    return f"Done by the scheduler in the last hour: {', '.join(parts)}; latest {latest}."
+    return f"Done by the scheduler in the last 6 h: {', '.join(parts)}; latest {latest}."
 
 
 def _basis_line(report: BurnReport) -> str:
@@ -78,7 +78,7 @@
 
 
 def latest_events(report: BurnReport) -> list[BurnEvent]:
-    """Returns the latest events of the last hour, latest first."""
+    """Returns the latest events of the last six hours, latest first."""
     return list(reversed(report.recent[-MAX_EVENTS_SHOWN:]))
 
 
--- a/fescuerudder/burn.py
+++ b/fescuerudder/burn.py
@@ -25,7 +25,7 @@
 MAX_SERVICES = 500
 MAX_EVENTS = 1_000
 EVENT_MERGE_S = 60.0
-RECENT_S = 3_600
+RECENT_S = 21_600
 
 # Each pair burns at least this multiple of the even rate in both windows. Over the 3 days of
 # the budget, 14.4 spends a fifth of it in one hour, 6 spends half of it in six hours.
@@ -330,7 +330,7 @@
     Args:
         data: what the report was made from.
         services: one entry for each service with an objective.
-        recent: events of the last hour.
+        recent: events of the last six hours.
     """
 
     data: BurnData
--- a/fescuerudder/cli.py
+++ b/fescuerudder/cli.py
@@ -4,6 +4,7 @@
 import io
 import json
 import os
+import re
 import sys
 import time
 import tomllib
@@ -23,6 +24,7 @@
 from fescuerudder._settingsdoc import describe_setting, settings_page
 from fescuerudder._usage import UsageError, check_command_line, tidy_help
 from fescuerudder.client import (
+    SAFE_METHODS,
     Answer,
     Client,
     ClientError,
@@ -42,6 +44,7 @@
 
 SERVER_ENV = "FESCUERUDDER_SERVER"
 KEY_ENV = "FESCUERUDDER_OPERATOR_KEY"
+ADDRESS_PATTERN = re.compile(r"[^\s/:@]+:\d{1,5}")
 WATCH_S = 1.0
 FINAL_STATES = ("finished", "failed", "cancelled")
 
@@ -74,11 +77,9 @@
     if revision and not revision.isdigit():
         raise UsageError(f"--revision must be a whole number, got {revision!r}")
     doc = _read_document(file)
-    with _operator_client(server, key) as client:
-        expected = int(revision) if revision else _current_revision(client, doc.name)
-        answer = client.put_service(
-            doc.name, dump_document(doc), revision=None if force else expected
-        )
+    client = _operator_client(server, key)
+    expected = int(revision) if revision else _current_revision(client, doc.name)
+    answer = client.put_service(doc.name, dump_document(doc), revision=None if force else expected)
     _print_json(answer)
     return EXIT_DONE
 
@@ -91,8 +92,8 @@
         server: ip:port of an entry instance, or FESCUERUDDER_SERVER.
         key: operator key, or FESCUERUDDER_OPERATOR_KEY.
     """
-    with _operator_client(server, key) as client:
-        _print_json(client.get_service(name) if name else client.list_services())
+    client = _operator_client(server, key)
+    _print_json(client.get_service(name) if name else client.list_services())
     return EXIT_DONE
 
 
@@ -127,8 +128,8 @@
         server: ip:port of an entry instance, or FESCUERUDDER_SERVER.
         key: operator key, or FESCUERUDDER_OPERATOR_KEY.
     """
-    with _operator_client(server, key) as client:
-        _print_json(client.list_zones())
+    client = _operator_client(server, key)
+    _print_json(client.list_zones())
     return EXIT_DONE
 
 
@@ -139,8 +140,8 @@
         server: ip:port of an entry instance, or FESCUERUDDER_SERVER.
         key: operator key, or FESCUERUDDER_OPERATOR_KEY.
     """
-    with _operator_client(server, key) as client:
-        _print_json(client.read_status())
+    client = _operator_client(server, key)
+    _print_json(client.read_status())
     return EXIT_DONE
 
 
@@ -163,12 +164,12 @@
         key: idempotency key; repeat a request with the same key.
         server: ip:port of an entry instance, or FESCUERUDDER_SERVER.
     """
-    with _client(server) as client:
-        answer = client.send(
-            service=service, path=path, method=method.upper(), body=body.encode(), key=key
-        )
+    client = _client(server)
+    answer = client.send(
+        service=service, path=path, method=method.upper(), body=body.encode(), key=key
+    )
     if outcome_of(answer):
-        raise refusal_of(answer)
+        raise refusal_of(answer, is_safe=method.upper() in SAFE_METHODS)
     return _print_answer(answer)
 
 
@@ -182,8 +183,8 @@
         urgent: asks for a start before other tasks.
         server: ip:port of an entry instance, or FESCUERUDDER_SERVER.
     """
-    with _client(server) as client:
-        _print_json(client.submit(service=service, payload=payload, key=key, urgent=urgent))
+    client = _client(server)
+    _print_json(client.submit(service=service, payload=payload, key=key, urgent=urgent))
     return EXIT_DONE
 
 
@@ -195,14 +196,14 @@
         watch: prints every change until the task has ended.
         server: ip:port of an entry instance, or FESCUERUDDER_SERVER.
     """
-    with _client(server) as client:
-        last = client.read_task(id)
-        _print_json(last)
-        while watch and last.get("state") not in FINAL_STATES:
-            time.sleep(WATCH_S)
-            seen, last = last, client.read_task(id)
-            if last != seen:
-                _print_json(last)
+    client = _client(server)
+    last = client.read_task(id)
+    _print_json(last)
+    while watch and last.get("state") not in FINAL_STATES:
+        time.sleep(WATCH_S)
+        seen, last = last, client.read_task(id)
+        if last != seen:
+            _print_json(last)
     return EXIT_FAILED if last.get("state") in ("failed", "cancelled") else EXIT_DONE
 
 
@@ -213,8 +214,8 @@
         id: task id, as printed by `submit`.
         server: ip:port of an entry instance, or FESCUERUDDER_SERVER.
     """
-    with _client(server) as client:
-        _print_json(client.cancel(id))
+    client = _client(server)
+    _print_json(client.cancel(id))
     return EXIT_DONE
 
 
@@ -229,7 +230,7 @@
     """
     if json and html:
         raise UsageError("--json and --html exclude each other")
-    servers = [part.strip() for part in _server(server).split(",") if part.strip()]
+    servers = [part.strip() for part in _server(server).split(",")]
     report = fetch_report(servers=servers, operator_key=_operator_key(key))
     if html:
         _write_file(html, render_page(report))
@@ -339,6 +340,9 @@
     server = flag or os.environ.get(SERVER_ENV, "")
     if not server:
         raise UsageError(f"no server: pass --server ip:port or set {SERVER_ENV}")
+    for address in server.split(","):
+        if not ADDRESS_PATTERN.fullmatch(address.strip()):
+            raise UsageError(f"a server has the form ip:port, got {address.strip()!r}")
     return server
 
 
@@ -349,12 +353,17 @@
     return key
 
 
+def _one_server(flag: str) -> str:
+    """Returns the first server; only the burn report asks several."""
+    return _server(flag).split(",")[0].strip()
+
+
 def _client(server: str) -> Client:
-    return Client(server=_server(server))
+    return Client(server=_one_server(server))
 
 
 def _operator_client(server: str, key: str) -> Client:
-    return Client(server=_server(server), operator_key=_operator_key(key))
+    return Client(server=_one_server(server), operator_key=_operator_key(key))
 
 
 def _read_document(file: str) -> ServiceDocument:
@@ -387,8 +396,8 @@
 
 
 def _change_zone(zone: str, state: str, server: str, key: str) -> int:
-    with _operator_client(server, key) as client:
-        answer = client.put_zone(zone, state=state)
+    client = _operator_client(server, key)
+    answer = client.put_zone(zone, state=state)
     _print_json(answer)
     if answer.get("provisional"):
         raise OutcomeUnknownError(
--- a/fescuerudder/client.py
+++ b/fescuerudder/client.py
@@ -13,6 +13,7 @@
 CONNECT_TIMEOUT_S = 2.0
 UNKNOWN = "unknown"
 NOT_RUN = "not_run"
+SAFE_METHODS = ("GET", "HEAD", "OPTIONS")
 
 
 class ClientError(FescuerudderError):
@@ -47,20 +48,12 @@
     content_type: str = ""
     replayed: bool = False
 
-    def json(self) -> Any:
-        """Returns the decoded JSON body.
-
-        Raises:
-            ClientError: the body is not JSON.
-        """
-        try:
-            return json.loads(self.body)
-        except ValueError as exc:
-            raise ClientError("the answer is not JSON", status=self.status) from exc
-
 
 class Client:
-    """Calls one entry instance. Never retries by itself.
+    """Calls one entry instance, each time on a connection of its own. Never retries by itself.
+
+    A call on a reused connection that the server closes at that moment would have an unknown
+    outcome for no good reason.
 
     Args:
         server: `ip:port` of the instance.
@@ -69,53 +62,46 @@
     """
 
     def __init__(
-        self, *, server: str, operator_key: str = "", timeout_s: float = CLIENT_TIMEOUT_S
+        self,
+        *,
+        server: str,
+        operator_key: str = "",
+        timeout_s: float = CLIENT_TIMEOUT_S,
     ) -> None:
         self._server = server
         self._operator_key = operator_key
-        self._pool = urllib3.PoolManager(
-            num_pools=1,
-            maxsize=8,
-            retries=False,
-            timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=timeout_s),
-        )
-
-    def __enter__(self) -> "Client":
-        return self
-
-    def __exit__(self, *exc_info: object) -> None:
-        self._pool.clear()
+        self._timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=timeout_s)
 
     def list_services(self) -> Any:
         """Returns all service documents with their revisions."""
-        return self._call("GET", "/v1/services", operator=True).json()
+        return self._call("GET", "/v1/services", operator=True)
 
     def get_service(self, name: str) -> Any:
         """Returns one service document with its revision."""
-        return self._call("GET", f"/v1/services/{_quote(name)}", operator=True).json()
+        return self._call("GET", f"/v1/services/{_quote(name)}", operator=True)
 
     def put_service(self, name: str, document: dict[str, Any], *, revision: int | None) -> Any:
         """Applies a document; `revision` is the one it replaces, or None for any."""
         headers = {} if revision is None else {"If-Match": f'"{revision}"'}
         path = f"/v1/services/{_quote(name)}"
-        return self._call("PUT", path, data=document, headers=headers, operator=True).json()
+        return self._call("PUT", path, data=document, headers=headers, operator=True)
 
     def put_zone(self, zone: str, *, state: str) -> Any:
         """Takes a zone out of service (`out`) or returns it (`in`)."""
         path = f"/v1/zones/{_quote(zone)}"
-        return self._call("PUT", path, data={"state": state}, operator=True).json()
+        return self._call("PUT", path, data={"state": state}, operator=True)
 
     def list_zones(self) -> Any:
         """Returns the zones and their states."""
-        return self._call("GET", "/v1/zones", operator=True).json()
+        return self._call("GET", "/v1/zones", operator=True)
 
     def read_status(self) -> Any:
         """Returns the status of the instance."""
-        return self._call("GET", "/v1/status", operator=True).json()
+        return self._call("GET", "/v1/status", operator=True)
 
     def read_burn(self) -> Any:
         """Returns the burn data of the instance."""
-        return self._call("GET", "/v1/burn", operator=True).json()
+        return self._call("GET", "/v1/burn", operator=True)
 
     def send(
         self,
@@ -139,15 +125,15 @@
         data: dict[str, Any] = {"service": service, "payload": payload}
         if urgent:
             data["priority"] = "urgent"
-        return self._call("POST", "/v1/tasks", data=data, headers=_key_headers(key)).json()
+        return self._call("POST", "/v1/tasks", data=data, headers=_key_headers(key))
 
     def read_task(self, task_id: str) -> Any:
         """Returns the state of a task."""
-        return self._call("GET", f"/v1/tasks/{_quote(task_id)}").json()
+        return self._call("GET", f"/v1/tasks/{_quote(task_id)}")
 
     def cancel(self, task_id: str) -> Any:
         """Asks for the cancellation of a task."""
-        return self._call("POST", f"/v1/tasks/{_quote(task_id)}/cancel").json()
+        return self._call("POST", f"/v1/tasks/{_quote(task_id)}/cancel")
 
     def _call(
         self,
@@ -157,8 +143,8 @@
         data: Any = None,
         headers: dict[str, str] | None = None,
         operator: bool = False,
-    ) -> Answer:
-        """Returns an answer of status 2xx; anything else is an error."""
+    ) -> Any:
+        """Returns the decoded body of an answer of status 2xx; anything else is an error."""
         all_headers = dict(headers or {})
         if operator:
             all_headers["Authorization"] = f"Bearer {self._operator_key}"
@@ -167,16 +153,22 @@
             body = json.dumps(data).encode()
             all_headers["Content-Type"] = "application/json"
         answer = self._exchange(method, path, body=body, headers=all_headers)
+        is_safe = method in SAFE_METHODS
         if not 200 <= answer.status < 300:
-            raise refusal_of(answer)
-        return answer
+            raise refusal_of(answer, is_safe=is_safe)
+        return _decode(answer, is_safe=is_safe)
 
     def _exchange(self, method: str, path: str, *, body: bytes, headers: dict[str, str]) -> Answer:
         url = f"http://{self._server}{path}"
         try:
-            resp = self._pool.request(
-                method, url, body=body or None, headers=headers, redirect=False
-            )
+            with urllib3.PoolManager(num_pools=1, retries=False, timeout=self._timeout) as pool:
+                resp = pool.request(
+                    method,
+                    url,
+                    body=body or None,
+                    headers={"Connection": "close", **headers},
+                    redirect=False,
+                )
         except (urllib3.exceptions.NewConnectionError, urllib3.exceptions.ConnectTimeoutError):
             raise UnreachableError(f"no connection to {self._server}, nothing was sent") from None
         except urllib3.exceptions.HTTPError as exc:
@@ -189,15 +181,19 @@
         )
 
 
-def refusal_of(answer: Answer) -> ClientError:
-    """Returns the error that an unsuccessful answer stands for."""
+def refusal_of(answer: Answer, *, is_safe: bool) -> ClientError:
+    """Returns the error that an unsuccessful answer stands for.
+
+    A server error that states no outcome leaves it unknown, unless the call changes nothing.
+    """
     problem = _problem_of(answer)
     parts = [str(problem[name]) for name in ("title", "detail") if problem.get(name)]
     text = " ".join(": ".join(parts).split()) or "no reason given"
     message = f"answer {answer.status}: {text}"
-    if problem.get("outcome") == UNKNOWN:
+    stated = problem.get("outcome")
+    if stated == UNKNOWN or (answer.status >= 500 and not stated and not is_safe):
         return OutcomeUnknownError(message, status=answer.status)
-    if problem.get("outcome") == NOT_RUN:
+    if stated == NOT_RUN:
         message += " (not run)"
     return ClientError(message, status=answer.status)
 
@@ -207,6 +203,14 @@
     return str(_problem_of(answer).get("outcome", ""))
 
 
+def _decode(answer: Answer, *, is_safe: bool) -> Any:
+    try:
+        return json.loads(answer.body)
+    except ValueError as exc:
+        error = ClientError if is_safe else OutcomeUnknownError
+        raise error("the answer is not JSON", status=answer.status) from exc
+
+
 def _problem_of(answer: Answer) -> dict[str, Any]:
     if not answer.content_type.startswith("application/problem+json"):
         return {}
@@ -220,7 +224,7 @@
 def _lost_answer(method: str, server: str, exc: Exception) -> ClientError:
     reason = "it took too long" if isinstance(exc, urllib3.exceptions.TimeoutError) else "it broke"
     message = f"no complete answer from {server}: {reason}"
-    if method in ("GET", "HEAD", "OPTIONS"):
+    if method in SAFE_METHODS:
         return ClientError(message)
     return OutcomeUnknownError(message)
 
--- a/tests/test_burn.py
+++ b/tests/test_burn.py
@@ -113,7 +113,7 @@
         ("zone", 1),
     ]
     done, basis = summary_lines(report)[1:]
-    assert "1 evictions, 1 zone changes, 5 shed requests" in done
+    assert "evictions 1, zone changes 1, shed requests 5" in done
     assert "2 of 3 instances" in basis and "10.0.0.9:80" in basis
 
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -1,8 +1,11 @@
 """The command line: exit codes, one-line errors, strict flags, and the settings page."""
 
 import json
+import re
 import subprocess
 import sys
+import tomllib
+import types
 from pathlib import Path
 
 import attrs
@@ -11,6 +14,7 @@
 from fescuerudder import cli
 from fescuerudder._settingsdoc import settings_page
 from fescuerudder.burn import BurnRecorder, dump_data
+from fescuerudder.document import ServiceDocument, parse_document
 from fescuerudder.settings import Settings
 from tests.fake_entry import KEY, PROBLEM, FakeEntry
 
@@ -49,6 +53,7 @@
         ("apply f --force=perhaps", "expected true or false"),
         ("apply f --force --revision 3", "exclude each other"),
         ("report burn --json --html f", "exclude each other"),
+        ("status --server http://127.0.0.1:80", "form ip:port"),
         ("statuss", "did you mean status?"),
         ("entry --zon a", "did you mean --zone?"),
     ],
@@ -105,6 +110,9 @@
         ("zone out a", (202, "application/json", b'{"provisional": true}'), 3, "provisionally"),
         ("zones", None, 1, "no complete answer"),
         ("zones", (200, "application/json", b"<html>"), 1, "not JSON"),
+        ("zone out a", (500, "text/html", b"<html>"), 3, "answer 500"),
+        ("zone out a", (200, "text/html", b"<html>"), 3, "not JSON"),
+        ("zones", (500, "text/html", b"<html>"), 1, "answer 500"),
         ("submit draw --payload x --key k", UNKNOWN_ANSWER, 3, "no answer"),
         ("request a b --method POST", UNKNOWN_ANSWER, 3, "outcome unknown"),
         ("request a b", (404, "text/plain", b"none"), 1, "answered 404"),
@@ -170,6 +178,17 @@
     assert "region is required" in err and "threads" in err
 
 
+def test_entry_runs_with_checked_settings_and_returns_its_code(monkeypatch):
+    """Guards against flags that do not reach the instance, or a lost exit code."""
+    seen = []
+    module = types.SimpleNamespace(run_entry=lambda cfg: seen.append(cfg) or 7)
+    monkeypatch.setitem(sys.modules, "fescuerudder.entry", module)
+    monkeypatch.setenv("FESCUERUDDER_PEER_KEY", "peer-key-0123456789")
+    flags = "--zone a --region r --store h:1 --members h:2 --threads 3 --drain-s 1.5"
+    assert cli.run(["entry", *flags.split(), f"--operator-key={KEY}"]) == 7
+    assert (seen[0].threads, seen[0].drain_s, seen[0].peer_key) == (3, 1.5, "peer-key-0123456789")
+
+
 def test_the_settings_page_is_current():
     """Guards against a settings page that lags behind the code."""
     page = Path(__file__).parent.parent / "docs" / "settings.md"
@@ -182,3 +201,20 @@
         [sys.executable, "-m", "fescuerudder", "nothing"], capture_output=True, text=True
     )
     assert done.returncode == cli.EXIT_USAGE and "Traceback" not in done.stderr
+
+
+@pytest.mark.parametrize("page", ["README.md", "docs/documents.md"])
+def test_documents_in_the_pages_are_valid(page):
+    """Guards against examples that the code refuses."""
+    text = (Path(__file__).parent.parent / page).read_text(encoding="utf-8")
+    examples = re.findall(r"^( *)```toml\n(.*?)^\1```", text, flags=re.DOTALL | re.MULTILINE)
+    assert examples
+    for _, example in examples:
+        parse_document(tomllib.loads(example))
+
+
+def test_the_documents_page_names_every_key():
+    """Guards against a reference that misses a key of the service document."""
+    page = (Path(__file__).parent.parent / "docs" / "documents.md").read_text(encoding="utf-8")
+    for field in attrs.fields(ServiceDocument):
+        assert f"`{field.name}`" in page or f"`{field.name}." in page, field.name
--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -45,8 +45,8 @@
 def _replay(fakes, events=EVENTS, outcomes=OUTCOMES, record=None, extra=()):
     addresses = [*(fake.address for fake in fakes), *extra]
     trace = Trace(header=TraceHeader(name="t", outcomes=outcomes), events=tuple(events))
-    with Replayer(addresses=addresses, operator_key=KEY, drain_s=1.5) as replayer:
-        return replayer.run(trace, record=record)
+    replayer = Replayer(addresses=addresses, operator_key=KEY, drain_s=1.5)
+    return replayer.run(trace, record=record)
 
 
 def _bad(result):
