Grant at most half of the free slots to one ask

At a start under load the first two of four instances took all 16 slots and the others waited for idle permits.

--- a/fescuerudder/permits.py
+++ b/fescuerudder/permits.py
@@ -221,7 +221,10 @@
         """Returns how many free slots `asker` may take."""
         within_share = shares.share - shares.held[asker]
         unclaimed = shares.free - shares.owed_to_others(asker)
-        allowed = min(shares.free, max(within_share, unclaimed))
+        # One ask gets at most half of the free slots: with all of them gone at once, askers
+        # that come a moment later would wait until others' permits are idle.
+        half = (shares.free + 1) // 2
+        allowed = min(half, max(within_share, unclaimed))
         if not shares.scarce:
             return allowed
         # Fewer slots than askers: those served longest ago go first.
