Keep permits of different racks apart and survive failing exchanges

Serials are unique within a rack only, so permits in use are now looked up by rack and serial. A permit of a rack that is no longer routed to is not used, an unexpected error no longer blocks later exchanges, and a keyed request that broke inside is recorded as unknown.

--- a/fescuerudder/permits.py
+++ b/fescuerudder/permits.py
@@ -457,7 +457,7 @@
         self._racks: dict[str, RackRoute] = {}
         self._pools: dict[tuple[str, str], _Pool] = {}
         self._queues: dict[str, WaitQueue] = {}
-        self._busy: dict[int, tuple[_Pool, _Held]] = {}
+        self._busy: dict[tuple[str, int], tuple[_Pool, _Held]] = {}
         self._unowned: dict[str, _Unowned] = {}
         self._unowned_busy: set[str] = set()
         self._avoid: dict[str, float] = {}
@@ -481,11 +481,13 @@
         with self._lock:
             self._queue(service).push(waiter)
             self._dispatch(service)
-        if waiter.permit is None:
-            self.wake.set()
-            self._clock.wait_s(waiter.event, max(0.0, deadline_s - self._clock.now_s()))
-        with self._lock:
-            self._queue(service).remove(waiter)
+        try:
+            if waiter.permit is None:
+                self.wake.set()
+                self._clock.wait_s(waiter.event, max(0.0, deadline_s - self._clock.now_s()))
+        finally:
+            with self._lock:
+                self._queue(service).remove(waiter)
         return waiter.permit
 
     def release(self, permit: SlotPermit, ok: bool) -> None:
@@ -546,7 +548,7 @@
         return self._queues.setdefault(service, WaitQueue())
 
     def _release_held(self, permit: SlotPermit, ok: bool) -> None:
-        pool, held = self._busy.pop(permit.serial)
+        pool, held = self._busy.pop((permit.rack, permit.serial))
         held.busy = False
         held.idle_since_s = self._clock.now_s()
         if pool.held.get(permit.serial) is not held:
@@ -642,6 +644,10 @@
         except PeerError as exc:
             _log.debug("owner not reached; using the rack unowned", rack=pool.rack, error=str(exc))
             reply = PermitReply(rack=pool.rack, is_owner=False)
+        except Exception:
+            with self._lock:
+                pool.in_flight = False
+            raise
         with self._lock:
             pool.in_flight = False
             pool.asking = 0
@@ -668,7 +674,8 @@
         if not reply.is_owner:
             state = self._unowned.setdefault(pool.rack, _Unowned(ask_s=now))
             state.ask_s = now + UNOWNED_ASK_S
-            pool.returning.extend(ask.returned)
+            if pool.rack in self._racks:
+                pool.returning.extend(ask.returned)
             return
         self._unowned.pop(pool.rack, None)
         asked = {permit.serial for permit in ask.held}
@@ -710,7 +717,7 @@
         idle = [
             (pool, held)
             for pool in self._pools.values()
-            if pool.service == service
+            if pool.service == service and pool.rack in self._racks
             for held in pool.held.values()
             if not held.busy and held.ends_s > now and held.permit.worker not in waiter.avoid
         ]
@@ -719,7 +726,7 @@
         # The most recently used permit first, so that surplus ones become idle and return.
         pool, held = max(idle, key=lambda item: (self._is_near(item[0]), item[1].idle_since_s))
         held.busy = True
-        self._busy[held.permit.serial] = (pool, held)
+        self._busy[pool.rack, held.permit.serial] = (pool, held)
         return held.permit
 
     def _is_near(self, pool: _Pool) -> bool:
@@ -771,19 +778,23 @@
         return due
 
     def _probe_rack(self, route: RackRoute) -> None:
-        for item in route.workers:
-            sent_s = self._clock.now_s()
-            usable = self._probe(item)
+        try:
+            for item in route.workers:
+                self._probe_worker(route.rack, item)
+        finally:
             with self._lock:
-                state = self._unowned.get(route.rack)
-                if state is None:
-                    return
-                if usable:
-                    state.probed_s[item.worker] = sent_s
-                else:
-                    state.probed_s.pop(item.worker, None)
-                for service in self._queues:
-                    self._dispatch(service)
+                if route.rack in self._unowned:
+                    self._unowned[route.rack].probing = False
+
+    def _probe_worker(self, rack: str, item: WorkerRoute) -> None:
+        sent_s = self._clock.now_s()
+        usable = self._probe(item)
         with self._lock:
-            if route.rack in self._unowned:
-                self._unowned[route.rack].probing = False
+            state = self._unowned.get(rack)
+            if state is None:
+                return
+            state.probed_s.pop(item.worker, None)
+            if usable:
+                state.probed_s[item.worker] = sent_s
+            for service in self._queues:
+                self._dispatch(service)
--- a/fescuerudder/routing.py
+++ b/fescuerudder/routing.py
@@ -141,7 +141,11 @@
         record = begun.ok_value
         if isinstance(record, Replay):
             return Ok(record.answer)
-        res = self._run(load, req)
+        try:
+            res = self._run(load, req)
+        except Exception:
+            self._records.mark_unknown(record)
+            raise
         if isinstance(res, Ok):
             self._records.finish(record, res.ok_value)
         elif res.err_value.outcome == "not_run":
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -181,6 +181,17 @@
         assert ("Idempotency-Replayed", "true") in res.ok_value.headers
 
 
+def test_keyed_request_that_broke_inside_is_not_run_again():
+    """Guards against a record that stays 'in progress' after an internal error."""
+    table = FakeTable()
+    forwarder = FakeForwarder()
+    forwarder.forward = None
+    with pytest.raises(TypeError):
+        make_router(table=table, forwarder=forwarder).handle(make_request("POST", key="k"))
+    error = make_router(table=table).handle(make_request("POST", key="k")).err_value
+    assert (error.outcome, error.details) == ("unknown", {})
+
+
 def test_earliest_deadline_goes_first():
     """Guards against serving patient requests while urgent ones time out."""
     queue = WaitQueue()
