--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -18,7 +18,7 @@
     Args:
         hold: starts only the cluster of this workload (association or swanfield) and keeps it.
     """
-    from bench.launcher import open_cluster
+    from bench.cluster import open_cluster
 
     names = [workload.name for workload in WORKLOADS]
     if hold and hold not in names:
--- a/bench/demo.py
+++ b/bench/demo.py
@@ -29,6 +29,9 @@
     def probes(self) -> Probes | None:
         """Observer of the workers, or None."""
 
+    def violations(self) -> Sequence[object]:
+        """Returns the broken promises that the workers' own records show."""
+
 
 OpenCluster = Callable[[str], AbstractContextManager[Cluster]]
 """Starts a cluster for the workload of the given name."""
@@ -63,5 +66,9 @@
             probes=cluster.probes,
         )
         result = replayer.run(trace, record=run_dir / f"{name}-calls.jsonl")
+        violations = cluster.violations()
     print(result.summary, flush=True)
-    return result.held
+    print(f"Broken promises in the workers' records: {len(violations)}", flush=True)
+    for finding in violations:
+        print(f"  {finding}")
+    return result.held and not violations
--- a/bench/generate.py
+++ b/bench/generate.py
@@ -194,13 +194,13 @@
     events: list[TraceEvent] = []
     for number in range(TASKS):
         at_ms = rng.uniform(SETTLE_MS, LAST_TASK_MS)
-        run_s = round(rng.uniform(*TASK_RUN_S), 2)
+        work_s = round(rng.uniform(*TASK_RUN_S), 2)
         events.append(
             SubmitEvent(
                 at_ms=round(at_ms, 1),
                 service=workload.batch,
                 key=f"{workload.name}-task-{number}",
-                payload=json.dumps({"run_s": run_s}),
+                payload=json.dumps({"work_s": work_s}),
                 urgent=rng.random() < workload.urgent_share,
             )
         )
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -13,11 +13,22 @@
 @contextlib.contextmanager
 def _open_cluster(name):
     with FakeEntry(delay_s=0.6 if name == "slow" else 0.0) as fake:
-        yield types.SimpleNamespace(addresses=[fake.address], operator_key=KEY, probes=None)
+        yield types.SimpleNamespace(
+            addresses=[fake.address],
+            operator_key=KEY,
+            probes=None,
+            violations=lambda: ["overlap"] if name == "broken" else [],
+        )
 
 
 @pytest.mark.parametrize(
-    ("names", "held"), [(["one", "two"], True), (["one", "slow"], False), (["slow", "one"], False)]
+    ("names", "held"),
+    [
+        (["one", "two"], True),
+        (["one", "slow"], False),
+        (["slow", "one"], False),
+        (["one", "broken"], False),
+    ],
 )
 def test_the_demo_holds_only_if_every_replay_does(monkeypatch, tmp_path, names, held):
     """Guards against a demo that succeeds although one of its replays failed."""
