Grant slot permits only while the session is live

An owner whose session ran out may already have a successor, and two granters could hand out the same slots.

--- a/fescuerudder/entry.py
+++ b/fescuerudder/entry.py
@@ -397,7 +397,7 @@
             rack=lease.rack,
             epoch=lease.epoch,
             clock=self._clock,
-            is_owner=lambda: not self._keeper.fenced,
+            is_owner=self._keeper.is_live,
         )
         return controller, granter
 
