Record traces on an instance and take them with the command line

Cause: the setting record had no effect. Change: it is a truth value now; GET /v1/trace and the command trace take return what callers and operators sent to the instance.

--- a/fescuerudder/cli.py
+++ b/fescuerudder/cli.py
@@ -239,6 +239,23 @@
     return EXIT_DONE
 
 
+def trace_take(file: str = "", *, server: str = "", key: str = "") -> int:
+    """Takes the trace that an instance with the setting `record` kept, and empties it there.
+
+    Args:
+        file: where to write the trace; standard output if left out.
+        server: ip:port of an entry instance, or FESCUERUDDER_SERVER.
+        key: operator key, or FESCUERUDDER_OPERATOR_KEY.
+    """
+    with _operator_client(server, key) as client:
+        lines = client.take_trace()
+    if file:
+        _write_file(file, lines)
+    else:
+        print(lines, end="")
+    return EXIT_DONE
+
+
 def settings() -> int:
     """Prints the reference of all settings of `entry`, as Markdown."""
     print(settings_page(), end="")
@@ -278,6 +295,7 @@
     "task": task,
     "cancel": cancel,
     "report": {"burn": report_burn},
+    "trace": {"take": trace_take},
     "settings": settings,
 }
 
--- a/fescuerudder/client.py
+++ b/fescuerudder/client.py
@@ -103,6 +103,10 @@
         """Returns the burn data of the instance."""
         return self._call("GET", "/v1/burn", operator=True)
 
+    def take_trace(self) -> str:
+        """Returns the trace that the instance recorded, as JSON lines, and empties it there."""
+        return self._call("GET", "/v1/trace", operator=True).body.decode()
+
     def send(
         self,
         *,
--- a/fescuerudder/entry.py
+++ b/fescuerudder/entry.py
@@ -44,6 +44,7 @@
 from fescuerudder.rack import RackController
 from fescuerudder.racks import Racks
 from fescuerudder.rackstate import Learned
+from fescuerudder.recording import Recording
 from fescuerudder.replicas import ReplicaKeeper
 from fescuerudder.routes import make_routes
 from fescuerudder.routing import Router, make_balancer
@@ -99,20 +100,29 @@
         router: takes requests to services.
         metrics: metrics of this instance.
         burn: burn data of this instance.
+        recording: trace of this instance.
         clock: source of time.
     """
 
     def __init__(
-        self, *, router: Router, metrics: Metrics, burn: BurnRecorder, clock: Clock
+        self,
+        *,
+        router: Router,
+        metrics: Metrics,
+        burn: BurnRecorder,
+        recording: Recording,
+        clock: Clock,
     ) -> None:
         self._router = router
         self._metrics = metrics
         self._burn = burn
+        self._recording = recording
         self._clock = clock
 
     def handle(self, req: Request) -> Result[Answer, RequestError]:
         """Handles a request; see `Router.handle`."""
         start_s = self._clock.now_s()
+        self._recording.note_request(req)
         res = self._router.handle(req)
         seconds = self._clock.now_s() - start_s
         if isinstance(res, Ok):
@@ -240,6 +250,7 @@
         cfg, clock = self._cfg, self._clock
         self._metrics = Metrics(instance=cfg.instance)
         self._burn = BurnRecorder(instance=cfg.instance, read_time_s=time.time)
+        self._recording = Recording(clock=clock, instance=cfg.instance, enabled=cfg.record)
         self._upstream = Upstream(clock=clock, new_id=_new_id)
         self._holder = PermitHolder(
             clock=clock,
@@ -274,15 +285,20 @@
             clock=clock,
             new_id=_new_id,
             router=ObservedRouter(
-                router=self._router, metrics=self._metrics, burn=self._burn, clock=clock
+                router=self._router,
+                metrics=self._metrics,
+                burn=self._burn,
+                recording=self._recording,
+                clock=clock,
             ),
-            tasks=TaskOperations(submission=self._submission),
+            tasks=TaskOperations(submission=self._submission, recording=self._recording),
             operations=OperatorOperations(
                 configurator=self._configurator,
                 view=self._view,
                 table=self._table,
                 metrics=self._metrics,
                 burn=self._burn,
+                recording=self._recording,
                 read_status=self._read_status,
                 tell_all=self._tell_all,
             ),
--- a/fescuerudder/frontend.py
+++ b/fescuerudder/frontend.py
@@ -109,6 +109,9 @@
     def burn(self) -> Result[Json, RequestError]:
         """Returns the burn data of the instance."""
 
+    def trace_lines(self) -> Result[bytes, RequestError]:
+        """Returns and empties the trace recorded so far, as JSON lines."""
+
     def metrics_text(self) -> bytes:
         """Returns the metrics in the Prometheus text format."""
 
@@ -289,6 +292,7 @@
             ("GET", "/v1/zones", self._get_zones, True),
             ("GET", "/v1/status", self._get_status, True),
             ("GET", "/v1/burn", self._get_burn, True),
+            ("GET", "/v1/trace", self._get_trace, True),
             ("GET", "/metrics", self._get_metrics, False),
             ("GET", "/health", self._get_health, False),
         ]
@@ -450,6 +454,11 @@
     def _get_burn(self, call: _Call) -> Answer:
         return _json(_unwrap(self._operations.burn()))
 
+    def _get_trace(self, call: _Call) -> Answer:
+        lines = _unwrap(self._operations.trace_lines())
+        headers = (("Content-Type", "application/jsonl"),)
+        return Answer(status=200, headers=headers, body=lines)
+
     def _get_metrics(self, call: _Call) -> Answer:
         headers = (("Content-Type", "text/plain; version=0.0.4; charset=utf-8"),)
         return Answer(status=200, headers=headers, body=self._operations.metrics_text())
--- a/fescuerudder/operators.py
+++ b/fescuerudder/operators.py
@@ -20,6 +20,7 @@
 )
 from fescuerudder.messages import DrainNotice, ViewHint
 from fescuerudder.metrics import Metrics
+from fescuerudder.recording import Recording
 from fescuerudder.submission import OutcomeUnknown, Refused, TaskView
 from fescuerudder.submission import Tasks as Submission
 from fescuerudder.table import Table
@@ -48,10 +49,12 @@
 
     Args:
         submission: accepts, reads and cancels tasks.
+        recording: trace of this instance.
     """
 
-    def __init__(self, *, submission: Submission) -> None:
+    def __init__(self, *, submission: Submission, recording: Recording) -> None:
         self._submission = submission
+        self._recording = recording
 
     def submit(
         self,
@@ -73,7 +76,11 @@
             trace_id=trace_id,
         )
         if isinstance(answer, Ok):
-            _log.info("task submitted", trace_id=trace_id, task=answer.ok_value.id, service=service)
+            task = answer.ok_value.id
+            _log.info("task submitted", trace_id=trace_id, task=task, service=service)
+            self._recording.note_submit(
+                task=task, service=service, key=idempotency_key, payload=payload, urgent=urgent
+            )
         return _task_result(answer)
 
     def get(self, task_id: str) -> Result[Json, RequestError]:
@@ -82,6 +89,7 @@
 
     def cancel(self, task_id: str) -> Result[Json, RequestError]:
         """Asks for cancellation."""
+        self._recording.note_cancel(task_id)
         return _task_result(self._submission.cancel(task_id))
 
 
@@ -94,6 +102,7 @@
         table: for reading the present revisions.
         metrics: metrics of this instance.
         burn: burn data of this instance.
+        recording: trace of this instance.
         read_status: returns the status of this instance.
         tell_all: sends a message to all peers, best effort.
     """
@@ -106,6 +115,7 @@
         table: Table,
         metrics: Metrics,
         burn: BurnRecorder,
+        recording: Recording,
         read_status: Callable[[], Json],
         tell_all: Callable[[Any], None],
     ) -> None:
@@ -114,6 +124,7 @@
         self._table = table
         self._metrics = metrics
         self._burn = burn
+        self._recording = recording
         self._read_status = read_status
         self._tell_all = tell_all
 
@@ -129,6 +140,7 @@
         outcome = self._configurator.put_service(doc, base_revision)
         if isinstance(outcome, Err):
             return Err(_change_refused(outcome.err_value))
+        self._recording.note_document(dump_document(doc))
         self._announce(outcome.ok_value)
         return Ok({"name": doc.name, "revision": outcome.ok_value})
 
@@ -150,6 +162,7 @@
         outcome = self._configurator.put_zone(zone, state, OPERATOR, base_revision)
         if isinstance(outcome, Ok):
             self._burn.add_event(kind="zone", target=zone, detail=state)
+            self._recording.note_zone(zone=zone, state=state)
             self._announce(outcome.ok_value)
             return Ok({"zone": zone, "state": state, "revision": outcome.ok_value})
         if state == "out" and isinstance(outcome.err_value, StoreUnavailableError):
@@ -188,6 +201,13 @@
         )
         return Ok(dump_data(self._burn.snapshot()))
 
+    def trace_lines(self) -> Result[bytes, RequestError]:
+        """Returns and empties the trace recorded so far."""
+        lines = self._recording.take_lines()
+        if lines is None:
+            return Err(RequestError("this instance records no trace", status=404))
+        return Ok(lines)
+
     def metrics_text(self) -> bytes:
         """Returns the metrics in the Prometheus text format."""
         return self._metrics.render()
--- a/fescuerudder/settings.py
+++ b/fescuerudder/settings.py
@@ -45,7 +45,9 @@
     )
     log_level: str = _setting(default="info", help="debug, info, warning or error.")
     drain_s: float = _setting(default=30.0, help="Longest time a planned stop waits, in seconds.")
-    record: str = _setting(default="", help="ip:port of a sink for trace recording, or empty.")
+    record: bool = _setting(
+        default=False, help="Keep a trace of the latest requests, for `trace take`: true or false."
+    )
 
 
 ROUTING_POLICIES = ("permits", "random", "round_robin", "least_outstanding")
@@ -53,6 +55,18 @@
 MIN_KEY_LENGTH = 16
 
 _CONVERTER = cattrs.Converter(forbid_extra_keys=True)
+_TRUTH = {"true": True, "1": True, "yes": True, "false": False, "0": False, "no": False}
+
+
+def _structure_bool(value: Any, _: type) -> bool:
+    """Returns the truth that a flag or an environment variable states."""
+    truth = _TRUTH.get(str(value).lower())
+    if truth is None:
+        raise ValueError(f"expected true or false, got {value!r}")
+    return truth
+
+
+_CONVERTER.register_structure_hook(bool, _structure_bool)
 
 
 def load_settings(
