--- /dev/null
+++ b/tests/test_quarantine.py
@@ -0,0 +1,38 @@
+"""Workers that fail different tasks are set aside and probed ever less often."""
+
+import pytest
+
+from fescuerudder.clock import ManualClock
+from fescuerudder.quarantine import Quarantine
+
+
+@pytest.mark.parametrize(
+    ("failed", "is_quarantined"), [("abc", True), ("aaa", False), ("ab", False), ("", False)]
+)
+def test_only_different_tasks_count(failed, is_quarantined):
+    quarantine = Quarantine(clock=ManualClock())
+    for task in failed:
+        quarantine.failed(worker="w", task=task)
+    assert quarantine.is_quarantined(worker="w") is is_quarantined
+
+
+def test_success_between_failures_resets_the_count():
+    quarantine = Quarantine(clock=ManualClock())
+    for task in "ab":
+        quarantine.failed(worker="w", task=task)
+    quarantine.succeeded(worker="w")
+    quarantine.failed(worker="w", task="c")
+    assert not quarantine.is_quarantined(worker="w")
+
+
+def test_probe_delay_doubles_up_to_its_limit():
+    clock = ManualClock()
+    quarantine = Quarantine(clock=clock)
+    for task in "abc":
+        quarantine.failed(worker="w", task=task)
+    for delay_s in (5, 10, 20, 40, 80, 160, 300, 300):
+        clock.advance(seconds=delay_s - 0.1)
+        assert not quarantine.may_probe(worker="w")
+        clock.advance(seconds=0.2)
+        assert quarantine.may_probe(worker="w")
+        quarantine.failed(worker="w", task="d")
