--- a/tests/test_rack.py
+++ b/tests/test_rack.py
@@ -1,5 +1,7 @@
 """The control loop of a rack keeps the guarantees in single, named situations."""
 
+from functools import partial
+
 import pytest
 
 from tests.rack_world import World, batch
@@ -185,3 +187,70 @@
     for summary in world.summaries():
         assert type(summary).load(summary.dump()) == summary
     assert sum(len(s.upstreams) for s in world.summaries()) == 3
+
+
+def queue_on_r1(world):
+    """Leaves one queued task whose start is the next thing the owner sends."""
+    keep_on_r1(world)
+    world.submit("draw")
+
+
+def test_stale_view_of_a_zone_starts_nothing(world):
+    """Guards against starts by an owner that has not learned that the zone went out."""
+    keep_on_r1(world)
+    for instance in world.instances.values():
+        instance.is_view_stalled = True
+    world.set_zone("a", "out")
+    world.advance(5)
+    world.submit("draw")
+    world.submit("draw")
+    world.advance(5)
+    world.check()
+
+
+@pytest.mark.parametrize("seconds", [3.5, 20])
+def test_start_delayed_past_its_window_is_refused(world, seconds):
+    """Guards against a start in a zone that went out while the start was on its way."""
+    queue_on_r1(world)
+
+    def delay():
+        world.set_zone("a", "out")
+        world.instances["A"].suspend(seconds)
+
+    for name in ("w1", "w2"):
+        world.workers[name].before_start = delay
+    world.advance(2)
+    assert world.witness.starts == 0
+    world.check()
+
+
+def test_write_of_a_replaced_owner_is_refused(world):
+    """Guards against a stale owner whose write passes since the task row did not change."""
+    queue_on_r1(world)
+
+    def delay(txn):
+        for name in ("w1", "w2"):
+            world.workers[name].leaving = True
+        world.instances["A"].suspend(8)
+        for name in ("w1", "w2"):
+            world.workers[name].leaving = False
+
+    world.table.before_transact = delay
+    world.advance(3)
+    assert world.owner_of("r1")[0] == "B"
+    world.advance(3)
+    world.check()
+    assert len(placed(world)) == 1
+
+
+def test_lost_answer_of_a_start_is_not_taken_for_a_refusal(world):
+    """Guards against a second attempt while the first one runs."""
+    queue_on_r1(world)
+    for worker in world.workers.values():
+        worker.before_start = partial(setattr, worker, "loses_answers", True)
+    world.advance(1)
+    for name in ("w1", "w2"):
+        world.workers[name].loses_answers = False
+    world.advance(5)
+    assert world.witness.starts == 1
+    world.check()
--- a/tests/test_rack_faults.py
+++ b/tests/test_rack_faults.py
@@ -152,7 +152,7 @@
 
 TestRackFaults = RackFaults.TestCase
 TestRackFaults.settings = settings(
-    max_examples=60,
+    max_examples=100,
     stateful_step_count=15,
     derandomize=True,
     deadline=None,
