Count assignments without an attempt in the test of commitments

The test passed on a scratch copy in which assignments in rows were not counted, since its only assigned task also had an attempt. With an unstarted one, it fails there and passes here.

--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1,5 +1,6 @@
 """Choice of a worker: capacity, sharing rules in both directions, failed workers."""
 
+import attrs
 import pytest
 
 from fescuerudder.document import ServiceDocument, Sharing, Size
@@ -82,6 +83,7 @@
         )
 
     attempts = (attempt("t", 3), attempt("stale", 1), attempt("old", 8, "finished"))
-    total, services = commitments(attempts=attempts, assigned=[task(processors=2)])
-    assert total.processors == 4
-    assert services == ("plain", "plain")
+    assigned = [task(processors=2), attrs.evolve(task("shy", processors=5), id="unstarted")]
+    total, services = commitments(attempts=attempts, assigned=assigned)
+    assert total.processors == 3 + 1 + 5
+    assert services == ("plain", "plain", "shy")
