Refuse starts meant for an earlier run of a worker

Cause (found in review): a restarted worker begins with a fresh clock and no epoch, so a start delayed at a former owner could be accepted after the task was queued again. Change: a start names the incarnation of the worker, which refuses any other. Measured: the stand-in and the simulated worker refuse such a start in their tests.

--- a/fescuerudder/assign.py
+++ b/fescuerudder/assign.py
@@ -121,6 +121,7 @@
         task=task.id,
         attempt=task.attempt,
         epoch=state.lease.epoch,
+        incarnation=task.worker_incarnation,
         service=task.service,
         kind=task.kind,
         size=task.size,
--- a/fescuerudder/workers.py
+++ b/fescuerudder/workers.py
@@ -134,6 +134,7 @@
         task: task id.
         attempt: attempt number.
         epoch: fencing token of the rack.
+        incarnation: run of the worker that the order is meant for; any other run refuses it.
         service: service of the task.
         kind: `batch` or `replica`.
         size: committed resources.
@@ -147,6 +148,7 @@
     task: str
     attempt: int
     epoch: int
+    incarnation: str
     service: str
     kind: str
     size: Size
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -185,6 +185,7 @@
             factors=FactorTable(seed=seed, fixed=factors),
             record=self._record,
             usage_lag_s=usage_lag_s,
+            incarnation=incarnation,
         )
         faults = FaultSet()
         plane = DataPlane(
--- a/standins/workerstate.py
+++ b/standins/workerstate.py
@@ -91,6 +91,7 @@
         factors: interference between services.
         record: called as record(event, at_s, **fields) for the event file.
         usage_lag_s: age at which usage reports become visible, in seconds.
+        incarnation: id of this run of the worker.
     """
 
     def __init__(
@@ -102,7 +103,9 @@
         factors: FactorTable,
         record: Record,
         usage_lag_s: float,
+        incarnation: str = "",
     ) -> None:
+        self.incarnation = incarnation
         self._clock = clock
         self._capacity = capacity
         self._slots = slots
@@ -399,6 +402,8 @@
     def _start_refusal(self, command: dict[str, Any], size: Size, now_s: float) -> str:
         """Returns why a start is refused, or an empty string."""
         task = command["task"]
+        if command["incarnation"] != self.incarnation:
+            return "stale_incarnation"
         if command["attempt"] <= self._known.get(task, 0):
             return "attempt_known"
         if self.leaving:
--- a/tests/fake_worker.py
+++ b/tests/fake_worker.py
@@ -86,7 +86,7 @@
         self.is_cut = self.loses_answers = self.is_broken = self.leaving = False
         self.usage: tuple[Usage, ...] = ()
         self.throttles: list[tuple[str, float]] = []
-        self.guards = {"epoch", "start_by"}
+        self.guards = {"epoch", "start_by", "incarnation"}
         self.before_start: Callable[[], None] | None = None
 
     def now_s(self) -> float:
@@ -206,6 +206,8 @@
 
     def _refuse_start(self, order: StartOrder) -> None:
         running = [a for a in self._attempts.values() if not a.is_ended]
+        if order.incarnation != str(self.incarnation) and "incarnation" in self.guards:
+            raise WorkerRefusedError(reason="stale_incarnation")
         if self.is_broken:
             raise WorkerRefusedError(reason="broken")
         if self.leaving:
--- a/tests/test_standins_platform.py
+++ b/tests/test_standins_platform.py
@@ -184,17 +184,18 @@
 )
 
 
-def start_order(clock_s):
+def start_order(status):
     return {
         "task": "t",
         "attempt": 1,
         "epoch": 1,
+        "incarnation": status["incarnation"],
         "service": "s",
         "kind": "batch",
         "size": {"processors": 1.0},
         "payload": json.dumps({"work_s": 60}),
-        "lease_until_s": clock_s + 60,
-        "start_by_s": clock_s + 5,
+        "lease_until_s": status["clock_s"] + 60,
+        "start_by_s": status["clock_s"] + 5,
     }
 
 
@@ -203,9 +204,7 @@
     with Launcher(directory=tmp_path, deployment=SMALL, start_entries=False) as launcher:
         first, second = launcher.workers
         status = launcher.call("GET", first.addresses["control"], "/v1/status")
-        launcher.call(
-            "POST", first.addresses["control"], "/v1/start", start_order(status["clock_s"])
-        )
+        launcher.call("POST", first.addresses["control"], "/v1/start", start_order(status))
         launcher.freeze(second.name)
         launcher.kill(first.name)
         launcher.restart(first.name)
--- a/tests/test_standins_worker.py
+++ b/tests/test_standins_worker.py
@@ -36,6 +36,7 @@
             "task": task,
             "attempt": 1,
             "epoch": 5,
+            "incarnation": "",
             "service": "batch",
             "kind": "batch",
             "size": {"processors": 1.0, "memory_mb": 100, "accelerators": 0},
@@ -67,6 +68,7 @@
     ("changes", "reason"),
     [
         ({"epoch": 4}, "stale_epoch"),
+        ({"incarnation": "earlier"}, "stale_incarnation"),
         ({"size": {"processors": 9.5, "memory_mb": 1, "accelerators": 0}}, "over_committed"),
         ({"size": {"processors": 1.0, "memory_mb": 901, "accelerators": 0}}, "over_committed"),
         ({"size": {"processors": 1.0, "memory_mb": 1, "accelerators": 2}}, "over_committed"),
@@ -244,6 +246,7 @@
             "task": "web.0",
             "attempt": 1,
             "epoch": 1,
+            "incarnation": running.state.incarnation,
             "service": "web",
             "kind": "replica",
             "size": {"processors": 1.0},
