End the server threads of stand-ins even if a stop fails

Cause: one of 20 test runs with -W error did not end within ten minutes. No traceback was taken; the cause is not proven. A stop that fails halfway would leave cheroot's threads, which are not daemon threads and keep the process from ending. Change: the thread pool is stopped in any case. The hang was not reproduced before or after.

--- a/standins/_http.py
+++ b/standins/_http.py
@@ -218,7 +218,7 @@
         return self
 
     def __exit__(self, *exc_info: object) -> None:
-        stopper = threading.Thread(target=self._server.stop, daemon=True)
+        stopper = threading.Thread(target=self._stop, daemon=True)
         stopper.start()
         # The server notices the stop only when its selector wakes, hence the connections.
         while stopper.is_alive():
@@ -264,6 +264,16 @@
             listener = self._server.socket.fileno()
             self._selector().register(listener, selectors.EVENT_READ, data=self._server)
 
+    def _stop(self) -> None:
+        """Stops the server; its threads end even if closing a connection fails.
+
+        They are not daemon threads, so one left over would keep the process from ending.
+        """
+        try:
+            self._server.stop()
+        finally:
+            self._server.requests.stop(SHUTDOWN_S)
+
     def _selector(self) -> Any:
         return self._server._connections._selector
 
