--- a/fescuerudder/entry.py
+++ b/fescuerudder/entry.py
@@ -63,6 +63,7 @@
 UPKEEP_S = 1.0
 STATUS_THREADS = 16
 EXCHANGE_THREADS = 8
+SIGNAL_POLL_S = 0.5
 HANDOVER_TRIES = 5
 HANDOVER_PAUSE_S = 0.3
 
@@ -546,7 +547,9 @@
         signal.signal(number, lambda *_: stop.set())
     with EntryInstance(cfg=cfg, clock=SystemClock()) as instance:
         _log.info("entry instance serves", http=cfg.http, peer=cfg.peer, zone=cfg.zone)
-        stop.wait()
+        # A signal that arrives while the process is suspended does not wake a plain wait.
+        while not stop.wait(SIGNAL_POLL_S):
+            pass
         instance.shut_down()
     _log.info("entry instance ended")
     return 0
