--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,6 +1,7 @@
 """Command line of the measuring tools: `python -m bench demo|replay|generate`."""
 
 import os
+import signal
 import sys
 from pathlib import Path
 
@@ -78,4 +79,6 @@
 COMMANDS = {"demo": demo, "replay": replay, "generate": generate}
 
 if __name__ == "__main__":
+    # An exit by exception lets the launcher end what it started.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_FAILED))
     sys.exit(run(sys.argv[1:], commands=COMMANDS, name="bench"))
--- a/fescuerudder/client.py
+++ b/fescuerudder/client.py
@@ -105,7 +105,11 @@
 
     def take_trace(self) -> str:
         """Returns the trace that the instance recorded, as JSON lines, and empties it there."""
-        return self._call("GET", "/v1/trace", operator=True).body.decode()
+        headers = {"Authorization": f"Bearer {self._operator_key}"}
+        answer = self._exchange("GET", "/v1/trace", body=b"", headers=headers)
+        if answer.status != 200:
+            raise refusal_of(answer, is_safe=True)
+        return answer.body.decode()
 
     def send(
         self,
--- a/fescuerudder/entry.py
+++ b/fescuerudder/entry.py
@@ -16,6 +16,7 @@
 from fescuerudder.burn import BurnRecorder
 from fescuerudder.clock import Clock, SystemClock
 from fescuerudder.configuration import Configurator
+from fescuerudder.document import Objective
 from fescuerudder.errors import PeerError, RequestError, WorkerUnreachableError
 from fescuerudder.frontend import Frontend
 from fescuerudder.groupcommit import GroupCommitter
@@ -70,6 +71,12 @@
 _log = structlog.get_logger(__name__)
 
 
+def objectives_of(view: ConfigView) -> dict[str, Objective]:
+    """Returns the objective of each latency-critical service."""
+    docs = view.services.values()
+    return {doc.name: doc.objective for doc in docs if doc.kind == "latency-critical"}
+
+
 class EffectiveView:
     """Configuration view in which provisional drains count as zones taken out.
 
@@ -460,6 +467,7 @@
     def _do_upkeep(self) -> None:
         """Retries what waits for the store and refreshes gauges."""
         self._records.flush()
+        self._burn.set_objectives(objectives_of(self._view.current()))
         if self._configurator.notices():
             for notice in self._configurator.notices():
                 self._tell_all(notice)
--- a/fescuerudder/operators.py
+++ b/fescuerudder/operators.py
@@ -192,13 +192,6 @@
 
     def burn(self) -> Result[Json, RequestError]:
         """Returns the burn data of this instance."""
-        self._burn.set_objectives(
-            {
-                name: doc.objective
-                for name, doc in self._view.current().services.items()
-                if doc.kind == "latency-critical"
-            }
-        )
         return Ok(dump_data(self._burn.snapshot()))
 
     def trace_lines(self) -> Result[bytes, RequestError]:
