--- a/standins/table.py
+++ b/standins/table.py
@@ -5,9 +5,11 @@
 
 import attrs
 
+from fescuerudder.errors import ConflictError
+from fescuerudder.memorytable import MemoryTable
+from fescuerudder.table import Check, Put, Transaction
 from standins._fault import FaultInjector
 from standins._http import Answer, HttpServer, Request, wait_for_signal
-from standins.tablestate import TableState
 
 OBJECTS = "/v1/objects/"
 
@@ -16,7 +18,7 @@
     """Answers table and object requests, and counts them."""
 
     def __init__(self) -> None:
-        self._state = TableState()
+        self._table = MemoryTable()
         self._objects: dict[str, bytes] = {}
         self._stats: Counter[str] = Counter()
         self._lock = threading.Lock()
@@ -35,24 +37,25 @@
 
     def _read(self, req: Request) -> Answer:
         body = req.json()
-        rows = self._state.read(keys=body.get("keys", []), prefixes=body.get("prefixes", []))
+        keys, prefixes = body.get("keys", []), body.get("prefixes", [])
+        rows = self._table.read(keys=tuple(keys), prefixes=tuple(prefixes))
         self._count(reads=1, rows_read=len(rows), bytes_in=len(req.body))
         return Answer(body={"rows": [attrs.asdict(row, recurse=False) for row in rows]})
 
     def _transact(self, req: Request) -> Answer:
         body = req.json()
-        puts = [(put["key"], put["value"]) for put in body.get("puts", [])]
-        deletes = body.get("deletes", [])
-        versions, failed = self._state.transact(
-            checks=[(check["key"], check["version"]) for check in body.get("checks", [])],
-            puts=puts,
-            deletes=deletes,
+        txn = Transaction(
+            checks=tuple(Check(**check) for check in body.get("checks", [])),
+            puts=tuple(Put(**put) for put in body.get("puts", [])),
+            deletes=tuple(body.get("deletes", [])),
         )
         self._count(transactions=1, bytes_in=len(req.body))
-        if failed:
+        try:
+            versions = self._table.transact(txn)
+        except ConflictError as exc:
             self._count(conflicts=1)
-            return Answer(status=409, body={"failed": failed})
-        self._count(rows_written=len(puts) + len(deletes))
+            return Answer(status=409, body={"failed": exc.failed_keys})
+        self._count(rows_written=len(txn.puts) + len(txn.deletes))
         return Answer(body={"versions": versions})
 
     def _object(self, req: Request, name: str) -> Answer:
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -1,15 +1,13 @@
 """Fakes at the platform's interfaces, for tests of decisions without processes."""
 
-import copy
 from collections.abc import Callable
 
 from fescuerudder.errors import (
-    ConflictError,
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
+from fescuerudder.memorytable import MemoryTable
 from fescuerudder.table import Row, Transaction
-from standins.tablestate import TableState
 
 
 class FakeTable:
@@ -23,7 +21,7 @@
     """
 
     def __init__(self) -> None:
-        self.state = TableState()
+        self.state = MemoryTable()
         self.down = False
         self.lose_answers = 0
         self.drop_writes = 0
@@ -36,8 +34,7 @@
         if self.down:
             raise StoreUnavailableError("store is down")
         self.reads += 1
-        rows = self.state.read(keys=list(keys), prefixes=list(prefixes))
-        return [Row(key=r.key, value=copy.deepcopy(r.value), version=r.version) for r in rows]
+        return self.state.read(keys=keys, prefixes=prefixes)
 
     def transact(self, txn: Transaction) -> dict[str, int]:
         """Applies a transaction, or fails as the faults say."""
@@ -50,13 +47,7 @@
         if self.drop_writes > 0:
             self.drop_writes -= 1
             raise StoreOutcomeUnknownError("request lost")
-        versions, failed = self.state.transact(
-            checks=[(check.key, check.version) for check in txn.checks],
-            puts=[(put.key, copy.deepcopy(put.value)) for put in txn.puts],
-            deletes=list(txn.deletes),
-        )
-        if failed:
-            raise ConflictError(failed_keys=failed)
+        versions = self.state.transact(txn)
         if self.lose_answers > 0:
             self.lose_answers -= 1
             raise StoreOutcomeUnknownError("answer lost")
--- a/tests/test_groupcommit.py
+++ b/tests/test_groupcommit.py
@@ -1,5 +1,6 @@
 """Each operation gets its true outcome, however it was combined and whatever was lost."""
 
+import contextlib
 from collections import deque
 
 import pytest
@@ -165,11 +166,8 @@
     def deliver(self):
         late, self.late = self.late, []
         for txn in late:
-            self.state.transact(
-                checks=[(c.key, c.version) for c in txn.checks],
-                puts=[(p.key, p.value) for p in txn.puts],
-                deletes=list(txn.deletes),
-            )
+            with contextlib.suppress(ConflictError):
+                self.state.transact(txn)
 
 
 @settings(max_examples=150, deadline=None, derandomize=True)
