--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,10 +1,12 @@
-"""Command line of the measuring tools: `python -m bench demo|replay|generate`."""
+"""Command line of the measuring tools: `python -m bench demo|replay|generate|experiment`."""
 
 import os
 import sys
 from pathlib import Path
 
+from bench._bed import Scale
 from bench.demo import hold_cluster, run_demo
+from bench.experiment import SHAPES, Plan, draw, read_lines, run_plan, table_text
 from bench.generate import DEFAULT_SEED, TRACES_DIR, WORKLOADS, generate_all
 from bench.replay import DRAIN_S, Replayer
 from fescuerudder._usage import UsageError
@@ -68,6 +70,93 @@
     return EXIT_DONE
 
 
+EXPERIMENTS: dict[str, dict[str, dict[str, str]]] = {
+    "routing": {
+        name: {"routing": name}
+        for name in ("permits", "random", "round_robin", "least_outstanding")
+    },
+    "overload": {name: {"shedding": name} for name in ("expected_wait", "off")},
+}
+
+
+def experiment(
+    name: str,
+    *,
+    policies: str = "",
+    loads: str = "",
+    shape: str = "even",
+    runs: str = "5",
+    seed: str = "1",
+    duration_s: str = "8",
+    warmup_s: str = "2",
+    mean_ms: str = "",
+    deadline_ms: str = "",
+    racks: str = "2",
+    workers: str = "3",
+    entries: str = "4",
+    slots: str = "8",
+    threads: str = "",
+    label: str = "",
+) -> int:
+    """Measures policies side by side on real processes; writes bench/results/*.jsonl and *.png.
+
+    Args:
+        name: routing or overload.
+        policies: names of policies, separated by commas; all of the experiment if left out.
+        loads: offered loads as shares of the capacity, separated by commas.
+        shape: even, uneven (over the instances) or slow (one worker of double time).
+        runs: seeded runs of each policy and load.
+        seed: seed of the order of runs, the arrivals and the service times.
+        duration_s: counted time of each run, in seconds.
+        warmup_s: time before it, in seconds.
+        mean_ms: mean of the exponential service times.
+        deadline_ms: deadline of each request, 0 for none.
+        racks: racks of the one zone; 0 takes the three zones and 9 instances of the design page.
+        workers: workers of each rack.
+        entries: entry instances of the one zone.
+        slots: slots of each worker.
+        threads: HTTP threads of each entry instance.
+        label: added to the name of the result files.
+    """
+    if name not in EXPERIMENTS:
+        raise UsageError(f"NAME must be one of {', '.join(EXPERIMENTS)}, got {name!r}")
+    if shape not in SHAPES:
+        raise UsageError(f"--shape must be one of {', '.join(SHAPES)}, got {shape!r}")
+    known = EXPERIMENTS[name]
+    chosen = [part for part in policies.split(",") if part] or list(known)
+    if not set(chosen) <= set(known):
+        raise UsageError(f"--policies must be among {', '.join(known)}, got {policies!r}")
+    overload = name == "overload"
+    plan = Plan(
+        name="-".join(part for part in (name, shape, label) if part),
+        flags_by_policy={policy: known[policy] for policy in chosen},
+        loads=[
+            _number("--loads", part)
+            for part in (loads or ("2.0" if overload else "0.5,0.8")).split(",")
+        ],
+        shape=shape,
+        runs=int(_number("--runs", runs)),
+        seed=int(_number("--seed", seed)),
+        duration_s=_number("--duration-s", duration_s),
+        warmup_s=_number("--warmup-s", warmup_s),
+        mean_ms=_number("--mean-ms", mean_ms or ("300" if overload else "150")),
+        deadline_ms=int(_number("--deadline-ms", deadline_ms or ("1500" if overload else "0"))),
+        scale=Scale(
+            racks=int(_number("--racks", racks)),
+            workers=int(_number("--workers", workers)),
+            entries=int(_number("--entries", entries)),
+            slots=int(_number("--slots", slots)),
+            threads=int(_number("--threads", threads or ("256" if overload else "64"))),
+        ),
+    )
+    path = run_plan(plan)
+    lines = read_lines(path)
+    print(table_text(lines))
+    print(table_text(lines, field="latency_ms"))
+    print(path, draw(path))
+    return EXIT_DONE
+
+
 def _number(flag: str, text: str) -> float:
     try:
         return float(text)
@@ -75,7 +164,7 @@
         raise UsageError(f"{flag} must be a number, got {text!r}") from None
 
 
-COMMANDS = {"demo": demo, "replay": replay, "generate": generate}
+COMMANDS = {"demo": demo, "replay": replay, "generate": generate, "experiment": experiment}
 
 if __name__ == "__main__":
     sys.exit(run(sys.argv[1:], commands=COMMANDS, name="bench"))
