--- a/fescuerudder/codec.py
+++ b/fescuerudder/codec.py
@@ -14,6 +14,7 @@
     for cls in (
         messages.PermitAsk,
         messages.PermitReply,
+        messages.PermitDemand,
         messages.Hello,
         messages.TaskHint,
         messages.ViewHint,
--- a/fescuerudder/entry.py
+++ b/fescuerudder/entry.py
@@ -31,6 +31,7 @@
     Hello,
     Message,
     PermitAsk,
+    PermitDemand,
     PermitReply,
     TaskHint,
     ViewHint,
@@ -321,6 +322,7 @@
     def _add_handlers(self) -> None:
         add = self._handlers.add
         add(PermitAsk, lambda peer, ask: self._racks.answer(peer, ask))
+        add(PermitDemand, self._on_permit_demand)
         add(TaskHint, self._on_task_hint)
         add(ViewHint, self._on_view_hint)
         add(Handover, self._on_handover)
@@ -332,6 +334,17 @@
         self._racks.hint(message.rack, message.task)
         return Accepted()
 
+    def _on_permit_demand(self, peer: str, message: PermitDemand) -> Message:
+        self._holder.note_demand(message.rack, message.service)
+        return Accepted()
+
+    def _tell_holder(self, instance: str, message: Message) -> None:
+        """Sends a notice about permits to a peer or to this instance itself."""
+        if instance == self._cfg.instance:
+            self._handlers(instance, message)
+        else:
+            self._tell(instance, message)
+
     def _on_view_hint(self, peer: str, message: ViewHint) -> Message:
         if message.revision > self._view.current().revision:
             self._kernel.find("view").wake()
@@ -398,6 +411,7 @@
             epoch=lease.epoch,
             clock=self._clock,
             is_owner=self._keeper.is_live,
+            tell=self._tell_holder,
         )
         return controller, granter
 
--- a/fescuerudder/messages.py
+++ b/fescuerudder/messages.py
@@ -54,6 +54,14 @@
     is_owner: bool = True
 
 
+@attrs.frozen(kw_only=True)
+class PermitDemand:
+    """Tells a holder of permits that others wait: it returns idle permits at once."""
+
+    rack: str
+    service: str
+
+
 @attrs.frozen(kw_only=True)
 class Hello:
     """First message on a connection."""
@@ -112,6 +120,7 @@
 Message = (
     PermitAsk
     | PermitReply
+    | PermitDemand
     | Hello
     | TaskHint
     | ViewHint
--- a/fescuerudder/permits.py
+++ b/fescuerudder/permits.py
@@ -12,7 +12,7 @@
 
 from fescuerudder.clock import Clock
 from fescuerudder.errors import PeerError
-from fescuerudder.messages import PermitAsk, PermitReply, SlotPermit
+from fescuerudder.messages import Message, PermitAsk, PermitDemand, PermitReply, SlotPermit
 
 _log = structlog.get_logger(__name__)
 
@@ -24,6 +24,10 @@
 PROBE_S = 1.0
 UNOWNED_ASK_S = 1.0
 DEMAND_FRESH_S = 0.5
+DEMAND_NOTICE_S = 0.05
+DEMAND_HOLD_S = 0.1
+"""A holder returns idle permits at once for this long after a notice of others' demand."""
+
 MAX_WANTED = 64
 UNOWNED_SERIAL = -1
 
@@ -86,6 +90,7 @@
         epoch: epoch of the ownership; makes serials unique over all owners of the rack.
         clock: source of time; the claim counts as made at construction.
         is_owner: whether the ownership is still valid; asked after an ask has arrived.
+        tell: sends a message to an instance, best effort; called without the lock.
     """
 
     def __init__(
@@ -95,10 +100,13 @@
         epoch: int,
         clock: Clock,
         is_owner: Callable[[], bool] = lambda: True,
+        tell: Callable[[str, Message], None] = lambda asker, message: None,
     ) -> None:
         self._rack = rack
         self._clock = clock
         self._is_owner = is_owner
+        self._tell = tell
+        self._noticed_s: dict[tuple[str, str], float] = {}
         self._serials = itertools.count(epoch * _SERIALS_PER_EPOCH)
         # A predecessor's permits are live for up to their ttl; the first epoch has none.
         wait_s = PERMIT_TTL_S if epoch > 1 else 0.0
@@ -137,8 +145,25 @@
             self._take_back(asker, ask.returned)
             renewed = self._renew(asker, ask, now)
             granted = self._grant(asker, ask, now)
+            holders = self._holders_to_notice(asker, ask.service, now)
+        for holder in holders:
+            self._tell(holder, PermitDemand(rack=self._rack, service=ask.service))
         return PermitReply(rack=self._rack, permits=(*renewed, *granted))
 
+    def _holders_to_notice(self, asker: str, service: str, now: float) -> list[str]:
+        """Returns the holders that must hear of an unmet demand, each once per `DEMAND_NOTICE_S`."""
+        if (asker, service) not in self._demands:
+            return []
+        names = {item.worker for item in self._usable(service, now)}
+        holders = {g.asker for (worker, _), g in self._grants.items() if worker in names}
+        due = [
+            holder
+            for holder in sorted(holders - {asker})
+            if (holder, service) not in self._noticed_s
+        ]
+        self._noticed_s.update({(holder, service): now for holder in due})
+        return due
+
     def _expire(self, now: float) -> None:
         self._grants = {key: grant for key, grant in self._grants.items() if grant.ends_s > now}
         self._demands = {
@@ -146,6 +171,11 @@
             for key, demand in self._demands.items()
             if now - demand[1] <= DEMAND_FRESH_S
         }
+        self._noticed_s = {
+            key: noticed_s
+            for key, noticed_s in self._noticed_s.items()
+            if now - noticed_s < DEMAND_NOTICE_S
+        }
 
     def _take_back(self, asker: str, returned: Iterable[SlotPermit]) -> None:
         for permit in returned:
@@ -405,6 +435,11 @@
     in_flight: bool = False
     asked_s: float = float("-inf")
     dry_until_s: float = float("-inf")
+    demanded_until_s: float = float("-inf")
+
+    def idle_limit_s(self, now: float) -> float:
+        """Returns for how long a permit may stay idle."""
+        return 0.0 if now < self.demanded_until_s else PERMIT_IDLE_S
 
 
 @attrs.define(kw_only=True)
@@ -502,6 +537,14 @@
                 self._release_held(permit, ok)
             for service in self._queues:
                 self._dispatch(service)
+            self._wake_if_demanded(permit)
+
+    def note_demand(self, rack: str, service: str) -> None:
+        """Notes that others wait for slots of a rack, so that idle permits return at once."""
+        with self._lock:
+            pool = self._pool(rack, service)
+            pool.demanded_until_s = self._clock.now_s() + DEMAND_HOLD_S
+        self.wake.set()
 
     def waiting(self, service: str) -> int:
         """Returns how many requests wait."""
@@ -562,6 +605,15 @@
             self._on_drop(permit)
             self.wake.set()
 
+    def _wake_if_demanded(self, permit: SlotPermit) -> None:
+        """Wakes the driver if a permit just became idle that others wait for."""
+        if (permit.rack, permit.serial) in self._busy:
+            return
+        now = self._clock.now_s()
+        demanded = (p.demanded_until_s > now for p in self._pools.values() if p.rack == permit.rack)
+        if any(demanded):
+            self.wake.set()
+
     def _expire(self, pool: _Pool, now: float) -> None:
         for serial in [s for s, held in pool.held.items() if held.ends_s <= now]:
             self._drop(pool, serial)
@@ -575,7 +627,7 @@
         if len(self._queue(pool.service)):
             return
         for serial, held in list(pool.held.items()):
-            if not held.busy and now - held.idle_since_s >= PERMIT_IDLE_S:
+            if not held.busy and now - held.idle_since_s >= pool.idle_limit_s(now):
                 self._drop(pool, serial)
                 pool.returning.append(held.permit)
 
@@ -653,7 +705,7 @@
             pool.asking = 0
             self._apply(pool, ask, reply, sent_s)
             self._dispatch(pool.service)
-        if len(self._queue(pool.service)):
+        if len(self._queue(pool.service)) or pool.returning:
             self.wake.set()
 
     def _make_ask(self, pool: _Pool, now: float) -> PermitAsk:
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -32,8 +32,8 @@
     ]
 
 
-def make_granter(clock, *, epoch=1, workers=None, is_owner=lambda: True):
-    granter = PermitGranter(rack=RACK, epoch=epoch, clock=clock, is_owner=is_owner)
+def make_granter(clock, *, epoch=1, workers=None, is_owner=lambda: True, **fields):
+    granter = PermitGranter(rack=RACK, epoch=epoch, clock=clock, is_owner=is_owner, **fields)
     granter.update_workers(make_workers() if workers is None else workers)
     return granter
 
@@ -84,9 +84,15 @@
                 epoch=epoch,
                 workers=workers,
                 is_owner=lambda: epoch == len(self.granters),
+                tell=self.tell,
             )
         )
 
+    def tell(self, name, message):
+        """Delivers a notice, or loses it."""
+        if self.rng.random() < 0.8:
+            self.holders[name].note_demand(message.rack, message.service)
+
     def carry(self, name, ask):
         """Delivers an ask, perhaps to the former owner; other events may happen meanwhile."""
         plan = self.rng.choice(PLANS) if self.depth < 2 else "ok"
@@ -259,6 +265,23 @@
     assert (holder.held("draw"), granter.live_permits()) == (0, 0)
 
 
+def test_idle_permit_is_returned_at_once_when_others_wait():
+    """Guards against requests that wait while another instance holds idle permits."""
+    clock = ManualClock()
+    holders = {}
+    granter = make_granter(
+        clock,
+        workers=make_workers(slots=1),
+        tell=lambda name, msg: holders[name].note_demand(msg.rack, msg.service),
+    )
+    for name in "ab":
+        holders[name] = make_holder(clock, lambda rack, ask, name=name: granter.answer(name, ask))
+    holders["a"].release(acquire_stepping(holders["a"], clock), True)
+    assert granter.answer("b", make_ask(1)).permits == ()
+    holders["a"].step()
+    assert len(granter.answer("b", make_ask(1)).permits) == 1
+
+
 def test_late_answer_does_not_revive_a_permit():
     """Guards against using a permit whose time ran out while its holder was paused."""
     clock = ManualClock()
