--- a/fescuerudder/permits.py
+++ b/fescuerudder/permits.py
@@ -151,7 +151,7 @@
         return PermitReply(rack=self._rack, permits=(*renewed, *granted))
 
     def _holders_to_notice(self, asker: str, service: str, now: float) -> list[str]:
-        """Returns the holders that must hear of an unmet demand, each once per `DEMAND_NOTICE_S`."""
+        """Returns whom to tell of an unmet demand; each holder once per `DEMAND_NOTICE_S`."""
         if (asker, service) not in self._demands:
             return []
         names = {item.worker for item in self._usable(service, now)}
