Write the finished idempotency record after the answer

A slow store delayed the answers of keyed requests. Until the record is written it says 'started', so a repeat is refused as in progress and never runs.

--- a/fescuerudder/idempotency.py
+++ b/fescuerudder/idempotency.py
@@ -3,7 +3,9 @@
 import base64
 import hashlib
 import threading
+import time
 from collections.abc import Callable
+from concurrent.futures import Future
 from typing import Any, Protocol
 
 import attrs
@@ -34,6 +36,9 @@
     def commit(self, txn: Transaction) -> Result[dict[str, int], PlatformError]:
         """Returns the new versions, or why the transaction was not applied or is unknown."""
 
+    def submit(self, txn: Transaction) -> Future[Result[dict[str, int], PlatformError]]:
+        """Queues a transaction; the future's result is what `commit` returns."""
+
 
 @attrs.frozen(kw_only=True)
 class Begun:
@@ -71,6 +76,7 @@
         instance: id of this instance.
         incarnation: returns the present incarnation of this instance.
         new_id: returns a unique id for the `txn` field.
+        wall_s: returns the wall-clock time, from which the retention of a record counts.
     """
 
     def __init__(
@@ -82,9 +88,11 @@
         instance: str,
         incarnation: Callable[[], str],
         new_id: Callable[[], str],
+        wall_s: Callable[[], float] = time.time,
     ) -> None:
         self._table = table
         self._committer = committer
+        self._wall_s = wall_s
         self._is_live = is_live
         self._instance = instance
         self._incarnation = incarnation
@@ -110,12 +118,20 @@
         return Err(_in_progress())
 
     def finish(self, begun: Begun, answer: Answer) -> None:
-        """Stores the answer; retried by `flush` if the store does not take it now."""
-        value = {**begun.value, "state": "finished", **_dump_answer(answer)}
+        """Stores the answer without waiting for the store; retried by `flush` if it fails.
+
+        The request stays `started` until then, so a repeat is refused and does not run.
+        """
+        value = {
+            **begun.value,
+            "state": "finished",
+            "finished_at_s": self._wall_s(),
+            **_dump_answer(answer),
+        }
         self._complete(begun, value)
 
     def mark_unknown(self, begun: Begun) -> None:
-        """Notes that the request may have run without an answer."""
+        """Notes, without waiting, that the request may have run without an answer."""
         self._complete(begun, {**begun.value, "state": "unknown"})
 
     def abandon(self, begun: Begun) -> None:
@@ -125,7 +141,7 @@
         self._write(_Pending(key=begun.key, txn_id=self._new_id(), txn=txn))
 
     def pending(self) -> int:
-        """Returns how many writes wait for the store."""
+        """Returns how many writes failed and wait for `flush`."""
         with self._lock:
             return len(self._pending)
 
@@ -184,7 +200,8 @@
     def _complete(self, begun: Begun, value: dict[str, Any]) -> None:
         value = {**value, "txn": self._new_id()}
         txn = _put(begun.key, begun.version, value)
-        self._write(_Pending(key=begun.key, txn_id=value["txn"], txn=txn))
+        item = _Pending(key=begun.key, txn_id=value["txn"], txn=txn, tries=1)
+        self._committer.submit(txn).add_done_callback(lambda fut: self._settle(item, fut.result()))
 
     def _write(self, item: _Pending) -> None:
         """Applies a write, or keeps it for `flush`."""
@@ -192,7 +209,10 @@
         if item.txn is None:
             self._clean_up(item)
             return
-        res = self._committer.commit(item.txn)
+        self._settle(item, self._committer.commit(item.txn))
+
+    def _settle(self, item: _Pending, res: Result[dict[str, int], PlatformError]) -> None:
+        """Keeps a write for `flush` unless it applied or can't apply any more."""
         if isinstance(res, Ok):
             return
         if isinstance(res.err_value, ConflictError):
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -1,12 +1,13 @@
 """Records of keyed requests: nothing runs twice, whatever the store does."""
 
 import itertools
+from concurrent.futures import Future
 
 import attrs
 import pytest
 from result import Err, Ok
 
-from fescuerudder.errors import PlatformError
+from fescuerudder.errors import PlatformError, StoreUnavailableError
 from fescuerudder.idempotency import Begun, IdempotencyRecords, Replay
 from fescuerudder.upstream import Answer, Request
 from tests.fakes import FakeTable
@@ -29,6 +30,11 @@
         except PlatformError as exc:
             return Err(exc)
 
+    def submit(self, txn):
+        fut = Future()
+        fut.set_result(self.commit(txn))
+        return fut
+
 
 def make_records(table, *, live=("a", "b"), instance="a"):
     ids = itertools.count()
@@ -116,6 +122,23 @@
     assert states == {"finish": ["finished"], "mark_unknown": ["unknown"], "abandon": []}[end]
 
 
+@pytest.mark.parametrize("end", ["finish", "mark_unknown"])
+def test_completion_does_not_wait_for_the_store_and_nothing_runs_meanwhile(end):
+    """Guards against slow answers while the store is slow, and against a second run."""
+    table = FakeTable()
+    records = make_records(table)
+    begun = records.begin(REQ, "k").ok_value
+    fut = Future()
+    records._committer.submit = lambda txn: fut
+    getattr(records, end)(*([begun, ANSWER] if end == "finish" else [begun]))
+    error = make_records(table, instance="b").begin(REQ, "k").err_value
+    assert error.details == {"state": "in_progress"}
+    fut.set_result(Err(StoreUnavailableError("down")))
+    records.flush()
+    res = make_records(table, instance="b").begin(REQ, "k")
+    assert isinstance(res, Ok if end == "finish" else Err)
+
+
 def test_creation_with_a_lost_answer_is_recognised():
     """Guards against refusing a request because of its own record."""
     table = FakeTable()
