--- a/fescuerudder/entry.py
+++ b/fescuerudder/entry.py
@@ -46,6 +46,7 @@
 from fescuerudder.racks import Racks
 from fescuerudder.rackstate import Learned
 from fescuerudder.replicas import ReplicaKeeper
+from fescuerudder.retention import RecordSweeper
 from fescuerudder.routes import make_routes
 from fescuerudder.routing import Router, make_balancer
 from fescuerudder.service import OwnerService, PeriodicService
@@ -261,6 +262,13 @@
             incarnation=lambda: self._keeper.incarnation,
             new_id=new_txn_id,
         )
+        self._sweeper = RecordSweeper(
+            instance=cfg.instance,
+            live=lambda: self._observer.live(),
+            table=self._table,
+            committer=self._committer,
+            wall_s=time.time,
+        )
         self._router = Router(
             clock=clock,
             balancer=self._balancer,
@@ -307,6 +315,7 @@
         self._add_periodic("racks", RACKS_STEP_S, self._racks.step)
         self._add_periodic("routes", ROUTES_STEP_S, self._update_routes)
         self._add_periodic("replicas", UPKEEP_S, self._replicas.step)
+        self._add_periodic("retention", UPKEEP_S, self._sweeper.step)
         self._add_periodic("upkeep", UPKEEP_S, self._do_upkeep)
         self._kernel.add("permits", lambda _: _PermitService(holder=self._holder))
         self._add_owner("frontend", self._frontend)
