--- a/fescuerudder/upstream.py
+++ b/fescuerudder/upstream.py
@@ -76,7 +76,10 @@
 
 @attrs.frozen(kw_only=True)
 class Answer:
-    """A complete answer; `headers` has no hop-by-hop headers and no Content-Length."""
+    """A complete answer; `headers` has no hop-by-hop headers.
+
+    It has a Content-Length only as an answer to HEAD, where it tells the length that GET has.
+    """
 
     status: int
     headers: Headers = ()
@@ -244,6 +247,8 @@
             raise _failed("the worker did not process it", status=503, outcome="not_run")
         headers = end_to_end(resp.headers.items())
         kept = tuple((k, v) for k, v in headers if k.lower() not in _REPLACED)
+        if req.method == "HEAD" and "Content-Length" in resp.headers:
+            kept += (("Content-Length", resp.headers["Content-Length"]),)
         answer = Answer(status=resp.status, headers=kept, body=body)
         will_close = "close" in resp.headers.get("Connection", "").lower()
         return answer, not will_close and resp.version == 11
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -270,3 +270,14 @@
     with ScriptedWorker(answers(text)) as worker, make_upstream() as up:
         req = attrs.evolve(make_request(body=b""), method=method)
         assert up.forward(make_permit(worker.address), req).ok_value.body == b""
+
+
+def test_head_keeps_the_declared_length():
+    """Guards against losing the length that HEAD asks for."""
+    with (
+        ScriptedWorker(answers(HEAD + b"Content-Length: 9\r\n\r\n")) as worker,
+        make_upstream() as up,
+    ):
+        req = attrs.evolve(make_request(body=b""), method="HEAD")
+        headers = up.forward(make_permit(worker.address), req).ok_value.headers
+    assert headers == (("Content-Length", "9"),)
