--- a/fescuerudder/frontend.py
+++ b/fescuerudder/frontend.py
@@ -40,6 +40,13 @@
 LISTEN_BACKLOG = 512
 KEEPALIVE_S = 10
 DRAIN_POLL_S = 0.02
+RESERVED_SHARE = 0.1
+"""Share of the HTTP threads, at least one, that callers' requests never occupy.
+
+Requests that wait for a slot or for the store hold a thread each; without a reserve, health
+checks and operators would wait behind them.
+"""
+
 DRAIN_QUIET_S = 0.2
 STOP_S = 2
 PRIORITIES = ("normal", "urgent")
@@ -162,6 +169,24 @@
             return -1.0 if self._count else self._clock.now_s() - self._last_end_s
 
 
+class _CallerThreads:
+    """Bounds the threads that callers' requests occupy.
+
+    Args:
+        limit: most threads at a time.
+    """
+
+    def __init__(self, *, limit: int) -> None:
+        self._free = threading.BoundedSemaphore(limit)
+
+    def __enter__(self) -> None:
+        if not self._free.acquire(blocking=False):
+            raise RequestError("too many requests wait at this instance", status=503)
+
+    def __exit__(self, *exc_info: object) -> None:
+        self._free.release()
+
+
 class _Server(wsgi.Server):
     """WSGI server that counts requests until their answers are written."""
 
@@ -214,6 +239,7 @@
         self._router = router
         self._tasks = tasks
         self._operations = operations
+        self._caller_threads = _CallerThreads(limit=_caller_limit(threads))
         self._routes = self._make_routes()
         self._draining = threading.Event()
         host, _, port = address.rpartition(":")
@@ -304,7 +330,7 @@
         answer, outcome = self._answer(environ, trace_id)
         headers = [(k, v) for k, v in answer.headers if k.lower() != "x-request-id"]
         headers.append(("X-Request-Id", trace_id))
-        if answer.status not in _NO_BODY_STATUS:
+        if _needs_length(environ["REQUEST_METHOD"], answer):
             headers.append(("Content-Length", str(len(answer.body))))
         start_response(_status_line(answer.status), headers)
         _log.info(
@@ -348,7 +374,8 @@
 
     def _dispatch(self, call: _Call) -> Answer:
         if call.path.startswith("/s/"):
-            return self._forward(call)
+            with self._caller_threads:
+                return self._forward(call)
         allowed = []
         for route in self._routes:
             match = route.pattern.fullmatch(call.path)
@@ -390,6 +417,10 @@
         return _unwrap(self._router.handle(req))
 
     def _submit_task(self, call: _Call) -> Answer:
+        with self._caller_threads:
+            return self._submit(call)
+
+    def _submit(self, call: _Call) -> Answer:
         raw = _json_object(call)
         key = call.header("idempotency-key")
         if key is None:
@@ -458,6 +489,19 @@
         return _json({"state": "serving"})
 
 
+def _caller_limit(threads: int) -> int:
+    """Returns how many of the HTTP threads callers' requests may occupy."""
+    return max(1, threads - max(1, int(threads * RESERVED_SHARE)))
+
+
+def _needs_length(method: str, answer: Answer) -> bool:
+    """Returns whether the length of the body is to be declared.
+
+    An answer to HEAD without a body declares what the worker stated, or nothing.
+    """
+    return answer.status not in _NO_BODY_STATUS and (method != "HEAD" or bool(answer.body))
+
+
 def _read_call(environ: dict[str, Any], trace_id: str) -> _Call:
     """Checks and reads one request."""
     method = environ["REQUEST_METHOD"]
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -243,6 +243,14 @@
     assert (got, headers.get("Content-Length"), body) == (status, length, b"")
 
 
+@pytest.mark.parametrize("length", ["4096", None])
+def test_head_declares_the_length_that_the_worker_stated(site, length):
+    """Guards against telling callers of HEAD that the resource is empty."""
+    headers = (("Content-Length", length),) if length else ()
+    site.router.res = Ok(Answer(status=200, headers=headers))
+    assert site.call("HEAD", "/s/draw/x")[1].get("Content-Length") == length
+
+
 @pytest.fixture
 def own_site():
     made = Site()
@@ -268,3 +276,26 @@
     stopper.join()
     caller.join()
     assert drained == [True] and first[0][0] == 200 and first[0][2] == b"printed"
+
+
+def test_waiting_requests_leave_threads_for_health_checks(own_site):
+    """Guards against an instance that looks dead because its requests wait."""
+    site = own_site
+    site.router.gate.clear()
+    answers = []
+    callers = [
+        threading.Thread(target=lambda: answers.append(site.call("GET", "/s/draw/x")))
+        for _ in range(8)
+    ]
+    for caller in callers:
+        caller.start()
+    assert site.router.entered.wait(5)
+    assert site.call("GET", "/health")[0] == 200
+    site.router.gate.set()
+    for caller in callers:
+        caller.join()
+    statuses = [status for status, _, _ in answers]
+    assert len(site.router.seen) == statuses.count(200) <= 5
+    refused = [json.loads(body) for status, _, body in answers if status == 503]
+    assert len(refused) + statuses.count(200) == 8
+    assert {problem["outcome"] for problem in refused} == {"not_run"}
