--- a/fescuerudder/codec.py
+++ b/fescuerudder/codec.py
@@ -15,6 +15,7 @@
         messages.PermitAsk,
         messages.PermitReply,
         messages.PermitDemand,
+        messages.PermitOffer,
         messages.Hello,
         messages.TaskHint,
         messages.ViewHint,
--- a/fescuerudder/entry.py
+++ b/fescuerudder/entry.py
@@ -32,6 +32,7 @@
     Message,
     PermitAsk,
     PermitDemand,
+    PermitOffer,
     PermitReply,
     TaskHint,
     ViewHint,
@@ -332,6 +333,7 @@
         add = self._handlers.add
         add(PermitAsk, lambda peer, ask: self._racks.answer(peer, ask))
         add(PermitDemand, self._on_permit_demand)
+        add(PermitOffer, self._on_permit_offer)
         add(TaskHint, self._on_task_hint)
         add(ViewHint, self._on_view_hint)
         add(Handover, self._on_handover)
@@ -347,6 +349,10 @@
         self._holder.note_demand(message.rack, message.service)
         return Accepted()
 
+    def _on_permit_offer(self, peer: str, message: PermitOffer) -> Message:
+        self._holder.note_offer(message.rack, message.service)
+        return Accepted()
+
     def _tell_holder(self, instance: str, message: Message) -> None:
         """Sends a notice about permits to a peer or to this instance itself."""
         if instance == self._cfg.instance:
--- a/fescuerudder/messages.py
+++ b/fescuerudder/messages.py
@@ -62,6 +62,14 @@
     service: str
 
 
+@attrs.frozen(kw_only=True)
+class PermitOffer:
+    """Tells an instance whose ask was not met that slots came free: it may ask again."""
+
+    rack: str
+    service: str
+
+
 @attrs.frozen(kw_only=True)
 class Hello:
     """First message on a connection."""
@@ -121,6 +129,7 @@
     PermitAsk
     | PermitReply
     | PermitDemand
+    | PermitOffer
     | Hello
     | TaskHint
     | ViewHint
--- a/fescuerudder/permits.py
+++ b/fescuerudder/permits.py
@@ -12,7 +12,14 @@
 
 from fescuerudder.clock import Clock
 from fescuerudder.errors import PeerError
-from fescuerudder.messages import Message, PermitAsk, PermitDemand, PermitReply, SlotPermit
+from fescuerudder.messages import (
+    Message,
+    PermitAsk,
+    PermitDemand,
+    PermitOffer,
+    PermitReply,
+    SlotPermit,
+)
 
 _log = structlog.get_logger(__name__)
 
@@ -146,6 +153,9 @@
             renewed = self._renew(asker, ask, now)
             granted = self._grant(asker, ask, now)
             holders = self._holders_to_notice(asker, ask.service, now)
+            offers = self._offers(asker, now) if ask.returned else []
+        for waiting, service in offers:
+            self._tell(waiting, PermitOffer(rack=self._rack, service=service))
         for holder in holders:
             self._tell(holder, PermitDemand(rack=self._rack, service=ask.service))
         return PermitReply(rack=self._rack, permits=(*renewed, *granted))
@@ -164,6 +174,18 @@
         self._noticed_s.update({(holder, service): now for holder in due})
         return due
 
+    def _offers(self, asker: str, now: float) -> list[tuple[str, str]]:
+        """Returns the instances that may ask again, those served longest ago first."""
+        waiting = sorted(
+            (key for key in self._demands if key[0] != asker),
+            key=lambda key: self._granted_s.get(key[0], float("-inf")),
+        )
+        return [
+            (name, service)
+            for name, service in waiting
+            if any(self._free_slots(item) for item in self._usable(service, now))
+        ]
+
     def _expire(self, now: float) -> None:
         self._grants = {key: grant for key, grant in self._grants.items() if grant.ends_s > now}
         self._demands = {
@@ -436,6 +458,7 @@
     asked_s: float = float("-inf")
     dry_until_s: float = float("-inf")
     demanded_until_s: float = float("-inf")
+    offered_s: float = float("-inf")
 
     def idle_limit_s(self, now: float) -> float:
         """Returns for how long a permit may stay idle."""
@@ -546,6 +569,14 @@
             pool.demanded_until_s = self._clock.now_s() + DEMAND_HOLD_S
         self.wake.set()
 
+    def note_offer(self, rack: str, service: str) -> None:
+        """Notes that slots of a rack came free, so that it may be asked again at once."""
+        with self._lock:
+            pool = self._pool(rack, service)
+            pool.offered_s = self._clock.now_s()
+            pool.dry_until_s = float("-inf")
+        self.wake.set()
+
     def waiting(self, service: str) -> int:
         """Returns how many requests wait."""
         with self._lock:
@@ -737,7 +768,8 @@
         for serial in asked - listed:
             if serial in pool.held:
                 self._revoke(pool, serial)
-        if ask.wanted and not listed - asked:
+        # An offer may overtake the answer to the ask before it.
+        if ask.wanted and not listed - asked and pool.offered_s < sent_s:
             pool.dry_until_s = now + PERMIT_RETRY_S
 
     def _accept(self, pool: _Pool, permit: SlotPermit, ends_s: float, renewed: bool) -> None:
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -9,7 +9,7 @@
 
 from fescuerudder.clock import ManualClock
 from fescuerudder.errors import PeerError
-from fescuerudder.messages import PermitAsk, PermitReply
+from fescuerudder.messages import PermitAsk, PermitDemand, PermitReply
 from fescuerudder.permits import (
     PERMIT_IDLE_S,
     PERMIT_TTL_S,
@@ -38,6 +38,14 @@
     return granter
 
 
+def deliver(holder, message):
+    """Hands a notice of a granter to a holder."""
+    if isinstance(message, PermitDemand):
+        holder.note_demand(message.rack, message.service)
+    else:
+        holder.note_offer(message.rack, message.service)
+
+
 def make_ask(wanted=0, **fields):
     return PermitAsk(rack=RACK, service="draw", wanted=wanted, **fields)
 
@@ -91,7 +99,7 @@
     def tell(self, name, message):
         """Delivers a notice, or loses it."""
         if self.rng.random() < 0.8:
-            self.holders[name].note_demand(message.rack, message.service)
+            deliver(self.holders[name], message)
 
     def carry(self, name, ask):
         """Delivers an ask, perhaps to the former owner; other events may happen meanwhile."""
@@ -272,14 +280,16 @@
     granter = make_granter(
         clock,
         workers=make_workers(slots=1),
-        tell=lambda name, msg: holders[name].note_demand(msg.rack, msg.service),
+        tell=lambda name, msg: deliver(holders[name], msg),
     )
     for name in "ab":
         holders[name] = make_holder(clock, lambda rack, ask, name=name: granter.answer(name, ask))
     holders["a"].release(acquire_stepping(holders["a"], clock), True)
-    assert granter.answer("b", make_ask(1)).permits == ()
-    holders["a"].step()
-    assert len(granter.answer("b", make_ask(1)).permits) == 1
+    # The first ask finds no free slot; the notices let the second one succeed without a pause.
+    clock.wait_s = lambda event, timeout_s: [holders[name].step() for name in "bab"]
+    start_s = clock.now_s()
+    assert holders["b"].acquire("draw", start_s + 1.0) is not None
+    assert clock.now_s() == start_s
 
 
 def test_late_answer_does_not_revive_a_permit():
