--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -26,6 +26,12 @@
 UNEVEN_RATIO = 0.5
 """Each instance gets this share of the load of the one before it."""
 
+PROMPT_MS = 50.0
+"""A request counts as prompt if it is answered at most this long after its service time.
+
+Unlike a percentile of the answered requests, the share of prompt ones also counts failures.
+"""
+
 SHED_DETAILS = ("expected wait", "queue of the service is full", "no slot became free")
 
 Line = dict[str, Any]
@@ -136,9 +142,11 @@
     in_time = [i for i in answered if not deadline_ms or i.latency_ms <= deadline_ms]
     failed = Counter(f"{item.status} {item.detail}" for item in sent if item.status != 200)
     shed = sum(any(text in i.detail for text in SHED_DETAILS) for i in sent if i.status == 503)
+    prompt = sum(item.latency_ms - item.work_ms <= PROMPT_MS for item in answered)
     return {
         "requests": len(sent),
         "answered": len(answered),
+        "prompt": prompt,
         "in_time": len(in_time),
         "shed": shed,
         "failed": dict(failed),
@@ -156,15 +164,15 @@
         for name in ("p50", "p99", "p99.9"):
             values = [line[field][name] for line in group]
             cells.append(f"{name} {median(values):.1f} ({min(values):.1f}-{max(values):.1f})")
-        sums = {name: sum(line[name] for line in group) for name in _SUMMED}
-        counts = ", ".join(f"{name} {value}" for name, value in sums.items())
+        total = sum(line["requests"] for line in group)
+        counts = f"of {total} requests"
+        for name in ("answered", "prompt", "in_time", "shed"):
+            counts += f", {name} {sum(line[name] for line in group) / total:.2%}"
+        counts += f", refusals by workers {sum(line['worker_refusals'] for line in group)}"
         rows.append(f"  {load:.0%} {policy:18} {'  '.join(cells)}  {counts}")
     return "\n".join(rows)
 
 
-_SUMMED = ("requests", "answered", "in_time", "shed", "worker_refusals")
-
-
 def _groups(lines: Sequence[Line]) -> dict[tuple[float, str], list[Line]]:
     groups: dict[tuple[float, str], list[Line]] = {}
     for line in sorted(lines, key=lambda line: (line["load"], line["policy"])):
--- a/fescuerudder/entry.py
+++ b/fescuerudder/entry.py
@@ -276,6 +276,7 @@
             forwarder=self._upstream,
             records=self._records,
             is_known=self._is_known,
+            sheds=cfg.shedding == "expected_wait",
         )
         self._frontend = Frontend(
             address=cfg.http,
--- a/fescuerudder/routing.py
+++ b/fescuerudder/routing.py
@@ -79,6 +79,7 @@
         records: records of keyed requests.
         is_known: whether a service of that name takes requests.
         queue_max: requests of one service that may wait.
+        sheds: whether requests that would wait beyond their deadline are refused at once.
     """
 
     def __init__(
@@ -90,6 +91,7 @@
         records: IdempotencyRecords,
         is_known: Callable[[str], bool],
         queue_max: int = QUEUE_MAX,
+        sheds: bool = True,
     ) -> None:
         self._clock = clock
         self._balancer = balancer
@@ -97,6 +99,7 @@
         self._records = records
         self._is_known = is_known
         self._queue_max = queue_max
+        self._sheds = sheds
         self._loads: dict[str, _Load] = {}
         self._lock = threading.Lock()
 
@@ -130,7 +133,7 @@
         with self._lock:
             if load.waiting >= self._queue_max:
                 return ShedError("the queue of the service is full", status=503)
-            if left_s <= load.expected_wait_s():
+            if left_s <= (load.expected_wait_s() if self._sheds else 0.0):
                 return ShedError("the expected wait exceeds the deadline", status=503)
         return None
 
--- a/fescuerudder/settings.py
+++ b/fescuerudder/settings.py
@@ -43,12 +43,17 @@
         default="permits",
         help="Request routing: permits, random, round_robin or least_outstanding.",
     )
+    shedding: str = _setting(
+        default="expected_wait",
+        help="Requests refused at once: expected_wait (those that would time out) or off.",
+    )
     log_level: str = _setting(default="info", help="debug, info, warning or error.")
     drain_s: float = _setting(default=30.0, help="Longest time a planned stop waits, in seconds.")
     record: str = _setting(default="", help="ip:port of a sink for trace recording, or empty.")
 
 
 ROUTING_POLICIES = ("permits", "random", "round_robin", "least_outstanding")
+SHEDDING_POLICIES = ("expected_wait", "off")
 LOG_LEVELS = ("debug", "info", "warning", "error")
 MIN_KEY_LENGTH = 16
 
@@ -112,6 +117,8 @@
             problems.append(f"{name} must not be empty or contain '/'")
     if cfg.routing not in ROUTING_POLICIES:
         problems.append(f"routing must be one of {', '.join(ROUTING_POLICIES)}")
+    if cfg.shedding not in SHEDDING_POLICIES:
+        problems.append(f"shedding must be one of {', '.join(SHEDDING_POLICIES)}")
     if cfg.log_level not in LOG_LEVELS:
         problems.append(f"log_level must be one of {', '.join(LOG_LEVELS)}")
     if cfg.threads < 1:
