--- a/fescuerudder/codec.py
+++ b/fescuerudder/codec.py
@@ -14,6 +14,8 @@
     for cls in (
         messages.PermitAsk,
         messages.PermitReply,
+        messages.PermitDemand,
+        messages.PermitOffer,
         messages.Hello,
         messages.TaskHint,
         messages.ViewHint,
--- a/fescuerudder/entry.py
+++ b/fescuerudder/entry.py
@@ -32,6 +32,8 @@
     Hello,
     Message,
     PermitAsk,
+    PermitDemand,
+    PermitOffer,
     PermitReply,
     TaskHint,
     ViewHint,
@@ -47,6 +49,7 @@
 from fescuerudder.rackstate import Learned
 from fescuerudder.recording import Recording
 from fescuerudder.replicas import ReplicaKeeper
+from fescuerudder.retention import RecordSweeper
 from fescuerudder.routes import make_routes
 from fescuerudder.routing import Router, make_balancer
 from fescuerudder.service import OwnerService, PeriodicService
@@ -279,12 +282,20 @@
             incarnation=lambda: self._keeper.incarnation,
             new_id=new_txn_id,
         )
+        self._sweeper = RecordSweeper(
+            instance=cfg.instance,
+            live=lambda: self._observer.live(),
+            table=self._table,
+            committer=self._committer,
+            wall_s=time.time,
+        )
         self._router = Router(
             clock=clock,
             balancer=self._balancer,
             forwarder=self._upstream,
             records=self._records,
             is_known=self._is_known,
+            sheds=cfg.shedding == "expected_wait",
         )
         self._frontend = Frontend(
             address=cfg.http,
@@ -330,6 +341,7 @@
         self._add_periodic("racks", RACKS_STEP_S, self._racks.step)
         self._add_periodic("routes", ROUTES_STEP_S, self._update_routes)
         self._add_periodic("replicas", UPKEEP_S, self._replicas.step)
+        self._add_periodic("retention", UPKEEP_S, self._sweeper.step)
         self._add_periodic("upkeep", UPKEEP_S, self._do_upkeep)
         self._kernel.add("permits", lambda _: _PermitService(holder=self._holder))
         self._add_owner("frontend", self._frontend)
@@ -345,6 +357,8 @@
     def _add_handlers(self) -> None:
         add = self._handlers.add
         add(PermitAsk, lambda peer, ask: self._racks.answer(peer, ask))
+        add(PermitDemand, self._on_permit_demand)
+        add(PermitOffer, self._on_permit_offer)
         add(TaskHint, self._on_task_hint)
         add(ViewHint, self._on_view_hint)
         add(Handover, self._on_handover)
@@ -356,6 +370,21 @@
         self._racks.hint(message.rack, message.task)
         return Accepted()
 
+    def _on_permit_demand(self, peer: str, message: PermitDemand) -> Message:
+        self._holder.note_demand(message.rack, message.service)
+        return Accepted()
+
+    def _on_permit_offer(self, peer: str, message: PermitOffer) -> Message:
+        self._holder.note_offer(message.rack, message.service)
+        return Accepted()
+
+    def _tell_holder(self, instance: str, message: Message) -> None:
+        """Sends a notice about permits to a peer or to this instance itself."""
+        if instance == self._cfg.instance:
+            self._handlers(instance, message)
+        else:
+            self._tell(instance, message)
+
     def _on_view_hint(self, peer: str, message: ViewHint) -> Message:
         if message.revision > self._view.current().revision:
             self._kernel.find("view").wake()
@@ -422,6 +451,7 @@
             epoch=lease.epoch,
             clock=self._clock,
             is_owner=self._keeper.is_live,
+            tell=self._tell_holder,
         )
         return controller, granter
 
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -9,7 +9,7 @@
 
 from fescuerudder.clock import ManualClock
 from fescuerudder.errors import PeerError
-from fescuerudder.messages import PermitAsk, PermitReply
+from fescuerudder.messages import PermitAsk, PermitDemand, PermitReply
 from fescuerudder.permits import (
     PERMIT_IDLE_S,
     PERMIT_TTL_S,
@@ -32,12 +32,20 @@
     ]
 
 
-def make_granter(clock, *, epoch=1, workers=None, is_owner=lambda: True):
-    granter = PermitGranter(rack=RACK, epoch=epoch, clock=clock, is_owner=is_owner)
+def make_granter(clock, *, epoch=1, workers=None, is_owner=lambda: True, **fields):
+    granter = PermitGranter(rack=RACK, epoch=epoch, clock=clock, is_owner=is_owner, **fields)
     granter.update_workers(make_workers() if workers is None else workers)
     return granter
 
 
+def deliver(holder, message):
+    """Hands a notice of a granter to a holder."""
+    if isinstance(message, PermitDemand):
+        holder.note_demand(message.rack, message.service)
+    else:
+        holder.note_offer(message.rack, message.service)
+
+
 def make_ask(wanted=0, **fields):
     return PermitAsk(rack=RACK, service="draw", wanted=wanted, **fields)
 
@@ -84,9 +92,15 @@
                 epoch=epoch,
                 workers=workers,
                 is_owner=lambda: epoch == len(self.granters),
+                tell=self.tell,
             )
         )
 
+    def tell(self, name, message):
+        """Delivers a notice, or loses it."""
+        if self.rng.random() < 0.8:
+            deliver(self.holders[name], message)
+
     def carry(self, name, ask):
         """Delivers an ask, perhaps to the former owner; other events may happen meanwhile."""
         plan = self.rng.choice(PLANS) if self.depth < 2 else "ok"
@@ -259,6 +273,25 @@
     assert (holder.held("draw"), granter.live_permits()) == (0, 0)
 
 
+def test_idle_permit_is_returned_at_once_when_others_wait():
+    """Guards against requests that wait while another instance holds idle permits."""
+    clock = ManualClock()
+    holders = {}
+    granter = make_granter(
+        clock,
+        workers=make_workers(slots=1),
+        tell=lambda name, msg: deliver(holders[name], msg),
+    )
+    for name in "ab":
+        holders[name] = make_holder(clock, lambda rack, ask, name=name: granter.answer(name, ask))
+    holders["a"].release(acquire_stepping(holders["a"], clock), True)
+    # The first ask finds no free slot; the notices let the second one succeed without a pause.
+    clock.wait_s = lambda event, timeout_s: [holders[name].step() for name in "bab"]
+    start_s = clock.now_s()
+    assert holders["b"].acquire("draw", start_s + 1.0) is not None
+    assert clock.now_s() == start_s
+
+
 def test_late_answer_does_not_revive_a_permit():
     """Guards against using a permit whose time ran out while its holder was paused."""
     clock = ManualClock()
