Send nothing to a worker after the permit has ended

Cause: a permit was checked only when a request took it. Connecting may take 1 s after that, so a request could start up to 4 s after the last status that showed the worker as not leaving. Change: a taken permit carries its remaining time, and the forwarder checks it when it connects and again before the first byte; the request is then not_run and may go to another worker. Before: test_a_slow_connection_does_not_outlive_the_permit[0.3-False] fails with outcome 'unknown' (the request was sent); after: 19 tests of test_leaving.py pass.

--- a/fescuerudder/permits.py
+++ b/fescuerudder/permits.py
@@ -727,7 +727,7 @@
         pool, held = max(idle, key=lambda item: (self._is_near(item[0]), item[1].idle_since_s))
         held.busy = True
         self._busy[pool.rack, held.permit.serial] = (pool, held)
-        return held.permit
+        return attrs.evolve(held.permit, ttl_s=held.ends_s - now)
 
     def _is_near(self, pool: _Pool) -> bool:
         route = self._racks.get(pool.rack)
@@ -758,7 +758,7 @@
             data=item.data,
             slot=UNOWNED_SERIAL,
             serial=UNOWNED_SERIAL,
-            ttl_s=0.0,
+            ttl_s=self._unowned[route.rack].probed_s[item.worker] + UPSTREAM_FRESH_S - now,
         )
 
     def _is_probed(self, rack: str, worker: str, now: float) -> bool:
--- a/fescuerudder/routing.py
+++ b/fescuerudder/routing.py
@@ -1,6 +1,7 @@
 """Routing of requests: admission, late binding to permits, retries, and simpler baselines."""
 
 import itertools
+import math
 import random
 import threading
 from collections import Counter, defaultdict
@@ -321,7 +322,7 @@
         taken.add(slot)
         self._in_flight[item.worker] += 1
         return SlotPermit(
-            rack=rack, worker=item.worker, data=item.data, slot=slot, serial=0, ttl_s=0.0
+            rack=rack, worker=item.worker, data=item.data, slot=slot, serial=0, ttl_s=math.inf
         )
 
 
--- a/fescuerudder/upstream.py
+++ b/fescuerudder/upstream.py
@@ -145,14 +145,18 @@
         self.close()
 
     def forward(self, permit: SlotPermit, req: Request) -> Result[Answer, UpstreamError]:
-        """Sends `req` to the permit's worker and reads the answer completely."""
-        opened = self._connection(permit, req)
+        """Sends `req` to the permit's worker and reads the answer completely.
+
+        Nothing is sent once the permit's `ttl_s` has passed: the worker may be leaving.
+        """
+        start_by_s = min(req.deadline_s, self._clock.now_s() + permit.ttl_s)
+        opened = self._connection(permit, start_by_s)
         if isinstance(opened, Err):
             return opened
         conn = opened.ok_value
         reusable = False
         try:
-            answer, reusable = self._exchange(conn, req)
+            answer, reusable = self._exchange(conn, req, start_by_s)
         except UpstreamError as exc:
             return Err(exc)
         except (TimeoutError, ReadTimeoutError):
@@ -188,7 +192,9 @@
         if previous is not None:
             previous.close()
 
-    def _connection(self, permit: SlotPermit, req: Request) -> Result[_Connection, UpstreamError]:
+    def _connection(
+        self, permit: SlotPermit, start_by_s: float
+    ) -> Result[_Connection, UpstreamError]:
         """Returns a usable connection; until it is returned nothing was written."""
         with self._lock:
             conn = self._idle.pop(_key(permit), None)
@@ -197,9 +203,9 @@
             if conn.is_connected:
                 return Ok(conn)
             conn.close()
-        left_s = req.deadline_s - self._clock.now_s()
+        left_s = start_by_s - self._clock.now_s()
         if left_s <= 0:
-            return Err(_failed("the deadline has passed", status=503, outcome="not_run"))
+            return Err(_too_late())
         host, _, port = permit.data.rpartition(":")
         conn = _Connection(host, int(port), timeout=min(self._connect_timeout_s, left_s))
         try:
@@ -210,11 +216,12 @@
             return Err(_failed(detail, status=503, outcome="not_run"))
         return Ok(conn)
 
-    def _exchange(self, conn: _Connection, req: Request) -> tuple[Answer, bool]:
+    def _exchange(self, conn: _Connection, req: Request, start_by_s: float) -> tuple[Answer, bool]:
         """Sends the request and reads the answer; returns it and whether to keep `conn`."""
-        left_s = req.deadline_s - self._clock.now_s()
-        if left_s <= 0:
-            raise _failed("the deadline has passed", status=503, outcome="not_run")
+        now_s = self._clock.now_s()
+        if now_s >= start_by_s:
+            raise _too_late()
+        left_s = req.deadline_s - now_s
         request_id = f"{req.trace_id}.{self._new_id()}"
         conn.timeout = left_s
         conn.sock.remaining_s = lambda: req.deadline_s - self._clock.now_s()
@@ -257,6 +264,11 @@
     return UpstreamError(detail, status=status, outcome=outcome)
 
 
+def _too_late() -> UpstreamError:
+    detail = "the deadline or the permit ended before the request was sent"
+    return _failed(detail, status=503, outcome="not_run")
+
+
 def _outgoing(req: Request, request_id: str, left_s: float) -> dict[str, str]:
     headers: dict[str, str] = {}
     for key, value in end_to_end(req.headers):
