Refuse no runnable task for good while a rack changes its owner

Cause: a new owner publishes a summary without workers until it has read their status. It replaced the predecessor's summary because of its higher epoch, so a valid submission got 422 'no known worker is large enough' and requests had no upstream in that moment. Change: a summary without workers does not replace one with workers, and while no worker of an allowed rack is known a submission is refused with 503 not_run.

--- a/fescuerudder/routes.py
+++ b/fescuerudder/routes.py
@@ -17,6 +17,9 @@
 ) -> dict[str, RackSummary]:
     """Returns the summary with the highest epoch for each rack.
 
+    A new owner's summary without workers does not replace a predecessor's: until the new owner
+    has read their status, callers would find no upstream and submitters no worker.
+
     Args:
         sessions: sessions of all instances, also of lost ones: their last summary tells which
             upstreams a rack without an owner has.
@@ -25,11 +28,15 @@
     latest: dict[str, RackSummary] = {}
     for summary in [*_published(sessions), *own]:
         known = latest.get(summary.rack)
-        if known is None or summary.epoch >= known.epoch:
+        if known is None or _rank(summary) >= _rank(known):
             latest[summary.rack] = summary
     return latest
 
 
+def _rank(summary: RackSummary) -> tuple[bool, int]:
+    return bool(summary.upstreams), summary.epoch
+
+
 def make_routes(
     *,
     summaries: Mapping[str, RackSummary],
--- a/fescuerudder/submission.py
+++ b/fescuerudder/submission.py
@@ -144,10 +144,11 @@
             trace_id=trace_id,
             txn=self._new_id(),
         )
-        rack = self._home(task)
+        summaries = list(self._summaries())
+        rack = self._home(task, summaries)
         if rack is None:
             # A repeated submission must find its task even if it could not be placed now.
-            return self._stored_or(task, self._never_runnable(doc))
+            return self._stored_or(task, self._not_placed(doc, summaries))
         return self._create(attrs.evolve(task, rack=rack))
 
     def get(self, task_id: str) -> Answer:
@@ -188,11 +189,11 @@
             return task_id_for(service=service, idempotency_key=idempotency_key)
         return f"{self._rng.getrandbits(128):032x}"
 
-    def _home(self, task: Task) -> str | None:
+    def _home(self, task: Task, summaries: list[RackSummary]) -> str | None:
         return choose_home(
             size=task.size,
             zones=task.zones,
-            summaries=self._summaries(),
+            summaries=summaries,
             zone_states=self._view.current().zones,
             rng=self._rng,
         )
@@ -226,7 +227,14 @@
             return Err(Refused(kind="other_body", reason=reason))
         return Ok(self._to_view(stored))
 
-    def _never_runnable(self, doc: ServiceDocument) -> Refused:
+    def _not_placed(self, doc: ServiceDocument, summaries: list[RackSummary]) -> Refused:
+        """Returns why no rack takes a task: for good only if the workers' sizes are known.
+
+        A rack that has just changed its owner shows no worker until the first status is read.
+        """
+        racks = [summary for summary in summaries if allowed(summary, doc.zones)]
+        if not summaries or any(not rack.largest for rack in racks):
+            return Refused(kind="busy", reason="not run: the workers' sizes are not known yet")
         zones = ", ".join(doc.zones) or "any zone"
         size = ", ".join(f"{name} {part:g}" for name, part in attrs.asdict(doc.size).items())
         reason = f"not run: no known worker in {zones} is large enough for {size}"
