Reset no connection when a stopping instance closes its listener

Cause: a planned stop closed the listener while connections that the kernel had accepted still waited in its backlog, and closed idle connections on which a request had just arrived; both were reset, and their callers could not tell whether the request ran. Answers during the drain also left the connection open for another request. Change: the stop first drops new SYNs by a socket filter, then serves every accepted connection and every readable idle one, then closes; during the drain each answer carries Connection: close.

--- a/fescuerudder/frontend.py
+++ b/fescuerudder/frontend.py
@@ -5,6 +5,7 @@
 import json
 import re
 import threading
+import time
 from collections.abc import Callable, Iterable
 from typing import Any, Protocol
 from urllib.parse import unquote
@@ -16,6 +17,7 @@
 from cheroot.server import ChunkedRFile, KnownLengthRFile
 from result import Ok, Result
 
+from fescuerudder._synfilter import drop_new_connections
 from fescuerudder.clock import Clock
 from fescuerudder.document import NAME_PATTERN
 from fescuerudder.errors import (
@@ -38,7 +40,9 @@
 DEFAULT_DEADLINE_S = 30.0
 MAX_DEADLINE_S = 24 * 3600.0
 LISTEN_BACKLOG = 512
+MAX_LAST_CONNECTIONS = 4 * LISTEN_BACKLOG
 KEEPALIVE_S = 10
+HANDSHAKE_S = 0.1
 DRAIN_POLL_S = 0.02
 DRAIN_QUIET_S = 0.2
 STOP_S = 2
@@ -167,6 +171,45 @@
 
     in_flight: _InFlight
 
+    def stop(self) -> None:
+        """Stops listening, answers what has arrived and closes all connections."""
+        if self.ready:
+            self._end_arrivals()
+            self._connections.stop()
+            self._take_accepted()
+            self._take_readable()
+        super().stop()
+
+    def _end_arrivals(self) -> None:
+        try:
+            drop_new_connections(self.socket)
+        except OSError as exc:
+            _log.warning("late connections may be reset", error=str(exc))
+        # Handshakes that have begun take a round trip.
+        time.sleep(HANDSHAKE_S)
+
+    def _take_accepted(self) -> None:
+        """Serves the connections that the kernel has accepted, then closes the listener.
+
+        Closing the listener resets them, and their callers could not tell whether their
+        requests ran. cheroot has no hook for this, hence its private members.
+        """
+        listener, self.socket = self.socket, None
+        self._connections._selector.unregister(listener.fileno())
+        listener.setblocking(False)
+        for _ in range(MAX_LAST_CONNECTIONS):
+            conn = self._connections._from_server_socket(listener)
+            if conn is None:
+                break
+            self.process_conn(conn)
+        listener.close()
+
+    def _take_readable(self) -> None:
+        """Serves the idle connections on which a request has arrived."""
+        for sock_fd, conn in list(self._connections._selector.select(timeout=0)):
+            self._connections._selector.unregister(sock_fd)
+            self.process_conn(conn)
+
 
 class _Gateway(wsgi.Gateway_10):
     """Counts requests, bounds chunked bodies and lets the application close the connection."""
@@ -306,6 +349,9 @@
         headers.append(("X-Request-Id", trace_id))
         if answer.status not in _NO_BODY_STATUS:
             headers.append(("Content-Length", str(len(answer.body))))
+        if self._draining.is_set():
+            # The connection is about to end; its caller must not send another request on it.
+            environ[_REQUEST_KEY].close_connection = True
         start_response(_status_line(answer.status), headers)
         _log.info(
             "request finished",
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -16,6 +16,7 @@
 
 KEY = "operator-key-for-tests"
 BEARER = {"Authorization": f"Bearer {KEY}"}
+STOPS = 3
 IDEMPOTENT = {"Idempotency-Key": "k"}
 
 
@@ -119,6 +120,63 @@
         yield made
 
 
+class Stubborn(threading.Thread):
+    """A caller that goes on calling until its connection is refused; notes broken calls.
+
+    Args:
+        site: the site to call.
+        keep: whether it keeps its connection open between requests.
+    """
+
+    def __init__(self, site, *, keep):
+        super().__init__(daemon=True)
+        self.site, self.keep = site, keep
+        self.statuses, self.broken = [], []
+
+    def run(self):
+        while True:
+            conn = http.client.HTTPConnection("127.0.0.1", self.site.frontend.port, timeout=5)
+            try:
+                conn.connect()
+            except ConnectionRefusedError:
+                return
+            try:
+                self.call(conn)
+            except (OSError, http.client.HTTPException) as exc:
+                self.broken.append(repr(exc))
+            finally:
+                conn.close()
+
+    def call(self, conn):
+        reusable = True
+        while reusable:
+            conn.request("POST", "/s/draw/x", b"x")
+            resp = conn.getresponse()
+            resp.read()
+            self.statuses.append(resp.status)
+            reusable = self.keep and not resp.will_close
+
+
+@pytest.mark.parametrize("keep", [False, True])
+def test_stopping_under_load_answers_every_connection_it_took(keep):
+    """Guards against a planned stop that resets connections which the kernel had accepted."""
+    for _ in range(STOPS):
+        site = Site()
+        site.frontend.start()
+        callers = [Stubborn(site, keep=keep) for _ in range(8)]
+        for caller in callers:
+            caller.start()
+        while not all(caller.statuses for caller in callers):
+            threading.Event().wait(0.01)
+        site.frontend.drain(0.3)
+        site.frontend.stop()
+        for caller in callers:
+            caller.join(timeout=10)
+        assert not any(caller.is_alive() for caller in callers)
+        assert {503} <= {status for caller in callers for status in caller.statuses}
+        assert [caller.broken for caller in callers if caller.broken] == []
+
+
 @pytest.fixture
 def site(running):
     """The shared site with its router as new; stopping a server takes half a second."""
