--- a/tests/test_retention.py
+++ b/tests/test_retention.py
@@ -3,6 +3,7 @@
 import pytest
 
 from fescuerudder.retention import RETENTION_S, SWEEP_BATCH, SWEEP_DIGITS, RecordSweeper
+from fescuerudder.table import Put, Transaction
 from tests.fakes import FakeTable
 from tests.test_idempotency import ANSWER, REQ, DirectCommitter, make_records
 
@@ -50,9 +51,8 @@
     """Guards against all instances reading all records, and against bursts of writes."""
     table = FakeTable()
     value = {"state": "finished", "finished_at_s": 0.0}
-    table.state.transact(
-        checks=[], puts=[(f"request/000{n}", value) for n in range(SWEEP_BATCH + 1)], deletes=[]
-    )
+    puts = tuple(Put(key=f"request/000{n}", value=value) for n in range(SWEEP_BATCH + 1))
+    table.state.transact(Transaction(puts=puts))
     assert make_sweeper(table, now_s=RETENTION_S, live=("other",)).step() == 0
     sweeper = make_sweeper(table, now_s=RETENTION_S)
     assert [sweeper.step() for _ in range(2)] == [SWEEP_BATCH, 1]
