--- a/fescuerudder/permits.py
+++ b/fescuerudder/permits.py
@@ -118,6 +118,9 @@
         # A predecessor's permits are live for up to their ttl; the first epoch has none.
         wait_s = PERMIT_TTL_S if epoch > 1 else 0.0
         self._settled_s = clock.now_s() + wait_s
+        # Slots whose holder reported them to this granter and then returned them: unlike all
+        # other slots they are certainly free even while permits of a predecessor may be live.
+        self._returned: set[tuple[str, int]] = set()
         self._workers: dict[str, WorkerSlots] = {}
         self._seen_s: dict[str, float] = {}
         self._grants: dict[tuple[str, int], _Grant] = {}
@@ -183,7 +186,7 @@
         return [
             (name, service)
             for name, service in waiting
-            if any(self._free_slots(item) for item in self._usable(service, now))
+            if any(self._free_slots(item, now) for item in self._usable(service, now))
         ]
 
     def _expire(self, now: float) -> None:
@@ -203,6 +206,7 @@
         for permit in returned:
             if self._find(asker, permit) is not None:
                 del self._grants[permit.worker, permit.slot]
+                self._returned.add((permit.worker, permit.slot))
 
     def _find(self, asker: str, permit: SlotPermit) -> _Grant | None:
         grant = self._grants.get((permit.worker, permit.slot))
@@ -257,14 +261,13 @@
         if wanted <= 0:
             return []
         granted: list[SlotPermit] = []
-        if now >= self._settled_s:
-            shares = self._shares(ask.service, now, newcomer=asker)
-            for _ in range(min(wanted, self._allowance(asker, shares))):
-                permit = self._grant_one(asker, ask, now)
-                if permit is None:
-                    break
-                granted.append(permit)
-                self._granted_s[asker] = now
+        shares = self._shares(ask.service, now, newcomer=asker)
+        for _ in range(min(wanted, self._allowance(asker, shares))):
+            permit = self._grant_one(asker, ask, now)
+            if permit is None:
+                break
+            granted.append(permit)
+            self._granted_s[asker] = now
         if len(granted) < wanted:
             self._demands[asker, ask.service] = (wanted - len(granted), now)
         return granted
@@ -290,10 +293,10 @@
 
     def _grant_one(self, asker: str, ask: PermitAsk, now: float) -> SlotPermit | None:
         """Grants a slot of the worker with the most free slots; avoided workers come last."""
-        usable = [w for w in self._usable(ask.service, now) if self._free_slots(w)]
+        usable = [w for w in self._usable(ask.service, now) if self._free_slots(w, now)]
         best = max(
             usable,
-            key=lambda w: (w.worker not in ask.avoid, len(self._free_slots(w)), w.worker),
+            key=lambda w: (w.worker not in ask.avoid, len(self._free_slots(w, now)), w.worker),
             default=None,
         )
         if best is None:
@@ -302,7 +305,7 @@
             rack=self._rack,
             worker=best.worker,
             data=best.data,
-            slot=self._free_slots(best)[0],
+            slot=self._free_slots(best, now)[0],
             serial=next(self._serials),
             ttl_s=self._ttl_s(best.worker, ask.service, now),
         )
@@ -314,8 +317,11 @@
     def _usable(self, service: str, now: float) -> list[WorkerSlots]:
         return [w for w in self._workers.values() if self._ttl_s(w.worker, service, now) > 0]
 
-    def _free_slots(self, item: WorkerSlots) -> list[int]:
-        return [slot for slot in range(item.slots) if (item.worker, slot) not in self._grants]
+    def _free_slots(self, item: WorkerSlots, now: float) -> list[int]:
+        free = [slot for slot in range(item.slots) if (item.worker, slot) not in self._grants]
+        if now >= self._settled_s:
+            return free
+        return [slot for slot in free if (item.worker, slot) in self._returned]
 
     def _shares(self, service: str, now: float, *, newcomer: str) -> _Shares:
         """Divides the slots of the workers that run `service` among all that use or want them."""
@@ -337,7 +343,7 @@
             if held[asker] < share
         }
         return _Shares(
-            free=sum(len(self._free_slots(item)) for item in usable),
+            free=sum(len(self._free_slots(item, now)) for item in usable),
             share=share,
             held=held,
             deficits=deficits,
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -216,6 +216,19 @@
     assert len(second.answer("b", make_ask(2)).permits) == 1
 
 
+def test_new_owner_grants_reported_slots_once_they_are_returned():
+    """Guards against a loss of capacity for seconds after each planned handover."""
+    clock = ManualClock()
+    held = make_granter(clock).answer("a", make_ask(1)).permits
+    second = make_granter(clock, epoch=2)
+    assert second.answer("a", make_ask(returned=held)).permits == ()
+    assert second.answer("b", make_ask(1)).permits == ()
+    second.answer("a", make_ask(held=held))
+    second.answer("a", make_ask(returned=held))
+    slots = [(p.worker, p.slot) for p in second.answer("b", make_ask(2)).permits]
+    assert slots == [(p.worker, p.slot) for p in held]
+
+
 def test_new_owner_without_status_does_not_revoke():
     """Guards against cutting all permits off in the moment after a claim."""
     clock = ManualClock()
