--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -164,15 +164,19 @@
         for name in ("p50", "p99", "p99.9"):
             values = [line[field][name] for line in group]
             cells.append(f"{name} {median(values):.1f} ({min(values):.1f}-{max(values):.1f})")
-        total = sum(line["requests"] for line in group)
-        counts = f"of {total} requests"
+        counts = f"of {sum(line['requests'] for line in group)} requests"
         for name in ("answered", "prompt", "in_time", "shed"):
-            counts += f", {name} {sum(line[name] for line in group) / total:.2%}"
+            counts += f", {name} {_share(group, name):.2%}"
         counts += f", refusals by workers {sum(line['worker_refusals'] for line in group)}"
         rows.append(f"  {load:.0%} {policy:18} {'  '.join(cells)}  {counts}")
     return "\n".join(rows)
 
 
+def _share(group: Sequence[Line], name: str) -> float:
+    """Returns the share of requests that `name` counts; 0 if the lines lack it."""
+    return sum(line.get(name, 0) for line in group) / sum(line["requests"] for line in group)
+
+
 def _groups(lines: Sequence[Line]) -> dict[tuple[float, str], list[Line]]:
     groups: dict[tuple[float, str], list[Line]] = {}
     for line in sorted(lines, key=lambda line: (line["load"], line["policy"])):
@@ -204,12 +208,13 @@
             ]
             width = 0.8 / len(policies)
             places = [place + number * width for place in range(len(names))]
-            axis.bar(places, middle, width, yerr=spread, capsize=2, label=policy)
+            label = f"{policy}, {_share(groups[load, policy], 'answered'):.1%} answered"
+            axis.bar(places, middle, width, yerr=spread, capsize=2, label=label)
+        axis.legend(fontsize="small")
         axis.set_xticks([place + 0.4 - width / 2 for place in range(len(names))], names)
         axis.set_yscale("log")
         axis.set_ylabel("latency minus service time, ms (median, range)")
         axis.set_title(f"{path.stem}: {load:.0%} of capacity, {lines[0]['shape']} load")
-    axes[0][0].legend()
     figure.tight_layout()
     image = path.with_suffix(".png")
     figure.savefig(image, dpi=110)
