--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -166,6 +166,8 @@
             cells.append(f"{name} {median(values):.1f} ({min(values):.1f}-{max(values):.1f})")
         counts = f"of {sum(line['requests'] for line in group)} requests"
         for name in ("answered", "prompt", "in_time", "shed"):
+            if name not in group[0]:
+                continue
             counts += f", {name} {_share(group, name):.2%}"
         counts += f", refusals by workers {sum(line['worker_refusals'] for line in group)}"
         rows.append(f"  {load:.0%} {policy:18} {'  '.join(cells)}  {counts}")
@@ -173,8 +175,8 @@
 
 
 def _share(group: Sequence[Line], name: str) -> float:
-    """Returns the share of requests that `name` counts; 0 if the lines lack it."""
-    return sum(line.get(name, 0) for line in group) / sum(line["requests"] for line in group)
+    """Returns the share of requests that `name` counts."""
+    return sum(line[name] for line in group) / sum(line["requests"] for line in group)
 
 
 def _groups(lines: Sequence[Line]) -> dict[tuple[float, str], list[Line]]:
