--- a/fescuerudder/permits.py
+++ b/fescuerudder/permits.py
@@ -25,7 +25,7 @@
 
 PERMIT_TTL_S = 3.0
 PERMIT_RENEW_S = 1.0
-PERMIT_IDLE_S = 0.2
+PERMIT_IDLE_S = 1.0
 PERMIT_RETRY_S = 0.05
 UPSTREAM_FRESH_S = 3.0
 PROBE_S = 1.0
