--- a/fescuerudder/messages.py
+++ b/fescuerudder/messages.py
@@ -54,6 +54,22 @@
     is_owner: bool = True
 
 
+@attrs.frozen(kw_only=True)
+class PermitDemand:
+    """Tells a holder of permits that others wait: it returns idle permits at once."""
+
+    rack: str
+    service: str
+
+
+@attrs.frozen(kw_only=True)
+class PermitOffer:
+    """Tells an instance whose ask was not met that slots came free: it may ask again."""
+
+    rack: str
+    service: str
+
+
 @attrs.frozen(kw_only=True)
 class Hello:
     """First message on a connection."""
@@ -112,6 +128,8 @@
 Message = (
     PermitAsk
     | PermitReply
+    | PermitDemand
+    | PermitOffer
     | Hello
     | TaskHint
     | ViewHint
