Stop replicas only after their requests have ended, spread and replace them

Cause: an evicted replica was stopped at once, so requests in progress on its worker were cut; replicas were placed by free capacity only.

Change: the owner withdraws (worker, service) from its summary and from grants and stops the replica when no permit or unowned request can be in progress, or after a bound. Replicas that must leave are replaced at once in the zone and rack with the fewest replicas.

--- a/fescuerudder/entry.py
+++ b/fescuerudder/entry.py
@@ -424,6 +424,14 @@
             self._tell(owner, TaskHint(rack=rack, task=task_id))
 
     def _make_rack(self, lease: RackLease) -> tuple[RackController, PermitGranter]:
+        granter = PermitGranter(
+            rack=lease.rack,
+            epoch=lease.epoch,
+            clock=self._clock,
+            is_owner=self._keeper.is_live,
+            reaches_all=self._reaches_all,
+            tell=self._tell_holder,
+        )
         controller = RackController(
             rack=lease.rack,
             zone=self._membership.zone_of(lease.rack),
@@ -437,17 +445,15 @@
             rng=self._rng,
             summaries=self._membership.summaries,
             learned=self._learned,
+            may_be_in_use=granter.may_be_in_use,
             run_all=self._run_all,
         )
-        granter = PermitGranter(
-            rack=lease.rack,
-            epoch=lease.epoch,
-            clock=self._clock,
-            is_owner=self._keeper.is_live,
-            tell=self._tell_holder,
-        )
         return controller, granter
 
+    def _reaches_all(self) -> bool:
+        """Returns whether a connection to every other live instance stands."""
+        return set(self._observer.live()) - {self._cfg.instance} <= set(self._clients.connected())
+
     def _run_all(self, calls: list[Callable[[], Any]]) -> list[Any]:
         return [fut.result() for fut in [self._pool.submit(call) for call in calls]]
 
--- a/fescuerudder/evict.py
+++ b/fescuerudder/evict.py
@@ -6,6 +6,7 @@
 
 from fescuerudder.errors import WorkerRefusedError, WorkerUnreachableError
 from fescuerudder.fleet import WorkerState
+from fescuerudder.graceful import Running, ready_to_stop
 from fescuerudder.interference import Mitigation
 from fescuerudder.placement import WorkerLoad, is_feasible
 from fescuerudder.rackstate import RackState
@@ -33,8 +34,12 @@
     reclaim(state)
 
 
-def evict_many(state: RackState, pairs: list[tuple[HeldTask, WorkerState]]) -> None:
-    """Stops attempts with a checkpoint and queues their tasks again."""
+def evict_many(state: RackState, pairs: list[Running]) -> None:
+    """Stops attempts with a checkpoint and queues their tasks again.
+
+    Replicas that may be serving requests are withdrawn first and stopped in a later cycle.
+    """
+    pairs = ready_to_stop(state, pairs)
     calls = [functools.partial(_stop, state, held, worker) for held, worker in pairs]
     for (held, _), outcome in zip(pairs, state.fleet.run(calls), strict=True):
         if outcome is None or outcome.state in ("running", "finished", "failed"):
@@ -87,7 +92,7 @@
         loads[worker] = loads[worker].with_task(task)
 
 
-def _running(state: RackState) -> list[tuple[HeldTask, WorkerState]]:
+def _running(state: RackState) -> list[Running]:
     """Returns the tasks that run as their rows say, with their workers."""
     found = []
     for held in state.rows.assigned():
--- /dev/null
+++ b/fescuerudder/graceful.py
@@ -0,0 +1,34 @@
+"""Which running attempts may be stopped without cutting off a request."""
+
+from fescuerudder.fleet import WorkerState
+from fescuerudder.rackstate import RackState
+from fescuerudder.renewals import is_current
+from fescuerudder.transitions import HeldTask
+
+Running = tuple[HeldTask, WorkerState]
+
+
+def ready_to_stop(state: RackState, pairs: list[Running]) -> list[Running]:
+    """Returns those of `pairs` that may be stopped together; the others are withdrawn.
+
+    A replica may be stopped at once if another one of its service stays on the worker.
+    """
+    due = {held.task.id for held, _ in pairs}
+    return [(held, worker) for held, worker in pairs if _is_ready(state, held, worker, due)]
+
+
+def _is_ready(state: RackState, held: HeldTask, worker: WorkerState, due: set[str]) -> bool:
+    service, name = held.task.service, worker.member.id
+    if held.task.kind != "replica" or _has_other(state, service, worker, due):
+        return True
+    return state.withdrawals.may_stop(name, service)
+
+
+def _has_other(state: RackState, service: str, worker: WorkerState, due: set[str]) -> bool:
+    return any(
+        attempt.service == service
+        and not attempt.is_ended
+        and attempt.task not in due
+        and is_current(state, worker.member.id, attempt)
+        for attempt in worker.attempts
+    )
--- a/fescuerudder/home.py
+++ b/fescuerudder/home.py
@@ -1,5 +1,6 @@
 """Choice of the rack in whose queue a task waits."""
 
+from collections import Counter
 from collections.abc import Iterable, Mapping
 from random import Random
 from typing import Literal
@@ -50,6 +51,33 @@
     return max(picked, key=total_free)
 
 
+def most_spread(
+    candidates: list[RackSummary],
+    *,
+    rng: Random,
+    zones: Mapping[str, str],
+    placed: Mapping[str, int],
+) -> RackSummary | None:
+    """Returns a rack of the zone with the fewest replicas, there the rack with the fewest.
+
+    Args:
+        candidates: racks to choose from.
+        rng: chooses among equals.
+        zones: zone of each known rack.
+        placed: replicas of the service by rack.
+    """
+    by_zone: Counter[str] = Counter()
+    for rack, count in placed.items():
+        by_zone[zones.get(rack, "")] += count
+    shuffled = rng.sample(candidates, len(candidates))
+    return min(shuffled, key=lambda s: (by_zone[s.zone], placed.get(s.rack, 0)), default=None)
+
+
+def replicas_by_rack(summaries: Iterable[RackSummary], service: str) -> dict[str, int]:
+    """Returns on how many workers of each rack the service has a replica."""
+    return {s.rack: sum(service in up.services for up in s.upstreams) for s in summaries}
+
+
 def choose_home(
     *,
     size: Size,
@@ -59,20 +87,28 @@
     rng: Random,
     exclude: str = "",
     needs: Need = "large_enough",
+    placed: Mapping[str, int] | None = None,
 ) -> str | None:
     """Returns the rack whose queue a task should join, or None.
 
     Racks with room now go before racks that are only large enough, and zones in service go
-    before zones out of service. `needs` is the least that the rack must offer.
+    before zones out of service. `needs` is the least that the rack must offer. For a replica,
+    `placed` states how many of its service each rack has; the new one goes far from them.
     """
+    known = list(summaries)
     able = [
-        s for s in summaries if s.rack != exclude and allowed(s, zones) and is_large_enough(s, size)
+        s for s in known if s.rack != exclude and allowed(s, zones) and is_large_enough(s, size)
     ]
     up = [s for s in able if in_service(s.zone, zone_states)]
     roomy = [s for s in up if has_room(s, size)]
     tiers = {"room": [roomy], "in_service": [roomy, up], "large_enough": [roomy, up, able]}
     for tier in tiers[needs]:
-        chosen = two_choices(tier, rng=rng)
+        if placed is None:
+            chosen = two_choices(tier, rng=rng)
+        else:
+            chosen = most_spread(
+                tier, rng=rng, zones={s.rack: s.zone for s in known}, placed=placed
+            )
         if chosen is not None:
             return chosen.rack
     return None
--- a/fescuerudder/messages.py
+++ b/fescuerudder/messages.py
@@ -35,6 +35,7 @@
         held: permits to renew.
         returned: permits given back.
         avoid: workers on which the asker just failed.
+        unowned: workers on which the asker has a request in progress without a permit.
     """
 
     rack: str
@@ -43,6 +44,7 @@
     held: tuple[SlotPermit, ...] = ()
     returned: tuple[SlotPermit, ...] = ()
     avoid: tuple[str, ...] = ()
+    unowned: tuple[str, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
--- a/fescuerudder/permits.py
+++ b/fescuerudder/permits.py
@@ -35,6 +35,10 @@
 DEMAND_HOLD_S = 0.1
 """A holder returns idle permits at once for this long after a notice of others' demand."""
 
+LONGEST_REQUEST_S = 30.0
+"""A permit that was not returned may serve a request for this long after its end: the deadline
+of requests that state none."""
+
 MAX_WANTED = 64
 UNOWNED_SERIAL = -1
 
@@ -67,6 +71,7 @@
     """A granted permit; `ends_s` is on the granter's clock."""
 
     asker: str
+    service: str
     permit: SlotPermit
     ends_s: float
     since_s: float
@@ -97,6 +102,7 @@
         epoch: epoch of the ownership; makes serials unique over all owners of the rack.
         clock: source of time; the claim counts as made at construction.
         is_owner: whether the ownership is still valid; asked after an ask has arrived.
+        reaches_all: whether all live instances can ask, so that none uses workers unowned.
         tell: sends a message to an instance, best effort; called without the lock.
     """
 
@@ -107,17 +113,23 @@
         epoch: int,
         clock: Clock,
         is_owner: Callable[[], bool] = lambda: True,
+        reaches_all: Callable[[], bool] = lambda: True,
         tell: Callable[[str, Message], None] = lambda asker, message: None,
     ) -> None:
         self._rack = rack
         self._clock = clock
         self._is_owner = is_owner
+        self._reaches_all = reaches_all
         self._tell = tell
         self._noticed_s: dict[tuple[str, str], float] = {}
         self._serials = itertools.count(epoch * _SERIALS_PER_EPOCH)
         # A predecessor's permits are live for up to their ttl; the first epoch has none.
         wait_s = PERMIT_TTL_S if epoch > 1 else 0.0
         self._settled_s = clock.now_s() + wait_s
+        # Requests under a predecessor's permits are unknown here.
+        self._unknown_until_s = self._settled_s + (LONGEST_REQUEST_S if epoch > 1 else 0.0)
+        self._unreturned: dict[int, _Grant] = {}
+        self._unowned: dict[tuple[str, str], tuple[tuple[str, ...], float]] = {}
         self._workers: dict[str, WorkerSlots] = {}
         self._seen_s: dict[str, float] = {}
         self._grants: dict[tuple[str, int], _Grant] = {}
@@ -138,6 +150,23 @@
             self._expire(self._clock.now_s())
             return len(self._grants)
 
+    def may_be_in_use(self, worker: str, service: str) -> bool:
+        """Returns whether a request to the service on the worker may be in progress."""
+        if not self._reaches_all():
+            return True
+        with self._lock:
+            now = self._clock.now_s()
+            self._expire(now)
+            grants = [*self._grants.values(), *self._unreturned.values()]
+            return (
+                now < self._unknown_until_s
+                or any(g.permit.worker == worker and g.service == service for g in grants)
+                or any(
+                    name == service and worker in workers
+                    for (_, name), (workers, _) in self._unowned.items()
+                )
+            )
+
     def answer(self, asker: str, ask: PermitAsk) -> PermitReply:
         """Returns renewed and new permits.
 
@@ -150,6 +179,7 @@
             now = self._clock.now_s()
             self._expire(now)
             self._take_back(asker, ask.returned)
+            self._note_unowned(asker, ask, now)
             renewed = self._renew(asker, ask, now)
             granted = self._grant(asker, ask, now)
             holders = self._holders_to_notice(asker, ask.service, now)
@@ -187,7 +217,12 @@
         ]
 
     def _expire(self, now: float) -> None:
+        ended = [grant for grant in self._grants.values() if grant.ends_s <= now]
         self._grants = {key: grant for key, grant in self._grants.items() if grant.ends_s > now}
+        self._unreturned.update({grant.permit.serial: grant for grant in ended})
+        oldest_s = now - LONGEST_REQUEST_S
+        self._unreturned = {s: g for s, g in self._unreturned.items() if g.ends_s > oldest_s}
+        self._unowned = {key: item for key, item in self._unowned.items() if item[1] > oldest_s}
         self._demands = {
             key: demand
             for key, demand in self._demands.items()
@@ -201,9 +236,17 @@
 
     def _take_back(self, asker: str, returned: Iterable[SlotPermit]) -> None:
         for permit in returned:
+            # A returned permit serves no request, even if it ended before.
+            self._unreturned.pop(permit.serial, None)
             if self._find(asker, permit) is not None:
                 del self._grants[permit.worker, permit.slot]
 
+    def _note_unowned(self, asker: str, ask: PermitAsk, now: float) -> None:
+        """Keeps on which workers the asker has requests in progress without a permit."""
+        self._unowned.pop((asker, ask.service), None)
+        if ask.unowned:
+            self._unowned[asker, ask.service] = (ask.unowned, now)
+
     def _find(self, asker: str, permit: SlotPermit) -> _Grant | None:
         grant = self._grants.get((permit.worker, permit.slot))
         if grant is None or grant.asker != asker or grant.permit.serial != permit.serial:
@@ -241,7 +284,7 @@
         if grant is None:
             if not in_window or not self._is_free(permit):
                 return None
-            grant = _Grant(asker=asker, permit=permit, ends_s=0.0, since_s=now)
+            grant = _Grant(asker=asker, service=ask.service, permit=permit, ends_s=0.0, since_s=now)
             self._grants[permit.worker, permit.slot] = grant
         grant.revoked = False
         grant.ends_s = max(grant.ends_s, now + ttl_s)
@@ -307,7 +350,11 @@
             ttl_s=self._ttl_s(best.worker, ask.service, now),
         )
         self._grants[permit.worker, permit.slot] = _Grant(
-            asker=asker, permit=permit, ends_s=now + permit.ttl_s, since_s=now
+            asker=asker,
+            service=ask.service,
+            permit=permit,
+            ends_s=now + permit.ttl_s,
+            since_s=now,
         )
         return permit
 
@@ -454,6 +501,7 @@
     held: dict[int, _Held] = attrs.field(factory=dict)
     returning: list[SlotPermit] = attrs.field(factory=list)
     asking: int = 0
+    told_unowned: tuple[str, ...] = ()
     in_flight: bool = False
     asked_s: float = float("-inf")
     dry_until_s: float = float("-inf")
@@ -517,7 +565,7 @@
         self._queues: dict[str, WaitQueue] = {}
         self._busy: dict[tuple[str, int], tuple[_Pool, _Held]] = {}
         self._unowned: dict[str, _Unowned] = {}
-        self._unowned_busy: set[str] = set()
+        self._unowned_busy: dict[str, tuple[str, str]] = {}
         self._avoid: dict[str, float] = {}
         self._lock = threading.RLock()
 
@@ -554,7 +602,7 @@
             if not ok:
                 self._avoid[permit.worker] = self._clock.now_s() + PERMIT_RENEW_S
             if permit.serial == UNOWNED_SERIAL:
-                self._unowned_busy.discard(permit.worker)
+                self._unowned_busy.pop(permit.worker, None)
                 self._on_drop(permit)
             else:
                 self._release_held(permit, ok)
@@ -647,7 +695,11 @@
 
     def _expire(self, pool: _Pool, now: float) -> None:
         for serial in [s for s, held in pool.held.items() if held.ends_s <= now]:
+            held = pool.held[serial]
             self._drop(pool, serial)
+            if not held.busy:
+                # Tells the granter that no request is in progress.
+                pool.returning.append(held.permit)
 
     def _drop(self, pool: _Pool, serial: int) -> None:
         held = pool.held.pop(serial)
@@ -712,7 +764,14 @@
         route = self._racks.get(pool.rack)
         if route is not None and self._is_cut(route, now):
             return False
-        return bool(pool.returning) or bool(pool.held) and now - pool.asked_s >= PERMIT_RENEW_S
+        if pool.returning or self._unowned_of(pool) != pool.told_unowned:
+            return True
+        return bool(pool.held) and now - pool.asked_s >= PERMIT_RENEW_S
+
+    def _unowned_of(self, pool: _Pool) -> tuple[str, ...]:
+        """Returns the workers with a request of the pool in progress without a permit."""
+        place = (pool.rack, pool.service)
+        return tuple(sorted(w for w, used in self._unowned_busy.items() if used == place))
 
     def _exchange(self, pool: _Pool) -> None:
         """Sends one ask and applies its answer."""
@@ -749,6 +808,7 @@
             held=tuple(held.permit for held in in_use_first),
             returned=tuple(pool.returning),
             avoid=tuple(sorted(self._avoid)),
+            unowned=self._unowned_of(pool),
         )
 
     def _apply(self, pool: _Pool, ask: PermitAsk, reply: PermitReply, sent_s: float) -> None:
@@ -761,6 +821,7 @@
                 pool.returning.extend(ask.returned)
             return
         self._unowned.pop(pool.rack, None)
+        pool.told_unowned = ask.unowned
         asked = {permit.serial for permit in ask.held}
         listed = {permit.serial for permit in reply.permits}
         for permit in reply.permits:
@@ -828,14 +889,14 @@
             if route.rack in self._unowned
             for item in route.workers
             if service in item.services
-            and item.worker not in self._unowned_busy | with_permits | waiter.avoid
+            and item.worker not in self._unowned_busy.keys() | with_permits | waiter.avoid
             and self._is_probed(route.rack, item.worker, now)
         ]
         near = [choice for choice in choices if choice[0].near]
         if not choices:
             return None
         route, item = self._rng.choice(near or choices)
-        self._unowned_busy.add(item.worker)
+        self._unowned_busy[item.worker] = (route.rack, service)
         return SlotPermit(
             rack=route.rack,
             worker=item.worker,
--- a/fescuerudder/rack.py
+++ b/fescuerudder/rack.py
@@ -20,6 +20,7 @@
 from fescuerudder.rehome import rehome_queue
 from fescuerudder.renewals import renew_leases
 from fescuerudder.table import Table, new_txn_id
+from fescuerudder.withdraw import MayBeInUse, Withdrawals, assume_in_use
 
 
 def no_summaries() -> tuple[RackSummary, ...]:
@@ -47,6 +48,7 @@
         summaries: returns the published summaries of all racks.
         placement: choice of a worker; the least interference if None.
         learned: learned slowdowns, sizes and run times, shared or new.
+        may_be_in_use: whether a request to (worker, service) may be in progress.
         run_all: runs requests to several workers at the same time.
         new_id: returns unique ids for transactions.
     """
@@ -67,6 +69,7 @@
         summaries: Callable[[], Iterable[RackSummary]] = no_summaries,
         placement: Placement | None = None,
         learned: Learned | None = None,
+        may_be_in_use: MayBeInUse = assume_in_use,
         run_all: RunAll = run_in_order,
         new_id: Callable[[], str] = new_txn_id,
     ) -> None:
@@ -87,6 +90,7 @@
             placement=placement or LeastInterference(slowdowns=learned.slowdowns),
             learned=learned,
             remedies=Remedies(slowdowns=learned.slowdowns),
+            withdrawals=Withdrawals(clock=clock, session=session, may_be_in_use=may_be_in_use),
             summaries=summaries,
             new_id=new_id,
         )
@@ -115,6 +119,7 @@
         if not self._is_active():
             return
         self._drain_hints()
+        state.withdrawals.begin_cycle()
         state.fleet.refresh()
         self._observe()
         # With a slow store, reading first could let leases expire.
@@ -210,7 +215,9 @@
         critical = {
             name
             for name in running
-            if name in services and services[name].kind == "latency-critical"
+            if name in services
+            and services[name].kind == "latency-critical"
+            and not self._state.withdrawals.is_withdrawn(worker.member.id, name)
         }
         return UpstreamState(
             worker=worker.member.id,
--- a/fescuerudder/rackports.py
+++ b/fescuerudder/rackports.py
@@ -57,6 +57,9 @@
     def is_live(self) -> bool:
         """Returns whether the session is live."""
 
+    def last_beat_s(self) -> float | None:
+        """Returns when the last successful heartbeat was sent, None before the first."""
+
     def last_live_s(self) -> float:
         """Returns until when, on the own clock, the session was last live."""
 
--- a/fescuerudder/rackstate.py
+++ b/fescuerudder/rackstate.py
@@ -8,7 +8,7 @@
 from fescuerudder.clock import Clock
 from fescuerudder.document import ServiceDocument, Size
 from fescuerudder.fleet import Fleet, WorkerState
-from fescuerudder.home import Need, choose_home, in_service
+from fescuerudder.home import Need, choose_home, in_service, replicas_by_rack
 from fescuerudder.interference import Remedies, RunTimes, Sizes, Slowdowns
 from fescuerudder.ownership_types import RackLease, RackSummary
 from fescuerudder.placement import Placement, WorkerLoad, commitments
@@ -17,6 +17,7 @@
 from fescuerudder.rackrows import RackRows
 from fescuerudder.task import Task
 from fescuerudder.taskqueue import Shares, team_quotas
+from fescuerudder.withdraw import Withdrawals
 from fescuerudder.workers import Usage
 
 
@@ -61,6 +62,7 @@
         placement: choice of a worker.
         learned: learned slowdowns, sizes and run times.
         remedies: mitigations.
+        withdrawals: replicas that get no requests because they are to be stopped.
         summaries: returns the published summaries of all racks.
         new_id: returns unique ids for transactions.
         starts: starts sent under this lease, by task and attempt.
@@ -82,6 +84,7 @@
     placement: Placement
     learned: Learned
     remedies: Remedies
+    withdrawals: Withdrawals
     summaries: Callable[[], Iterable[RackSummary]]
     new_id: Callable[[], str]
     starts: dict[tuple[str, int], StartRecord] = attrs.field(factory=dict)
@@ -160,14 +163,17 @@
 
     def other_rack(self, task: Task, *, needs: Need) -> str | None:
         """Returns another rack for `task`, or None."""
+        summaries = list(self.summaries())
+        is_replica = task.kind == "replica"
         return choose_home(
             size=task.size,
             zones=task.zones,
-            summaries=self.summaries(),
+            summaries=summaries,
             zone_states=self.view.current().zones,
             rng=self.rng,
             exclude=self.lease.rack,
             needs=needs,
+            placed=replicas_by_rack(summaries, task.service) if is_replica else None,
         )
 
     def waited_s(self, task: Task) -> float:
--- a/fescuerudder/reconcile.py
+++ b/fescuerudder/reconcile.py
@@ -6,6 +6,7 @@
 
 from fescuerudder.errors import WorkerRefusedError, WorkerUnreachableError
 from fescuerudder.fleet import WorkerState
+from fescuerudder.graceful import ready_to_stop
 from fescuerudder.leases import START_WINDOW_S, certainly_expired_s
 from fescuerudder.rackstate import RackState
 from fescuerudder.renewals import is_current
@@ -174,7 +175,7 @@
     state.quarantine.ran(worker=worker.member.id, run_s=run_s)
     doc = state.services().get(task.service)
     is_overdue = doc is not None and 0 < doc.max_run_s < run_s
-    if not (task.cancel_requested or is_overdue):
+    if not (task.cancel_requested or is_overdue) or not ready_to_stop(state, [(held, worker)]):
         return
     outcome = state.fleet.stop(worker, task=task.id, attempt=task.attempt, checkpoint=False)
     if outcome is None or outcome.state == "running":
--- a/fescuerudder/replicas.py
+++ b/fescuerudder/replicas.py
@@ -1,6 +1,8 @@
 """Standing tasks (replicas) of latency-critical services."""
 
 import hashlib
+import itertools
+from collections import Counter
 from collections.abc import Callable, Iterable
 from random import Random
 
@@ -10,7 +12,7 @@
 from fescuerudder.clock import Clock
 from fescuerudder.document import ServiceDocument
 from fescuerudder.errors import StoreUnavailableError
-from fescuerudder.home import choose_home
+from fescuerudder.home import choose_home, in_service
 from fescuerudder.ownership_types import RackSummary
 from fescuerudder.rackports import Committer, View
 from fescuerudder.table import ABSENT, Check, Row, Table, Transaction, new_txn_id
@@ -29,13 +31,37 @@
     return max(candidates, key=rank, default=None)
 
 
+def _names(service: str) -> Iterable[str]:
+    return (replica_id(service, number) for number in itertools.count())
+
+
+def _number(name: str) -> int:
+    number = name.rpartition(".")[2]
+    return int(number) if number.isdigit() else 0
+
+
 def replica_id(service: str, number: int) -> str:
     """Returns the task id of a replica."""
     return f"{service}.{number}"
 
 
+@attrs.frozen(kw_only=True)
+class _Leaving:
+    """Racks whose zone is out of service and workers that leave."""
+
+    racks: frozenset[str]
+    workers: frozenset[str]
+
+    def includes(self, task: Task) -> bool:
+        """Returns whether a replica must leave its place."""
+        return task.rack in self.racks or task.state == "assigned" and task.worker in self.workers
+
+
 class ReplicaKeeper:
-    """Creates missing replica rows, ends surplus ones, and queues ended ones again.
+    """Creates missing replicas, also for those that must leave, and ends surplus ones.
+
+    A replica in a zone out of service or on a leaving worker stops only after its requests
+    have ended, so another one is created at once.
 
     Args:
         instance: id of this instance.
@@ -77,36 +103,60 @@
         self._wall_s = wall_s
         self._new_id = new_id
         self._on_change = on_change
-        self._done: dict[str, tuple[ServiceDocument, float]] = {}
+        self._done: dict[str, tuple[ServiceDocument, _Leaving, float]] = {}
 
     def step(self) -> None:
         """Checks the services that this instance ranks first for."""
         if not self._view.is_fresh():
             return
         live = set(self._live())
+        leaving = self._find_leaving()
         for doc in self._view.current().services.values():
             first = rendezvous_first(candidates=live, key=doc.name)
-            if doc.kind == "latency-critical" and first == self._instance and self._is_due(doc):
-                self._check(doc)
-
-    def _is_due(self, doc: ServiceDocument) -> bool:
-        done, at_s = self._done.get(doc.name, (None, 0.0))
-        return done != doc or self._clock.now_s() >= at_s + SCAN_S
+            if doc.kind == "latency-critical" and first == self._instance:
+                self._check(doc, leaving)
+
+    def _find_leaving(self) -> "_Leaving":
+        zones = self._view.current().zones
+        summaries = list(self._summaries())
+        return _Leaving(
+            racks=frozenset(s.rack for s in summaries if not in_service(s.zone, zones)),
+            workers=frozenset(up.worker for s in summaries for up in s.upstreams if up.leaving),
+        )
 
-    def _check(self, doc: ServiceDocument) -> None:
+    def _check(self, doc: ServiceDocument, leaving: "_Leaving") -> None:
+        done, left, at_s = self._done.get(doc.name, (None, None, 0.0))
+        if (done, left) == (doc, leaving) and self._clock.now_s() < at_s + SCAN_S:
+            return
         try:
             rows = self._table.read(prefixes=(task_key(f"{doc.name}."),))
         except StoreUnavailableError:
             return
         by_id = {row.key.removeprefix("task/"): row for row in rows}
-        wanted = {replica_id(doc.name, n) for n in range(doc.replicas)}
-        results = [self._create(doc, name) for name in sorted(wanted - by_id.keys())]
-        results += [self._restart(doc, by_id[name]) for name in sorted(wanted & by_id.keys())]
-        results += [self._end(by_id[name]) for name in sorted(by_id.keys() - wanted)]
+        tasks = {name: load_task(row.value) for name, row in by_id.items()}
+        kept = {n: t for n, t in tasks.items() if not (t.is_final or t.cancel_requested)}
+        staying = {n: t for n, t in kept.items() if not leaving.includes(t)}
+        placed = Counter(task.rack for task in staying.values())
+        results = []
+        free = (n for n in _names(doc.name) if n not in tasks or tasks[n].is_final)
+        for name in itertools.islice(free, max(0, doc.replicas - len(staying))):
+            results.append(self._begin(doc, name, by_id.get(name), placed))
+        surplus = len(kept) + results.count(True) - doc.replicas
+        # Those that must leave go first, then those that don't run, then the latest.
+        order = sorted(kept, key=lambda n: (n in staying, kept[n].state == "assigned", -_number(n)))
+        results += [self._end(by_id[name]) for name in order[: max(0, surplus)]]
         if all(results):
-            self._done[doc.name] = (doc, self._clock.now_s())
+            self._done[doc.name] = (doc, leaving, self._clock.now_s())
 
-    def _create(self, doc: ServiceDocument, name: str) -> bool:
+    def _begin(
+        self, doc: ServiceDocument, name: str, row: Row | None, placed: Counter[str]
+    ) -> bool:
+        """Queues a new replica under a free name; returns whether it was written."""
+        if row is None:
+            return self._create(doc, name, placed)
+        return self._restart(doc, row, placed)
+
+    def _create(self, doc: ServiceDocument, name: str, placed: Counter[str]) -> bool:
         task = Task(
             id=name,
             service=doc.name,
@@ -116,15 +166,12 @@
             submitted_at_s=self._wall_s(),
             trace_id=name,
         )
-        return self._queue(doc, task, version=ABSENT)
+        return self._queue(doc, task, version=ABSENT, placed=placed)
 
-    def _restart(self, doc: ServiceDocument, row: Row) -> bool:
+    def _restart(self, doc: ServiceDocument, row: Row, placed: Counter[str]) -> bool:
         """Queues an ended replica again; its attempt numbers go on."""
-        task = load_task(row.value)
-        if not task.is_final:
-            return not task.cancel_requested
         fresh = attrs.evolve(
-            task,
+            load_task(row.value),
             state="queued",
             size=doc.size,
             worker="",
@@ -133,18 +180,18 @@
             cancel_requested=False,
             result="",
         )
-        return self._queue(doc, fresh, version=row.version)
+        return self._queue(doc, fresh, version=row.version, placed=placed)
 
     def _end(self, row: Row) -> bool:
         """Asks for the end of a surplus replica."""
         task = load_task(row.value)
-        if task.is_final or task.cancel_requested:
-            return True
         asked = attrs.evolve(task, cancel_requested=True, txn=self._new_id())
         check = Check(key=row.key, version=row.version)
         return self._commit(Transaction(checks=(check,), puts=(task_put(asked),)), asked)
 
-    def _queue(self, doc: ServiceDocument, task: Task, *, version: int) -> bool:
+    def _queue(
+        self, doc: ServiceDocument, task: Task, *, version: int, placed: Counter[str]
+    ) -> bool:
         """Writes a replica into the queue of a rack; returns whether it was written."""
         rack = choose_home(
             size=task.size,
@@ -152,6 +199,7 @@
             summaries=self._summaries(),
             zone_states=self._view.current().zones,
             rng=self._rng,
+            placed=placed,
         )
         if rack is None:
             return False
@@ -165,7 +213,9 @@
         )
         check = Check(key=task_key(task.id), version=version)
         txn = Transaction(checks=(check,), puts=(task_put(task), queue_put(task)))
-        return self._commit(txn, task)
+        is_written = self._commit(txn, task)
+        placed[rack] += is_written
+        return is_written
 
     def _commit(self, txn: Transaction, task: Task) -> bool:
         is_applied = isinstance(self._committer.commit(txn), Ok)
--- a/fescuerudder/session.py
+++ b/fescuerudder/session.py
@@ -172,6 +172,10 @@
         """Returns the sending time of the last successful heartbeat, None before the first."""
         return self._last_live_s
 
+    def last_beat_s(self) -> float | None:
+        """Returns the sending time of the last successful heartbeat, None before the first."""
+        return self._last_live_s
+
     def is_live(self) -> bool:
         """Returns whether no observer can consider the session expired yet."""
         return not self._fenced and self._clock.now_s() < self.live_until_s
--- a/tests/rack_world.py
+++ b/tests/rack_world.py
@@ -85,6 +85,9 @@
         if not self.fenced:
             self._beat_s = self._clock.now_s()
 
+    def last_beat_s(self) -> float:
+        return self._beat_s
+
     def last_live_s(self) -> float:
         return self._beat_s + SESSION_TTL_S
 
@@ -123,6 +126,7 @@
             session=self.session,
             rng=Random(1),
             summaries=world.summaries,
+            may_be_in_use=lambda worker, service: (worker, service) in world.in_use,
             new_id=world.new_id,
         )
 
@@ -158,6 +162,7 @@
             "r2": [self._worker("w3", "b", 7.0)],
         }
         self.workers = {w.name: w for group in self.racks.values() for w in group}
+        self.in_use: set[tuple[str, str]] = set()
         self._ids = 0
         self._submitted = 0
         self.task_ids: list[str] = []
--- /dev/null
+++ b/tests/test_graceful.py
@@ -0,0 +1,207 @@
+"""Planned stops of replicas cut off no request, and replicas are spread and replaced."""
+
+from collections import Counter
+from random import Random
+
+import attrs
+import pytest
+
+from fescuerudder.clock import ManualClock
+from fescuerudder.document import ServiceDocument, Size
+from fescuerudder.home import choose_home
+from fescuerudder.messages import PermitAsk
+from fescuerudder.ownership_types import RackSummary
+from fescuerudder.permits import LONGEST_REQUEST_S, PERMIT_TTL_S, PermitGranter, WorkerSlots
+from tests.rack_world import World
+from tests.test_replicas import make_keeper
+
+DOC = ServiceDocument(
+    name="entry", team="t", kind="latency-critical", size=Size(processors=1), replicas=2
+)
+SLOTS = WorkerSlots(worker="w", data="d", slots=2, services=frozenset({"entry"}))
+
+
+class Served(World):
+    """World with one replica in each zone; the one on rack r1 serves requests."""
+
+    def __init__(self) -> None:
+        super().__init__(services=[DOC])
+        self.keepers = [make_keeper(self, name) for name in ("A", "C")]
+        self.run(10)
+        self.serving = next(w for w in self.workers.values() if w.zone == "a" and w.running())
+        self.in_use = {(self.serving.name, "entry")}
+
+    def run(self, seconds: float) -> None:
+        for _ in range(int(seconds * 2)):
+            self.advance(0.5)
+            for keeper in self.keepers:
+                keeper.step()
+
+    def is_published(self) -> bool:
+        ups = [up for s in self.summaries() for up in s.upstreams]
+        return any(up.worker == self.serving.name and "entry" in up.services for up in ups)
+
+    def replicas(self) -> list[str]:
+        return sorted(w.zone for w in self.workers.values() for a in w.running())
+
+
+def withdraw(world, reason):
+    if reason == "zone":
+        world.set_zone("a", "out")
+    elif reason == "leaving":
+        world.serving.leaving = True
+    else:
+        world.config.services["entry"] = attrs.evolve(DOC, replicas=0)
+
+
+@pytest.mark.parametrize("reason", ["zone", "leaving", "surplus"])
+def test_replica_is_withdrawn_and_stops_after_its_requests(reason):
+    """Guards against a stop that cuts off a request in progress."""
+    world = Served()
+    assert world.is_published()
+    withdraw(world, reason)
+    world.run(10)
+    assert not world.is_published()
+    assert len(world.serving.running()) == 1
+    world.in_use.clear()
+    world.run(1)
+    assert world.serving.running() == []
+    world.check()
+
+
+def test_idle_replica_stops_only_after_every_permit_ended():
+    world = Served()
+    world.in_use.clear()
+    world.set_zone("a", "out")
+    world.run(PERMIT_TTL_S)
+    assert len(world.serving.running()) == 1
+    world.run(5)
+    assert world.serving.running() == []
+
+
+def test_replica_with_requests_stops_after_the_bound():
+    world = Served()
+    world.set_zone("a", "out")
+    world.run(LONGEST_REQUEST_S)
+    assert len(world.serving.running()) == 1
+    world.run(10)
+    assert world.serving.running() == []
+
+
+def test_new_owner_begins_the_withdrawal_anew():
+    """Guards against a stop by a new owner on the strength of its predecessor's wait."""
+    world = Served()
+    world.set_zone("a", "out")
+    world.run(3)
+    world.in_use.clear()
+    world.hand_over("A", "B", "r1")
+    world.run(PERMIT_TTL_S)
+    assert len(world.serving.running()) == 1
+    world.run(6)
+    assert world.serving.running() == []
+    world.check()
+
+
+def test_withdrawal_ends_when_the_zone_returns():
+    world = Served()
+    world.set_zone("a", "out")
+    world.advance(3)
+    world.set_zone("a", "in")
+    world.advance(3)
+    assert world.is_published()
+    world.check()
+
+
+def test_withdrawal_waits_for_a_heartbeat():
+    """Guards against a stop that instances without permits have not heard of."""
+    world = Served()
+    world.in_use.clear()
+    world.set_zone("a", "out")
+    world.advance(1)
+    world.instances["A"].session.beat = lambda: None
+    world.advance(3.5)
+    assert len(world.serving.running()) == 1
+
+
+def test_replacement_runs_before_the_leaving_replica_stops():
+    world = Served()
+    world.set_zone("a", "out")
+    world.run(3)
+    assert world.replicas() == ["a", "b", "b"]
+    world.in_use.clear()
+    world.run(5)
+    assert world.replicas() == ["b", "b"]
+    assert world.witness.violations == []
+
+
+def test_replicas_go_to_different_zones_then_racks():
+    """Guards against the loss of most of a service with one zone."""
+    size = Size(processors=1)
+    places = {"r1": "a", "r2": "a", "r3": "b", "r4": "b", "r5": "c"}
+    summaries = [
+        RackSummary(rack=rack, zone=zone, free=(size,), largest=(size,))
+        for rack, zone in places.items()
+    ]
+    placed: Counter[str] = Counter()
+    for number in range(6):
+        rack = choose_home(
+            size=size,
+            zones=(),
+            summaries=summaries,
+            zone_states={},
+            rng=Random(number),
+            placed=placed,
+        )
+        placed[rack] += 1
+    assert placed == {"r1": 1, "r2": 1, "r3": 1, "r4": 1, "r5": 2}
+
+
+class TestUse:
+    """The granter knows where requests may be in progress."""
+
+    def setup_method(self):
+        self.clock = ManualClock(start_s=0.0)
+        self.is_complete = True
+        self.granter = self.make(epoch=1)
+
+    def make(self, *, epoch):
+        granter = PermitGranter(
+            rack="r", epoch=epoch, clock=self.clock, reaches_all=lambda: self.is_complete
+        )
+        granter.update_workers([SLOTS])
+        return granter
+
+    def ask(self, **fields):
+        ask = PermitAsk(**{"rack": "r", "service": "entry", "wanted": 0, **fields})
+        return self.granter.answer("A", ask).permits
+
+    def in_use(self):
+        return self.granter.may_be_in_use("w", "entry")
+
+    def test_until_the_permit_is_returned(self):
+        assert not self.in_use()
+        permits = self.ask(wanted=1)
+        assert self.in_use() and not self.granter.may_be_in_use("w", "other")
+        self.clock.advance(seconds=PERMIT_TTL_S + 1)
+        assert self.in_use(), "the permit expired while its request went on"
+        self.ask(returned=permits)
+        assert not self.in_use()
+
+    def test_of_a_lost_holder_until_its_longest_request_ended(self):
+        self.ask(wanted=1)
+        self.clock.advance(seconds=PERMIT_TTL_S + LONGEST_REQUEST_S + 1)
+        assert not self.in_use()
+
+    def test_without_a_permit_as_the_holder_reports(self):
+        self.ask(unowned=("w",))
+        assert self.in_use()
+        self.ask()
+        assert not self.in_use()
+
+    def test_is_unknown_after_a_claim_and_without_a_connection(self):
+        self.granter = self.make(epoch=2)
+        assert self.in_use()
+        self.clock.advance(seconds=PERMIT_TTL_S + LONGEST_REQUEST_S)
+        assert not self.in_use()
+        self.is_complete = False
+        assert self.in_use()
