Report what racks do to logs, metrics and the burn report

Cause: evictions, remedies, starts and ends were neither counted nor logged, and objectives were set only when the burn report was read, so earlier requests did not count.

Change: RackController takes an observer; the entry instance logs each event with the task's trace id and counts it under service and fixed codes only. Shed requests become burn events, and upkeep sets the objectives.

--- a/fescuerudder/assign.py
+++ b/fescuerudder/assign.py
@@ -8,6 +8,7 @@
 from fescuerudder.fleet import WorkerState
 from fescuerudder.leases import lease_end_s, start_deadline_s
 from fescuerudder.placement import WorkerLoad
+from fescuerudder.rackevents import task_event
 from fescuerudder.rackstate import RackState, StartRecord
 from fescuerudder.task import Task, assigned
 from fescuerudder.taskqueue import FairOrder
@@ -114,6 +115,8 @@
     except WorkerRefusedError as exc:
         state.fleet.note_refusal(exc)
         record.refusal = "" if exc.reason in REFUSALS_OF_KNOWN else exc.reason
+        return
+    state.observe(task_event("start", task))
 
 
 def _order(state: RackState, task: Task, worker: WorkerState, now_s: float) -> StartOrder:
--- a/fescuerudder/burn.py
+++ b/fescuerudder/burn.py
@@ -12,7 +12,7 @@
 import attrs
 import cattrs
 
-from fescuerudder.document import Objective
+from fescuerudder.document import Objective, ServiceDocument
 from fescuerudder.errors import FescuerudderError
 
 WINDOWS_S = (300, 3_600, 21_600, 259_200)
@@ -143,6 +143,11 @@
         )
 
 
+def objectives_of(docs: Iterable[ServiceDocument]) -> dict[str, Objective]:
+    """Returns the objective of each latency-critical service."""
+    return {doc.name: doc.objective for doc in docs if doc.kind == "latency-critical"}
+
+
 class BurnRecorder:
     """Counts requests and events of one instance in bounded memory. Thread-safe.
 
--- a/fescuerudder/entry.py
+++ b/fescuerudder/entry.py
@@ -13,10 +13,10 @@
 import structlog
 from result import Ok, Result
 
-from fescuerudder.burn import BurnRecorder
+from fescuerudder.burn import BurnRecorder, objectives_of
 from fescuerudder.clock import Clock, SystemClock
 from fescuerudder.configuration import Configurator
-from fescuerudder.errors import PeerError, RequestError, WorkerUnreachableError
+from fescuerudder.errors import PeerError, RequestError, ShedError, WorkerUnreachableError
 from fescuerudder.frontend import Frontend
 from fescuerudder.groupcommit import GroupCommitter
 from fescuerudder.idempotency import IdempotencyRecords
@@ -48,6 +48,7 @@
 from fescuerudder.rackstate import Learned
 from fescuerudder.recording import Recording
 from fescuerudder.replicas import ReplicaKeeper
+from fescuerudder.reporting import EventReporter
 from fescuerudder.retention import RecordSweeper
 from fescuerudder.routes import make_routes
 from fescuerudder.routing import Router, make_balancer
@@ -136,6 +137,8 @@
             if res.err_value.status == 404:
                 # The name comes from the caller; as a label it would be unbounded.
                 return res
+            if isinstance(res.err_value, ShedError):
+                self._burn.add_event(kind="shed", target=req.service, detail="overload")
         self._metrics.count_request(service=req.service, outcome=outcome, latency_s=seconds)
         self._burn.count_request(
             service=req.service, latency_ms=seconds * 1000, is_answered=answered
@@ -254,6 +257,7 @@
         cfg, clock = self._cfg, self._clock
         self._metrics = Metrics(instance=cfg.instance)
         self._burn = BurnRecorder(instance=cfg.instance, read_time_s=time.time)
+        self._reporter = EventReporter(metrics=self._metrics, burn=self._burn)
         self._recording = Recording(clock=clock, instance=cfg.instance, enabled=cfg.record)
         self._upstream = Upstream(clock=clock, new_id=_new_id)
         self._holder = PermitHolder(
@@ -446,6 +450,7 @@
             summaries=self._membership.summaries,
             learned=self._learned,
             may_be_in_use=granter.may_be_in_use,
+            observe=self._reporter,
             run_all=self._run_all,
         )
         return controller, granter
@@ -496,6 +501,8 @@
     def _do_upkeep(self) -> None:
         """Retries what waits for the store and refreshes gauges."""
         self._records.flush()
+        self._burn.set_objectives(objectives_of(self._view.current().services.values()))
+        self._metrics.set_leases(count=sum(s.running for s in self._racks.summaries()))
         if self._configurator.notices():
             for notice in self._configurator.notices():
                 self._tell_all(notice)
--- a/fescuerudder/evict.py
+++ b/fescuerudder/evict.py
@@ -9,6 +9,7 @@
 from fescuerudder.graceful import Running, ready_to_stop
 from fescuerudder.interference import Mitigation
 from fescuerudder.placement import WorkerLoad, is_feasible
+from fescuerudder.rackevents import task_event
 from fescuerudder.rackstate import RackState
 from fescuerudder.reconcile import Ending, settle
 from fescuerudder.task import Task
@@ -27,14 +28,15 @@
     if not state.session.is_live():
         return
     if not state.zone_is_in():
-        evict_many(state, _running(state))
+        evict_many(state, _running(state), reason="zone")
         return
-    evict_many(state, [pair for pair in _running(state) if pair[1].is_leaving])
+    leaving = [pair for pair in _running(state) if pair[1].is_leaving]
+    evict_many(state, leaving, reason="leaving")
     mitigate(state)
     reclaim(state)
 
 
-def evict_many(state: RackState, pairs: list[Running]) -> None:
+def evict_many(state: RackState, pairs: list[Running], *, reason: str) -> None:
     """Stops attempts with a checkpoint and queues their tasks again.
 
     Replicas that may be serving requests are withdrawn first and stopped in a later cycle.
@@ -44,7 +46,8 @@
     for (held, _), outcome in zip(pairs, state.fleet.run(calls), strict=True):
         if outcome is None or outcome.state in ("running", "finished", "failed"):
             continue  # The next status tells how it ended.
-        settle(state, held, Ending(state=outcome.state, checkpoint=outcome.checkpoint))
+        ending = Ending(state=outcome.state, checkpoint=outcome.checkpoint)
+        settle(state, held, ending, evicted_for=reason)
 
 
 def mitigate(state: RackState) -> None:
@@ -84,7 +87,7 @@
         if not victims:
             continue
         left -= 1
-        evict_many(state, victims)
+        evict_many(state, victims, reason="quota")
         shares = _moved(shares, task, [held.task for held, _ in victims])
         worker = victims[0][0].task.worker
         for held, _ in victims:
@@ -111,7 +114,8 @@
 
 def _apply(state: RackState, action: Mitigation, held: HeldTask, worker: WorkerState) -> None:
     if action.share is None:
-        evict_many(state, [(held, worker)])
+        state.observe(task_event("remedy", held.task, detail="move"))
+        evict_many(state, [(held, worker)], reason="interference")
         return
     try:
         worker.control.throttle(
@@ -124,6 +128,12 @@
         return
     except WorkerRefusedError as exc:
         state.fleet.note_refusal(exc)
+        return
+    state.observe(task_event("remedy", held.task, detail=_remedy_name(action.share)))
+
+
+def _remedy_name(share: float) -> str:
+    return "lift" if share >= 1.0 else f"throttle_{share:.0%}".rstrip("%")
 
 
 def _victims_for(
--- a/fescuerudder/metrics.py
+++ b/fescuerudder/metrics.py
@@ -77,6 +77,12 @@
         self._remedies = meter.create_counter(
             "fescuerudder_remedies", description="Mitigations of interference, by kind."
         )
+        self._quarantines = meter.create_counter(
+            "fescuerudder_quarantines", description="Workers put into quarantine."
+        )
+        self._unschedulable = meter.create_counter(
+            "fescuerudder_unschedulable_tasks", description="Tasks that fit on no known worker."
+        )
         self._leases = meter.create_gauge(
             "fescuerudder_task_leases", description="Task leases that this instance renews."
         )
@@ -121,6 +127,14 @@
         """Counts one mitigation for a service; `remedy` is a short fixed code."""
         self._remedies.add(1, {"service": service, "remedy": remedy})
 
+    def count_quarantine(self) -> None:
+        """Counts one worker put into quarantine."""
+        self._quarantines.add(1)
+
+    def count_unschedulable(self, *, service: str) -> None:
+        """Counts one task that fits on no known worker."""
+        self._unschedulable.add(1, {"service": service})
+
     def set_leases(self, *, count: int) -> None:
         """Sets the number of task leases that this instance renews."""
         self._leases.set(count)
--- a/fescuerudder/operators.py
+++ b/fescuerudder/operators.py
@@ -7,7 +7,7 @@
 import structlog
 from result import Err, Ok, Result
 
-from fescuerudder.burn import BurnRecorder, dump_data
+from fescuerudder.burn import BurnRecorder, dump_data, objectives_of
 from fescuerudder.configuration import Configurator, StaleRevisionError
 from fescuerudder.document import ServiceDocument, dump_document, parse_document
 from fescuerudder.errors import (
@@ -192,13 +192,7 @@
 
     def burn(self) -> Result[Json, RequestError]:
         """Returns the burn data of this instance."""
-        self._burn.set_objectives(
-            {
-                name: doc.objective
-                for name, doc in self._view.current().services.items()
-                if doc.kind == "latency-critical"
-            }
-        )
+        self._burn.set_objectives(objectives_of(self._view.current().services.values()))
         return Ok(dump_data(self._burn.snapshot()))
 
     def trace_lines(self) -> Result[bytes, RequestError]:
--- a/fescuerudder/rack.py
+++ b/fescuerudder/rack.py
@@ -13,6 +13,7 @@
 from fescuerudder.ownership_types import RackLease, RackSummary, UpstreamState
 from fescuerudder.placement import LeastInterference, Placement
 from fescuerudder.quarantine import Quarantine
+from fescuerudder.rackevents import RackObserver, ignore_event, task_event
 from fescuerudder.rackports import Committer, RunAll, Session, View, WorkerSource, run_in_order
 from fescuerudder.rackrows import RackRows
 from fescuerudder.rackstate import Learned, RackState
@@ -49,6 +50,7 @@
         placement: choice of a worker; the least interference if None.
         learned: learned slowdowns, sizes and run times, shared or new.
         may_be_in_use: whether a request to (worker, service) may be in progress.
+        observe: takes what happens, for logs and metrics.
         run_all: runs requests to several workers at the same time.
         new_id: returns unique ids for transactions.
     """
@@ -70,6 +72,7 @@
         placement: Placement | None = None,
         learned: Learned | None = None,
         may_be_in_use: MayBeInUse = assume_in_use,
+        observe: RackObserver = ignore_event,
         run_all: RunAll = run_in_order,
         new_id: Callable[[], str] = new_txn_id,
     ) -> None:
@@ -93,6 +96,7 @@
             withdrawals=Withdrawals(clock=clock, session=session, may_be_in_use=may_be_in_use),
             summaries=summaries,
             new_id=new_id,
+            observe=observe,
         )
         self._summary = RackSummary(rack=rack, zone=zone, epoch=lease.epoch)
 
@@ -135,6 +139,7 @@
 
     def _act(self) -> None:
         """Runs the parts that write, each after the writes of the one before."""
+        self._report_written()
         self._note_waiting()
         self._forget_attempts()
         for part in (
@@ -150,6 +155,7 @@
                 return
             part(self._state)
             self._state.rows.collect()
+            self._report_written()
 
     def _is_active(self) -> bool:
         state = self._state
@@ -169,6 +175,16 @@
             for usage in fresh:
                 state.learned.sizes.observe(usage)
 
+    def _report_written(self) -> None:
+        """Reports what became durable."""
+        state = self._state
+        for task in state.rows.take_applied():
+            event = state.written.pop(task.id, None)
+            if task.state == "assigned":
+                event = task_event("assign", task)
+            if event is not None:
+                state.observe(event)
+
     def _note_waiting(self) -> None:
         """Keeps since when each waiting task has been seen."""
         state = self._state
@@ -177,6 +193,8 @@
             held.task.id: state.queued_since_s.get(held.task.id, now_s)
             for held in state.rows.queued()
         }
+        state.unschedulable &= state.queued_since_s.keys()
+        state.written = {i: e for i, e in state.written.items() if state.rows.get(i) is not None}
 
     def _forget_attempts(self) -> None:
         """Drops notes on attempts that no row names any more; their numbers never return."""
--- a/fescuerudder/rackrows.py
+++ b/fescuerudder/rackrows.py
@@ -42,6 +42,7 @@
         self._held: dict[str, HeldTask | None] = {}
         self._dirty: set[str] = set()
         self._pending: dict[str, tuple[Future[CommitResult], Task]] = {}
+        self._applied: list[Task] = []
         self._cycle = 0
         self._refresh_at = 0
         self.loaded = False
@@ -121,10 +122,16 @@
                 applied += self._settle(fut.result(), new)
         return applied
 
+    def take_applied(self) -> list[Task]:
+        """Returns the tasks as written since the last call, without writes of lost answers."""
+        applied, self._applied = self._applied, []
+        return applied
+
     def _settle(self, result: CommitResult, new: Task) -> list[HeldTask]:
         if isinstance(result, Ok):
             held = HeldTask(task=new, version=result.ok_value[task_key(new.id)])
             self._held[new.id] = held
+            self._applied.append(new)
             return [held]
         # The row tells what happened, whatever the error was.
         self._dirty.add(new.id)
--- a/fescuerudder/rackstate.py
+++ b/fescuerudder/rackstate.py
@@ -13,6 +13,7 @@
 from fescuerudder.ownership_types import RackLease, RackSummary
 from fescuerudder.placement import Placement, WorkerLoad, commitments
 from fescuerudder.quarantine import Quarantine
+from fescuerudder.rackevents import RackEvent, RackObserver
 from fescuerudder.rackports import Session, View
 from fescuerudder.rackrows import RackRows
 from fescuerudder.task import Task
@@ -65,6 +66,9 @@
         withdrawals: replicas that get no requests because they are to be stopped.
         summaries: returns the published summaries of all racks.
         new_id: returns unique ids for transactions.
+        observe: takes events.
+        written: event to report once the write in flight of a task is applied.
+        unschedulable: waiting tasks that were reported to fit on no known worker.
         starts: starts sent under this lease, by task and attempt.
         running_since_s: when an attempt was first seen running.
         queued_since_s: when a task was first seen in the queue.
@@ -87,6 +91,9 @@
     withdrawals: Withdrawals
     summaries: Callable[[], Iterable[RackSummary]]
     new_id: Callable[[], str]
+    observe: RackObserver
+    written: dict[str, RackEvent] = attrs.field(factory=dict)
+    unschedulable: set[str] = attrs.field(factory=set)
     starts: dict[tuple[str, int], StartRecord] = attrs.field(factory=dict)
     running_since_s: dict[tuple[str, int], float] = attrs.field(factory=dict)
     queued_since_s: dict[str, float] = attrs.field(factory=dict)
--- a/fescuerudder/reconcile.py
+++ b/fescuerudder/reconcile.py
@@ -8,6 +8,7 @@
 from fescuerudder.fleet import WorkerState
 from fescuerudder.graceful import ready_to_stop
 from fescuerudder.leases import START_WINDOW_S, certainly_expired_s
+from fescuerudder.rackevents import RackEvent, task_event
 from fescuerudder.rackstate import RackState
 from fescuerudder.renewals import is_current
 from fescuerudder.task import Task, attempt_failed, cancelled, finished, requeued
@@ -32,7 +33,9 @@
     result: str = ""
 
 
-def settle(state: RackState, held: HeldTask, ending: Ending, *, rack: str = "") -> None:
+def settle(
+    state: RackState, held: HeldTask, ending: Ending, *, rack: str = "", evicted_for: str = ""
+) -> None:
     """Writes the transition of a task whose attempt ended.
 
     Args:
@@ -40,6 +43,7 @@
         held: the assigned task.
         ending: how its attempt ended.
         rack: rack in whose queue it goes if it runs again; empty lets the rack decide.
+        evicted_for: reason if it was evicted.
     """
     task, txn = held.task, state.new_id()
     if ending.state == "finished":
@@ -58,9 +62,22 @@
             txn=txn,
         )
     _learn(state, task, ending)
+    state.written[task.id] = _end_event(state, task, new, ending, evicted_for)
     state.rows.write(held=held, new=new)
 
 
+def _end_event(
+    state: RackState, task: Task, new: Task, ending: Ending, evicted_for: str
+) -> RackEvent:
+    if new.state == "cancelled" or ending.state in ("finished", "failed"):
+        detail = "cancelled" if new.state == "cancelled" else ending.state
+        return task_event("end", task, detail=detail)
+    if evicted_for:
+        return task_event("evict", task, detail=evicted_for)
+    detail = "not_started" if _is_unsent(state, task) else "lost"
+    return task_event("end", task, detail=detail)
+
+
 def reconcile(state: RackState) -> None:
     """Handles every assigned task whose attempt ended, lapsed, failed to start or is to end."""
     for held in state.rows.assigned():
@@ -84,6 +101,7 @@
     """Ends the waiting tasks whose callers asked for cancellation."""
     for held in state.rows.queued():
         if held.task.cancel_requested:
+            state.written[held.task.id] = task_event("end", held.task, detail="cancelled")
             state.rows.write(held=held, new=cancelled(held.task, txn=state.new_id()))
 
 
@@ -189,7 +207,10 @@
 def _learn(state: RackState, task: Task, ending: Ending) -> None:
     since_s = state.running_since_s.pop((task.id, task.attempt), None)
     if ending.state == "failed":
+        was_quarantined = state.quarantine.is_quarantined(worker=task.worker)
         state.quarantine.failed(worker=task.worker, task=task.id)
+        if not was_quarantined and state.quarantine.is_quarantined(worker=task.worker):
+            state.observe(RackEvent(kind="quarantine", worker=task.worker))
     elif ending.state == "finished":
         state.quarantine.succeeded(worker=task.worker)
         if since_s is not None:
--- a/fescuerudder/rehome.py
+++ b/fescuerudder/rehome.py
@@ -1,6 +1,7 @@
 """Moves waiting tasks to racks that can run them."""
 
 from fescuerudder.home import Need
+from fescuerudder.rackevents import task_event
 from fescuerudder.rackstate import RackState
 from fescuerudder.task import Task, rehomed
 
@@ -17,11 +18,20 @@
         need = _need(state, held.task)
         rack = state.other_rack(held.task, needs=need) if need else None
         if rack is None:
+            if need == "large_enough":
+                _report_unschedulable(state, held.task)
             continue
         left -= 1
         state.rows.write(held=held, new=rehomed(held.task, rack=rack, txn=state.new_id()))
 
 
+def _report_unschedulable(state: RackState, task: Task) -> None:
+    """Reports once that no known worker is large enough."""
+    if task.id not in state.unschedulable:
+        state.unschedulable.add(task.id)
+        state.observe(task_event("unschedulable", task))
+
+
 def _need(state: RackState, task: Task) -> Need | None:
     """Returns what another rack must offer to get the task, or None to keep it here.
 
--- a/tests/rack_world.py
+++ b/tests/rack_world.py
@@ -12,6 +12,7 @@
 from fescuerudder.errors import PlatformError
 from fescuerudder.ownership_types import RackLease
 from fescuerudder.rack import RackController
+from fescuerudder.rackevents import RackEvent
 from fescuerudder.rackports import RackWorker
 from fescuerudder.submission import Tasks
 from fescuerudder.table import ABSENT, Check, Put, Transaction
@@ -128,6 +129,7 @@
             summaries=world.summaries,
             may_be_in_use=lambda worker, service: (worker, service) in world.in_use,
             new_id=world.new_id,
+            observe=world.events.append,
         )
 
     def tick(self) -> None:
@@ -162,6 +164,7 @@
             "r2": [self._worker("w3", "b", 7.0)],
         }
         self.workers = {w.name: w for group in self.racks.values() for w in group}
+        self.events: list[RackEvent] = []
         self.in_use: set[tuple[str, str]] = set()
         self._ids = 0
         self._submitted = 0
--- /dev/null
+++ b/tests/test_rackevents.py
@@ -0,0 +1,115 @@
+"""One trace id follows a task through all events, and each event is counted once."""
+
+import time
+
+import attrs
+import pytest
+
+from fescuerudder.burn import BurnRecorder
+from fescuerudder.metrics import Metrics
+from fescuerudder.rackevents import RackEvent
+from fescuerudder.reporting import EventReporter
+from tests.rack_world import World, batch
+
+
+def run_finish(world):
+    world.finish_all()
+
+
+def run_fail(world):
+    for worker in world.workers.values():
+        for attempt in worker.running():
+            worker.end(attempt.task, "failed")
+
+
+def run_cancel(world):
+    world.tasks.cancel(world.task_ids[0])
+
+
+def run_lose(world):
+    for worker in world.workers.values():
+        for attempt in worker.running():
+            worker.end(attempt.task, "lapsed")
+
+
+def run_zone(world):
+    for zone in ("a", "b"):
+        world.set_zone(zone, "out")
+
+
+def run_leave(world):
+    for worker in world.workers.values():
+        worker.leaving = bool(worker.running())
+
+
+@pytest.mark.parametrize(
+    ("move", "kind", "detail"),
+    [
+        (run_finish, "end", "finished"),
+        (run_fail, "end", "failed"),
+        (run_cancel, "end", "cancelled"),
+        (run_lose, "end", "lost"),
+        (run_zone, "evict", "zone"),
+        (run_leave, "evict", "leaving"),
+    ],
+)
+def test_events_of_a_task(move, kind, detail):
+    world = World(services=[batch("draw", "t")])
+    world.submit("draw")
+    world.advance(2)
+    move(world)
+    world.advance(2)
+    events = [(event.kind, event.detail) for event in world.events]
+    assert events[:3] == [("assign", ""), ("start", ""), (kind, detail)]
+    assert events.count((kind, detail)) == 1
+    assert {event.task for event in world.events} == set(world.task_ids)
+
+
+def test_quarantine_is_reported_once():
+    world = World(services=[batch("draw", "t")])
+    for worker in world.workers.values():
+        worker.is_broken = True
+    for _ in range(6):
+        world.submit("draw")
+    world.advance(30)
+    workers = [event.worker for event in world.events if event.kind == "quarantine"]
+    assert workers and len(workers) == len(set(workers))
+
+
+def test_unschedulable_task_is_reported_once():
+    world = World(services=[batch("draw", "t"), batch("huge", "t", processors=8)])
+    for _ in range(6):
+        world.submit("draw")
+    world.advance(2)
+    world.submit("huge")
+    for worker in world.workers.values():
+        worker.capacity = attrs.evolve(worker.capacity, processors=6)
+    world.advance(10)
+    found = [event.task for event in world.events if event.kind == "unschedulable"]
+    assert found == [world.task_ids[-1]]
+
+
+def test_events_reach_metrics_and_burn_with_bounded_labels():
+    """Guards against task ids as label values, which would grow without bound."""
+    burn = BurnRecorder(instance="i", read_time_s=time.time)
+    with Metrics(instance="i") as metrics:
+        report = EventReporter(metrics=metrics, burn=burn)
+        for kind, detail in [
+            ("assign", ""),
+            ("start", ""),
+            ("end", "finished"),
+            ("end", "not_started"),
+            ("evict", "zone"),
+            ("remedy", "throttle_50"),
+            ("quarantine", ""),
+            ("unschedulable", ""),
+        ]:
+            report(RackEvent(kind=kind, detail=detail, task="t-1", service="draw", worker="w-1"))
+        text = metrics.render().decode()
+    assert "t-1" not in text and "w-1" not in text and "not_started" not in text
+    assert 'fescuerudder_task_ends_total{end="finished",service="draw"} 1.0' in text
+    assert "fescuerudder_quarantines_total 1.0" in text
+    assert [(e.kind, e.detail) for e in burn.snapshot().events] == [
+        ("eviction", "zone"),
+        ("remedy", "throttle_50"),
+    ]
