Keep remedies against interference from oscillating, bound moves

Cause: a throttle that sufficed was lifted after three good reports and set again for ever; a move could bring the task back to the same worker; a new owner never lifted a predecessor's throttle; a task whose row was being written for a cycle lost its throttle state.

Change: each relapse doubles the good reports before the next lift; moves need a better place and are bounded per worker and hour; adopted tasks are lifted after good reports. Settings placement and remedy select the baselines.

--- a/fescuerudder/entry.py
+++ b/fescuerudder/entry.py
@@ -20,6 +20,7 @@
 from fescuerudder.frontend import Frontend
 from fescuerudder.groupcommit import GroupCommitter
 from fescuerudder.idempotency import IdempotencyRecords
+from fescuerudder.interference import make_remedies
 from fescuerudder.kernel import Kernel
 from fescuerudder.logs import configure_logs
 from fescuerudder.membership import Membership
@@ -43,6 +44,7 @@
 from fescuerudder.ownership_types import RackLease
 from fescuerudder.peers import MessageHandlers, PeerClients, PeerServer
 from fescuerudder.permits import PERMIT_RETRY_S, PermitGranter, PermitHolder, WorkerRoute
+from fescuerudder.placement import make_placement
 from fescuerudder.rack import RackController
 from fescuerudder.racks import Racks
 from fescuerudder.rackstate import Learned
@@ -449,6 +451,8 @@
             rng=self._rng,
             summaries=self._membership.summaries,
             learned=self._learned,
+            placement=make_placement(policy=self._cfg.placement, slowdowns=self._learned.slowdowns),
+            remedies=make_remedies(policy=self._cfg.remedy, slowdowns=self._learned.slowdowns),
             may_be_in_use=granter.may_be_in_use,
             observe=self._reporter,
             run_all=self._run_all,
--- a/fescuerudder/evict.py
+++ b/fescuerudder/evict.py
@@ -36,7 +36,7 @@
     reclaim(state)
 
 
-def evict_many(state: RackState, pairs: list[Running], *, reason: str) -> None:
+def evict_many(state: RackState, pairs: list[Running], *, reason: str, rack: str = "") -> None:
     """Stops attempts with a checkpoint and queues their tasks again.
 
     Replicas that may be serving requests are withdrawn first and stopped in a later cycle.
@@ -47,7 +47,7 @@
         if outcome is None or outcome.state in ("running", "finished", "failed"):
             continue  # The next status tells how it ended.
         ending = Ending(state=outcome.state, checkpoint=outcome.checkpoint)
-        settle(state, held, ending, evicted_for=reason)
+        settle(state, held, ending, rack=rack, evicted_for=reason)
 
 
 def mitigate(state: RackState) -> None:
@@ -65,11 +65,39 @@
             fresh=state.fresh_usage.get(worker.member.id, []),
             objectives_ms=objectives_ms,
             batch={i: h.task.service for i, h in mine.items() if h.task.kind == "batch"},
+            adopted=[i for i, h in mine.items() if h.task.epoch < state.lease.epoch],
+            may_move=lambda task, mine=mine: _better_rack(state, mine[task].task) is not None,
         )
         if action is not None:
             _apply(state, action, mine[action.task], worker)
 
 
+def _better_rack(state: RackState, task: Task) -> str | None:
+    """Returns the rack where a task probably slows services less than now, or None.
+
+    Of other racks only the free room is known.
+    """
+    loads, services = state.loads(), state.services()
+    effects = {load.worker: _effect(state, task, load) for load in loads}
+    limit = effects.get(task.worker, 1.0)
+    others = [load for load in loads if load.worker != task.worker]
+    if any(is_feasible(task, load, services) and effects[load.worker] < limit for load in others):
+        return state.lease.rack
+    return state.other_rack(task, needs="room")
+
+
+def _effect(state: RackState, task: Task, load: WorkerLoad) -> float:
+    """Returns the largest slowdown of a latency-critical service there by the task."""
+    services = state.services()
+    critical = [
+        name
+        for name in set(load.services)
+        if name in services and services[name].kind == "latency-critical"
+    ]
+    pairs = (state.learned.slowdowns.pair(name, task.service, load=load.load) for name in critical)
+    return max(pairs, default=1.0)
+
+
 def reclaim(state: RackState) -> None:
     """Evicts tasks of teams above their quota for waiting tasks of teams below theirs."""
     if not state.may_assign():
@@ -115,7 +143,8 @@
 def _apply(state: RackState, action: Mitigation, held: HeldTask, worker: WorkerState) -> None:
     if action.share is None:
         state.observe(task_event("remedy", held.task, detail="move"))
-        evict_many(state, [(held, worker)], reason="interference")
+        rack = _better_rack(state, held.task) or ""
+        evict_many(state, [(held, worker)], reason="interference", rack=rack)
         return
     try:
         worker.control.throttle(
--- a/fescuerudder/interference.py
+++ b/fescuerudder/interference.py
@@ -1,5 +1,8 @@
 """Learned slowdowns, peak sizes and run times, and remedies against interference."""
 
+import math
+from collections.abc import Callable, Iterable
+
 import attrs
 
 from fescuerudder.document import Size
@@ -15,6 +18,15 @@
 THROTTLE_STEPS = (0.5, 0.25)
 LIFT_BELOW = 0.8
 REPORTS_TO_LIFT = 3
+LIFT_BACKOFF = 2
+MOST_REPORTS_TO_LIFT = 768
+"""A throttle that is needed again after it was lifted waits for twice as many good reports the
+next time, up to this many; otherwise it would be lifted and set again for ever."""
+
+MOVES_PER_HOUR = 4
+"""Each move costs a checkpoint and a restart; if so many did not help, more will not."""
+
+HOUR_S = 3600.0
 
 
 def load_band(load: float) -> int:
@@ -153,11 +165,39 @@
 
 @attrs.define(kw_only=True)
 class _WorkerRemedies:
-    """Throttles in force on one worker, and the damping."""
+    """Remedies in force on one worker, and the damping. Times are on the worker's clock.
+
+    Args:
+        acted_at_s: time of the last remedy.
+        shares: share of each throttled task; 1.0 if a former owner may have throttled it.
+        good_reports: reports below `LIFT_BELOW` in a row.
+        needed: good reports after which a task's throttle is lifted, if more than the least.
+        lifted: tasks whose throttle was lifted.
+        adopted: tasks of a former owner that were seen.
+        moved_at_s: times of the moves of the last hour.
+    """
 
     acted_at_s: float = -1.0
     shares: dict[str, float] = attrs.field(factory=dict)
     good_reports: int = 0
+    needed: dict[str, int] = attrs.field(factory=dict)
+    lifted: set[str] = attrs.field(factory=set)
+    adopted: set[str] = attrs.field(factory=set)
+    moved_at_s: list[float] = attrs.field(factory=list)
+
+    def keep_only(self, tasks: Iterable[str]) -> None:
+        """Forgets tasks that no longer run here."""
+        kept = set(tasks)
+        self.shares = {task: share for task, share in self.shares.items() if task in kept}
+        self.needed = {task: count for task, count in self.needed.items() if task in kept}
+        self.lifted &= kept
+        self.adopted &= kept
+
+    def adopt(self, tasks: Iterable[str]) -> None:
+        """Notes tasks that a former owner started and may have throttled."""
+        for task in set(tasks) - self.adopted:
+            self.adopted.add(task)
+            self.shares.setdefault(task, 1.0)
 
 
 class Remedies:
@@ -165,10 +205,20 @@
 
     Args:
         slowdowns: learned slowdowns.
+        steps: shares to which a neighbour is throttled before it is moved.
+        moves_per_hour: moves from one worker in an hour, at most.
     """
 
-    def __init__(self, *, slowdowns: Slowdowns) -> None:
+    def __init__(
+        self,
+        *,
+        slowdowns: Slowdowns,
+        steps: tuple[float, ...] = THROTTLE_STEPS,
+        moves_per_hour: float = MOVES_PER_HOUR,
+    ) -> None:
         self._slowdowns = slowdowns
+        self._steps = steps
+        self._moves_per_hour = moves_per_hour
         self._workers: dict[str, _WorkerRemedies] = {}
 
     def decide(
@@ -178,6 +228,8 @@
         fresh: list[Usage],
         objectives_ms: dict[str, float],
         batch: dict[str, str],
+        adopted: Iterable[str] = (),
+        may_move: Callable[[str], bool] = lambda task: True,
     ) -> Mitigation | None:
         """Returns the next mitigation on a worker, if one is due.
 
@@ -186,9 +238,13 @@
             fresh: its reports not seen before.
             objectives_ms: latency objective by latency-critical service.
             batch: service of each batch task that runs on the worker.
+            adopted: those of them that a former owner started.
+            may_move: whether a task has a better place to go to.
         """
         state = self._workers.setdefault(status.worker, _WorkerRemedies())
-        state.shares = {task: part for task, part in state.shares.items() if task in batch}
+        # A task whose row is being written is missing from `batch` for a cycle.
+        state.keep_only([*batch, *(a.task for a in status.tasks if not a.is_ended)])
+        state.adopt(adopted)
         # Reports measured before the last mitigation say nothing about its effect.
         reports = [
             usage
@@ -199,9 +255,13 @@
             return None
         worst = max(reports, key=lambda u: u.service_time_ms / objectives_ms[u.service])
         ratio = worst.service_time_ms / objectives_ms[worst.service]
-        if ratio > 1.0:
-            return self._mitigate(state, status, worst, batch)
-        return self._lift(state, status, ratio)
+        if ratio <= 1.0:
+            return self._lift(state, status, ratio)
+        state.good_reports = 0
+        action = self._mitigate(state, status, worst, batch, may_move)
+        if action is not None:
+            state.acted_at_s = status.clock_s
+        return action
 
     def _mitigate(
         self,
@@ -209,32 +269,60 @@
         status: WorkerStatus,
         worst: Usage,
         batch: dict[str, str],
+        may_move: Callable[[str], bool],
     ) -> Mitigation | None:
-        state.good_reports = 0
-        if not batch:
-            return None
-        state.acted_at_s = status.clock_s
+        """Returns the next step for the neighbour of the largest effect that has one left."""
 
         def effect(task: str) -> tuple[float, str]:
             return self._slowdowns.pair(worst.service, batch[task], load=worst.load), task
 
-        task = max(batch, key=effect)
-        current = state.shares.get(task, 1.0)
-        for share in THROTTLE_STEPS:
-            if share < current:
-                state.shares[task] = share
+        for task in sorted(batch, key=effect, reverse=True):
+            current = state.shares.get(task, 1.0)
+            share = next((step for step in self._steps if step < current), None)
+            if share is not None:
+                self._note_throttle(state, task, share)
                 return Mitigation(task=task, share=share)
-        state.shares.pop(task, None)
-        return Mitigation(task=task, share=None)
+            # Without throttling, moving is the only remedy left to try.
+            is_useful = not self._steps or may_move(task)
+            if is_useful and self._may_move(state, status.clock_s):
+                state.shares.pop(task, None)
+                state.moved_at_s.append(status.clock_s)
+                return Mitigation(task=task, share=None)
+        return None
+
+    def _note_throttle(self, state: _WorkerRemedies, task: str, share: float) -> None:
+        """Keeps a throttle; one needed again after it was lifted is lifted later next time."""
+        state.shares[task] = share
+        if task in state.lifted:
+            state.lifted.discard(task)
+            needed = state.needed.get(task, REPORTS_TO_LIFT)
+            state.needed[task] = min(MOST_REPORTS_TO_LIFT, needed * LIFT_BACKOFF)
+
+    def _may_move(self, state: _WorkerRemedies, clock_s: float) -> bool:
+        state.moved_at_s = [at_s for at_s in state.moved_at_s if clock_s - at_s < HOUR_S]
+        return len(state.moved_at_s) < self._moves_per_hour
 
     def _lift(
         self, state: _WorkerRemedies, status: WorkerStatus, ratio: float
     ) -> Mitigation | None:
         state.good_reports = state.good_reports + 1 if ratio < LIFT_BELOW else 0
-        if state.good_reports < REPORTS_TO_LIFT or not state.shares:
+        due = [
+            task
+            for task in state.shares
+            if state.good_reports >= state.needed.get(task, REPORTS_TO_LIFT)
+        ]
+        if not due:
             return None
         state.good_reports = 0
         state.acted_at_s = status.clock_s
-        task = min(state.shares, key=lambda name: (state.shares[name], name))
+        task = min(due, key=lambda name: (state.shares[name], name))
         del state.shares[task]
+        state.lifted.add(task)
         return Mitigation(task=task, share=1.0)
+
+
+def make_remedies(*, policy: str, slowdowns: Slowdowns) -> Remedies:
+    """Returns the remedies of the setting `remedy`; eviction at once is the baseline."""
+    if policy == "evict":
+        return Remedies(slowdowns=slowdowns, steps=(), moves_per_hour=math.inf)
+    return Remedies(slowdowns=slowdowns)
--- a/fescuerudder/placement.py
+++ b/fescuerudder/placement.py
@@ -196,3 +196,8 @@
             if doc is not None and doc.kind == "latency-critical":
                 added += self._slowdowns.pair(other, task.service, load=busy) - 1.0
         return added
+
+
+def make_placement(*, policy: str, slowdowns: Slowdowns) -> Placement:
+    """Returns the placement of the setting `placement`."""
+    return FirstFit() if policy == "first_fit" else LeastInterference(slowdowns=slowdowns)
--- a/fescuerudder/rack.py
+++ b/fescuerudder/rack.py
@@ -50,6 +50,7 @@
         placement: choice of a worker; the least interference if None.
         learned: learned slowdowns, sizes and run times, shared or new.
         may_be_in_use: whether a request to (worker, service) may be in progress.
+        remedies: mitigations; throttling, then moving, if None.
         observe: takes what happens, for logs and metrics.
         run_all: runs requests to several workers at the same time.
         new_id: returns unique ids for transactions.
@@ -72,6 +73,7 @@
         placement: Placement | None = None,
         learned: Learned | None = None,
         may_be_in_use: MayBeInUse = assume_in_use,
+        remedies: Remedies | None = None,
         observe: RackObserver = ignore_event,
         run_all: RunAll = run_in_order,
         new_id: Callable[[], str] = new_txn_id,
@@ -92,7 +94,7 @@
             quarantine=Quarantine(clock=clock),
             placement=placement or LeastInterference(slowdowns=learned.slowdowns),
             learned=learned,
-            remedies=Remedies(slowdowns=learned.slowdowns),
+            remedies=remedies or Remedies(slowdowns=learned.slowdowns),
             withdrawals=Withdrawals(clock=clock, session=session, may_be_in_use=may_be_in_use),
             summaries=summaries,
             new_id=new_id,
--- a/fescuerudder/settings.py
+++ b/fescuerudder/settings.py
@@ -47,6 +47,14 @@
         default="expected_wait",
         help="Requests refused at once: expected_wait (those that would time out) or off.",
     )
+    placement: str = _setting(
+        default="least_interference",
+        help="Choice of a worker for a task: least_interference or first_fit.",
+    )
+    remedy: str = _setting(
+        default="throttle",
+        help="What a batch task that slows a service gets first: throttle or evict.",
+    )
     log_level: str = _setting(default="info", help="debug, info, warning or error.")
     drain_s: float = _setting(default=30.0, help="Longest time a planned stop waits, in seconds.")
     record: bool = _setting(
@@ -56,6 +64,8 @@
 
 ROUTING_POLICIES = ("permits", "random", "round_robin", "least_outstanding")
 SHEDDING_POLICIES = ("expected_wait", "off")
+PLACEMENT_POLICIES = ("least_interference", "first_fit")
+REMEDY_POLICIES = ("throttle", "evict")
 LOG_LEVELS = ("debug", "info", "warning", "error")
 MIN_KEY_LENGTH = 16
 
@@ -133,6 +143,10 @@
         problems.append(f"routing must be one of {', '.join(ROUTING_POLICIES)}")
     if cfg.shedding not in SHEDDING_POLICIES:
         problems.append(f"shedding must be one of {', '.join(SHEDDING_POLICIES)}")
+    if cfg.placement not in PLACEMENT_POLICIES:
+        problems.append(f"placement must be one of {', '.join(PLACEMENT_POLICIES)}")
+    if cfg.remedy not in REMEDY_POLICIES:
+        problems.append(f"remedy must be one of {', '.join(REMEDY_POLICIES)}")
     if cfg.log_level not in LOG_LEVELS:
         problems.append(f"log_level must be one of {', '.join(LOG_LEVELS)}")
     if cfg.threads < 1:
