Add experiments on placement, remedies, zone changes and store outages

python -m bench placement|zone|outage start small deployments of real processes with seeded interference and write JSON lines. Policies run side by side.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,4 +1,4 @@
-"""Command line of the measuring tools: `python -m bench demo|replay|generate|experiment`."""
+"""Command line of the measuring tools: `python -m bench demo|replay|placement|zone|...`."""
 
 import os
 import sys
@@ -6,8 +6,12 @@
 
 from bench._bed import Scale
 from bench.demo import hold_cluster, run_demo
-from bench.experiment import SHAPES, Plan, draw, read_lines, run_plan, table_text
+from bench.disruption import Timing, run_disruption
+from bench.disruption import table_text as disruption_text
+from bench.experiment import RESULTS_DIR, SHAPES, Plan, draw, read_lines, run_plan, table_text
 from bench.generate import DEFAULT_SEED, TRACES_DIR, WORKLOADS, generate_all
+from bench.placement_experiment import COMPARISONS, run_comparison
+from bench.placement_experiment import table_text as comparison_text
 from bench.replay import DRAIN_S, Replayer
 from fescuerudder._usage import UsageError
 from fescuerudder.cli import EXIT_DONE, EXIT_FAILED, KEY_ENV, run
@@ -157,6 +161,113 @@
     return EXIT_DONE
 
 
+def placement(
+    *,
+    compare: str = "placement,remedy",
+    runs: str = "5",
+    seed: str = "1",
+    duration_s: str = "16",
+    label: str = "",
+) -> int:
+    """Compares placement and remedies with their baselines on real processes.
+
+    Args:
+        compare: placement, remedy or both, separated by commas.
+        runs: seeded runs of each policy.
+        seed: seed of the first run; the others follow.
+        duration_s: counted time of each run, in seconds.
+        label: added to the names of the result files.
+    """
+    names = [part for part in compare.split(",") if part]
+    if not names or not set(names) <= set(COMPARISONS):
+        raise UsageError(f"--compare must be among {', '.join(COMPARISONS)}, got {compare!r}")
+    for name in names:
+        lines = run_comparison(
+            name,
+            runs=int(_number("--runs", runs)),
+            seed=int(_number("--seed", seed)),
+            duration_s=_number("--duration-s", duration_s),
+            path=RESULTS_DIR / f"{'-'.join(p for p in ('compare', name, label) if p)}.jsonl",
+        )
+        print(comparison_text(lines))
+    return EXIT_DONE
+
+
+def zone(
+    *,
+    runs: str = "5",
+    seed: str = "1",
+    before_s: str = "6",
+    during_s: str = "10",
+    after_s: str = "10",
+    rate: str = "15",
+    mean_ms: str = "400",
+    label: str = "",
+) -> int:
+    """Measures work done while a zone goes out of service and returns.
+
+    Args:
+        runs: seeded runs.
+        seed: seed of the first run; the others follow.
+        before_s: undisturbed time, in seconds.
+        during_s: time for which the zone is out, in seconds.
+        after_s: time after its return, in seconds.
+        rate: requests per second.
+        mean_ms: mean service time of requests.
+        label: added to the name of the result file.
+    """
+    return _disrupt("zone", runs, seed, (before_s, during_s, after_s), rate, mean_ms, label)
+
+
+def outage(
+    *,
+    runs: str = "3",
+    seed: str = "1",
+    before_s: str = "10",
+    during_s: str = "60",
+    after_s: str = "20",
+    rate: str = "15",
+    mean_ms: str = "100",
+    label: str = "",
+) -> int:
+    """Measures work done during a store outage and, side by side, without one.
+
+    Args:
+        runs: seeded runs.
+        seed: seed of the first run; the others follow.
+        before_s: undisturbed time, in seconds.
+        during_s: length of the outage, in seconds.
+        after_s: time after it, in seconds.
+        rate: requests per second.
+        mean_ms: mean service time of requests.
+        label: added to the name of the result file.
+    """
+    return _disrupt("outage", runs, seed, (before_s, during_s, after_s), rate, mean_ms, label)
+
+
+def _disrupt(
+    name: str,
+    runs: str,
+    seed: str,
+    lengths_s: tuple[str, str, str],
+    rate: str,
+    mean_ms: str,
+    label: str,
+) -> int:
+    before_s, during_s, after_s = (_number("--*-s", text) for text in lengths_s)
+    lines = run_disruption(
+        name,
+        runs=int(_number("--runs", runs)),
+        seed=int(_number("--seed", seed)),
+        timing=Timing(before_s=before_s, during_s=during_s, after_s=after_s),
+        rate=_number("--rate", rate),
+        mean_ms=_number("--mean-ms", mean_ms),
+        path=RESULTS_DIR / f"{'-'.join(part for part in (name, label) if part)}.jsonl",
+    )
+    print(disruption_text(lines))
+    return EXIT_DONE
+
+
 def _number(flag: str, text: str) -> float:
     try:
         return float(text)
@@ -164,7 +275,15 @@
         raise UsageError(f"{flag} must be a number, got {text!r}") from None
 
 
-COMMANDS = {"demo": demo, "replay": replay, "generate": generate, "experiment": experiment}
+COMMANDS = {
+    "demo": demo,
+    "replay": replay,
+    "generate": generate,
+    "experiment": experiment,
+    "placement": placement,
+    "zone": zone,
+    "outage": outage,
+}
 
 if __name__ == "__main__":
     sys.exit(run(sys.argv[1:], commands=COMMANDS, name="bench"))
--- a/bench/_field.py
+++ b/bench/_field.py
@@ -4,11 +4,13 @@
 import json
 import math
 import random
+import statistics
+import sys
 import tempfile
 import threading
 import time
 from collections import Counter
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import Any
@@ -16,6 +18,7 @@
 import attrs
 
 from bench._load import Sent, plan_arrivals, send_all
+from bench.experiment import commit_id
 from bench.launcher import Deployment, Launcher, LauncherError, Zone
 from bench.witness import Event, Run, read_events, read_runs
 from fescuerudder.client import Client, ClientError
@@ -213,6 +216,33 @@
     return read_runs(field.events())
 
 
+def run_context() -> dict[str, str]:
+    """Returns command and commit, for result lines."""
+    return {"command": " ".join(["python -m bench", *sys.argv[1:]]), "commit": commit_id()}
+
+
+def side_by_side(calls: Mapping[str, Callable[[], Any]]) -> dict[str, Any]:
+    """Runs calls at the same time, so that all meet the same load of the machine."""
+    with ThreadPoolExecutor(len(calls)) as pool:
+        futs = {name: pool.submit(call) for name, call in calls.items()}
+        return {name: fut.result() for name, fut in futs.items()}
+
+
+def write_lines(path: Path, lines: Sequence[Mapping[str, Any]]) -> None:
+    """Writes result lines as JSON lines."""
+    path.parent.mkdir(parents=True, exist_ok=True)
+    path.write_text("".join(json.dumps(line, sort_keys=True) + "\n" for line in lines))
+
+
+def spread_text(values: Sequence[float | None]) -> str:
+    """Returns median and range of the values that are known, and how many are."""
+    known = [value for value in values if value is not None]
+    if not known:
+        return f"none of {len(values)}"
+    text = f"{statistics.median(known):.2f} ({min(known):.2f}-{max(known):.2f})"
+    return text if len(known) == len(values) else f"{text}, {len(known)} of {len(values)} runs"
+
+
 def _pause(deadline_s: float, reason: str) -> None:
     if time.monotonic() > deadline_s:
         raise LauncherError(reason)
--- a/bench/disruption.py
+++ b/bench/disruption.py
@@ -1,9 +1,12 @@
 """Experiments: work done while a zone goes out and returns, and during a store outage."""
 
+import functools
+import json
 import os
 import time
 from collections import Counter
 from collections.abc import Sequence
+from pathlib import Path
 from typing import Any
 
 import attrs
@@ -19,8 +22,12 @@
     open_field,
     rate_between,
     read_all_runs,
+    run_context,
+    side_by_side,
+    spread_text,
+    write_lines,
 )
-from bench.witness import find_all
+from bench.witness import Run, find_all
 from fescuerudder.clock import SystemClock
 
 ZONES = ("a", "b", "c")
@@ -29,6 +36,9 @@
 REPLICAS = 4
 BATCH = "plates"
 WORK_S = 2.0
+LONG_WORK_S = 20.0
+"""Work of tasks in the outage experiment: nothing starts meanwhile, so short tasks run out."""
+
 WARM_S = 6.0
 RECOVERED_SHARE = 0.9
 WINDOW_S = 4.0
@@ -94,16 +104,22 @@
     def end(field: Field) -> None:
         field.launcher.fault("table", mode="ok")
 
-    return _measure(seed=seed, timing=timing, rate=rate, mean_ms=mean_ms, moves=(begin, end))
+    return _measure(
+        seed=seed, timing=timing, rate=rate, mean_ms=mean_ms, moves=(begin, end), work_s=LONG_WORK_S
+    )
 
 
 def measure_calm(*, seed: int, timing: Timing, rate: float, mean_ms: float) -> Line:
     """Lets the same time pass without a disruption."""
     moves = (lambda field: None, lambda field: None)
-    return _measure(seed=seed, timing=timing, rate=rate, mean_ms=mean_ms, moves=moves)
+    return _measure(
+        seed=seed, timing=timing, rate=rate, mean_ms=mean_ms, moves=moves, work_s=LONG_WORK_S
+    )
 
 
-def _measure(*, seed: int, timing: Timing, rate: float, mean_ms: float, moves: Any) -> Line:
+def _measure(
+    *, seed: int, timing: Timing, rate: float, mean_ms: float, moves: Any, work_s: float = WORK_S
+) -> Line:
     clock = SystemClock()
     flags = {"mean_ms": mean_ms, "usage_lag_s": 2.0}
     with open_field(
@@ -112,8 +128,8 @@
         field.prepare(DOCUMENTS)
         # More work than the workers can do in the time, so that throughput is their capacity.
         slots = len(ZONES) * WORKERS * PROCESSORS / 2
-        count = int(1.3 * slots * timing.total_s / WORK_S)
-        accepted = field.submit(BATCH, batch_payloads(count=count, mean_s=WORK_S, seed=seed))
+        count = int(1.3 * slots * (timing.total_s / work_s + 1))
+        accepted = field.submit(BATCH, batch_payloads(count=count, mean_s=work_s, seed=seed))
         traffic = Traffic(rate=rate, duration_s=timing.total_s, mean_ms=mean_ms)
         with in_background(lambda: field.send(traffic, seed=seed)) as results:
             time.sleep(WARM_S)
@@ -132,6 +148,7 @@
     return {
         "seed": seed,
         "timing_s": attrs.asdict(timing),
+        "work_s": work_s,
         "rate": rate,
         "mean_ms": mean_ms,
         "tasks": accepted,
@@ -147,6 +164,7 @@
         "evictions": sum(run.service == BATCH and run.how == "checkpointed" for run in runs),
         "machine_load": round(os.getloadavg()[0], 1),
         **throughput(finishes(runs, service=BATCH), marks),
+        **occupation([run for run in runs if run.service == BATCH], marks),
     }
 
 
@@ -172,3 +190,68 @@
         "finished": sum(start_s <= at_s < end_s for at_s in times),
         "recovered_s": recovered_s,
     }
+
+
+def occupation(runs: Sequence[Run], marks: Sequence[float]) -> Line:
+    """Returns the mean number of running attempts in each phase and when it was back."""
+    start_s, out_s, back_s, end_s = marks
+    before = running_between(runs, start_s, out_s)
+    again_s = None
+    at_s = back_s
+    while at_s + 1.0 <= end_s and again_s is None:
+        if running_between(runs, at_s, at_s + 1.0) >= RECOVERED_SHARE * before:
+            again_s = round(at_s - back_s, 1)
+        at_s += 0.5
+    return {
+        "running_before": round(before, 2),
+        "running_during": round(running_between(runs, out_s, back_s), 2),
+        "running_after": round(running_between(runs, back_s, end_s), 2),
+        "running_again_s": again_s,
+    }
+
+
+def running_between(runs: Sequence[Run], start_s: float, end_s: float) -> float:
+    """Returns the mean number of attempts that ran between two times."""
+    seconds = sum(max(0.0, min(run.end_s, end_s) - max(run.start_s, start_s)) for run in runs)
+    return seconds / max(end_s - start_s, 1e-9)
+
+
+EXPERIMENTS = {"zone": (measure_zone,), "outage": (measure_outage, measure_calm)}
+"""Measurements of each experiment; those of one run take place side by side."""
+
+
+def run_disruption(
+    name: str, *, runs: int, seed: int, timing: Timing, rate: float, mean_ms: float, path: Path
+) -> list[Line]:
+    """Measures all runs and writes the result lines to `path`."""
+    context = run_context()
+    lines: list[Line] = []
+    for number in range(runs):
+        calls = {
+            measure.__name__.removeprefix("measure_"): functools.partial(
+                measure, seed=seed + number, timing=timing, rate=rate, mean_ms=mean_ms
+            )
+            for measure in EXPERIMENTS[name]
+        }
+        for condition, line in side_by_side(calls).items():
+            lines.append({**context, "experiment": name, "condition": condition, **line})
+            print(json.dumps(lines[-1], sort_keys=True), flush=True)
+        write_lines(path, lines)
+    return lines
+
+
+def table_text(lines: Sequence[Line]) -> str:
+    """Returns median and range of each figure for each condition."""
+    names = ("per_s_before", "per_s_during", "per_s_after", "recovered_s")
+    names += ("running_before", "running_during", "running_after", "running_again_s")
+    names += ("lost_work_s", "evictions", "finished")
+    rows = []
+    for condition in dict.fromkeys(line["condition"] for line in lines):
+        group = [line for line in lines if line["condition"] == condition]
+        rows.append(f"{condition}: {len(group)} runs, median (least-most)")
+        rows += [f"  {name}: {spread_text([line[name] for line in group])}" for name in names]
+        violations = sum((Counter(line["violations"]) for line in group), Counter())
+        failed = sum((Counter(line["failed_requests"]) for line in group), Counter())
+        total = sum(line["requests"] for line in group)
+        rows.append(f"  violations: {dict(violations)}; failed of {total} requests: {dict(failed)}")
+    return "\n".join(rows)
--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -86,7 +86,7 @@
     path = results / f"{plan.name}.jsonl"
     order = random.Random(plan.seed)
     slow_ms = plan.mean_ms if plan.shape == "slow" else 0.0
-    context = {"command": " ".join(["python -m bench", *sys.argv[1:]]), "commit": _commit()}
+    context = {"command": " ".join(["python -m bench", *sys.argv[1:]]), "commit": commit_id()}
     lines = []
     with open_beds(plan.flags_by_policy, scale=plan.scale, slow_ms=slow_ms) as beds:
         for run in range(plan.runs):
@@ -241,7 +241,7 @@
     )
 
 
-def _commit() -> str:
+def commit_id() -> str:
     """Returns the commit, with a mark if files of the product differ from it."""
     head = _git("rev-parse", "--short=12", "HEAD")
     changed = _git("status", "--porcelain", "--", "fescuerudder", "standins", "bench/*.py")
