--- a/fescuerudder/entry.py
+++ b/fescuerudder/entry.py
@@ -13,14 +13,14 @@
 import structlog
 from result import Ok, Result
 
-from fescuerudder.burn import BurnRecorder
+from fescuerudder.burn import BurnRecorder, objectives_of
 from fescuerudder.clock import Clock, SystemClock
 from fescuerudder.configuration import Configurator
-from fescuerudder.document import Objective
-from fescuerudder.errors import PeerError, RequestError, WorkerUnreachableError
+from fescuerudder.errors import PeerError, RequestError, ShedError, WorkerUnreachableError
 from fescuerudder.frontend import Frontend
 from fescuerudder.groupcommit import GroupCommitter
 from fescuerudder.idempotency import IdempotencyRecords
+from fescuerudder.interference import make_remedies
 from fescuerudder.kernel import Kernel
 from fescuerudder.logs import configure_logs
 from fescuerudder.membership import Membership
@@ -44,11 +44,13 @@
 from fescuerudder.ownership_types import RackLease
 from fescuerudder.peers import MessageHandlers, PeerClients, PeerServer
 from fescuerudder.permits import PERMIT_RETRY_S, PermitGranter, PermitHolder, WorkerRoute
+from fescuerudder.placement import make_placement
 from fescuerudder.rack import RackController
 from fescuerudder.racks import Racks
 from fescuerudder.rackstate import Learned
 from fescuerudder.recording import Recording
 from fescuerudder.replicas import ReplicaKeeper
+from fescuerudder.reporting import EventReporter
 from fescuerudder.retention import RecordSweeper
 from fescuerudder.routes import make_routes
 from fescuerudder.routing import Router, make_balancer
@@ -74,12 +76,6 @@
 _log = structlog.get_logger(__name__)
 
 
-def objectives_of(view: ConfigView) -> dict[str, Objective]:
-    """Returns the objective of each latency-critical service."""
-    docs = view.services.values()
-    return {doc.name: doc.objective for doc in docs if doc.kind == "latency-critical"}
-
-
 class EffectiveView:
     """Configuration view in which provisional drains count as zones taken out.
 
@@ -143,6 +139,8 @@
             if res.err_value.status == 404:
                 # The name comes from the caller; as a label it would be unbounded.
                 return res
+            if isinstance(res.err_value, ShedError):
+                self._burn.add_event(kind="shed", target=req.service, detail="overload")
         self._metrics.count_request(service=req.service, outcome=outcome, latency_s=seconds)
         self._burn.count_request(
             service=req.service, latency_ms=seconds * 1000, is_answered=answered
@@ -261,6 +259,7 @@
         cfg, clock = self._cfg, self._clock
         self._metrics = Metrics(instance=cfg.instance)
         self._burn = BurnRecorder(instance=cfg.instance, read_time_s=time.time)
+        self._reporter = EventReporter(metrics=self._metrics, burn=self._burn)
         self._recording = Recording(clock=clock, instance=cfg.instance, enabled=cfg.record)
         self._upstream = Upstream(clock=clock, new_id=_new_id)
         self._holder = PermitHolder(
@@ -431,6 +430,14 @@
             self._tell(owner, TaskHint(rack=rack, task=task_id))
 
     def _make_rack(self, lease: RackLease) -> tuple[RackController, PermitGranter]:
+        granter = PermitGranter(
+            rack=lease.rack,
+            epoch=lease.epoch,
+            clock=self._clock,
+            is_owner=self._keeper.is_live,
+            reaches_all=self._reaches_all,
+            tell=self._tell_holder,
+        )
         controller = RackController(
             rack=lease.rack,
             zone=self._membership.zone_of(lease.rack),
@@ -444,17 +451,18 @@
             rng=self._rng,
             summaries=self._membership.summaries,
             learned=self._learned,
+            placement=make_placement(policy=self._cfg.placement, slowdowns=self._learned.slowdowns),
+            remedies=make_remedies(policy=self._cfg.remedy, slowdowns=self._learned.slowdowns),
+            may_be_in_use=granter.may_be_in_use,
+            observe=self._reporter,
             run_all=self._run_all,
         )
-        granter = PermitGranter(
-            rack=lease.rack,
-            epoch=lease.epoch,
-            clock=self._clock,
-            is_owner=self._keeper.is_live,
-            tell=self._tell_holder,
-        )
         return controller, granter
 
+    def _reaches_all(self) -> bool:
+        """Returns whether a connection to every other live instance stands."""
+        return set(self._observer.live()) - {self._cfg.instance} <= set(self._clients.connected())
+
     def _run_all(self, calls: list[Callable[[], Any]]) -> list[Any]:
         return [fut.result() for fut in [self._pool.submit(call) for call in calls]]
 
@@ -497,7 +505,8 @@
     def _do_upkeep(self) -> None:
         """Retries what waits for the store and refreshes gauges."""
         self._records.flush()
-        self._burn.set_objectives(objectives_of(self._view.current()))
+        self._burn.set_objectives(objectives_of(self._view.current().services.values()))
+        self._metrics.set_leases(count=sum(s.running for s in self._racks.summaries()))
         if self._configurator.notices():
             for notice in self._configurator.notices():
                 self._tell_all(notice)
--- a/fescuerudder/evict.py
+++ b/fescuerudder/evict.py
@@ -6,8 +6,10 @@
 
 from fescuerudder.errors import WorkerRefusedError, WorkerUnreachableError
 from fescuerudder.fleet import WorkerState
+from fescuerudder.graceful import Running, ready_to_stop
 from fescuerudder.interference import Mitigation
 from fescuerudder.placement import WorkerLoad, is_feasible
+from fescuerudder.rackevents import task_event
 from fescuerudder.rackstate import RackState
 from fescuerudder.reconcile import Ending, settle
 from fescuerudder.task import Task
@@ -26,20 +28,26 @@
     if not state.session.is_live():
         return
     if not state.zone_is_in():
-        evict_many(state, _running(state))
+        evict_many(state, _running(state), reason="zone")
         return
-    evict_many(state, [pair for pair in _running(state) if pair[1].is_leaving])
+    leaving = [pair for pair in _running(state) if pair[1].is_leaving]
+    evict_many(state, leaving, reason="leaving")
     mitigate(state)
     reclaim(state)
 
 
-def evict_many(state: RackState, pairs: list[tuple[HeldTask, WorkerState]]) -> None:
-    """Stops attempts with a checkpoint and queues their tasks again."""
+def evict_many(state: RackState, pairs: list[Running], *, reason: str, rack: str = "") -> None:
+    """Stops attempts with a checkpoint and queues their tasks again.
+
+    Replicas that may be serving requests are withdrawn first and stopped in a later cycle.
+    """
+    pairs = ready_to_stop(state, pairs)
     calls = [functools.partial(_stop, state, held, worker) for held, worker in pairs]
     for (held, _), outcome in zip(pairs, state.fleet.run(calls), strict=True):
         if outcome is None or outcome.state in ("running", "finished", "failed"):
             continue  # The next status tells how it ended.
-        settle(state, held, Ending(state=outcome.state, checkpoint=outcome.checkpoint))
+        ending = Ending(state=outcome.state, checkpoint=outcome.checkpoint)
+        settle(state, held, ending, rack=rack, evicted_for=reason)
 
 
 def mitigate(state: RackState) -> None:
@@ -57,11 +65,39 @@
             fresh=state.fresh_usage.get(worker.member.id, []),
             objectives_ms=objectives_ms,
             batch={i: h.task.service for i, h in mine.items() if h.task.kind == "batch"},
+            adopted=[i for i, h in mine.items() if h.task.epoch < state.lease.epoch],
+            may_move=lambda task, mine=mine: _better_rack(state, mine[task].task) is not None,
         )
         if action is not None:
             _apply(state, action, mine[action.task], worker)
 
 
+def _better_rack(state: RackState, task: Task) -> str | None:
+    """Returns the rack where a task probably slows services less than now, or None.
+
+    Of other racks only the free room is known.
+    """
+    loads, services = state.loads(), state.services()
+    effects = {load.worker: _effect(state, task, load) for load in loads}
+    limit = effects.get(task.worker, 1.0)
+    others = [load for load in loads if load.worker != task.worker]
+    if any(is_feasible(task, load, services) and effects[load.worker] < limit for load in others):
+        return state.lease.rack
+    return state.other_rack(task, needs="room")
+
+
+def _effect(state: RackState, task: Task, load: WorkerLoad) -> float:
+    """Returns the largest slowdown of a latency-critical service there by the task."""
+    services = state.services()
+    critical = [
+        name
+        for name in set(load.services)
+        if name in services and services[name].kind == "latency-critical"
+    ]
+    pairs = (state.learned.slowdowns.pair(name, task.service, load=load.load) for name in critical)
+    return max(pairs, default=1.0)
+
+
 def reclaim(state: RackState) -> None:
     """Evicts tasks of teams above their quota for waiting tasks of teams below theirs."""
     if not state.may_assign():
@@ -79,7 +115,7 @@
         if not victims:
             continue
         left -= 1
-        evict_many(state, victims)
+        evict_many(state, victims, reason="quota")
         shares = _moved(shares, task, [held.task for held, _ in victims])
         worker = victims[0][0].task.worker
         for held, _ in victims:
@@ -87,7 +123,7 @@
         loads[worker] = loads[worker].with_task(task)
 
 
-def _running(state: RackState) -> list[tuple[HeldTask, WorkerState]]:
+def _running(state: RackState) -> list[Running]:
     """Returns the tasks that run as their rows say, with their workers."""
     found = []
     for held in state.rows.assigned():
@@ -106,7 +142,9 @@
 
 def _apply(state: RackState, action: Mitigation, held: HeldTask, worker: WorkerState) -> None:
     if action.share is None:
-        evict_many(state, [(held, worker)])
+        state.observe(task_event("remedy", held.task, detail="move"))
+        rack = _better_rack(state, held.task) or ""
+        evict_many(state, [(held, worker)], reason="interference", rack=rack)
         return
     try:
         worker.control.throttle(
@@ -119,6 +157,12 @@
         return
     except WorkerRefusedError as exc:
         state.fleet.note_refusal(exc)
+        return
+    state.observe(task_event("remedy", held.task, detail=_remedy_name(action.share)))
+
+
+def _remedy_name(share: float) -> str:
+    return "lift" if share >= 1.0 else f"throttle_{share:.0%}".rstrip("%")
 
 
 def _victims_for(
--- a/fescuerudder/rackstate.py
+++ b/fescuerudder/rackstate.py
@@ -8,15 +8,17 @@
 from fescuerudder.clock import Clock
 from fescuerudder.document import ServiceDocument, Size
 from fescuerudder.fleet import Fleet, WorkerState
-from fescuerudder.home import Need, choose_home, in_service
+from fescuerudder.home import Need, choose_home, in_service, replicas_by_rack
 from fescuerudder.interference import Remedies, RunTimes, Sizes, Slowdowns
 from fescuerudder.ownership_types import RackLease, RackSummary
 from fescuerudder.placement import Placement, WorkerLoad, commitments
 from fescuerudder.quarantine import Quarantine
+from fescuerudder.rackevents import RackEvent, RackObserver
 from fescuerudder.rackports import Session, View
 from fescuerudder.rackrows import RackRows
 from fescuerudder.task import Task
 from fescuerudder.taskqueue import Shares, team_quotas
+from fescuerudder.withdraw import Withdrawals
 from fescuerudder.workers import Usage
 
 
@@ -61,8 +63,12 @@
         placement: choice of a worker.
         learned: learned slowdowns, sizes and run times.
         remedies: mitigations.
+        withdrawals: replicas that get no requests because they are to be stopped.
         summaries: returns the published summaries of all racks.
         new_id: returns unique ids for transactions.
+        observe: takes events.
+        written: event to report once the write in flight of a task is applied.
+        unschedulable: waiting tasks that were reported to fit on no known worker.
         starts: starts sent under this lease, by task and attempt.
         running_since_s: when an attempt was first seen running.
         queued_since_s: when a task was first seen in the queue.
@@ -82,8 +88,12 @@
     placement: Placement
     learned: Learned
     remedies: Remedies
+    withdrawals: Withdrawals
     summaries: Callable[[], Iterable[RackSummary]]
     new_id: Callable[[], str]
+    observe: RackObserver
+    written: dict[str, RackEvent] = attrs.field(factory=dict)
+    unschedulable: set[str] = attrs.field(factory=set)
     starts: dict[tuple[str, int], StartRecord] = attrs.field(factory=dict)
     running_since_s: dict[tuple[str, int], float] = attrs.field(factory=dict)
     queued_since_s: dict[str, float] = attrs.field(factory=dict)
@@ -160,14 +170,17 @@
 
     def other_rack(self, task: Task, *, needs: Need) -> str | None:
         """Returns another rack for `task`, or None."""
+        summaries = list(self.summaries())
+        is_replica = task.kind == "replica"
         return choose_home(
             size=task.size,
             zones=task.zones,
-            summaries=self.summaries(),
+            summaries=summaries,
             zone_states=self.view.current().zones,
             rng=self.rng,
             exclude=self.lease.rack,
             needs=needs,
+            placed=replicas_by_rack(summaries, task.service) if is_replica else None,
         )
 
     def waited_s(self, task: Task) -> float:
