Stop no replica while requests may be running on it

Cause: the rack's owner stopped the replicas of a leaving worker, of a zone that was taken out of service and of a service with fewer replicas at once, which cut off the requests they were answering. Change: such a replica's service is first withdrawn on that worker, so that no permit is granted or renewed; the replica is stopped when every permit for it has been returned, or 30 s (the default deadline) after the last one ended.

--- a/fescuerudder/entry.py
+++ b/fescuerudder/entry.py
@@ -378,6 +378,12 @@
             self._tell(owner, TaskHint(rack=rack, task=task_id))
 
     def _make_rack(self, lease: RackLease) -> tuple[RackController, PermitGranter]:
+        granter = PermitGranter(
+            rack=lease.rack,
+            epoch=lease.epoch,
+            clock=self._clock,
+            is_owner=self._keeper.is_live,
+        )
         controller = RackController(
             rack=lease.rack,
             zone=self._membership.zone_of(lease.rack),
@@ -392,12 +398,7 @@
             summaries=self._membership.summaries,
             learned=self._learned,
             run_all=self._run_all,
-        )
-        granter = PermitGranter(
-            rack=lease.rack,
-            epoch=lease.epoch,
-            clock=self._clock,
-            is_owner=self._keeper.is_live,
+            in_use=granter.may_be_in_use,
         )
         return controller, granter
 
--- a/fescuerudder/evict.py
+++ b/fescuerudder/evict.py
@@ -25,10 +25,11 @@
     """
     if not state.session.is_live():
         return
+    idle = [pair for pair in _running(state) if not state.is_awaited(pair[0].task)]
     if not state.zone_is_in():
-        evict_many(state, _running(state))
+        evict_many(state, idle)
         return
-    evict_many(state, [pair for pair in _running(state) if pair[1].is_leaving])
+    evict_many(state, [pair for pair in idle if pair[1].is_leaving])
     mitigate(state)
     reclaim(state)
 
--- a/fescuerudder/permits.py
+++ b/fescuerudder/permits.py
@@ -26,6 +26,8 @@
 DEMAND_FRESH_S = 0.5
 MAX_WANTED = 64
 UNOWNED_SERIAL = -1
+UNRETURNED_S = 30.0
+"""The default deadline of requests."""
 
 _SERIALS_PER_EPOCH = 1 << 32
 
@@ -56,6 +58,7 @@
     """A granted permit; `ends_s` is on the granter's clock."""
 
     asker: str
+    service: str
     permit: SlotPermit
     ends_s: float
     since_s: float
@@ -106,6 +109,7 @@
         self._workers: dict[str, WorkerSlots] = {}
         self._seen_s: dict[str, float] = {}
         self._grants: dict[tuple[str, int], _Grant] = {}
+        self._unreturned: dict[int, _Grant] = {}
         self._demands: dict[tuple[str, str], tuple[int, float]] = {}
         self._granted_s: dict[str, float] = {}
         self._lock = threading.Lock()
@@ -116,6 +120,32 @@
             now = self._clock.now_s()
             self._workers = {item.worker: item for item in workers}
             self._seen_s = {item.worker: now - item.status_age_s for item in workers}
+            self._unreturned = {
+                serial: grant
+                for serial, grant in self._unreturned.items()
+                if now - grant.ends_s <= UNRETURNED_S
+            }
+
+    def may_be_in_use(self, worker: str, service: str) -> bool:
+        """Returns whether requests to a service may be running on a worker or come to it.
+
+        False is certain for requests that end within `UNRETURNED_S` after their permits.
+        """
+        with self._lock:
+            now = self._clock.now_s()
+            self._expire(now)
+            item = self._workers.get(worker)
+            if now < self._settled_s:
+                return True
+            if item is not None and not item.leaving and service in item.services:
+                return True
+            grants = [*self._grants.values(), *self._unreturned.values()]
+            return any(
+                grant.permit.worker == worker
+                and grant.service == service
+                and now - grant.ends_s <= UNRETURNED_S
+                for grant in grants
+            )
 
     def live_permits(self) -> int:
         """Returns how many permits may be live."""
@@ -140,7 +170,10 @@
         return PermitReply(rack=self._rack, permits=(*renewed, *granted))
 
     def _expire(self, now: float) -> None:
-        self._grants = {key: grant for key, grant in self._grants.items() if grant.ends_s > now}
+        # Requests may outlast their permits; their holders return these when they end.
+        for key in [key for key, grant in self._grants.items() if grant.ends_s <= now]:
+            grant = self._grants.pop(key)
+            self._unreturned[grant.permit.serial] = grant
         self._demands = {
             key: demand
             for key, demand in self._demands.items()
@@ -149,6 +182,7 @@
 
     def _take_back(self, asker: str, returned: Iterable[SlotPermit]) -> None:
         for permit in returned:
+            self._unreturned.pop(permit.serial, None)
             if self._find(asker, permit) is not None:
                 del self._grants[permit.worker, permit.slot]
 
@@ -189,7 +223,7 @@
         if grant is None:
             if not in_window or not self._is_free(permit):
                 return None
-            grant = _Grant(asker=asker, permit=permit, ends_s=0.0, since_s=now)
+            grant = _Grant(asker=asker, service=ask.service, permit=permit, ends_s=0.0, since_s=now)
             self._grants[permit.worker, permit.slot] = grant
         grant.revoked = False
         grant.ends_s = max(grant.ends_s, now + ttl_s)
@@ -255,7 +289,11 @@
             ttl_s=self._ttl_s(best.worker, ask.service, now),
         )
         self._grants[permit.worker, permit.slot] = _Grant(
-            asker=asker, permit=permit, ends_s=now + permit.ttl_s, since_s=now
+            asker=asker,
+            service=ask.service,
+            permit=permit,
+            ends_s=now + permit.ttl_s,
+            since_s=now,
         )
         return permit
 
--- a/fescuerudder/rack.py
+++ b/fescuerudder/rack.py
@@ -49,6 +49,7 @@
         learned: learned slowdowns, sizes and run times, shared or new.
         run_all: runs requests to several workers at the same time.
         new_id: returns unique ids for transactions.
+        in_use: whether requests to a service may be running on a worker.
     """
 
     def __init__(
@@ -69,6 +70,7 @@
         learned: Learned | None = None,
         run_all: RunAll = run_in_order,
         new_id: Callable[[], str] = new_txn_id,
+        in_use: Callable[[str, str], bool] = lambda worker, service: False,
     ) -> None:
         learned = learned or Learned()
         self.rack = rack
@@ -89,6 +91,7 @@
             remedies=Remedies(slowdowns=learned.slowdowns),
             summaries=summaries,
             new_id=new_id,
+            in_use=in_use,
         )
         self._summary = RackSummary(rack=rack, zone=zone, epoch=lease.epoch)
 
@@ -205,6 +208,7 @@
     def _upstream(self, worker: WorkerState) -> UpstreamState:
         services = self._state.services()
         running = {a.service for a in worker.attempts if not a.is_ended}
+        running -= self._state.withdrawn(worker)
         critical = {
             name
             for name in running
--- a/fescuerudder/rackstate.py
+++ b/fescuerudder/rackstate.py
@@ -63,6 +63,7 @@
         remedies: mitigations.
         summaries: returns the published summaries of all racks.
         new_id: returns unique ids for transactions.
+        in_use: whether requests to a service may be running on a worker.
         starts: starts sent under this lease, by task and attempt.
         running_since_s: when an attempt was first seen running.
         queued_since_s: when a task was first seen in the queue.
@@ -84,6 +85,7 @@
     remedies: Remedies
     summaries: Callable[[], Iterable[RackSummary]]
     new_id: Callable[[], str]
+    in_use: Callable[[str, str], bool]
     starts: dict[tuple[str, int], StartRecord] = attrs.field(factory=dict)
     running_since_s: dict[tuple[str, int], float] = attrs.field(factory=dict)
     queued_since_s: dict[str, float] = attrs.field(factory=dict)
@@ -111,6 +113,22 @@
         """
         return self.session.is_live() and self.view.is_fresh() and self.zone_is_in()
 
+    def withdrawn(self, worker: WorkerState) -> set[str]:
+        """Returns the services whose replicas on a worker are all about to be stopped.
+
+        They are offered to callers no more, so that their requests come to an end.
+        """
+        here = [held.task for held in self.rows.assigned() if held.task.worker == worker.member.id]
+        replicas = [task for task in here if task.kind == "replica"]
+        staying = {task.service for task in replicas if not task.cancel_requested}
+        if not self.zone_is_in():
+            staying = set()
+        return {task.service for task in replicas} - staying
+
+    def is_awaited(self, task: Task) -> bool:
+        """Returns whether a replica that is to be stopped may still be answering requests."""
+        return task.kind == "replica" and self.in_use(task.worker, task.service)
+
     def takes_work(self, state: WorkerState) -> bool:
         """Returns whether a worker may get new tasks."""
         if not (state.is_reachable and state.is_fenced) or state.is_leaving:
--- a/fescuerudder/reconcile.py
+++ b/fescuerudder/reconcile.py
@@ -176,6 +176,8 @@
     is_overdue = doc is not None and 0 < doc.max_run_s < run_s
     if not (task.cancel_requested or is_overdue):
         return
+    if not is_overdue and state.is_awaited(task):
+        return
     outcome = state.fleet.stop(worker, task=task.id, attempt=task.attempt, checkpoint=False)
     if outcome is None or outcome.state == "running":
         return
--- a/tests/scenarios/cluster_steps.py
+++ b/tests/scenarios/cluster_steps.py
@@ -2,6 +2,7 @@
 
 from pytest_bdd import given, parsers, when
 
+from bench.witness import read_runs
 from tests.scenarios.deployments import ZONE, Cluster, Shape, wait_until
 
 PROCESSORS = 32
@@ -75,3 +76,13 @@
 @when(parsers.parse('the document of "{service}" is applied with {count:d} replicas'))
 def change_replicas(cluster, service, count) -> None:
     cluster.apply({**cluster.documents[service], "replicas": count})
+    cluster.hosting[service] = count
+
+
+@when(parsers.parse('"{service}" runs on {count:d} workers only'))
+def runs_on_fewer(cluster, service, count) -> None:
+    def running() -> int:
+        runs = read_runs(cluster.events())
+        return sum(run.service == service and run.end_s == float("inf") for run in runs)
+
+    wait_until(lambda: running() == count, f"{service} runs on {count} workers")
--- a/tests/scenarios/p9_planned_stops.feature
+++ b/tests/scenarios/p9_planned_stops.feature
@@ -96,3 +96,16 @@
     Then no worker cut a request off
     And nothing that was refused as not run has run
     And no caller saw a broken answer
+
+  Scenario: a service gets fewer replicas while requests that take long run on them
+    Given a cluster of 3 entry instances and 3 workers whose list lags 20 seconds
+    And the service "proofs" runs on 3 workers
+    And 4 callers send POST requests to "proofs" with work_ms=5
+    And 12 callers send POST requests to "proofs" with work_ms=2500
+    When 100 more requests were answered
+    And the document of "proofs" is applied with 1 replicas
+    And "proofs" runs on 1 workers only
+    And 50 more requests were answered
+    And the callers stop
+    Then no worker cut a request off
+    And no caller saw a broken answer
