Keep a rack's workers known while the rack changes its owner

Cause: the old owner stops publishing a rack's summary before the new one has read the workers, so for a moment no summary showed a worker and a valid submission was refused with 503 'sizes are not known yet'. Change: an instance remembers a summary with workers for 5 s. Before: the scenario 'the rack's owner is asked to stop under load' failed with one such refusal.

--- a/fescuerudder/routes.py
+++ b/fescuerudder/routes.py
@@ -1,14 +1,18 @@
 """Routes to upstreams, from published rack summaries, the list of instances and zone states."""
 
+import threading
 from collections.abc import Iterable, Mapping
 
 import structlog
 
+from fescuerudder.clock import Clock
 from fescuerudder.members import Member
 from fescuerudder.ownership_types import RackSummary
 from fescuerudder.permits import RackRoute, WorkerRoute
 from fescuerudder.session import Session
 
+SUMMARY_KEPT_S = 5.0
+
 _log = structlog.get_logger(__name__)
 
 
@@ -33,6 +37,33 @@
     return latest
 
 
+class SummaryMemory:
+    """Bridges the moment in which a rack changes its owner and nobody publishes its workers.
+
+    Args:
+        clock: source of time.
+    """
+
+    def __init__(self, *, clock: Clock) -> None:
+        self._clock = clock
+        self._seen: dict[str, tuple[RackSummary, float]] = {}
+        self._lock = threading.Lock()
+
+    def complete(self, found: dict[str, RackSummary]) -> dict[str, RackSummary]:
+        """Returns `found` with summaries seen up to `SUMMARY_KEPT_S` ago where workers lack."""
+        now_s = self._clock.now_s()
+        with self._lock:
+            for rack, summary in found.items():
+                if summary.upstreams:
+                    self._seen[rack] = (summary, now_s)
+            self._seen = {
+                rack: entry
+                for rack, entry in self._seen.items()
+                if now_s - entry[1] <= SUMMARY_KEPT_S
+            }
+            return {**found, **{rack: entry[0] for rack, entry in self._seen.items()}}
+
+
 def _rank(summary: RackSummary) -> tuple[bool, int]:
     return bool(summary.upstreams), summary.epoch
 
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -3,9 +3,10 @@
 import pytest
 from result import Ok
 
+from fescuerudder.clock import ManualClock
 from fescuerudder.document import Size
 from fescuerudder.ownership_types import RackSummary, UpstreamState
-from fescuerudder.routes import latest_summaries, make_routes
+from fescuerudder.routes import SUMMARY_KEPT_S, SummaryMemory, latest_summaries, make_routes
 from tests.rack_world import World, batch
 
 RACK = "rack-1"
@@ -51,3 +52,23 @@
     answer = world.tasks.submit(service=service, payload="", idempotency_key="k", body_hash="1")
     found = answer.ok_value.state if isinstance(answer, Ok) else answer.err_value.kind
     assert found == kind
+
+
+@pytest.mark.parametrize(
+    ("later", "after_s", "expected"),
+    [
+        ({}, 1.0, 1),
+        ({RACK: make_summary(epoch=2, known=False)}, 1.0, 1),
+        ({RACK: make_summary(epoch=2, known=True)}, 1.0, 2),
+        ({RACK: make_summary(epoch=2, known=False)}, SUMMARY_KEPT_S + 0.1, 2),
+        ({}, SUMMARY_KEPT_S + 0.1, None),
+    ],
+)
+def test_workers_stay_known_while_a_rack_changes_its_owner(later, after_s, expected):
+    """Guards against refusals between the old owner's last summary and the new one's first."""
+    clock = ManualClock()
+    memory = SummaryMemory(clock=clock)
+    memory.complete({RACK: make_summary(epoch=1, known=True)})
+    clock.advance(seconds=after_s)
+    found = memory.complete(later).get(RACK)
+    assert (found.epoch if found else None) == expected
