--- a/standins/_dataplane.py
+++ b/standins/_dataplane.py
@@ -8,6 +8,8 @@
 import uuid
 from typing import Any
 
+import attrs
+
 from standins._events import EventLog
 from standins._http import Answer, Request
 from standins._workerfault import FaultSet
@@ -47,6 +49,7 @@
         self._random = random.Random(seed)
         self._lock = threading.Lock()
         self._keys: set[str] = set()
+        self._previous: Request | None = None
 
     def handle(self, req: Request) -> Answer:
         """Answers one request, or refuses it as not processed."""
@@ -79,14 +82,21 @@
         if aborted:
             return Answer(abort=True)
         missing = MISSING_BYTES if self._faults.get("truncate") else 0
-        headers = _echo_id(req)
-        if self._faults.get("wrong_id"):
-            headers["X-Request-Id"] = f"other-{uuid.uuid4().hex[:8]}"
+        answered = self._other(req) if self._faults.get("wrong_id") else req
+        self._previous = req
+        headers = _echo_id(answered)
         close = "refuse" in self._faults.modes()
         return Answer(
-            body=self._body(req, service), headers=headers, missing_bytes=missing, close=close
+            body=self._body(answered, service), headers=headers, missing_bytes=missing, close=close
         )
 
+    def _other(self, req: Request) -> Request:
+        """Returns an earlier request, under an id that is not that of `req`."""
+        previous = self._previous or req
+        if previous.headers.get("x-request-id") != req.headers.get("x-request-id"):
+            return previous
+        return attrs.evolve(previous, headers={"x-request-id": f"other-{uuid.uuid4().hex[:8]}"})
+
     def _body(self, req: Request, service: str) -> bytes:
         """Returns an answer that lets the caller check that it belongs to its request."""
         content = {
