Test when a service counts as in use; truncate bodies in the stand-in

The truncate fault declared more bytes than a complete body; callers could not have noticed that something was missing. It now cuts the body itself.

--- a/standins/_dataplane.py
+++ b/standins/_dataplane.py
@@ -16,7 +16,7 @@
 from standins.workerstate import WorkerState
 
 MISSING_BYTES = 64
-"""Bytes that a truncated answer declares and does not send."""
+"""Bytes at the end of its body that a truncated answer declares and does not send."""
 
 
 class DataPlane:
@@ -85,9 +85,12 @@
         answered = self._other(req) if self._faults.get("wrong_id") else req
         self._previous = req
         headers = _echo_id(answered)
-        close = "refuse" in self._faults.modes()
+        body = self._body(answered, service)
         return Answer(
-            body=self._body(answered, service), headers=headers, missing_bytes=missing, close=close
+            body=body[: len(body) - missing],
+            headers=headers,
+            missing_bytes=missing,
+            close="refuse" in self._faults.modes(),
         )
 
     def _other(self, req: Request) -> Request:
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -14,6 +14,7 @@
     PERMIT_IDLE_S,
     PERMIT_TTL_S,
     UNOWNED_SERIAL,
+    UNRETURNED_S,
     PermitGranter,
     PermitHolder,
     RackRoute,
@@ -365,3 +366,49 @@
     with pytest.raises(OSError, match="fault"):
         acquire_stepping(holder, clock)
     assert acquire_stepping(holder, clock) is not None
+
+
+@pytest.mark.parametrize(
+    ("offered", "returned", "after_s", "in_use"),
+    [
+        (True, True, 0.0, True),
+        (False, True, 0.0, False),
+        (False, False, 0.0, True),
+        (False, False, PERMIT_TTL_S + UNRETURNED_S - 0.1, True),
+        (False, False, PERMIT_TTL_S + UNRETURNED_S + 0.1, False),
+        (False, True, PERMIT_TTL_S + 0.1, False),
+    ],
+)
+def test_a_service_is_in_use_until_its_permits_are_back(offered, returned, after_s, in_use):
+    """Guards against stopping a replica that still answers requests."""
+    clock = ManualClock()
+    granter = make_granter(clock)
+    held = granter.answer("a", make_ask(2)).permits
+    if not offered:
+        granter.update_workers(make_workers(services=frozenset()))
+    clock.advance(seconds=after_s)
+    if returned:
+        granter.answer("a", make_ask(returned=held))
+    assert granter.may_be_in_use("w0", "draw") is in_use
+    assert granter.may_be_in_use("w0", "other") is False
+
+
+def test_a_late_return_ends_the_use():
+    """Guards against waiting for a request that ended after its permit."""
+    clock = ManualClock()
+    granter = make_granter(clock)
+    held = granter.answer("a", make_ask(1)).permits
+    granter.update_workers(make_workers(leaving=True))
+    clock.advance(seconds=PERMIT_TTL_S + 1.0)
+    assert granter.may_be_in_use("w0", "draw")
+    granter.answer("a", make_ask(returned=held))
+    assert not granter.may_be_in_use("w0", "draw")
+
+
+def test_a_new_owner_takes_everything_for_in_use_at_first():
+    """Guards against stopping replicas that a predecessor's permits still use."""
+    clock = ManualClock()
+    granter = make_granter(clock, epoch=2, workers=[])
+    assert granter.may_be_in_use("w0", "draw")
+    clock.advance(seconds=PERMIT_TTL_S)
+    assert not granter.may_be_in_use("w0", "draw")
