--- a/tests/scenarios/fault_steps.py
+++ b/tests/scenarios/fault_steps.py
@@ -3,7 +3,7 @@
 import shlex
 import time
 
-from pytest_bdd import parsers, when
+from pytest_bdd import parsers, then, when
 
 from tests.scenarios.deployments import wait_until
 
@@ -70,6 +70,15 @@
     assert process.handle.returncode == 0, cluster.launcher.log_tail(stopping)
 
 
+@then("another instance owns the rack by planned handover")
+def handed_over(cluster, stopping) -> None:
+    owner = wait_until(cluster.owner, "an instance owns the rack")
+    assert owner != stopping
+    read = {"prefixes": ["rack/"]}
+    rows = cluster.launcher.call("POST", cluster.launcher.table, "/v1/read", read)["rows"]
+    assert [row["value"]["planned"] for row in rows] == [True]
+
+
 @when("all entry instances are replaced one after another")
 def replace_all(cluster) -> None:
     for name in cluster.entries:
--- a/tests/scenarios/p6_p7_outcomes.feature
+++ b/tests/scenarios/p6_p7_outcomes.feature
@@ -13,6 +13,7 @@
     And 300 more requests ended
     And the callers stop
     Then at least 100 requests were answered
+    And nothing that was refused as not run has run
     And some requests failed with an unknown outcome after they had run
     And no request that must not be repeated ran twice
     And every answered request ran
@@ -58,7 +59,8 @@
     And "worker-thies-a-1-1" is started again
     And 50 more requests were answered
     And the callers stop
-    Then some requests failed with an unknown outcome after they had run
+    Then nothing that was refused as not run has run
+    And some requests failed with an unknown outcome after they had run
     And no request that must not be repeated ran twice
     And every answer belongs to the request it was given for and is complete
 
@@ -74,7 +76,8 @@
     And "entry-thies-a-3" is killed
     And 100 more requests were answered
     And the callers stop
-    Then some requests failed with an unknown outcome after they had run
+    Then nothing that was refused as not run has run
+    And some requests failed with an unknown outcome after they had run
     And no request that must not be repeated ran twice
     And every answer belongs to the request it was given for and is complete
 
--- a/tests/scenarios/p9_planned_stops.feature
+++ b/tests/scenarios/p9_planned_stops.feature
@@ -12,7 +12,8 @@
     And it has ended by itself
     And 100 more requests were answered
     And the callers stop
-    Then no caller saw a broken answer
+    Then another instance owns the rack by planned handover
+    And no caller saw a broken answer
     And some callers found no connection or were refused as not run
     And nothing that was refused as not run has run
     And no request that must not be repeated ran twice
@@ -67,6 +68,7 @@
     And 100 more requests were answered
     And the callers stop
     Then no caller saw a broken answer
+    And some callers found no connection or were refused as not run
     And nothing that was refused as not run has run
     And no worker cut a request off
 
--- a/tests/scenarios/verdict_steps.py
+++ b/tests/scenarios/verdict_steps.py
@@ -48,7 +48,6 @@
 def refusals_are_true(cluster, crowd) -> None:
     ran = executions(cluster.events())
     refused = [r for r in crowd.records() if r.outcome == "not_run" or r.how == NOT_CONNECTED]
-    assert refused, _numbers(crowd)
     false = [r for r in refused if ran[r.request_id]]
     assert not false, [(r.entry, r.status, r.body[:200]) for r in false[:5]]
 
