--- a/fescuerudder/permits.py
+++ b/fescuerudder/permits.py
@@ -136,6 +136,7 @@
         self._workers: dict[str, WorkerSlots] = {}
         self._seen_s: dict[str, float] = {}
         self._grants: dict[tuple[str, int], _Grant] = {}
+        self._unreturned: dict[int, _Grant] = {}
         self._demands: dict[tuple[str, str], tuple[int, float]] = {}
         self._granted_s: dict[str, float] = {}
         self._lock = threading.Lock()
--- a/tests/scenarios/cluster_steps.py
+++ b/tests/scenarios/cluster_steps.py
@@ -2,7 +2,8 @@
 
 from pytest_bdd import given, parsers, when
 
-from tests.scenarios.deployments import Cluster, Shape, wait_until
+from bench.witness import read_runs
+from tests.scenarios.deployments import ZONE, Cluster, Shape, wait_until
 
 PROCESSORS = 32
 
@@ -66,6 +67,22 @@
         cluster.apply(document)
 
 
+@when(parsers.re(r"the zone is (?P<change>taken out of|returned to) service"))
+def change_zone(cluster, change) -> None:
+    state = "out" if change == "taken out of" else "in"
+    cluster.client(cluster.entries[0]).put_zone(ZONE, state=state)
+
+
 @when(parsers.parse('the document of "{service}" is applied with {count:d} replicas'))
 def change_replicas(cluster, service, count) -> None:
     cluster.apply({**cluster.documents[service], "replicas": count})
+    cluster.hosting[service] = count
+
+
+@when(parsers.parse('"{service}" runs on {count:d} workers only'))
+def runs_on_fewer(cluster, service, count) -> None:
+    def running() -> int:
+        runs = read_runs(cluster.events())
+        return sum(run.service == service and run.end_s == float("inf") for run in runs)
+
+    wait_until(lambda: running() == count, f"{service} runs on {count} workers")
