--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,4 +1,4 @@
-"""Command line of the measuring tools: `python -m bench demo|replay|generate`."""
+"""Command line of the measuring tools: `python -m bench demo|replay|generate|slopes`."""
 
 import os
 import sys
@@ -68,6 +68,22 @@
     return EXIT_DONE
 
 
+def slopes(name: str = "", *, seed: str = "7") -> int:
+    """Measures what racks, tasks, requests and peers cost; appends to bench/results.
+
+    Args:
+        name: one measurement; all if left out.
+        seed: seed of the keys and random choices.
+    """
+    from bench.slopes import MEASUREMENTS, run_measurement
+
+    if name and name not in MEASUREMENTS:
+        raise UsageError(f"no measurement {name!r}; there are {', '.join(MEASUREMENTS)}")
+    for chosen in [name] if name else MEASUREMENTS:
+        run_measurement(chosen, seed=int(_number("--seed", seed)))
+    return EXIT_DONE
+
+
 def _number(flag: str, text: str) -> float:
     try:
         return float(text)
@@ -75,7 +91,7 @@
         raise UsageError(f"{flag} must be a number, got {text!r}") from None
 
 
-COMMANDS = {"demo": demo, "replay": replay, "generate": generate}
+COMMANDS = {"demo": demo, "replay": replay, "generate": generate, "slopes": slopes}
 
 if __name__ == "__main__":
     sys.exit(run(sys.argv[1:], commands=COMMANDS, name="bench"))
--- /dev/null
+++ b/bench/_inprocess.py
@@ -0,0 +1,1 @@
+IN_PROCESS = {}
