--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -16,7 +16,8 @@
 from bench._inprocess import IN_PROCESS
 from bench._processes import WITH_PROCESSES
 
-RESULTS_DIR = Path(__file__).parent / "results"
+ROOT = Path(__file__).parent.parent
+RESULTS_DIR = ROOT / "bench" / "results"
 DEFAULT_SEED = 7
 
 Measurement = Callable[[int], Iterator[Point]]
@@ -64,12 +65,14 @@
 
 
 def _commit() -> str:
-    """Returns the commit of the measured tree; `-dirty` says that it was changed."""
+    """Returns the commit; `-dirty` says that the measured packages were changed since."""
+    commit = _git("rev-parse", "--short", "HEAD")
+    changed = _git("status", "--porcelain", "--", "fescuerudder", "standins")
+    return f"{commit}-dirty" if changed else commit
+
+
+def _git(*arguments: str) -> str:
     done = subprocess.run(
-        ["git", "describe", "--always", "--dirty", "--exclude=*"],
-        cwd=Path(__file__).parent,
-        capture_output=True,
-        text=True,
-        check=False,
+        ["git", *arguments], cwd=ROOT, capture_output=True, text=True, check=False
     )
-    return done.stdout.strip() or "unknown"
+    return done.stdout.strip()
