--- a/bench/_inprocess.py
+++ b/bench/_inprocess.py
@@ -48,12 +48,15 @@
         self.task = attrs.evolve(
             _task(0, _service(0)),
             id=f"occupies-{name}",
+            # Batch tasks above their team's quota would be evicted.
+            kind="replica",
             size=CAPACITY.size,
             state="assigned",
             worker=name,
             worker_incarnation="1",
             attempt=1,
-            epoch=1,
+            # An earlier owner started it, so this one does not.
+            epoch=0,
         )
 
     def status(self) -> WorkerStatus:
