Try each shape of waiting task once in a control cycle

Cause: rehoming parsed all published summaries and assignment rated all workers again for every waiting task, although tasks of one service and size get the same answer within a cycle. Change: both remember what found no rack or no worker, by service, size and zones. Tasks that failed on a worker are still tried one by one.

--- a/fescuerudder/assign.py
+++ b/fescuerudder/assign.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from fescuerudder.document import Size
 from fescuerudder.errors import WorkerRefusedError, WorkerUnreachableError
 from fescuerudder.fleet import WorkerState
 from fescuerudder.leases import lease_end_s, start_deadline_s
@@ -31,12 +32,20 @@
     )
     loads = {load.worker: load for load in state.loads()}
     services = state.services()
+    # Room only shrinks within a cycle, so tasks alike to one without a worker get none either.
+    refused: set[tuple[str, Size, tuple[str, ...]]] = set()
     for task in order:
+        # With failed workers, the choice depends on more than service and size.
+        shape = None if task.failed_workers else (task.service, task.size, task.zones)
+        if shape in refused:
+            continue
         sized = _with_learned_size(state, task, list(loads.values()))
         if sized.zones and state.zone not in sized.zones:
             continue
         worker = state.placement.choose(task=sized, loads=list(loads.values()), services=services)
         if worker is None:
+            if shape is not None:
+                refused.add(shape)
             continue
         _assign(state, held[task.id], sized, worker)
         order.placed(sized)
--- a/fescuerudder/rehome.py
+++ b/fescuerudder/rehome.py
@@ -1,5 +1,6 @@
 """Moves waiting tasks to racks that can run them."""
 
+from fescuerudder.document import Size
 from fescuerudder.home import Need
 from fescuerudder.rackstate import RackState
 from fescuerudder.task import Task, rehomed
@@ -11,12 +12,17 @@
 def rehome_queue(state: RackState) -> None:
     """Moves tasks that this rack cannot place."""
     left = MOVES_PER_CYCLE
+    # Summaries change once a second, so what found no rack finds none later in this cycle.
+    homeless: set[tuple[Size, tuple[str, ...], Need]] = set()
     for held in state.rows.queued():
         if left == 0:
             return
         need = _need(state, held.task)
-        rack = state.other_rack(held.task, needs=need) if need else None
+        if need is None or (held.task.size, held.task.zones, need) in homeless:
+            continue
+        rack = state.other_rack(held.task, needs=need)
         if rack is None:
+            homeless.add((held.task.size, held.task.zones, need))
             continue
         left -= 1
         state.rows.write(held=held, new=rehomed(held.task, rack=rack, txn=state.new_id()))
--- /dev/null
+++ b/tests/test_capacity.py
@@ -0,0 +1,40 @@
+"""Costs of the control loop that must not grow with the number of alike waiting tasks."""
+
+import pytest
+
+from tests.rack_world import World, batch
+
+
+class Counting:
+    """Counts the calls of a function."""
+
+    def __init__(self, func):
+        self.func, self.calls = func, 0
+
+    def __call__(self, *args, **kwargs):
+        self.calls += 1
+        return self.func(*args, **kwargs)
+
+
+@pytest.fixture
+def full():
+    """World whose workers are full and on whose rack r1 sixty tasks of two services wait."""
+    world = World(services=[batch("draw", "a"), batch("plate", "b", processors=2)])
+    world.workers["w3"].leaving = True
+    world.advance(1)
+    for number in range(66):
+        world.submit(("draw", "plate")[number % 2])
+    world.advance(4)
+    return world
+
+
+def test_each_shape_of_task_is_tried_once_a_cycle(full, monkeypatch):
+    """Guards against a cycle that takes longer than the pause with thousands of tasks."""
+    state = full.instances["A"].controller._state
+    assert len(state.rows.queued()) > 50
+    choose, summaries = Counting(state.placement.choose), Counting(state.summaries)
+    monkeypatch.setattr(state.placement, "choose", choose)
+    state.summaries = summaries
+    full.instances["A"].controller.step()
+    assert choose.calls <= 2
+    assert summaries.calls < 10
