Look for evictions once for each shape of waiting task

Cause: for every waiting task that may reclaim its share, the search for evictions walked all rows of the rack, which is quadratic in the length of the queue. Change: a team, service and size without victims is not tried again until an eviction.

--- a/fescuerudder/evict.py
+++ b/fescuerudder/evict.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from fescuerudder.document import Size
 from fescuerudder.errors import WorkerRefusedError, WorkerUnreachableError
 from fescuerudder.fleet import WorkerState
 from fescuerudder.interference import Mitigation
@@ -72,12 +73,19 @@
     loads = {load.worker: load for load in state.loads()}
     order = FairOrder(tasks=waiting, usage=shares.usage, quotas=shares.quotas)
     left = RECLAIMS_PER_CYCLE
+    # Tasks alike to one without victims have none either, until an eviction changes the loads.
+    refused: set[tuple[str, str, Size]] = set()
     for task in order:
         if left == 0:
             return
+        shape = (task.team, task.service, task.size)
+        if shape in refused:
+            continue
         victims = _victims_for(state, task, shares, loads)
         if not victims:
+            refused.add(shape)
             continue
+        refused.clear()
         left -= 1
         evict_many(state, victims)
         shares = _moved(shares, task, [held.task for held, _ in victims])
