--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,4 +1,4 @@
-"""Command line of the measuring tools: `python -m bench demo|replay|generate|slopes`."""
+"""Command line of the measuring tools: `python -m bench demo|replay|generate|slopes|capacity`."""
 
 import os
 import sys
@@ -84,6 +84,19 @@
     return EXIT_DONE
 
 
+def capacity(*, results: str = "") -> int:
+    """Prints the sums of the latest slopes today and at the target as a Markdown table.
+
+    Args:
+        results: directory of the result files; bench/results if left out.
+    """
+    from bench._sums import sums_table
+    from bench.slopes import RESULTS_DIR
+
+    print(sums_table(Path(results) if results else RESULTS_DIR))
+    return EXIT_DONE
+
+
 def _number(flag: str, text: str) -> float:
     try:
         return float(text)
@@ -91,7 +104,13 @@
         raise UsageError(f"{flag} must be a number, got {text!r}") from None
 
 
-COMMANDS = {"demo": demo, "replay": replay, "generate": generate, "slopes": slopes}
+COMMANDS = {
+    "demo": demo,
+    "replay": replay,
+    "generate": generate,
+    "slopes": slopes,
+    "capacity": capacity,
+}
 
 if __name__ == "__main__":
     sys.exit(run(sys.argv[1:], commands=COMMANDS, name="bench"))
--- a/bench/_fit.py
+++ b/bench/_fit.py
@@ -53,7 +53,7 @@
     """Returns the fit of `quantity` over all sizes that the points name."""
     names = sorted({name for point in points for name in point.sizes})
     rows = [[1.0, *(point.sizes[name] for name in names)] for point in points]
-    wanted = np.array([point.values[quantity] for point in points], dtype=float)
+    wanted = np.array([point.values.get(quantity, 0.0) for point in points], dtype=float)
     matrix = np.array(rows, dtype=float)
     found, *_ = np.linalg.lstsq(matrix, wanted, rcond=None)
     rest = matrix @ found - wanted
@@ -67,8 +67,9 @@
 
 
 def fit_all(points: Sequence[Point]) -> list[Fit]:
-    """Returns the fits of all quantities."""
-    return [fit(points, quantity=name) for name in points[0].values]
+    """Returns the fits of all quantities; one that a run lacks counts as 0 there."""
+    names = sorted({name for point in points for name in point.values})
+    return [fit(points, quantity=name) for name in names]
 
 
 def _short(number: float) -> float:
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -28,11 +28,11 @@
 
 def run_measurement(name: str, *, seed: int, results: Path = RESULTS_DIR) -> None:
     """Runs one measurement, prints its records and appends them to its result file."""
-    records = list(_records(name, seed=seed))
     results.mkdir(parents=True, exist_ok=True)
     with (results / f"{name}.jsonl").open("a", encoding="utf-8") as file:
-        for record in records:
+        for record in _records(name, seed=seed):
             file.write(json.dumps(record, sort_keys=True) + "\n")
+            file.flush()
 
 
 def _records(name: str, *, seed: int) -> Iterator[dict[str, Any]]:
