Let cycles that a hint wakes rest on the latest statuses

Cause: each hint woke a control cycle that asked all workers of the rack for their status, so each submitted task cost eight statuses. Change: a cycle within 0.4 s after the last round of statuses uses those. Regular cycles are at least 0.5 s apart and always ask.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -85,15 +85,16 @@
 
 
 def capacity(*, results: str = "") -> int:
-    """Prints the sums of the latest slopes today and at the target as a Markdown table.
+    """Prints the latest slopes, and their sums today and at the target, as Markdown tables.
 
     Args:
         results: directory of the result files; bench/results if left out.
     """
-    from bench._sums import sums_table
+    from bench._sums import slopes_table, sums_table
     from bench.slopes import RESULTS_DIR
 
-    print(sums_table(Path(results) if results else RESULTS_DIR))
+    directory = Path(results) if results else RESULTS_DIR
+    print(sums_table(directory), slopes_table(directory), sep="\n\n")
     return EXIT_DONE
 
 
--- a/bench/_sums.py
+++ b/bench/_sums.py
@@ -3,6 +3,7 @@
 import json
 from collections.abc import Iterator
 from pathlib import Path
+from typing import Any
 
 import attrs
 
@@ -18,10 +19,39 @@
 CYCLE_PARSES = 2.0
 """Times that one cycle of a busy rack asks for the summaries of all racks."""
 
+EACH_SECOND = ("json", "session", "summaries")
+"""What an instance does once a second with each published summary."""
+
 OPERATIONS_PER_TASK = 3.0
 """Submission, assignment and end."""
 
 
+SHOWN = {
+    "cpu_s": "processor, cores",
+    "memory_mb": "memory, MB",
+    "reads": "store reads/s",
+    "rows_read": "rows read/s",
+    "transactions": "transactions/s",
+    "rows_written": "rows written/s",
+    "store_received_bytes": "from the store, B/s",
+    "store_sent_bytes": "to the store, B/s",
+    "control_received_bytes": "from workers, B/s",
+    "control_sent_bytes": "to workers, B/s",
+    "members_received_bytes": "from the list, B/s",
+    "cpu_s_per_cycle": "processor a cycle, s",
+    "rows_read_per_cycle": "rows read a cycle",
+    "bytes_read_per_cycle": "bytes read a cycle",
+    "bytes_read": "bytes read",
+    "json_cpu_s": "decoding, s",
+    "session_cpu_s": "sessions, s",
+    "summaries_cpu_s": "parsing, s",
+    "summaries_again_cpu_s": "repeated use, s",
+    "routes_cpu_s": "routes, s",
+    "bytes_written": "to the store, B/s",
+}
+"""Names of the quantities in the table of slopes."""
+
+
 @attrs.frozen(kw_only=True)
 class Scale:
     """A size of the system; rates are by second."""
@@ -118,14 +148,16 @@
         return sum(self(measurement, name, size) for name in names)
 
 
-def _latest_points(path: Path) -> list[Point]:
-    """Returns the points of the last run in a result file."""
+def _latest_records(path: Path) -> list[dict[str, Any]]:
+    """Returns the points of the last run in a result file, with their origin."""
     records = [json.loads(line) for line in path.read_text(encoding="utf-8").splitlines()]
     last = max(record["at"] for record in records)
+    return [record for record in records if record["at"] == last and "sizes" in record]
+
+
+def _latest_points(path: Path) -> list[Point]:
     return [
-        Point(sizes=record["sizes"], values=record["values"])
-        for record in records
-        if record["at"] == last and "sizes" in record
+        Point(sizes=record["sizes"], values=record["values"]) for record in _latest_records(path)
     ]
 
 
@@ -139,7 +171,7 @@
 
 def _entry(scale: Scale, slopes: Slopes, limits: Limits) -> Iterator[Line]:
     share = 1 / scale.entries
-    summaries_cpu = scale.racks * slopes("summaries", "summaries_cpu_s", "summaries")
+    summaries_cpu = scale.racks * slopes("summaries", "summaries_again_cpu_s", "summaries")
     cpu = {
         "base": slopes.base("racks", "cpu_s"),
         "peers": (scale.entries - 1) * slopes("entries", "cpu_s", "peers"),
@@ -148,7 +180,7 @@
         "running tasks": share * scale.running * slopes("running", "cpu_s", "running"),
         "starts": share * scale.starts_per_s * slopes("tasks", "cpu_s", "tasks_per_s"),
         "published summaries, read each second": scale.racks
-        * sum(slopes("summaries", name, "summaries") for name in ("json_cpu_s", "session_cpu_s")),
+        * sum(slopes("summaries", f"{part}_cpu_s", "summaries") for part in EACH_SECOND),
         "published summaries, routes": ROUTE_UPDATES_PER_S
         * (summaries_cpu + scale.racks * slopes("summaries", "routes_cpu_s", "summaries")),
         "published summaries, used by cycles": share
@@ -257,6 +289,27 @@
     return Line(role=role, what=what, value=value, limit=limit, unit=unit)
 
 
+def slopes_table(directory: Path) -> str:
+    """Returns the slopes of the latest runs as a Markdown table."""
+    lines = [
+        "| Measurement | Commit | Load | Quantity | Base | Slopes | Residual |",
+        "|---|---|---|---|---|---|---|",
+    ]
+    for path in sorted(directory.glob("*.jsonl")):
+        records = _latest_records(path)
+        loads = [record["load"] for record in records]
+        origin = f"{path.stem} | {records[0]['commit']} | {min(loads):.1f} to {max(loads):.1f}"
+        for found in fit_all(_latest_points(path)):
+            if found.quantity in SHOWN:
+                lines.append(f"| {origin} | {SHOWN[found.quantity]} | {_cells(found)} |")
+    return "\n".join(lines)
+
+
+def _cells(found: Fit) -> str:
+    slopes = ", ".join(f"{slope:.3g} per {name}" for name, slope in found.slopes.items())
+    return f"{found.base:.3g} | {slopes} | {found.residual:.2g}"
+
+
 def sums_table(directory: Path) -> str:
     """Returns the sums today and at the target as a Markdown table."""
     slopes, limits = Slopes(directory=directory), Limits()
--- a/fescuerudder/fleet.py
+++ b/fescuerudder/fleet.py
@@ -12,6 +12,10 @@
 from fescuerudder.rackports import RackWorker, RunAll, WorkerSource
 from fescuerudder.workers import Attempt, StopOutcome, WorkerControl, WorkerStatus
 
+STATUS_PAUSE_S = 0.4
+"""Cycles that a hint wakes sooner after the last statuses than this rest on those. Below the
+regular pause, so that regular cycles always ask."""
+
 
 @attrs.define(kw_only=True)
 class WorkerState:
@@ -78,14 +82,19 @@
         self._clock = clock
         self._run_all = run_all
         self.states: dict[str, WorkerState] = {}
+        self._refreshed_at_s = float("-inf")
         self.superseded = False
 
     def refresh(self) -> None:
-        """Asks every worker for its status."""
+        """Asks every worker for its status, unless it was asked just before."""
         members = self._source()
         for name, member in members.items():
             state = self.states.setdefault(name, WorkerState(member=member))
             state.member = member
+        now_s = self._clock.now_s()
+        if now_s - self._refreshed_at_s < STATUS_PAUSE_S:
+            return
+        self._refreshed_at_s = now_s
         # Workers that left the list are kept: their attempts may still run.
         states = list(self.states.values())
         self._run_all([lambda s=state: self._read_status(s) for state in states])
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -38,3 +38,17 @@
     full.instances["A"].controller.step()
     assert choose.calls <= 2
     assert summaries.calls < 10
+
+
+@pytest.mark.parametrize(("pause_s", "rounds"), [(0.1, 1), (0.5, 2)])
+def test_cycles_close_together_share_statuses(full, pause_s, rounds):
+    """Guards against a round of statuses for each hint, and against outdated statuses."""
+    controller = full.instances["A"].controller
+    fleet = controller._state.fleet
+    before = fleet.states["w1"].reading
+    full.clock.advance(seconds=0.5)
+    controller.step()
+    first = fleet.states["w1"].reading
+    full.clock.advance(seconds=pause_s)
+    controller.step()
+    assert len({before, first, fleet.states["w1"].reading}) - 1 == rounds
