Parse published summaries once for each version of a session row

Cause: every control cycle, submission and route update parsed the summaries of all racks anew; every instance also reads all of them each second, with fields that have their default value. Change: the parsed summaries are kept by the version of the session row, and default values are left out of the row.

--- a/bench/_inprocess.py
+++ b/bench/_inprocess.py
@@ -17,7 +17,7 @@
 from fescuerudder.ownership_types import RackLease, RackSummary, UpstreamState
 from fescuerudder.rack import RackController
 from fescuerudder.rackports import RackWorker
-from fescuerudder.routes import latest_summaries, make_routes
+from fescuerudder.routes import PublishedSummaries, make_routes
 from fescuerudder.session import Session, parse_session, session_value
 from fescuerudder.table import ABSENT, Check, Put, Row, Transaction, new_txn_id
 from fescuerudder.task import Task, queue_put, task_key, task_put
@@ -199,7 +199,8 @@
 def _published_by(groups: list[list[RackSummary]]):
     """Returns a source of summaries that works as `Membership.summaries` does."""
     sessions = [_session(i, group) for i, group in enumerate(groups)]
-    return lambda: list(latest_summaries(sessions).values())
+    published = PublishedSummaries()
+    return lambda: list(published.latest(sessions).values())
 
 
 def measure_summaries(seed: int) -> Iterator[Point]:
@@ -215,13 +216,15 @@
             table.transact(Transaction(puts=(Put(key=row.key, value=row.value),)))
         table.read(prefixes=("session/",))
         parse_s = _time_of(lambda rows=rows: [parse_session(row) for row in rows])
-        load_s = _time_of(lambda sessions=sessions: latest_summaries(sessions))
+        published = PublishedSummaries()
+        load_s = _time_of(lambda sessions=sessions: PublishedSummaries().latest(sessions))
+        use_s = _time_of(lambda s=sessions, known=published: known.latest(s))
         read = table.bytes_read
         began_s, platform_s = time.process_time(), table.platform_s
         for _ in range(CYCLES):
             table.read(prefixes=("session/",))
         read_s = time.process_time() - began_s - (table.platform_s - platform_s)
-        known = latest_summaries(sessions)
+        known = published.latest(sessions)
         routes_s = _time_of(
             lambda known=known: make_routes(
                 summaries=known, members=(), zones_out=frozenset(), region="r"
@@ -234,6 +237,7 @@
                 "json_cpu_s": read_s / CYCLES,
                 "session_cpu_s": parse_s,
                 "summaries_cpu_s": load_s,
+                "summaries_again_cpu_s": use_s,
                 "routes_cpu_s": routes_s,
             },
         )
--- a/fescuerudder/membership.py
+++ b/fescuerudder/membership.py
@@ -14,7 +14,7 @@
 from fescuerudder.peers import PeerClients
 from fescuerudder.rackports import RackWorker
 from fescuerudder.racks import Racks
-from fescuerudder.routes import latest_summaries
+from fescuerudder.routes import PublishedSummaries
 from fescuerudder.session import SESSION_PREFIX, SessionKeeper, SessionObserver
 from fescuerudder.settings import Settings
 from fescuerudder.table import Check, Table, Transaction
@@ -67,6 +67,7 @@
         self._members: tuple[Member, ...] = ()
         self._controls: dict[str, tuple[str, HttpWorker]] = {}
         self._fenced_since_s: dict[str, float] = {}
+        self._published = PublishedSummaries()
         self._lock = threading.Lock()
         self._left = False
 
@@ -126,7 +127,7 @@
     def summaries_by_rack(self) -> dict[str, RackSummary]:
         """Returns the latest known summary by rack."""
         sessions = list(self._observer.sessions().values())
-        return latest_summaries(sessions, self._racks.summaries())
+        return self._published.latest(sessions, self._racks.summaries())
 
     def owner_of(self, rack: str) -> str | None:
         """Returns the instance that owns a rack as far as known, or None."""
--- a/fescuerudder/ownership_types.py
+++ b/fescuerudder/ownership_types.py
@@ -79,7 +79,10 @@
     upstreams: tuple[UpstreamState, ...] = ()
 
     def dump(self) -> dict[str, Any]:
-        """Returns JSON-compatible data."""
+        """Returns JSON-compatible data without the fields that have their default value.
+
+        Every instance reads every summary each second, so their size matters.
+        """
         return _CONVERTER.unstructure(self)
 
     @classmethod
@@ -88,4 +91,4 @@
         return _CONVERTER.structure(data, cls)
 
 
-_CONVERTER = cattrs.Converter()
+_CONVERTER = cattrs.Converter(omit_if_default=True)
--- a/fescuerudder/routes.py
+++ b/fescuerudder/routes.py
@@ -12,22 +12,39 @@
 _log = structlog.get_logger(__name__)
 
 
-def latest_summaries(
-    sessions: Iterable[Session], own: Iterable[RackSummary] = ()
-) -> dict[str, RackSummary]:
-    """Returns the summary with the highest epoch for each rack.
-
-    Args:
-        sessions: sessions of all instances, also of lost ones: their last summary tells which
-            upstreams a rack without an owner has.
-        own: summaries of this instance's racks, newer than the published ones.
+class PublishedSummaries:
+    """Summaries of all sessions, parsed once for each version of a session row.
+
+    Control cycles and submissions ask for them many times between two heartbeats.
     """
-    latest: dict[str, RackSummary] = {}
-    for summary in [*_published(sessions), *own]:
-        known = latest.get(summary.rack)
-        if known is None or summary.epoch >= known.epoch:
-            latest[summary.rack] = summary
-    return latest
+
+    def __init__(self) -> None:
+        self._parsed: dict[str, tuple[int, list[RackSummary]]] = {}
+
+    def latest(
+        self, sessions: Iterable[Session], own: Iterable[RackSummary] = ()
+    ) -> dict[str, RackSummary]:
+        """Returns the summary with the highest epoch for each rack.
+
+        Args:
+            sessions: sessions of all instances, also of lost ones: their last summary tells
+                which upstreams a rack without an owner has.
+            own: summaries of this instance's racks, newer than the published ones.
+        """
+        # Replaced as a whole, because several threads ask.
+        self._parsed = parsed = {session.instance: self._parse(session) for session in sessions}
+        latest: dict[str, RackSummary] = {}
+        for summary in [*(s for _, found in parsed.values() for s in found), *own]:
+            known = latest.get(summary.rack)
+            if known is None or summary.epoch >= known.epoch:
+                latest[summary.rack] = summary
+        return latest
+
+    def _parse(self, session: Session) -> tuple[int, list[RackSummary]]:
+        known = self._parsed.get(session.instance)
+        if known is not None and known[0] == session.version:
+            return known
+        return session.version, _published(session)
 
 
 def make_routes(
@@ -61,17 +78,16 @@
     return member is not None and member.state == "leaving"
 
 
-def _published(sessions: Iterable[Session]) -> list[RackSummary]:
+def _published(session: Session) -> list[RackSummary]:
     found = []
-    for session in sessions:
-        for raw in session.summaries:
-            try:
-                found.append(RackSummary.load(raw))
-            except Exception as exc:
-                # Another version may publish summaries of another shape.
-                _log.warning(
-                    "rack summary is malformed",
-                    peer=session.instance,
-                    reason=type(exc).__name__,
-                )
+    for raw in session.summaries:
+        try:
+            found.append(RackSummary.load(raw))
+        except Exception as exc:
+            # Another version may publish summaries of another shape.
+            _log.warning(
+                "rack summary is malformed",
+                peer=session.instance,
+                reason=type(exc).__name__,
+            )
     return found
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -2,6 +2,9 @@
 
 import pytest
 
+from fescuerudder.ownership_types import RackSummary
+from fescuerudder.routes import PublishedSummaries
+from fescuerudder.session import Session
 from tests.rack_world import World, batch
 
 
@@ -52,3 +55,24 @@
     full.clock.advance(seconds=pause_s)
     controller.step()
     assert len({before, first, fleet.states["w1"].reading}) - 1 == rounds
+
+
+def session(*, version, queue_length):
+    summary = RackSummary(rack="r", zone="a", queue_length=queue_length)
+    fields = dict.fromkeys(("incarnation", "zone", "region", "peer", "http"), "x")
+    return Session(
+        instance="A", beat=1, state="live", summaries=[summary.dump()], version=version, **fields
+    )
+
+
+@pytest.mark.parametrize(("version", "expected"), [(1, 3), (2, 4)])
+def test_summaries_are_parsed_once_a_version(version, expected):
+    """Guards against use of an outdated summary, and against parsing at each use."""
+    published = PublishedSummaries()
+    published.latest([session(version=1, queue_length=3)])
+    latest = published.latest([session(version=version, queue_length=4)])
+    assert latest["r"].queue_length == expected
+
+
+def test_published_summary_leaves_out_defaults():
+    assert RackSummary(rack="r", zone="a").dump() == {"rack": "r", "zone": "a"}
