Read a long queue only in every second to fourth cycle

Cause: each control cycle read all queue rows of its rack, 10,009 rows twice a second with 10,000 waiting tasks, although hints already name the tasks that changed. Change: above 256 rows the whole queue is read in every second to fourth cycle; hinted tasks are read by key in between. A lost hint delays a task by three cycles more at most.

--- a/fescuerudder/rackrows.py
+++ b/fescuerudder/rackrows.py
@@ -19,6 +19,11 @@
 REFRESH_ROWS = 16
 """Assigned rows re-read in each cycle, to find cancel requests whose hint was lost."""
 
+QUEUE_ROWS_PER_CYCLE = 256
+QUEUE_SCAN_CYCLES = 4
+"""A long queue is read in every second to fourth cycle only, at most so many cycles apart: hints
+tell of new tasks, and a lost hint must not keep an urgent task from starting within seconds."""
+
 SCAN_CYCLES = 30
 """Cycles between reads of all assignment rows of the rack."""
 
@@ -44,6 +49,8 @@
         self._pending: dict[str, tuple[Future[CommitResult], Task]] = {}
         self._cycle = 0
         self._refresh_at = 0
+        self._queue_length = 0
+        self._queue_read_at = 0
         self.loaded = False
         self.superseded = False
 
@@ -62,7 +69,8 @@
         asked = self._dirty | {i for i in seen if i not in self._held} | self._next_slice()
         asked -= self._pending.keys()
         queue_prefix = queue_key(self._lease.rack, "")
-        prefixes = [queue_prefix]
+        reads_queue = self._reads_queue()
+        prefixes = [queue_prefix] if reads_queue else []
         scans = not self.loaded or self._cycle % SCAN_CYCLES == 0
         if scans:
             prefixes.append(assigned_prefix(self._lease.rack))
@@ -77,7 +85,13 @@
             return False
         self._check_owner(rows)
         self._take(rows, asked | more)
-        waiting = {row.key.rsplit("/", 1)[1] for row in rows if row.key.startswith(queue_prefix)}
+        if reads_queue:
+            listed = [row.key for row in rows if row.key.startswith(queue_prefix)]
+            waiting = {key.rsplit("/", 1)[1] for key in listed}
+            self._queue_length = len(waiting)
+            self._queue_read_at = self._cycle
+        else:
+            waiting = {i for i, h in self._held.items() if h and h.task.state == "queued"}
         self._forget(waiting | seen)
         self._cycle += 1
         self.loaded = True
@@ -133,6 +147,11 @@
             self.superseded = True
         return []
 
+    def _reads_queue(self) -> bool:
+        """Returns whether the queue rows are due."""
+        pause = min(QUEUE_SCAN_CYCLES, 1 + self._queue_length // QUEUE_ROWS_PER_CYCLE)
+        return not self.loaded or self._cycle - self._queue_read_at >= pause
+
     def _check_owner(self, rows: list[Row]) -> None:
         found = [row.version for row in rows if row.key == rack_key(self._lease.rack)]
         self.superseded |= found != [self._lease.version]
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from fescuerudder import rackrows
 from fescuerudder.ownership_types import RackSummary
 from fescuerudder.routes import PublishedSummaries
 from fescuerudder.session import Session
@@ -76,3 +77,20 @@
 
 def test_published_summary_leaves_out_defaults():
     assert RackSummary(rack="r", zone="a").dump() == {"rack": "r", "zone": "a"}
+
+
+@pytest.mark.parametrize(("is_hinted", "within"), [(True, 1), (False, rackrows.QUEUE_SCAN_CYCLES)])
+def test_long_queue_is_read_less_often_and_misses_no_task(full, monkeypatch, is_hinted, within):
+    """Guards against tasks that stay unseen because the whole queue is not read each cycle."""
+    monkeypatch.setattr(rackrows, "QUEUE_ROWS_PER_CYCLE", 10)
+    rows = full.instances["A"].controller._state.rows
+    for _ in range(rackrows.QUEUE_SCAN_CYCLES):
+        rows.load(seen=())
+    task_id = full.submit("draw").ok_value.id
+    if is_hinted:
+        rows.mark(task_id)
+    before = len(rows.queued())
+    for _ in range(within):
+        rows.load(seen=())
+    assert rows.is_settled(task_id)
+    assert len(rows.queued()) == before + 1
