--- a/fescuerudder/rackrows.py
+++ b/fescuerudder/rackrows.py
@@ -10,7 +10,7 @@
 from fescuerudder.ownership_types import RackLease
 from fescuerudder.rackports import CommitResult, Committer
 from fescuerudder.table import Row, Table
-from fescuerudder.task import Task, load_task, queue_key, task_key
+from fescuerudder.task import Task, TaskState, load_task, queue_key, task_key
 from fescuerudder.transitions import HeldTask, assigned_prefix, rack_key, transition
 
 COMMIT_WAIT_S = 2.0
@@ -107,11 +107,11 @@
 
     def queued(self) -> list[HeldTask]:
         """Returns the settled tasks that wait in the rack's queue."""
-        return [held for held in self._settled() if held.task.state == "queued"]
+        return self._settled("queued")
 
     def assigned(self) -> list[HeldTask]:
         """Returns the settled tasks that are assigned on the rack."""
-        return [held for held in self._settled() if held.task.state == "assigned"]
+        return self._settled("assigned")
 
     def occupying(self) -> list[Task]:
         """Returns every task that may be assigned, including by a write in flight."""
@@ -200,12 +200,17 @@
         self._refresh_at += REFRESH_ROWS
         return set(chosen)
 
-    def _settled(self) -> list[HeldTask]:
-        return [
+    def _settled(self, state: TaskState) -> list[HeldTask]:
+        """Returns the settled tasks in a state by id; filtered first, for a queue may be long."""
+        found = [
             held
-            for task_id, held in sorted(self._held.items())
-            if held and held.task.rack == self._lease.rack and self.is_settled(task_id)
+            for task_id, held in self._held.items()
+            if held
+            and held.task.state == state
+            and held.task.rack == self._lease.rack
+            and self.is_settled(task_id)
         ]
+        return sorted(found, key=lambda held: held.task.id)
 
 
 def _is_index(row: Row) -> bool:
