--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -90,11 +90,12 @@
     Args:
         results: directory of the result files; bench/results if left out.
     """
-    from bench._sums import slopes_table, sums_table
+    from bench._sums import nodes_table, slopes_table, sums_table
     from bench.slopes import RESULTS_DIR
 
     directory = Path(results) if results else RESULTS_DIR
-    print(sums_table(directory), slopes_table(directory), sep="\n\n")
+    for table in (sums_table, nodes_table, slopes_table):
+        print(table(directory), end="\n\n")
     return EXIT_DONE
 
 
--- a/bench/_sums.py
+++ b/bench/_sums.py
@@ -15,6 +15,8 @@
 STATUS_CYCLES_PER_S = 2.0
 """Cycles of a rack with batch tasks each second; each reads the store once."""
 
+NODE_COUNTS = range(3, 1001)
+
 ROUTE_UPDATES_PER_S = 2.0
 CYCLE_PARSES = 2.0
 """Times that one cycle of a busy rack asks for the summaries of all racks."""
@@ -251,9 +253,10 @@
     rows = scale.starts_per_s * slopes("tasks", "rows_written", "tasks_per_s")
     one_each = scale.entries * slopes.base("racks", "transactions")
     operations = scale.starts_per_s * OPERATIONS_PER_TASK / scale.entries
-    # Below this rate almost every operation is a transaction of its own; above, the pace of the
-    # committer bounds them.
-    grouped = min(operations, slopes.base("group-commit", "transactions")) * scale.entries
+    paced = slopes.base("group-commit", "transactions") + operations * slopes(
+        "group-commit", "transactions", "operations_per_s"
+    )
+    grouped = min(operations, paced) * scale.entries
     writes = limits.store_writes_per_s
     yield _line("store", "transactions, heartbeats", one_each, 0, "1/s")
     yield _line("store", "transactions, tasks", grouped, 0, "1/s")
@@ -299,12 +302,22 @@
         records = _latest_records(path)
         loads = [record["load"] for record in records]
         origin = f"{path.stem} | {records[0]['commit']} | {min(loads):.1f} to {max(loads):.1f}"
-        for found in fit_all(_latest_points(path)):
-            if found.quantity in SHOWN:
+        points = _latest_points(path)
+        for found in fit_all(points):
+            if found.quantity in SHOWN and _matters(found, points):
                 lines.append(f"| {origin} | {SHOWN[found.quantity]} | {_cells(found)} |")
     return "\n".join(lines)
 
 
+def _matters(found: Fit, points: list[Point]) -> bool:
+    """Returns whether the sizes change the quantity by more than a tenth of its base."""
+    effects = [
+        abs(slope) * max(point.sizes[name] for point in points)
+        for name, slope in found.slopes.items()
+    ]
+    return max(effects) > abs(found.base) / 10
+
+
 def _cells(found: Fit) -> str:
     slopes = ", ".join(f"{slope:.3g} per {name}" for name, slope in found.slopes.items())
     return f"{found.base:.3g} | {slopes} | {found.residual:.2g}"
@@ -330,3 +343,19 @@
         )
         lines.append(f"| {' | '.join(cells)} |")
     return "\n".join(lines)
+
+
+def nodes_table(directory: Path) -> str:
+    """Returns how many entry instances the target takes by each limit, as a Markdown table."""
+    slopes, limits = Slopes(directory=directory), Limits()
+    fitting: dict[str, list[int]] = {}
+    for entries in NODE_COUNTS:
+        scale = attrs.evolve(TARGET, entries=entries)
+        for line in sums(scale, slopes, limits):
+            if line.limit:
+                counts = fitting.setdefault(f"{line.role} | {line.what} ({line.unit})", [])
+                counts.extend([entries] if line.value <= line.limit else [])
+    lines = ["| Role | Line | Instances with which it fits |", "|---|---|---|"]
+    for name, counts in fitting.items():
+        lines.append(f"| {name} | {f'{counts[0]} to {counts[-1]}' if counts else 'none'} |")
+    return "\n".join(lines)
