Space the transactions of group commit 0.1 s apart under load

Cause: with few operations on each of many instances, a window of 5 ms made almost every operation a transaction of its own, 50 a second for 50 operations a second. Change: two transactions of a committer are at least 0.1 s apart, unless a group is full or an operation is prompt. Records of keyed requests are prompt, since a caller's request waits for them. The first operation after a pause still waits 5 ms only.

--- a/bench/_inprocess.py
+++ b/bench/_inprocess.py
@@ -259,11 +259,12 @@
         version = versions[rack_key("r0")]
         before = (table.transactions, table.rows_written, table.bytes_written, table.platform_s)
         began_s, began_cpu_s = time.monotonic(), time.process_time()
-        futs = []
+        futs, waits_s = [], []
         with GroupCommitter(table=table, clock=SystemClock()) as committer:
             number = 0
             while time.monotonic() - began_s < COMMIT_WINDOW_S:
                 futs.append(committer.submit(_operation(number, version)))
+                futs[-1].add_done_callback(_note_wait(waits_s))
                 number += 1
                 time.sleep(max(0.0, began_s + number / rate - time.monotonic()))
         seconds = time.monotonic() - began_s
@@ -275,11 +276,19 @@
                 "rows_written": (table.rows_written - before[1]) / seconds,
                 "bytes_written": (table.bytes_written - before[2]) / seconds,
                 "cpu_s": used_s / seconds,
+                "mean_wait_s": sum(waits_s) / len(waits_s),
+                "longest_wait_s": max(waits_s),
                 "not_applied": sum(fut.result().is_err() for fut in futs),
             },
         )
 
 
+def _note_wait(waits_s: list[float]):
+    """Returns a callback that adds the time until it is called."""
+    submitted_s = time.monotonic()
+    return lambda _: waits_s.append(time.monotonic() - submitted_s)
+
+
 def _operation(number: int, rack_version: int) -> Transaction:
     task = _task(number, _service(0))
     return Transaction(
--- a/fescuerudder/entry.py
+++ b/fescuerudder/entry.py
@@ -18,7 +18,7 @@
 from fescuerudder.configuration import Configurator
 from fescuerudder.errors import PeerError, RequestError, WorkerUnreachableError
 from fescuerudder.frontend import Frontend
-from fescuerudder.groupcommit import GroupCommitter
+from fescuerudder.groupcommit import GroupCommitter, PromptCommitter
 from fescuerudder.idempotency import IdempotencyRecords
 from fescuerudder.kernel import Kernel
 from fescuerudder.logs import configure_logs
@@ -266,7 +266,7 @@
         )
         self._records = IdempotencyRecords(
             table=self._table,
-            committer=self._committer,
+            committer=PromptCommitter(committer=self._committer),
             is_live=self._observer.is_live,
             instance=cfg.instance,
             incarnation=lambda: self._keeper.incarnation,
--- a/fescuerudder/groupcommit.py
+++ b/fescuerudder/groupcommit.py
@@ -28,6 +28,11 @@
 
 GROUP_WINDOW_S = 0.005
 GROUP_MAX_OPS = 25
+
+GROUP_PACE_S = 0.1
+"""Least time between two transactions that carry no prompt operation. Many instances with few
+operations each would otherwise send almost every operation as a transaction of its own."""
+
 BACKLOG_MAX = 2000
 
 SEND_ATTEMPTS = 3
@@ -150,6 +155,7 @@
     """A submitted transaction and the future of its outcome."""
 
     txn: Transaction
+    is_prompt: bool = False
     future: Future[Outcome] = attrs.Factory(Future)
 
 
@@ -222,6 +228,7 @@
         table: table service.
         clock: clock for the window.
         window_s: time for which the first operation of a group waits for others.
+        pace_s: least time between transactions without a prompt operation.
         max_ops: most operations in one transaction.
         backlog_max: most operations that wait; more are refused as StoreUnavailableError.
     """
@@ -232,12 +239,15 @@
         table: Table,
         clock: Clock,
         window_s: float = GROUP_WINDOW_S,
+        pace_s: float = GROUP_PACE_S,
         max_ops: int = GROUP_MAX_OPS,
         backlog_max: int = BACKLOG_MAX,
     ) -> None:
         self._table = table
         self._clock = clock
         self._window_s = window_s
+        self._pace_s = pace_s
+        self._paced_until_s = float("-inf")
         self._max_ops = max_ops
         self._backlog_max = backlog_max
         self._resolver = Resolver(table=table, clock=clock)
@@ -247,6 +257,7 @@
         self._pending: deque[_Operation] = deque()
         self._changed = threading.Condition()
         self._hurry = threading.Event()
+        self._full = threading.Event()
         self._stopping = False
         self._thread = threading.Thread(target=self._run, name="group-commit", daemon=True)
 
@@ -259,26 +270,33 @@
         with self._changed:
             self._stopping = True
             self._hurry.set()
+            self._full.set()
             self._changed.notify_all()
         self._thread.join()
         self._drop_receipt()
 
-    def submit(self, txn: Transaction) -> Future[Outcome]:
-        """Queues `txn`; the future's result is its outcome and never an exception."""
-        op = _Operation(txn=txn)
+    def submit(self, txn: Transaction, *, is_prompt: bool = False) -> Future[Outcome]:
+        """Queues `txn`; the future's result is its outcome and never an exception.
+
+        A prompt operation waits for the window only, because a caller's request waits for it.
+        """
+        op = _Operation(txn=txn, is_prompt=is_prompt)
         with self._changed:
             if self._stopping or len(self._pending) >= self._backlog_max:
                 op.future.set_result(Err(StoreUnavailableError("too many writes are waiting")))
                 return op.future
             self._pending.append(op)
+            if is_prompt:
+                self._hurry.set()
             if len(self._pending) >= self._max_ops:
                 self._hurry.set()
+                self._full.set()
             self._changed.notify_all()
         return op.future
 
-    def commit(self, txn: Transaction) -> Outcome:
+    def commit(self, txn: Transaction, *, is_prompt: bool = False) -> Outcome:
         """Queues `txn` and waits for its outcome."""
-        return self.submit(txn).result()
+        return self.submit(txn, is_prompt=is_prompt).result()
 
     def _run(self) -> None:
         while group := self._next_group():
@@ -293,11 +311,18 @@
         """Waits for operations; returns none when stopped and all is done."""
         with self._changed:
             self._changed.wait_for(lambda: self._pending or self._stopping)
-        self._clock.wait_s(self._hurry, self._window_s)
+        pause_s = self._paced_until_s - self._clock.now_s()
+        if pause_s > 0:
+            self._clock.wait_s(self._hurry, pause_s)
+        self._clock.wait_s(self._full, self._window_s)
         with self._changed:
             taken = take_group(self._pending, max_ops=self._max_ops)
-            if len(self._pending) < self._max_ops and not self._stopping:
+            is_full = len(self._pending) >= self._max_ops
+            if not self._stopping and not is_full:
+                self._full.clear()
+            if not self._stopping and not is_full and not any(o.is_prompt for o in self._pending):
                 self._hurry.clear()
+        self._paced_until_s = self._clock.now_s() + self._pace_s
         return taken
 
     def _send(self, group: list[_Operation]) -> None:
@@ -348,3 +373,18 @@
             self._table.transact(Transaction(deletes=(self._receipt_key,)))
         except PlatformError:
             _log.debug("receipt row was left behind", key=self._receipt_key)
+
+
+class PromptCommitter:
+    """Commits through a group committer without its pace, for requests that a caller waits for.
+
+    Args:
+        committer: group committer.
+    """
+
+    def __init__(self, *, committer: GroupCommitter) -> None:
+        self._committer = committer
+
+    def commit(self, txn: Transaction) -> Outcome:
+        """Queues `txn` and waits for its outcome."""
+        return self._committer.commit(txn, is_prompt=True)
--- a/tests/test_groupcommit.py
+++ b/tests/test_groupcommit.py
@@ -13,6 +13,8 @@
     StoreUnavailableError,
 )
 from fescuerudder.groupcommit import (
+    GROUP_PACE_S,
+    GROUP_WINDOW_S,
     OVERWRITTEN,
     GroupCommitter,
     Resolver,
@@ -201,3 +203,14 @@
         unknown = isinstance(res.err(), StoreOutcomeUnknownError)
         assert unknown or applied == res.is_ok()
         assert applied != bool(table.read(keys=(f"old-{n}",)))
+
+
+@pytest.mark.parametrize(("is_prompt", "paused_s"), [(False, GROUP_PACE_S), (True, GROUP_WINDOW_S)])
+def test_only_prompt_operations_skip_the_pace(is_prompt, paused_s):
+    """Guards against a transaction for each operation, and against slow keyed requests."""
+    clock = ManualClock()
+    with GroupCommitter(table=FakeTable(), clock=clock) as group:
+        group.commit(create("a"))
+        before_s = clock.now_s()
+        group.commit(create("b"), is_prompt=is_prompt)
+        assert paused_s <= clock.now_s() - before_s < paused_s + 2 * GROUP_WINDOW_S
