Ask workers of a busy rack for their status once a second

Cause: a busy rack asked twice a second, and each status carries all tasks and all reports of the last seconds. Change: a cycle within 0.9 s after the last statuses rests on those, so workers are asked once a second, as the design states. The end of a task is noticed up to 0.5 s later.

--- a/fescuerudder/fleet.py
+++ b/fescuerudder/fleet.py
@@ -12,9 +12,10 @@
 from fescuerudder.rackports import RackWorker, RunAll, WorkerSource
 from fescuerudder.workers import Attempt, StopOutcome, WorkerControl, WorkerStatus
 
-STATUS_PAUSE_S = 0.4
-"""Cycles that a hint wakes sooner after the last statuses than this rest on those. Below the
-regular pause, so that regular cycles always ask."""
+STATUS_PAUSE_S = 0.9
+"""Cycles sooner after the last statuses than this rest on those. Each status carries all tasks and
+reports of a worker, so asking in every cycle of a busy rack takes more than its budget. Below the
+pause of an idle rack, whose every cycle asks."""
 
 
 @attrs.define(kw_only=True)
