--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -266,6 +266,36 @@
         path=RESULTS_DIR / f"{'-'.join(part for part in (name, label) if part)}.jsonl",
     )
     print(disruption_text(lines))
+
+
+def slopes(name: str = "", *, seed: str = "7") -> int:
+    """Measures what racks, tasks, requests and peers cost; appends to bench/results.
+
+    Args:
+        name: one measurement; all if left out.
+        seed: seed of the keys and random choices.
+    """
+    from bench.slopes import MEASUREMENTS, run_measurement
+
+    if name and name not in MEASUREMENTS:
+        raise UsageError(f"no measurement {name!r}; there are {', '.join(MEASUREMENTS)}")
+    for chosen in [name] if name else MEASUREMENTS:
+        run_measurement(chosen, seed=int(_number("--seed", seed)))
+    return EXIT_DONE
+
+
+def capacity(*, results: str = "") -> int:
+    """Prints the latest slopes, and their sums today and at the target, as Markdown tables.
+
+    Args:
+        results: directory of the result files; bench/results if left out.
+    """
+    from bench._sums import nodes_table, slopes_table, sums_table
+    from bench.slopes import RESULTS_DIR
+
+    directory = Path(results) if results else RESULTS_DIR
+    for table in (sums_table, nodes_table, slopes_table):
+        print(table(directory), end="\n\n")
     return EXIT_DONE
 
 
@@ -284,6 +314,8 @@
     "placement": placement,
     "zone": zone,
     "outage": outage,
+    "slopes": slopes,
+    "capacity": capacity,
 }
 
 if __name__ == "__main__":
--- a/fescuerudder/entry.py
+++ b/fescuerudder/entry.py
@@ -18,7 +18,7 @@
 from fescuerudder.configuration import Configurator
 from fescuerudder.errors import PeerError, RequestError, ShedError, WorkerUnreachableError
 from fescuerudder.frontend import Frontend
-from fescuerudder.groupcommit import GroupCommitter
+from fescuerudder.groupcommit import GroupCommitter, PromptCommitter
 from fescuerudder.idempotency import IdempotencyRecords
 from fescuerudder.interference import make_remedies
 from fescuerudder.kernel import Kernel
@@ -275,7 +275,7 @@
         )
         self._records = IdempotencyRecords(
             table=self._table,
-            committer=self._committer,
+            committer=PromptCommitter(committer=self._committer),
             is_live=self._observer.is_live,
             instance=cfg.instance,
             incarnation=lambda: self._keeper.incarnation,
--- a/fescuerudder/rackrows.py
+++ b/fescuerudder/rackrows.py
@@ -10,15 +10,20 @@
 from fescuerudder.ownership_types import RackLease
 from fescuerudder.rackports import CommitResult, Committer
 from fescuerudder.table import Row, Table
-from fescuerudder.task import Task, load_task, queue_key, task_key
+from fescuerudder.task import Task, TaskState, load_task, queue_key, task_key
 from fescuerudder.transitions import HeldTask, assigned_prefix, rack_key, transition
 
 COMMIT_WAIT_S = 2.0
 """Longest wait for writes in one cycle; a slow store must not delay lease renewals."""
 
-REFRESH_ROWS = 16
+REFRESH_ROWS = 4
 """Assigned rows re-read in each cycle, to find cancel requests whose hint was lost."""
 
+QUEUE_ROWS_PER_CYCLE = 256
+QUEUE_SCAN_CYCLES = 4
+"""A long queue is read in every second to fourth cycle only, at most so many cycles apart: hints
+tell of new tasks, and a lost hint must not keep an urgent task from starting within seconds."""
+
 SCAN_CYCLES = 30
 """Cycles between reads of all assignment rows of the rack."""
 
@@ -45,6 +50,8 @@
         self._applied: list[Task] = []
         self._cycle = 0
         self._refresh_at = 0
+        self._queue_length = 0
+        self._queue_read_at = 0
         self.loaded = False
         self.superseded = False
 
@@ -63,7 +70,8 @@
         asked = self._dirty | {i for i in seen if i not in self._held} | self._next_slice()
         asked -= self._pending.keys()
         queue_prefix = queue_key(self._lease.rack, "")
-        prefixes = [queue_prefix]
+        reads_queue = self._reads_queue()
+        prefixes = [queue_prefix] if reads_queue else []
         scans = not self.loaded or self._cycle % SCAN_CYCLES == 0
         if scans:
             prefixes.append(assigned_prefix(self._lease.rack))
@@ -78,7 +86,13 @@
             return False
         self._check_owner(rows)
         self._take(rows, asked | more)
-        waiting = {row.key.rsplit("/", 1)[1] for row in rows if row.key.startswith(queue_prefix)}
+        if reads_queue:
+            listed = [row.key for row in rows if row.key.startswith(queue_prefix)]
+            waiting = {key.rsplit("/", 1)[1] for key in listed}
+            self._queue_length = len(waiting)
+            self._queue_read_at = self._cycle
+        else:
+            waiting = {i for i, h in self._held.items() if h and h.task.state == "queued"}
         self._forget(waiting | seen)
         self._cycle += 1
         self.loaded = True
@@ -94,11 +108,11 @@
 
     def queued(self) -> list[HeldTask]:
         """Returns the settled tasks that wait in the rack's queue."""
-        return [held for held in self._settled() if held.task.state == "queued"]
+        return self._settled("queued")
 
     def assigned(self) -> list[HeldTask]:
         """Returns the settled tasks that are assigned on the rack."""
-        return [held for held in self._settled() if held.task.state == "assigned"]
+        return self._settled("assigned")
 
     def occupying(self) -> list[Task]:
         """Returns every task that may be assigned, including by a write in flight."""
@@ -140,6 +154,11 @@
             self.superseded = True
         return []
 
+    def _reads_queue(self) -> bool:
+        """Returns whether the queue rows are due."""
+        pause = min(QUEUE_SCAN_CYCLES, 1 + self._queue_length // QUEUE_ROWS_PER_CYCLE)
+        return not self.loaded or self._cycle - self._queue_read_at >= pause
+
     def _check_owner(self, rows: list[Row]) -> None:
         found = [row.version for row in rows if row.key == rack_key(self._lease.rack)]
         self.superseded |= found != [self._lease.version]
@@ -188,12 +207,17 @@
         self._refresh_at += REFRESH_ROWS
         return set(chosen)
 
-    def _settled(self) -> list[HeldTask]:
-        return [
+    def _settled(self, state: TaskState) -> list[HeldTask]:
+        """Returns the settled tasks in a state by id; filtered first, for a queue may be long."""
+        found = [
             held
-            for task_id, held in sorted(self._held.items())
-            if held and held.task.rack == self._lease.rack and self.is_settled(task_id)
+            for task_id, held in self._held.items()
+            if held
+            and held.task.state == state
+            and held.task.rack == self._lease.rack
+            and self.is_settled(task_id)
         ]
+        return sorted(found, key=lambda held: held.task.id)
 
 
 def _is_index(row: Row) -> bool:
--- a/fescuerudder/routes.py
+++ b/fescuerudder/routes.py
@@ -16,25 +16,42 @@
 _log = structlog.get_logger(__name__)
 
 
-def latest_summaries(
-    sessions: Iterable[Session], own: Iterable[RackSummary] = ()
-) -> dict[str, RackSummary]:
-    """Returns the summary with the highest epoch for each rack.
+class PublishedSummaries:
+    """Summaries of all sessions, parsed once for each version of a session row.
 
-    A new owner's summary without workers does not replace a predecessor's: until the new owner
-    has read their status, callers would find no upstream and submitters no worker.
-
-    Args:
-        sessions: sessions of all instances, also of lost ones: their last summary tells which
-            upstreams a rack without an owner has.
-        own: summaries of this instance's racks, newer than the published ones.
+    Control cycles and submissions ask for them many times between two heartbeats.
     """
-    latest: dict[str, RackSummary] = {}
-    for summary in [*_published(sessions), *own]:
-        known = latest.get(summary.rack)
-        if known is None or _rank(summary) >= _rank(known):
-            latest[summary.rack] = summary
-    return latest
+
+    def __init__(self) -> None:
+        self._parsed: dict[str, tuple[int, list[RackSummary]]] = {}
+
+    def latest(
+        self, sessions: Iterable[Session], own: Iterable[RackSummary] = ()
+    ) -> dict[str, RackSummary]:
+        """Returns the summary with the highest epoch for each rack.
+
+        A new owner's summary without workers does not replace a predecessor's: until the new
+        owner has read their status, callers would find no upstream and submitters no worker.
+
+        Args:
+            sessions: sessions of all instances, also of lost ones: their last summary tells
+                which upstreams a rack without an owner has.
+            own: summaries of this instance's racks, newer than the published ones.
+        """
+        # Replaced as a whole, because several threads ask.
+        self._parsed = parsed = {session.instance: self._parse(session) for session in sessions}
+        latest: dict[str, RackSummary] = {}
+        for summary in [*(s for _, found in parsed.values() for s in found), *own]:
+            known = latest.get(summary.rack)
+            if known is None or _rank(summary) >= _rank(known):
+                latest[summary.rack] = summary
+        return latest
+
+    def _parse(self, session: Session) -> tuple[int, list[RackSummary]]:
+        known = self._parsed.get(session.instance)
+        if known is not None and known[0] == session.version:
+            return known
+        return session.version, _published(session)
 
 
 class SummaryMemory:
@@ -99,17 +116,16 @@
     return member is not None and member.state == "leaving"
 
 
-def _published(sessions: Iterable[Session]) -> list[RackSummary]:
+def _published(session: Session) -> list[RackSummary]:
     found = []
-    for session in sessions:
-        for raw in session.summaries:
-            try:
-                found.append(RackSummary.load(raw))
-            except Exception as exc:
-                # Another version may publish summaries of another shape.
-                _log.warning(
-                    "rack summary is malformed",
-                    peer=session.instance,
-                    reason=type(exc).__name__,
-                )
+    for raw in session.summaries:
+        try:
+            found.append(RackSummary.load(raw))
+        except Exception as exc:
+            # Another version may publish summaries of another shape.
+            _log.warning(
+                "rack summary is malformed",
+                peer=session.instance,
+                reason=type(exc).__name__,
+            )
     return found
--- /dev/null
+++ b/tests/test_capacity.py
@@ -0,0 +1,96 @@
+"""Costs of the control loop that must not grow with the number of alike waiting tasks."""
+
+import pytest
+
+from fescuerudder import rackrows
+from fescuerudder.ownership_types import RackSummary
+from fescuerudder.routes import PublishedSummaries
+from fescuerudder.session import Session
+from tests.rack_world import World, batch
+
+
+class Counting:
+    """Counts the calls of a function."""
+
+    def __init__(self, func):
+        self.func, self.calls = func, 0
+
+    def __call__(self, *args, **kwargs):
+        self.calls += 1
+        return self.func(*args, **kwargs)
+
+
+@pytest.fixture
+def full():
+    """World whose workers are full and on whose rack r1 sixty tasks of two services wait."""
+    world = World(services=[batch("draw", "a"), batch("plate", "b", processors=2)])
+    world.workers["w3"].leaving = True
+    world.advance(1)
+    for number in range(66):
+        world.submit(("draw", "plate")[number % 2])
+    world.advance(4)
+    return world
+
+
+def test_each_shape_of_task_is_tried_once_a_cycle(full, monkeypatch):
+    """Guards against a cycle that takes longer than the pause with thousands of tasks."""
+    state = full.instances["A"].controller._state
+    assert len(state.rows.queued()) > 50
+    choose, summaries = Counting(state.placement.choose), Counting(state.summaries)
+    monkeypatch.setattr(state.placement, "choose", choose)
+    state.summaries = summaries
+    full.instances["A"].controller.step()
+    assert choose.calls <= 2
+    assert summaries.calls < 10
+
+
+@pytest.mark.parametrize(("pause_s", "rounds"), [(0.1, 1), (0.5, 1), (1.0, 2)])
+def test_cycles_close_together_share_statuses(full, pause_s, rounds):
+    """Guards against a round of statuses for each hint, and against outdated statuses."""
+    controller = full.instances["A"].controller
+    fleet = controller._state.fleet
+    before = fleet.states["w1"].reading
+    full.clock.advance(seconds=1.0)
+    controller.step()
+    first = fleet.states["w1"].reading
+    full.clock.advance(seconds=pause_s)
+    controller.step()
+    assert len({before, first, fleet.states["w1"].reading}) - 1 == rounds
+
+
+def session(*, version, queue_length):
+    summary = RackSummary(rack="r", zone="a", queue_length=queue_length)
+    fields = dict.fromkeys(("incarnation", "zone", "region", "peer", "http"), "x")
+    return Session(
+        instance="A", beat=1, state="live", summaries=[summary.dump()], version=version, **fields
+    )
+
+
+@pytest.mark.parametrize(("version", "expected"), [(1, 3), (2, 4)])
+def test_summaries_are_parsed_once_a_version(version, expected):
+    """Guards against use of an outdated summary, and against parsing at each use."""
+    published = PublishedSummaries()
+    published.latest([session(version=1, queue_length=3)])
+    latest = published.latest([session(version=version, queue_length=4)])
+    assert latest["r"].queue_length == expected
+
+
+def test_published_summary_leaves_out_defaults():
+    assert RackSummary(rack="r", zone="a").dump() == {"rack": "r", "zone": "a"}
+
+
+@pytest.mark.parametrize(("is_hinted", "within"), [(True, 1), (False, rackrows.QUEUE_SCAN_CYCLES)])
+def test_long_queue_is_read_less_often_and_misses_no_task(full, monkeypatch, is_hinted, within):
+    """Guards against tasks that stay unseen because the whole queue is not read each cycle."""
+    monkeypatch.setattr(rackrows, "QUEUE_ROWS_PER_CYCLE", 10)
+    rows = full.instances["A"].controller._state.rows
+    for _ in range(rackrows.QUEUE_SCAN_CYCLES):
+        rows.load(seen=())
+    task_id = full.submit("draw").ok_value.id
+    if is_hinted:
+        rows.mark(task_id)
+    before = len(rows.queued())
+    for _ in range(within):
+        rows.load(seen=())
+    assert rows.is_settled(task_id)
+    assert len(rows.queued()) == before + 1
