Order only waiting tasks whose like has room

Cause: a cycle of a full rack ordered all waiting tasks by fair share only to find no room for any, and compared each waiting task with all workers before a move to another rack. Change: one task of each service, size and zones is tried first, and only shapes with room are ordered; the capacities are read once a cycle.

--- a/fescuerudder/assign.py
+++ b/fescuerudder/assign.py
@@ -1,10 +1,11 @@
 """Assigns waiting tasks to workers and sends starts."""
 
 import functools
+from collections.abc import Mapping
 
 import attrs
 
-from fescuerudder.document import Size
+from fescuerudder.document import ServiceDocument, Size
 from fescuerudder.errors import WorkerRefusedError, WorkerUnreachableError
 from fescuerudder.fleet import WorkerState
 from fescuerudder.leases import lease_end_s, start_deadline_s
@@ -26,32 +27,69 @@
     held = {h.task.id: h for h in state.rows.queued() if not h.task.cancel_requested}
     if not held:
         return
-    shares = state.shares()
-    order = FairOrder(
-        tasks=[h.task for h in held.values()], usage=shares.usage, quotas=shares.quotas
-    )
     loads = {load.worker: load for load in state.loads()}
-    services = state.services()
-    # Room only shrinks within a cycle, so tasks alike to one without a worker get none either.
-    refused: set[tuple[str, Size, tuple[str, ...]]] = set()
+    search = _Search(state=state, services=state.services())
+    # Ordering a long queue costs far more than finding that its tasks have no room.
+    tasks = [h.task for h in held.values() if search.may_find(h.task, loads)]
+    shares = state.shares()
+    order = FairOrder(tasks=tasks, usage=shares.usage, quotas=shares.quotas)
     for task in order:
-        # With failed workers, the choice depends on more than service and size.
-        shape = None if task.failed_workers else (task.service, task.size, task.zones)
-        if shape in refused:
-            continue
-        sized = _with_learned_size(state, task, list(loads.values()))
-        if sized.zones and state.zone not in sized.zones:
-            continue
-        worker = state.placement.choose(task=sized, loads=list(loads.values()), services=services)
-        if worker is None:
-            if shape is not None:
-                refused.add(shape)
+        found = search.find(task, loads)
+        if found is None:
             continue
+        sized, worker = found
         _assign(state, held[task.id], sized, worker)
         order.placed(sized)
         loads[worker] = _after(state, loads[worker], sized)
 
 
+_Shape = tuple[str, Size, tuple[str, ...]]
+"""Service, size and zones of a task, which decide whether a worker has room for it."""
+
+
+def _shape(task: Task) -> _Shape:
+    return task.service, task.size, task.zones
+
+
+@attrs.define(kw_only=True)
+class _Search:
+    """Finds workers for waiting tasks within one cycle.
+
+    Room only shrinks within a cycle, so tasks alike to one without a worker get none either.
+    """
+
+    state: RackState
+    services: Mapping[str, ServiceDocument]
+    tried: set[_Shape] = attrs.field(factory=set)
+    refused: set[_Shape] = attrs.field(factory=set)
+
+    def may_find(self, task: Task, loads: dict[str, WorkerLoad]) -> bool:
+        """Returns whether a task alike to `task` had room; tries one task of each shape."""
+        shape = _shape(task)
+        if task.failed_workers or shape in self.tried:
+            return bool(task.failed_workers) or shape not in self.refused
+        self.tried.add(shape)
+        return self.find(task, loads) is not None
+
+    def find(self, task: Task, loads: dict[str, WorkerLoad]) -> tuple[Task, str] | None:
+        """Returns the task with its learned size and a worker with room, or None."""
+        shape = _shape(task)
+        if shape in self.refused and not task.failed_workers:
+            return None
+        sized = _with_learned_size(self.state, task, list(loads.values()))
+        worker = None
+        if not sized.zones or self.state.zone in sized.zones:
+            worker = self.state.placement.choose(
+                task=sized, loads=list(loads.values()), services=self.services
+            )
+        if worker is not None:
+            return sized, worker
+        if not task.failed_workers:
+            # With failed workers, the choice depends on more than the shape.
+            self.refused.add(shape)
+        return None
+
+
 def send_starts(state: RackState) -> None:
     """Sends the starts of durable assignments that were not sent yet."""
     calls = []
--- a/fescuerudder/rehome.py
+++ b/fescuerudder/rehome.py
@@ -14,10 +14,11 @@
     left = MOVES_PER_CYCLE
     # Summaries change once a second, so what found no rack finds none later in this cycle.
     homeless: set[tuple[Size, tuple[str, ...], Need]] = set()
+    capacities = [w.status.capacity.size for w in state.fleet.states.values() if w.status]
     for held in state.rows.queued():
         if left == 0:
             return
-        need = _need(state, held.task)
+        need = _need(state, held.task, capacities)
         if need is None or (held.task.size, held.task.zones, need) in homeless:
             continue
         rack = state.other_rack(held.task, needs=need)
@@ -28,7 +29,7 @@
         state.rows.write(held=held, new=rehomed(held.task, rack=rack, txn=state.new_id()))
 
 
-def _need(state: RackState, task: Task) -> Need | None:
+def _need(state: RackState, task: Task, capacities: list[Size]) -> Need | None:
     """Returns what another rack must offer to get the task, or None to keep it here.
 
     A task that can run here moves only to a rack with room now, so that it can't move back
@@ -41,7 +42,6 @@
     if state.waited_s(task) < REHOME_S:
         return None
     is_allowed = not task.zones or state.zone in task.zones
-    capacities = [w.status.capacity.size for w in state.fleet.states.values() if w.status]
     if capacities and not (is_allowed and any(task.size.fits_in(c) for c in capacities)):
         return "large_enough"
     return "room"
