--- a/bench/_sums.py
+++ b/bench/_sums.py
@@ -132,7 +132,7 @@
 
     def __init__(self, *, directory: Path) -> None:
         self._fits: dict[tuple[str, str], Fit] = {}
-        for path in sorted(directory.glob("*.jsonl")):
+        for path in _result_files(directory):
             for found in fit_all(_latest_points(path)):
                 self._fits[path.stem, found.quantity] = found
 
@@ -150,6 +150,12 @@
         return sum(self(measurement, name, size) for name in names)
 
 
+def _result_files(directory: Path) -> list[Path]:
+    """Returns the files of measurements; experiments keep theirs in the same directory."""
+    paths = sorted(directory.glob("*.jsonl"))
+    return [path for path in paths if '"measurement"' in path.read_text(encoding="utf-8")]
+
+
 def _latest_records(path: Path) -> list[dict[str, Any]]:
     """Returns the points of the last run in a result file, with their origin."""
     records = [json.loads(line) for line in path.read_text(encoding="utf-8").splitlines()]
@@ -298,7 +304,7 @@
         "| Measurement | Commit | Load | Quantity | Base | Slopes | Residual |",
         "|---|---|---|---|---|---|---|",
     ]
-    for path in sorted(directory.glob("*.jsonl")):
+    for path in _result_files(directory):
         records = _latest_records(path)
         loads = [record["load"] for record in records]
         origin = f"{path.stem} | {records[0]['commit']} | {min(loads):.1f} to {max(loads):.1f}"
--- a/tests/test_slopes.py
+++ b/tests/test_slopes.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from bench._fit import Point, fit
 from bench._constantload import Load
+from bench._fit import Point, fit
 from bench._memorytable import MemoryTable
 from bench._sums import TARGET, Limits, Line, Slopes, sums
 from bench.slopes import RESULTS_DIR
