Throttle noisy services as a whole, move replicas out of crowded places

Change: all tasks of the neighbour service are throttled together. Where a zone or rack has two replicas more than another, one moves, substitute first.

--- a/fescuerudder/evict.py
+++ b/fescuerudder/evict.py
@@ -69,7 +69,8 @@
             may_move=lambda task, mine=mine: _better_rack(state, mine[task].task) is not None,
         )
         if action is not None:
-            _apply(state, action, mine[action.task], worker)
+            for task in action.tasks:
+                _apply(state, action, mine[task], worker)
 
 
 def _better_rack(state: RackState, task: Task) -> str | None:
--- a/fescuerudder/interference.py
+++ b/fescuerudder/interference.py
@@ -157,9 +157,9 @@
 
 @attrs.frozen(kw_only=True)
 class Mitigation:
-    """What to do to a batch task: limit it to `share`, or move it if `share` is None."""
+    """What to do to batch tasks: limit them to `share`, or move them if `share` is None."""
 
-    task: str
+    tasks: tuple[str, ...]
     share: float | None
 
 
@@ -271,23 +271,31 @@
         batch: dict[str, str],
         may_move: Callable[[str], bool],
     ) -> Mitigation | None:
-        """Returns the next step for the neighbour of the largest effect that has one left."""
+        """Returns the next step for the neighbour of the largest effect that has one left.
 
-        def effect(task: str) -> tuple[float, str]:
-            return self._slowdowns.pair(worst.service, batch[task], load=worst.load), task
+        A neighbour is a service: all of its tasks are throttled together, since one task at
+        its full share may slow the others' neighbours as much as several do.
+        """
+
+        def effect(neighbour: str) -> tuple[float, str]:
+            return self._slowdowns.pair(worst.service, neighbour, load=worst.load), neighbour
 
-        for task in sorted(batch, key=effect, reverse=True):
-            current = state.shares.get(task, 1.0)
+        for neighbour in sorted(set(batch.values()), key=effect, reverse=True):
+            tasks = sorted(task for task, service in batch.items() if service == neighbour)
+            current = max(state.shares.get(task, 1.0) for task in tasks)
             share = next((step for step in self._steps if step < current), None)
             if share is not None:
-                self._note_throttle(state, task, share)
-                return Mitigation(task=task, share=share)
+                limited = tuple(task for task in tasks if state.shares.get(task, 1.0) > share)
+                for task in limited:
+                    self._note_throttle(state, task, share)
+                return Mitigation(tasks=limited, share=share)
+            task = tasks[-1]
             # Without throttling, moving is the only remedy left to try.
             is_useful = not self._steps or may_move(task)
             if is_useful and self._may_move(state, status.clock_s):
                 state.shares.pop(task, None)
                 state.moved_at_s.append(status.clock_s)
-                return Mitigation(task=task, share=None)
+                return Mitigation(tasks=(task,), share=None)
         return None
 
     def _note_throttle(self, state: _WorkerRemedies, task: str, share: float) -> None:
@@ -318,7 +326,7 @@
         task = min(due, key=lambda name: (state.shares[name], name))
         del state.shares[task]
         state.lifted.add(task)
-        return Mitigation(task=task, share=1.0)
+        return Mitigation(tasks=(task,), share=1.0)
 
 
 def make_remedies(*, policy: str, slowdowns: Slowdowns) -> Remedies:
--- a/fescuerudder/replicas.py
+++ b/fescuerudder/replicas.py
@@ -12,12 +12,14 @@
 from fescuerudder.clock import Clock
 from fescuerudder.document import ServiceDocument
 from fescuerudder.errors import StoreUnavailableError
-from fescuerudder.home import choose_home, in_service
+from fescuerudder.home import allowed, choose_home, in_service, is_large_enough
 from fescuerudder.ownership_types import RackSummary
 from fescuerudder.rackports import Committer, View
+from fescuerudder.spread import Spread, spread_of
 from fescuerudder.table import ABSENT, Check, Row, Table, Transaction, new_txn_id
 from fescuerudder.task import Task, load_task, queue_put, task_key, task_put
 
+LONGEST_SPREAD_S = 3600.0
 SCAN_S = 10.0
 """Time between checks of a service whose document did not change."""
 
@@ -57,6 +59,15 @@
         return task.rack in self.racks or task.state == "assigned" and task.worker in self.workers
 
 
+@attrs.frozen(kw_only=True)
+class _LastSpread:
+    """The last move of a replica to a better place, and when the next may follow."""
+
+    unevenness: int
+    wait_s: float
+    next_s: float
+
+
 class ReplicaKeeper:
     """Creates missing replicas, also for those that must leave, and ends surplus ones.
 
@@ -103,6 +114,7 @@
         self._wall_s = wall_s
         self._new_id = new_id
         self._on_change = on_change
+        self._spreads: dict[str, _LastSpread] = {}
         self._done: dict[str, tuple[ServiceDocument, _Leaving, float]] = {}
 
     def step(self) -> None:
@@ -141,13 +153,69 @@
         free = (n for n in _names(doc.name) if n not in tasks or tasks[n].is_final)
         for name in itertools.islice(free, max(0, doc.replicas - len(staying))):
             results.append(self._begin(doc, name, by_id.get(name), placed))
+        spread = spread_of(staying.values(), self._usable_zones(doc))
         surplus = len(kept) + results.count(True) - doc.replicas
-        # Those that must leave go first, then those that don't run, then the latest.
-        order = sorted(kept, key=lambda n: (n in staying, kept[n].state == "assigned", -_number(n)))
-        results += [self._end(by_id[name]) for name in order[: max(0, surplus)]]
+        if surplus > 0:
+            results += self._end_surplus(by_id, kept, staying, spread, surplus)
+        elif not results and self._is_spread_due(doc, staying, spread):
+            # One more in a better place; the next check then ends one of the crowded place.
+            name = next(free)
+            results.append(self._begin(doc, name, by_id.get(name), placed))
+            results.append(False)
         if all(results):
             self._done[doc.name] = (doc, leaving, self._clock.now_s())
 
+    def _end_surplus(
+        self,
+        by_id: dict[str, Row],
+        kept: dict[str, Task],
+        staying: dict[str, Task],
+        spread: Spread,
+        surplus: int,
+    ) -> list[bool]:
+        """Ends those that must leave, then one of a crowded place, then those not running."""
+        leaving = sorted(kept.keys() - staying.keys())[:surplus]
+        results = [self._end(by_id[name]) for name in leaving]
+        crowded = [n for n, task in staying.items() if spread.is_crowded(task.rack)]
+        if surplus > len(leaving) and crowded:
+            if any(task.state != "assigned" for task in staying.values()):
+                return [*results, False]  # Its substitute does not run yet.
+            first = max(crowded, key=lambda n: (spread.crowding(staying[n]), _number(n)))
+            return [*results, self._end(by_id[first]), False]
+        order = sorted(staying, key=lambda n: (staying[n].state == "assigned", -_number(n)))
+        return results + [self._end(by_id[n]) for n in order[: surplus - len(leaving)]]
+
+    def _usable_zones(self, doc: ServiceDocument) -> dict[str, str]:
+        """Returns the zone of each rack in service that can take a replica."""
+        zones = self._view.current().zones
+        return {
+            s.rack: s.zone
+            for s in self._summaries()
+            if allowed(s, doc.zones) and in_service(s.zone, zones) and is_large_enough(s, doc.size)
+        }
+
+    def _is_spread_due(
+        self, doc: ServiceDocument, staying: dict[str, Task], spread: Spread
+    ) -> bool:
+        """Returns whether a replica should move to a better place now.
+
+        If the last move did not help, the next one waits twice as long: the better place may
+        be one that the sharing rules forbid.
+        """
+        is_stable = all(task.state == "assigned" for task in staying.values())
+        if not is_stable or not any(spread.is_crowded(t.rack) for t in staying.values()):
+            return False
+        now_s = self._clock.now_s()
+        last = self._spreads.get(doc.name)
+        if last is not None and now_s < last.next_s:
+            return False
+        helped = last is None or spread.unevenness < last.unevenness
+        wait_s = SCAN_S if helped else min(2 * last.wait_s, LONGEST_SPREAD_S)
+        self._spreads[doc.name] = _LastSpread(
+            unevenness=spread.unevenness, wait_s=wait_s, next_s=now_s + wait_s
+        )
+        return True
+
     def _begin(
         self, doc: ServiceDocument, name: str, row: Row | None, placed: Counter[str]
     ) -> bool:
--- a/tests/test_graceful.py
+++ b/tests/test_graceful.py
@@ -156,6 +156,34 @@
     assert placed == {"r1": 1, "r2": 1, "r3": 1, "r4": 1, "r5": 2}
 
 
+def test_crowded_replicas_move_one_by_one_without_a_gap():
+    """Guards against a service that stays in one zone because the others came up later."""
+    world = World(services=[DOC])
+    for name in ("w3", "w2"):
+        world.workers[name].leaving = True
+    world.config.services["entry"] = attrs.evolve(DOC, replicas=3)
+    keepers = [make_keeper(world, name) for name in ("A", "C")]
+
+    def run(seconds):
+        fewest = 9
+        for _ in range(int(seconds * 2)):
+            world.advance(0.5)
+            for keeper in keepers:
+                keeper.step()
+            running = [w.zone for w in world.workers.values() for a in w.running()]
+            fewest = min(fewest, len(running))
+        return fewest, sorted(running)
+
+    assert run(10)[1] == ["a", "a", "a"]
+    for name in ("w3", "w2"):
+        world.workers[name].leaving = False
+    assert run(60) == (3, ["a", "a", "b"])
+    starts = world.witness.starts
+    assert run(120) == (3, ["a", "a", "b"])
+    assert world.witness.starts == starts
+    world.check()
+
+
 class TestUse:
     """The granter knows where requests may be in progress."""
 
--- a/tests/test_interference.py
+++ b/tests/test_interference.py
@@ -50,7 +50,7 @@
             objectives_ms={"entry": 100},
             batch={"n": "noisy"},
         )
-        return action and (action.task, action.share)
+        return action and (*action.tasks, action.share)
 
     assert decide(10, 9, 200) == ("n", 0.5)
     assert decide(11, 9.5, 200) is None
--- a/tests/test_remedies.py
+++ b/tests/test_remedies.py
@@ -178,3 +178,22 @@
         if action is not None and action.share is None:
             found, task = found + 1, task + 1
     assert found == moves
+
+
+def test_all_tasks_of_the_noisy_service_are_throttled_together():
+    """Guards against throttling one of several tasks, which leaves the slowdown as it is."""
+    remedies = Remedies(slowdowns=Slowdowns())
+
+    def decide(at_s, batch):
+        action = remedies.decide(
+            status=status(at_s),
+            fresh=[report(at_s - 1, 500, "noisy")],
+            objectives_ms={"entry": 100},
+            batch=batch,
+        )
+        return action.tasks, action.share
+
+    noisy = {"n1": "noisy", "n2": "noisy", "a": "calm"}
+    assert decide(10, noisy) == (("n1", "n2"), 0.5)
+    assert decide(20, noisy) == (("n1", "n2"), 0.25)
+    assert decide(30, {**noisy, "n3": "noisy"}) == (("n3",), 0.5)
