--- a/fescuerudder/permits.py
+++ b/fescuerudder/permits.py
@@ -774,8 +774,10 @@
         for serial in asked - listed:
             if serial in pool.held:
                 self._revoke(pool, serial)
+        # A permit that ended on its way counts as none, or the holder would ask without pause.
+        is_dry = not (listed - asked) & pool.held.keys()
         # An offer may overtake the answer to the ask before it.
-        if ask.wanted and not listed - asked and pool.offered_s < sent_s:
+        if ask.wanted and is_dry and pool.offered_s < sent_s:
             pool.dry_until_s = now + PERMIT_RETRY_S
 
     def _accept(self, pool: _Pool, permit: SlotPermit, ends_s: float, renewed: bool) -> None:
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -376,6 +376,24 @@
     assert acquire_stepping(holder, clock).rack == "far"
 
 
+def test_permits_that_end_on_their_way_are_not_asked_for_without_pause():
+    """Guards against a busy loop of asks while a worker's status is nearly too old."""
+    clock = ManualClock()
+    granter = make_granter(clock, workers=make_workers(status_age_s=PERMIT_TTL_S - 0.01))
+    asks = []
+
+    def ask(rack, msg):
+        asks.append(msg)
+        assert len(asks) < 10
+        reply = granter.answer("a", msg)
+        clock.advance(seconds=0.02)
+        granter.update_workers(make_workers(status_age_s=PERMIT_TTL_S - 0.01))
+        return reply
+
+    assert acquire_stepping(make_holder(clock, ask), clock) is None
+    assert len(asks) == 1
+
+
 def test_equal_serials_of_two_racks_are_distinct():
     """Guards against releasing another rack's permit: owners count alike."""
     clock = ManualClock()
