--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -212,7 +212,7 @@
             places = [place + number * width for place in range(len(names))]
             label = f"{policy}, {_share(groups[load, policy], 'answered'):.1%} answered"
             axis.bar(places, middle, width, yerr=spread, capsize=2, label=label)
-        axis.legend(fontsize="small")
+        axis.legend(fontsize="small", loc="upper center", bbox_to_anchor=(0.5, -0.1), ncols=2)
         axis.set_xticks([place + 0.4 - width / 2 for place in range(len(names))], names)
         axis.set_yscale("log")
         axis.set_ylabel("latency minus service time, ms (median, range)")
