--- a/fescuerudder/routing.py
+++ b/fescuerudder/routing.py
@@ -58,11 +58,9 @@
     in_flight: int = 0
     mean_s: float = 0.0
 
-    def expected_s(self) -> float:
-        """Returns how long a new request would take to its answer; 0 while nothing waits."""
-        if not self.waiting:
-            return 0.0
-        return self.mean_s + self.waiting * self.mean_s / max(1, self.in_flight)
+    def expected_wait_s(self) -> float:
+        """Returns how long a new request would wait; 0 while nothing waits."""
+        return self.waiting * self.mean_s / max(1, self.in_flight)
 
     def observe(self, seconds: float) -> None:
         """Counts the duration of an answered request."""
@@ -135,7 +133,7 @@
         with self._lock:
             if load.waiting >= self._queue_max:
                 return ShedError("the queue of the service is full", status=503)
-            if left_s <= (load.expected_s() if self._sheds else 0.0):
+            if left_s <= (load.expected_wait_s() if self._sheds else 0.0):
                 return ShedError("the expected wait exceeds the deadline", status=503)
         return None
 
