--- a/tests/rack_world.py
+++ b/tests/rack_world.py
@@ -316,7 +316,7 @@
 
     def check(self) -> None:
         """Raises if a guarantee was violated."""
-        assert self.witness.violations == []
+        assert self.witness.violations == [], self.witness.violations
         for task_id, task in self.rows().items():
             before = self._final.get(task_id)
             assert before in (None, task.state), f"{task_id} was {before}, is {task.state}"
