--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,4 +5,7 @@
     "tests.scenarios.fault_steps",
     "tests.scenarios.caller_steps",
     "tests.scenarios.verdict_steps",
+    "tests.scenarios.work_steps",
+    "tests.scenarios.zone_steps",
+    "tests.scenarios.promise_steps",
 ]
