--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,4 +8,5 @@
     "tests.scenarios.work_steps",
     "tests.scenarios.zone_steps",
     "tests.scenarios.promise_steps",
+    "tests.scenarios.config_steps",
 ]
