--- a/tests/scenarios/zone_steps.py
+++ b/tests/scenarios/zone_steps.py
@@ -9,11 +9,15 @@
 from bench.witness import Finding, starts_after
 from fescuerudder.client import ClientError
 from tests.scenarios.deployments import wait_until
-from tests.scenarios.regions import usable
+from tests.scenarios.regions import owner_of, usable
 from tests.scenarios.work import boot_s
+from tests.scenarios.work_steps import more_starts
 
 START_BOUND_S = 3.0
 
+OWNER_DELAY_MS = 100
+"""Makes it likely that the owner is frozen while an assignment is on its way."""
+
 
 @attrs.frozen(kw_only=True)
 class ZoneChange:
@@ -158,6 +162,29 @@
     print(f"the operators' {len(own)} changes took {took_s:.2f} s")
 
 
+@when(
+    parsers.re(
+        r'"(?P<zone>[^"]+)" goes out (?P<times>\d+) times while the owner of "(?P<rack>[^"]+)"'
+        r" is frozen until the bound"
+    )
+)
+def out_while_frozen(cluster, work, zone_changes, zone, times, rack) -> None:
+    """The owner's session outlives the pause, so that only its view keeps it from starting."""
+    for _ in range(int(times)):
+        _put_anywhere(cluster, zone_changes, zone, "in")
+        starts_again(work, zone, "plates-of-kaolack")
+        owner = wait_until(lambda: owner_of(cluster, rack), f"an instance owns {rack}")
+        cluster.launcher.delay(f"store:{owner}", delay_ms=OWNER_DELAY_MS)
+        more_starts(work, 8, "plates-of-kaolack")
+        cluster.launcher.freeze(owner)
+        _put_anywhere(cluster, zone_changes, zone, "out")
+        from_s = zone_changes.changes[-1].answered_s + START_BOUND_S
+        wait_until(lambda s=from_s: boot_s() > s, "the bound has passed")
+        cluster.launcher.thaw(owner)
+        starts_elsewhere(work, zone_changes, 10, "plates-of-thies", zone)
+        cluster.launcher.delay(f"store:{owner}", delay_ms=0)
+
+
 @when(parsers.re(r'no task runs in "(?P<zone>[^"]+)" any more'))
 def is_empty(work, zone) -> None:
     since_s = boot_s()
