--- a/tests/scenarios/deployments.py
+++ b/tests/scenarios/deployments.py
@@ -63,6 +63,7 @@
         self.shape = shape
         self.documents: dict[str, dict[str, Any]] = {}
         self.hosting: dict[str, int] = {}
+        self.began_s = 0.0
 
     @property
     def entries(self) -> list[str]:
@@ -109,6 +110,18 @@
         wait_until(put, f"the document of {document['name']} is accepted")
         self.documents[document["name"]] = document
 
+    def wait_known(self) -> None:
+        """Waits until every instance has the newest configuration that any has."""
+
+        def revisions() -> set[int | None]:
+            return {self.status(name).get("revision") for name in self.entries}
+
+        def is_known() -> bool:
+            found = revisions()
+            return len(found) == 1 and None not in found
+
+        wait_until(is_known, "all instances have the same configuration")
+
     def hosts(self, service: str) -> int:
         """Returns how many workers run a replica, by the owner's status."""
         owner = self.owner()
@@ -116,9 +129,13 @@
         return sum(service in up["services"] for rack in racks for up in rack["workers"])
 
     def events(self) -> list[Event]:
-        """Returns what the workers wrote down so far."""
+        """Returns what the workers wrote down so far, in all scenarios of the cluster."""
         return read_events(self.launcher.event_files())
 
+    def new_events(self) -> list[Event]:
+        """Returns what the workers wrote down in this scenario."""
+        return [event for event in self.events() if event["boot_s"] >= self.began_s]
+
     def log_texts(self) -> dict[str, str]:
         """Returns the end of each entry instance's log."""
         return {name: self.launcher.log_tail(name) for name in self.entries}
@@ -172,6 +189,7 @@
             cluster = self._running[shape] = self._start(shape)
         cluster.repair()
         cluster.wait_serving()
+        cluster.began_s = time.clock_gettime(time.CLOCK_BOOTTIME)
         return cluster
 
     def close(self) -> None:
