Ignore a provisional drain that the view shows to be replaced

Cause: each instance repeats its unsettled drains to its peers. A peer that had settled and dropped a drain took it over again and repeated it, so the notices went around without end, and a zone stayed out although its return was accepted. Change: merging ignores a drain whose zone has a later revision in the view. The new test of test_view.py fails without the change.

--- a/fescuerudder/configuration.py
+++ b/fescuerudder/configuration.py
@@ -134,7 +134,14 @@
         return notice
 
     def merge(self, notice: DrainNotice) -> None:
-        """Takes over a provisional drain; the one that rests on the latest revision counts."""
+        """Takes over a provisional drain; the one that rests on the latest revision counts.
+
+        A drain that the view shows to be replaced is ignored: peers that have not settled it
+        yet would otherwise bring it back to those that have, without end.
+        """
+        known = self._view.current().revisions.get(ZONE_PREFIX + notice.zone, 0)
+        if known > notice.base_revision:
+            return
         with self._lock:
             held = self._drains.get(notice.zone)
             if held is None or held.notice.base_revision < notice.base_revision:
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -88,3 +88,14 @@
     assert view.revision == 9
     assert view.services == ({"draw": DOC} if known else {})
     assert view.zones == {"z1": "in" if known else "out"}
+
+
+def test_a_replaced_drain_does_not_return_from_a_peer(world):
+    """Guards against peers that bring a settled drain back, so that the zone stays out."""
+    world.view.poll()
+    notice = world.changes.provisional_out("z1", "op")
+    assert world.changes.settle() and world.view.poll() and world.changes.settle()
+    world.changes.put_zone("z1", "in", "op")
+    assert world.view.poll()
+    world.changes.merge(notice)
+    assert world.changes.notices() == [] and world.changes.zones_out() == frozenset()
