Read event files whole while their workers write

Cause: a reader can see the first part of a line that a worker is writing. Before: a scenario failed with 'worker-thies-a-1-2.jsonl line 247 is no event'. Change: a file that ends within a line is read again, at most 20 times. After: the tests of test_witness.py pass; no test forces the partial line.

--- a/bench/witness.py
+++ b/bench/witness.py
@@ -5,6 +5,7 @@
 
 import json
 import math
+import time
 from collections import defaultdict
 from collections.abc import Iterable, Mapping
 from pathlib import Path
@@ -15,6 +16,8 @@
 Event = Mapping[str, Any]
 
 TOLERANCE = 1e-9
+LINE_TRIES = 20
+LINE_PAUSE_S = 0.01
 RESOURCES = ("processors", "memory_mb", "accelerators")
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE", "TRACE"})
 
@@ -80,7 +83,7 @@
     """
     events: list[Event] = []
     for path in paths:
-        for number, line in enumerate(path.read_text().splitlines(), start=1):
+        for number, line in enumerate(_read_lines(path), start=1):
             try:
                 event = json.loads(line)
                 event["boot_s"] + 0.0
@@ -90,6 +93,16 @@
     return sorted(events, key=lambda event: event["boot_s"])
 
 
+def _read_lines(path: Path) -> list[str]:
+    """Returns the lines of a file; waits for the rest of a line that is being written."""
+    for _ in range(LINE_TRIES):
+        text = path.read_text()
+        if not text or text.endswith("\n"):
+            break
+        time.sleep(LINE_PAUSE_S)
+    return text.splitlines()
+
+
 def find_all(events: Iterable[Event]) -> list[Finding]:
     """Returns the findings of all checks that need no further input."""
     events = list(events)
