--- a/fescuerudder/entry.py
+++ b/fescuerudder/entry.py
@@ -507,10 +507,10 @@
         self._records.flush()
         self._burn.set_objectives(objectives_of(self._view.current().services.values()))
         self._metrics.set_leases(count=sum(s.running for s in self._racks.summaries()))
-        if self._configurator.notices():
-            for notice in self._configurator.notices():
-                self._tell_all(notice)
-            self._configurator.settle()
+        for notice in self._configurator.notices():
+            self._tell_all(notice)
+        # Also without notices: a settled drain ends only once the view shows what replaced it.
+        self._configurator.settle()
         for service, length in self._router.waiting().items():
             self._metrics.set_queue_length(service=service, length=length)
             self._metrics.set_permits(service=service, held=self._holder.held(service))
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -93,6 +93,18 @@
     assert one.view.current().zones["z1"] == expected
 
 
+def test_a_settled_drain_ends_once_the_view_shows_its_row(table, nodes):
+    """Guards against a zone that stays out after its return: the view may lag the settlement."""
+    node = nodes[0]
+    node.changes.provisional_out("z1", "op")
+    assert node.changes.settle()
+    assert node.changes.zones_out() == {"z1"}
+    assert nodes[1].changes.put_zone("z1", "in", "op").is_ok()
+    node.view.poll()
+    assert node.changes.settle()
+    assert node.changes.zones_out() == frozenset()
+
+
 def test_the_drain_on_the_latest_revision_counts(nodes):
     notice = nodes[0].changes.provisional_out("z1", "op")
     later = attrs.evolve(notice, base_revision=7)
