Vouch for handed-over racks only after the longest run without the store; split entry

Cause (review): an owner that claimed a rack from a lost one and handed it on later vouched for all leases after 2,115 s, although a document may allow tasks to run on for longer. Change: documents may state at most 86,400 s, and nobody vouches before that time. EffectiveView and ObservedRouter have modules of their own. Measured: the tests of ownership, documents and the whole path pass.

--- a/fescuerudder/document.py
+++ b/fescuerudder/document.py
@@ -10,6 +10,9 @@
 from fescuerudder.errors import DocumentError
 
 DEFAULT_OUTAGE_RUN_S = 2100.0
+MAX_OUTAGE_RUN_S = 86_400.0
+"""Bounds how long tasks of a lost owner can go on, whatever document they were started under."""
+
 NAME_PATTERN = re.compile(r"[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?")
 MAX_REPLICAS = 10_000
 
@@ -190,8 +193,8 @@
         problems.append("must be above 0 and below 1 @ $.objective.target")
     if doc.objective.latency_ms <= 0:
         problems.append("must be above 0 @ $.objective.latency_ms")
-    if doc.outage_run_s < 0:
-        problems.append("must be at least 0 @ $.outage_run_s")
+    if not 0 <= doc.outage_run_s <= MAX_OUTAGE_RUN_S:
+        problems.append(f"must be from 0 to {MAX_OUTAGE_RUN_S:g} @ $.outage_run_s")
     if doc.max_run_s < 0:
         problems.append("must be at least 0 @ $.max_run_s")
     return problems
--- a/fescuerudder/entry.py
+++ b/fescuerudder/entry.py
@@ -9,14 +9,13 @@
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
-import attrs
 import structlog
-from result import Ok, Result
 
 from fescuerudder.burn import BurnRecorder, objectives_of
 from fescuerudder.clock import Clock, SystemClock
 from fescuerudder.configuration import Configurator
-from fescuerudder.errors import PeerError, RequestError, ShedError, WorkerUnreachableError
+from fescuerudder.effectiveview import EffectiveView
+from fescuerudder.errors import PeerError, WorkerUnreachableError
 from fescuerudder.frontend import Frontend
 from fescuerudder.groupcommit import GroupCommitter, PromptCommitter
 from fescuerudder.idempotency import IdempotencyRecords
@@ -39,6 +38,7 @@
     ViewHint,
 )
 from fescuerudder.metrics import Metrics
+from fescuerudder.observedrouter import ObservedRouter
 from fescuerudder.operators import OperatorOperations, TaskOperations, settle_notice
 from fescuerudder.ownership import Ownership
 from fescuerudder.ownership_types import RackLease
@@ -60,8 +60,8 @@
 from fescuerudder.settings import Settings
 from fescuerudder.submission import Tasks as Submission
 from fescuerudder.table import HttpTable, new_txn_id
-from fescuerudder.upstream import Answer, Request, Upstream
-from fescuerudder.view import VIEW_POLL_S, ConfigView, ViewKeeper
+from fescuerudder.upstream import Upstream
+from fescuerudder.view import VIEW_POLL_S, ViewKeeper
 
 PEER_ASK_TIMEOUT_S = 0.5
 LIST_POLL_S = 1.0
@@ -77,78 +77,6 @@
 _log = structlog.get_logger(__name__)
 
 
-class EffectiveView:
-    """Configuration view in which provisional drains count as zones taken out.
-
-    Args:
-        view: the view read from the store.
-        configurator: holds provisional drains.
-    """
-
-    def __init__(self, *, view: ViewKeeper, configurator: Configurator) -> None:
-        self._view = view
-        self._configurator = configurator
-
-    def current(self) -> ConfigView:
-        """Returns the configuration in force here."""
-        view = self._view.current()
-        out = self._configurator.zones_out()
-        zones = {**view.zones, **dict.fromkeys(out, "out")}
-        return attrs.evolve(view, zones=zones)
-
-    def is_fresh(self) -> bool:
-        """Returns whether the view may be used to start work."""
-        return self._view.is_fresh()
-
-
-class ObservedRouter:
-    """Router that counts each request in the metrics and the burn data.
-
-    Args:
-        router: takes requests to services.
-        metrics: metrics of this instance.
-        burn: burn data of this instance.
-        recording: trace of this instance.
-        clock: source of time.
-    """
-
-    def __init__(
-        self,
-        *,
-        router: Router,
-        metrics: Metrics,
-        burn: BurnRecorder,
-        recording: Recording,
-        clock: Clock,
-    ) -> None:
-        self._router = router
-        self._metrics = metrics
-        self._burn = burn
-        self._recording = recording
-        self._clock = clock
-
-    def handle(self, req: Request) -> Result[Answer, RequestError]:
-        """Handles a request; see `Router.handle`."""
-        start_s = self._clock.now_s()
-        self._recording.note_request(req)
-        res = self._router.handle(req)
-        seconds = self._clock.now_s() - start_s
-        if isinstance(res, Ok):
-            answered, outcome = res.ok_value.status < 500, "answered"
-        else:
-            answered, outcome = False, res.err_value.outcome
-            if res.err_value.status == 404:
-                # The name comes from the caller; as a label it would be unbounded.
-                return res
-            if isinstance(res.err_value, ShedError):
-                self._burn.add_event(kind="shed", target=req.service, detail="overload")
-        self._metrics.count_request(service=req.service, outcome=outcome, latency_s=seconds)
-        self._burn.count_request(
-            service=req.service, latency_ms=seconds * 1000, is_answered=answered
-        )
-        return res
-
-
 class EntryInstance:
     """All parts of one entry instance; a context manager that runs them.
 
--- a/fescuerudder/ownership.py
+++ b/fescuerudder/ownership.py
@@ -12,7 +12,7 @@
 
 from fescuerudder import rendezvous
 from fescuerudder.clock import Clock
-from fescuerudder.document import DEFAULT_OUTAGE_RUN_S
+from fescuerudder.document import MAX_OUTAGE_RUN_S
 from fescuerudder.errors import StoreUnavailableError
 from fescuerudder.groupcommit import OVERWRITTEN, Outcome, Resolver
 from fescuerudder.members import Member
@@ -35,7 +35,7 @@
 CLAIMS_PER_STEP = 16
 """Bounds one step's time when the store is far away, and lets later starters have their part."""
 
-LONG_WAIT_S = DEFAULT_OUTAGE_RUN_S + 15.0
+LONG_WAIT_S = MAX_OUTAGE_RUN_S + 15.0
 """After this long, a predecessor that did not hand over can't have tasks under lease any more."""
 
 _log = structlog.get_logger(__name__)
--- a/tests/test_document.py
+++ b/tests/test_document.py
@@ -26,6 +26,7 @@
         ({"replicas": 3}, "$.replicas"),
         ({"objective": {"target": 1.5}}, "$.objective.target"),
         ({"outage_run_s": -1}, "$.outage_run_s"),
+        ({"outage_run_s": 86_401}, "$.outage_run_s"),
         ({"urgent": "yes"}, "$.urgent"),
     ],
 )
