Rank with one rendezvous hash

Cause: replicas.py had a second form of it. Measured: the tests of replicas pass, including the one that only the lost instance's keys move.

--- a/fescuerudder/replicas.py
+++ b/fescuerudder/replicas.py
@@ -1,6 +1,5 @@
 """Standing tasks (replicas) of latency-critical services."""
 
-import hashlib
 import itertools
 from collections import Counter
 from collections.abc import Callable, Iterable
@@ -9,6 +8,7 @@
 import attrs
 from result import Ok
 
+from fescuerudder import rendezvous
 from fescuerudder.clock import Clock
 from fescuerudder.document import ServiceDocument
 from fescuerudder.errors import StoreUnavailableError
@@ -24,15 +24,6 @@
 """Time between checks of a service whose document did not change."""
 
 
-def rendezvous_first(*, candidates: Iterable[str], key: str) -> str | None:
-    """Returns the candidate that ranks first for `key`, the same for every caller."""
-
-    def rank(candidate: str) -> tuple[bytes, str]:
-        return hashlib.sha256(f"{candidate}\0{key}".encode()).digest(), candidate
-
-    return max(candidates, key=rank, default=None)
-
-
 def _names(service: str) -> Iterable[str]:
     return (replica_id(service, number) for number in itertools.count())
 
@@ -124,7 +115,7 @@
         live = set(self._live())
         leaving = self._find_leaving()
         for doc in self._view.current().services.values():
-            first = rendezvous_first(candidates=live, key=doc.name)
+            first = rendezvous.first(key=doc.name, nodes=live)
             if doc.kind == "latency-critical" and first == self._instance:
                 self._check(doc, leaving)
 
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -4,8 +4,9 @@
 
 import attrs
 
+from fescuerudder import rendezvous
 from fescuerudder.document import ServiceDocument, Size
-from fescuerudder.replicas import ReplicaKeeper, rendezvous_first
+from fescuerudder.replicas import ReplicaKeeper
 from tests.rack_world import FakeCommitter, World
 
 DOC = ServiceDocument(
@@ -48,7 +49,7 @@
 
 def test_choice_moves_only_what_the_lost_instance_had():
     names = ["A", "B", "C", "D"]
-    before = {key: rendezvous_first(candidates=names, key=str(key)) for key in range(50)}
-    after = {key: rendezvous_first(candidates=names[:3], key=str(key)) for key in range(50)}
+    before = {key: rendezvous.first(nodes=names, key=str(key)) for key in range(50)}
+    after = {key: rendezvous.first(nodes=names[:3], key=str(key)) for key in range(50)}
     assert {before[k] for k in before if before[k] != after[k]} == {"D"}
-    assert rendezvous_first(candidates=[], key="x") is None
+    assert rendezvous.first(nodes=[], key="x") is None
