--- a/fescuerudder/idempotency.py
+++ b/fescuerudder/idempotency.py
@@ -182,9 +182,9 @@
             return None
         if row.value.get("txn") == value["txn"]:
             return Ok(Begun(key=key, version=row.version, value=value))
-        return self._judge(row, value["body_hash"])
+        return self._decide(row, value["body_hash"])
 
-    def _judge(self, row: Row, body_hash: str) -> Result[Begun | Replay, IdempotencyError]:
+    def _decide(self, row: Row, body_hash: str) -> Result[Begun | Replay, IdempotencyError]:
         record = row.value
         if record.get("body_hash") != body_hash:
             detail = "the idempotency key was used with another request"
--- a/fescuerudder/membership.py
+++ b/fescuerudder/membership.py
@@ -34,7 +34,7 @@
         clock: clock of this machine.
         table: table service.
         keeper: this instance's session.
-        observer: judge of all sessions.
+        observer: tells which sessions are live or expired.
         ownership: claims of racks.
         clients: connections to peers.
         racks: running racks of this instance.
--- a/fescuerudder/ownership.py
+++ b/fescuerudder/ownership.py
@@ -141,7 +141,7 @@
 
     Args:
         keeper: this instance's session.
-        observer: judge of all sessions; `step` feeds it.
+        observer: tells which sessions are live or expired; `step` feeds it.
         table: table service.
         clock: clock of this machine.
         before_release: called before a planned handover is written; returns when all starts and
--- a/fescuerudder/session.py
+++ b/fescuerudder/session.py
@@ -1,4 +1,4 @@
-"""Sessions: heartbeats of this instance and an observer's judgement of all others."""
+"""Sessions: heartbeats of this instance, and which other sessions are live."""
 
 import base64
 import json
@@ -294,7 +294,7 @@
 
 
 @attrs.frozen(kw_only=True)
-class _Sighting:
+class _Observation:
     """When this observer first saw an incarnation and its present version, and when last."""
 
     session: Session
@@ -304,7 +304,7 @@
 
 
 class SessionObserver:
-    """Judges sessions by this instance's own clock.
+    """Tells live from expired sessions by this instance's own clock.
 
     Args:
         clock: clock of this machine.
@@ -319,22 +319,24 @@
         self._ttl_s = ttl_s
         self._gap_s = gap_s
         self._read_at_s = float("-inf")
-        self._sightings: dict[str, _Sighting] = {}
+        self._observations: dict[str, _Observation] = {}
 
     def observe(self, rows: Iterable[Row]) -> None:
         """Takes the rows of one reading that just arrived; other rows than sessions are ignored."""
         now_s = self._clock.now_s()
         interrupted = now_s - self._read_at_s > self._gap_s
         sessions = [parse_session(row) for row in rows if row.key.startswith(SESSION_PREFIX)]
-        seen = {s.instance: self._sight(s, now_s, interrupted) for s in sessions if s is not None}
+        seen = {
+            s.instance: self._observe_one(s, now_s, interrupted) for s in sessions if s is not None
+        }
         self._read_at_s = now_s
-        self._sightings = seen
+        self._observations = seen
 
-    def _sight(self, session: Session, now_s: float, interrupted: bool) -> _Sighting:
-        last = self._sightings.get(session.instance)
+    def _observe_one(self, session: Session, now_s: float, interrupted: bool) -> _Observation:
+        last = self._observations.get(session.instance)
         same_run = last is not None and last.session.incarnation == session.incarnation
         same_version = same_run and last.session.version == session.version
-        return _Sighting(
+        return _Observation(
             session=session,
             seen_at_s=now_s,
             version_since_s=last.version_since_s if same_version and not interrupted else now_s,
@@ -343,7 +345,7 @@
 
     def sessions(self) -> dict[str, Session]:
         """Returns all sessions of the last reading by instance."""
-        return {name: sighting.session for name, sighting in self._sightings.items()}
+        return {name: observation.session for name, observation in self._observations.items()}
 
     def live(self) -> dict[str, Session]:
         """Returns the sessions that take work."""
@@ -368,16 +370,16 @@
 
     def age_s(self, instance: str) -> float:
         """Returns how long this observer has known the instance's present run, or 0."""
-        sighting = self._sightings.get(instance)
-        return 0.0 if sighting is None else self._clock.now_s() - sighting.incarnation_since_s
+        observation = self._observations.get(instance)
+        return 0.0 if observation is None else self._clock.now_s() - observation.incarnation_since_s
 
     def _select(self, state: SessionState, *, lapsed: bool) -> dict[str, Session]:
         return {
-            name: sighting.session
-            for name, sighting in self._sightings.items()
-            if sighting.session.state == state and self._is_lapsed(sighting) == lapsed
+            name: observation.session
+            for name, observation in self._observations.items()
+            if observation.session.state == state and self._is_lapsed(observation) == lapsed
         }
 
-    def _is_lapsed(self, sighting: _Sighting) -> bool:
+    def _is_lapsed(self, observation: _Observation) -> bool:
         # The latest reading confirmed the version; time since then proves nothing.
-        return sighting.seen_at_s - sighting.version_since_s >= self._ttl_s
+        return observation.seen_at_s - observation.version_since_s >= self._ttl_s
--- a/tests/rack_world.py
+++ b/tests/rack_world.py
@@ -250,17 +250,19 @@
             session.is_fenced_in_store = True
         self._take(name, rack, planned=False)
 
-    def hand_over(self, owner: str, heir: str, rack: str) -> None:
+    def hand_over(self, owner: str, successor: str, rack: str) -> None:
         """Gives a rack to another instance, as a planned stop does."""
         giver = self.instances[owner]
-        busy = self.instances[heir].controller is not None or self.instances[heir].is_paused
+        busy = (
+            self.instances[successor].controller is not None or self.instances[successor].is_paused
+        )
         if self.owner_of(rack)[0] != owner or giver.controller is None or giver.is_paused or busy:
             return
         if self.table.down or giver.session.is_fenced_in_store:
             return
         giver.controller.stop()
         giver.controller = None
-        self._take(heir, rack, planned=True)
+        self._take(successor, rack, planned=True)
 
     def _take(self, name: str, rack: str, *, planned: bool) -> None:
         _, epoch, version = self.owner_of(rack)
