Count store transactions; drop a setting without effect

Cause (read-through): the metric of store transactions was offered but never counted, and store_region changed nothing. Measured: each outcome shows in the metrics in its test; the tests of the whole path and the command line pass.

--- a/bench/launcher.py
+++ b/bench/launcher.py
@@ -60,7 +60,6 @@
         zones: zones with their racks and entry instances.
         workers_per_rack: workers in each rack.
         lag_s: lag of the membership list in seconds.
-        store_region: region of the store; by default that of the first zone.
         relay_store: put a relay between each entry instance and the store.
         relay_members: put a relay between each entry instance and the membership list.
         relay_workers: put relays before the control and data address of each worker.
@@ -75,7 +74,6 @@
     zones: tuple[Zone, ...]
     workers_per_rack: int = 8
     lag_s: float = 2.0
-    store_region: str = ""
     relay_store: bool = False
     relay_members: bool = False
     relay_workers: bool = False
@@ -183,7 +181,6 @@
             ),
             "peer_key": self.deployment.peer_key,
             "operator_key": self.deployment.operator_key,
-            "store_region": self.deployment.store_region or self.deployment.zones[0].region,
             "http": http,
             "peer": peer,
             **self.deployment.entry_flags,
--- a/fescuerudder/entry.py
+++ b/fescuerudder/entry.py
@@ -39,6 +39,7 @@
 )
 from fescuerudder.metrics import Metrics
 from fescuerudder.observedrouter import ObservedRouter
+from fescuerudder.observedtable import ObservedTable
 from fescuerudder.operators import OperatorOperations, TaskOperations, settle_notice
 from fescuerudder.ownership import Ownership
 from fescuerudder.ownership_types import RackLease
@@ -119,7 +120,9 @@
 
     def _build_state(self) -> None:
         cfg, clock = self._cfg, self._clock
-        self._table = HttpTable(address=cfg.store)
+        self._metrics = Metrics(instance=cfg.instance)
+        self._store = HttpTable(address=cfg.store)
+        self._table = ObservedTable(table=self._store, metrics=self._metrics, clock=clock)
         self._committer = GroupCommitter(table=self._table, clock=clock)
         self._view = ViewKeeper(table=self._table, clock=clock)
         self._configurator = Configurator(
@@ -186,7 +189,6 @@
 
     def _build_requests(self) -> None:
         cfg, clock = self._cfg, self._clock
-        self._metrics = Metrics(instance=cfg.instance)
         self._burn = BurnRecorder(instance=cfg.instance, read_time_s=time.time)
         self._reporter = EventReporter(metrics=self._metrics, burn=self._burn)
         self._recording = Recording(clock=clock, instance=cfg.instance, enabled=cfg.record)
@@ -255,7 +257,7 @@
         """Adds all services to the kernel, in the order in which they depend on each other."""
         self._add_handlers()
         self._metrics.watch_view_age(lambda: self._clock.now_s() - self._view.current().sent_at_s)
-        self._add_owner("store", self._table)
+        self._add_owner("store", self._store)
         self._add_owner("commit", self._committer)
         self._add_owner("metrics", self._metrics)
         self._add_owner("peer-clients", self._clients)
--- a/fescuerudder/settings.py
+++ b/fescuerudder/settings.py
@@ -38,7 +38,6 @@
     http: str = _setting(default="127.0.0.1:8080", help="ip:port for callers and operators.")
     peer: str = _setting(default="127.0.0.1:8090", help="ip:port for other entry instances.")
     threads: int = _setting(default=48, help="Threads that serve HTTP requests.")
-    store_region: str = _setting(default="", help="Region of the store, for the link budget.")
     routing: str = _setting(
         default="permits",
         help="Request routing: permits, random, round_robin or least_outstanding.",
