--- a/fescuerudder/frontend.py
+++ b/fescuerudder/frontend.py
@@ -5,20 +5,16 @@
 import json
 import re
 import threading
-import time
 from collections.abc import Callable, Iterable
 from typing import Any, Protocol
 from urllib.parse import unquote
 
 import attrs
 import structlog
-from cheroot import wsgi
 from cheroot.errors import MaxSizeExceeded
-from cheroot.server import ChunkedRFile, KnownLengthRFile
+from cheroot.server import ChunkedRFile
 from result import Ok, Result
 
-from fescuerudder._connection import Connection
-from fescuerudder._synfilter import drop_new_connections
 from fescuerudder.clock import Clock
 from fescuerudder.document import NAME_PATTERN
 from fescuerudder.errors import (
@@ -27,24 +23,21 @@
     MalformedRequestError,
     RequestError,
 )
+from fescuerudder.httpserver import (
+    MAX_BODY_BYTES,
+    HttpServer,
+    close_after_answer,
+    discard_body,
+)
 from fescuerudder.upstream import Answer, Headers, Request, end_to_end
 
 _log = structlog.get_logger(__name__)
 
-MAX_BODY_BYTES = 1024 * 1024
-MAX_DISCARDED_BYTES = 4 * MAX_BODY_BYTES
-DISCARD_CHUNK_BYTES = 64 * 1024
 MAX_HEADER_BYTES = 16 * 1024
 MAX_HEADER_COUNT = 100
-MAX_RAW_HEADER_BYTES = 64 * 1024
 MAX_KEY_LENGTH = 255
 DEFAULT_DEADLINE_S = 30.0
 MAX_DEADLINE_S = 24 * 3600.0
-LISTEN_BACKLOG = 512
-MAX_LAST_CONNECTIONS = 4 * LISTEN_BACKLOG
-KEEPALIVE_S = 10
-HANDSHAKE_S = 0.1
-DRAIN_POLL_S = 0.02
 RESERVED_SHARE = 0.1
 """Share of the HTTP threads, at least one, that callers' requests never occupy.
 
@@ -52,8 +45,6 @@
 checks and operators would wait behind them.
 """
 
-DRAIN_QUIET_S = 0.2
-STOP_S = 2
 PRIORITIES = ("normal", "urgent")
 METHODS = frozenset({"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"})
 
@@ -62,7 +53,6 @@
 _KEY_PATTERN = re.compile(rf"[ -~]{{1,{MAX_KEY_LENGTH}}}")
 _LENGTH_PATTERN = re.compile(r"[0-9]{1,18}")
 _REVISION_PATTERN = re.compile(r'"(\d{1,18})"')
-_REQUEST_KEY = "fescuerudder.request"
 
 Json = dict[str, Any]
 _NO_BODY_STATUS = frozenset({204, 304})
@@ -154,30 +144,6 @@
     needs_key: bool = False
 
 
-class _InFlight:
-    """Counts the requests in flight and when the last one ended."""
-
-    def __init__(self, *, clock: Clock) -> None:
-        self._clock = clock
-        self._count = 0
-        self._last_end_s = clock.now_s()
-        self._lock = threading.Lock()
-
-    def __enter__(self) -> None:
-        with self._lock:
-            self._count += 1
-
-    def __exit__(self, *exc_info: object) -> None:
-        with self._lock:
-            self._count -= 1
-            self._last_end_s = self._clock.now_s()
-
-    def idle_s(self) -> float:
-        """Returns for how long there was no request; negative if there is one."""
-        with self._lock:
-            return -1.0 if self._count else self._clock.now_s() - self._last_end_s
-
-
 class _CallerThreads:
     """Bounds the threads that callers' requests occupy.
 
@@ -196,66 +162,6 @@
         self._free.release()
 
 
-class _Server(wsgi.Server):
-    """WSGI server that counts requests until their answers are written."""
-
-    ConnectionClass = Connection
-    in_flight: _InFlight
-
-    def stop(self) -> None:
-        """Stops listening, answers what has arrived and closes all connections."""
-        if self.ready:
-            self._end_arrivals()
-            self._connections.stop()
-            self._take_accepted()
-            self._take_readable()
-        super().stop()
-
-    def _end_arrivals(self) -> None:
-        try:
-            drop_new_connections(self.socket)
-        except OSError as exc:
-            _log.warning("late connections may be reset", error=str(exc))
-        # Handshakes that have begun take a round trip.
-        time.sleep(HANDSHAKE_S)
-
-    def _take_accepted(self) -> None:
-        """Serves the connections that the kernel has accepted, then closes the listener.
-
-        Closing the listener resets them, and their callers could not tell whether their
-        requests ran. cheroot has no hook for this, hence its private members.
-        """
-        listener, self.socket = self.socket, None
-        self._connections._selector.unregister(listener.fileno())
-        listener.setblocking(False)
-        for _ in range(MAX_LAST_CONNECTIONS):
-            conn = self._connections._from_server_socket(listener)
-            if conn is None:
-                break
-            self.process_conn(conn)
-        listener.close()
-
-    def _take_readable(self) -> None:
-        """Serves the idle connections on which a request has arrived."""
-        for sock_fd, conn in list(self._connections._selector.select(timeout=0)):
-            self._connections._selector.unregister(sock_fd)
-            self.process_conn(conn)
-
-
-class _Gateway(wsgi.Gateway_10):
-    """Counts requests, bounds chunked bodies and lets the application close the connection."""
-
-    def get_environ(self) -> dict[str, Any]:
-        if isinstance(self.req.rfile, ChunkedRFile):
-            # Also counts the framing, hence the allowance; the exact limit is checked later.
-            self.req.rfile.maxlen = 2 * MAX_BODY_BYTES
-        return {**super().get_environ(), _REQUEST_KEY: self.req}
-
-    def respond(self) -> None:
-        with self.req.server.in_flight:
-            super().respond()
-
-
 class Frontend:
     """HTTP server of one entry instance; a context manager.
 
@@ -290,22 +196,7 @@
         self._operations = operations
         self._caller_threads = _CallerThreads(limit=_caller_limit(threads))
         self._routes = self._make_routes()
-        self._draining = threading.Event()
-        host, _, port = address.rpartition(":")
-        self._server = _Server(
-            (host, int(port)),
-            self._serve,
-            numthreads=threads,
-            max=threads,
-            request_queue_size=LISTEN_BACKLOG,
-            timeout=KEEPALIVE_S,
-            shutdown_timeout=STOP_S,
-        )
-        self._server.gateway = _Gateway
-        self._server.in_flight = _InFlight(clock=clock)
-        self._server.max_request_header_size = MAX_RAW_HEADER_BYTES
-        self._server.error_log = _log_server_error
-        self._thread: threading.Thread | None = None
+        self._server = HttpServer(address=address, threads=threads, app=self._serve, clock=clock)
 
     def __enter__(self) -> "Frontend":
         self.start()
@@ -317,7 +208,7 @@
     @property
     def port(self) -> int:
         """Port the server listens on, after `start`."""
-        return self._server.bind_addr[1]
+        return self._server.port
 
     def start(self) -> None:
         """Listens and serves in threads of its own.
@@ -325,32 +216,15 @@
         Raises:
             OSError: the address can't be used.
         """
-        self._server.prepare()
-        self._thread = threading.Thread(target=self._server.serve, name="http", daemon=True)
-        self._thread.start()
+        self._server.start()
 
     def drain(self, timeout_s: float) -> bool:
-        """Refuses new requests and waits for those in flight; returns whether all ended.
-
-        The listener stays open, so that late requests get an answer instead of a reset,
-        until no request came for `DRAIN_QUIET_S`. Call `stop` afterwards.
-        """
-        self._draining.set()
-        end_s = self._clock.now_s() + timeout_s
-        never = threading.Event()
-        while self._clock.now_s() < end_s:
-            if self._server.in_flight.idle_s() >= DRAIN_QUIET_S:
-                return True
-            self._clock.wait_s(never, DRAIN_POLL_S)
-        return self._server.in_flight.idle_s() >= 0
+        """Refuses new requests and waits for those in flight; see `HttpServer.drain`."""
+        return self._server.drain(timeout_s)
 
     def stop(self) -> None:
         """Stops listening and closes all connections."""
-        self._draining.set()
         self._server.stop()
-        if self._thread is not None:
-            self._thread.join(timeout=STOP_S)
-            self._thread = None
 
     def _make_routes(self) -> list[_Route]:
         table = [
@@ -382,9 +256,9 @@
         headers.append(("X-Request-Id", trace_id))
         if _needs_length(environ["REQUEST_METHOD"], answer):
             headers.append(("Content-Length", str(len(answer.body))))
-        if self._draining.is_set():
+        if self._server.is_draining:
             # The connection is about to end; its caller must not send another request on it.
-            environ[_REQUEST_KEY].close_connection = True
+            close_after_answer(environ)
         start_response(_status_line(answer.status), headers)
         _log.info(
             "request finished",
@@ -417,11 +291,11 @@
         """Reads one request; closes the connection if the request was not read completely."""
         try:
             call = _read_call(environ, trace_id)
-            if self._draining.is_set() and call.path != "/metrics":
+            if self._server.is_draining and call.path != "/metrics":
                 raise RequestError("this instance is stopping", status=503)
         except RequestError:
-            _discard(environ["wsgi.input"])
-            environ[_REQUEST_KEY].close_connection = True
+            discard_body(environ["wsgi.input"])
+            close_after_answer(environ)
             raise
         return call
 
@@ -635,22 +509,6 @@
     return body
 
 
-def _discard(rfile: KnownLengthRFile | ChunkedRFile) -> None:
-    """Reads what is left of a refused body, within limits.
-
-    Closing a connection with unread data resets it, and the caller may lose the answer.
-    """
-    left = min(getattr(rfile, "remaining", 0), MAX_DISCARDED_BYTES)
-    try:
-        while left > 0:
-            part = rfile.read(min(left, DISCARD_CHUNK_BYTES))
-            if not part:
-                return
-            left -= len(part)
-    except OSError:
-        _log.debug("a refused body could not be read to its end")
-
-
 def _too_large() -> MalformedRequestError:
     return MalformedRequestError(f"the body exceeds {MAX_BODY_BYTES} bytes", status=413)
 
@@ -749,7 +607,3 @@
 
 def _status_line(status: int) -> str:
     return f"{status} {_TITLES.get(status, 'Status')}"
-
-
-def _log_server_error(msg: str = "", level: int = 20, traceback: bool = False) -> None:
-    _log.warning("HTTP server error", error=msg.strip(), exc_info=traceback)
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -14,7 +14,8 @@
 from fescuerudder import _connection
 from fescuerudder.clock import SystemClock
 from fescuerudder.errors import DocumentError, RequestError
-from fescuerudder.frontend import MAX_BODY_BYTES, Frontend
+from fescuerudder.frontend import Frontend
+from fescuerudder.httpserver import MAX_BODY_BYTES
 from fescuerudder.upstream import Answer
 
 KEY = "operator-key-for-tests"
