--- a/fescuerudder/cli.py
+++ b/fescuerudder/cli.py
@@ -256,6 +256,17 @@
     return EXIT_DONE
 
 
+def node(*, settings: str = "") -> int:
+    """Runs an instance that serves jobs on the users' platform, until SIGTERM.
+
+    Args:
+        settings: settings file, instead of the one named by FESCUERUDDER_NODE_FILE.
+    """
+    from fescuerudder.platform.run import run_on_platform
+
+    return run_on_platform(settings=settings)
+
+
 def settings() -> int:
     """Prints the reference of all settings of `entry`, as Markdown."""
     print(settings_page(), end="")
@@ -284,6 +295,7 @@
 
 COMMANDS: dict[str, Any] = {
     "entry": _make_entry(),
+    "node": node,
     "check": check,
     "apply": apply,
     "get": get,
--- /dev/null
+++ b/fescuerudder/jobs/job.py
@@ -0,0 +1,108 @@
+"""Jobs as callers submit them: steps with dependencies, each of a number of like tasks."""
+
+from typing import NamedTuple
+
+import attrs
+
+from fescuerudder.document import Size
+
+
+class TaskId(NamedTuple):
+    """Identity of one task of a job.
+
+    Args:
+        job: id of the job.
+        occurrence: repetition of the job, from 0.
+        step: number of the step, from 0.
+        index: number of the task in the step, from 0.
+    """
+
+    job: str
+    occurrence: int
+    step: int
+    index: int
+
+
+@attrs.frozen(kw_only=True)
+class Step:
+    """Like tasks that may run once other steps are done.
+
+    Args:
+        count: number of tasks.
+        size: resources of each task.
+        estimated_ms: rough run time of a task.
+        after: numbers of the steps that must be done before.
+        gang: the tasks run and end together.
+        same_rack: a gang over several racks runs slower by the deployment's remote factor.
+        required_label: label that the worker must carry, or empty.
+        data_rack: rack that holds the data; elsewhere a task runs slower. Empty if anywhere.
+        max_per_worker: most tasks of the step on one worker, 0 for no limit.
+        speculative: copies of a task may run at the same time.
+        checkpoints: tasks save their progress.
+        long_running: tasks run until the job is cancelled and are restarted when they end.
+        image: what the tasks run; tasks of one image behave alike.
+        latency_target_ms: bound on the tail latency of a long-running task, 0 for none.
+        best_effort: the processors are not reserved; tasks use what others leave.
+        max_unavailable: tasks of the step that may be away because of the scheduler, None for
+            no limit.
+    """
+
+    count: int
+    size: Size
+    estimated_ms: int = 0
+    after: tuple[int, ...] = ()
+    gang: bool = False
+    same_rack: bool = False
+    required_label: str = ""
+    data_rack: str = ""
+    max_per_worker: int = 0
+    speculative: bool = False
+    checkpoints: bool = False
+    long_running: bool = False
+    image: str = ""
+    latency_target_ms: int = 0
+    best_effort: bool = False
+    max_unavailable: int | None = None
+
+
+@attrs.frozen(kw_only=True)
+class Repetition:
+    """Timed repetitions of a job.
+
+    Args:
+        times: number of occurrences.
+        first_ms: Unix time of the first one, in milliseconds.
+        interval_ms: time between two of them.
+    """
+
+    times: int
+    first_ms: int
+    interval_ms: int
+
+    def due_ms(self, occurrence: int) -> int:
+        """Returns the Unix time in milliseconds at which `occurrence` may start."""
+        return self.first_ms + occurrence * self.interval_ms
+
+
+@attrs.frozen(kw_only=True)
+class Job:
+    """A submitted job.
+
+    Args:
+        id: chosen by the caller; a repeated submission has the same one.
+        queue: name of the queue it was submitted to.
+        payload: input of all tasks.
+        steps: its steps.
+        repetition: timed repetitions, None for a job that runs once, at once.
+    """
+
+    id: str
+    queue: str
+    payload: str
+    steps: tuple[Step, ...]
+    repetition: Repetition | None = None
+
+    @property
+    def occurrences(self) -> int:
+        """Number of times the steps run."""
+        return self.repetition.times if self.repetition else 1
--- /dev/null
+++ b/fescuerudder/jobs/jobrun.py
@@ -0,0 +1,221 @@
+"""Progress of a job: which tasks are done, which attempts are live, what may start next."""
+
+import enum
+from collections.abc import Iterator
+
+import attrs
+
+from fescuerudder.jobs.job import Job, Step, TaskId
+
+
+class JobState(enum.Enum):
+    """State of a job as callers see it."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    COMPLETED = "completed"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+    @property
+    def is_final(self) -> bool:
+        """Whether the state never changes again."""
+        return self not in (JobState.QUEUED, JobState.RUNNING)
+
+
+class Phase(enum.Enum):
+    """What is known of a live attempt."""
+
+    STARTING = "starting"  # the order is under way
+    UNCERTAIN = "uncertain"  # the order got no answer
+    RUNNING = "running"
+    STOPPING = "stopping"  # it was told to stop, its end is not listed yet
+
+
+@attrs.define(eq=False, kw_only=True)
+class Attempt:
+    """A live attempt of a task on a worker. Times are on this instance's clock, in seconds.
+
+    Args:
+        task: the task.
+        worker: id of the worker.
+        number: number of the attempt.
+        phase: what is known of it.
+        token: fencing token of its start order.
+        sent_s: when the order was sent.
+        confirmed_s: when the worker confirmed that it runs, None before.
+        checkpoint: latest saved state known.
+        percent: share of its speed at which it was last seen to work.
+        usage: last reported figure, see `RunningAttempt`.
+        stop_sent_s: when a stop was last sent.
+    """
+
+    task: "TaskRun"
+    worker: str
+    number: int
+    phase: Phase
+    token: int
+    sent_s: float
+    confirmed_s: float | None = None
+    checkpoint: str = ""
+    percent: int = 100
+    usage: float = 0.0
+    stop_sent_s: float | None = None
+
+
+@attrs.define(eq=False, kw_only=True)
+class TaskRun:
+    """One task of a step.
+
+    Args:
+        id: identity.
+        step: the step it belongs to.
+        done: an attempt ended as done.
+        failed: numbers of the attempts that ended as failed; a worker may list an end twice.
+        checkpoint: state to resume from.
+        last_number: highest attempt number used so far.
+        attempts: live attempts; more than one only for speculative steps.
+    """
+
+    id: TaskId
+    step: "StepRun"
+    done: bool = False
+    failed: list[int] = attrs.Factory(list)
+    checkpoint: str = ""
+    last_number: int = 0
+    attempts: list[Attempt] = attrs.Factory(list)
+
+    @property
+    def is_startable(self) -> bool:
+        """Whether it may be started: not done, and nothing of it may run anywhere."""
+        return not self.done and not self.attempts
+
+
+@attrs.define(eq=False, kw_only=True)
+class StepRun:
+    """One step in one occurrence of a job.
+
+    Args:
+        job: the job.
+        occurrence: repetition, from 0.
+        number: number of the step, from 0.
+        spec: the step as submitted.
+        tasks: its tasks.
+        opened_s: when its tasks could first start, None before.
+    """
+
+    job: "JobRun"
+    occurrence: int
+    number: int
+    spec: Step
+    tasks: list[TaskRun] = attrs.Factory(list)
+    opened_s: float | None = None
+
+    @property
+    def is_done(self) -> bool:
+        """Whether all tasks are done."""
+        return all(task.done for task in self.tasks)
+
+    def startable(self) -> list[TaskRun]:
+        """Returns the tasks that may be started."""
+        return [task for task in self.tasks if task.is_startable]
+
+
+@attrs.define(eq=False, kw_only=True)
+class JobRun:
+    """A job and its progress.
+
+    Args:
+        job: the job as submitted.
+        version: version of its row in the store.
+        received_s: when this instance learned of it, on its clock.
+        state: state of its progress; callers see it once it is stored.
+        begun: a task has been started at some time.
+        cancel_requested: a caller asked for its cancellation.
+        steps: the steps of all occurrences.
+        dirty: its progress differs from what is stored.
+    """
+
+    job: Job
+    version: int
+    received_s: float
+    state: JobState = JobState.QUEUED
+    begun: bool = False
+    cancel_requested: bool = False
+    steps: dict[tuple[int, int], StepRun] = attrs.Factory(dict)
+    dirty: bool = False
+
+    @classmethod
+    def create(cls, *, job: Job, version: int, received_s: float) -> "JobRun":
+        """Returns a job none of whose tasks has started."""
+        run = cls(job=job, version=version, received_s=received_s)
+        for occurrence in range(job.occurrences):
+            for number, spec in enumerate(job.steps):
+                step = StepRun(job=run, occurrence=occurrence, number=number, spec=spec)
+                step.tasks = [
+                    TaskRun(id=TaskId(job.id, occurrence, number, index), step=step)
+                    for index in range(spec.count)
+                ]
+                run.steps[(occurrence, number)] = step
+        return run
+
+    @property
+    def is_live(self) -> bool:
+        """Whether tasks of the job may still be started."""
+        return not self.state.is_final and not self.cancel_requested
+
+    def tasks(self) -> Iterator[TaskRun]:
+        """Yields all tasks."""
+        for step in self.steps.values():
+            yield from step.tasks
+
+    def attempts(self) -> Iterator[Attempt]:
+        """Yields all live attempts."""
+        for task in self.tasks():
+            yield from task.attempts
+
+    def task(self, task_id: TaskId) -> TaskRun | None:
+        """Returns a task by its id, if the job has it."""
+        step = self.steps.get((task_id.occurrence, task_id.step))
+        if step is None or not 0 <= task_id.index < len(step.tasks):
+            return None
+        return step.tasks[task_id.index]
+
+    def may_open(self, step: StepRun) -> bool:
+        """Returns whether all steps that `step` depends on are done."""
+        return all(self.steps[(step.occurrence, number)].is_done for number in step.spec.after)
+
+    def note_done(self, task: TaskRun) -> None:
+        """Notes that an attempt of the task ended as done; completes the job with the last one.
+
+        One such end stands for all members of a gang.
+        """
+        for member in task.step.tasks if task.step.spec.gang else (task,):
+            member.done = True
+            member.checkpoint = ""
+        self.dirty = True
+        if not self.state.is_final and all(step.is_done for step in self.steps.values()):
+            self.state = JobState.COMPLETED
+
+    def note_failed(self, task: TaskRun, *, attempt: int, max_failures: int) -> None:
+        """Notes a failed attempt; the job fails with `max_failures` of a task that must end.
+
+        The failures of all members of a gang count together.
+        """
+        if attempt in task.failed:
+            return
+        task.failed.append(attempt)
+        self.dirty = True
+        if task.step.spec.long_running or task.done or self.state.is_final:
+            return
+        members = task.step.tasks if task.step.spec.gang else (task,)
+        if len({number for member in members for number in member.failed}) >= max_failures:
+            self.state = JobState.FAILED
+
+    def cancel(self) -> None:
+        """Notes a caller's cancellation; a job that has ended stays as it is."""
+        if self.state.is_final:
+            return
+        self.cancel_requested = True
+        self.state = JobState.CANCELLED
+        self.dirty = True
--- /dev/null
+++ b/fescuerudder/jobs/leader.py
@@ -0,0 +1,463 @@
+"""Runs one term: an actor decides, threads talk to the store and the workers."""
+
+import threading
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from functools import singledispatchmethod
+from typing import Any, Protocol
+
+import attrs
+import pykka
+import structlog
+
+from fescuerudder.clock import Clock
+from fescuerudder.errors import StoreOutcomeUnknownError, StoreUnavailableError
+from fescuerudder.jobs.claim import Claim
+from fescuerudder.jobs.configview import ConfigView
+from fescuerudder.jobs.leaderwrites import LeadershipLostError, LeaderWrites
+from fescuerudder.jobs.progress import StoredJob
+from fescuerudder.jobs.rows import HistoryLostError, RowStore
+from fescuerudder.jobs.scheduler import Order, ProgressBatch, Scheduler
+from fescuerudder.jobs.storage import CLAIM, JOBS
+from fescuerudder.jobs.takeover import Loaded, load, split_job_rows
+from fescuerudder.jobs.workerport import (
+    OrderAnswer,
+    OtherLifeError,
+    RenewOrder,
+    Report,
+    StartOrder,
+    StopOrder,
+    ThrottleOrder,
+    WorkerFencedError,
+    WorkerInfo,
+    WorkerPort,
+    WorkerSilentError,
+)
+from fescuerudder.jobs.world import Term
+
+HEARTBEAT_S = 0.5
+WRITE_PAUSE_S = 0.05
+"""Least time between two writes, so that one transaction takes the progress of many tasks."""
+
+TICK_S = 0.1
+FEED_WAIT_S = 1.0
+REGISTRY_S = 1.0
+RETRY_STORE_S = 0.2
+LOAD_THREADS = 8
+ORDER_THREADS = 24
+MAX_RENEWAL_THREADS = 256
+
+CONFIRMED_FOR_S = 7.0
+"""Time after the last stored heartbeat for which the leader goes on giving orders."""
+
+_log = structlog.get_logger(__name__)
+
+
+class WorkerRegistry(Protocol):
+    """Lists the workers that registered themselves."""
+
+    def read(self) -> list[WorkerInfo]:
+        """Returns all workers.
+
+        Raises:
+            StoreUnavailableError: the registry can't be read.
+        """
+
+
+@attrs.frozen(kw_only=True)
+class _Tick:
+    """Time has passed."""
+
+
+@attrs.frozen(kw_only=True)
+class _Configured:
+    """The configuration has changed."""
+
+    view: ConfigView
+
+
+@attrs.frozen(kw_only=True)
+class _Listed:
+    """The registry was read."""
+
+    workers: list[WorkerInfo]
+
+
+@attrs.frozen(kw_only=True)
+class _Submitted:
+    """Jobs or cancellations were stored."""
+
+    jobs: list[StoredJob]
+    cancels: list[str]
+
+
+@attrs.frozen(kw_only=True)
+class _Reported:
+    """A worker answered a renewal."""
+
+    order: RenewOrder
+    report: Report
+    sent_s: float
+
+
+@attrs.frozen(kw_only=True)
+class _Silent:
+    """A worker did not answer a renewal."""
+
+    order: RenewOrder
+    sent_s: float
+    reason: str
+
+
+@attrs.frozen(kw_only=True)
+class _Fenced:
+    """A worker has seen a higher token than that of a renewal."""
+
+    order: RenewOrder
+
+
+@attrs.frozen(kw_only=True)
+class _Answered:
+    """A worker answered an order, or did not."""
+
+    order: Order
+    answer: OrderAnswer
+
+
+@attrs.frozen(kw_only=True)
+class _Stored:
+    """Progress is stored."""
+
+    batch: ProgressBatch
+
+
+class SchedulerActor(pykka.ThreadingActor):
+    """Feeds the scheduler with events; plans when no more events wait.
+
+    Args:
+        scheduler: the decisions.
+        send: carries out an order.
+        may_order: whether the leadership was confirmed lately.
+    """
+
+    def __init__(
+        self,
+        *,
+        scheduler: Scheduler,
+        send: Callable[[Order], None],
+        may_order: Callable[[], bool],
+    ) -> None:
+        super().__init__()
+        self._scheduler = scheduler
+        self._send = send
+        self._may_order = may_order
+
+    def on_receive(self, message: Any) -> Any:
+        """Takes one event or question."""
+        if callable(message):
+            return message(self._scheduler)
+        try:
+            self._take(message)
+            if self.actor_inbox.empty() and self._may_order():
+                for order in self._scheduler.plan():
+                    self._send(order)
+        except Exception:
+            _log.exception("scheduling event failed", event=type(message).__name__)
+        return None
+
+    @singledispatchmethod
+    def _take(self, message: Any) -> None:
+        raise TypeError(f"unknown event {type(message).__name__}")
+
+    @_take.register
+    def _(self, message: _Tick) -> None:
+        pass
+
+    @_take.register
+    def _(self, message: _Configured) -> None:
+        if message.view.manifest is not None:
+            self._scheduler.set_manifest(message.view.manifest)
+        self._scheduler.set_zones_out(message.view.zones_out)
+
+    @_take.register
+    def _(self, message: _Listed) -> None:
+        self._scheduler.set_workers(message.workers)
+
+    @_take.register
+    def _(self, message: _Submitted) -> None:
+        self._scheduler.add_jobs(message.jobs)
+        self._scheduler.cancel(message.cancels)
+
+    @_take.register
+    def _(self, message: _Reported) -> None:
+        self._scheduler.on_report(message.order, message.report, sent_s=message.sent_s)
+
+    @_take.register
+    def _(self, message: _Silent) -> None:
+        self._scheduler.on_silence(message.order, sent_s=message.sent_s, reason=message.reason)
+
+    @_take.register
+    def _(self, message: _Fenced) -> None:
+        self._scheduler.on_fenced(message.order)
+
+    @_take.register
+    def _(self, message: _Answered) -> None:
+        if isinstance(message.order, StartOrder):
+            self._scheduler.on_started(message.order, message.answer)
+        elif isinstance(message.order, StopOrder):
+            self._scheduler.on_stopped(message.order, message.answer)
+
+    @_take.register
+    def _(self, message: _Stored) -> None:
+        self._scheduler.on_stored(message.batch)
+
+
+class LeaderTerm:
+    """One term of this instance as the leader; a context manager that runs it.
+
+    Args:
+        store: the store.
+        workers: sends orders.
+        registry: lists the workers.
+        clock: source of time.
+        wall_ms: returns Unix time in milliseconds.
+        claim: the claim.
+        claim_version: version of its row.
+        lease_s: length of the leases in seconds.
+        view: returns the configuration.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: RowStore,
+        workers: WorkerPort,
+        registry: WorkerRegistry,
+        clock: Clock,
+        wall_ms: Callable[[], float],
+        claim: Claim,
+        claim_version: int,
+        lease_s: float,
+        view: Callable[[], ConfigView],
+    ) -> None:
+        self._store = store
+        self._workers = workers
+        self._registry = registry
+        self._clock = clock
+        self._view = view
+        self._claim_version = claim_version
+        self.lost = threading.Event()
+        self._stopping = threading.Event()
+        self._written = threading.Event()
+        self._writes = LeaderWrites(
+            store=store,
+            clock=clock,
+            claim=claim,
+            claim_version=claim_version,
+        )
+        self._scheduler = Scheduler(
+            term=Term(epoch=claim.epoch, claim_version=claim_version),
+            clock=clock,
+            wall_ms=wall_ms,
+            lease_s=lease_s,
+            predecessor_s=CONFIRMED_FOR_S + 2 * lease_s,
+        )
+        self._renewals = ThreadPoolExecutor(MAX_RENEWAL_THREADS, thread_name_prefix="renewal")
+        self._orders = ThreadPoolExecutor(ORDER_THREADS, thread_name_prefix="order")
+        self._threads: list[threading.Thread] = []
+        self._ref: pykka.ActorRef[SchedulerActor] | None = None
+
+    def __enter__(self) -> "LeaderTerm":
+        loaded = self._load()
+        self._ref = SchedulerActor.start(
+            scheduler=self._scheduler, send=self._send, may_order=self._may_order
+        )
+        for loop in (self._tick, self._write, self._read_registry):
+            self._run(loop)
+        self._run(lambda: self._follow_jobs(loaded.version))
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        self._stopping.set()
+        self._renewals.shutdown(wait=False, cancel_futures=True)
+        self._orders.shutdown(wait=False, cancel_futures=True)
+        if self._ref is not None:
+            self._ref.stop(block=False)
+
+    def configure(self, view: ConfigView) -> None:
+        """Takes a new configuration."""
+        self._tell(_Configured(view=view))
+
+    def ask(self, question: Callable[[Scheduler], Any], *, timeout_s: float) -> Any:
+        """Returns what `question` returns, asked in the scheduler's thread.
+
+        Raises:
+            pykka.Timeout: the scheduler is busy.
+            pykka.ActorDeadError: the term has ended.
+        """
+        assert self._ref is not None
+        return self._ref.ask(question, timeout=timeout_s)
+
+    def _load(self) -> Loaded:
+        with ThreadPoolExecutor(LOAD_THREADS, thread_name_prefix="load") as pool:
+            loaded = load(store=self._store, clock=self._clock, pool=pool)
+        scheduler = self._scheduler
+        view = self._view()
+        if view.manifest is not None:
+            scheduler.set_manifest(view.manifest)
+        scheduler.set_zones_out(view.zones_out)
+        for run in loaded.live:
+            scheduler.restore(run)
+        scheduler.visible.update(loaded.ended)
+        scheduler.cancel(loaded.cancels)
+        scheduler.set_workers(self._registry.read())
+        _log.info(
+            "jobs loaded",
+            live=len(loaded.live),
+            ended=len(loaded.ended),
+            workers=len(scheduler.world.books),
+            version=loaded.version,
+        )
+        return loaded
+
+    def _run(self, target: Callable[[], None]) -> None:
+        thread = threading.Thread(target=target, daemon=True)
+        self._threads.append(thread)
+        thread.start()
+
+    def _tell(self, event: Any) -> None:
+        if self._ref is not None and not self._stopping.is_set():
+            try:
+                self._ref.tell(event)
+            except pykka.ActorDeadError:
+                _log.debug("event after the end of the term")
+
+    def _may_order(self) -> bool:
+        age_s = self._clock.now_s() - self._writes.confirmed_s
+        return age_s < CONFIRMED_FOR_S and not self._stopping.is_set()
+
+    # --- orders
+
+    def _send(self, order: Order) -> None:
+        pool = self._renewals if isinstance(order, RenewOrder) else self._orders
+        try:
+            pool.submit(self._carry_out, order)
+        except RuntimeError:
+            _log.debug("order after the end of the term")
+
+    def _carry_out(self, order: Order) -> None:
+        try:
+            if isinstance(order, RenewOrder):
+                self._tell(self._renew(order))
+            elif isinstance(order, StartOrder):
+                self._tell(_Answered(order=order, answer=self._workers.start(order)))
+            elif isinstance(order, StopOrder):
+                self._tell(_Answered(order=order, answer=self._workers.stop(order)))
+            elif isinstance(order, ThrottleOrder):
+                self._tell(_Answered(order=order, answer=self._workers.throttle(order)))
+        except Exception:
+            _log.exception("order failed", order=type(order).__name__)
+
+    def _renew(self, order: RenewOrder) -> Any:
+        sent_s = self._clock.now_s()
+        try:
+            report = self._workers.renew(order)
+        except WorkerFencedError:
+            return _Fenced(order=order)
+        except (WorkerSilentError, OtherLifeError) as exc:
+            return _Silent(order=order, sent_s=sent_s, reason=str(exc))
+        return _Reported(order=order, report=report, sent_s=sent_s)
+
+    # --- loops
+
+    def _tick(self) -> None:
+        while not self._stopping.is_set():
+            self._tell(_Tick())
+            self._clock.wait_s(self._stopping, TICK_S)
+
+    def _read_registry(self) -> None:
+        while not self._clock.wait_s(self._stopping, REGISTRY_S):
+            try:
+                self._tell(_Listed(workers=self._registry.read()))
+            except StoreUnavailableError as exc:
+                _log.warning("registry not read", reason=str(exc))
+
+    def _follow_jobs(self, version: int) -> None:
+        while not self._stopping.is_set():
+            try:
+                changes = self._store.changes(table=JOBS, after=version, wait_s=FEED_WAIT_S)
+            except StoreUnavailableError as exc:
+                _log.warning("feed of jobs not read", reason=str(exc))
+                self._clock.wait_s(self._stopping, RETRY_STORE_S)
+                continue
+            except HistoryLostError:
+                _log.warning("feed of jobs lost its history", version=version)
+                version = self._reload()
+                continue
+            if any(row.key == CLAIM and row.version > self._claim_version for row in changes.rows):
+                # Jobs after another's claim are not this leader's to start.
+                self._lose("another instance has claimed")
+                return
+            version = changes.version
+            jobs, cancels = split_job_rows(list(changes.rows))
+            if jobs or cancels:
+                self._tell(_Submitted(jobs=jobs, cancels=cancels))
+
+    def _reload(self) -> int:
+        """Reads all jobs anew; returns the version to go on from."""
+        with ThreadPoolExecutor(LOAD_THREADS, thread_name_prefix="load") as pool:
+            try:
+                loaded = load(store=self._store, clock=self._clock, pool=pool)
+            except StoreUnavailableError as exc:
+                _log.warning("jobs not read", reason=str(exc))
+                return 0
+        jobs = [StoredJob(job=run.job, version=run.version) for run in loaded.live]
+        self._tell(_Submitted(jobs=jobs, cancels=loaded.cancels))
+        return loaded.version
+
+    def _write(self) -> None:
+        batch: ProgressBatch | None = None
+        is_settled = True
+        while not self._stopping.is_set():
+            try:
+                if not is_settled:
+                    self._writes.settle()
+                    is_settled = True
+                if batch is None:
+                    batch, pending = self.ask(_take_batch, timeout_s=WRITE_ASK_S)
+                self._writes.write(batch.rows, pending=pending)
+            except LeadershipLostError as exc:
+                self._lose(str(exc))
+                return
+            except StoreOutcomeUnknownError:
+                is_settled = False
+                continue
+            except StoreUnavailableError as exc:
+                _log.warning("progress not stored", reason=str(exc))
+                self._clock.wait_s(self._stopping, RETRY_STORE_S)
+                continue
+            except (pykka.Timeout, pykka.ActorDeadError):
+                continue
+            self._tell(_Stored(batch=batch))
+            batch = None
+            self._clock.wait_s(self._stopping, WRITE_PAUSE_S)
+            self._wait_for_progress()
+
+    def _wait_for_progress(self) -> None:
+        """Waits until there is something to store or a heartbeat is due."""
+        end_s = self._clock.now_s() + HEARTBEAT_S
+        while self._clock.now_s() < end_s and not self._scheduler.world.dirty:
+            if self._clock.wait_s(self._stopping, WRITE_PAUSE_S):
+                return
+
+    def _lose(self, reason: str) -> None:
+        _log.warning("leadership lost", reason=reason)
+        self._stopping.set()
+        self.lost.set()
+
+
+WRITE_ASK_S = 5.0
+
+
+def _take_batch(scheduler: Scheduler) -> tuple[ProgressBatch, dict[str, int]]:
+    return scheduler.take_progress(), scheduler.pending()
--- /dev/null
+++ b/fescuerudder/jobs/leaderwrites.py
@@ -0,0 +1,128 @@
+"""Writes of the leader: a chain of transactions that a later claim breaks."""
+
+import structlog
+
+from fescuerudder.clock import Clock
+from fescuerudder.errors import (
+    PlatformError,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
+from fescuerudder.jobs.claim import Claim, Heartbeat, dump
+from fescuerudder.jobs.rows import (
+    ABSENT,
+    MAX_TXN_ROWS,
+    Row,
+    RowConflictError,
+    RowKey,
+    RowStore,
+    RowsTxn,
+)
+from fescuerudder.jobs.storage import CLAIM, HEARTBEAT, progress_key
+
+WRITE_TIMEOUT_S = 1.5
+"""Time for one attempt to write; a slow store takes most of a second."""
+
+ROWS_PER_TXN = MAX_TXN_ROWS - 3
+"""Progress rows of one transaction; the claim and the heartbeat take the others."""
+
+_log = structlog.get_logger(__name__)
+
+
+class LeadershipLostError(PlatformError):
+    """Another instance has claimed the leadership; nothing was written."""
+
+
+class LeaderWrites:
+    """Stores progress and heartbeats, one transaction after another.
+
+    Each transaction checks the claim and the heartbeat row that the one before it wrote. So a
+    write whose answer was lost can't be applied twice or out of order, even seconds later.
+
+    Args:
+        store: the store.
+        clock: source of time.
+        claim: the claim of this term.
+        claim_version: version of its row, and of the heartbeat row that was written with it.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: RowStore,
+        clock: Clock,
+        claim: Claim,
+        claim_version: int,
+    ) -> None:
+        self._store = store
+        self._clock = clock
+        self._claim = claim
+        self._claim_version = claim_version
+        self._heartbeat_version = claim_version
+        self._count = 0
+        self._open: RowsTxn | None = None
+        self.confirmed_s = clock.now_s()
+
+    def write(self, rows: dict[str, bytes], *, pending: dict[str, int]) -> None:
+        """Stores progress rows by job id, and a heartbeat.
+
+        After a StoreOutcomeUnknownError call `settle` until it returns; the rows of the
+        transaction in doubt are stored then, later ones of the call are not.
+
+        Raises:
+            LeadershipLostError: another instance leads.
+            StoreUnavailableError: nothing of the current transaction was stored.
+            StoreOutcomeUnknownError: a transaction may have been, or may still be, applied.
+        """
+        names = list(rows)
+        for first in range(0, len(names) or 1, ROWS_PER_TXN):
+            part = names[first : first + ROWS_PER_TXN]
+            self._count += 1
+            beat = Heartbeat(epoch=self._claim.epoch, count=self._count, pending=pending)
+            self._open = RowsTxn(
+                expects=(
+                    (CLAIM, self._claim_version),
+                    (HEARTBEAT, self._heartbeat_version),
+                ),
+                puts=(
+                    (HEARTBEAT, dump(beat)),
+                    *((progress_key(name), rows[name]) for name in part),
+                ),
+            )
+            self.settle()
+
+    def settle(self) -> None:
+        """Writes the open transaction, again if its outcome is unknown; raises like `write`."""
+        txn = self._open
+        if txn is None:
+            return
+        sent_s = self._clock.now_s()
+        try:
+            version = self._store.write(txn, timeout_s=WRITE_TIMEOUT_S)
+        except RowConflictError as exc:
+            version = self._find_applied(txn, exc.rows)
+        except StoreUnavailableError:
+            raise
+        except StoreOutcomeUnknownError as exc:
+            _log.warning("leader write without an answer", reason=str(exc))
+            raise
+        self._heartbeat_version = version
+        self.confirmed_s = sent_s
+        self._open = None
+
+    def _find_applied(self, txn: RowsTxn, rows: tuple[Row, ...]) -> int:
+        """Returns the version under which an earlier attempt at `txn` was applied.
+
+        Raises:
+            LeadershipLostError: none was; the claim or the heartbeat is another's.
+        """
+        current: dict[RowKey, Row] = {row.key: row for row in rows}
+        claim, beat = current.get(CLAIM), current.get(HEARTBEAT)
+        written = dict(txn.puts)[HEARTBEAT]
+        is_ours = claim is not None and claim.version == self._claim_version
+        if is_ours and beat is not None and beat.value == written:
+            return beat.version
+        raise LeadershipLostError(
+            f"the claim has version {claim.version if claim else ABSENT}, "
+            f"not {self._claim_version}"
+        )
--- /dev/null
+++ b/fescuerudder/jobs/manifest.py
@@ -0,0 +1,103 @@
+"""Configuration in force: queues, the worker pools behind them and limits of requests."""
+
+from collections.abc import Iterable
+
+import attrs
+
+
+@attrs.frozen(kw_only=True)
+class AdvicePolicy:
+    """Timing of the advice service that names the workers a step may use.
+
+    Args:
+        decision_ms: fixed time of an answer.
+        per_worker_ms: further time for each worker asked about.
+        valid_ms: time for which a permit holds.
+    """
+
+    decision_ms: int
+    per_worker_ms: int
+    valid_ms: int
+
+
+@attrs.frozen(kw_only=True)
+class Queue:
+    """A queue of jobs.
+
+    Args:
+        name: identity across revisions of the manifest.
+        host: `Host` header of its requests.
+        prefix: beginning of the path of its requests.
+        pool: name of the worker pool that runs its tasks.
+        priority: 0 goes first and may preempt larger numbers.
+        max_failures: failed attempts of a task after which the job has failed.
+        stretch: factor on the longest chain of work in the latency objective of a job.
+        allowance_ms: constant part of that objective.
+        advice: set if only workers named by the advice service may run a step.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    pool: str
+    priority: int
+    max_failures: int
+    stretch: float
+    allowance_ms: int
+    advice: AdvicePolicy | None = None
+
+
+@attrs.frozen(kw_only=True)
+class Pool:
+    """Workers that run the tasks of one service.
+
+    Args:
+        name: name of the service.
+        rejects_overload: its workers refuse what does not fit.
+        standby: its machines are off and may be moved to another pool.
+    """
+
+    name: str
+    rejects_overload: bool
+    standby: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class Manifest:
+    """One revision of the configuration.
+
+    Args:
+        revision: grows with each change, in uneven steps.
+        queues: all queues.
+        pools: all worker pools.
+    """
+
+    revision: int
+    queues: tuple[Queue, ...]
+    pools: tuple[Pool, ...]
+
+    def queue(self, name: str) -> Queue | None:
+        """Returns the queue called `name`, if it exists."""
+        return next((queue for queue in self.queues if queue.name == name), None)
+
+    def pool(self, name: str) -> Pool | None:
+        """Returns the pool called `name`, if it exists."""
+        return next((pool for pool in self.pools if pool.name == name), None)
+
+
+class QueueIndex:
+    """Finds the queue of a request by host and longest matching prefix.
+
+    Args:
+        queues: all queues.
+    """
+
+    def __init__(self, *, queues: Iterable[Queue]) -> None:
+        self._by_host: dict[str, list[Queue]] = {}
+        for queue in sorted(queues, key=lambda q: -len(q.prefix)):
+            self._by_host.setdefault(queue.host.lower(), []).append(queue)
+
+    def find(self, *, host: str, path: str) -> Queue | None:
+        """Returns the queue with the longest prefix of `path` on `host`, if there is one."""
+        queues = self._by_host.get(host.lower(), ())
+        return next((queue for queue in queues if path.startswith(queue.prefix)), None)
--- /dev/null
+++ b/fescuerudder/jobs/nodesettings.py
@@ -0,0 +1,34 @@
+"""Settings of a process that serves jobs."""
+
+import attrs
+
+
+@attrs.frozen(kw_only=True)
+class NodeSettings:
+    """Settings of one instance, from the platform's settings file.
+
+    Args:
+        instance: id of the instance.
+        zone: its availability zone.
+        region: region of the zone.
+        callers: `ip:port` for callers.
+        health: `ip:port` for health checks and metrics.
+        ip: address at which peers reach it.
+        first_port: first of the ports that are free for messages between instances.
+        store: `ip:port` of the row store.
+        cores: processor share, in cores.
+        max_lease_s: longest lease that a worker grants, in seconds.
+        grace_s: time between the order to stop and the kill, in seconds.
+    """
+
+    instance: str
+    zone: str
+    region: str
+    callers: str
+    health: str
+    ip: str
+    first_port: int
+    store: str
+    cores: float
+    max_lease_s: float
+    grace_s: float
--- /dev/null
+++ b/fescuerudder/jobs/progress.py
@@ -0,0 +1,103 @@
+"""Stored form of jobs and of their progress, as compact JSON."""
+
+import json
+from typing import Any
+
+import attrs
+import cattrs
+
+from fescuerudder.errors import PlatformError
+from fescuerudder.jobs.job import Job
+from fescuerudder.jobs.jobrun import JobRun, JobState, StepRun
+
+_CONVERTER = cattrs.Converter(omit_if_default=True)
+
+
+class StoredFormError(PlatformError):
+    """A stored row can't be read."""
+
+
+def dump_job(job: Job) -> bytes:
+    """Returns the stored form of a submitted job."""
+    return _dump(_CONVERTER.unstructure(job))
+
+
+def load_job(data: bytes) -> Job:
+    """Returns the job of a stored form.
+
+    Raises:
+        StoredFormError: the data is malformed.
+    """
+    try:
+        return _CONVERTER.structure(json.loads(data), Job)
+    except Exception as exc:
+        raise StoredFormError(f"malformed job: {type(exc).__name__}") from exc
+
+
+def dump_progress(run: JobRun) -> bytes:
+    """Returns the stored progress: state, done tasks, failures and checkpoints of each step."""
+    raw: dict[str, Any] = {"state": run.state.value}
+    if not run.state.is_final:
+        steps = {f"{o}.{n}": _dump_step(step) for (o, n), step in run.steps.items()}
+        raw["begun"] = run.begun
+        raw["steps"] = {name: step for name, step in steps.items() if step}
+    return _dump(raw)
+
+
+def load_state(data: bytes) -> JobState:
+    """Returns the state in a stored progress.
+
+    Raises:
+        StoredFormError: the data is malformed.
+    """
+    try:
+        return JobState(json.loads(data)["state"])
+    except Exception as exc:
+        raise StoredFormError(f"malformed progress: {type(exc).__name__}") from exc
+
+
+def restore_progress(run: JobRun, data: bytes) -> None:
+    """Puts stored progress into a job that was just created.
+
+    Raises:
+        StoredFormError: the data is malformed or does not fit the job.
+    """
+    try:
+        raw = json.loads(data)
+        run.state = JobState(raw["state"])
+        run.begun = bool(raw.get("begun", False))
+        for name, step in raw.get("steps", {}).items():
+            occurrence, _, number = name.partition(".")
+            _restore_step(run.steps[(int(occurrence), int(number))], step)
+    except Exception as exc:
+        raise StoredFormError(f"malformed progress: {type(exc).__name__}") from exc
+
+
+def _dump_step(step: StepRun) -> dict[str, Any]:
+    done = sum(1 << task.id.index for task in step.tasks if task.done)
+    failed = {str(t.id.index): t.failed for t in step.tasks if t.failed and not t.done}
+    saved = {str(t.id.index): t.checkpoint for t in step.tasks if t.checkpoint and not t.done}
+    raw = {"done": f"{done:x}" if done else "", "failed": failed, "checkpoints": saved}
+    return {name: value for name, value in raw.items() if value}
+
+
+def _restore_step(step: StepRun, raw: dict[str, Any]) -> None:
+    done = int(raw.get("done") or "0", 16)
+    failed, saved = raw.get("failed", {}), raw.get("checkpoints", {})
+    for task in step.tasks:
+        index = str(task.id.index)
+        task.done = bool(done >> task.id.index & 1)
+        task.failed = [int(number) for number in failed.get(index, ())]
+        task.checkpoint = str(saved.get(index, ""))
+
+
+def _dump(raw: dict[str, Any]) -> bytes:
+    return json.dumps(raw, separators=(",", ":")).encode()
+
+
+@attrs.frozen(kw_only=True)
+class StoredJob:
+    """A job as read from the store, with the version of its row."""
+
+    job: Job
+    version: int
--- /dev/null
+++ b/fescuerudder/jobs/reports.py
@@ -0,0 +1,187 @@
+"""Takes workers' reports: what ended, what runs, and what has vanished."""
+
+import attrs
+import structlog
+
+from fescuerudder.jobs.jobrun import Attempt, Phase, TaskRun
+from fescuerudder.jobs.workerbook import WorkerBook
+from fescuerudder.jobs.workerport import (
+    REPORT_ENDS_MAX,
+    AttemptEnd,
+    EndedAttempt,
+    RenewOrder,
+    Report,
+    RunningAttempt,
+)
+from fescuerudder.jobs.world import World
+
+DEFAULT_MAX_FAILURES = 3
+"""Used for a job whose queue no known manifest has."""
+
+_log = structlog.get_logger(__name__)
+
+
+class ReportReader:
+    """Brings the world in line with reports.
+
+    Args:
+        world: the leader's picture.
+    """
+
+    def __init__(self, *, world: World) -> None:
+        self._world = world
+
+    def read(
+        self, book: WorkerBook, order: RenewOrder, report: Report, *, sent_s: float, now_s: float
+    ) -> None:
+        """Takes the report that answers `order`, which was sent at `sent_s`."""
+        if report.born_ms and report.born_ms < book.info.born_ms:
+            return
+        if report.born_ms > book.info.born_ms:
+            self.begin_life(book, born_ms=report.born_ms, clock_ms=report.clock_ms, now_s=now_s)
+        is_newest = book.note_report(report, now_s=now_s)
+        book.sent_serial = max(book.sent_serial, order.acknowledged)
+        self._read_ends(book, report)
+        if not is_newest:
+            return
+        book.orphans = {
+            (row.task, row.attempt)
+            for row in report.running
+            if not self._is_wanted(book, row, now_s)
+        }
+        if len(report.ended) < REPORT_ENDS_MAX:
+            self._read_absences(book, order, report, sent_s)
+        if not book.resolved:
+            book.resolved = True
+            _log.info("worker resolved", worker=book.id, token=order.token, clock=report.clock_ms)
+
+    def begin_life(self, book: WorkerBook, *, born_ms: int, clock_ms: int, now_s: float) -> None:
+        """Takes note that a worker was born again: what ran there before has ended.
+
+        A start without an answer may still arrive and run in the new life, so it stays
+        uncertain until the worker has seen a higher token.
+        """
+        info = attrs.evolve(book.info, born_ms=born_ms, clock_ms=clock_ms)
+        _log.info("worker born again", worker=book.id, born_ms=born_ms, ran=len(book.attempts))
+        for attempt in book.begin_life(info, now_s=now_s):
+            if attempt.phase in (Phase.STARTING, Phase.UNCERTAIN):
+                attempt.phase = Phase.UNCERTAIN
+                book.attempts[(attempt.task.id, attempt.number)] = attempt
+            else:
+                self._world.requeue(
+                    attempt, checkpoint=attempt.checkpoint, reason="worker born again"
+                )
+        book.token += 1
+
+    def _read_ends(self, book: WorkerBook, report: Report) -> None:
+        for end in report.ended:
+            if end.serial > book.seen_serial:
+                book.seen_serial = end.serial
+                self._read_end(book, end)
+
+    def _read_end(self, book: WorkerBook, end: EndedAttempt) -> None:
+        world = self._world
+        attempt = book.attempts.get((end.task, end.attempt))
+        task = world.find_task(end.task)
+        _log.info(
+            "attempt ended",
+            job=end.task.job,
+            task=end.task[1:],
+            attempt=end.attempt,
+            worker=book.id,
+            end=end.end.value,
+            known=attempt is not None,
+        )
+        if attempt is not None:
+            world.drop_attempt(attempt)
+        if task is None:
+            return
+        task.last_number = max(task.last_number, end.attempt)
+        if end.end is AttemptEnd.DONE and not task.step.spec.long_running:
+            self._note_done(task)
+        elif end.end is AttemptEnd.FAILED:
+            self._note_failed(task, end)
+        elif end.checkpoint and not task.done:
+            task.checkpoint = end.checkpoint
+            world.mark_dirty(task.step.job)
+
+    def _note_done(self, task: TaskRun) -> None:
+        run = task.step.job
+        run.note_done(task)
+        self._world.mark_dirty(run)
+
+    def _note_failed(self, task: TaskRun, end: EndedAttempt) -> None:
+        run = task.step.job
+        queue = self._world.queues.get(run.job.queue)
+        limit = queue.max_failures if queue is not None else DEFAULT_MAX_FAILURES
+        run.note_failed(task, attempt=end.attempt, max_failures=limit)
+        task.checkpoint = end.checkpoint or task.checkpoint
+        self._world.mark_dirty(run)
+
+    def _is_wanted(self, book: WorkerBook, row: RunningAttempt, now_s: float) -> bool:
+        """Updates or adopts a running attempt; returns whether it may go on."""
+        attempt = book.attempts.get((row.task, row.attempt))
+        if attempt is None:
+            attempt = self._adopt(book, row, now_s)
+        if attempt is None:
+            return False
+        if attempt.phase in (Phase.STARTING, Phase.UNCERTAIN):
+            attempt.phase = Phase.RUNNING
+            attempt.confirmed_s = now_s
+        attempt.checkpoint = row.checkpoint or attempt.checkpoint
+        attempt.percent = row.percent
+        attempt.usage = row.usage
+        return True
+
+    def _adopt(self, book: WorkerBook, row: RunningAttempt, now_s: float) -> Attempt | None:
+        """Takes over an attempt that an earlier leader started, if it is of use."""
+        task = self._world.find_task(row.task)
+        if task is None or not task.step.job.is_live or task.done:
+            return None
+        if task.attempts and not task.step.spec.speculative:
+            return None
+        if row.attempt < task.last_number:
+            return None
+        attempt = Attempt(
+            task=task,
+            worker=book.id,
+            number=row.attempt,
+            phase=Phase.RUNNING,
+            token=book.token,
+            sent_s=now_s,
+            confirmed_s=now_s,
+        )
+        self._world.add_attempt(attempt)
+        if not task.step.job.begun:
+            task.step.job.begun = True
+            self._world.mark_dirty(task.step.job)
+        _log.info(
+            "attempt adopted",
+            job=row.task.job,
+            task=row.task[1:],
+            attempt=row.attempt,
+            worker=book.id,
+        )
+        return attempt
+
+    def _read_absences(
+        self, book: WorkerBook, order: RenewOrder, report: Report, sent_s: float
+    ) -> None:
+        listed = {(row.task, row.attempt) for row in report.running}
+        for key, attempt in list(book.attempts.items()):
+            if key not in listed and _is_conclusive(attempt, order, sent_s):
+                self._world.requeue(
+                    attempt, checkpoint=attempt.checkpoint, reason="not in the worker's report"
+                )
+
+
+def _is_conclusive(attempt: Attempt, order: RenewOrder, sent_s: float) -> bool:
+    """Returns whether a report without the attempt shows that it does not run.
+
+    A start without an answer may still arrive, unless the worker has seen a higher token.
+    """
+    if attempt.phase is Phase.STARTING:
+        return False
+    if attempt.phase is Phase.UNCERTAIN:
+        return order.token > attempt.token
+    return attempt.confirmed_s is not None and sent_s >= attempt.confirmed_s
--- /dev/null
+++ b/fescuerudder/jobs/scheduler.py
@@ -0,0 +1,363 @@
+"""The decisions of one term: takes events, returns orders. No threads, no input or output."""
+
+from collections.abc import Callable, Iterable
+
+import attrs
+import structlog
+
+from fescuerudder.clock import Clock
+from fescuerudder.jobs.job import TaskId
+from fescuerudder.jobs.jobrun import Attempt, JobRun, JobState, Phase
+from fescuerudder.jobs.manifest import Manifest
+from fescuerudder.jobs.progress import StoredJob, dump_progress
+from fescuerudder.jobs.reports import ReportReader
+from fescuerudder.jobs.starts import StartPlanner
+from fescuerudder.jobs.workerbook import WorkerBook, WorkerClock
+from fescuerudder.jobs.workerport import (
+    OrderAnswer,
+    OrderResult,
+    RenewOrder,
+    Report,
+    StartOrder,
+    StopOrder,
+    ThrottleOrder,
+    WorkerInfo,
+)
+from fescuerudder.jobs.world import Term, World
+
+RENEWAL_PAUSE_S = 0.1
+"""Least time between two renewals of one worker, so that one report tells several ends."""
+
+RENEWAL_WAIT_MS = 1000
+"""Time that a worker waits for an end before it reports; a lease outlasts several of them."""
+
+RETRY_RENEWAL_S = 0.2
+RESEND_STOP_S = 0.5
+FULL_S = 0.3
+"""Time without starts on a worker that refused one for want of room."""
+
+Order = StartOrder | StopOrder | ThrottleOrder | RenewOrder
+
+_log = structlog.get_logger(__name__)
+
+
+@attrs.frozen(kw_only=True)
+class ProgressBatch:
+    """Progress to be stored.
+
+    Args:
+        rows: stored progress by job id.
+        states: state of each of these jobs, shown to callers once it is stored.
+        serials: highest end of each worker that the rows account for, with the worker's birth.
+    """
+
+    rows: dict[str, bytes]
+    states: dict[str, JobState]
+    serials: dict[str, tuple[int, int]]
+
+
+class Scheduler:
+    """Schedules the tasks of all jobs on all workers during one term.
+
+    Args:
+        term: the term.
+        clock: source of time.
+        wall_ms: returns Unix time in milliseconds.
+        lease_s: length of the leases in seconds.
+        predecessor_s: time after the claim at which the leases of earlier leaders have lapsed
+            on a worker that can't be reached.
+    """
+
+    def __init__(
+        self,
+        *,
+        term: Term,
+        clock: Clock,
+        wall_ms: Callable[[], float],
+        lease_s: float,
+        predecessor_s: float,
+    ) -> None:
+        self.world = World(term=term)
+        self._clock = clock
+        self._wall_ms = wall_ms
+        self._lease_s = lease_s
+        self._claimed_s = clock.now_s()
+        self._predecessor_s = predecessor_s
+        self._reader = ReportReader(world=self.world)
+        self._planner = StartPlanner(world=self.world, lease_s=lease_s)
+        self.visible: dict[str, JobState] = {}
+        self.is_superseded = False
+
+    # --- what the store says
+
+    def set_manifest(self, manifest: Manifest) -> None:
+        """Takes a new revision of the configuration."""
+        self.world.set_manifest(manifest)
+
+    def set_zones_out(self, zones: frozenset[str]) -> None:
+        """Takes the zones that operators took out of service."""
+        self.world.zones_out = zones
+
+    def set_workers(self, infos: Iterable[WorkerInfo]) -> None:
+        """Takes the complete registry of workers."""
+        now_s = self._clock.now_s()
+        listed = {info.id: info for info in infos}
+        for info in listed.values():
+            self._list_worker(info, now_s)
+        for book in list(self.world.books.values()):
+            if book.id not in listed:
+                self._unlist_worker(book)
+
+    def _list_worker(self, info: WorkerInfo, now_s: float) -> None:
+        book = self.world.books.get(info.id)
+        if book is None:
+            self.world.books[info.id] = self._new_book(info, now_s)
+        elif info.born_ms > book.info.born_ms:
+            self._reader.begin_life(book, born_ms=info.born_ms, clock_ms=info.clock_ms, now_s=now_s)
+            book.info = info
+        elif info.born_ms == book.info.born_ms:
+            book.clock.note(reading_ms=info.clock_ms, now_s=now_s)
+            book.info = info
+            book.listed = True
+
+    def _new_book(self, info: WorkerInfo, now_s: float) -> WorkerBook:
+        book = WorkerBook(
+            info=info,
+            clock=WorkerClock(reading_ms=info.clock_ms, read_s=now_s),
+            token=self.world.term.first_token,
+        )
+        book.resolved_by_s = self._claimed_s + self._predecessor_s
+        return book
+
+    def _unlist_worker(self, book: WorkerBook) -> None:
+        if book.listed:
+            _log.info("worker left the registry", worker=book.id, attempts=len(book.attempts))
+        book.listed = False
+        if not book.attempts and book.resolved:
+            del self.world.books[book.id]
+
+    def add_jobs(self, jobs: Iterable[StoredJob]) -> None:
+        """Takes jobs that were submitted; known ones are ignored."""
+        now_s = self._clock.now_s()
+        for stored in jobs:
+            if stored.job.id not in self.world.jobs:
+                run = JobRun.create(job=stored.job, version=stored.version, received_s=now_s)
+                self.world.add_job(run)
+                self.visible[stored.job.id] = JobState.QUEUED
+                _log.info("job known", job=stored.job.id, queue=stored.job.queue)
+
+    def restore(self, run: JobRun) -> None:
+        """Takes a job with progress that an earlier leader stored."""
+        self.world.add_job(run)
+        self.visible[run.job.id] = run.state
+
+    def cancel(self, job_ids: Iterable[str]) -> None:
+        """Cancels jobs at callers' request."""
+        for job_id in job_ids:
+            run = self.world.jobs.get(job_id)
+            if run is None or run.cancel_requested or run.state.is_final:
+                continue
+            run.cancel()
+            self.world.mark_dirty(run)
+            _log.info("job cancelled", job=job_id, live=sum(1 for _ in run.attempts()))
+
+    # --- what the workers say
+
+    def on_report(self, order: RenewOrder, report: Report, *, sent_s: float) -> None:
+        """Takes the answer to a renewal."""
+        book = self.world.books.get(order.worker)
+        if book is None:
+            return
+        now_s = self._clock.now_s()
+        book.renewals -= 1
+        book.next_renewal_s = now_s + RENEWAL_PAUSE_S
+        self._reader.read(book, order, report, sent_s=sent_s, now_s=now_s)
+
+    def on_silence(self, order: RenewOrder, *, sent_s: float, reason: str) -> None:
+        """Takes note that a renewal got no answer."""
+        book = self.world.books.get(order.worker)
+        if book is None:
+            return
+        book.renewals -= 1
+        book.next_renewal_s = self._clock.now_s() + RETRY_RENEWAL_S
+        if book.silent_since_s is None:
+            book.silent_since_s = sent_s
+            _log.warning(
+                "worker silent", worker=book.id, attempts=len(book.attempts), reason=reason
+            )
+
+    def on_started(self, order: StartOrder, answer: OrderAnswer) -> None:
+        """Takes the answer to a start."""
+        book = self.world.books.get(order.worker)
+        attempt = book.attempts.get((order.task, order.attempt)) if book else None
+        if book is None or attempt is None:
+            return
+        now_s = self._clock.now_s()
+        if answer.clock_ms is not None:
+            book.clock.note(reading_ms=answer.clock_ms, now_s=now_s)
+        if answer.result is OrderResult.DONE:
+            attempt.phase = Phase.RUNNING if attempt.phase is not Phase.STOPPING else attempt.phase
+            attempt.confirmed_s = now_s
+            return
+        _log.info(
+            "start not confirmed",
+            job=order.task.job,
+            task=order.task[1:],
+            attempt=order.attempt,
+            worker=order.worker,
+            result=answer.result.value,
+        )
+        if answer.result is OrderResult.UNKNOWN:
+            self._doubt(book, attempt)
+            return
+        if answer.result is OrderResult.FENCED:
+            self._note_fence(book, order.token)
+        elif answer.result in (OrderResult.NO_ROOM, OrderResult.UNHEALTHY, OrderResult.NOT_SENT):
+            book.full_until_s = now_s + FULL_S
+        self.world.requeue(attempt, checkpoint="", reason=answer.result.value)
+
+    def _doubt(self, book: WorkerBook, attempt: Attempt) -> None:
+        """Fences a start without an answer: a report to a higher token settles it."""
+        if attempt.phase is Phase.STARTING:
+            attempt.phase = Phase.UNCERTAIN
+        book.token = max(book.token, attempt.token + 1)
+        book.next_renewal_s = 0.0
+
+    def on_fenced(self, order: RenewOrder) -> None:
+        """Takes note that a worker refused a renewal because it has seen a higher token."""
+        book = self.world.books.get(order.worker)
+        if book is None:
+            return
+        book.renewals -= 1
+        book.next_renewal_s = self._clock.now_s() + RETRY_RENEWAL_S
+        self._note_fence(book, order.token)
+
+    def _note_fence(self, book: WorkerBook, token: int) -> None:
+        """A token that this leader did not raise itself belongs to a later leader."""
+        if token >= book.token:
+            self.is_superseded = True
+
+    def on_stopped(self, order: StopOrder, answer: OrderAnswer) -> None:
+        """Takes the answer to a stop; its effect shows in a later report."""
+        book = self.world.books.get(order.worker)
+        if book is not None and answer.clock_ms is not None:
+            book.clock.note(reading_ms=answer.clock_ms, now_s=self._clock.now_s())
+
+    # --- what is to be stored
+
+    def take_progress(self) -> ProgressBatch:
+        """Returns the progress that is not stored yet, and counts it as taken."""
+        runs = list(self.world.dirty)
+        self.world.dirty.clear()
+        for run in runs:
+            run.dirty = False
+        return ProgressBatch(
+            rows={run.job.id: dump_progress(run) for run in runs},
+            states={run.job.id: run.state for run in runs},
+            serials={
+                book.id: (book.info.born_ms, book.seen_serial)
+                for book in self.world.books.values()
+                if book.seen_serial > book.stored_serial
+            },
+        )
+
+    def on_stored(self, batch: ProgressBatch) -> None:
+        """Takes note that a batch is stored: the ends in it may be acknowledged."""
+        for worker, (born_ms, serial) in batch.serials.items():
+            book = self.world.books.get(worker)
+            if book is not None and book.info.born_ms == born_ms:
+                book.stored_serial = max(book.stored_serial, serial)
+        self.visible.update(batch.states)
+
+    # --- what is to be done
+
+    def plan(self) -> list[Order]:
+        """Returns the orders that are due now."""
+        now_s = self._clock.now_s()
+        self._expire(now_s)
+        orders: list[Order] = []
+        orders += self._plan_stops(now_s)
+        orders += self._planner.plan(now_s=now_s, wall_ms=self._wall_ms())
+        orders += self._plan_renewals(now_s)
+        return orders
+
+    def _expire(self, now_s: float) -> None:
+        """Gives up what ran on workers whose leases have certainly ended."""
+        for book in list(self.world.books.values()):
+            if book.resolved and not book.is_silent:
+                continue
+            if now_s < book.lapsed_by_s():
+                continue
+            if not book.resolved:
+                _log.warning("worker not reached, its leases have ended", worker=book.id)
+            book.resolved = True
+            book.orphans = set()
+            for attempt in list(book.attempts.values()):
+                if attempt.phase is not Phase.STARTING:
+                    self.world.requeue(
+                        attempt, checkpoint=attempt.checkpoint, reason="lease ended unseen"
+                    )
+            if not book.listed and not book.attempts:
+                del self.world.books[book.id]
+
+    def _plan_stops(self, now_s: float) -> list[Order]:
+        orders: list[Order] = []
+        for book in self.world.books.values():
+            if book.is_silent:
+                continue
+            for attempt in book.attempts.values():
+                if self._is_unwanted(attempt) and _is_due(attempt.stop_sent_s, now_s):
+                    attempt.stop_sent_s = now_s
+                    if attempt.phase is Phase.RUNNING:
+                        attempt.phase = Phase.STOPPING
+                    orders.append(_stop(book, attempt.task.id, attempt.number))
+            if book.orphans and now_s - book.orphans_told_s >= RESEND_STOP_S:
+                book.orphans_told_s = now_s
+                orders += [_stop(book, task, number) for task, number in book.orphans]
+        return orders
+
+    def _is_unwanted(self, attempt: Attempt) -> bool:
+        return attempt.task.done or not attempt.task.step.job.is_live
+
+    def _plan_renewals(self, now_s: float) -> list[Order]:
+        return [
+            self._renew(book, now_s)
+            for book in self.world.books.values()
+            if book.renewals == 0 and now_s >= book.next_renewal_s and book.needs_renewal()
+        ]
+
+    def _renew(self, book: WorkerBook, now_s: float) -> RenewOrder:
+        book.renewals += 1
+        waits = book.resolved and not book.is_silent and not book.has_uncertain()
+        return RenewOrder(
+            worker=book.id,
+            address=book.info.address,
+            token=book.token,
+            acknowledged=book.stored_serial,
+            lease_until_ms=book.next_lease_ms(now_s=now_s, lease_s=self._lease_s),
+            wait_ms=RENEWAL_WAIT_MS if waits and book.attempts else 0,
+        )
+
+    # --- what callers may know
+
+    def pending(self) -> dict[str, int]:
+        """Returns the number of jobs of each queue of which no task has started."""
+        counts: dict[str, int] = {}
+        for run in self.world.jobs.values():
+            if run.is_live and not run.begun:
+                counts[run.job.queue] = counts.get(run.job.queue, 0) + 1
+        return counts
+
+
+def _is_due(last_s: float | None, now_s: float) -> bool:
+    return last_s is None or now_s - last_s >= RESEND_STOP_S
+
+
+def _stop(book: WorkerBook, task: TaskId, number: int) -> StopOrder:
+    return StopOrder(
+        worker=book.id,
+        address=book.info.address,
+        task=task,
+        attempt=number,
+        token=book.token,
+    )
--- /dev/null
+++ b/fescuerudder/jobs/starts.py
@@ -0,0 +1,189 @@
+"""Plans which tasks start where."""
+
+from collections import Counter
+
+import structlog
+
+from fescuerudder.jobs.job import Step
+from fescuerudder.jobs.jobplacement import Load, choose
+from fescuerudder.jobs.jobrun import Attempt, JobRun, JobState, Phase, StepRun, TaskRun
+from fescuerudder.jobs.manifest import Queue
+from fescuerudder.jobs.workerbook import WorkerBook
+from fescuerudder.jobs.workerport import StartOrder
+from fescuerudder.jobs.world import World
+
+_log = structlog.get_logger(__name__)
+
+
+class StartPlanner:
+    """Matches startable tasks with workers.
+
+    Args:
+        world: the leader's picture.
+        lease_s: length of the leases in seconds.
+    """
+
+    def __init__(self, *, world: World, lease_s: float) -> None:
+        self._world = world
+        self._lease_s = lease_s
+
+    def plan(self, *, now_s: float, wall_ms: float) -> list[StartOrder]:
+        """Returns the orders for everything that can start now, and notes their attempts."""
+        self._open_steps(now_s=now_s, wall_ms=wall_ms)
+        steps = [step for step in self._world.open_steps if self._may_start(step)]
+        if not steps:
+            return []
+        loads = [Load.of(b) for b in self._world.books.values() if self._takes_work(b, now_s)]
+        orders: list[StartOrder] = []
+        for step in sorted(steps, key=self._urgency):
+            orders += self._start_step(step, loads, now_s)
+        return orders
+
+    def _open_steps(self, *, now_s: float, wall_ms: float) -> None:
+        world = self._world
+        world.close_steps([s for s in world.open_steps if s.is_done or not s.job.is_live])
+        for run in list(world.opening):
+            waits = run.is_live and self._open_steps_of(run, now_s, wall_ms)
+            if not waits:
+                del world.opening[run]
+
+    def _open_steps_of(self, run: JobRun, now_s: float, wall_ms: float) -> bool:
+        """Opens the steps of a job whose turn has come; returns whether one waits for its time."""
+        repetition, waits = run.job.repetition, False
+        for step in run.steps.values():
+            if step.opened_s is not None or not run.may_open(step):
+                continue
+            if repetition is not None and repetition.due_ms(step.occurrence) > wall_ms:
+                waits = True
+                continue
+            step.opened_s = now_s
+            self._world.open_steps[step] = None
+        return waits
+
+    def _may_start(self, step: StepRun) -> bool:
+        """Returns whether nothing of the step's startable tasks can be running unseen."""
+        term = self._world.term
+        return step.job.version > term.claim_version or not self._world.unresolved()
+
+    def _takes_work(self, book: WorkerBook, now_s: float) -> bool:
+        return (
+            book.listed
+            and book.resolved
+            and not book.info.draining
+            and not book.is_silent
+            and book.info.zone not in self._world.zones_out
+            and now_s >= book.full_until_s
+        )
+
+    def _queue(self, step: StepRun) -> Queue | None:
+        return self._world.queues.get(step.job.job.queue)
+
+    def _urgency(self, step: StepRun) -> tuple[float, ...]:
+        queue = self._queue(step)
+        priority = queue.priority if queue is not None else 0
+        return (priority, self._due_s(step, queue), step.number)
+
+    def _due_s(self, step: StepRun, queue: Queue | None) -> float:
+        """Returns when the job should be complete, by its estimated run times."""
+        if queue is None:
+            return step.job.received_s
+        chain_ms = sum(spec.estimated_ms for spec in step.job.job.steps)
+        return step.job.received_s + (queue.stretch * chain_ms + queue.allowance_ms) / 1000
+
+    def _start_step(self, step: StepRun, loads: list[Load], now_s: float) -> list[StartOrder]:
+        tasks = step.startable()
+        queue = self._queue(step)
+        if not tasks or queue is None:
+            return []
+        eligible = [load for load in loads if _is_eligible(load, step.spec, queue)]
+        taken = Counter(a.worker for task in step.tasks for a in task.attempts)
+        if step.spec.gang:
+            return self._start_gang(step, tasks, eligible, taken, now_s)
+        chosen = choose(step.spec, eligible, count=len(tasks), taken=taken)
+        return [
+            self._start(task, load.book, now_s) for task, load in zip(tasks, chosen, strict=False)
+        ]
+
+    def _start_gang(
+        self,
+        step: StepRun,
+        tasks: list[TaskRun],
+        eligible: list[Load],
+        taken: Counter[str],
+        now_s: float,
+    ) -> list[StartOrder]:
+        """Starts all members at once, with one attempt number, or none."""
+        if len(tasks) < len(step.tasks):
+            return []
+        chosen = _choose_gang(step.spec, eligible, taken)
+        if len(chosen) < len(tasks):
+            return []
+        number = max(self._next_number(task) for task in tasks)
+        return [
+            self._start(task, load.book, now_s, number=number)
+            for task, load in zip(tasks, chosen, strict=True)
+        ]
+
+    def _next_number(self, task: TaskRun) -> int:
+        return max(task.last_number + 1, self._world.term.first_attempt)
+
+    def _start(
+        self, task: TaskRun, book: WorkerBook, now_s: float, *, number: int = 0
+    ) -> StartOrder:
+        attempt = Attempt(
+            task=task,
+            worker=book.id,
+            number=number or self._next_number(task),
+            phase=Phase.STARTING,
+            token=book.token,
+            sent_s=now_s,
+            checkpoint=task.checkpoint,
+        )
+        self._world.add_attempt(attempt)
+        run = task.step.job
+        if not run.begun:
+            run.begun = True
+            run.state = JobState.RUNNING
+            self._world.mark_dirty(run)
+        _log.info(
+            "start ordered",
+            job=task.id.job,
+            task=task.id[1:],
+            attempt=attempt.number,
+            worker=book.id,
+            token=attempt.token,
+            checkpoint=task.checkpoint,
+        )
+        return StartOrder(
+            worker=book.id,
+            address=book.info.address,
+            task=task.id,
+            attempt=attempt.number,
+            payload=run.job.payload,
+            lease_until_ms=book.next_lease_ms(now_s=now_s, lease_s=self._lease_s),
+            token=book.token,
+            checkpoint=task.checkpoint,
+        )
+
+
+def _is_eligible(load: Load, step: Step, queue: Queue) -> bool:
+    info = load.book.info
+    return info.pool == queue.pool and (
+        not step.required_label or step.required_label in info.labels
+    )
+
+
+def _choose_gang(step: Step, eligible: list[Load], taken: Counter[str]) -> list[Load]:
+    """Returns workers for all members, of one rack if the step asks for it and one has room."""
+    racks: dict[str, list[Load]] = {}
+    for load in eligible:
+        racks.setdefault(load.book.info.rack, []).append(load)
+    groups = [*racks.values(), eligible] if step.same_rack else [eligible]
+    for group in groups:
+        copies = [
+            Load(book=x.book, free=x.free, best_effort=x.best_effort, guarded=x.guarded)
+            for x in group
+        ]
+        if len(choose(step, copies, count=step.count, taken=Counter(taken))) == step.count:
+            return choose(step, group, count=step.count, taken=taken)
+    return []
--- /dev/null
+++ b/fescuerudder/jobs/takeover.py
@@ -0,0 +1,110 @@
+"""Loads what earlier leaders stored."""
+
+from collections.abc import Callable
+from concurrent.futures import Executor
+
+import attrs
+import structlog
+
+from fescuerudder.clock import Clock
+from fescuerudder.jobs.jobrun import JobRun, JobState
+from fescuerudder.jobs.progress import (
+    StoredFormError,
+    StoredJob,
+    load_job,
+    load_state,
+    restore_progress,
+)
+from fescuerudder.jobs.rows import Row, RowStore, read_part
+from fescuerudder.jobs.storage import (
+    CANCEL_SUFFIX,
+    CLAIM,
+    JOB_PARTS,
+    JOBS,
+    LEADER_PART,
+    PROGRESS,
+)
+
+LOAD_TIMEOUT_S = 3.0
+
+_log = structlog.get_logger(__name__)
+
+
+@attrs.frozen(kw_only=True)
+class Loaded:
+    """Everything about jobs that the store holds.
+
+    Args:
+        live: jobs that have not ended, with their progress.
+        ended: final state of the others.
+        cancels: ids of jobs whose cancellation was requested.
+        version: version from which on the feed of jobs continues.
+    """
+
+    live: list[JobRun]
+    ended: dict[str, JobState]
+    cancels: list[str]
+    version: int
+
+
+def load(*, store: RowStore, clock: Clock, pool: Executor) -> Loaded:
+    """Returns the stored jobs and their progress.
+
+    Raises:
+        StoreUnavailableError: a part could not be read.
+    """
+    position = store.read(table=JOBS, part=LEADER_PART, timeout_s=LOAD_TIMEOUT_S).version
+
+    def rows_of(place: tuple[str, str]) -> list[Row]:
+        table, part = place
+        pages = read_part(store, table=table, part=part, timeout_s=LOAD_TIMEOUT_S)
+        return [row for page in pages for row in page.rows]
+
+    places = [(PROGRESS, LEADER_PART), *((JOBS, part) for part in JOB_PARTS)]
+    progress, *jobs = list(pool.map(rows_of, places))
+    return _assemble(
+        [row for part in jobs for row in part],
+        {row.key.key: row.value for row in progress},
+        clock=clock,
+        version=position,
+    )
+
+
+def _assemble(rows: list[Row], progress: dict[str, bytes], *, clock: Clock, version: int) -> Loaded:
+    stored, cancels = split_job_rows(rows)
+    live, ended = [], {}
+    now_s = clock.now_s()
+    for item in sorted(stored, key=lambda item: item.version):
+        data = progress.get(item.job.id)
+        state = _read(load_state, data) if data is not None else JobState.QUEUED
+        if state is not None and state.is_final:
+            ended[item.job.id] = state
+            continue
+        run = JobRun.create(job=item.job, version=item.version, received_s=now_s)
+        if data is not None:
+            _read(lambda raw, run=run: restore_progress(run, raw), data)
+        live.append(run)
+    return Loaded(live=live, ended=ended, cancels=cancels, version=version)
+
+
+def split_job_rows(rows: list[Row]) -> tuple[list[StoredJob], list[str]]:
+    """Returns the jobs and the ids of cancelled jobs among rows of the table of jobs."""
+    jobs, cancels = [], []
+    for row in rows:
+        if row.key == CLAIM:
+            continue
+        if row.key.key.endswith(CANCEL_SUFFIX):
+            cancels.append(row.key.key.removesuffix(CANCEL_SUFFIX))
+            continue
+        job = _read(load_job, row.value)
+        if job is not None:
+            jobs.append(StoredJob(job=job, version=row.version))
+    return jobs, cancels
+
+
+def _read(parse: Callable, data: bytes):
+    try:
+        return parse(data)
+    except StoredFormError as exc:
+        _log.error("stored row can't be read", reason=str(exc))
+        return None
--- /dev/null
+++ b/fescuerudder/jobs/workerbook.py
@@ -0,0 +1,157 @@
+"""What the leader knows of one worker: its clock, its lease, its load and its live attempts."""
+
+import attrs
+
+from fescuerudder.document import Size
+from fescuerudder.jobs.job import TaskId
+from fescuerudder.jobs.jobrun import Attempt, Phase
+from fescuerudder.jobs.workerport import Report, WorkerInfo
+
+CLOCK_DRIFT = 0.02
+"""Share by which a worker's clock may run slow, as the platform states it."""
+
+Key = tuple[TaskId, int]
+"""Task and number of an attempt."""
+
+
+@attrs.define(kw_only=True)
+class WorkerClock:
+    """Bounds on the steady clock of a worker, from its latest reading.
+
+    Args:
+        reading_ms: a reading.
+        read_s: when it arrived here; the worker's clock showed it then or earlier.
+    """
+
+    reading_ms: float
+    read_s: float
+
+    def note(self, *, reading_ms: float, now_s: float) -> None:
+        """Takes a newer reading; one that says less than is known already is ignored."""
+        if reading_ms >= self.earliest_ms(now_s):
+            self.reading_ms = reading_ms
+            self.read_s = now_s
+
+    def earliest_ms(self, now_s: float) -> float:
+        """Returns a time that the worker's clock has reached by now."""
+        return self.reading_ms + (now_s - self.read_s) * 1000 * (1 - CLOCK_DRIFT)
+
+    def reached_s(self, clock_ms: float) -> float:
+        """Returns when, on this instance's clock, the worker's clock has certainly reached it."""
+        return self.read_s + (clock_ms - self.reading_ms) / 1000 / (1 - CLOCK_DRIFT)
+
+
+@attrs.define(eq=False, kw_only=True)
+class WorkerBook:
+    """State of one worker as the leader knows it.
+
+    Args:
+        info: its latest registry entry.
+        clock: its clock.
+        token: fencing token of the next orders.
+        resolved: this leader knows what runs there: it had a report, or all leases have lapsed.
+        resolved_by_s: when the leases of earlier leaders have certainly lapsed.
+        listed: the registry has an entry for it.
+        attempts: live attempts there.
+        orphans: attempts that run there and should not.
+        orphans_told_s: when they were last told to stop.
+        lease_until_ms: latest end of the lease that was sent, on the worker's clock.
+        seen_serial: highest end that was processed.
+        stored_serial: highest end up to which all are stored; acknowledged with renewals.
+        sent_serial: highest end acknowledged so far.
+        silent_since_s: when the first of the latest unanswered renewals was sent, None if the
+            last one was answered.
+        report_clock_ms: the worker's clock in the latest report.
+        report_s: when the latest report arrived.
+        renewals: renewals under way.
+        next_renewal_s: when the next one is due.
+        full_until_s: it refused a start for want of room; no new ones before.
+    """
+
+    info: WorkerInfo
+    clock: WorkerClock
+    token: int
+    resolved: bool = False
+    resolved_by_s: float = 0.0
+    listed: bool = True
+    attempts: dict[Key, Attempt] = attrs.Factory(dict)
+    orphans: set[Key] = attrs.Factory(set)
+    orphans_told_s: float = 0.0
+    lease_until_ms: float = 0.0
+    seen_serial: int = 0
+    stored_serial: int = 0
+    sent_serial: int = 0
+    silent_since_s: float | None = None
+    report_clock_ms: float = -1.0
+    report_s: float | None = None
+    renewals: int = 0
+    next_renewal_s: float = 0.0
+    full_until_s: float = 0.0
+
+    @property
+    def id(self) -> str:
+        """Id of the worker."""
+        return self.info.id
+
+    @property
+    def is_silent(self) -> bool:
+        """Whether the latest renewal got no answer."""
+        return self.silent_since_s is not None
+
+    def next_lease_ms(self, *, now_s: float, lease_s: float) -> int:
+        """Returns the end of a lease that starts now, on the worker's clock, and notes it."""
+        until_ms = int(self.clock.earliest_ms(now_s) + lease_s * 1000)
+        self.lease_until_ms = max(self.lease_until_ms, until_ms)
+        return until_ms
+
+    def lapsed_by_s(self) -> float:
+        """Returns when everything there has lapsed, if no more renewals arrive."""
+        return max(self.resolved_by_s, self.clock.reached_s(self.lease_until_ms))
+
+    def reserved(self) -> Size:
+        """Returns what the live attempts reserve; best-effort tasks reserve no processors."""
+        cpu, memory, gpus = 0.0, 0, 0
+        for attempt in self.attempts.values():
+            spec = attempt.task.step.spec
+            cpu += 0.0 if spec.best_effort else spec.size.processors
+            memory += spec.size.memory_mb
+            gpus += spec.size.accelerators
+        return Size(processors=cpu, memory_mb=memory, accelerators=gpus)
+
+    def needs_renewal(self) -> bool:
+        """Returns whether something depends on the next renewal."""
+        return (
+            bool(self.attempts or self.orphans)
+            or self.stored_serial > self.sent_serial
+            or not self.resolved
+        )
+
+    def has_uncertain(self) -> bool:
+        """Returns whether the outcome of a start is unknown."""
+        return any(a.phase is Phase.UNCERTAIN for a in self.attempts.values())
+
+    def note_report(self, report: Report, *, now_s: float) -> bool:
+        """Takes the clock of a report; returns whether it is the newest one so far."""
+        self.silent_since_s = None
+        self.clock.note(reading_ms=report.clock_ms, now_s=now_s)
+        if report.clock_ms < self.report_clock_ms:
+            return False
+        self.report_clock_ms = report.clock_ms
+        self.report_s = now_s
+        return True
+
+    def begin_life(self, info: WorkerInfo, *, now_s: float) -> list[Attempt]:
+        """Starts anew for a worker that was born again; returns the attempts that ended with it."""
+        lost = list(self.attempts.values())
+        self.info = info
+        self.clock = WorkerClock(reading_ms=info.clock_ms, read_s=now_s)
+        self.attempts.clear()
+        self.orphans = set()
+        self.lease_until_ms = 0.0
+        self.seen_serial = self.stored_serial = self.sent_serial = 0
+        self.report_clock_ms = -1.0
+        self.report_s = None
+        self.silent_since_s = None
+        self.resolved = False
+        self.resolved_by_s = 0.0
+        return lost
--- /dev/null
+++ b/fescuerudder/jobs/world.py
@@ -0,0 +1,130 @@
+"""The leader's picture: jobs, workers, configuration. Plain data that the decisions share."""
+
+from collections.abc import Iterable
+
+import attrs
+import structlog
+
+from fescuerudder.jobs.job import TaskId
+from fescuerudder.jobs.jobrun import Attempt, JobRun, StepRun, TaskRun
+from fescuerudder.jobs.manifest import Manifest, Pool, Queue
+from fescuerudder.jobs.workerbook import WorkerBook
+
+TOKENS_PER_EPOCH = 1_000_000
+"""Fencing tokens of one epoch; a leader raises a worker's token within its epoch."""
+
+ATTEMPTS_PER_EPOCH = 10_000
+"""Attempt numbers of one epoch, so that a new leader's numbers exceed its predecessors'."""
+
+_log = structlog.get_logger(__name__)
+
+
+@attrs.frozen(kw_only=True)
+class Term:
+    """One instance's time as the leader.
+
+    Args:
+        epoch: number of the term, from 1.
+        claim_version: version of the claim in the store. No earlier leader can have started a
+            job whose row has a higher version.
+    """
+
+    epoch: int
+    claim_version: int
+
+    @property
+    def first_token(self) -> int:
+        """Lowest fencing token of the term."""
+        return self.epoch * TOKENS_PER_EPOCH
+
+    @property
+    def first_attempt(self) -> int:
+        """Lowest attempt number of the term."""
+        return (self.epoch - 1) * ATTEMPTS_PER_EPOCH + 1
+
+
+@attrs.define(eq=False, kw_only=True)
+class World:
+    """State of one term. Only the scheduler's thread touches it.
+
+    Args:
+        term: the term.
+        jobs: jobs by id, ended ones included until they are forgotten.
+        books: workers by id.
+        queues: queues by name; a removed one stays for the jobs that it had accepted.
+        pools: worker pools by name.
+        zones_out: zones that take no starts.
+        open_steps: steps with tasks that are not done, in the order of their opening.
+        opening: jobs of which another step may open.
+        dirty: jobs whose progress is not stored.
+    """
+
+    term: Term
+    jobs: dict[str, JobRun] = attrs.Factory(dict)
+    books: dict[str, WorkerBook] = attrs.Factory(dict)
+    queues: dict[str, Queue] = attrs.Factory(dict)
+    pools: dict[str, Pool] = attrs.Factory(dict)
+    zones_out: frozenset[str] = frozenset()
+    open_steps: dict[StepRun, None] = attrs.Factory(dict)
+    opening: dict[JobRun, None] = attrs.Factory(dict)
+    dirty: dict[JobRun, None] = attrs.Factory(dict)
+
+    def set_manifest(self, manifest: Manifest) -> None:
+        """Takes a new revision of the configuration."""
+        self.queues.update({queue.name: queue for queue in manifest.queues})
+        self.pools = {pool.name: pool for pool in manifest.pools}
+
+    def add_job(self, run: JobRun) -> None:
+        """Takes a job that was not known."""
+        self.jobs[run.job.id] = run
+        self.opening[run] = None
+
+    def find_task(self, task_id: TaskId) -> TaskRun | None:
+        """Returns a task by its id, if its job is known."""
+        run = self.jobs.get(task_id.job)
+        return run.task(task_id) if run is not None else None
+
+    def mark_dirty(self, run: JobRun) -> None:
+        """Notes that the progress of a job has to be stored."""
+        run.dirty = True
+        self.dirty[run] = None
+        self.opening[run] = None
+
+    def add_attempt(self, attempt: Attempt) -> None:
+        """Notes a live attempt with its task and its worker."""
+        attempt.task.attempts.append(attempt)
+        attempt.task.last_number = max(attempt.task.last_number, attempt.number)
+        self.books[attempt.worker].attempts[(attempt.task.id, attempt.number)] = attempt
+
+    def drop_attempt(self, attempt: Attempt) -> None:
+        """Forgets an attempt that certainly does not run and will not start."""
+        if attempt in attempt.task.attempts:
+            attempt.task.attempts.remove(attempt)
+        book = self.books.get(attempt.worker)
+        if book is not None:
+            book.attempts.pop((attempt.task.id, attempt.number), None)
+
+    def requeue(self, attempt: Attempt, *, checkpoint: str, reason: str) -> None:
+        """Forgets an attempt that ended early; its task may start again from `checkpoint`."""
+        self.drop_attempt(attempt)
+        task, run = attempt.task, attempt.task.step.job
+        if checkpoint and not task.done:
+            task.checkpoint = checkpoint
+            self.mark_dirty(run)
+        _log.info(
+            "attempt ended early",
+            job=task.id.job,
+            task=task.id[1:],
+            attempt=attempt.number,
+            worker=attempt.worker,
+            reason=reason,
+        )
+
+    def unresolved(self) -> list[WorkerBook]:
+        """Returns the workers on which attempts of earlier leaders may run unseen."""
+        return [book for book in self.books.values() if not book.resolved]
+
+    def close_steps(self, steps: Iterable[StepRun]) -> None:
+        """Forgets steps that have nothing left to start."""
+        for step in steps:
+            self.open_steps.pop(step, None)
--- a/fescuerudder/logs.py
+++ b/fescuerudder/logs.py
@@ -29,6 +29,6 @@
             structlog.processors.JSONRenderer(),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(logging.getLevelName(level.upper())),
-        logger_factory=structlog.WriteLoggerFactory(file=sys.stderr),
+        logger_factory=structlog.WriteLoggerFactory(file=sys.stdout),
         cache_logger_on_first_use=True,
     )
--- /dev/null
+++ b/fescuerudder/platform/callers.py
@@ -0,0 +1,215 @@
+"""The HTTP interface for callers as the platform has it: queues under a host and a prefix."""
+
+import json
+import re
+from collections.abc import Callable, Iterable
+from http import HTTPStatus
+from typing import Any, Protocol
+
+import structlog
+from result import Err, Ok, Result
+
+from fescuerudder.clock import Clock
+from fescuerudder.httpserver import MAX_BODY_BYTES, close_after_answer
+from fescuerudder.jobs.intake import Refusal
+from fescuerudder.jobs.job import Job, Repetition, Step
+from fescuerudder.jobs.jobrun import JobState
+from fescuerudder.jobs.manifest import Queue
+from fescuerudder.platform.operations import size
+
+DEFAULT_DEADLINE_S = 3.0
+_ID_PATTERN = re.compile(r"[0-9a-fA-F]{16}")
+_DEADLINE_HEADER = "HTTP_X_DEADLINE_MS"
+
+_log = structlog.get_logger(__name__)
+
+Answer = tuple[int, Any, dict[str, str]]
+
+
+class Intake(Protocol):
+    """What the interface needs of the product; see `fescuerudder.jobs.intake`."""
+
+    def submit(self, job: Job, *, deadline_s: float) -> Result[None, Refusal]:
+        """Stores a job."""
+
+    def cancel(self, job_id: str, *, deadline_s: float) -> Result[bool, Refusal]:
+        """Stores a cancellation."""
+
+    def state(self, job_id: str) -> Result[JobState | None, Refusal]:
+        """Returns the state of a job."""
+
+    def pending(self, queue: str) -> Result[int, Refusal]:
+        """Returns the number of waiting jobs."""
+
+
+class CallerApp:
+    """WSGI application.
+
+    Args:
+        intake: takes jobs and questions.
+        find_queue: returns the queue of a host and path; raises LookupError without a manifest.
+        is_draining: whether connections are to be closed after their answers.
+        clock: source of time.
+    """
+
+    def __init__(
+        self,
+        *,
+        intake: Intake,
+        find_queue: Callable[[str, str], Queue | None],
+        is_draining: Callable[[], bool],
+        clock: Clock,
+    ) -> None:
+        self._intake = intake
+        self._find_queue = find_queue
+        self._is_draining = is_draining
+        self._clock = clock
+
+    def __call__(self, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
+        """Serves one request."""
+        started_s = self._clock.now_s()
+        try:
+            status, body, headers = self._answer(environ, started_s)
+        except Exception:
+            _log.exception("request handler failed", path=environ.get("PATH_INFO"))
+            status, body, headers = 500, {}, {}
+        data = json.dumps(body, separators=(",", ":")).encode()
+        if self._is_draining():
+            close_after_answer(environ)
+        start_response(
+            f"{status} {HTTPStatus(status).phrase}",
+            [
+                ("Content-Type", "application/json"),
+                ("Content-Length", str(len(data))),
+                *headers.items(),
+            ],
+        )
+        _log.info(
+            "request answered",
+            method=environ["REQUEST_METHOD"],
+            path=environ.get("PATH_INFO"),
+            status=status,
+            body=body,
+            took_ms=round((self._clock.now_s() - started_s) * 1000, 1),
+        )
+        return [data]
+
+    def _answer(self, environ: dict[str, Any], started_s: float) -> Answer:
+        data = _read_body(environ)
+        path = environ.get("PATH_INFO", "")
+        host = environ.get("HTTP_HOST", "").partition(":")[0]
+        try:
+            queue = self._find_queue(host, path)
+        except LookupError:
+            return _refused(Refusal(reason="no manifest yet"))
+        if queue is None:
+            return 404, {}, {}
+        job_id = path[len(queue.prefix) :]
+        method = environ["REQUEST_METHOD"]
+        deadline_s = started_s + _deadline_s(environ)
+        if not job_id and method == "GET":
+            return self._pending(queue)
+        if not _ID_PATTERN.fullmatch(job_id):
+            return 404, {}, {}
+        if method == "POST":
+            return self._submit(queue, job_id, data, deadline_s)
+        if method == "GET":
+            return self._state(job_id)
+        if method == "DELETE":
+            return self._cancel(job_id, deadline_s)
+        return 405, {}, {}
+
+    def _submit(self, queue: Queue, job_id: str, data: bytes, deadline_s: float) -> Answer:
+        try:
+            job = _job(json.loads(data), job_id=job_id, queue=queue.name)
+        except (ValueError, KeyError, TypeError, AttributeError) as exc:
+            _log.warning("malformed job", job=job_id, reason=repr(exc))
+            return 400, {}, {}
+        match self._intake.submit(job, deadline_s=deadline_s):
+            case Ok():
+                return 200, {}, {}
+            case Err(refusal):
+                return _refused(refusal)
+
+    def _state(self, job_id: str) -> Answer:
+        match self._intake.state(job_id):
+            case Ok(None):
+                return 410, {}, {}
+            case Ok(state):
+                return 200, {"state": state.value}, {}
+            case Err(refusal):
+                return _refused(refusal)
+
+    def _cancel(self, job_id: str, deadline_s: float) -> Answer:
+        match self._intake.cancel(job_id, deadline_s=deadline_s):
+            case Ok(existed):
+                return (200 if existed else 410), {}, {}
+            case Err(refusal):
+                return _refused(refusal)
+
+    def _pending(self, queue: Queue) -> Answer:
+        match self._intake.pending(queue.name):
+            case Ok(count):
+                return 200, {"pending": count}, {}
+            case Err(refusal):
+                return _refused(refusal)
+
+
+def _refused(refusal: Refusal) -> Answer:
+    if refusal.ran is None:
+        return 504, {}, {}
+    headers = {"Retry-After": str(max(1, round(refusal.retry_after_s)))}
+    return 503, {"retryAfterMs": int(refusal.retry_after_s * 1000)}, headers
+
+
+def _read_body(environ: dict[str, Any]) -> bytes:
+    length = min(int(environ.get("CONTENT_LENGTH") or 0), MAX_BODY_BYTES)
+    return environ["wsgi.input"].read(length) if length else b""
+
+
+def _deadline_s(environ: dict[str, Any]) -> float:
+    """Returns how long the caller waits for the answer, in seconds."""
+    try:
+        return int(environ[_DEADLINE_HEADER]) / 1000
+    except (KeyError, ValueError):
+        return DEFAULT_DEADLINE_S
+
+
+def _job(raw: dict[str, Any], *, job_id: str, queue: str) -> Job:
+    times = int(raw.get("repeatCount", 0))
+    repetition = None
+    if times > 0:
+        repetition = Repetition(
+            times=times,
+            first_ms=int(raw.get("startAtMs", 0)),
+            interval_ms=int(raw.get("intervalMs", 0)),
+        )
+    return Job(
+        id=job_id,
+        queue=queue,
+        payload=raw.get("spec", ""),
+        steps=tuple(_step(step) for step in raw["steps"]),
+        repetition=repetition,
+    )
+
+
+def _step(raw: dict[str, Any]) -> Step:
+    away = raw.get("maxUnavailable")
+    return Step(
+        count=int(raw.get("count", 0)),
+        size=size(raw),
+        estimated_ms=int(raw.get("estimatedMs", 0)),
+        after=tuple(int(number) for number in raw.get("after", ())),
+        gang=bool(raw.get("gang", False)),
+        same_rack=bool(raw.get("sameRack", False)),
+        required_label=raw.get("requires", ""),
+        data_rack=raw.get("affinity", ""),
+        max_per_worker=int(raw.get("antiAffinity", 0)),
+        speculative=bool(raw.get("allowDuplicates", False)),
+        checkpoints=bool(raw.get("savesProgress", False)),
+        long_running=bool(raw.get("longLived", False)),
+        image=raw.get("image", ""),
+        latency_target_ms=int(raw.get("targetMs", 0)),
+        best_effort=bool(raw.get("fills", False)),
+        max_unavailable=int(away) if away is not None else None,
+    )
--- /dev/null
+++ b/fescuerudder/platform/operations.py
@@ -0,0 +1,144 @@
+"""What operators and workers write to the platform's store: manifest, zones, registry."""
+
+import json
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+import structlog
+
+from fescuerudder.document import Size
+from fescuerudder.jobs.configview import ConfigView
+from fescuerudder.jobs.manifest import AdvicePolicy, Manifest, Pool, Queue
+from fescuerudder.jobs.rows import Row, RowStore, read_part
+from fescuerudder.jobs.workerport import WorkerInfo
+
+READ_TIMEOUT_S = 1.0
+_OPERATOR_TABLE = "op"
+_WORKER_TABLE = "servers"
+_MANIFEST_KEY = "config"
+_ZONE_PREFIX = "evacuate/"
+_STATES = {"ready": False, "draining": True}
+
+_log = structlog.get_logger(__name__)
+_T = TypeVar("_T")
+
+
+class PlatformConfig:
+    """Reads what operators wrote.
+
+    Args:
+        store: the platform's store.
+    """
+
+    def __init__(self, *, store: RowStore) -> None:
+        self._store = store
+
+    def read(self) -> ConfigView:
+        """Returns the configuration; see `ConfigSource`."""
+        pages = read_part(self._store, table=_OPERATOR_TABLE, part="", timeout_s=READ_TIMEOUT_S)
+        rows = {row.key.key: row for page in pages for row in page.rows}
+        manifest = rows.get(_MANIFEST_KEY)
+        return ConfigView(
+            manifest=_decode(manifest, _manifest) if manifest is not None else None,
+            zones_out=frozenset(
+                name.removeprefix(_ZONE_PREFIX) for name in rows if name.startswith(_ZONE_PREFIX)
+            ),
+            version=pages[0].version,
+        )
+
+    def wait(self, *, after: int, wait_s: float) -> bool:
+        """Waits for a change; see `ConfigSource`."""
+        changes = self._store.changes(table=_OPERATOR_TABLE, after=after, wait_s=wait_s)
+        return bool(changes.rows or changes.removed)
+
+
+class PlatformRegistry:
+    """Reads the registry of workers.
+
+    Args:
+        store: the platform's store.
+    """
+
+    def __init__(self, *, store: RowStore) -> None:
+        self._store = store
+
+    def read(self) -> list[WorkerInfo]:
+        """Returns all workers that have a readable entry; see `WorkerRegistry`."""
+        pages = read_part(self._store, table=_WORKER_TABLE, part="", timeout_s=READ_TIMEOUT_S)
+        found = [_decode(row, _worker, row.key.key) for page in pages for row in page.rows]
+        return [info for info in found if info is not None]
+
+
+def _decode(row: Row, decode: Callable[..., _T], *args: Any) -> _T | None:
+    """Returns what a row holds; None if another writer left something unreadable there."""
+    try:
+        return decode(json.loads(row.value), *args)
+    except (ValueError, KeyError, TypeError, AttributeError) as exc:
+        _log.warning("row not readable", row=row.key.key, reason=repr(exc))
+        return None
+
+
+def _manifest(raw: dict[str, Any]) -> Manifest:
+    return Manifest(
+        revision=int(raw["version"]),
+        queues=tuple(_queue(route) for route in raw["routes"]),
+        pools=tuple(
+            Pool(
+                name=service["name"],
+                rejects_overload=bool(service.get("rejectsOverload", False)),
+                standby=bool(service.get("standby", False)),
+            )
+            for service in raw["services"]
+        ),
+    )
+
+
+def _queue(route: dict[str, Any]) -> Queue:
+    return Queue(
+        name=route["name"],
+        host=route["hostname"],
+        prefix=route["prefix"],
+        pool=route["service"],
+        priority=int(route.get("priority", 0)),
+        max_failures=int(route.get("maxAttempts", 1)),
+        stretch=float(route.get("stretch", 1.0)),
+        allowance_ms=int(route.get("targetCompletionMs", 0)),
+        advice=_advice(route.get("advice")),
+    )
+
+
+def _advice(raw: dict[str, Any] | None) -> AdvicePolicy | None:
+    if not raw:
+        return None
+    return AdvicePolicy(
+        decision_ms=int(raw.get("decisionMs", 0)),
+        per_worker_ms=int(raw.get("periodMs", 0)),
+        valid_ms=int(raw.get("validityMs", 0)),
+    )
+
+
+def _worker(raw: dict[str, Any], worker_id: str) -> WorkerInfo:
+    capacity = raw["capacity"]
+    labels = [str(label) for label in raw.get("labels", ())]
+    return WorkerInfo(
+        id=worker_id,
+        born_ms=int(raw.get("born", 0)),
+        pool=raw["service"],
+        address=raw["address"],
+        zone=raw["zone"],
+        # The labels are the kind of the worker and its rack, in this order.
+        rack=labels[1] if len(labels) > 1 else "",
+        labels=frozenset(labels),
+        capacity=size(capacity),
+        draining=_STATES[raw["state"]],
+        clock_ms=int(raw["clockMs"]),
+    )
+
+
+def size(raw: dict[str, Any]) -> Size:
+    """Returns resources; the platform counts processors in thousandths of a core."""
+    return Size(
+        processors=int(raw.get("cpu", 0)) / 1000,
+        memory_mb=int(raw.get("memMb", 0)),
+        accelerators=int(raw.get("gpu", 0)),
+    )
--- /dev/null
+++ b/fescuerudder/platform/workers.py
@@ -0,0 +1,167 @@
+"""Orders to the platform's workers and their reports, as the product's `WorkerPort`."""
+
+from typing import Any
+
+from fescuerudder.jobs.job import TaskId
+from fescuerudder.jobs.workerport import (
+    AttemptEnd,
+    EndedAttempt,
+    OrderAnswer,
+    OrderResult,
+    OtherLifeError,
+    RenewOrder,
+    Report,
+    RunningAttempt,
+    StartOrder,
+    StopOrder,
+    ThrottleOrder,
+    WorkerFencedError,
+    WorkerSilentError,
+)
+from fescuerudder.platform.http import HttpAnswer, HttpClient, NoAnswerError, NotSentError
+
+ORDER_TIMEOUT_S = 1.5
+REPORT_GRACE_S = 0.8
+"""Time for a report beyond the time that the worker waits for an end."""
+
+_LIFE_HEADER = "X-Target-Instance"
+
+_REASONS = {
+    "fence": OrderResult.FENCED,
+    "old": OrderResult.STALE,
+    "late": OrderResult.LATE,
+    "room": OrderResult.NO_ROOM,
+    "ticket": OrderResult.NO_PERMIT,
+}
+_STATUSES = {
+    200: OrderResult.DONE,
+    421: OrderResult.OTHER_LIFE,
+    429: OrderResult.UNHEALTHY,
+    503: OrderResult.UNHEALTHY,
+}
+
+
+class PlatformWorkers:
+    """Sends orders over HTTP.
+
+    Args:
+        http: shared client.
+    """
+
+    def __init__(self, *, http: HttpClient) -> None:
+        self._http = http
+
+    def start(self, order: StartOrder) -> OrderAnswer:
+        """Starts an attempt; see `WorkerPort`."""
+        body = {
+            "task": format_task(order.task),
+            "run": order.attempt,
+            "spec": order.payload,
+            "deadlineMs": order.lease_until_ms,
+            "fencingToken": order.token,
+        }
+        if order.checkpoint:
+            body["checkpoint"] = order.checkpoint
+        if order.permit:
+            body["ticket"] = order.permit
+        return self._order("/run-start", order, body)
+
+    def stop(self, order: StopOrder) -> OrderAnswer:
+        """Ends an attempt; see `WorkerPort`."""
+        return self._order("/run-stop", order, _attempt(order))
+
+    def throttle(self, order: ThrottleOrder) -> OrderAnswer:
+        """Limits the speed of an attempt; see `WorkerPort`."""
+        return self._order("/pace", order, {**_attempt(order), "percent": order.percent})
+
+    def renew(self, order: RenewOrder) -> Report:
+        """Extends leases and returns the report; see `WorkerPort`."""
+        body = {"fencingToken": order.token, "ackSeq": order.acknowledged}
+        if order.lease_until_ms is not None:
+            body["deadlineMs"] = order.lease_until_ms
+        if order.wait_ms:
+            body["waitMs"] = order.wait_ms
+        timeout_s = order.wait_ms / 1000 + REPORT_GRACE_S
+        try:
+            answer = self._call("/hold", order, body, timeout_s)
+        except (NotSentError, NoAnswerError) as exc:
+            raise WorkerSilentError(str(exc)) from exc
+        if answer.status == 421:
+            raise OtherLifeError(f"{order.worker} is not at {order.address}")
+        if answer.status == 409 and _reason(answer) == "fence":
+            raise WorkerFencedError(f"{order.worker} has seen a higher token than {order.token}")
+        if answer.status != 200:
+            raise WorkerSilentError(f"{order.worker} answered {answer.status}")
+        try:
+            return _report(answer.body)
+        except (KeyError, TypeError, ValueError, IndexError) as exc:
+            raise WorkerSilentError(f"{order.worker}: malformed report") from exc
+
+    def _order(self, path: str, order: Any, body: dict[str, Any]) -> OrderAnswer:
+        try:
+            answer = self._call(path, order, body, ORDER_TIMEOUT_S)
+        except NotSentError:
+            return OrderAnswer(OrderResult.NOT_SENT)
+        except NoAnswerError:
+            return OrderAnswer(OrderResult.UNKNOWN)
+        clock = answer.body.get("clockMs") if isinstance(answer.body, dict) else None
+        if answer.status == 409:
+            return OrderAnswer(_REASONS.get(_reason(answer), OrderResult.REFUSED), clock)
+        return OrderAnswer(_STATUSES.get(answer.status, OrderResult.REFUSED), clock)
+
+    def _call(self, path: str, order: Any, body: dict[str, Any], timeout_s: float) -> HttpAnswer:
+        return self._http.call(
+            "POST",
+            order.address,
+            path,
+            body=body,
+            headers={_LIFE_HEADER: order.worker},
+            timeout_s=timeout_s,
+        )
+
+
+def format_task(task: TaskId) -> str:
+    """Returns the platform's name of a task."""
+    return f"{task.job}.{task.occurrence}.{task.step}.{task.index}"
+
+
+def parse_task(name: str) -> TaskId:
+    """Returns the task of a platform's name.
+
+    Raises:
+        ValueError: the name has another form.
+    """
+    job, occurrence, step, index = name.split(".")
+    return TaskId(job, int(occurrence), int(step), int(index))
+
+
+def _attempt(order: StopOrder | ThrottleOrder) -> dict[str, Any]:
+    return {
+        "task": format_task(order.task),
+        "run": order.attempt,
+        "fencingToken": order.token,
+    }
+
+
+def _reason(answer: HttpAnswer) -> str:
+    return answer.body.get("reason", "") if isinstance(answer.body, dict) else ""
+
+
+def _report(raw: dict[str, Any]) -> Report:
+    return Report(
+        born_ms=int(raw.get("born", 0)),
+        clock_ms=int(raw["clockMs"]),
+        running=tuple(_running(row) for row in raw.get("running", ())),
+        ended=tuple(_ended(row) for row in raw.get("endedRuns", ())),
+    )
+
+
+def _running(row: list[Any]) -> RunningAttempt:
+    usage = float(row[4]) if len(row) > 4 and row[4] is not None else 0.0
+    return RunningAttempt(parse_task(row[0]), int(row[1]), row[2] or "", int(row[3]), usage)
+
+
+def _ended(row: list[Any]) -> EndedAttempt:
+    return EndedAttempt(
+        int(row[0]), parse_task(row[1]), int(row[2]), AttemptEnd(row[3]), row[4] or ""
+    )
