Learn which best-effort tasks take latency headroom and place and throttle by it

Reports show that the reciprocal of the tail falls by an amount for each pair of images and share of the worker, and drifts with the load of the job.

--- /dev/null
+++ b/fescuerudder/jobs/estimates.py
@@ -0,0 +1,34 @@
+"""What tasks really use, learned from reports."""
+
+from fescuerudder.jobs.job import Step
+from fescuerudder.jobs.jobrun import Attempt
+
+WEIGHT = 0.1
+"""Weight of a new reading in the moving average."""
+
+SERVING_SHARE = 0.6
+"""Share of its reservation that a task with a latency target uses; its report does not tell."""
+
+LEAST_SHARE = 0.3
+
+
+class Estimates:
+    """Shares of the declared processors that the tasks of each image use."""
+
+    def __init__(self) -> None:
+        self._shares: dict[str, float] = {}
+
+    def observe(self, attempt: Attempt) -> None:
+        """Learns from the latest report on an attempt at full speed."""
+        spec = attempt.task.step.spec
+        if spec.latency_target_ms or not spec.size.processors or not attempt.processors:
+            return
+        share = max(LEAST_SHARE, min(1.0, attempt.processors / spec.size.processors))
+        known = self._shares.get(spec.image, 1.0)
+        self._shares[spec.image] = known + WEIGHT * (share - known)
+
+    def processors(self, spec: Step) -> float:
+        """Returns the processors that a task of a step will use if it can."""
+        if spec.latency_target_ms:
+            return spec.size.processors * SERVING_SHARE
+        return spec.size.processors * self._shares.get(spec.image, 1.0)
--- a/fescuerudder/jobs/jobrun.py
+++ b/fescuerudder/jobs/jobrun.py
@@ -7,6 +7,9 @@
 
 from fescuerudder.jobs.job import Job, Step, TaskId
 
+FULL_SPEED = 100
+"""Throttle, in percent, of an attempt that works at its own speed."""
+
 
 class JobState(enum.Enum):
     """State of a job as callers see it."""
@@ -45,8 +48,10 @@
         sent_s: when the order was sent.
         confirmed_s: when the worker confirmed that it runs, None before.
         checkpoint: latest saved state known.
-        percent: share of its speed at which it was last seen to work.
-        usage: last reported figure, see `RunningAttempt`.
+        percent: progress of its work, see `RunningAttempt`.
+        latency_ms: last reported tail latency, 0 if none.
+        processors: cores that it was last seen to use, 0 if unknown.
+        throttle: share of its speed at which it was told to work, in percent.
         stop_sent_s: when a stop was last sent.
     """
 
@@ -58,8 +63,10 @@
     sent_s: float
     confirmed_s: float | None = None
     checkpoint: str = ""
-    percent: int = 100
-    usage: float = 0.0
+    percent: int = 0
+    latency_ms: float = 0.0
+    processors: float = 0.0
+    throttle: int = FULL_SPEED
     stop_sent_s: float | None = None
 
 
--- a/fescuerudder/jobs/reports.py
+++ b/fescuerudder/jobs/reports.py
@@ -3,7 +3,7 @@
 import attrs
 import structlog
 
-from fescuerudder.jobs.jobrun import Attempt, Phase, TaskRun
+from fescuerudder.jobs.jobrun import FULL_SPEED, Attempt, Phase, TaskRun
 from fescuerudder.jobs.workerbook import WorkerBook
 from fescuerudder.jobs.workerport import (
     REPORT_ENDS_MAX,
@@ -49,6 +49,7 @@
             for row in report.running
             if not self._is_wanted(book, row, now_s)
         }
+        self._world.known.headrooms.read(book, now_s=now_s)
         if len(report.ended) < REPORT_ENDS_MAX:
             self._read_absences(book, order, report, sent_s)
         if not book.resolved:
@@ -130,7 +131,10 @@
             attempt.confirmed_s = now_s
         attempt.checkpoint = row.checkpoint or attempt.checkpoint
         attempt.percent = row.percent
-        attempt.usage = row.usage
+        attempt.latency_ms = row.latency_ms
+        attempt.processors = row.processors
+        if attempt.throttle == FULL_SPEED:
+            self._world.known.estimates.observe(attempt)
         return True
 
     def _adopt(self, book: WorkerBook, row: RunningAttempt, now_s: float) -> Attempt | None:
--- a/fescuerudder/jobs/scheduler.py
+++ b/fescuerudder/jobs/scheduler.py
@@ -7,11 +7,13 @@
 
 from fescuerudder.clock import Clock
 from fescuerudder.jobs.job import TaskId
+from fescuerudder.jobs.jobplacement import Load
 from fescuerudder.jobs.jobrun import Attempt, JobRun, JobState, Phase
 from fescuerudder.jobs.manifest import Manifest
 from fescuerudder.jobs.progress import StoredJob, dump_progress
 from fescuerudder.jobs.reports import ReportReader
 from fescuerudder.jobs.starts import StartPlanner
+from fescuerudder.jobs.throttling import plan_throttles
 from fescuerudder.jobs.workerbook import WorkerBook, WorkerClock
 from fescuerudder.jobs.workerport import (
     OrderAnswer,
@@ -87,6 +89,7 @@
         self._planner = StartPlanner(world=self.world, lease_s=lease_s)
         self.visible: dict[str, JobState] = {}
         self.is_superseded = False
+        self._reported: set[str] = set()
 
     # --- what the store says
 
@@ -172,6 +175,7 @@
         book.renewals -= 1
         book.next_renewal_s = now_s + RENEWAL_PAUSE_S
         self._reader.read(book, order, report, sent_s=sent_s, now_s=now_s)
+        self._reported.add(book.id)
 
     def on_silence(self, order: RenewOrder, *, sent_s: float, reason: str) -> None:
         """Takes note that a renewal got no answer."""
@@ -277,6 +281,7 @@
         self._expire(now_s)
         orders: list[Order] = []
         orders += self._plan_stops(now_s)
+        orders += self._plan_throttles(now_s)
         orders += self._planner.plan(now_s=now_s, wall_ms=self._wall_ms())
         orders += self._plan_renewals(now_s)
         return orders
@@ -319,6 +324,13 @@
     def _is_unwanted(self, attempt: Attempt) -> bool:
         return attempt.task.done or not attempt.task.step.job.is_live
 
+    def _plan_throttles(self, now_s: float) -> list[Order]:
+        """Throttles tasks on the workers that reported since the last plan."""
+        books = [self.world.books[name] for name in self._reported if name in self.world.books]
+        self._reported.clear()
+        known = self.world.known
+        return [o for b in books for o in plan_throttles(Load.of(b, known, now_s=now_s))]
+
     def _plan_renewals(self, now_s: float) -> list[Order]:
         return [
             self._renew(book, now_s)
--- a/fescuerudder/jobs/starts.py
+++ b/fescuerudder/jobs/starts.py
@@ -33,7 +33,12 @@
         steps = [step for step in self._world.open_steps if self._may_start(step)]
         if not steps:
             return []
-        loads = [Load.of(b) for b in self._world.books.values() if self._takes_work(b, now_s)]
+        world = self._world
+        loads = [
+            Load.of(book, world.known, now_s=now_s)
+            for book in world.books.values()
+            if self._takes_work(book, now_s)
+        ]
         orders: list[StartOrder] = []
         for step in sorted(steps, key=self._urgency):
             orders += self._start_step(step, loads, now_s)
@@ -180,10 +185,7 @@
         racks.setdefault(load.book.info.rack, []).append(load)
     groups = [*racks.values(), eligible] if step.same_rack else [eligible]
     for group in groups:
-        copies = [
-            Load(book=x.book, free=x.free, best_effort=x.best_effort, guarded=x.guarded)
-            for x in group
-        ]
+        copies = [load.copy() for load in group]
         if len(choose(step, copies, count=step.count, taken=Counter(taken))) == step.count:
             return choose(step, group, count=step.count, taken=taken)
     return []
--- /dev/null
+++ b/fescuerudder/jobs/throttling.py
@@ -0,0 +1,82 @@
+"""Slows best-effort tasks down while tasks beside them are about to miss their latency target."""
+
+import structlog
+
+from fescuerudder.jobs.jobplacement import Guard, Load
+from fescuerudder.jobs.jobrun import FULL_SPEED, Attempt, Phase
+from fescuerudder.jobs.workerport import ThrottleOrder
+
+LEAST_HEADROOM = 1.2
+"""Headroom that neighbours leave a task with a latency target."""
+
+EASY_HEADROOM = 1.5
+"""Expected headroom at full speed from which neighbours that were slowed down speed up again."""
+
+STEP_PERCENT = 10
+"""Smallest change of a throttle that is worth an order."""
+
+_log = structlog.get_logger(__name__)
+
+
+def plan_throttles(load: Load) -> list[ThrottleOrder]:
+    """Returns the changes of throttles that are due on a worker, and notes them.
+
+    Args:
+        load: load of the worker as expected until its next report.
+    """
+    fillers = [
+        attempt
+        for attempt in load.book.attempts.values()
+        if attempt.task.step.spec.best_effort and attempt.phase is Phase.RUNNING
+    ]
+    shares = dict.fromkeys(fillers, 1.0)
+    for guard in load.guards:
+        _shed(load, guard, shares)
+    percents = {attempt: int(share * FULL_SPEED) for attempt, share in shares.items()}
+    return [_order(load, a, p) for a, p in percents.items() if _is_due(a.throttle, p)]
+
+
+def _shed(load: Load, guard: Guard, shares: dict[Attempt, float]) -> None:
+    """Lowers the shares of the neighbours that take most, until the guarded task has enough."""
+    losses = {attempt: load.loss(attempt.task.step.spec, guard) for attempt in shares}
+    is_slowed = any(attempt.throttle < FULL_SPEED for attempt in shares)
+    limit = EASY_HEADROOM if is_slowed else LEAST_HEADROOM
+    if guard.undisturbed - sum(losses.values()) >= limit:
+        return
+    excess = LEAST_HEADROOM - guard.undisturbed + sum(losses.values())
+    for attempt, loss in sorted(losses.items(), key=lambda item: -item[1]):
+        if excess <= 0.0 or loss <= 0.0:
+            break
+        shares[attempt] = min(shares[attempt], max(0.0, 1.0 - excess / loss))
+        excess -= loss
+    if guard.measured is not None and guard.measured < 1.0 and excess > 0.0:
+        # The estimates don't explain the missed target, so any neighbour may be the cause.
+        for attempt in shares:
+            shares[attempt] = min(shares[attempt], attempt.throttle / FULL_SPEED / 2)
+
+
+def _is_due(throttle: int, percent: int) -> bool:
+    is_end = percent in (0, FULL_SPEED) and throttle != percent
+    return is_end or abs(percent - throttle) >= STEP_PERCENT
+
+
+def _order(load: Load, attempt: Attempt, percent: int) -> ThrottleOrder:
+    _log.info(
+        "throttle ordered",
+        job=attempt.task.id.job,
+        task=attempt.task.id[1:],
+        attempt=attempt.number,
+        worker=attempt.worker,
+        percent=percent,
+        before=attempt.throttle,
+        headroom=round(min((g.undisturbed - g.loss for g in load.guards), default=0.0), 2),
+    )
+    attempt.throttle = percent
+    return ThrottleOrder(
+        worker=load.book.id,
+        address=load.book.info.address,
+        task=attempt.task.id,
+        attempt=attempt.number,
+        percent=percent,
+        token=load.book.token,
+    )
--- a/fescuerudder/jobs/workerport.py
+++ b/fescuerudder/jobs/workerport.py
@@ -154,15 +154,17 @@
         task: the task.
         attempt: number of the attempt.
         checkpoint: latest saved state, or empty.
-        percent: share of its speed at which it works; 100 when fully at work.
-        usage: tail latency in ms for a task with a latency target, otherwise cores in use.
+        percent: progress of the work; a long-running task is at work from 100 on.
+        latency_ms: tail latency of the last half second; only of tasks with a latency target.
+        processors: cores in use in the last half second; only of all other tasks.
     """
 
     task: TaskId
     attempt: int
     checkpoint: str
     percent: int
-    usage: float
+    latency_ms: float
+    processors: float
 
 
 class EndedAttempt(NamedTuple):
--- a/fescuerudder/jobs/world.py
+++ b/fescuerudder/jobs/world.py
@@ -6,6 +6,7 @@
 import structlog
 
 from fescuerudder.jobs.job import TaskId
+from fescuerudder.jobs.jobplacement import Knowledge
 from fescuerudder.jobs.jobrun import Attempt, JobRun, StepRun, TaskRun
 from fescuerudder.jobs.manifest import Manifest, Pool, Queue
 from fescuerudder.jobs.workerbook import WorkerBook
@@ -56,6 +57,7 @@
         zones_out: zones that take no starts.
         open_steps: steps with tasks that are not done, in the order of their opening.
         opening: jobs of which another step may open.
+        known: what was learned about tasks.
         dirty: jobs whose progress is not stored.
     """
 
@@ -68,6 +70,7 @@
     open_steps: dict[StepRun, None] = attrs.Factory(dict)
     opening: dict[JobRun, None] = attrs.Factory(dict)
     dirty: dict[JobRun, None] = attrs.Factory(dict)
+    known: Knowledge = attrs.Factory(Knowledge)
 
     def set_manifest(self, manifest: Manifest) -> None:
         """Takes a new revision of the configuration."""
--- a/fescuerudder/platform/workers.py
+++ b/fescuerudder/platform/workers.py
@@ -157,8 +157,16 @@
 
 
 def _running(row: list[Any]) -> RunningAttempt:
-    usage = float(row[4]) if len(row) > 4 and row[4] is not None else 0.0
-    return RunningAttempt(parse_task(row[0]), int(row[1]), row[2] or "", int(row[3]), usage)
+    # One figure with two meanings: milliseconds, or thousandths of a core, by the kind of task.
+    figure = float(row[4]) if len(row) > 4 and row[4] is not None else 0.0
+    return RunningAttempt(
+        parse_task(row[0]),
+        int(row[1]),
+        row[2] or "",
+        int(row[3]),
+        latency_ms=figure,
+        processors=figure / 1000,
+    )
 
 
 def _ended(row: list[Any]) -> EndedAttempt:
