Stop at a fence, keep what was learned, set adopted throttles anew

The successor knew neither the effects of images nor the throttles of adopted tasks, so some stayed paused and others harmed (627 s over target). Ruled out: late orders (12 starts without an answer, all settled).

--- a/fescuerudder/jobs/estimates.py
+++ b/fescuerudder/jobs/estimates.py
@@ -18,6 +18,14 @@
     def __init__(self) -> None:
         self._shares: dict[str, float] = {}
 
+    def dump(self) -> dict[str, float]:
+        """Returns the learned shares, to be stored."""
+        return {image: round(share, 3) for image, share in self._shares.items()}
+
+    def restore(self, shares: dict[str, float]) -> None:
+        """Takes shares that an earlier leader learned."""
+        self._shares.update(shares)
+
     def observe(self, attempt: Attempt) -> None:
         """Learns from the latest report on an attempt at full speed."""
         spec = attempt.task.step.spec
--- a/fescuerudder/jobs/headroom.py
+++ b/fescuerudder/jobs/headroom.py
@@ -10,6 +10,8 @@
 drifts with the load of the job and so stays uncertain; the effects of images settle.
 """
 
+from typing import Any
+
 import attrs
 
 from fescuerudder.jobs.job import Step
@@ -112,6 +114,18 @@
         self._readings: dict[Attempt, Reading] = {}
         self._fillers: dict[str, dict[Attempt, _Filler]] = {}
 
+    def dump(self) -> list[list[Any]]:
+        """Returns the learned effects, to be stored."""
+        return [
+            [filler, guarded, round(effect.mean, 2), round(effect.variance, 2)]
+            for (filler, guarded), effect in self._effects.items()
+        ]
+
+    def restore(self, rows: list[list[Any]]) -> None:
+        """Takes effects that an earlier leader learned."""
+        for filler, guarded, mean, variance in rows:
+            self._effects[(filler, guarded)] = _Effect(mean=float(mean), variance=float(variance))
+
     def loss(self, *, filler: Step, guarded: Step, share: float) -> float:
         """Returns the headroom that a best-effort task takes.
 
--- a/fescuerudder/jobs/jobplacement.py
+++ b/fescuerudder/jobs/jobplacement.py
@@ -1,6 +1,7 @@
 """Chooses the worker for each task of a step."""
 
 import heapq
+import json
 from collections import Counter
 from collections.abc import Iterable
 
@@ -10,6 +11,7 @@
 from fescuerudder.jobs.estimates import Estimates
 from fescuerudder.jobs.headroom import Headrooms
 from fescuerudder.jobs.job import Step
+from fescuerudder.jobs.progress import StoredFormError
 from fescuerudder.jobs.workerbook import WorkerBook
 
 ROUNDING = 1e-9
@@ -54,6 +56,24 @@
     estimates: Estimates = attrs.Factory(Estimates)
     headrooms: Headrooms = attrs.Factory(Headrooms)
 
+    def dump(self) -> bytes:
+        """Returns the stored form."""
+        raw = {"estimates": self.estimates.dump(), "effects": self.headrooms.dump()}
+        return json.dumps(raw, separators=(",", ":")).encode()
+
+    def restore(self, data: bytes) -> None:
+        """Takes what an earlier leader stored.
+
+        Raises:
+            StoredFormError: the data is malformed.
+        """
+        try:
+            raw = json.loads(data)
+            self.estimates.restore(raw["estimates"])
+            self.headrooms.restore(raw["effects"])
+        except (ValueError, KeyError, TypeError) as exc:
+            raise StoredFormError(f"malformed knowledge: {type(exc).__name__}") from exc
+
 
 @attrs.define(eq=False, kw_only=True)
 class Load:
--- a/fescuerudder/jobs/jobrun.py
+++ b/fescuerudder/jobs/jobrun.py
@@ -51,7 +51,8 @@
         percent: progress of its work, see `RunningAttempt`.
         latency_ms: last reported tail latency, 0 if none.
         processors: cores that it was last seen to use, 0 if unknown.
-        throttle: share of its speed at which it was told to work, in percent.
+        throttle: share of its speed at which it was told to work, in percent; None if an
+            earlier leader may have told it.
         stop_sent_s: when a stop was last sent.
     """
 
@@ -66,7 +67,7 @@
     percent: int = 0
     latency_ms: float = 0.0
     processors: float = 0.0
-    throttle: int = FULL_SPEED
+    throttle: int | None = FULL_SPEED
     stop_sent_s: float | None = None
 
 
--- a/fescuerudder/jobs/leader.py
+++ b/fescuerudder/jobs/leader.py
@@ -15,7 +15,7 @@
 from fescuerudder.jobs.claim import Claim
 from fescuerudder.jobs.configview import ConfigView
 from fescuerudder.jobs.leaderwrites import LeadershipLostError, LeaderWrites
-from fescuerudder.jobs.progress import StoredJob
+from fescuerudder.jobs.progress import StoredFormError, StoredJob
 from fescuerudder.jobs.rows import HistoryLostError, RowStore
 from fescuerudder.jobs.scheduler import Order, ProgressBatch, Scheduler
 from fescuerudder.jobs.storage import CLAIM, JOBS
@@ -46,6 +46,7 @@
 LOAD_THREADS = 8
 ORDER_THREADS = 24
 MAX_RENEWAL_THREADS = 256
+WRITE_ASK_S = 5.0
 
 CONFIRMED_FOR_S = 7.0
 """Time after the last stored heartbeat for which the leader goes on giving orders."""
@@ -138,6 +139,7 @@
         scheduler: the decisions.
         send: carries out an order.
         may_order: whether the leadership was confirmed lately.
+        on_superseded: called once a worker has orders of a later leader.
     """
 
     def __init__(
@@ -146,8 +148,10 @@
         scheduler: Scheduler,
         send: Callable[[Order], None],
         may_order: Callable[[], bool],
+        on_superseded: Callable[[], None],
     ) -> None:
         super().__init__()
+        self._on_superseded = on_superseded
         self._scheduler = scheduler
         self._send = send
         self._may_order = may_order
@@ -161,6 +165,8 @@
             if self.actor_inbox.empty() and self._may_order():
                 for order in self._scheduler.plan():
                     self._send(order)
+            if self._scheduler.is_superseded:
+                self._on_superseded()
         except Exception:
             _log.exception("scheduling event failed", event=type(message).__name__)
         return None
@@ -270,7 +276,10 @@
     def __enter__(self) -> "LeaderTerm":
         loaded = self._load()
         self._ref = SchedulerActor.start(
-            scheduler=self._scheduler, send=self._send, may_order=self._may_order
+            scheduler=self._scheduler,
+            send=self._send,
+            may_order=self._may_order,
+            on_superseded=lambda: self._lose("a worker has orders of a later leader"),
         )
         for loop in (self._tick, self._write, self._read_registry):
             self._run(loop)
@@ -309,6 +318,8 @@
         for run in loaded.live:
             scheduler.restore(run)
         scheduler.visible.update(loaded.ended)
+        if loaded.knowledge is not None:
+            self._restore_knowledge(loaded.knowledge)
         scheduler.cancel(loaded.cancels)
         scheduler.set_workers(self._registry.read())
         _log.info(
@@ -320,6 +331,12 @@
         )
         return loaded
 
+    def _restore_knowledge(self, data: bytes) -> None:
+        try:
+            self._scheduler.world.known.restore(data)
+        except StoredFormError as exc:
+            _log.error("knowledge can't be read", reason=str(exc))
+
     def _run(self, target: Callable[[], None]) -> None:
         thread = threading.Thread(target=target, daemon=True)
         self._threads.append(thread)
@@ -424,8 +441,8 @@
                     self._writes.settle()
                     is_settled = True
                 if batch is None:
-                    batch, pending = self.ask(_take_batch, timeout_s=WRITE_ASK_S)
-                self._writes.write(batch.rows, pending=pending)
+                    batch = self.ask(Scheduler.take_progress, timeout_s=WRITE_ASK_S)
+                self._writes.write(batch.rows, pending=batch.pending, knowledge=batch.knowledge)
             except LeadershipLostError as exc:
                 self._lose(str(exc))
                 return
@@ -451,13 +468,8 @@
                 return
 
     def _lose(self, reason: str) -> None:
+        if self.lost.is_set():
+            return
         _log.warning("leadership lost", reason=reason)
         self._stopping.set()
         self.lost.set()
-
-
-WRITE_ASK_S = 5.0
-
-
-def _take_batch(scheduler: Scheduler) -> tuple[ProgressBatch, dict[str, int]]:
-    return scheduler.take_progress(), scheduler.pending()
--- a/fescuerudder/jobs/leaderwrites.py
+++ b/fescuerudder/jobs/leaderwrites.py
@@ -18,13 +18,13 @@
     RowStore,
     RowsTxn,
 )
-from fescuerudder.jobs.storage import CLAIM, HEARTBEAT, progress_key
+from fescuerudder.jobs.storage import CLAIM, HEARTBEAT, KNOWLEDGE, progress_key
 
 WRITE_TIMEOUT_S = 1.5
 """Time for one attempt to write; a slow store takes most of a second."""
 
-ROWS_PER_TXN = MAX_TXN_ROWS - 3
-"""Progress rows of one transaction; the claim and the heartbeat take the others."""
+ROWS_PER_TXN = MAX_TXN_ROWS - 4
+"""Progress rows of one transaction; the leader's own rows take the others."""
 
 _log = structlog.get_logger(__name__)
 
@@ -63,8 +63,10 @@
         self._open: RowsTxn | None = None
         self.confirmed_s = clock.now_s()
 
-    def write(self, rows: dict[str, bytes], *, pending: dict[str, int]) -> None:
-        """Stores progress rows by job id, and a heartbeat.
+    def write(
+        self, rows: dict[str, bytes], *, pending: dict[str, int], knowledge: bytes | None = None
+    ) -> None:
+        """Stores progress rows by job id, a heartbeat and, unless None, what was learned.
 
         After a StoreOutcomeUnknownError call `settle` until it returns; the rows of the
         transaction in doubt are stored then, later ones of the call are not.
@@ -87,8 +89,10 @@
                 puts=(
                     (HEARTBEAT, dump(beat)),
                     *((progress_key(name), rows[name]) for name in part),
+                    *(((KNOWLEDGE, knowledge),) if knowledge is not None else ()),
                 ),
             )
+            knowledge = None
             self.settle()
 
     def settle(self) -> None:
--- a/fescuerudder/jobs/reports.py
+++ b/fescuerudder/jobs/reports.py
@@ -154,6 +154,7 @@
             token=book.token,
             sent_s=now_s,
             confirmed_s=now_s,
+            throttle=None,
         )
         self._world.add_attempt(attempt)
         if not task.step.job.begun:
--- a/fescuerudder/jobs/scheduler.py
+++ b/fescuerudder/jobs/scheduler.py
@@ -35,6 +35,9 @@
 
 RETRY_RENEWAL_S = 0.2
 RESEND_STOP_S = 0.5
+KNOWLEDGE_S = 2.0
+"""Time between two writes of what was learned about tasks."""
+
 FULL_S = 0.3
 """Time without starts on a worker that refused one for want of room."""
 
@@ -51,11 +54,15 @@
         rows: stored progress by job id.
         states: state of each of these jobs, shown to callers once it is stored.
         serials: highest end of each worker that the rows account for, with the worker's birth.
+        pending: jobs of each queue of which no task has started.
+        knowledge: what was learned about tasks, None if it was stored lately.
     """
 
     rows: dict[str, bytes]
     states: dict[str, JobState]
     serials: dict[str, tuple[int, int]]
+    pending: dict[str, int]
+    knowledge: bytes | None
 
 
 class Scheduler:
@@ -90,6 +97,7 @@
         self.visible: dict[str, JobState] = {}
         self.is_superseded = False
         self._reported: set[str] = set()
+        self._next_knowledge_s = clock.now_s() + KNOWLEDGE_S
 
     # --- what the store says
 
@@ -240,8 +248,9 @@
 
     def _note_fence(self, book: WorkerBook, token: int) -> None:
         """A token that this leader did not raise itself belongs to a later leader."""
-        if token >= book.token:
+        if token >= book.token and not self.is_superseded:
             self.is_superseded = True
+            _log.warning("a later leader gives orders", worker=book.id, token=token)
 
     def on_stopped(self, order: StopOrder, answer: OrderAnswer) -> None:
         """Takes the answer to a stop; its effect shows in a later report."""
@@ -265,8 +274,17 @@
                 for book in self.world.books.values()
                 if book.seen_serial > book.stored_serial
             },
+            pending=self.pending(),
+            knowledge=self._dump_knowledge(),
         )
 
+    def _dump_knowledge(self) -> bytes | None:
+        now_s = self._clock.now_s()
+        if now_s < self._next_knowledge_s:
+            return None
+        self._next_knowledge_s = now_s + KNOWLEDGE_S
+        return self.world.known.dump()
+
     def on_stored(self, batch: ProgressBatch) -> None:
         """Takes note that a batch is stored: the ends in it may be acknowledged."""
         for worker, (born_ms, serial) in batch.serials.items():
@@ -278,7 +296,9 @@
     # --- what is to be done
 
     def plan(self) -> list[Order]:
-        """Returns the orders that are due now."""
+        """Returns the orders that are due now; none once a later leader is known of."""
+        if self.is_superseded:
+            return []
         now_s = self._clock.now_s()
         self._expire(now_s)
         orders: list[Order] = []
--- a/fescuerudder/jobs/storage.py
+++ b/fescuerudder/jobs/storage.py
@@ -26,6 +26,9 @@
 
 HEARTBEAT = RowKey(LEADER, LEADER_PART, "heartbeat")
 
+KNOWLEDGE = RowKey(LEADER, LEADER_PART, "knowledge")
+"""What the leaders learned about tasks."""
+
 
 def part_of(job_id: str) -> str:
     """Returns the partition of a job."""
--- a/fescuerudder/jobs/takeover.py
+++ b/fescuerudder/jobs/takeover.py
@@ -21,6 +21,8 @@
     CLAIM,
     JOB_PARTS,
     JOBS,
+    KNOWLEDGE,
+    LEADER,
     LEADER_PART,
     PROGRESS,
 )
@@ -39,12 +41,14 @@
         ended: final state of the others.
         cancels: ids of jobs whose cancellation was requested.
         version: version from which on the feed of jobs continues.
+        knowledge: what was learned about tasks, None if nothing is stored.
     """
 
     live: list[JobRun]
     ended: dict[str, JobState]
     cancels: list[str]
     version: int
+    knowledge: bytes | None = None
 
 
 def load(*, store: RowStore, clock: Clock, pool: Executor) -> Loaded:
@@ -60,14 +64,20 @@
         pages = read_part(store, table=table, part=part, timeout_s=LOAD_TIMEOUT_S)
         return [row for page in pages for row in page.rows]
 
-    places = [(PROGRESS, LEADER_PART), *((JOBS, part) for part in JOB_PARTS)]
-    progress, *jobs = list(pool.map(rows_of, places))
-    return _assemble(
+    places = [
+        (LEADER, LEADER_PART),
+        (PROGRESS, LEADER_PART),
+        *((JOBS, part) for part in JOB_PARTS),
+    ]
+    own, progress, *jobs = list(pool.map(rows_of, places))
+    loaded = _assemble(
         [row for part in jobs for row in part],
         {row.key.key: row.value for row in progress},
         clock=clock,
         version=position,
     )
+    knowledge = next((row.value for row in own if row.key == KNOWLEDGE), None)
+    return attrs.evolve(loaded, knowledge=knowledge)
 
 
 def _assemble(rows: list[Row], progress: dict[str, bytes], *, clock: Clock, version: int) -> Loaded:
--- a/fescuerudder/jobs/throttling.py
+++ b/fescuerudder/jobs/throttling.py
@@ -39,7 +39,7 @@
 def _shed(load: Load, guard: Guard, shares: dict[Attempt, float]) -> None:
     """Lowers the shares of the neighbours that take most, until the guarded task has enough."""
     losses = {attempt: load.loss(attempt.task.step.spec, guard) for attempt in shares}
-    is_slowed = any(attempt.throttle < FULL_SPEED for attempt in shares)
+    is_slowed = any(attempt.throttle != FULL_SPEED for attempt in shares)
     limit = EASY_HEADROOM if is_slowed else LEAST_HEADROOM
     if guard.undisturbed - sum(losses.values()) >= limit:
         return
@@ -52,10 +52,13 @@
     if guard.measured is not None and guard.measured < 1.0 and excess > 0.0:
         # The estimates don't explain the missed target, so any neighbour may be the cause.
         for attempt in shares:
-            shares[attempt] = min(shares[attempt], attempt.throttle / FULL_SPEED / 2)
+            current = FULL_SPEED if attempt.throttle is None else attempt.throttle
+            shares[attempt] = min(shares[attempt], current / FULL_SPEED / 2)
 
 
-def _is_due(throttle: int, percent: int) -> bool:
+def _is_due(throttle: int | None, percent: int) -> bool:
+    if throttle is None:
+        return True
     is_end = percent in (0, FULL_SPEED) and throttle != percent
     return is_end or abs(percent - throttle) >= STEP_PERCENT
 
--- a/tests/jobs/job_world.py
+++ b/tests/jobs/job_world.py
@@ -98,6 +98,8 @@
         for run in loaded.live:
             self.scheduler.restore(run)
         self.scheduler.visible.update(loaded.ended)
+        if loaded.knowledge is not None:
+            self.scheduler.world.known.restore(loaded.knowledge)
         self.scheduler.cancel(loaded.cancels)
         self.scheduler.set_workers(world.registry())
         self.feed = loaded.version
@@ -143,7 +145,9 @@
                 if now_s < self.next_beat_s and not self.scheduler.world.dirty:
                     return
                 self.batch = self.scheduler.take_progress()
-            self.writes.write(self.batch.rows, pending={})
+            self.writes.write(
+                self.batch.rows, pending=self.batch.pending, knowledge=self.batch.knowledge
+            )
         except LeadershipLostError:
             self.alive = False
             return
--- /dev/null
+++ b/tests/jobs/test_throttling.py
@@ -0,0 +1,154 @@
+"""Best-effort tasks beside tasks with a latency target: learning, placing, throttling."""
+
+import math
+import random
+
+import attrs
+import pytest
+
+from fescuerudder.document import Size
+from fescuerudder.jobs.headroom import Headrooms
+from fescuerudder.jobs.job import Job, Step, TaskId
+from fescuerudder.jobs.jobplacement import Knowledge, Load
+from fescuerudder.jobs.jobrun import Attempt, JobRun, Phase
+from fescuerudder.jobs.throttling import plan_throttles
+from fescuerudder.jobs.workerbook import WorkerBook, WorkerClock
+from fescuerudder.jobs.workerport import WorkerInfo
+
+GUARDED = Step(
+    count=4,
+    size=Size(processors=6.0, memory_mb=10),
+    image="web",
+    latency_target_ms=150,
+    long_running=True,
+)
+LIGHT = Step(count=9, size=Size(processors=3.0, memory_mb=10), image="light", best_effort=True)
+HEAVY = attrs.evolve(LIGHT, image="heavy")
+TRUE_EFFECTS = {"light": 0.5, "heavy": 20.0}
+
+
+def make_book(name="w0"):
+    info = WorkerInfo(
+        id=name,
+        born_ms=1,
+        pool="pool",
+        address="w:1",
+        zone="z",
+        rack="r",
+        labels=frozenset(),
+        capacity=Size(processors=32.0, memory_mb=100_000),
+        draining=False,
+        clock_ms=0,
+    )
+    return WorkerBook(info=info, clock=WorkerClock(reading_ms=0, read_s=0.0), token=1)
+
+
+def add(book, step, index=0, **fields):
+    """Adds a confirmed attempt of a step."""
+    job = Job(id=f"{step.image}{index}", queue="q", payload="", steps=(step,))
+    run = JobRun.create(job=job, version=1, received_s=0.0)
+    task = run.task(TaskId(job.id, 0, 0, 0))
+    attempt = Attempt(
+        task=task,
+        worker=book.id,
+        number=1,
+        phase=Phase.RUNNING,
+        token=1,
+        sent_s=0.0,
+        confirmed_s=0.0,
+        percent=100,
+        **fields,
+    )
+    task.attempts.append(attempt)
+    book.attempts[(task.id, 1)] = attempt
+    return attempt
+
+
+def headroom_of(book, phase, at_s):
+    """Returns the true headroom of a guarded task on a worker."""
+    load = 0.48 + 0.24 * math.sin(at_s / 3.2 + phase)
+    share = sum(
+        TRUE_EFFECTS[a.task.step.spec.image] * a.processors / 32.0
+        for a in book.attempts.values()
+        if a.task.step.spec.best_effort
+    )
+    return max(0.1, 6 * (1 - load) - share)
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_effects_of_images_are_learned(seed):
+    """Guards against throttling harmless neighbours and keeping harmful ones."""
+    rng = random.Random(seed)
+    rooms, books = Headrooms(), [make_book(f"w{number}") for number in range(3)]
+    guards = {b.id: [add(b, GUARDED, index=n) for n in range(3)] for b in books}
+    phases = {b.id: [rng.uniform(0, 6.3) for _ in range(3)] for b in books}
+    fillers = {b.id: [] for b in books}
+    for tick in range(80):
+        at_s = tick * 0.5
+        for book in books:
+            for guarded, phase in zip(guards[book.id], phases[book.id], strict=True):
+                guarded.latency_ms = 150 / headroom_of(book, phase, at_s)
+            rooms.read(book, now_s=at_s)
+            here = fillers[book.id]
+            if rng.random() < 0.5 and len(here) < 3:
+                spec = rng.choice((LIGHT, HEAVY))
+                here.append(add(book, spec, index=tick, processors=2.5))
+                here[-1].confirmed_s = at_s
+            elif here:
+                gone = here.pop(rng.randrange(len(here)))
+                del book.attempts[(gone.task.id, 1)]
+                # A worker reports an end at once.
+                rooms.read(book, now_s=at_s)
+    losses = {s.image: rooms.loss(filler=s, guarded=GUARDED, share=0.08) for s in (LIGHT, HEAVY)}
+    assert losses["light"] < 0.4
+    assert 0.96 < losses["heavy"] < 2.24
+
+
+def test_knowledge_survives_a_takeover():
+    """Guards against a successor that learns everything again, at the cost of the guarded."""
+    known = Knowledge()
+    known.headrooms.restore([["heavy", "web", 20.0, 1.0]])
+    known.estimates.restore({"heavy": 0.7})
+    successor = Knowledge()
+    successor.restore(known.dump())
+    assert successor.headrooms.loss(filler=HEAVY, guarded=GUARDED, share=0.1) == pytest.approx(2.0)
+    assert successor.estimates.processors(HEAVY) == pytest.approx(2.1)
+
+
+def load_with(headroom, *fillers, known=None, throttle=100):
+    """Returns the load of a worker whose guarded task has a headroom beside some fillers."""
+    known = known or Knowledge()
+    known.headrooms.restore([["heavy", "web", 12.0, 0.5], ["light", "web", 0.0, 0.5]])
+    book = make_book()
+    guarded = add(book, GUARDED)
+    for index, spec in enumerate(fillers):
+        add(book, spec, index=index, processors=3.0, throttle=throttle)
+    guarded.latency_ms = 150 / headroom
+    known.headrooms.read(book, now_s=1.0)
+    return Load.of(book, known, now_s=1.0)
+
+
+def test_only_the_harmful_neighbour_is_slowed():
+    """Guards against slowing tasks that take nothing."""
+    orders = plan_throttles(load_with(0.9, LIGHT, HEAVY))
+    assert [order.task.job for order in orders] == ["heavy1"]
+    assert orders[0].percent < 100
+
+
+def test_an_adopted_task_gets_a_throttle_of_its_own():
+    """Guards against a task that a former leader had stopped and that nobody speeds up again."""
+    orders = plan_throttles(load_with(3.0, LIGHT, HEAVY, throttle=None))
+    assert {order.percent for order in orders} == {100}
+    assert len(orders) == 2
+
+
+def test_enough_headroom_leaves_all_at_full_speed():
+    """Guards against throttles without a reason."""
+    assert plan_throttles(load_with(2.5, LIGHT, HEAVY)) == []
+
+
+@pytest.mark.parametrize(("headroom", "fits"), [(4.0, True), (1.7, False)])
+def test_a_harmful_task_goes_only_where_headroom_is_left(headroom, fits):
+    """Guards against new neighbours that push a task over its target."""
+    assert load_with(headroom).fits(HEAVY) is fits
+    assert load_with(headroom).fits(LIGHT)
