--- a/fescuerudder/codec.py
+++ b/fescuerudder/codec.py
@@ -1,30 +1,14 @@
-"""CBOR encoding of peer messages."""
+"""CBOR encoding of messages between instances."""
 
+from collections.abc import Iterable
 from typing import Any
 
 import attrs
 import cbor2
 from cattrs.preconf.cbor2 import make_converter
 
-from fescuerudder import messages
 from fescuerudder.errors import PeerError
 
-_TYPES = {
-    cls.__name__: cls
-    for cls in (
-        messages.PermitAsk,
-        messages.PermitReply,
-        messages.PermitDemand,
-        messages.PermitOffer,
-        messages.Hello,
-        messages.TaskHint,
-        messages.ViewHint,
-        messages.Handover,
-        messages.DrainNotice,
-        messages.FencedNotice,
-        messages.Accepted,
-    )
-}
 _CONVERTER = make_converter()
 
 
@@ -40,27 +24,36 @@
 
     number: int
     answer: bool
-    message: messages.Message
+    message: Any
 
 
-def encode(envelope: Envelope) -> bytes:
-    """Returns the CBOR form: an array of number, answer flag, type name and fields."""
-    name = type(envelope.message).__name__
-    fields = _CONVERTER.unstructure(envelope.message)
-    return cbor2.dumps([envelope.number, envelope.answer, name, fields])
+class MessageCodec:
+    """Codec for a set of message types.
 
-
-def decode(data: bytes) -> Envelope:
-    """Returns the envelope of a CBOR form.
-
-    Raises:
-        PeerError: the data is malformed or of an unknown type.
+    Args:
+        types: attrs classes of the messages.
     """
-    try:
-        number, answer, name, fields = cbor2.loads(data)
-        message: Any = _CONVERTER.structure(fields, _TYPES[name])
-    except Exception as exc:
-        raise PeerError(f"malformed peer message: {type(exc).__name__}") from exc
-    if not isinstance(number, int) or not isinstance(answer, bool):
-        raise PeerError("malformed peer message: bad envelope")
-    return Envelope(number=number, answer=answer, message=message)
+
+    def __init__(self, *, types: Iterable[type]) -> None:
+        self._types = {cls.__name__: cls for cls in types}
+
+    def encode(self, envelope: Envelope) -> bytes:
+        """Returns the CBOR form: an array of number, answer flag, type name and fields."""
+        name = type(envelope.message).__name__
+        fields = _CONVERTER.unstructure(envelope.message)
+        return cbor2.dumps([envelope.number, envelope.answer, name, fields])
+
+    def decode(self, data: bytes) -> Envelope:
+        """Returns the envelope of a CBOR form.
+
+        Raises:
+            PeerError: the data is malformed or of an unknown type.
+        """
+        try:
+            number, answer, name, fields = cbor2.loads(data)
+            message: Any = _CONVERTER.structure(fields, self._types[name])
+        except Exception as exc:
+            raise PeerError(f"malformed peer message: {type(exc).__name__}") from exc
+        if not isinstance(number, int) or not isinstance(answer, bool):
+            raise PeerError("malformed peer message: bad envelope")
+        return Envelope(number=number, answer=answer, message=message)
--- a/fescuerudder/httpserver.py
+++ b/fescuerudder/httpserver.py
@@ -181,6 +181,10 @@
         self._thread = threading.Thread(target=self._server.serve, name="http", daemon=True)
         self._thread.start()
 
+    def begin_drain(self) -> None:
+        """Lets the application refuse requests or close connections after their answers."""
+        self._draining.set()
+
     def drain(self, timeout_s: float) -> bool:
         """Waits until no request came for `DRAIN_QUIET_S`; returns whether all ended.
 
--- /dev/null
+++ b/fescuerudder/jobs/_loopthread.py
@@ -0,0 +1,47 @@
+"""A thread with an event loop; owned as a context manager."""
+
+import asyncio
+import threading
+from collections.abc import Callable, Coroutine
+from concurrent.futures import Future
+from typing import Any
+
+STOP_S = 2.0
+
+
+class LoopThread:
+    """Runs coroutines for callers in other threads.
+
+    Args:
+        name: name of the thread.
+    """
+
+    def __init__(self, *, name: str) -> None:
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self._run, name=name, daemon=True)
+
+    def __enter__(self) -> "LoopThread":
+        self._thread.start()
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join(timeout=STOP_S)
+
+    def run(self, coroutine: Coroutine[Any, Any, Any]) -> Future:
+        """Starts a coroutine; the future has its result."""
+        return asyncio.run_coroutine_threadsafe(coroutine, self._loop)
+
+    def call(self, func: Callable[..., None], *args: Any) -> None:
+        """Calls a function in the thread of the loop, soon."""
+        self._loop.call_soon_threadsafe(func, *args)
+
+    def _run(self) -> None:
+        asyncio.set_event_loop(self._loop)
+        try:
+            self._loop.run_forever()
+        finally:
+            for task in asyncio.all_tasks(self._loop):
+                task.cancel()
+            self._loop.run_until_complete(asyncio.sleep(0))
+            self._loop.close()
--- /dev/null
+++ b/fescuerudder/jobs/followerlink.py
@@ -0,0 +1,194 @@
+"""A follower's side of the link to the leader: states of jobs, signs of life, stored jobs."""
+
+import asyncio
+import itertools
+from collections.abc import Callable
+from concurrent.futures import Future
+from concurrent.futures import TimeoutError as FutureTimeoutError
+
+import structlog
+from websockets.asyncio.client import ClientConnection, connect
+from websockets.exceptions import InvalidStatus, WebSocketException
+
+from fescuerudder.clock import Clock
+from fescuerudder.codec import Envelope
+from fescuerudder.errors import PeerError
+from fescuerudder.jobs._loopthread import LoopThread
+from fescuerudder.jobs.claim import Claim
+from fescuerudder.jobs.jobrun import JobState
+from fescuerudder.jobs.jobstates import JobStates
+from fescuerudder.jobs.leaderlink import CLOSE_TIMEOUT_S, CODEC, MAX_MESSAGE_BYTES, UNASKED
+from fescuerudder.jobs.linkmessages import (
+    ClaimNow,
+    Follow,
+    FollowerStatus,
+    Pulse,
+    StoreJob,
+    StoreOutcome,
+)
+
+CONNECT_TIMEOUT_S = 0.8
+RETRY_S = 0.2
+STATUS_S = 0.5
+FRESH_S = 1.0
+"""Age of the last pulse up to which the leader counts as connected."""
+
+_log = structlog.get_logger(__name__)
+
+
+class FollowerLink:
+    """Keeps a connection to the leader; a context manager.
+
+    Args:
+        instance: id of this instance.
+        loop: thread for the connection.
+        clock: source of time.
+        states: where states of jobs are noted.
+        status: returns how this instance reaches the store.
+        on_claim_now: called with the epoch of a leader that asks this instance to claim.
+    """
+
+    def __init__(
+        self,
+        *,
+        instance: str,
+        loop: LoopThread,
+        clock: Clock,
+        states: JobStates,
+        status: Callable[[], FollowerStatus],
+        on_claim_now: Callable[[int], None],
+    ) -> None:
+        self._instance = instance
+        self._loop = loop
+        self._clock = clock
+        self._states = states
+        self._status = status
+        self._on_claim_now = on_claim_now
+        self._claim: Claim | None = None
+        self._conn: ClientConnection | None = None
+        self._task: asyncio.Task | None = None
+        self._numbers = itertools.count(UNASKED + 1)
+        self._questions: dict[int, Future] = {}
+        self.pending: dict[str, int] = {}
+        self.pulse_s: float | None = None
+        self.refused = False
+
+    def __enter__(self) -> "FollowerLink":
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        self._loop.call(self._stop)
+
+    @property
+    def is_fresh(self) -> bool:
+        """Whether the leader showed that it lives a moment ago."""
+        return self.pulse_s is not None and self._clock.now_s() - self.pulse_s < FRESH_S
+
+    def follow(self, claim: Claim | None) -> None:
+        """Connects to the leader that `claim` names, or to none."""
+        self._loop.call(self._follow, claim)
+
+    def store(self, message: StoreJob, *, timeout_s: float) -> str:
+        """Asks the leader to store a row; returns an outcome as in `StoreOutcome`."""
+        fut: Future = Future()
+        number = next(self._numbers)
+        self._loop.call(self._ask, number, fut, message)
+        try:
+            return fut.result(timeout=timeout_s).outcome
+        except PeerError as exc:
+            _log.debug("leader not asked", reason=str(exc))
+            return "refused"
+        except FutureTimeoutError:
+            return "unknown"
+        finally:
+            self._questions.pop(number, None)
+
+    # --- in the loop
+
+    def _stop(self) -> None:
+        if self._task is not None:
+            self._task.cancel()
+
+    def _follow(self, claim: Claim | None) -> None:
+        if claim == self._claim and self._task is not None:
+            return
+        self._stop()
+        self._claim = claim
+        self.pulse_s = None
+        self.refused = False
+        if claim is not None:
+            self._task = asyncio.get_running_loop().create_task(self._run(claim))
+
+    async def _run(self, claim: Claim) -> None:
+        while True:
+            try:
+                await self._converse(claim)
+            except (ConnectionRefusedError, InvalidStatus):
+                # The process that wrote the claim is gone, or does not lead any more.
+                self.refused = True
+            except (OSError, WebSocketException, PeerError, TimeoutError) as exc:
+                _log.debug("not connected to the leader", reason=f"{type(exc).__name__}: {exc}")
+            await asyncio.sleep(RETRY_S)
+
+    async def _converse(self, claim: Claim) -> None:
+        async with connect(
+            f"ws://{claim.address}/",
+            additional_headers={"Authorization": f"Bearer {claim.key}"},
+            proxy=None,
+            compression=None,
+            max_size=MAX_MESSAGE_BYTES,
+            open_timeout=CONNECT_TIMEOUT_S,
+            close_timeout=CLOSE_TIMEOUT_S,
+            ping_interval=None,
+        ) as conn:
+            self._conn, self.refused = conn, False
+            reporting = asyncio.create_task(self._report(conn))
+            try:
+                await conn.send(_encode(UNASKED, Follow(instance=self._instance)))
+                while True:
+                    # A connection can go silent for good without an error.
+                    self._take(claim, await asyncio.wait_for(conn.recv(decode=False), FRESH_S))
+            finally:
+                self._conn = None
+                reporting.cancel()
+                self._fail_questions()
+                conn.transport.abort()
+
+    async def _report(self, conn: ClientConnection) -> None:
+        while True:
+            await conn.send(_encode(UNASKED, self._status()))
+            await asyncio.sleep(STATUS_S)
+
+    def _take(self, claim: Claim, data: bytes) -> None:
+        envelope = CODEC.decode(data)
+        message = envelope.message
+        if isinstance(message, Pulse) and message.epoch == claim.epoch:
+            self.pulse_s = self._clock.now_s()
+            self.pending = message.pending or self.pending
+            for job_id, state in message.states.items():
+                self._states.note(job_id, JobState(state))
+        elif isinstance(message, ClaimNow):
+            self._on_claim_now(message.epoch)
+        elif isinstance(message, StoreOutcome):
+            fut = self._questions.pop(envelope.number, None)
+            if fut is not None:
+                fut.set_result(message)
+
+    def _ask(self, number: int, fut: Future, message: StoreJob) -> None:
+        conn = self._conn
+        if conn is None:
+            fut.set_exception(PeerError("not connected to the leader"))
+            return
+        self._questions[number] = fut
+        sending = asyncio.get_running_loop().create_task(conn.send(_encode(number, message)))
+        sending.add_done_callback(lambda done: done.exception())
+
+    def _fail_questions(self) -> None:
+        """Leaves the outcome of open questions unknown."""
+        for number in list(self._questions):
+            fut = self._questions.pop(number)
+            fut.set_result(StoreOutcome(outcome="unknown"))
+
+
+def _encode(number: int, message: Follow | FollowerStatus | StoreJob) -> bytes:
+    return CODEC.encode(Envelope(number=number, answer=False, message=message))
--- a/fescuerudder/jobs/intake.py
+++ b/fescuerudder/jobs/intake.py
@@ -1,8 +1,7 @@
 """Takes callers' jobs, cancellations and questions at any instance."""
 
 import threading
-from collections import OrderedDict
-from collections.abc import Callable
+from typing import Protocol
 
 import attrs
 import structlog
@@ -13,15 +12,30 @@
 from fescuerudder.jobs.claim import load_heartbeat
 from fescuerudder.jobs.job import Job
 from fescuerudder.jobs.jobrun import JobState
+from fescuerudder.jobs.jobstates import JobStates
+from fescuerudder.jobs.linkmessages import StoreJob
 from fescuerudder.jobs.progress import dump_job, load_state
-from fescuerudder.jobs.rows import ABSENT, RowConflictError, RowStore, RowsTxn
-from fescuerudder.jobs.storage import HEARTBEAT, PROGRESS, cancel_key, job_key, progress_key
+from fescuerudder.jobs.rows import ABSENT, RowConflictError, RowKey, RowStore, RowsTxn
+from fescuerudder.jobs.storage import (
+    CANCEL_SUFFIX,
+    HEARTBEAT,
+    JOBS,
+    PROGRESS,
+    job_key,
+    part_of,
+    progress_key,
+)
 
 WRITE_TIMEOUT_S = 1.0
 READ_TIMEOUT_S = 1.0
 RETRY_S = 0.1
 RETRY_AFTER_S = 1.0
-MAX_KNOWN_STATES = 20_000
+PATIENCE_S = 1.0
+"""Longest time for which a job is tried to be stored; its caller may come back soon."""
+
+STORED = "stored"
+REFUSED = "refused"
+UNKNOWN = "unknown"
 
 _log = structlog.get_logger(__name__)
 
@@ -41,27 +55,19 @@
     retry_after_s: float = RETRY_AFTER_S
 
 
-class JobStates:
-    """States of jobs as this instance knows them; bounded, the oldest are forgotten first."""
+class LeaderView(Protocol):
+    """What this instance hears from the leader, be it another instance or itself."""
 
-    def __init__(self) -> None:
-        self._states: OrderedDict[str, JobState] = OrderedDict()
-        self._lock = threading.Lock()
+    @property
+    def is_fresh(self) -> bool:
+        """Whether it hears from the leader."""
 
-    def note(self, job_id: str, state: JobState) -> None:
-        """Notes a state; a final one stays."""
-        with self._lock:
-            known = self._states.get(job_id)
-            if known is not None and known.is_final:
-                return
-            self._states[job_id] = state
-            while len(self._states) > MAX_KNOWN_STATES:
-                self._states.popitem(last=False)
+    @property
+    def pending(self) -> dict[str, int]:
+        """Number of waiting jobs of each queue."""
 
-    def get(self, job_id: str) -> JobState | None:
-        """Returns the state that was last noted."""
-        with self._lock:
-            return self._states.get(job_id)
+    def store(self, message: StoreJob, *, timeout_s: float) -> str:
+        """Asks the leader to store a row; returns an outcome as in `StoreOutcome`."""
 
 
 class JobIntake:
@@ -71,7 +77,7 @@
         store: the store.
         clock: source of time.
         states: what this instance knows of jobs.
-        ask_leader: returns the state of a job if the leader is here and knows it.
+        leader: what it hears from the leader.
     """
 
     def __init__(
@@ -80,12 +86,12 @@
         store: RowStore,
         clock: Clock,
         states: JobStates,
-        ask_leader: Callable[[str], JobState | None],
+        leader: LeaderView,
     ) -> None:
         self._store = store
         self._clock = clock
         self._states = states
-        self._ask_leader = ask_leader
+        self._leader = leader
 
     def submit(self, job: Job, *, deadline_s: float) -> Result[None, Refusal]:
         """Stores a job once; Ok means that it is stored, by this call or an earlier one.
@@ -94,54 +100,44 @@
             job: the job.
             deadline_s: end of the caller's patience, on this instance's clock.
         """
-        key = job_key(job.id)
-        txn = RowsTxn(expects=((key, ABSENT),), puts=((key, dump_job(job)),))
-        return self._write(txn, job_id=job.id, deadline_s=deadline_s)
+        row = StoreJob(key=job.id, value=dump_job(job), creates=True)
+        stored = self._write(row, job_id=job.id, deadline_s=deadline_s)
+        if stored.is_ok():
+            self._states.note(job.id, JobState.QUEUED)
+        return stored
 
     def cancel(self, job_id: str, *, deadline_s: float) -> Result[bool, Refusal]:
         """Stores the request to cancel a job; Ok(False) means that there is no such job."""
-        key = job_key(job_id)
-        try:
-            page = self._store.read(
-                table=key.table,
-                part=key.part,
-                first=job_id,
-                end=job_id + "\0",
-                timeout_s=READ_TIMEOUT_S,
-            )
-        except StoreUnavailableError as exc:
-            return Err(Refusal(reason=str(exc)))
-        if not page.rows:
-            return Ok(False)
-        txn = RowsTxn(puts=((cancel_key(job_id), b"{}"),))
-        return self._write(txn, job_id=job_id, deadline_s=deadline_s).map(lambda _: True)
-
-    def _write(self, txn: RowsTxn, *, job_id: str, deadline_s: float) -> Result[None, Refusal]:
+        known = self.state(job_id)
+        if known.is_err() or known.ok() is None:
+            return known.map(lambda _: False)
+        if known.ok().is_final:
+            return Ok(True)
+        row = StoreJob(key=job_id + CANCEL_SUFFIX, value=b"{}", creates=False)
+        return self._write(row, job_id=job_id, deadline_s=deadline_s).map(lambda _: True)
+
+    def _write(self, row: StoreJob, *, job_id: str, deadline_s: float) -> Result[None, Refusal]:
         """Writes until the outcome is known or the caller's time is up."""
-        is_unknown = False
-        while True:
-            left_s = deadline_s - self._clock.now_s()
-            if left_s <= 0:
-                break
-            try:
-                self._store.write(txn, timeout_s=min(WRITE_TIMEOUT_S, left_s))
-            except RowConflictError:
-                _log.info("job stored before", job=job_id)
+        end_s = min(deadline_s, self._clock.now_s() + PATIENCE_S)
+        outcomes = set()
+        while (left_s := end_s - self._clock.now_s()) > 0:
+            timeout_s = min(WRITE_TIMEOUT_S, left_s)
+            outcome = store_row(self._store, row, timeout_s=timeout_s)
+            if outcome != STORED and self._leader.is_fresh:
+                outcomes.add(outcome)
+                outcome = self._leader.store(row, timeout_s=timeout_s)
+            if outcome == STORED:
                 return Ok(None)
-            except StoreOutcomeUnknownError as exc:
-                is_unknown, reason = True, str(exc)
-            except StoreUnavailableError as exc:
-                reason = str(exc)
-            else:
-                return Ok(None)
-            _log.warning("job not stored yet", job=job_id, reason=reason, unknown=is_unknown)
+            outcomes.add(outcome)
+            _log.warning("not stored yet", job=job_id, row=row.key, outcomes=sorted(outcomes))
             self._clock.wait_s(threading.Event(), min(RETRY_S, max(0.0, left_s)))
-        return Err(Refusal(reason="store not reached in time", ran=None if is_unknown else False))
+        ran = None if UNKNOWN in outcomes else False
+        return Err(Refusal(reason="store not reached in time", ran=ran))
 
     def state(self, job_id: str) -> Result[JobState | None, Refusal]:
         """Returns the state of a job; Ok(None) means that there is no such job."""
-        known = self._ask_leader(job_id) or self._states.get(job_id)
-        if known is not None and known.is_final:
+        known = self._states.get(job_id)
+        if known is not None and (known.is_final or self._leader.is_fresh):
             return Ok(known)
         try:
             state = self._read_state(job_id)
@@ -167,6 +163,8 @@
 
     def pending(self, queue: str) -> Result[int, Refusal]:
         """Returns the number of jobs of a queue of which no task has started."""
+        if self._leader.is_fresh:
+            return Ok(self._leader.pending.get(queue, 0))
         try:
             page = self._store.read(
                 table=HEARTBEAT.table, part=HEARTBEAT.part, timeout_s=READ_TIMEOUT_S
@@ -175,3 +173,21 @@
             return Err(Refusal(reason=str(exc)))
         beats = [load_heartbeat(row.value) for row in page.rows if row.key == HEARTBEAT]
         return Ok(beats[0].pending.get(queue, 0) if beats else 0)
+
+
+def store_row(store: RowStore, row: StoreJob, *, timeout_s: float) -> str:
+    """Stores a row of the table of jobs; returns an outcome as in `StoreOutcome`."""
+    key = RowKey(JOBS, part_of(row.key.removesuffix(CANCEL_SUFFIX)), row.key)
+    expects = ((key, ABSENT),) if row.creates else ()
+    try:
+        store.write(RowsTxn(expects=expects, puts=((key, row.value),)), timeout_s=timeout_s)
+    except RowConflictError:
+        # The caller sent the job again: it is stored already.
+        return STORED
+    except StoreUnavailableError as exc:
+        _log.info("store did not take a row", row=row.key, reason=str(exc))
+        return REFUSED
+    except StoreOutcomeUnknownError as exc:
+        _log.info("store may have taken a row", row=row.key, reason=str(exc))
+        return UNKNOWN
+    return STORED
--- a/fescuerudder/jobs/leader.py
+++ b/fescuerudder/jobs/leader.py
@@ -14,6 +14,7 @@
 from fescuerudder.errors import StoreOutcomeUnknownError, StoreUnavailableError
 from fescuerudder.jobs.claim import Claim
 from fescuerudder.jobs.configview import ConfigView
+from fescuerudder.jobs.jobrun import JobState
 from fescuerudder.jobs.leaderwrites import LeadershipLostError, LeaderWrites
 from fescuerudder.jobs.progress import StoredFormError, StoredJob
 from fescuerudder.jobs.rows import HistoryLostError, RowStore
@@ -35,7 +36,7 @@
 )
 from fescuerudder.jobs.world import Term
 
-HEARTBEAT_S = 0.5
+HEARTBEAT_S = 0.4
 WRITE_PAUSE_S = 0.05
 """Least time between two writes, so that one transaction takes the progress of many tasks."""
 
@@ -231,6 +232,8 @@
         claim_version: version of its row.
         lease_s: length of the leases in seconds.
         view: returns the configuration.
+        publish: told of states of jobs that are stored, and of the number of waiting jobs of
+            each queue, None if unchanged.
     """
 
     def __init__(
@@ -245,8 +248,10 @@
         claim_version: int,
         lease_s: float,
         view: Callable[[], ConfigView],
+        publish: Callable[[dict[str, JobState], dict[str, int] | None], None],
     ) -> None:
         self._store = store
+        self._publish = publish
         self._workers = workers
         self._registry = registry
         self._clock = clock
@@ -293,20 +298,19 @@
         if self._ref is not None:
             self._ref.stop(block=False)
 
+    @property
+    def unconfirmed_s(self) -> float:
+        """Time since the last stored heartbeat was sent, in seconds."""
+        return self._clock.now_s() - self._writes.confirmed_s
+
+    def states(self) -> dict[str, JobState]:
+        """Returns the states of all jobs, as far as they are stored."""
+        return self._scheduler.visible.copy()
+
     def configure(self, view: ConfigView) -> None:
         """Takes a new configuration."""
         self._tell(_Configured(view=view))
 
-    def ask(self, question: Callable[[Scheduler], Any], *, timeout_s: float) -> Any:
-        """Returns what `question` returns, asked in the scheduler's thread.
-
-        Raises:
-            pykka.Timeout: the scheduler is busy.
-            pykka.ActorDeadError: the term has ended.
-        """
-        assert self._ref is not None
-        return self._ref.ask(question, timeout=timeout_s)
-
     def _load(self) -> Loaded:
         with ThreadPoolExecutor(LOAD_THREADS, thread_name_prefix="load") as pool:
             loaded = load(store=self._store, clock=self._clock, pool=pool)
@@ -322,6 +326,7 @@
             self._restore_knowledge(loaded.knowledge)
         scheduler.cancel(loaded.cancels)
         scheduler.set_workers(self._registry.read())
+        self._publish(scheduler.visible.copy(), scheduler.pending())
         _log.info(
             "jobs loaded",
             live=len(loaded.live),
@@ -350,8 +355,7 @@
                 _log.debug("event after the end of the term")
 
     def _may_order(self) -> bool:
-        age_s = self._clock.now_s() - self._writes.confirmed_s
-        return age_s < CONFIRMED_FOR_S and not self._stopping.is_set()
+        return self.unconfirmed_s < CONFIRMED_FOR_S and not self._stopping.is_set()
 
     # --- orders
 
@@ -419,6 +423,7 @@
             jobs, cancels = split_job_rows(list(changes.rows))
             if jobs or cancels:
                 self._tell(_Submitted(jobs=jobs, cancels=cancels))
+                self._publish({stored.job.id: JobState.QUEUED for stored in jobs}, None)
 
     def _reload(self) -> int:
         """Reads all jobs anew; returns the version to go on from."""
@@ -441,7 +446,7 @@
                     self._writes.settle()
                     is_settled = True
                 if batch is None:
-                    batch = self.ask(Scheduler.take_progress, timeout_s=WRITE_ASK_S)
+                    batch = self._take_batch()
                 self._writes.write(batch.rows, pending=batch.pending, knowledge=batch.knowledge)
             except LeadershipLostError as exc:
                 self._lose(str(exc))
@@ -456,10 +461,15 @@
             except (pykka.Timeout, pykka.ActorDeadError):
                 continue
             self._tell(_Stored(batch=batch))
+            self._publish(batch.states, batch.pending)
             batch = None
             self._clock.wait_s(self._stopping, WRITE_PAUSE_S)
             self._wait_for_progress()
 
+    def _take_batch(self) -> ProgressBatch:
+        assert self._ref is not None
+        return self._ref.ask(Scheduler.take_progress, timeout=WRITE_ASK_S)
+
     def _wait_for_progress(self) -> None:
         """Waits until there is something to store or a heartbeat is due."""
         end_s = self._clock.now_s() + HEARTBEAT_S
--- /dev/null
+++ b/fescuerudder/jobs/leaderlink.py
@@ -0,0 +1,233 @@
+"""The leader's side of the link: tells followers what is new and stores jobs for them."""
+
+import asyncio
+import hmac
+from collections.abc import Callable
+from http import HTTPStatus
+from typing import Any
+
+import attrs
+import structlog
+from websockets.asyncio.server import Server, ServerConnection, broadcast, serve
+from websockets.exceptions import WebSocketException
+from websockets.http11 import Request, Response
+
+from fescuerudder.clock import Clock
+from fescuerudder.codec import Envelope, MessageCodec
+from fescuerudder.errors import PeerError
+from fescuerudder.jobs._loopthread import LoopThread
+from fescuerudder.jobs.claim import Claim
+from fescuerudder.jobs.jobrun import JobState
+from fescuerudder.jobs.linkmessages import (
+    LINK_TYPES,
+    ClaimNow,
+    Follow,
+    FollowerStatus,
+    Pulse,
+    StoreJob,
+    StoreOutcome,
+)
+
+PULSE_S = 0.25
+"""Time between two signs of life."""
+
+STATES_PER_PULSE = 2000
+MAX_MESSAGE_BYTES = 1024 * 1024
+OPEN_TIMEOUT_S = 2.0
+CLOSE_TIMEOUT_S = 0.2
+STATUS_FRESH_S = 1.5
+UNASKED = 0
+"""Number of messages that get no answer."""
+
+CODEC = MessageCodec(types=LINK_TYPES)
+
+_log = structlog.get_logger(__name__)
+
+
+@attrs.define(eq=False, kw_only=True)
+class _Follower:
+    """A connected follower."""
+
+    instance: str
+    conn: ServerConnection
+    status: FollowerStatus | None = None
+    status_s: float = 0.0
+
+
+@attrs.frozen(kw_only=True)
+class LinkSource:
+    """What the link tells of a term.
+
+    Args:
+        claim: the claim of the term.
+        states: returns the states of all jobs.
+        store: stores a row of a follower; returns an outcome as in `StoreOutcome`.
+    """
+
+    claim: Claim
+    states: Callable[[], dict[str, JobState]]
+    store: Callable[[StoreJob], str]
+
+
+class LeaderLink:
+    """Serves followers while this instance leads; a context manager.
+
+    Args:
+        address: `ip:port` to listen on.
+        loop: thread for all connections.
+        clock: source of time.
+    """
+
+    def __init__(self, *, address: str, loop: LoopThread, clock: Clock) -> None:
+        self._host, _, port = address.rpartition(":")
+        self._port = int(port)
+        self._loop = loop
+        self._clock = clock
+        self._server: Server | None = None
+        self._source: LinkSource | None = None
+        self._followers: dict[ServerConnection, _Follower] = {}
+        self._news: dict[str, str] = {}
+        self._pending: dict[str, int] = {}
+        self._pulsing: asyncio.Task | None = None
+
+    def __enter__(self) -> "LeaderLink":
+        self._loop.run(self._open()).result(timeout=OPEN_TIMEOUT_S)
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        self._loop.run(self._close())
+
+    def activate(self, source: LinkSource) -> None:
+        """Begins to serve followers for a term."""
+        self._loop.call(self._set_source, source)
+
+    def deactivate(self) -> None:
+        """Ends the term: closes all connections."""
+        self._loop.call(self._set_source, None)
+
+    def publish(self, states: dict[str, JobState], pending: dict[str, int] | None) -> None:
+        """Tells followers of states that are stored now, with the next pulse.
+
+        Args:
+            states: states by job id.
+            pending: waiting jobs of each queue, None if unchanged.
+        """
+        news = {job_id: state.value for job_id, state in states.items()}
+        self._loop.call(self._note, news, pending)
+
+    def find_successor(self) -> str | None:
+        """Returns the follower that reaches the store and suits best, if there is one."""
+        fit = [f for f in self._followers.values() if self._reaches_store(f)]
+        best = min(fit, key=lambda f: (f.status.rank_s, f.instance), default=None)
+        return best.instance if best is not None else None
+
+    def ask_to_claim(self, instance: str, *, epoch: int) -> None:
+        """Asks a follower to claim the leadership at once."""
+        self._loop.call(self._send_claim_now, instance, epoch)
+
+    def _reaches_store(self, follower: _Follower) -> bool:
+        status = follower.status
+        if status is None:
+            return False
+        age_s = status.store_age_s + self._clock.now_s() - follower.status_s
+        return age_s < STATUS_FRESH_S
+
+    # --- in the loop
+
+    async def _open(self) -> None:
+        self._server = await serve(
+            self._serve,
+            self._host,
+            self._port,
+            process_request=self._authorize,
+            compression=None,
+            max_size=MAX_MESSAGE_BYTES,
+            open_timeout=OPEN_TIMEOUT_S,
+            close_timeout=CLOSE_TIMEOUT_S,
+            ping_interval=None,
+        )
+        self._pulsing = asyncio.create_task(self._pulse())
+
+    async def _close(self) -> None:
+        if self._pulsing is not None:
+            self._pulsing.cancel()
+        if self._server is not None:
+            self._server.close()
+
+    def _set_source(self, source: LinkSource | None) -> None:
+        self._source = source
+        self._news.clear()
+        for conn in list(self._followers):
+            conn.transport.abort()
+
+    def _note(self, news: dict[str, str], pending: dict[str, int] | None) -> None:
+        self._news.update(news)
+        if pending is not None:
+            self._pending = pending
+
+    def _authorize(self, conn: ServerConnection, req: Request) -> Response | None:
+        if self._source is None:
+            return conn.respond(HTTPStatus.SERVICE_UNAVAILABLE, "not the leader\n")
+        given = req.headers.get("Authorization", "")
+        if hmac.compare_digest(given.encode(), f"Bearer {self._source.claim.key}".encode()):
+            return None
+        return conn.respond(HTTPStatus.UNAUTHORIZED, "wrong key\n")
+
+    async def _serve(self, conn: ServerConnection) -> None:
+        try:
+            hello = CODEC.decode(await conn.recv(decode=False)).message
+            if not isinstance(hello, Follow) or self._source is None:
+                return
+            # First, so that nothing that is stored meanwhile is missed.
+            self._followers[conn] = _Follower(instance=hello.instance, conn=conn)
+            await self._send_all_states(conn, self._source)
+            _log.info("follower connected", follower=hello.instance)
+            async for data in conn:
+                await self._take(self._followers[conn], CODEC.decode(data))
+        except PeerError as exc:
+            _log.warning("message of a follower refused", reason=str(exc))
+        except (WebSocketException, OSError) as exc:
+            _log.debug("connection of a follower ended", reason=str(exc))
+        finally:
+            gone = self._followers.pop(conn, None)
+            if gone is not None:
+                _log.info("follower gone", follower=gone.instance)
+
+    async def _send_all_states(self, conn: ServerConnection, source: LinkSource) -> None:
+        states = [(job_id, state.value) for job_id, state in source.states().items()]
+        for first in range(0, len(states), STATES_PER_PULSE):
+            part = dict(states[first : first + STATES_PER_PULSE])
+            await conn.send(_told(Pulse(epoch=source.claim.epoch, states=part)))
+
+    async def _take(self, follower: _Follower, envelope: Envelope) -> None:
+        message = envelope.message
+        if isinstance(message, FollowerStatus):
+            follower.status, follower.status_s = message, self._clock.now_s()
+        elif isinstance(message, StoreJob) and self._source is not None:
+            task = asyncio.create_task(self._store(follower, envelope.number, message))
+            task.add_done_callback(lambda done: done.exception())
+
+    async def _store(self, follower: _Follower, number: int, message: StoreJob) -> None:
+        source = self._source
+        if source is None:
+            return
+        outcome = await asyncio.to_thread(source.store, message)
+        answer = Envelope(number=number, answer=True, message=StoreOutcome(outcome=outcome))
+        await follower.conn.send(CODEC.encode(answer))
+
+    async def _pulse(self) -> None:
+        while True:
+            await asyncio.sleep(PULSE_S)
+            if self._source is None:
+                continue
+            news, self._news = self._news, {}
+            pulse = Pulse(epoch=self._source.claim.epoch, states=news, pending=self._pending)
+            broadcast(list(self._followers), _told(pulse))
+
+    def _send_claim_now(self, instance: str, epoch: int) -> None:
+        conns = [f.conn for f in self._followers.values() if f.instance == instance]
+        broadcast(conns, _told(ClaimNow(epoch=epoch)))
+
+
+def _told(message: Any) -> bytes:
+    return CODEC.encode(Envelope(number=UNASKED, answer=False, message=message))
--- a/fescuerudder/jobs/leadership.py
+++ b/fescuerudder/jobs/leadership.py
@@ -1,4 +1,4 @@
-"""Who leads: watches the leader's heartbeat, claims the leadership, runs the term."""
+"""Who leads: watches the leader, claims the leadership, runs the term, hands it over."""
 
 import random
 import secrets
@@ -11,18 +11,27 @@
 from fescuerudder.clock import Clock
 from fescuerudder.errors import PlatformError, StoreOutcomeUnknownError, StoreUnavailableError
 from fescuerudder.jobs.claim import Claim, Heartbeat, dump, load_claim, load_heartbeat
+from fescuerudder.jobs.followerlink import FollowerLink
 from fescuerudder.jobs.leader import LeaderTerm
+from fescuerudder.jobs.leaderlink import LeaderLink, LinkSource
+from fescuerudder.jobs.linkmessages import StoreJob
 from fescuerudder.jobs.progress import StoredFormError
 from fescuerudder.jobs.rows import ABSENT, RowConflictError, RowStore, RowsTxn
 from fescuerudder.jobs.storage import CLAIM, HEARTBEAT
 
-WATCH_S = 0.5
+WATCH_S = 0.25
 STORE_TIMEOUT_S = 1.0
 
-SILENT_S = 2.0
-"""Time without a new heartbeat after which the leader counts as gone."""
+SILENT_S = 1.3
+"""Time without a sign of life after which the leader counts as gone."""
 
-MAX_RANK_DELAY_S = 1.0
+REFUSED_S = 0.5
+"""The same if its address refuses connections as well."""
+
+SLOW_STORE_FACTOR = 4.0
+"""A slow store delays heartbeats too: so many of its answer times are waited for in addition."""
+
+MAX_RANK_S = 1.0
 JITTER_S = 0.1
 DISTANCE_FACTOR = 15.0
 """Seconds of delay for each second that a read of the store takes: the nearest claims first."""
@@ -30,6 +39,15 @@
 RELEASED_COUNT = -1
 """Count of the heartbeat that tells of a release."""
 
+UNCONFIRMED_S = 0.9
+"""Time without a stored heartbeat after which a leader looks for a successor."""
+
+ASK_AGAIN_S = 0.8
+HANDOVER_S = 1.2
+"""Longest time that a planned handover waits for the successor's claim."""
+
+LEAD_POLL_S = 0.1
+
 _log = structlog.get_logger(__name__)
 
 TermFactory = Callable[[Claim, int], LeaderTerm]
@@ -37,19 +55,19 @@
 
 @attrs.define(kw_only=True)
 class _Sighting:
-    """What was last seen of the leader.
+    """What was last seen of the leader in the store.
 
     Args:
         claim: the claim, None before the first one.
         claim_version: version of its row.
         beat: epoch and count of the heartbeat.
-        since_s: when this heartbeat was first seen.
+        since_s: when this heartbeat was first seen, None before the first look.
     """
 
     claim: Claim | None = None
     claim_version: int = ABSENT
     beat: tuple[int, int] | None = None
-    since_s: float = 0.0
+    since_s: float | None = None
 
 
 class Leadership:
@@ -62,6 +80,9 @@
         clock: source of time.
         rng: source of the jitter.
         make_term: creates the term of a successful claim.
+        leader_link: serves followers while this instance leads.
+        follower_link: follows the leader otherwise.
+        store_for_follower: stores a row for a follower that the store turns away.
         handicap_s: delay of this instance's claims, for a slow machine.
     """
 
@@ -74,6 +95,9 @@
         clock: Clock,
         rng: random.Random,
         make_term: TermFactory,
+        leader_link: LeaderLink,
+        follower_link: FollowerLink,
+        store_for_follower: Callable[[StoreJob], str],
         handicap_s: float = 0.0,
     ) -> None:
         self._instance = instance
@@ -82,9 +106,14 @@
         self._clock = clock
         self._rng = rng
         self._make_term = make_term
+        self._leader_link = leader_link
+        self._link = follower_link
+        self._store_for_follower = store_for_follower
         self._handicap_s = handicap_s
         self._seen = _Sighting()
-        self._distance_s = 0.0
+        self._distance_s: float | None = None
+        self._asked_epoch = 0
+        self._wake = threading.Event()
         self._stopping = threading.Event()
         self._thread = threading.Thread(target=self._run, name="leadership", daemon=True)
         self.term: LeaderTerm | None = None
@@ -94,16 +123,25 @@
         return self
 
     def __exit__(self, *exc_info: object) -> None:
+        self.step_down()
+
+    def step_down(self) -> None:
+        """Hands the leadership over if this instance has it; it claims no more."""
         self._stopping.set()
-        term = self.term
-        if term is not None:
-            term.lost.set()
-        self._thread.join(timeout=STORE_TIMEOUT_S * 2)
+        self._wake.set()
+        if self._thread.is_alive():
+            self._thread.join(timeout=HANDOVER_S + STORE_TIMEOUT_S)
 
     @property
-    def claim(self) -> Claim | None:
-        """The claim that was last seen."""
-        return self._seen.claim
+    def rank_s(self) -> float:
+        """Delay of this instance's claims; the lowest one suits best as the leader."""
+        distance_s = MAX_RANK_S if self._distance_s is None else self._distance_s
+        return min(MAX_RANK_S, distance_s * DISTANCE_FACTOR) + self._handicap_s
+
+    def claim_now(self, epoch: int) -> None:
+        """Claims at once, at the request of the leader of `epoch`."""
+        self._asked_epoch = epoch
+        self._wake.set()
 
     def _run(self) -> None:
         while not self._stopping.is_set():
@@ -113,15 +151,18 @@
                 _log.warning("leadership not known", reason=str(exc))
             except Exception:
                 _log.exception("leadership step failed")
-            self._clock.wait_s(self._stopping, WATCH_S)
+            self._clock.wait_s(self._wake, WATCH_S)
+            self._wake.clear()
 
     def _step(self) -> None:
+        is_asked = self._asked_epoch > 0
+        if self._link.is_fresh and not is_asked:
+            return
         self._look()
-        seen = self._seen
         if not self._is_claimable():
             return
         claim = Claim(
-            epoch=(seen.claim.epoch if seen.claim else 0) + 1,
+            epoch=(self._seen.claim.epoch if self._seen.claim else 0) + 1,
             instance=self._instance,
             address=self._address,
             key=secrets.token_hex(16),
@@ -137,70 +178,125 @@
             table=HEARTBEAT.table, part=HEARTBEAT.part, timeout_s=STORE_TIMEOUT_S
         )
         now_s = self._clock.now_s()
-        self._distance_s = now_s - started_s
+        self._note_distance(now_s - started_s)
         beats = [load_heartbeat(row.value) for row in page.rows if row.key == HEARTBEAT]
         beat = (beats[0].epoch, beats[0].count) if beats else None
-        if beat != self._seen.beat or self._seen.since_s == 0.0:
-            last, self._seen.beat = self._seen.beat, beat
-            self._seen.since_s = now_s
-            if last is None or beat is None or beat[0] != last[0] or beat[1] == RELEASED_COUNT:
-                self._read_claim()
+        last = self._seen.beat
+        if self._seen.since_s is not None and beat == last:
+            return
+        self._seen.beat, self._seen.since_s = beat, now_s
+        if last is None or beat is None or beat[0] != last[0] or beat[1] == RELEASED_COUNT:
+            self._read_claim()
+
+    def _note_distance(self, distance_s: float) -> None:
+        known = distance_s if self._distance_s is None else self._distance_s
+        self._distance_s = min(distance_s, known + (distance_s - known) / 4)
 
     def _read_claim(self) -> None:
         page = self._store.read(table=CLAIM.table, part=CLAIM.part, timeout_s=STORE_TIMEOUT_S)
         for row in page.rows:
-            if row.key == CLAIM:
-                try:
-                    self._seen.claim = load_claim(row.value)
-                except StoredFormError as exc:
-                    _log.error("claim can't be read", reason=str(exc))
-                self._seen.claim_version = row.version
+            if row.key != CLAIM:
+                continue
+            try:
+                self._seen.claim = load_claim(row.value)
+            except StoredFormError as exc:
+                _log.error("claim can't be read", reason=str(exc))
+            self._seen.claim_version = row.version
+        claim = self._seen.claim
+        if claim is not None and claim.instance != self._instance and not claim.released:
+            self._link.follow(claim)
 
     def _is_claimable(self) -> bool:
-        rank_s = min(MAX_RANK_DELAY_S, self._distance_s * DISTANCE_FACTOR) + self._handicap_s
-        wait_s = rank_s + self._rng.uniform(0.0, JITTER_S)
-        if self._seen.claim is not None and not self._seen.claim.released:
-            wait_s += SILENT_S
-        return self._clock.now_s() - self._seen.since_s >= wait_s
+        seen = self._seen
+        assert seen.since_s is not None
+        claim = seen.claim
+        if claim is not None and self._asked_epoch == claim.epoch:
+            return True
+        self._asked_epoch = 0
+        wait_s = self.rank_s + self._rng.uniform(0.0, JITTER_S)
+        alive_s = seen.since_s
+        if claim is not None and not claim.released:
+            is_gone = self._link.refused or claim.instance == self._instance
+            wait_s += REFUSED_S if is_gone else SILENT_S
+            wait_s += SLOW_STORE_FACTOR * (self._distance_s or 0.0)
+            alive_s = max(alive_s, self._link.pulse_s or 0.0)
+        return self._clock.now_s() - alive_s >= wait_s
 
     def _claim(self, claim: Claim) -> int | None:
         """Writes the claim; returns its version, or None if another one came first."""
+        self._asked_epoch = 0
         beat = Heartbeat(epoch=claim.epoch, count=0)
         txn = RowsTxn(
             expects=((CLAIM, self._seen.claim_version),),
             puts=((CLAIM, dump(claim)), (HEARTBEAT, dump(beat))),
         )
-        silent_s = self._clock.now_s() - self._seen.since_s
+        silent_s = self._clock.now_s() - (self._seen.since_s or 0.0)
         try:
             version = self._store.write(txn, timeout_s=STORE_TIMEOUT_S)
         except RowConflictError as exc:
             row = next((row for row in exc.rows if row.key == CLAIM), None)
             if row is None or row.value != dump(claim):
-                self._seen.since_s = 0.0
+                self._forget()
                 _log.info("claim refused", epoch=claim.epoch)
                 return None
             version = row.version
         _log.warning(
-            "leadership claimed", epoch=claim.epoch, version=version, silent_s=round(silent_s, 3)
+            "leadership claimed",
+            epoch=claim.epoch,
+            version=version,
+            silent_s=round(silent_s, 3),
+            refused=self._link.refused,
         )
         self._seen.claim, self._seen.claim_version = claim, version
         return version
 
+    def _forget(self) -> None:
+        """Makes the next look read everything anew."""
+        self._seen.since_s = None
+        self._seen.beat = None
+
     def _lead(self, claim: Claim, version: int) -> None:
+        self._link.follow(None)
         term = self._make_term(claim, version)
         try:
             with term:
                 self.term = term
-                while not term.lost.is_set() and not self._stopping.is_set():
-                    self._clock.wait_s(term.lost, WATCH_S)
+                source = LinkSource(claim=claim, states=term.states, store=self._store_for_follower)
+                self._leader_link.activate(source)
+                self._watch(claim, term)
+                if self._stopping.is_set() and not term.lost.is_set():
+                    self._hand_over(claim, term)
         finally:
             self.term = None
-            self._seen.since_s = 0.0
-            self._seen.beat = None
-        _log.warning("term ended", epoch=claim.epoch, lost=not self._stopping.is_set())
-        if self._stopping.is_set():
+            self._leader_link.deactivate()
+            self._forget()
+        _log.warning("term ended", epoch=claim.epoch, lost=term.lost.is_set())
+        if not term.lost.is_set():
             self._release(claim, version)
 
+    def _watch(self, claim: Claim, term: LeaderTerm) -> None:
+        """Waits for the end of the term; looks for a successor while the store turns it away."""
+        asked_s = 0.0
+        while not term.lost.is_set() and not self._stopping.is_set():
+            now_s = self._clock.now_s()
+            if term.unconfirmed_s > UNCONFIRMED_S and now_s - asked_s > ASK_AGAIN_S:
+                asked_s = now_s
+                self._ask_successor(claim, reason="store not reached")
+            self._clock.wait_s(term.lost, LEAD_POLL_S)
+
+    def _hand_over(self, claim: Claim, term: LeaderTerm) -> None:
+        """Leads on until a successor has claimed, so that nothing stands still."""
+        if self._ask_successor(claim, reason="planned stop"):
+            self._clock.wait_s(term.lost, HANDOVER_S)
+
+    def _ask_successor(self, claim: Claim, *, reason: str) -> bool:
+        successor = self._leader_link.find_successor()
+        if successor is None:
+            return False
+        _log.warning("successor asked", successor=successor, epoch=claim.epoch, reason=reason)
+        self._leader_link.ask_to_claim(successor, epoch=claim.epoch)
+        return True
+
     def _release(self, claim: Claim, version: int) -> None:
         """Lets others claim at once."""
         released = dump(attrs.evolve(claim, released=True))
--- /dev/null
+++ b/fescuerudder/jobs/linkmessages.py
@@ -0,0 +1,83 @@
+"""Messages between the leader and the other instances."""
+
+import attrs
+
+
+@attrs.frozen(kw_only=True)
+class Follow:
+    """First message of a follower.
+
+    Args:
+        instance: its id.
+    """
+
+    instance: str
+
+
+@attrs.frozen(kw_only=True)
+class FollowerStatus:
+    """Tells the leader how a follower reaches the store.
+
+    Args:
+        store_age_s: time since its last successful call, in seconds.
+        rank_s: delay with which it would claim; the lowest suits best as a successor.
+    """
+
+    store_age_s: float
+    rank_s: float
+
+
+@attrs.frozen(kw_only=True)
+class Pulse:
+    """Shows followers that the leader lives, and what is new.
+
+    Args:
+        epoch: number of its term.
+        states: states of jobs that are stored and were not told yet, by job id.
+        pending: jobs of each queue of which no task has started.
+    """
+
+    epoch: int
+    states: dict[str, str] = attrs.Factory(dict)
+    pending: dict[str, int] = attrs.Factory(dict)
+
+
+@attrs.frozen(kw_only=True)
+class ClaimNow:
+    """Asks a follower to claim the leadership at once.
+
+    Args:
+        epoch: epoch of the leader that asks.
+    """
+
+    epoch: int
+
+
+@attrs.frozen(kw_only=True)
+class StoreJob:
+    """Asks the leader to store a row for a follower that the store turns away.
+
+    Args:
+        key: key of the row in the table of jobs.
+        value: its value.
+        creates: it must not exist yet.
+    """
+
+    key: str
+    value: bytes
+    creates: bool
+
+
+@attrs.frozen(kw_only=True)
+class StoreOutcome:
+    """Answer to `StoreJob`.
+
+    Args:
+        outcome: `stored`, `refused` if it certainly was not, or `unknown`.
+    """
+
+    outcome: str
+
+
+LINK_TYPES = (Follow, FollowerStatus, Pulse, ClaimNow, StoreJob, StoreOutcome)
+"""All messages, for the codec."""
--- a/fescuerudder/jobs/node.py
+++ b/fescuerudder/jobs/node.py
@@ -9,35 +9,49 @@
 from typing import Any
 
 import attrs
-import pykka
 import structlog
 
 from fescuerudder.clock import Clock
 from fescuerudder.httpserver import HttpServer
+from fescuerudder.jobs._loopthread import LoopThread
 from fescuerudder.jobs.claim import Claim
 from fescuerudder.jobs.configview import ConfigSource, ConfigView
 from fescuerudder.jobs.configwatch import ConfigWatch
-from fescuerudder.jobs.intake import JobIntake, JobStates
+from fescuerudder.jobs.followerlink import FollowerLink
+from fescuerudder.jobs.intake import JobIntake, store_row
 from fescuerudder.jobs.jobrun import JobState
+from fescuerudder.jobs.jobstates import JobStates
 from fescuerudder.jobs.leader import LeaderTerm, WorkerRegistry
+from fescuerudder.jobs.leaderlink import LeaderLink
 from fescuerudder.jobs.leadership import Leadership
+from fescuerudder.jobs.linkmessages import FollowerStatus, StoreJob
 from fescuerudder.jobs.nodesettings import NodeSettings
 from fescuerudder.jobs.rows import RowStore
+from fescuerudder.jobs.watchedstore import WatchedStore
 from fescuerudder.jobs.workerport import WorkerPort
 from fescuerudder.kernel import Kernel
 from fescuerudder.service import OwnerService
 
 CALLER_THREADS = 16
 HEALTH_THREADS = 2
+RELAY_TIMEOUT_S = 1.0
 LEASE_S = 5.0
 """A new leader needs up to four seconds to renew the leases of its predecessor."""
 
-FRESH_S = 3.0
+READY_AGE_S = 3.0
+"""Age of the last answer of the store up to which an instance without a leader is ready."""
+
 SIGNAL_POLL_S = 0.5
 STOP_MARGIN_S = 1.5
 """Time between the end of a planned stop and the kill."""
 
-ASK_S = 0.5
+UNREADY_S = 3.2
+"""Time for which new connections still arrive after the first failed health check."""
+
+HANDICAP_S = 0.3
+HANDICAP_FREE = 0.5
+MAX_HANDICAP_S = 1.0
+"""A slow machine claims later: by HANDICAP_S x (1 / cores - HANDICAP_FREE)."""
 
 _log = structlog.get_logger(__name__)
 
@@ -61,6 +75,38 @@
     make_app: Callable[["JobNode"], Any]
 
 
+class LeaderNews:
+    """What an instance hears from the leader, be it another instance or itself.
+
+    Args:
+        link: link to another leader.
+        is_leading: whether this instance leads.
+    """
+
+    def __init__(self, *, link: FollowerLink, is_leading: Callable[[], bool]) -> None:
+        self._link = link
+        self._is_leading = is_leading
+        self._pending: dict[str, int] = {}
+
+    @property
+    def is_fresh(self) -> bool:
+        """Whether it hears from the leader."""
+        return self._is_leading() or self._link.is_fresh
+
+    @property
+    def pending(self) -> dict[str, int]:
+        """Number of waiting jobs of each queue."""
+        return self._pending if self._is_leading() else self._link.pending
+
+    def note_pending(self, pending: dict[str, int]) -> None:
+        """Notes the waiting jobs while this instance leads."""
+        self._pending = pending
+
+    def store(self, message: StoreJob, *, timeout_s: float) -> str:
+        """Asks another leader to store a row; see `FollowerLink.store`."""
+        return self._link.store(message, timeout_s=timeout_s)
+
+
 class JobNode:
     """All parts of one instance; a context manager that runs them.
 
@@ -73,19 +119,14 @@
     def __init__(self, *, cfg: NodeSettings, ports: Ports, clock: Clock) -> None:
         self._cfg = cfg
         self._ports = ports
-        self.clock = clock
+        self._clock = clock
         self._kernel = Kernel()
+        self._states = JobStates()
+        self._store = WatchedStore(store=ports.store, clock=clock)
         self.config = ConfigWatch(source=ports.config, clock=clock, on_change=self._configure)
-        self._leadership = Leadership(
-            instance=cfg.instance,
-            address=f"{cfg.ip}:{cfg.first_port}",
-            store=ports.store,
-            clock=clock,
-            rng=random.Random(uuid.uuid4().int),
-            make_term=self._make_term,
-        )
+        self._build_leadership()
         self.intake = JobIntake(
-            store=ports.store, clock=clock, states=JobStates(), ask_leader=self._ask_leader
+            store=self._store, clock=clock, states=self._states, leader=self._news
         )
         self._callers = HttpServer(
             address=cfg.callers, threads=CALLER_THREADS, app=ports.make_app(self), clock=clock
@@ -96,7 +137,10 @@
 
     def __enter__(self) -> "JobNode":
         for name, owner in (
+            ("loop", self._loop),
             ("config", self.config),
+            ("leader-link", self._leader_link),
+            ("follower-link", self._follower_link),
             ("leadership", self._leadership),
             ("callers", self._callers),
             ("health", self._health),
@@ -115,50 +159,89 @@
     def drain(self) -> None:
         """Hands the leadership over and finishes callers' requests."""
         _log.info("planned stop begins")
-        self._leadership.__exit__()
-        self._callers.drain(self._cfg.grace_s - STOP_MARGIN_S)
+        end_s = self._clock.now_s() + self._cfg.grace_s - STOP_MARGIN_S
+        quiet_s = self._clock.now_s() + UNREADY_S
+        self._callers.begin_drain()
+        self._leadership.step_down()
+        self._clock.wait_s(threading.Event(), max(0.0, quiet_s - self._clock.now_s()))
+        is_idle = self._callers.drain(end_s - self._clock.now_s())
+        _log.info("planned stop drained", idle=is_idle)
+
+    def _build_leadership(self) -> None:
+        cfg, clock = self._cfg, self._clock
+        address = f"{cfg.ip}:{cfg.first_port}"
+        slowness = HANDICAP_S * (1 / cfg.cores - HANDICAP_FREE)
+        self._loop = LoopThread(name="links")
+        self._leader_link = LeaderLink(address=address, loop=self._loop, clock=clock)
+        self._follower_link = FollowerLink(
+            instance=cfg.instance,
+            loop=self._loop,
+            clock=clock,
+            states=self._states,
+            status=self._read_status,
+            on_claim_now=lambda epoch: self._leadership.claim_now(epoch),
+        )
+        self._leadership = Leadership(
+            instance=cfg.instance,
+            address=address,
+            store=self._store,
+            clock=clock,
+            rng=random.Random(uuid.uuid4().int),
+            make_term=self._make_term,
+            leader_link=self._leader_link,
+            follower_link=self._follower_link,
+            store_for_follower=self._store_for_follower,
+            handicap_s=max(0.0, min(MAX_HANDICAP_S, slowness)),
+        )
+        self._news = LeaderNews(
+            link=self._follower_link, is_leading=lambda: self._leadership.term is not None
+        )
+
+    def _read_status(self) -> FollowerStatus:
+        return FollowerStatus(store_age_s=self._store.age_s, rank_s=self._leadership.rank_s)
 
     def _make_term(self, claim: Claim, version: int) -> LeaderTerm:
         ports = self._ports
         return LeaderTerm(
-            store=ports.store,
+            store=self._store,
             workers=ports.workers,
             registry=ports.registry,
-            clock=self.clock,
+            clock=self._clock,
             wall_ms=lambda: time.time() * 1000,
             claim=claim,
             claim_version=version,
             lease_s=min(LEASE_S, self._cfg.max_lease_s),
             view=lambda: self.config.view,
+            publish=self._publish,
         )
 
+    def _publish(self, states: dict[str, JobState], pending: dict[str, int] | None) -> None:
+        for job_id, state in states.items():
+            self._states.note(job_id, state)
+        if pending is not None:
+            self._news.note_pending(pending)
+        self._leader_link.publish(states, pending)
+
     def _configure(self, view: ConfigView) -> None:
         term = self._leadership.term
         if term is not None:
             term.configure(view)
 
-    def _ask_leader(self, job_id: str) -> JobState | None:
-        term = self._leadership.term
-        if term is None:
-            return None
-        try:
-            return term.ask(lambda scheduler: scheduler.visible.get(job_id), timeout_s=ASK_S)
-        except (pykka.Timeout, pykka.ActorDeadError):
-            return None
-
     def _serve_health(self, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
         """WSGI application of the health address."""
-        confirmed_s = self.config.confirmed_s
         is_ready = (
             not self.is_draining
             and self.config.view.manifest is not None
-            and confirmed_s is not None
-            and self.clock.now_s() - confirmed_s < FRESH_S
+            and (self._news.is_fresh or self._store.age_s < READY_AGE_S)
         )
         status = "200 OK" if is_ready else "503 Service Unavailable"
         start_response(status, [("Content-Length", "0")])
         return [b""]
 
+    def _store_for_follower(self, message: StoreJob) -> str:
+        """Stores a row for a follower that the store turns away."""
+        return store_row(self._store, message, timeout_s=RELAY_TIMEOUT_S)
+
 
 def run_node(cfg: NodeSettings, ports: Ports, clock: Clock) -> int:
     """Runs an instance until SIGTERM; returns the exit code."""
--- a/fescuerudder/messages.py
+++ b/fescuerudder/messages.py
@@ -127,6 +127,21 @@
     """Answer to a message that needs no data back."""
 
 
+MESSAGE_TYPES = (
+    PermitAsk,
+    PermitReply,
+    PermitDemand,
+    PermitOffer,
+    Hello,
+    TaskHint,
+    ViewHint,
+    Handover,
+    DrainNotice,
+    FencedNotice,
+    Accepted,
+)
+"""All messages, for the codec."""
+
 Message = (
     PermitAsk
     | PermitReply
--- a/fescuerudder/peers.py
+++ b/fescuerudder/peers.py
@@ -21,9 +21,9 @@
 from websockets.sync.server import Server, ServerConnection, serve
 
 from fescuerudder.clock import Clock
-from fescuerudder.codec import Envelope, decode, encode
+from fescuerudder.codec import Envelope, MessageCodec
 from fescuerudder.errors import PeerError
-from fescuerudder.messages import Hello, Message
+from fescuerudder.messages import MESSAGE_TYPES, Hello, Message
 
 MAX_MESSAGE_BYTES = 256 * 1024
 PING_INTERVAL_S = 2.0
@@ -46,6 +46,8 @@
 
 Handler = Callable[[str, Message], Message]
 
+_CODEC = MessageCodec(types=MESSAGE_TYPES)
+
 _log = structlog.get_logger(__name__)
 
 
@@ -124,11 +126,11 @@
 
     def _serve(self, conn: ServerConnection) -> None:
         try:
-            hello = decode(conn.recv(timeout=OPEN_TIMEOUT_S, decode=False)).message
+            hello = _CODEC.decode(conn.recv(timeout=OPEN_TIMEOUT_S, decode=False)).message
             if not isinstance(hello, Hello):
                 raise PeerError("first message is not Hello")
             for data in conn:
-                self._accept(conn, hello.instance, decode(data))
+                self._accept(conn, hello.instance, _CODEC.decode(data))
         except (PeerError, TimeoutError) as exc:
             _log.warning("peer connection refused", reason=str(exc))
         except WebSocketException as exc:
@@ -146,7 +148,8 @@
         try:
             answer = self._handler(instance, envelope.message)
             if envelope.number != UNANSWERED:
-                conn.send(encode(Envelope(number=envelope.number, answer=True, message=answer)))
+                envelope = Envelope(number=envelope.number, answer=True, message=answer)
+                conn.send(_CODEC.encode(envelope))
         except WebSocketException:
             _log.debug("answer not sent, connection ended", peer=instance)
         except Exception:
@@ -294,7 +297,7 @@
         if since_s is not None and self._clock.now_s() - since_s > SEND_STUCK_S:
             raise PeerError("peer does not read")
         try:
-            envelope = decode(wire.conn.recv(timeout=RECEIVE_WAIT_S, decode=False))
+            envelope = _CODEC.decode(wire.conn.recv(timeout=RECEIVE_WAIT_S, decode=False))
         except TimeoutError:
             return
         fut = wire.questions.pop(envelope.number, None)
@@ -312,7 +315,7 @@
 
 
 def _question(number: int, message: Message) -> bytes:
-    return encode(Envelope(number=number, answer=False, message=message))
+    return _CODEC.encode(Envelope(number=number, answer=False, message=message))
 
 
 def _cut(conn: ClientConnection) -> None:
