Share the headroom estimate among the tasks of a job; spare processors; patience

Prior and slopes were too slow for loads that swing in 10 s. Light images were kept out by their overestimated effects. Ruled out: siblings on several workers (worse than together: their loads then leave no common window), a bound for throttling of 1.4 (no less harm), half of the renewal wait everywhere (now only where headroom is short).

--- a/fescuerudder/jobs/estimates.py
+++ b/fescuerudder/jobs/estimates.py
@@ -6,9 +6,11 @@
 WEIGHT = 0.1
 """Weight of a new reading in the moving average."""
 
-SERVING_SHARE = 0.6
-"""Share of its reservation that a task with a latency target uses; its report does not tell."""
+IDLE_HEADROOM = 6.0
+"""Headroom at which a task with a latency target would have no load at all; its report does not
+tell what it uses."""
 
+LEAST_GUARDED_SHARE = 0.2
 LEAST_SHARE = 0.3
 
 
@@ -36,7 +38,15 @@
         self._shares[spec.image] = known + WEIGHT * (share - known)
 
     def processors(self, spec: Step) -> float:
-        """Returns the processors that a task of a step will use if it can."""
-        if spec.latency_target_ms:
-            return spec.size.processors * SERVING_SHARE
+        """Returns the processors that a task without a latency target will use if it can."""
         return spec.size.processors * self._shares.get(spec.image, 1.0)
+
+    def guarded_processors(self, spec: Step, *, undisturbed: float) -> float:
+        """Returns the processors that a task with a latency target uses.
+
+        Args:
+            spec: its step.
+            undisturbed: its headroom without best-effort neighbours; it falls with the load.
+        """
+        share = 1.0 - undisturbed / IDLE_HEADROOM
+        return spec.size.processors * max(LEAST_GUARDED_SHARE, min(1.0, share))
--- a/fescuerudder/jobs/headroom.py
+++ b/fescuerudder/jobs/headroom.py
@@ -4,10 +4,11 @@
 twice as fast. A tail grows with the reciprocal of the idle share of what a task needs, so what
 several neighbours take of the headroom adds up.
 
-Each report gives one equation: headroom = undisturbed headroom - sum of effect x share. Both sides
-of the sum are estimated together, as by a Kalman filter without its covariances: what a report
-does not confirm corrects each estimate in proportion to its uncertainty. The undisturbed headroom
-drifts with the load of the job and so stays uncertain; the effects of images settle.
+Each report gives one equation for each such task: headroom = undisturbed headroom of its job - sum
+of effect x share. All are estimated together, as by a Kalman filter without its covariances: what a
+report does not confirm corrects each estimate in proportion to its uncertainty. The undisturbed
+headroom follows the load of the job, which its tasks on all workers share, and so stays uncertain;
+the effects of images settle.
 """
 
 from typing import Any
@@ -15,10 +16,10 @@
 import attrs
 
 from fescuerudder.jobs.job import Step
-from fescuerudder.jobs.jobrun import Attempt
+from fescuerudder.jobs.jobrun import Attempt, StepRun
 from fescuerudder.jobs.workerbook import WorkerBook
 
-PRIOR_EFFECT = 8.0
+PRIOR_EFFECT = 4.0
 """Headroom that a best-effort image takes, before it is known, with all of a worker."""
 
 PRIOR_DEVIATION = 12.0
@@ -29,49 +30,87 @@
 LEAST_SHRINKAGE = 0.05
 """Share of its variance that an effect keeps in one report, at least."""
 
-DRIFT = 0.35
-"""Standard deviation of the change of an undisturbed headroom in a second."""
+DRIFT = 0.15
+"""Standard deviation of the change of an undisturbed headroom in a second, beyond its slope."""
 
-NOISE = 0.15
+SLOPE_DRIFT = 0.4
+"""Standard deviation of the change of its slope in a second."""
+
+NOISE = 0.3
 RELATIVE_NOISE = 0.05
+ROUNDING_MS = 0.3
+"""Standard deviation of a tail latency that is reported in whole milliseconds."""
+
+OUTLIER = 3.0
+"""Standard deviations beyond which a report counts less."""
+
+PRIOR_VARIANCE = 0.3
+PRIOR_SLOPE_VARIANCE = 0.1
+LEAST_SLOPE_SHRINKAGE = 0.2
 MAX_HEADROOM = 8.0
+MAX_SLOPE = 1.2
 MEASURED_S = 0.5
 """Time that the figures of a report cover."""
 
-LEAST_INTERVAL_S = 0.05
-"""Reports that follow each other more closely tell the same."""
-
-MAX_SLOPE = 0.5
-"""Headroom that a change of a job's load takes or gives in a second, at most."""
-
 UNKNOWN_HEADROOM = 2.0
-"""Assumed of a task that was not reported at work yet."""
+"""Assumed of a job that was not reported at work yet."""
 
 AT_WORK = 100
 """Progress, in percent, from which a long-running task is at work."""
 
 
+@attrs.frozen(kw_only=True)
+class Measurement:
+    """What the last report said of a task with a latency target.
+
+    Args:
+        headroom: its headroom.
+        missed_since_s: since when it misses its target, None if it meets it.
+    """
+
+    headroom: float
+    missed_since_s: float | None
+
+
 @attrs.define(kw_only=True)
-class Reading:
-    """Headroom of a long-running task by the reports so far.
+class _Undisturbed:
+    """Headroom that the tasks of a job have without best-effort neighbours.
 
     Args:
-        undisturbed: estimated headroom without best-effort neighbours.
-        variance: variance of that estimate.
-        measured: headroom that was reported last.
-        slope: change of the undisturbed one per second.
+        headroom: estimate.
+        variance: variance of the estimate.
+        slope: change per second.
+        slope_variance: variance of the slope.
         read_s: time of the last report.
     """
 
-    undisturbed: float
+    headroom: float
     variance: float
-    measured: float
     slope: float
+    slope_variance: float
     read_s: float
 
+    def pass_time(self, now_s: float) -> float:
+        """Moves the estimate on; returns the time that has passed, in seconds."""
+        passed_s = max(0.0, now_s - self.read_s)
+        self.headroom += self.slope * passed_s
+        self.variance += self.slope_variance * passed_s**2 + DRIFT**2 * passed_s
+        self.slope_variance += SLOPE_DRIFT**2 * passed_s
+        self.read_s = max(self.read_s, now_s)
+        return passed_s
+
+    def correct(self, surprise: float, total: float, passed_s: float) -> None:
+        """Takes its part of a surprise of variance `total`."""
+        gain = self.variance / total
+        slope_gain = self.slope_variance * passed_s / total
+        self.headroom = max(0.0, min(MAX_HEADROOM, self.headroom + gain * surprise))
+        self.slope = max(-MAX_SLOPE, min(MAX_SLOPE, self.slope + slope_gain * surprise))
+        self.variance *= 1 - gain
+        self.slope_variance *= max(LEAST_SLOPE_SHRINKAGE, 1 - slope_gain * passed_s)
+
     def expected(self, at_s: float) -> float:
-        """Returns the undisturbed headroom expected at a time; a rise is not counted on."""
-        return self.undisturbed + min(0.0, self.slope) * (at_s - self.read_s)
+        """Returns the headroom expected at a time; a rise is not counted on."""
+        return self.headroom + min(0.0, self.slope) * (at_s - self.read_s)
 
 
 @attrs.define(kw_only=True)
@@ -81,6 +120,13 @@
     mean: float = PRIOR_EFFECT
     variance: float = PRIOR_DEVIATION**2
 
+    def correct(self, surprise: float, total: float, share: float) -> None:
+        """Takes its part of a surprise of variance `total`; a loss makes it larger."""
+        gain = self.variance * share / total
+        self.mean = max(0.0, min(MAX_EFFECT, self.mean - gain * surprise))
+        shrinkage = max(LEAST_SHRINKAGE, 1 - gain * share)
+        self.variance = max(LEAST_VARIANCE, self.variance * shrinkage)
+
 
 @attrs.define(kw_only=True)
 class _Filler:
@@ -111,7 +157,8 @@
 
     def __init__(self) -> None:
         self._effects: dict[tuple[str, str], _Effect] = {}
-        self._readings: dict[Attempt, Reading] = {}
+        self._jobs: dict[StepRun, _Undisturbed] = {}
+        self._measured: dict[Attempt, Measurement] = {}
         self._fillers: dict[str, dict[Attempt, _Filler]] = {}
 
     def dump(self) -> list[list[Any]]:
@@ -139,13 +186,12 @@
 
     def expected(self, attempt: Attempt, *, at_s: float) -> float:
         """Returns the headroom of a task at a time if it had no best-effort neighbours."""
-        reading = self._readings.get(attempt)
-        return UNKNOWN_HEADROOM if reading is None else reading.expected(at_s)
+        job = self._jobs.get(attempt.task.step)
+        return UNKNOWN_HEADROOM if job is None else job.expected(at_s)
 
-    def measured(self, attempt: Attempt) -> float | None:
-        """Returns the headroom of a task in the last report, None without one."""
-        reading = self._readings.get(attempt)
-        return None if reading is None else reading.measured
+    def measured(self, attempt: Attempt) -> Measurement | None:
+        """Returns what the last report said of a task, None without one."""
+        return self._measured.get(attempt)
 
     def read(self, book: WorkerBook, *, now_s: float) -> None:
         """Takes the figures in a worker's latest report and learns from them."""
@@ -156,12 +202,10 @@
                 self._read(attempt, target / attempt.latency_ms, shares, now_s)
 
     def forget_ended(self) -> None:
-        """Drops the readings of attempts that are no longer live."""
-        self._readings = {
-            attempt: reading
-            for attempt, reading in self._readings.items()
-            if attempt in attempt.task.attempts
-        }
+        """Drops the figures of jobs and tasks that no longer run."""
+        self._measured = {a: m for a, m in self._measured.items() if a in a.task.attempts}
+        live = {attempt.task.step for attempt in self._measured}
+        self._jobs = {step: job for step, job in self._jobs.items() if step in live}
 
     def _note_fillers(self, book: WorkerBook, now_s: float) -> list[tuple[Step, float]]:
         """Returns the best-effort tasks of the time that the report covers, with their shares."""
@@ -187,45 +231,33 @@
         found = [(self._effect(filler, spec), share) for filler, share in shares if share > 0]
         loss = sum(effect.mean * share for effect, share in found)
         doubt = sum(effect.variance * share * share for effect, share in found)
-        last = self._readings.get(attempt)
-        if last is None:
-            self._readings[attempt] = Reading(
-                undisturbed=min(MAX_HEADROOM, headroom + loss),
-                variance=NOISE**2 + doubt,
-                measured=headroom,
+        self._measure(attempt, headroom, now_s)
+        job = self._jobs.get(attempt.task.step)
+        if job is None:
+            self._jobs[attempt.task.step] = _Undisturbed(
+                headroom=min(MAX_HEADROOM, headroom + loss),
+                variance=PRIOR_VARIANCE + doubt,
                 slope=0.0,
+                slope_variance=PRIOR_SLOPE_VARIANCE,
                 read_s=now_s,
             )
-        elif now_s - last.read_s >= LEAST_INTERVAL_S:
-            self._correct(last, headroom, loss, doubt, found, now_s)
-
-    def _correct(
-        self,
-        reading: Reading,
-        headroom: float,
-        loss: float,
-        doubt: float,
-        found: list[tuple[_Effect, float]],
-        now_s: float,
-    ) -> None:
-        """Corrects the undisturbed headroom and the effects by a report."""
-        passed_s = now_s - reading.read_s
-        variance = reading.variance + DRIFT**2 * passed_s
-        noise = NOISE**2 + (RELATIVE_NOISE * headroom) ** 2
-        total = variance + doubt + noise
-        surprise = headroom - max(0.0, reading.undisturbed - loss)
+            return
+        passed_s = job.pass_time(now_s)
+        surprise = headroom - max(0.0, job.headroom - loss)
+        rounding = ROUNDING_MS * headroom**2 / spec.latency_target_ms
+        noise = NOISE**2 + (RELATIVE_NOISE * headroom) ** 2 + rounding**2
+        total = max(job.variance + doubt + noise, (surprise / OUTLIER) ** 2)
+        job.correct(surprise, total, passed_s)
         for effect, share in found:
-            gain = effect.variance * share / total
-            effect.mean = max(0.0, min(MAX_EFFECT, effect.mean - gain * surprise))
-            shrinkage = max(LEAST_SHRINKAGE, 1 - gain * share)
-            effect.variance = max(LEAST_VARIANCE, effect.variance * shrinkage)
-        change = variance / total * surprise
-        slope = max(-MAX_SLOPE, min(MAX_SLOPE, change / passed_s))
-        reading.slope += (slope - reading.slope) * min(1.0, passed_s)
-        reading.undisturbed = max(0.0, min(MAX_HEADROOM, reading.undisturbed + change))
-        reading.variance = variance * (1 - variance / total)
-        reading.measured = headroom
-        reading.read_s = now_s
+            effect.correct(surprise, total, share)
+
+    def _measure(self, attempt: Attempt, headroom: float, now_s: float) -> None:
+        last = self._measured.get(attempt)
+        missed_since_s = None
+        if headroom < 1.0:
+            was_missed = last is not None and last.missed_since_s is not None
+            missed_since_s = last.missed_since_s if was_missed else now_s - MEASURED_S
+        self._measured[attempt] = Measurement(headroom=headroom, missed_since_s=missed_since_s)
 
     def _effect(self, filler: Step, guarded: Step) -> _Effect:
         return self._effects.setdefault((filler.image, guarded.image), _Effect())
--- a/fescuerudder/jobs/jobrun.py
+++ b/fescuerudder/jobs/jobrun.py
@@ -140,6 +140,7 @@
         state: state of its progress; callers see it once it is stored.
         begun: a task has been started at some time.
         cancel_requested: a caller asked for its cancellation.
+        chain_ms: estimated work on the longest chain of steps, in milliseconds.
         steps: the steps of all occurrences.
         dirty: its progress differs from what is stored.
     """
@@ -150,13 +151,15 @@
     state: JobState = JobState.QUEUED
     begun: bool = False
     cancel_requested: bool = False
+    chain_ms: int = 0
     steps: dict[tuple[int, int], StepRun] = attrs.Factory(dict)
     dirty: bool = False
 
     @classmethod
     def create(cls, *, job: Job, version: int, received_s: float) -> "JobRun":
         """Returns a job none of whose tasks has started."""
-        run = cls(job=job, version=version, received_s=received_s)
+        chain_ms = _chain_ms(job)
+        run = cls(job=job, version=version, received_s=received_s, chain_ms=chain_ms)
         for occurrence in range(job.occurrences):
             for number, spec in enumerate(job.steps):
                 step = StepRun(job=run, occurrence=occurrence, number=number, spec=spec)
@@ -227,3 +230,12 @@
         self.cancel_requested = True
         self.state = JobState.CANCELLED
         self.dirty = True
+
+
+def _chain_ms(job: Job) -> int:
+    """Returns the estimated work on the longest chain of steps; steps follow earlier ones."""
+    ends: list[int] = []
+    for step in job.steps:
+        begins = max((ends[number] for number in step.after if number < len(ends)), default=0)
+        ends.append(begins + step.estimated_ms)
+    return max(ends, default=0)
--- a/fescuerudder/jobs/scheduler.py
+++ b/fescuerudder/jobs/scheduler.py
@@ -33,6 +33,10 @@
 RENEWAL_WAIT_MS = 1000
 """Time that a worker waits for an end before it reports; a lease outlasts several of them."""
 
+TIGHT_HEADROOM = 2.0
+TIGHT_WAIT_MS = 400
+"""The same where a task is expected to have less than TIGHT_HEADROOM beside best-effort ones."""
+
 RETRY_RENEWAL_S = 0.2
 RESEND_STOP_S = 0.5
 KNOWLEDGE_S = 2.0
@@ -97,6 +101,7 @@
         self.visible: dict[str, JobState] = {}
         self.is_superseded = False
         self._reported: set[str] = set()
+        self._tight: set[str] = set()
         self._next_knowledge_s = clock.now_s() + KNOWLEDGE_S
 
     # --- what the store says
@@ -348,10 +353,16 @@
 
     def _plan_throttles(self, now_s: float) -> list[Order]:
         """Throttles tasks on the workers that reported since the last plan."""
-        books = [self.world.books[name] for name in self._reported if name in self.world.books]
+        orders: list[Order] = []
+        for name in self._reported & self.world.books.keys():
+            load = Load.of(self.world.books[name], self.world.known, now_s=now_s)
+            orders += plan_throttles(load)
+            if load.best_effort and load.least_headroom() < TIGHT_HEADROOM:
+                self._tight.add(name)
+            else:
+                self._tight.discard(name)
         self._reported.clear()
-        known = self.world.known
-        return [o for b in books for o in plan_throttles(Load.of(b, known, now_s=now_s))]
+        return orders
 
     def _plan_renewals(self, now_s: float) -> list[Order]:
         return [
@@ -377,9 +388,12 @@
             token=book.token,
             acknowledged=book.stored_serial,
             lease_until_ms=until_ms,
-            wait_ms=RENEWAL_WAIT_MS if waits and book.attempts else 0,
+            wait_ms=self._wait_ms(book) if waits and book.attempts else 0,
         )
 
+    def _wait_ms(self, book: WorkerBook) -> int:
+        return TIGHT_WAIT_MS if book.id in self._tight else RENEWAL_WAIT_MS
+
     # --- what callers may know
 
     def pending(self) -> dict[str, int]:
--- a/fescuerudder/jobs/starts.py
+++ b/fescuerudder/jobs/starts.py
@@ -2,10 +2,11 @@
 
 from collections import Counter
 
+import attrs
 import structlog
 
 from fescuerudder.jobs.job import Step
-from fescuerudder.jobs.jobplacement import Load, choose
+from fescuerudder.jobs.jobplacement import Demand, Load, choose, placed_headroom
 from fescuerudder.jobs.jobrun import Attempt, JobRun, JobState, Phase, StepRun, TaskRun
 from fescuerudder.jobs.manifest import Queue
 from fescuerudder.jobs.workerbook import WorkerBook
@@ -92,8 +93,7 @@
         """Returns when the job should be complete, by its estimated run times."""
         if queue is None:
             return step.job.received_s
-        chain_ms = sum(spec.estimated_ms for spec in step.job.job.steps)
-        return step.job.received_s + (queue.stretch * chain_ms + queue.allowance_ms) / 1000
+        return step.job.received_s + _objective_s(step, queue)
 
     def _start_step(self, step: StepRun, loads: list[Load], now_s: float) -> list[StartOrder]:
         tasks = step.startable()
@@ -101,10 +101,16 @@
         if not tasks or queue is None:
             return []
         eligible = [load for load in loads if _is_eligible(load, step.spec, queue)]
-        taken = Counter(a.worker for task in step.tasks for a in task.attempts)
+        waited_share = (now_s - step.job.received_s) / max(_objective_s(step, queue), 1e-3)
+        demand = Demand(
+            step=step.spec,
+            count=len(tasks),
+            taken=Counter(a.worker for task in step.tasks for a in task.attempts),
+            headroom=placed_headroom(waited_share=waited_share),
+        )
         if step.spec.gang:
-            return self._start_gang(step, tasks, eligible, taken, now_s)
-        chosen = choose(step.spec, eligible, count=len(tasks), taken=taken)
+            return self._start_gang(step, tasks, eligible, demand, now_s)
+        chosen = choose(demand, eligible)
         return [
             self._start(task, load.book, now_s) for task, load in zip(tasks, chosen, strict=False)
         ]
@@ -114,13 +120,13 @@
         step: StepRun,
         tasks: list[TaskRun],
         eligible: list[Load],
-        taken: Counter[str],
+        demand: Demand,
         now_s: float,
     ) -> list[StartOrder]:
         """Starts all members at once, with one attempt number, or none."""
         if len(tasks) < len(step.tasks):
             return []
-        chosen = _choose_gang(step.spec, eligible, taken)
+        chosen = _choose_gang(demand, eligible)
         if len(chosen) < len(tasks):
             return []
         number = max(self._next_number(task) for task in tasks)
@@ -178,14 +184,20 @@
     )
 
 
-def _choose_gang(step: Step, eligible: list[Load], taken: Counter[str]) -> list[Load]:
+def _objective_s(step: StepRun, queue: Queue) -> float:
+    """Returns the time in which the job of a step should be complete, in seconds."""
+    return (queue.stretch * step.job.chain_ms + queue.allowance_ms) / 1000
+
+
+def _choose_gang(demand: Demand, eligible: list[Load]) -> list[Load]:
     """Returns workers for all members, of one rack if the step asks for it and one has room."""
     racks: dict[str, list[Load]] = {}
     for load in eligible:
         racks.setdefault(load.book.info.rack, []).append(load)
-    groups = [*racks.values(), eligible] if step.same_rack else [eligible]
+    groups = [*racks.values(), eligible] if demand.step.same_rack else [eligible]
     for group in groups:
         copies = [load.copy() for load in group]
-        if len(choose(step, copies, count=step.count, taken=Counter(taken))) == step.count:
-            return choose(step, group, count=step.count, taken=taken)
+        trial = attrs.evolve(demand, taken=Counter(demand.taken))
+        if len(choose(trial, copies)) == demand.count:
+            return choose(demand, group)
     return []
--- a/fescuerudder/jobs/throttling.py
+++ b/fescuerudder/jobs/throttling.py
@@ -12,6 +12,9 @@
 EASY_HEADROOM = 1.5
 """Expected headroom at full speed from which neighbours that were slowed down speed up again."""
 
+MISSED_S = 1.2
+"""Time for which a target may be missed before all neighbours are paused."""
+
 STEP_PERCENT = 10
 """Smallest change of a throttle that is worth an order."""
 
@@ -29,7 +32,7 @@
         for attempt in load.book.attempts.values()
         if attempt.task.step.spec.best_effort and attempt.phase is Phase.RUNNING
     ]
-    shares = dict.fromkeys(fillers, 1.0)
+    shares = dict.fromkeys(fillers, load.speed)
     for guard in load.guards:
         _shed(load, guard, shares)
     percents = {attempt: int(share * FULL_SPEED) for attempt, share in shares.items()}
@@ -38,6 +41,11 @@
 
 def _shed(load: Load, guard: Guard, shares: dict[Attempt, float]) -> None:
     """Lowers the shares of the neighbours that take most, until the guarded task has enough."""
+    if guard.missed_s >= MISSED_S:
+        # Whatever the estimates say, a neighbour may be the cause.
+        for attempt in shares:
+            shares[attempt] = 0.0
+        return
     losses = {attempt: load.loss(attempt.task.step.spec, guard) for attempt in shares}
     is_slowed = any(attempt.throttle != FULL_SPEED for attempt in shares)
     limit = EASY_HEADROOM if is_slowed else LEAST_HEADROOM
@@ -49,11 +57,6 @@
             break
         shares[attempt] = min(shares[attempt], max(0.0, 1.0 - excess / loss))
         excess -= loss
-    if guard.measured is not None and guard.measured < 1.0 and excess > 0.0:
-        # The estimates don't explain the missed target, so any neighbour may be the cause.
-        for attempt in shares:
-            current = FULL_SPEED if attempt.throttle is None else attempt.throttle
-            shares[attempt] = min(shares[attempt], current / FULL_SPEED / 2)
 
 
 def _is_due(throttle: int | None, percent: int) -> bool:
@@ -72,7 +75,7 @@
         worker=attempt.worker,
         percent=percent,
         before=attempt.throttle,
-        headroom=round(min((g.undisturbed - g.loss for g in load.guards), default=0.0), 2),
+        headroom=round(load.least_headroom(), 2),
     )
     attempt.throttle = percent
     return ThrottleOrder(
