Set workers aside that fail, stand still or are slow; group guarded tasks by image

Two quick failures in a row, no progress, or a third of the speed of the same step elsewhere now set a worker aside; its tasks move, speculative ones get a copy.

--- a/fescuerudder/jobs/headroom.py
+++ b/fescuerudder/jobs/headroom.py
@@ -48,6 +48,7 @@
 PRIOR_SLOPE_VARIANCE = 0.1
 LEAST_SLOPE_SHRINKAGE = 0.2
 MAX_HEADROOM = 8.0
+HOPELESS_HEADROOM = 0.1
 MAX_SLOPE = 1.2
 MEASURED_S = 0.5
 """Time that the figures of a report cover."""
@@ -232,6 +233,9 @@
         loss = sum(effect.mean * share for effect, share in found)
         doubt = sum(effect.variance * share * share for effect, share in found)
         self._measure(attempt, headroom, now_s)
+        if headroom < HOPELESS_HEADROOM:
+            # No neighbours do that: the worker is ill, or its tail has not come down yet.
+            return
         job = self._jobs.get(attempt.task.step)
         if job is None:
             self._jobs[attempt.task.step] = _Undisturbed(
--- a/fescuerudder/jobs/jobplacement.py
+++ b/fescuerudder/jobs/jobplacement.py
@@ -60,7 +60,7 @@
     chosen: list[Load] = []
     while heap and len(chosen) < demand.count:
         _, name, load = heapq.heappop(heap)
-        if taken[name] >= most:
+        if taken[name] >= most or load.starts_left == 0:
             continue
         load.add(step)
         taken[name] += 1
@@ -81,9 +81,10 @@
     step = demand.step
     away = 0.0 if step.data_rack in ("", load.book.info.rack) else 1.0
     if step.latency_target_ms:
-        strangers = sum(1 for guard in load.guards if guard.spec is not step)
-        others = sum(1 for guard in load.guards if guard.spec.image != step.image)
-        return (away, others, strangers, -len(load.guards), load.best_effort)
+        siblings = sum(1 for guard in load.guards if guard.spec is step)
+        alike = sum(1 for guard in load.guards if guard.spec.image == step.image)
+        others = len(load.guards) - alike
+        return (away, others, -siblings, -alike, load.best_effort)
     if step.best_effort:
         return (away, load.disturbance(step, headroom=demand.headroom), -load.unused)
     return (away, -float(bool(load.guards)), -load.unused)
--- a/fescuerudder/jobs/jobrun.py
+++ b/fescuerudder/jobs/jobrun.py
@@ -11,6 +11,14 @@
 """Throttle, in percent, of an attempt that works at its own speed."""
 
 
+MAX_COPIES = 2
+"""Live attempts of a speculative task, at most."""
+
+
+MOST_AVOIDED = 2
+"""Workers that a task gives up before the task itself counts as the cause."""
+
+
 class JobState(enum.Enum):
     """State of a job as callers see it."""
 
@@ -54,6 +62,8 @@
         throttle: share of its speed at which it was told to work, in percent; None if an
             earlier leader may have told it.
         stop_sent_s: when a stop was last sent.
+        evicted: it is to be stopped and started elsewhere.
+        doubted: its worker is silent, slow or stands still; a copy may start.
     """
 
     task: "TaskRun"
@@ -69,6 +79,8 @@
     processors: float = 0.0
     throttle: int | None = FULL_SPEED
     stop_sent_s: float | None = None
+    evicted: bool = False
+    doubted: bool = False
 
 
 @attrs.define(eq=False, kw_only=True)
@@ -83,6 +95,9 @@
         checkpoint: state to resume from.
         last_number: highest attempt number used so far.
         attempts: live attempts; more than one only for speculative steps.
+        avoid: workers on which it failed or got nowhere.
+        rate: progress in percent a second of the attempt that ended as done.
+        done_by: worker of that attempt.
     """
 
     id: TaskId
@@ -92,11 +107,27 @@
     checkpoint: str = ""
     last_number: int = 0
     attempts: list[Attempt] = attrs.Factory(list)
+    avoid: set[str] = attrs.Factory(set)
+    rate: float | None = None
+    done_by: str = ""
+
+    @property
+    def is_odd(self) -> bool:
+        """Whether it got nowhere on several workers, so that they are not the cause."""
+        return len(self.avoid) >= MOST_AVOIDED
 
     @property
     def is_startable(self) -> bool:
-        """Whether it may be started: not done, and nothing of it may run anywhere."""
-        return not self.done and not self.attempts
+        """Whether it may be started: not done, and nothing of it may run anywhere.
+
+        A speculative task may be started beside an attempt whose worker is in doubt.
+        """
+        if self.done or not self.attempts:
+            return not self.done
+        is_copied = len(self.attempts) >= MAX_COPIES or self.step.spec.gang
+        return (
+            self.step.spec.speculative and not is_copied and all(a.doubted for a in self.attempts)
+        )
 
 
 @attrs.define(eq=False, kw_only=True)
--- a/fescuerudder/jobs/load.py
+++ b/fescuerudder/jobs/load.py
@@ -53,6 +53,7 @@
         guards: tasks with a latency target there.
         best_effort: best-effort tasks there.
         wanted: processors that the best-effort tasks are expected to use at full speed.
+        starts_left: tasks that the worker may get in this plan, None for any number.
     """
 
     book: WorkerBook
@@ -65,6 +66,7 @@
     guards: list[Guard] = attrs.Factory(list)
     best_effort: int = 0
     wanted: float = 0.0
+    starts_left: int | None = None
 
     @classmethod
     def of(cls, book: WorkerBook, known: Knowledge, *, now_s: float) -> "Load":
@@ -99,6 +101,8 @@
 
     def add(self, step: Step) -> None:
         """Counts one more task of a step."""
+        if self.starts_left is not None:
+            self.starts_left -= 1
         if step.latency_target_ms:
             self._add_guarded(step, self.known.headrooms.unknown, 0.0)
         else:
--- a/fescuerudder/jobs/reports.py
+++ b/fescuerudder/jobs/reports.py
@@ -18,6 +18,8 @@
 DEFAULT_MAX_FAILURES = 3
 """Used for a job whose queue no known manifest has."""
 
+SHORTEST_RUN_S = 0.05
+
 _log = structlog.get_logger(__name__)
 
 
@@ -41,7 +43,7 @@
             self.begin_life(book, born_ms=report.born_ms, clock_ms=report.clock_ms, now_s=now_s)
         is_newest = book.note_report(report, now_s=now_s)
         book.sent_serial = max(book.sent_serial, order.acknowledged)
-        self._read_ends(book, report)
+        self._read_ends(book, report, now_s)
         if not is_newest:
             return
         book.orphans = {
@@ -74,13 +76,13 @@
                 )
         book.token += 1
 
-    def _read_ends(self, book: WorkerBook, report: Report) -> None:
+    def _read_ends(self, book: WorkerBook, report: Report, now_s: float) -> None:
         for end in report.ended:
             if end.serial > book.seen_serial:
                 book.seen_serial = end.serial
-                self._read_end(book, end)
+                self._read_end(book, end, now_s)
 
-    def _read_end(self, book: WorkerBook, end: EndedAttempt) -> None:
+    def _read_end(self, book: WorkerBook, end: EndedAttempt, now_s: float) -> None:
         world = self._world
         attempt = book.attempts.get((end.task, end.attempt))
         task = world.find_task(end.task)
@@ -95,6 +97,8 @@
         )
         if attempt is not None:
             world.drop_attempt(attempt)
+            world.health.note_end(attempt, end.end)
+            self._note_worker(attempt, end.end, now_s)
         if task is None:
             return
         task.last_number = max(task.last_number, end.attempt)
@@ -106,6 +110,15 @@
             task.checkpoint = end.checkpoint
             world.mark_dirty(task.step.job)
 
+    def _note_worker(self, attempt: Attempt, end: AttemptEnd, now_s: float) -> None:
+        """Notes where the task went well or badly."""
+        task = attempt.task
+        if end is AttemptEnd.FAILED or attempt.evicted:
+            task.avoid.add(attempt.worker)
+        if end is AttemptEnd.DONE and attempt.confirmed_s is not None and not task.checkpoint:
+            run_s = max(SHORTEST_RUN_S, now_s - attempt.confirmed_s)
+            task.rate, task.done_by = 100 / run_s, attempt.worker
+
     def _note_done(self, task: TaskRun) -> None:
         run = task.step.job
         run.note_done(task)
--- a/fescuerudder/jobs/scheduler.py
+++ b/fescuerudder/jobs/scheduler.py
@@ -10,10 +10,12 @@
 from fescuerudder.jobs.jobrun import Attempt, JobRun, JobState, Phase
 from fescuerudder.jobs.manifest import Manifest
 from fescuerudder.jobs.progress import StoredJob, dump_progress
+from fescuerudder.jobs.relocation import evict_from
 from fescuerudder.jobs.reports import ReportReader
 from fescuerudder.jobs.starts import StartPlanner
 from fescuerudder.jobs.throttling import plan_throttles
 from fescuerudder.jobs.workerbook import WorkerBook, WorkerClock
+from fescuerudder.jobs.workerhealth import Verdict
 from fescuerudder.jobs.workerport import (
     OrderAnswer,
     OrderResult,
@@ -89,7 +91,7 @@
         lease_s: float,
         predecessor_s: float,
     ) -> None:
-        self.world = World(term=term)
+        self.world = World(term=term, clock=clock)
         self._clock = clock
         self._wall_ms = wall_ms
         self._lease_s = lease_s
@@ -202,6 +204,8 @@
         book.next_renewal_s = self._clock.now_s() + RETRY_RENEWAL_S
         if book.silent_since_s is None:
             book.silent_since_s = sent_s
+            for attempt in book.attempts.values():
+                attempt.doubted = True
             _log.warning(
                 "worker silent", worker=book.id, attempts=len(book.attempts), reason=reason
             )
@@ -308,6 +312,7 @@
         now_s = self._clock.now_s()
         self._expire(now_s)
         orders: list[Order] = []
+        self._evict(now_s)
         orders += self._plan_stops(now_s)
         orders += self._plan_throttles(now_s)
         orders += self._planner.plan(now_s=now_s, wall_ms=self._wall_ms())
@@ -333,6 +338,16 @@
             if not book.listed and not book.attempts:
                 del self.world.books[book.id]
 
+    def _evict(self, now_s: float) -> None:
+        """Marks attempts on the workers that reported and do badly."""
+        for name in self._reported & self.world.books.keys():
+            book = self.world.books[name]
+            verdict = self.world.health.read(book)
+            if verdict is not Verdict.SOUND:
+                others = (b for b in self.world.books.values() if b is not book)
+                has_room = any(self._planner.takes_work(b, now_s) for b in others)
+                evict_from(book, verdict, has_room_elsewhere=has_room)
+
     def _plan_stops(self, now_s: float) -> list[Order]:
         orders: list[Order] = []
         for book in self.world.books.values():
@@ -350,7 +365,7 @@
         return orders
 
     def _is_unwanted(self, attempt: Attempt) -> bool:
-        return attempt.task.done or not attempt.task.step.job.is_live
+        return attempt.evicted or attempt.task.done or not attempt.task.step.job.is_live
 
     def _plan_throttles(self, now_s: float) -> list[Order]:
         """Throttles tasks on the workers that reported since the last plan."""
--- a/fescuerudder/jobs/starts.py
+++ b/fescuerudder/jobs/starts.py
@@ -37,15 +37,21 @@
             return []
         world = self._world
         loads = [
-            world.load_of(book, now_s=now_s)
+            self._load_of(book, now_s)
             for book in world.books.values()
-            if self._takes_work(book, now_s)
+            if self.takes_work(book, now_s)
         ]
         orders: list[StartOrder] = []
-        for step in sorted(steps, key=self._urgency):
+        demands = _image_demands(steps)
+        for step in sorted(steps, key=lambda s: (*self._urgency(s), *_grouping(s, demands))):
             orders += self._start_step(step, loads, now_s)
         return orders
 
+    def _load_of(self, book: WorkerBook, now_s: float) -> Load:
+        load = self._world.load_of(book, now_s=now_s)
+        load.starts_left = self._world.health.most_starts(book.id)
+        return load
+
     def _open_steps(self, *, now_s: float, wall_ms: float) -> None:
         world = self._world
         world.close_steps([s for s in world.open_steps if s.is_done or not s.job.is_live])
@@ -72,9 +78,11 @@
         term = self._world.term
         return step.job.version > term.claim_version or not self._world.unresolved()
 
-    def _takes_work(self, book: WorkerBook, now_s: float) -> bool:
+    def takes_work(self, book: WorkerBook, now_s: float) -> bool:
+        """Returns whether a worker may get tasks now."""
         return (
-            book.listed
+            self._world.health.most_starts(book.id) != 0
+            and book.listed
             and book.resolved
             and not book.info.draining
             and not book.is_silent
@@ -88,7 +96,8 @@
     def _urgency(self, step: StepRun) -> tuple[float, ...]:
         queue = self._queue(step)
         priority = queue.priority if queue is not None else 0
-        return (priority, self._due_s(step, queue), step.number)
+        due_s = 0.0 if step.spec.long_running else self._due_s(step, queue)
+        return (priority, due_s, step.number)
 
     def _due_s(self, step: StepRun, queue: Queue | None) -> float:
         """Returns when the job should be complete, by its estimated run times."""
@@ -111,10 +120,16 @@
         )
         if step.spec.gang:
             return self._start_gang(step, tasks, eligible, demand, now_s)
-        chosen = choose(demand, eligible)
-        return [
-            self._start(task, load.book, now_s) for task, load in zip(tasks, chosen, strict=False)
-        ]
+        orders: list[StartOrder] = []
+        for avoided, group in _by_avoided(tasks).items():
+            # A task that failed everywhere may try again anywhere.
+            loads = [load for load in eligible if load.book.id not in avoided] or eligible
+            chosen = choose(attrs.evolve(demand, count=len(group)), loads)
+            orders += [
+                self._start(task, load.book, now_s)
+                for task, load in zip(group, chosen, strict=False)
+            ]
+        return orders
 
     def _start_gang(
         self,
@@ -152,6 +167,7 @@
             checkpoint=task.checkpoint,
         )
         self._world.add_attempt(attempt)
+        self._world.health.note_start(book.id)
         run = task.step.job
         if not run.begun:
             run.begun = True
@@ -178,6 +194,35 @@
         )
 
 
+def _image_demands(steps: list[StepRun]) -> dict[str, float]:
+    """Returns the processors that the startable tasks of each guarded image reserve."""
+    demands: Counter[str] = Counter()
+    for step in steps:
+        if step.spec.latency_target_ms:
+            demands[step.spec.image] += step.spec.size.processors * len(step.startable())
+    return demands
+
+
+def _grouping(step: StepRun, demands: dict[str, float]) -> tuple[float, str, int]:
+    """Returns an order that brings guarded tasks of one image together, the largest first.
+
+    Steps that must spread over many workers go before the others of their image.
+    """
+    spec = step.spec
+    if not spec.latency_target_ms:
+        return (0.0, "", 0)
+    return (-demands[spec.image], spec.image, spec.max_per_worker or spec.count)
+
+
+def _by_avoided(tasks: list[TaskRun]) -> dict[frozenset[str], list[TaskRun]]:
+    """Groups tasks by the workers that they must not or should not use."""
+    groups: dict[frozenset[str], list[TaskRun]] = {}
+    for task in tasks:
+        avoided = frozenset(task.avoid | {attempt.worker for attempt in task.attempts})
+        groups.setdefault(avoided, []).append(task)
+    return groups
+
+
 def _is_eligible(load: Load, step: Step, queue: Queue) -> bool:
     info = load.book.info
     return info.pool == queue.pool and (
--- a/fescuerudder/jobs/world.py
+++ b/fescuerudder/jobs/world.py
@@ -5,12 +5,14 @@
 import attrs
 import structlog
 
+from fescuerudder.clock import Clock
 from fescuerudder.jobs.job import TaskId
 from fescuerudder.jobs.jobrun import Attempt, JobRun, StepRun, TaskRun
 from fescuerudder.jobs.knowledge import Knowledge
 from fescuerudder.jobs.load import Load
 from fescuerudder.jobs.manifest import Manifest, Pool, Queue
 from fescuerudder.jobs.workerbook import WorkerBook
+from fescuerudder.jobs.workerhealth import WorkerHealth
 
 TOKENS_PER_EPOCH = 1_000_000
 """Fencing tokens of one epoch; a leader raises a worker's token within its epoch."""
@@ -54,6 +56,7 @@
 
     Args:
         term: the term.
+        clock: source of time.
         jobs: jobs by id, ended ones included until they are forgotten.
         books: workers by id.
         queues: queues by name; a removed one stays for the jobs that it had accepted.
@@ -62,10 +65,12 @@
         open_steps: steps with tasks that are not done, in the order of their opening.
         opening: jobs of which another step may open.
         known: what was learned about tasks.
+        health: how the workers do.
         dirty: jobs whose progress is not stored.
     """
 
     term: Term
+    clock: Clock
     jobs: dict[str, JobRun] = attrs.Factory(dict)
     books: dict[str, WorkerBook] = attrs.Factory(dict)
     queues: dict[str, Queue] = attrs.Factory(dict)
@@ -75,8 +80,12 @@
     opening: dict[JobRun, None] = attrs.Factory(dict)
     dirty: dict[JobRun, None] = attrs.Factory(dict)
     known: Knowledge = attrs.Factory(Knowledge)
+    health: WorkerHealth = attrs.field(init=False)
     _loads: dict[str, Load] = attrs.Factory(dict)
 
+    def __attrs_post_init__(self) -> None:
+        self.health = WorkerHealth(clock=self.clock, headrooms=self.known.headrooms)
+
     def set_manifest(self, manifest: Manifest) -> None:
         """Takes a new revision of the configuration."""
         self.queues.update({queue.name: queue for queue in manifest.queues})
--- a/fescuerudder/quarantine.py
+++ b/fescuerudder/quarantine.py
@@ -4,12 +4,22 @@
 
 from fescuerudder.clock import Clock
 
-FAILURES_TO_QUARANTINE = 3
-FIRST_PROBE_S = 5.0
-LAST_PROBE_S = 300.0
 
-PROBE_PASS_S = 10.0
-"""A probe that has run this long passes; a replica never finishes, so waiting would not end."""
+@attrs.frozen(kw_only=True)
+class QuarantinePolicy:
+    """When workers are set aside and probed.
+
+    Args:
+        failures: failures of different tasks in a row after which a worker is set aside.
+        first_probe_s: time until its first probe, in seconds; it doubles with each failed one.
+        last_probe_s: longest time between two probes.
+        probe_pass_s: a probe that has run this long passes; some tasks never finish.
+    """
+
+    failures: int = 3
+    first_probe_s: float = 5.0
+    last_probe_s: float = 300.0
+    probe_pass_s: float = 10.0
 
 
 @attrs.define(kw_only=True)
@@ -26,10 +36,12 @@
 
     Args:
         clock: source of time.
+        policy: when workers are set aside.
     """
 
-    def __init__(self, *, clock: Clock) -> None:
+    def __init__(self, *, clock: Clock, policy: QuarantinePolicy | None = None) -> None:
         self._clock = clock
+        self._policy = policy or QuarantinePolicy()
         self._records: dict[str, _Record] = {}
 
     def failed(self, *, worker: str, task: str) -> None:
@@ -37,9 +49,14 @@
         record = self._records.setdefault(worker, _Record())
         record.failed_tasks.add(task)
         if record.delay_s:
-            self._postpone(record, min(record.delay_s * 2, LAST_PROBE_S))
-        elif len(record.failed_tasks) >= FAILURES_TO_QUARANTINE:
-            self._postpone(record, FIRST_PROBE_S)
+            self._postpone(record, min(record.delay_s * 2, self._policy.last_probe_s))
+        elif len(record.failed_tasks) >= self._policy.failures:
+            self._postpone(record, self._policy.first_probe_s)
+
+    def set_aside(self, *, worker: str) -> None:
+        """Quarantines a worker for another reason than failures."""
+        record = self._records.setdefault(worker, _Record())
+        self._postpone(record, max(record.delay_s, self._policy.first_probe_s))
 
     def succeeded(self, *, worker: str) -> None:
         """Notes a finished task, which ends the quarantine."""
@@ -47,7 +64,7 @@
 
     def ran(self, *, worker: str, run_s: float) -> None:
         """Notes that a task has been running for `run_s` seconds on a quarantined worker."""
-        if run_s >= PROBE_PASS_S and self.is_quarantined(worker=worker):
+        if run_s >= self._policy.probe_pass_s and self.is_quarantined(worker=worker):
             self.succeeded(worker=worker)
 
     def is_quarantined(self, *, worker: str) -> bool:
--- a/tests/jobs/test_scheduler.py
+++ b/tests/jobs/test_scheduler.py
@@ -228,6 +228,50 @@
     assert (world.starts(JOB) == 0) is draining
 
 
+def test_a_worker_that_fails_everything_is_set_aside():
+    """Guards against one bad worker that uses up the attempts of all tasks."""
+    world = JobWorld(
+        workers=4,
+        capacity=8.0,
+        plan=lambda task, attempt, worker: (ONE, 0.1 if worker == "w1" else 0.8, worker == "w1"),
+        queues=(queue(max_failures=2),),
+    )
+    world.claim("a")
+    for number in range(12):
+        world.submit(f"{number:016x}", steps=steps(4))
+        world.run(0.4)
+    world.run(10)
+    assert {world.state(job) for job in world.specs} == {JobState.COMPLETED}
+    failed = sum(1 for event in world.events if event[4] == "failed")
+    assert failed <= 16
+
+
+def test_tasks_leave_a_worker_that_stands_still():
+    """Guards against tasks that wait for a worker whose tasks make no progress."""
+    world = JobWorld(workers=2, capacity=8.0)
+    world.submit(JOB, steps=steps(4, estimated_ms=1000))
+    world.claim("a")
+    world.run(0.3)
+    stuck = world.workers["w0"]
+    assert stuck.runs
+    stuck.stands_still = True
+    world.run(6)
+    assert world.state(JOB) is JobState.COMPLETED
+    world.check_history()
+
+
+def test_a_copy_runs_beside_a_speculative_task_in_doubt():
+    """Guards against waiting for the lease of a task of which copies are allowed."""
+    world = JobWorld(workers=2, capacity=8.0)
+    world.submit(JOB, steps=steps(4, speculative=True))
+    leader = world.claim("a")
+    world.run(0.3)
+    world.cut.add((leader.name, "w0"))
+    world.copies_allowed = True
+    world.run(4.0)
+    assert world.state(JOB) is JobState.COMPLETED
+
+
 def fault_worker(world):
     """Crashes a worker or brings one back."""
     worker = world.rng.choice(list(world.workers.values()))
