Give each call to the platform its own timeout

Cause: the client set the timeout on the socket, but urllib3 sets that of its connection, the connect timeout of 0.7 s, with every request.

--- a/fescuerudder/platform/http.py
+++ b/fescuerudder/platform/http.py
@@ -78,7 +78,8 @@
         data = None if body is None else json.dumps(body, separators=(",", ":")).encode()
         conn = self._take_idle(address) or _connect(address, timeout_s)
         try:
-            conn.sock.settimeout(timeout_s)
+            # urllib3 sets the timeout of the connection on the socket with each request.
+            conn.timeout = timeout_s
             conn.request(
                 method,
                 path,
