Store which workers may run tasks; settle orders in time; take SIGHUP; keep quarantines

Orders not taken up within 0.4 s are dropped as not sent; 64 threads; throttles without a certain answer are ordered again. - A crash loop on reload: SIGHUP ended the process. Settings are read again now. - A worker that failed 1 task after another was set aside and taken back every 0.2 s: a lasting task from before counted as a passed probe. Only what began afterwards counts. - Found by the tests on the way: a worker born again under a new leader counted as resolved at once; an idle worker that had been silent was never asked again; a forgotten worker lost its token, or the count of its renewals. Tests: each has one that failed before (tests/jobs, tests/test_quarantine.py, tests/platform).

--- a/fescuerudder/jobs/leader.py
+++ b/fescuerudder/jobs/leader.py
@@ -16,6 +16,7 @@
 from fescuerudder.jobs.configview import ConfigView
 from fescuerudder.jobs.jobrun import JobState
 from fescuerudder.jobs.leaderwrites import LeadershipLostError, LeaderWrites
+from fescuerudder.jobs.leases import LeaseTerms
 from fescuerudder.jobs.progress import StoredFormError, StoredJob
 from fescuerudder.jobs.rows import HistoryLostError, RowStore
 from fescuerudder.jobs.scheduler import Order, ProgressBatch, Scheduler
@@ -23,6 +24,7 @@
 from fescuerudder.jobs.takeover import Loaded, load, split_job_rows
 from fescuerudder.jobs.workerport import (
     OrderAnswer,
+    OrderResult,
     OtherLifeError,
     RenewOrder,
     Report,
@@ -45,13 +47,13 @@
 REGISTRY_S = 1.0
 RETRY_STORE_S = 0.2
 LOAD_THREADS = 8
-ORDER_THREADS = 24
+ORDER_THREADS = 64
+MAX_QUEUED_S = 0.4
+"""Time after which an order that no thread has taken up is dropped: it may no longer hold."""
+
 MAX_RENEWAL_THREADS = 256
 WRITE_ASK_S = 5.0
 
-CONFIRMED_FOR_S = 7.0
-"""Time after the last stored heartbeat for which the leader goes on giving orders."""
-
 _log = structlog.get_logger(__name__)
 
 
@@ -213,6 +215,8 @@
             self._scheduler.on_started(message.order, message.answer)
         elif isinstance(message.order, StopOrder):
             self._scheduler.on_stopped(message.order, message.answer)
+        elif isinstance(message.order, ThrottleOrder):
+            self._scheduler.on_throttled(message.order, message.answer)
 
     @_take.register
     def _(self, message: _Stored) -> None:
@@ -266,12 +270,12 @@
             claim=claim,
             claim_version=claim_version,
         )
+        self._leases = LeaseTerms(lease_s=lease_s, confirmed_s=lambda: self._writes.confirmed_s)
         self._scheduler = Scheduler(
             term=Term(epoch=claim.epoch, claim_version=claim_version),
             clock=clock,
             wall_ms=wall_ms,
-            lease_s=lease_s,
-            predecessor_s=CONFIRMED_FOR_S + 2 * lease_s,
+            leases=self._leases,
         )
         self._renewals = ThreadPoolExecutor(MAX_RENEWAL_THREADS, thread_name_prefix="renewal")
         self._orders = ThreadPoolExecutor(ORDER_THREADS, thread_name_prefix="order")
@@ -325,6 +329,7 @@
         if loaded.knowledge is not None:
             self._restore_knowledge(loaded.knowledge)
         scheduler.cancel(loaded.cancels)
+        scheduler.restore_roster(loaded.roster)
         scheduler.set_workers(self._registry.read())
         self._publish(scheduler.visible.copy(), scheduler.pending())
         _log.info(
@@ -355,21 +360,25 @@
                 _log.debug("event after the end of the term")
 
     def _may_order(self) -> bool:
-        return self.unconfirmed_s < CONFIRMED_FOR_S and not self._stopping.is_set()
+        return self._leases.length_s(self._clock.now_s()) > 0 and not self._stopping.is_set()
 
     # --- orders
 
     def _send(self, order: Order) -> None:
         pool = self._renewals if isinstance(order, RenewOrder) else self._orders
         try:
-            pool.submit(self._carry_out, order)
+            pool.submit(self._carry_out, order, self._clock.now_s())
         except RuntimeError:
             _log.debug("order after the end of the term")
 
-    def _carry_out(self, order: Order) -> None:
+    def _carry_out(self, order: Order, planned_s: float) -> None:
+        queued_s = self._clock.now_s() - planned_s
         try:
             if isinstance(order, RenewOrder):
                 self._tell(self._renew(order))
+            elif queued_s > MAX_QUEUED_S:
+                _log.warning("order dropped", order=type(order).__name__, queued_s=queued_s)
+                self._tell(_Answered(order=order, answer=OrderAnswer(OrderResult.NOT_SENT)))
             elif isinstance(order, StartOrder):
                 self._tell(_Answered(order=order, answer=self._workers.start(order)))
             elif isinstance(order, StopOrder):
@@ -447,7 +456,7 @@
                     is_settled = True
                 if batch is None:
                     batch = self._take_batch()
-                self._writes.write(batch.rows, pending=batch.pending, knowledge=batch.knowledge)
+                self._writes.write(batch.rows, pending=batch.pending, own=batch.own_rows())
             except LeadershipLostError as exc:
                 self._lose(str(exc))
                 return
@@ -473,7 +482,7 @@
     def _wait_for_progress(self) -> None:
         """Waits until there is something to store or a heartbeat is due."""
         end_s = self._clock.now_s() + HEARTBEAT_S
-        while self._clock.now_s() < end_s and not self._scheduler.world.dirty:
+        while self._clock.now_s() < end_s and not self._scheduler.has_news:
             if self._clock.wait_s(self._stopping, WRITE_PAUSE_S):
                 return
 
--- a/fescuerudder/jobs/leaderwrites.py
+++ b/fescuerudder/jobs/leaderwrites.py
@@ -18,12 +18,12 @@
     RowStore,
     RowsTxn,
 )
-from fescuerudder.jobs.storage import CLAIM, HEARTBEAT, KNOWLEDGE, progress_key
+from fescuerudder.jobs.storage import CLAIM, HEARTBEAT, progress_key
 
 WRITE_TIMEOUT_S = 1.5
 """Time for one attempt to write; a slow store takes most of a second."""
 
-ROWS_PER_TXN = MAX_TXN_ROWS - 4
+ROWS_PER_TXN = MAX_TXN_ROWS - 5
 """Progress rows of one transaction; the leader's own rows take the others."""
 
 _log = structlog.get_logger(__name__)
@@ -64,9 +64,13 @@
         self.confirmed_s = clock.now_s()
 
     def write(
-        self, rows: dict[str, bytes], *, pending: dict[str, int], knowledge: bytes | None = None
+        self,
+        rows: dict[str, bytes],
+        *,
+        pending: dict[str, int],
+        own: dict[RowKey, bytes] | None = None,
     ) -> None:
-        """Stores progress rows by job id, a heartbeat and, unless None, what was learned.
+        """Stores progress rows by job id, a heartbeat and `own`, at most two further rows.
 
         After a StoreOutcomeUnknownError call `settle` until it returns; the rows of the
         transaction in doubt are stored then, later ones of the call are not.
@@ -89,10 +93,10 @@
                 puts=(
                     (HEARTBEAT, dump(beat)),
                     *((progress_key(name), rows[name]) for name in part),
-                    *(((KNOWLEDGE, knowledge),) if knowledge is not None else ()),
+                    *(own or {}).items(),
                 ),
             )
-            knowledge = None
+            own = None
             self.settle()
 
     def settle(self) -> None:
--- a/fescuerudder/jobs/node.py
+++ b/fescuerudder/jobs/node.py
@@ -26,6 +26,7 @@
 from fescuerudder.jobs.leadership import Leadership
 from fescuerudder.jobs.linkmessages import FollowerStatus, StoreJob
 from fescuerudder.jobs.nodesettings import NodeSettings
+from fescuerudder.jobs.reloading import SettingsReload
 from fescuerudder.jobs.rows import RowStore
 from fescuerudder.jobs.watchedstore import WatchedStore
 from fescuerudder.jobs.workerport import WorkerPort
@@ -156,6 +157,10 @@
         """Whether a planned stop has begun."""
         return self._callers.is_draining
 
+    def reconfigure(self, cfg: NodeSettings) -> None:
+        """Takes changed settings; see `LIVE_FIELDS`."""
+        self._cfg = cfg
+
     def drain(self) -> None:
         """Hands the leadership over and finishes callers' requests."""
         _log.info("planned stop begins")
@@ -243,14 +248,26 @@
         return store_row(self._store, message, timeout_s=RELAY_TIMEOUT_S)
 
 
-def run_node(cfg: NodeSettings, ports: Ports, clock: Clock) -> int:
-    """Runs an instance until SIGTERM; returns the exit code."""
+def run_node(
+    cfg: NodeSettings, ports: Ports, clock: Clock, *, read_settings: Callable[[], NodeSettings]
+) -> int:
+    """Runs an instance until SIGTERM; returns the exit code.
+
+    Args:
+        cfg: settings at the start.
+        ports: the platform.
+        clock: source of time.
+        read_settings: reads the settings anew, after SIGHUP and now and then.
+    """
     stop = threading.Event()
+    reload = SettingsReload(cfg=cfg, read=read_settings, clock=clock)
     signal.signal(signal.SIGTERM, lambda *_: stop.set())
+    signal.signal(signal.SIGHUP, lambda *_: reload.signal())
     _log.info("instance starts", instance=cfg.instance, zone=cfg.zone, cores=cfg.cores)
     with JobNode(cfg=cfg, ports=ports, clock=clock) as node:
         while not stop.wait(SIGNAL_POLL_S):
-            pass
+            if reload.step():
+                node.reconfigure(reload.cfg)
         node.drain()
     _log.info("instance stopped")
     return 0
--- /dev/null
+++ b/fescuerudder/jobs/reloading.py
@@ -0,0 +1,77 @@
+"""Takes changed settings while an instance runs: on a signal, and when the file has changed."""
+
+import threading
+from collections.abc import Callable
+
+import attrs
+import structlog
+
+from fescuerudder.clock import Clock
+from fescuerudder.errors import SettingsError
+from fescuerudder.jobs.nodesettings import NodeSettings
+
+CHECK_S = 2.0
+"""Time between two looks at a file that changes without a signal."""
+
+LIVE_FIELDS = frozenset({"grace_s", "max_lease_s", "cores"})
+"""Settings that take effect at once; the others do at the next start."""
+
+_log = structlog.get_logger(__name__)
+
+
+class SettingsReload:
+    """Keeps the settings of a running instance up to date.
+
+    Args:
+        cfg: settings at the start.
+        read: reads and checks them anew; raises SettingsError.
+        clock: source of time.
+    """
+
+    def __init__(
+        self, *, cfg: NodeSettings, read: Callable[[], NodeSettings], clock: Clock
+    ) -> None:
+        self.cfg = cfg
+        self._read = read
+        self._clock = clock
+        self._signalled = threading.Event()
+        self._refused = ""
+        self._next_s = clock.now_s() + CHECK_S
+
+    def signal(self) -> None:
+        """Asks for a look at the next step; safe in a signal handler."""
+        self._signalled.set()
+
+    def step(self) -> bool:
+        """Reads the settings if it is time; returns whether they have changed."""
+        is_asked = self._signalled.is_set()
+        if not is_asked and self._clock.now_s() < self._next_s:
+            return False
+        self._signalled.clear()
+        self._next_s = self._clock.now_s() + CHECK_S
+        try:
+            cfg = self._read()
+        except SettingsError as exc:
+            if is_asked or str(exc) != self._refused:
+                _log.error("changed settings refused, the old ones stay", reason=str(exc))
+            self._refused = str(exc)
+            return False
+        self._refused = ""
+        changed = _changed(self.cfg, cfg)
+        if is_asked or changed:
+            _log.info(
+                "settings read again",
+                signalled=is_asked,
+                changed=sorted(changed),
+                at_next_start=sorted(changed - LIVE_FIELDS),
+            )
+        self.cfg = cfg
+        return bool(changed)
+
+
+def _changed(old: NodeSettings, new: NodeSettings) -> set[str]:
+    return {
+        field.name
+        for field in attrs.fields(NodeSettings)
+        if getattr(old, field.name) != getattr(new, field.name)
+    }
--- a/fescuerudder/jobs/reports.py
+++ b/fescuerudder/jobs/reports.py
@@ -20,6 +20,9 @@
 
 SHORTEST_RUN_S = 0.05
 
+LATE_ORDER_S = 20.0
+"""Time after which an order without an answer has certainly ended or will not arrive any more."""
+
 _log = structlog.get_logger(__name__)
 
 
@@ -70,6 +73,7 @@
             if attempt.phase in (Phase.STARTING, Phase.UNCERTAIN):
                 attempt.phase = Phase.UNCERTAIN
                 book.attempts[(attempt.task.id, attempt.number)] = attempt
+                book.resolved_by_s = max(book.resolved_by_s, now_s + LATE_ORDER_S)
             else:
                 self._world.requeue(
                     attempt, checkpoint=attempt.checkpoint, reason="worker born again"
--- a/fescuerudder/jobs/scheduler.py
+++ b/fescuerudder/jobs/scheduler.py
@@ -8,11 +8,15 @@
 from fescuerudder.clock import Clock
 from fescuerudder.jobs.job import TaskId
 from fescuerudder.jobs.jobrun import Attempt, JobRun, JobState, Phase
+from fescuerudder.jobs.leases import PREDECESSOR_S, LeaseTerms
 from fescuerudder.jobs.manifest import Manifest
 from fescuerudder.jobs.progress import StoredJob, dump_progress
 from fescuerudder.jobs.relocation import evict_from
 from fescuerudder.jobs.reports import ReportReader
+from fescuerudder.jobs.roster import dump_roster
+from fescuerudder.jobs.rows import RowKey
 from fescuerudder.jobs.starts import StartPlanner
+from fescuerudder.jobs.storage import KNOWLEDGE, ROSTER
 from fescuerudder.jobs.throttling import plan_throttles
 from fescuerudder.jobs.workerbook import WorkerBook, WorkerClock
 from fescuerudder.jobs.workerhealth import Verdict
@@ -61,6 +65,8 @@
         serials: highest end of each worker that the rows account for, with the worker's birth.
         pending: jobs of each queue of which no task has started.
         knowledge: what was learned about tasks, None if it was stored lately.
+        roster: the workers that may get tasks, None if it is stored as it is.
+        recorded: ids of the workers on the roster.
     """
 
     rows: dict[str, bytes]
@@ -68,6 +74,13 @@
     serials: dict[str, tuple[int, int]]
     pending: dict[str, int]
     knowledge: bytes | None
+    roster: bytes | None
+    recorded: frozenset[str]
+
+    def own_rows(self) -> dict[RowKey, bytes]:
+        """Returns the rows of the batch that belong to no job."""
+        rows = {KNOWLEDGE: self.knowledge, ROSTER: self.roster}
+        return {key: value for key, value in rows.items() if value is not None}
 
 
 class Scheduler:
@@ -77,9 +90,7 @@
         term: the term.
         clock: source of time.
         wall_ms: returns Unix time in milliseconds.
-        lease_s: length of the leases in seconds.
-        predecessor_s: time after the claim at which the leases of earlier leaders have lapsed
-            on a worker that can't be reached.
+        leases: length of the leases.
     """
 
     def __init__(
@@ -88,22 +99,21 @@
         term: Term,
         clock: Clock,
         wall_ms: Callable[[], float],
-        lease_s: float,
-        predecessor_s: float,
+        leases: LeaseTerms,
     ) -> None:
         self.world = World(term=term, clock=clock)
         self._clock = clock
         self._wall_ms = wall_ms
-        self._lease_s = lease_s
+        self._leases = leases
         self._claimed_s = clock.now_s()
-        self._predecessor_s = predecessor_s
         self._reader = ReportReader(world=self.world)
-        self._planner = StartPlanner(world=self.world, lease_s=lease_s)
+        self._planner = StartPlanner(world=self.world, leases=leases)
         self.visible: dict[str, JobState] = {}
         self.is_superseded = False
         self._reported: set[str] = set()
         self._tight: set[str] = set()
         self._next_knowledge_s = clock.now_s() + KNOWLEDGE_S
+        self._roster_changed = False
 
     # --- what the store says
 
@@ -126,10 +136,22 @@
             if book.id not in listed:
                 self._unlist_worker(book)
 
+    def restore_roster(self, workers: Iterable[WorkerInfo]) -> None:
+        """Takes the workers on which tasks of earlier leaders may run, before `set_workers`."""
+        now_s = self._clock.now_s()
+        for info in workers:
+            book = self._new_book(info, now_s)
+            book.listed, book.recorded, book.resolved = False, True, False
+            book.resolved_by_s = self._claimed_s + PREDECESSOR_S
+            self.world.books[info.id] = book
+
     def _list_worker(self, info: WorkerInfo, now_s: float) -> None:
         book = self.world.books.get(info.id)
+        if book is not None and book.info.address != info.address:
+            self._roster_changed = True
         if book is None:
             self.world.books[info.id] = self._new_book(info, now_s)
+            self._roster_changed = True
         elif info.born_ms > book.info.born_ms:
             self._reader.begin_life(book, born_ms=info.born_ms, clock_ms=info.clock_ms, now_s=now_s)
             book.info = info
@@ -140,20 +162,24 @@
             book.listed = True
 
     def _new_book(self, info: WorkerInfo, now_s: float) -> WorkerBook:
-        book = WorkerBook(
+        """Returns the book of a worker on which nobody has started anything."""
+        return WorkerBook(
             info=info,
             clock=WorkerClock(reading_ms=info.clock_ms, read_s=now_s),
-            token=self.world.term.first_token,
+            token=self.world.raised_tokens.get(info.id, self.world.term.first_token),
+            resolved=True,
         )
-        book.resolved_by_s = self._claimed_s + self._predecessor_s
-        return book
 
     def _unlist_worker(self, book: WorkerBook) -> None:
         if book.listed:
             _log.info("worker left the registry", worker=book.id, attempts=len(book.attempts))
         book.listed = False
         if not book.attempts and book.resolved:
-            del self.world.books[book.id]
+            self._forget(book)
+
+    def _forget(self, book: WorkerBook) -> None:
+        self.world.forget_worker(book)
+        self._roster_changed = True
 
     def add_jobs(self, jobs: Iterable[StoredJob]) -> None:
         """Takes jobs that were submitted; known ones are ignored."""
@@ -188,7 +214,7 @@
         if book is None:
             return
         now_s = self._clock.now_s()
-        book.renewals -= 1
+        book.end_renewal()
         extended = order.lease_until_ms is not None
         book.next_renewal_s = now_s + RENEWAL_PAUSE_S if extended else now_s
         self._reader.read(book, order, report, sent_s=sent_s, now_s=now_s)
@@ -200,7 +226,7 @@
         book = self.world.books.get(order.worker)
         if book is None:
             return
-        book.renewals -= 1
+        book.end_renewal()
         book.next_renewal_s = self._clock.now_s() + RETRY_RENEWAL_S
         if book.silent_since_s is None:
             book.silent_since_s = sent_s
@@ -252,7 +278,7 @@
         book = self.world.books.get(order.worker)
         if book is None:
             return
-        book.renewals -= 1
+        book.end_renewal()
         book.next_renewal_s = self._clock.now_s() + RETRY_RENEWAL_S
         self._note_fence(book, order.token)
 
@@ -268,10 +294,26 @@
         if book is not None and answer.clock_ms is not None:
             book.clock.note(reading_ms=answer.clock_ms, now_s=self._clock.now_s())
 
+    def on_throttled(self, order: ThrottleOrder, answer: OrderAnswer) -> None:
+        """Takes the answer to a throttle; one that is not certain is ordered again."""
+        book = self.world.books.get(order.worker)
+        attempt = book.attempts.get((order.task, order.attempt)) if book else None
+        if attempt is not None and answer.result is not OrderResult.DONE:
+            attempt.throttle = None
+
     # --- what is to be stored
 
+    @property
+    def has_news(self) -> bool:
+        """Whether there is something to store beside a heartbeat."""
+        return bool(self.world.dirty) or self._roster_changed
+
     def take_progress(self) -> ProgressBatch:
         """Returns the progress that is not stored yet, and counts it as taken."""
+        roster = None
+        if self._roster_changed:
+            roster = dump_roster(book.info for book in self.world.books.values())
+            self._roster_changed = False
         runs = list(self.world.dirty)
         self.world.dirty.clear()
         for run in runs:
@@ -286,6 +328,8 @@
             },
             pending=self.pending(),
             knowledge=self._dump_knowledge(),
+            roster=roster,
+            recorded=frozenset(self.world.books) if roster is not None else frozenset(),
         )
 
     def _dump_knowledge(self) -> bytes | None:
@@ -301,6 +345,8 @@
             book = self.world.books.get(worker)
             if book is not None and book.info.born_ms == born_ms:
                 book.stored_serial = max(book.stored_serial, serial)
+        for worker in batch.recorded & self.world.books.keys():
+            self.world.books[worker].recorded = True
         self.visible.update(batch.states)
 
     # --- what is to be done
@@ -336,7 +382,7 @@
                         attempt, checkpoint=attempt.checkpoint, reason="lease ended unseen"
                     )
             if not book.listed and not book.attempts:
-                del self.world.books[book.id]
+                self._forget(book)
 
     def _evict(self, now_s: float) -> None:
         """Marks attempts on the workers that reported and do badly."""
@@ -397,7 +443,7 @@
         waits = book.resolved and not book.is_silent and not book.has_uncertain()
         until_ms = None
         if not book.is_silent:
-            until_ms = book.next_lease_ms(now_s=now_s, lease_s=self._lease_s)
+            until_ms = book.next_lease_ms(now_s=now_s, lease_s=self._leases.length_s(now_s))
         return RenewOrder(
             worker=book.id,
             address=book.info.address,
--- a/fescuerudder/jobs/starts.py
+++ b/fescuerudder/jobs/starts.py
@@ -8,6 +8,7 @@
 from fescuerudder.jobs.job import Step
 from fescuerudder.jobs.jobplacement import Demand, choose, placed_headroom
 from fescuerudder.jobs.jobrun import Attempt, JobRun, JobState, Phase, StepRun, TaskRun
+from fescuerudder.jobs.leases import LeaseTerms
 from fescuerudder.jobs.load import Load
 from fescuerudder.jobs.manifest import Queue
 from fescuerudder.jobs.workerbook import WorkerBook
@@ -22,12 +23,12 @@
 
     Args:
         world: the leader's picture.
-        lease_s: length of the leases in seconds.
+        leases: length of the leases.
     """
 
-    def __init__(self, *, world: World, lease_s: float) -> None:
+    def __init__(self, *, world: World, leases: LeaseTerms) -> None:
         self._world = world
-        self._lease_s = lease_s
+        self._leases = leases
 
     def plan(self, *, now_s: float, wall_ms: float) -> list[StartOrder]:
         """Returns the orders for everything that can start now, and notes their attempts."""
@@ -83,6 +84,7 @@
         return (
             self._world.health.most_starts(book.id) != 0
             and book.listed
+            and book.recorded
             and book.resolved
             and not book.info.draining
             and not book.is_silent
@@ -188,7 +190,7 @@
             task=task.id,
             attempt=attempt.number,
             payload=run.job.payload,
-            lease_until_ms=book.next_lease_ms(now_s=now_s, lease_s=self._lease_s),
+            lease_until_ms=book.next_lease_ms(now_s=now_s, lease_s=self._leases.length_s(now_s)),
             token=book.token,
             checkpoint=task.checkpoint,
         )
--- a/fescuerudder/jobs/storage.py
+++ b/fescuerudder/jobs/storage.py
@@ -30,6 +30,10 @@
 """What the leaders learned about tasks."""
 
 
+ROSTER = RowKey(LEADER, LEADER_PART, "workers")
+"""The workers that may run tasks."""
+
+
 def part_of(job_id: str) -> str:
     """Returns the partition of a job."""
     digest = hashlib.blake2b(job_id.encode(), digest_size=2).digest()
--- a/fescuerudder/jobs/takeover.py
+++ b/fescuerudder/jobs/takeover.py
@@ -15,6 +15,7 @@
     load_state,
     restore_progress,
 )
+from fescuerudder.jobs.roster import load_roster
 from fescuerudder.jobs.rows import Row, RowStore, read_part
 from fescuerudder.jobs.storage import (
     CANCEL_SUFFIX,
@@ -25,7 +26,9 @@
     LEADER,
     LEADER_PART,
     PROGRESS,
+    ROSTER,
 )
+from fescuerudder.jobs.workerport import WorkerInfo
 
 LOAD_TIMEOUT_S = 3.0
 
@@ -42,6 +45,7 @@
         cancels: ids of jobs whose cancellation was requested.
         version: version from which on the feed of jobs continues.
         knowledge: what was learned about tasks, None if nothing is stored.
+        roster: workers on which tasks of earlier leaders may run.
     """
 
     live: list[JobRun]
@@ -49,6 +53,7 @@
     cancels: list[str]
     version: int
     knowledge: bytes | None = None
+    roster: list[WorkerInfo] = attrs.Factory(list)
 
 
 def load(*, store: RowStore, clock: Clock, pool: Executor) -> Loaded:
@@ -56,6 +61,7 @@
 
     Raises:
         StoreUnavailableError: a part could not be read.
+        StoredFormError: the roster can't be read; without it tasks could run twice.
     """
     position = store.read(table=JOBS, part=LEADER_PART, timeout_s=LOAD_TIMEOUT_S).version
 
@@ -76,8 +82,12 @@
         clock=clock,
         version=position,
     )
-    knowledge = next((row.value for row in own if row.key == KNOWLEDGE), None)
-    return attrs.evolve(loaded, knowledge=knowledge)
+    kept = {row.key: row.value for row in own}
+    return attrs.evolve(
+        loaded,
+        knowledge=kept.get(KNOWLEDGE),
+        roster=load_roster(kept[ROSTER]) if ROSTER in kept else [],
+    )
 
 
 def _assemble(rows: list[Row], progress: dict[str, bytes], *, clock: Clock, version: int) -> Loaded:
--- a/fescuerudder/jobs/workerbook.py
+++ b/fescuerudder/jobs/workerbook.py
@@ -52,6 +52,7 @@
         resolved: this leader knows what runs there: it had a report, or all leases have lapsed.
         resolved_by_s: when the leases of earlier leaders have certainly lapsed.
         listed: the registry has an entry for it.
+        recorded: it is on the stored roster, so that a successor will know of it.
         attempts: live attempts there.
         orphans: attempts that run there and should not.
         orphans_told_s: when they were last told to stop.
@@ -74,6 +75,7 @@
     resolved: bool = False
     resolved_by_s: float = 0.0
     listed: bool = True
+    recorded: bool = False
     attempts: dict[Key, Attempt] = attrs.Factory(dict)
     orphans: set[Key] = attrs.Factory(set)
     orphans_told_s: float = 0.0
@@ -122,10 +124,15 @@
         """Returns whether something depends on the next renewal."""
         return (
             bool(self.attempts or self.orphans)
+            or (self.is_silent and self.listed)
             or self.stored_serial > self.sent_serial
             or not self.resolved
         )
 
+    def end_renewal(self) -> None:
+        """Counts a renewal as ended; it may have begun before the worker was forgotten."""
+        self.renewals = max(0, self.renewals - 1)
+
     def has_uncertain(self) -> bool:
         """Returns whether the outcome of a start is unknown."""
         return any(a.phase is Phase.UNCERTAIN for a in self.attempts.values())
@@ -153,5 +160,4 @@
         self.report_s = None
         self.silent_since_s = None
         self.resolved = False
-        self.resolved_by_s = 0.0
         return lost
--- a/fescuerudder/jobs/workerhealth.py
+++ b/fescuerudder/jobs/workerhealth.py
@@ -102,8 +102,8 @@
         """Takes the end of an attempt."""
         self._tracks.pop(attempt, None)
         worker, now_s = attempt.worker, self._clock.now_s()
-        if end is AttemptEnd.DONE:
-            self._quarantine.succeeded(worker=worker)
+        if end is AttemptEnd.DONE and attempt.confirmed_s is not None:
+            self._quarantine.succeeded(worker=worker, run_s=now_s - attempt.confirmed_s)
         if end is not AttemptEnd.FAILED or attempt.confirmed_s is None:
             return
         if now_s - attempt.confirmed_s < QUICK_FAILURE_S:
--- a/fescuerudder/jobs/world.py
+++ b/fescuerudder/jobs/world.py
@@ -67,6 +67,7 @@
         known: what was learned about tasks.
         health: how the workers do.
         dirty: jobs whose progress is not stored.
+        raised_tokens: fencing tokens, above the first one, of workers that were forgotten.
     """
 
     term: Term
@@ -79,6 +80,7 @@
     open_steps: dict[StepRun, None] = attrs.Factory(dict)
     opening: dict[JobRun, None] = attrs.Factory(dict)
     dirty: dict[JobRun, None] = attrs.Factory(dict)
+    raised_tokens: dict[str, int] = attrs.Factory(dict)
     known: Knowledge = attrs.Factory(Knowledge)
     health: WorkerHealth = attrs.field(init=False)
     _loads: dict[str, Load] = attrs.Factory(dict)
@@ -149,6 +151,13 @@
             reason=reason,
         )
 
+    def forget_worker(self, book: WorkerBook) -> None:
+        """Forgets a worker on which nothing runs; its token is kept in case that it returns."""
+        del self.books[book.id]
+        self.forget_load(book.id)
+        if book.token > self.term.first_token:
+            self.raised_tokens[book.id] = book.token
+
     def unresolved(self) -> list[WorkerBook]:
         """Returns the workers on which attempts of earlier leaders may run unseen."""
         return [book for book in self.books.values() if not book.resolved]
--- a/fescuerudder/platform/run.py
+++ b/fescuerudder/platform/run.py
@@ -34,7 +34,12 @@
     configure_logs(level="info", instance=cfg.instance)
     clock = SystemClock()
     with HttpClient() as http:
-        return run_node(cfg, make_ports(http, cfg.store, clock), clock)
+        return run_node(
+            cfg,
+            make_ports(http, cfg.store, clock),
+            clock,
+            read_settings=lambda: load_node_settings(settings),
+        )
 
 
 def make_ports(http: HttpClient, store_address: str, clock: Clock) -> Ports:
--- a/fescuerudder/quarantine.py
+++ b/fescuerudder/quarantine.py
@@ -28,6 +28,7 @@
 
     failed_tasks: set[str] = attrs.field(factory=set)
     delay_s: float = 0.0
+    aside_s: float = 0.0
     probe_at_s: float = 0.0
 
 
@@ -58,14 +59,15 @@
         record = self._records.setdefault(worker, _Record())
         self._postpone(record, max(record.delay_s, self._policy.first_probe_s))
 
-    def succeeded(self, *, worker: str) -> None:
-        """Notes a finished task, which ends the quarantine."""
-        self._records.pop(worker, None)
+    def succeeded(self, *, worker: str, run_s: float = 0.0) -> None:
+        """Notes a task that finished after `run_s` seconds, which ends the quarantine."""
+        if self._began_aside(worker, run_s):
+            self._records.pop(worker, None)
 
     def ran(self, *, worker: str, run_s: float) -> None:
         """Notes that a task has been running for `run_s` seconds on a quarantined worker."""
         if run_s >= self._policy.probe_pass_s and self.is_quarantined(worker=worker):
-            self.succeeded(worker=worker)
+            self.succeeded(worker=worker, run_s=run_s)
 
     def is_quarantined(self, *, worker: str) -> bool:
         """Returns whether the worker takes probes only."""
@@ -83,6 +85,16 @@
         if record is not None:
             self._postpone(record, record.delay_s)
 
+    def _began_aside(self, worker: str, run_s: float) -> bool:
+        """Returns whether a task began after its worker was set aside.
+
+        What runs since before tells nothing: a worker may fail only what it starts now.
+        """
+        record = self._records.get(worker)
+        return record is not None and self._clock.now_s() - run_s >= record.aside_s
+
     def _postpone(self, record: _Record, delay_s: float) -> None:
+        if not record.delay_s:
+            record.aside_s = self._clock.now_s()
         record.delay_s = delay_s
         record.probe_at_s = self._clock.now_s() + delay_s
--- a/tests/jobs/job_world.py
+++ b/tests/jobs/job_world.py
@@ -13,6 +13,7 @@
 from fescuerudder.jobs.job import Job, Step
 from fescuerudder.jobs.jobrun import JobState
 from fescuerudder.jobs.leaderwrites import LeadershipLostError, LeaderWrites
+from fescuerudder.jobs.leases import LeaseTerms
 from fescuerudder.jobs.manifest import Manifest, Pool, Queue
 from fescuerudder.jobs.progress import dump_job, load_state
 from fescuerudder.jobs.rows import ABSENT, RowConflictError, RowsTxn
@@ -41,7 +42,6 @@
 
 TICK_S = 0.05
 LEASE_S = 4.0
-PREDECESSOR_S = 12.0
 CALL_TIMEOUT_S = 1.5
 BEAT_S = 0.5
 
@@ -82,16 +82,16 @@
         self.settled = True
         self.feed = 0
         self.next_beat_s = 0.0
+        claim = Claim(epoch=epoch, instance=name, address="", key="")
+        self.writes = LeaderWrites(
+            store=world.store, clock=world.clock, claim=claim, claim_version=version
+        )
+        self.leases = LeaseTerms(lease_s=LEASE_S, confirmed_s=lambda: self.writes.confirmed_s)
         self.scheduler = Scheduler(
             term=Term(epoch=epoch, claim_version=version),
             clock=world.clock,
             wall_ms=lambda: world.clock.now_s() * 1000,
-            lease_s=LEASE_S,
-            predecessor_s=PREDECESSOR_S,
-        )
-        claim = Claim(epoch=epoch, instance=name, address="", key="")
-        self.writes = LeaderWrites(
-            store=world.store, clock=world.clock, claim=claim, claim_version=version
+            leases=self.leases,
         )
         loaded = load(store=world.store, clock=world.clock, pool=InlineExecutor())
         self.scheduler.set_manifest(world.manifest)
@@ -101,6 +101,7 @@
         if loaded.knowledge is not None:
             self.scheduler.world.known.restore(loaded.knowledge)
         self.scheduler.cancel(loaded.cancels)
+        self.scheduler.restore_roster(loaded.roster)
         self.scheduler.set_workers(world.registry())
         self.feed = loaded.version
 
@@ -115,7 +116,7 @@
         if not self.alive:
             return
         now_s = self.world.clock.now_s()
-        if now_s - self.writes.confirmed_s < PREDECESSOR_S - 2 * LEASE_S:
+        if self.leases.length_s(now_s) > 0:
             for order in self.scheduler.plan():
                 self.world.send(self, order)
         self._write()
@@ -142,11 +143,11 @@
                 self.writes.settle()
                 self.settled = True
             if self.batch is None:
-                if now_s < self.next_beat_s and not self.scheduler.world.dirty:
+                if now_s < self.next_beat_s and not self.scheduler.has_news:
                     return
                 self.batch = self.scheduler.take_progress()
             self.writes.write(
-                self.batch.rows, pending=self.batch.pending, knowledge=self.batch.knowledge
+                self.batch.rows, pending=self.batch.pending, own=self.batch.own_rows()
             )
         except LeadershipLostError:
             self.alive = False
--- /dev/null
+++ b/tests/jobs/test_reloading.py
@@ -0,0 +1,58 @@
+"""Settings that change while an instance runs."""
+
+import attrs
+import pytest
+
+from fescuerudder.clock import ManualClock
+from fescuerudder.errors import SettingsError
+from fescuerudder.jobs.nodesettings import NodeSettings
+from fescuerudder.jobs.reloading import CHECK_S, SettingsReload
+
+CFG = NodeSettings(
+    instance="a",
+    zone="z",
+    region="r",
+    callers="127.0.0.1:1",
+    health="127.0.0.1:2",
+    ip="127.0.0.1",
+    first_port=3,
+    store="127.0.0.1:4",
+    cores=1.0,
+    max_lease_s=6.0,
+    grace_s=6.0,
+)
+
+
+def refuse():
+    raise SettingsError(problems=["zone is missing"])
+
+
+@pytest.mark.parametrize(
+    ("read", "signalled", "passed_s", "grace_s"),
+    [
+        (lambda: attrs.evolve(CFG, grace_s=9.0), True, 0.0, 9.0),
+        (lambda: attrs.evolve(CFG, grace_s=9.0), False, CHECK_S, 9.0),
+        (lambda: attrs.evolve(CFG, grace_s=9.0), False, 0.0, 6.0),
+        (lambda: CFG, True, 0.0, 6.0),
+        (refuse, True, CHECK_S, 6.0),
+    ],
+)
+def test_changed_settings_are_taken(read, signalled, passed_s, grace_s):
+    """Guards against changes that are missed, and against bad ones that end the process."""
+    clock = ManualClock()
+    reload = SettingsReload(cfg=CFG, read=read, clock=clock)
+    if signalled:
+        reload.signal()
+    clock.advance(seconds=passed_s)
+    assert reload.step() is (grace_s != CFG.grace_s)
+    assert reload.cfg.grace_s == grace_s
+
+
+def test_signal_is_looked_at_once():
+    """Guards against a loop that reads the file without end after one signal."""
+    reads = []
+    reload = SettingsReload(cfg=CFG, read=lambda: reads.append(1) or CFG, clock=ManualClock())
+    reload.signal()
+    reload.step()
+    reload.step()
+    assert len(reads) == 1
--- a/tests/jobs/test_scheduler.py
+++ b/tests/jobs/test_scheduler.py
@@ -324,7 +324,7 @@
 FAULTS = (fault_worker, fault_leader, fault_cut, fault_store, fault_orders)
 
 
-@pytest.mark.parametrize("seed", range(40))
+@pytest.mark.parametrize("seed", range(60))
 def test_random_faults_break_no_promise(seed):
     """Guards against second runs, early starts, lost and stuck jobs in any mix of faults."""
     world = JobWorld(seed=seed, workers=4)
@@ -357,3 +357,89 @@
     world.run(10)
     for job_id in world.specs:
         assert world.state(job_id) in (JobState.COMPLETED, JobState.FAILED), job_id
+
+
+@pytest.mark.parametrize("is_reachable", [True, False])
+def test_a_worker_missing_from_the_registry_still_counts_at_a_takeover(is_reachable):
+    """Guards against second runs of what an unlisted worker runs on its lease."""
+    world = JobWorld(workers=3, capacity=2.0)
+    world.run_s = 60.0
+    world.submit(JOB, steps=steps(6, long_running=True))
+    first = world.claim("a")
+    world.run(2)
+    first.alive = False
+    world.hidden.add("w0")
+    if not is_reachable:
+        world.cut.add(("b", "w0"))
+    for number in (3, 4):
+        world.add_worker(number, 2.0)
+    world.claim("b")
+    world.run(20)
+    assert world.starts(JOB) == (6 if is_reachable else 8)
+    assert sum(len(w.runs) for w in world.workers.values()) == 6
+    world.check_history()
+
+
+def test_no_task_starts_on_a_worker_that_a_successor_would_not_know_of():
+    """Guards against starts before the worker is on the stored roster."""
+    world = JobWorld(workers=1)
+    world.submit(JOB, steps=steps(1))
+    leader = world.claim("a")
+    world.store.faults.down = True
+    world.run(2)
+    assert world.starts(JOB) == 0
+    world.store.faults.down = False
+    world.run(1)
+    assert world.starts(JOB) == 1
+    assert leader.scheduler.world.books["w0"].recorded
+
+
+def test_a_worker_that_returns_to_the_registry_keeps_its_token():
+    """Guards against a leader that takes its own raised token for that of a successor."""
+    world = JobWorld(workers=1)
+    leader = world.claim("a")
+    world.run(1)
+    book = leader.scheduler.world.books["w0"]
+    book.token += 1
+    world.workers["w0"].token = book.token
+    world.hidden.add("w0")
+    world.run(1)
+    assert "w0" not in leader.scheduler.world.books
+    world.hidden.clear()
+    world.submit(JOB, steps=steps(1))
+    world.run(3)
+    assert not leader.scheduler.is_superseded
+    assert world.state(JOB) is JobState.COMPLETED
+
+
+def test_an_idle_worker_that_was_silent_is_used_again():
+    """Guards against capacity that stays lost after a cut: nobody asked an idle worker again."""
+    world = JobWorld(workers=1, capacity=2.0)
+    world.submit(JOB, steps=steps(2))
+    world.claim("a")
+    world.run(0.5)
+    world.cut.add(("a", "w0"))
+    world.run(8)
+    world.cut.clear()
+    world.run(10)
+    assert world.state(JOB) is JobState.COMPLETED
+    world.submit("00000000000000bb", steps=steps(2))
+    world.run(3)
+    assert world.state("00000000000000bb") is JobState.COMPLETED
+
+
+def test_an_answer_to_a_forgotten_book_does_not_stop_renewals():
+    """Guards against a worker that is never asked again after it left and came back."""
+    world = JobWorld(workers=1)
+    leader = world.claim("a")
+    world.run(1)
+    books = leader.scheduler.world.books
+    order = leader.scheduler._renew(books["w0"], world.clock.now_s())
+    world.hidden.add("w0")
+    world.run(0.2)
+    world.hidden.clear()
+    world.run(0.2)
+    leader.scheduler.on_silence(order, sent_s=world.clock.now_s(), reason="no answer")
+    world.submit(JOB, steps=steps(1))
+    world.run(4)
+    assert world.state(JOB) is JobState.COMPLETED
--- /dev/null
+++ b/tests/platform/settings_file.py
@@ -0,0 +1,35 @@
+"""A settings file as the platform writes it."""
+
+SETTINGS = """
+node = "n1"
+role = "node"
+ip = "127.0.0.1"
+zone = "z1"
+region = "r1"
+internalPorts = [{peer_port}, {peer_port}]
+unknownField = 3
+[listenAddrs]
+front = "127.0.0.1:{front_port}"
+readyAddr = "127.0.0.1:{ready_port}"
+[limits]
+cpuShare = 0.5
+cpuCores = 2
+[bounds]
+graceS = {grace_s}
+maxHoldMs = 6000
+[platform]
+address = "127.0.0.1:{store_port}"
+"""
+
+
+def write_settings(path, **changes) -> str:
+    """Writes a settings file; returns its path."""
+    fields = {
+        "peer_port": 1,
+        "front_port": 2,
+        "ready_port": 3,
+        "store_port": 4,
+        "grace_s": 6,
+    }
+    path.write_text(SETTINGS.format(**{**fields, **changes}))
+    return str(path)
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,49 @@
+"""The platform's settings file."""
+
+import pytest
+
+from fescuerudder.errors import SettingsError
+from fescuerudder.platform.settings import FILE_ENV, load_node_settings
+from tests.platform.settings_file import write_settings
+
+
+def test_fields_are_decoded_with_their_units(tmp_path):
+    """Guards against names and units of the platform that reach the product."""
+    cfg = load_node_settings(write_settings(tmp_path / "s.toml", front_port=81, grace_s=7))
+    assert (cfg.instance, cfg.callers, cfg.cores) == ("n1", "127.0.0.1:81", 1.0)
+    assert (cfg.max_lease_s, cfg.grace_s) == (6.0, 7.0)
+
+
+def test_path_comes_from_the_environment(tmp_path, monkeypatch):
+    """Guards against a start that needs flags."""
+    monkeypatch.setenv(FILE_ENV, write_settings(tmp_path / "s.toml"))
+    assert load_node_settings().instance == "n1"
+
+
+@pytest.mark.parametrize(
+    ("cut", "problems"),
+    [
+        (["zone ="], ["zone is missing"]),
+        (["zone =", "region =", "maxHoldMs"], ["zone is", "region is", "bounds.maxHoldMs"]),
+        (["[platform]", "address"], ["platform.address is missing"]),
+    ],
+)
+def test_every_fault_is_named(tmp_path, cut, problems):
+    """Guards against one fault a start."""
+    path = tmp_path / "s.toml"
+    write_settings(path)
+    lines = path.read_text().splitlines()
+    path.write_text("\n".join(line for line in lines if not line.startswith(tuple(cut))))
+    with pytest.raises(SettingsError) as caught:
+        load_node_settings(str(path))
+    for problem in problems:
+        assert problem in str(caught.value)
+
+
+@pytest.mark.parametrize("text", ["node = [", "node = 3\nlimits = 4"])
+def test_malformed_file_is_a_settings_error(tmp_path, text):
+    """Guards against a traceback instead of a reason."""
+    path = tmp_path / "s.toml"
+    path.write_text(text)
+    with pytest.raises(SettingsError):
+        load_node_settings(str(path))
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -3,7 +3,7 @@
 import pytest
 
 from fescuerudder.clock import ManualClock
-from fescuerudder.quarantine import Quarantine
+from fescuerudder.quarantine import Quarantine, QuarantinePolicy
 
 
 @pytest.mark.parametrize(
@@ -36,3 +36,17 @@
         clock.advance(seconds=0.2)
         assert quarantine.may_probe(worker="w")
         quarantine.failed(worker="w", task="d")
+
+
+@pytest.mark.parametrize(("run_s", "is_passed"), [(20.0, False), (11.0, True)])
+def test_only_what_began_after_the_failures_ends_the_quarantine(run_s, is_passed):
+    """Guards against a worker that fails all new tasks and is kept in use by an old one."""
+    clock = ManualClock(start_s=100.0)
+    quarantine = Quarantine(clock=clock, policy=QuarantinePolicy(probe_pass_s=10.0))
+    for task in ("a", "b", "c"):
+        quarantine.failed(worker="w", task=task)
+    clock.advance(seconds=12.0)
+    quarantine.ran(worker="w", run_s=run_s)
+    assert quarantine.is_quarantined(worker="w") is not is_passed
+    quarantine.succeeded(worker="w", run_s=run_s)
+    assert quarantine.is_quarantined(worker="w") is not is_passed
