Take another worker at an address as the end of the earlier one

Ruled out: the registry (it lists the new ids within 4 s, but not that the old ones have ended). Test: test_another_worker_at_the_address_ends_the_wait, failing before (twice).

--- a/fescuerudder/jobs/leader.py
+++ b/fescuerudder/jobs/leader.py
@@ -120,6 +120,13 @@
     order: RenewOrder
 
 
+@attrs.frozen(kw_only=True)
+class _Replaced:
+    """Another worker answered a renewal."""
+
+    order: RenewOrder
+
+
 @attrs.frozen(kw_only=True)
 class _Answered:
     """A worker answered an order, or did not."""
@@ -209,6 +216,10 @@
     def _(self, message: _Fenced) -> None:
         self._scheduler.on_fenced(message.order)
 
+    @_take.register
+    def _(self, message: _Replaced) -> None:
+        self._scheduler.on_replaced(message.order)
+
     @_take.register
     def _(self, message: _Answered) -> None:
         if isinstance(message.order, StartOrder):
@@ -394,7 +405,9 @@
             report = self._workers.renew(order)
         except WorkerFencedError:
             return _Fenced(order=order)
-        except (WorkerSilentError, OtherLifeError) as exc:
+        except OtherLifeError:
+            return _Replaced(order=order)
+        except WorkerSilentError as exc:
             return _Silent(order=order, sent_s=sent_s, reason=str(exc))
         return _Reported(order=order, report=report, sent_s=sent_s)
 
--- a/fescuerudder/jobs/scheduler.py
+++ b/fescuerudder/jobs/scheduler.py
@@ -236,6 +236,30 @@
                 "worker silent", worker=book.id, attempts=len(book.attempts), reason=reason
             )
 
+    def on_other_life(self, worker: str) -> None:
+        """Takes note that another worker answers at the address of `worker`.
+
+        Lives at one address follow each other, so what ran in this one has ended, and an order
+        for it that is still on its way will be refused.
+        """
+        book = self.world.books.get(worker)
+        if book is None or book.gone:
+            return
+        _log.warning("worker gone", worker=worker, attempts=len(book.attempts))
+        book.gone = book.resolved = True
+        book.orphans = set()
+        for attempt in list(book.attempts.values()):
+            self.world.requeue(attempt, checkpoint=attempt.checkpoint, reason="worker gone")
+        if not book.listed:
+            self._forget(book)
+
+    def on_replaced(self, order: RenewOrder) -> None:
+        """Takes note that another worker answered a renewal."""
+        book = self.world.books.get(order.worker)
+        if book is not None:
+            book.end_renewal()
+        self.on_other_life(order.worker)
+
     def on_started(self, order: StartOrder, answer: OrderAnswer) -> None:
         """Takes the answer to a start."""
         book = self.world.books.get(order.worker)
@@ -260,6 +284,9 @@
         if answer.result is OrderResult.UNKNOWN:
             self._doubt(book, attempt)
             return
+        if answer.result is OrderResult.OTHER_LIFE:
+            self.on_other_life(order.worker)
+            return
         if answer.result is OrderResult.FENCED:
             self._note_fence(book, order.token)
         elif answer.result in (OrderResult.NO_ROOM, OrderResult.UNHEALTHY, OrderResult.NOT_SENT):
--- a/fescuerudder/jobs/starts.py
+++ b/fescuerudder/jobs/starts.py
@@ -85,6 +85,7 @@
             self._world.health.most_starts(book.id) != 0
             and book.listed
             and book.recorded
+            and not book.gone
             and book.resolved
             and not book.info.draining
             and not book.is_silent
--- a/fescuerudder/jobs/workerbook.py
+++ b/fescuerudder/jobs/workerbook.py
@@ -53,6 +53,7 @@
         resolved_by_s: when the leases of earlier leaders have certainly lapsed.
         listed: the registry has an entry for it.
         recorded: it is on the stored roster, so that a successor will know of it.
+        gone: another worker answers at its address, so this life has ended.
         attempts: live attempts there.
         orphans: attempts that run there and should not.
         orphans_told_s: when they were last told to stop.
@@ -76,6 +77,7 @@
     resolved_by_s: float = 0.0
     listed: bool = True
     recorded: bool = False
+    gone: bool = False
     attempts: dict[Key, Attempt] = attrs.Factory(dict)
     orphans: set[Key] = attrs.Factory(set)
     orphans_told_s: float = 0.0
@@ -124,7 +126,7 @@
         """Returns whether something depends on the next renewal."""
         return (
             bool(self.attempts or self.orphans)
-            or (self.is_silent and self.listed)
+            or (self.is_silent and self.listed and not self.gone)
             or self.stored_serial > self.sent_serial
             or not self.resolved
         )
@@ -160,4 +162,5 @@
         self.report_s = None
         self.silent_since_s = None
         self.resolved = False
+        self.gone = False
         return lost
--- a/tests/jobs/job_world.py
+++ b/tests/jobs/job_world.py
@@ -30,6 +30,7 @@
 from fescuerudder.jobs.workerport import (
     OrderAnswer,
     OrderResult,
+    OtherLifeError,
     RenewOrder,
     StartOrder,
     StopOrder,
@@ -195,6 +196,7 @@
         self.lost_for_s = (0.5, 6.0)
         self.delay_s = (0.001, 0.03)
         self.cut: set[tuple[str, str]] = set()
+        self.replaced: dict[str, str] = {}
         self.errors: list[str] = []
         self.copies_allowed = False
 
@@ -278,6 +280,9 @@
     def _deliver(self, leader, order, sent_s, is_lost) -> None:
         worker = self.workers[order.worker]
         is_cut = (leader.name, order.worker) in self.cut
+        if order.worker in self.replaced and not is_cut:
+            self._answer(leader, order, sent_s, OtherLifeError("another worker"))
+            return
         if not worker.up or is_cut:
             if not is_lost:
                 self._at(sent_s + CALL_TIMEOUT_S, lambda: self._no_answer(leader, order, sent_s))
@@ -306,7 +311,12 @@
             self._at(leader.paused_until_s, lambda: self._answer(leader, order, sent_s, answer))
             return
         scheduler = leader.scheduler
-        if isinstance(answer, WorkerFencedError):
+        if isinstance(answer, OtherLifeError):
+            if isinstance(order, RenewOrder):
+                scheduler.on_replaced(order)
+            else:
+                scheduler.on_other_life(order.worker)
+        elif isinstance(answer, WorkerFencedError):
             scheduler.on_fenced(order)
         elif isinstance(order, RenewOrder):
             scheduler.on_report(order, answer, sent_s=sent_s)
--- a/tests/jobs/test_scheduler.py
+++ b/tests/jobs/test_scheduler.py
@@ -443,3 +443,25 @@
     world.submit(JOB, steps=steps(1))
     world.run(4)
     assert world.state(JOB) is JobState.COMPLETED
+
+
+@pytest.mark.parametrize("is_taken_over", [True, False])
+def test_another_worker_at_the_address_ends_the_wait(is_taken_over):
+    """Guards against work that waits for the lease of a worker whose machine is back as another.
+
+    Where a successor comes at that time, it would wait with all jobs for 9 s.
+    """
+    world = JobWorld(workers=2)
+    world.run_s = 60.0
+    world.submit(JOB, steps=steps(4, long_running=True))
+    first = world.claim("a")
+    world.run(2)
+    world.workers["w0"].crash()
+    world.replaced["w0"] = "w2"
+    world.add_worker(2, 4.0)
+    if is_taken_over:
+        first.alive = False
+        world.claim("b")
+    world.run(2.5)
+    assert sum(len(w.runs) for w in world.workers.values()) == 4
+    assert "w0" not in world.leaders[-1].scheduler.world.books
