Keep a share of each worker free of long-running tasks

A short job is worth four times as much for each core-second. Ruled out: memory (at most 14% held by best-effort tasks), workers set aside (2 of 24), silent ones. Tests: tests/jobs/test_jobplacement.py.

--- a/fescuerudder/jobs/jobplacement.py
+++ b/fescuerudder/jobs/jobplacement.py
@@ -15,6 +15,13 @@
 just come and when its time is up."""
 
 
+KEPT_SHARE = 0.08
+"""Share of each worker's processors that long-running tasks leave to short ones."""
+
+LEAST_USABLE = 2
+"""Workers with room from which on a long-running task may take the kept share of one."""
+
+
 @attrs.frozen(kw_only=True)
 class Demand:
     """Tasks of a step to be placed.
@@ -24,12 +31,14 @@
         count: number of tasks.
         taken: tasks of the step on each worker, by its id; those placed are added.
         headroom: what best-effort tasks must leave to tasks with a latency target.
+        kept_share: share of a worker's processors that must stay free beside a task.
     """
 
     step: Step
     count: int
     taken: Counter[str] = attrs.Factory(Counter)
     headroom: float = PATIENT_HEADROOM
+    kept_share: float = 0.0
 
 
 def placed_headroom(*, waited_share: float) -> float:
@@ -46,11 +55,33 @@
 def fits(demand: Demand, load: Load) -> bool:
     """Returns whether one more task has room on a worker and disturbs nobody there too much."""
     step = demand.step
-    if not load.has_room(step):
+    if not load.has_room(step, kept_share=demand.kept_share):
         return False
     return not step.best_effort or load.disturbance(step, headroom=demand.headroom) <= 1.0
 
 
+def choose_lasting(demand: Demand, loads: list[Load]) -> list[Load]:
+    """Returns workers for long-running tasks, which keep KEPT_SHARE free for short ones.
+
+    A long-running task holds its processors for good, so without this short jobs that come later
+    would find none. It takes the kept share only where two workers or more have room for it: it
+    must not wait beside plain room.
+    """
+    chosen = choose(attrs.evolve(demand, kept_share=KEPT_SHARE), loads)
+    while len(chosen) < demand.count:
+        usable = [load for load in loads if _may_take(demand, load)]
+        if len(usable) < LEAST_USABLE:
+            break
+        chosen += choose(attrs.evolve(demand, count=1), usable)
+    return chosen
+
+
+def _may_take(demand: Demand, load: Load) -> bool:
+    most = demand.step.max_per_worker or demand.step.count
+    has_starts = load.starts_left is None or load.starts_left > 0
+    return has_starts and demand.taken[load.book.id] < most and fits(demand, load)
+
+
 def choose(demand: Demand, loads: Iterable[Load]) -> list[Load]:
     """Returns workers for as many of the tasks as have room, and counts the tasks there."""
     step, taken = demand.step, demand.taken
--- a/fescuerudder/jobs/load.py
+++ b/fescuerudder/jobs/load.py
@@ -157,12 +157,18 @@
             worst = max(worst, self.loss(step, guard) / max(spare, LEAST_SPARE))
         return worst
 
-    def has_room(self, step: Step) -> bool:
-        """Returns whether one more task of a step finds its resources."""
+    def has_room(self, step: Step, *, kept_share: float = 0.0) -> bool:
+        """Returns whether one more task of a step finds its resources.
+
+        Args:
+            step: the step.
+            kept_share: share of the worker's processors that must stay free beside it.
+        """
         if step.size.memory_mb > self.memory_mb or step.size.accelerators > self.accelerators:
             return False
         if not step.best_effort:
-            return step.size.processors <= self.processors + ROUNDING
+            kept = kept_share * self.book.info.capacity.processors
+            return step.size.processors + kept <= self.processors + ROUNDING
         return self.unused >= self.known.estimates.processors(step) or not self.best_effort
 
 
--- a/fescuerudder/jobs/starts.py
+++ b/fescuerudder/jobs/starts.py
@@ -6,7 +6,7 @@
 import structlog
 
 from fescuerudder.jobs.job import Step
-from fescuerudder.jobs.jobplacement import Demand, choose, placed_headroom
+from fescuerudder.jobs.jobplacement import Demand, choose, choose_lasting, placed_headroom
 from fescuerudder.jobs.jobrun import Attempt, JobRun, JobState, Phase, StepRun, TaskRun
 from fescuerudder.jobs.leases import LeaseTerms
 from fescuerudder.jobs.load import Load
@@ -127,7 +127,8 @@
         for avoided, group in _by_avoided(tasks).items():
             # A task that failed everywhere may try again anywhere.
             loads = [load for load in eligible if load.book.id not in avoided] or eligible
-            chosen = choose(attrs.evolve(demand, count=len(group)), loads)
+            choice = choose_lasting if step.spec.long_running else choose
+            chosen = choice(attrs.evolve(demand, count=len(group)), loads)
             orders += [
                 self._start(task, load.book, now_s)
                 for task, load in zip(group, chosen, strict=False)
--- /dev/null
+++ b/tests/jobs/test_jobplacement.py
@@ -0,0 +1,55 @@
+"""Choice of workers: what long-running tasks leave to short ones."""
+
+import attrs
+import pytest
+
+from fescuerudder.document import Size
+from fescuerudder.jobs.job import Step
+from fescuerudder.jobs.jobplacement import KEPT_SHARE, Demand, choose, choose_lasting
+from fescuerudder.jobs.knowledge import Knowledge
+from fescuerudder.jobs.load import Load
+from tests.jobs.test_throttling import make_book
+
+LASTING = Step(count=9, size=Size(processors=6.0, memory_mb=10), long_running=True)
+SHORT = Step(count=9, size=Size(processors=2.0, memory_mb=10))
+
+
+def make_loads(*free):
+    """Returns the loads of workers of 32 processors, so many of them free."""
+    loads = []
+    for number, processors in enumerate(free):
+        load = Load.of(make_book(f"w{number}"), Knowledge(), now_s=0.0)
+        loads.append(attrs.evolve(load, processors=processors))
+    return loads
+
+
+@pytest.mark.parametrize(
+    ("free", "count"),
+    [
+        ((32.0,), 4),
+        ((7.0,), 0),
+        ((7.0, 5.0), 0),
+        ((7.0, 7.0), 1),
+        ((9.0, 7.0), 1),
+        ((9.0, 9.0, 9.0), 3),
+    ],
+)
+def test_lasting_tasks_leave_room_to_short_ones(free, count):
+    """Guards against lasting tasks that take every processor, so that short jobs wait for good."""
+    demand = Demand(step=LASTING, count=9)
+    assert len(choose_lasting(demand, make_loads(*free))) == count
+
+
+def test_short_tasks_take_what_lasting_ones_leave():
+    """Guards against room that is kept from everybody."""
+    loads = make_loads(32.0)
+    choose_lasting(Demand(step=LASTING, count=9), loads)
+    assert loads[0].processors >= KEPT_SHARE * 32.0
+    assert choose(Demand(step=SHORT, count=1), loads) == loads
+
+
+def test_a_limit_on_a_worker_holds_beside_the_kept_share():
+    """Guards against more tasks of a step on a worker than the step allows."""
+    step = attrs.evolve(LASTING, max_per_worker=1)
+    demand = Demand(step=step, count=9)
+    assert len(choose_lasting(demand, make_loads(32.0, 32.0))) == 2
