Let the headroom of a task differ from that of its job

What a task's reports lately differed by is added to its job's estimate now. Test: test_a_task_on_a_worse_worker_is_expected_to_have_less, failing before (difference 0).

--- a/fescuerudder/jobs/headroom.py
+++ b/fescuerudder/jobs/headroom.py
@@ -56,6 +56,9 @@
 UNKNOWN_HEADROOM = 2.0
 """Assumed of a job that was not reported at work yet."""
 
+RESIDUAL_GAIN = 0.5
+"""Weight of the latest report in what a task's headroom differs from the estimates."""
+
 AT_WORK = 100
 """Progress, in percent, from which a long-running task is at work."""
 
@@ -160,6 +163,7 @@
         self._effects: dict[tuple[str, str], _Effect] = {}
         self._jobs: dict[StepRun, _Undisturbed] = {}
         self._measured: dict[Attempt, Measurement] = {}
+        self._residuals: dict[Attempt, float] = {}
         self._fillers: dict[str, dict[Attempt, _Filler]] = {}
 
     def dump(self) -> list[list[Any]]:
@@ -186,9 +190,15 @@
         return (PRIOR_EFFECT if effect is None else effect.mean) * share
 
     def expected(self, attempt: Attempt, *, at_s: float) -> float:
-        """Returns the headroom of a task at a time if it had no best-effort neighbours."""
+        """Returns the headroom of a task at a time if it had no best-effort neighbours.
+
+        What its reports lately differed by from the estimates counts too: its worker may be
+        slower, or its other neighbours may take more.
+        """
         job = self._jobs.get(attempt.task.step)
-        return UNKNOWN_HEADROOM if job is None else job.expected(at_s)
+        if job is None:
+            return UNKNOWN_HEADROOM
+        return job.expected(at_s) + self._residuals.get(attempt, 0.0)
 
     def measured(self, attempt: Attempt) -> Measurement | None:
         """Returns what the last report said of a task, None without one."""
@@ -207,6 +217,7 @@
         self._measured = {a: m for a, m in self._measured.items() if a in a.task.attempts}
         live = {attempt.task.step for attempt in self._measured}
         self._jobs = {step: job for step, job in self._jobs.items() if step in live}
+        self._residuals = {a: r for a, r in self._residuals.items() if a in self._measured}
 
     def _note_fillers(self, book: WorkerBook, now_s: float) -> list[tuple[Step, float]]:
         """Returns the best-effort tasks of the time that the report covers, with their shares."""
@@ -254,6 +265,9 @@
         job.correct(surprise, total, passed_s)
         for effect, share in found:
             effect.correct(surprise, total, share)
+        left = headroom - (job.headroom - sum(effect.mean * share for effect, share in found))
+        known = self._residuals.get(attempt, 0.0)
+        self._residuals[attempt] = known + RESIDUAL_GAIN * (left - known)
 
     def _measure(self, attempt: Attempt, headroom: float, now_s: float) -> None:
         last = self._measured.get(attempt)
--- a/tests/jobs/test_throttling.py
+++ b/tests/jobs/test_throttling.py
@@ -169,3 +169,33 @@
     load, needed = load_with(headroom), placed_headroom(waited_share=waited_share)
     assert fits(Demand(step=HEAVY, count=1, headroom=needed), load) is is_placed
     assert fits(Demand(step=LIGHT, count=1, headroom=needed), load)
+
+
+def test_a_task_on_a_worse_worker_is_expected_to_have_less():
+    """Guards against neighbours that stay where one task of a sound job misses its target."""
+    headrooms = Headrooms()
+    run = JobRun.create(
+        job=Job(id="web0", queue="q", payload="", steps=(GUARDED,)), version=1, received_s=0.0
+    )
+    books = [make_book("w0"), make_book("w1")]
+    attempts = []
+    for index, book in enumerate(books):
+        attempt = Attempt(
+            task=run.task(TaskId("web0", 0, 0, index)),
+            worker=book.id,
+            number=1,
+            phase=Phase.RUNNING,
+            token=1,
+            sent_s=0.0,
+            confirmed_s=0.0,
+            percent=100,
+        )
+        attempt.task.attempts.append(attempt)
+        book.attempts[(attempt.task.id, 1)] = attempt
+        attempts.append(attempt)
+    for step in range(20):
+        for attempt, book, headroom in zip(attempts, books, (2.5, 1.0), strict=True):
+            attempt.latency_ms = GUARDED.latency_target_ms / headroom
+            headrooms.read(book, now_s=0.5 * step)
+    good, bad = (headrooms.expected(attempt, at_s=10.0) for attempt in attempts)
+    assert good - bad > 1.0
