--- a/fescuerudder/cli.py
+++ b/fescuerudder/cli.py
@@ -256,15 +256,16 @@
     return EXIT_DONE
 
 
-def node(*, settings: str = "") -> int:
+def node(*, settings: str = "", metrics_port: int = 9464) -> int:
     """Runs an instance that serves jobs on the users' platform, until SIGTERM.
 
     Args:
+        metrics_port: port for metrics, on the instance's own address.
         settings: settings file, instead of the one named by FESCUERUDDER_NODE_FILE.
     """
     from fescuerudder.platform.run import run_on_platform
 
-    return run_on_platform(settings=settings)
+    return run_on_platform(metrics_port=metrics_port, settings=settings)
 
 
 def settings() -> int:
--- /dev/null
+++ b/fescuerudder/jobs/jobmetrics.py
@@ -0,0 +1,69 @@
+"""Metrics of an instance that serves jobs: every decision by its log event, and latencies."""
+
+from collections import Counter
+from typing import Any
+
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.metrics import CallbackOptions, Observation
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.resources import Resource
+from prometheus_client import CollectorRegistry, generate_latest
+from structlog.typing import EventDict
+
+LATENCY_BOUNDS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0)
+
+LABELS = ("event", "level", "end", "result", "outcome", "status")
+"""Fields of a log line that become labels: each has few values."""
+
+
+class JobMetrics:
+    """Counters and latency histograms; a context manager.
+
+    Args:
+        instance: id of the instance.
+    """
+
+    def __init__(self, *, instance: str) -> None:
+        self._registry = CollectorRegistry()
+        reader = PrometheusMetricReader(registry=self._registry, scope_info_enabled=False)
+        resource = Resource({"service.name": "fescuerudder", "service.instance.id": instance})
+        self._provider = MeterProvider(
+            metric_readers=[reader], resource=resource, shutdown_on_exit=False
+        )
+        meter = self._provider.get_meter("fescuerudder")
+        # Counted in a plain map and read out on demand: a log line costs next to nothing so.
+        self._events: Counter[tuple[tuple[str, str], ...]] = Counter()
+        meter.create_observable_counter(
+            "fescuerudder_decisions",
+            callbacks=[self._observe_events],
+            description="Log events by name and outcome.",
+        )
+        self._latency = meter.create_histogram(
+            "fescuerudder_call_latency",
+            unit="s",
+            description="Time of calls by peer (store, worker, caller), operation and outcome.",
+            explicit_bucket_boundaries_advisory=LATENCY_BOUNDS_S,
+        )
+
+    def __enter__(self) -> "JobMetrics":
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        self._provider.shutdown()
+
+    def count_event(self, _: Any, __: str, event: EventDict) -> EventDict:
+        """Counts a log line; a structlog processor."""
+        self._events[tuple((name, str(event[name])) for name in LABELS if name in event)] += 1
+        return event
+
+    def _observe_events(self, _: CallbackOptions) -> list[Observation]:
+        return [Observation(count, dict(labels)) for labels, count in self._events.copy().items()]
+
+    def record_call(self, *, peer: str, operation: str, outcome: str, seconds: float) -> None:
+        """Records one call and its time."""
+        labels = {"peer": peer, "operation": operation, "outcome": outcome}
+        self._latency.record(seconds, labels)
+
+    def render(self) -> bytes:
+        """Returns all metrics as Prometheus text."""
+        return generate_latest(self._registry)
--- a/fescuerudder/jobs/leader.py
+++ b/fescuerudder/jobs/leader.py
@@ -14,6 +14,7 @@
 from fescuerudder.errors import StoreOutcomeUnknownError, StoreUnavailableError
 from fescuerudder.jobs.claim import Claim
 from fescuerudder.jobs.configview import ConfigView
+from fescuerudder.jobs.jobmetrics import JobMetrics
 from fescuerudder.jobs.jobrun import JobState
 from fescuerudder.jobs.leaderwrites import LeadershipLostError, LeaderWrites
 from fescuerudder.jobs.leases import LeaseTerms
@@ -249,6 +250,7 @@
         view: returns the configuration.
         publish: told of states of jobs that are stored, and of the number of waiting jobs of
             each queue, None if unchanged.
+        metrics: metrics of this instance.
     """
 
     def __init__(
@@ -264,8 +266,10 @@
         lease_s: float,
         view: Callable[[], ConfigView],
         publish: Callable[[dict[str, JobState], dict[str, int] | None], None],
+        metrics: JobMetrics,
     ) -> None:
         self._store = store
+        self._metrics = metrics
         self._publish = publish
         self._workers = workers
         self._registry = registry
@@ -384,20 +388,32 @@
 
     def _carry_out(self, order: Order, planned_s: float) -> None:
         queued_s = self._clock.now_s() - planned_s
+        started_s, outcome = self._clock.now_s(), "failed"
         try:
             if isinstance(order, RenewOrder):
-                self._tell(self._renew(order))
+                event = self._renew(order)
             elif queued_s > MAX_QUEUED_S:
                 _log.warning("order dropped", order=type(order).__name__, queued_s=queued_s)
-                self._tell(_Answered(order=order, answer=OrderAnswer(OrderResult.NOT_SENT)))
-            elif isinstance(order, StartOrder):
-                self._tell(_Answered(order=order, answer=self._workers.start(order)))
-            elif isinstance(order, StopOrder):
-                self._tell(_Answered(order=order, answer=self._workers.stop(order)))
-            elif isinstance(order, ThrottleOrder):
-                self._tell(_Answered(order=order, answer=self._workers.throttle(order)))
+                event = _Answered(order=order, answer=OrderAnswer(OrderResult.NOT_SENT))
+            else:
+                event = _Answered(order=order, answer=self._give(order))
+            outcome = _outcome(event)
+            self._tell(event)
         except Exception:
             _log.exception("order failed", order=type(order).__name__)
+        self._metrics.record_call(
+            peer="worker",
+            operation=type(order).__name__,
+            outcome=outcome,
+            seconds=self._clock.now_s() - started_s,
+        )
+
+    def _give(self, order: StartOrder | StopOrder | ThrottleOrder) -> OrderAnswer:
+        if isinstance(order, StartOrder):
+            return self._workers.start(order)
+        if isinstance(order, StopOrder):
+            return self._workers.stop(order)
+        return self._workers.throttle(order)
 
     def _renew(self, order: RenewOrder) -> Any:
         sent_s = self._clock.now_s()
@@ -505,3 +521,10 @@
         _log.warning("leadership lost", reason=reason)
         self._stopping.set()
         self.lost.set()
+
+
+def _outcome(event: Any) -> str:
+    """Returns the outcome of an order for the metrics."""
+    if isinstance(event, _Answered):
+        return event.answer.result.value
+    return type(event).__name__.lstrip("_").lower()
--- a/fescuerudder/jobs/node.py
+++ b/fescuerudder/jobs/node.py
@@ -19,6 +19,7 @@
 from fescuerudder.jobs.configwatch import ConfigWatch
 from fescuerudder.jobs.followerlink import FollowerLink
 from fescuerudder.jobs.intake import JobIntake, store_row
+from fescuerudder.jobs.jobmetrics import JobMetrics
 from fescuerudder.jobs.jobrun import JobState
 from fescuerudder.jobs.jobstates import JobStates
 from fescuerudder.jobs.leader import LeaderTerm, WorkerRegistry
@@ -35,6 +36,8 @@
 
 CALLER_THREADS = 16
 HEALTH_THREADS = 2
+METRICS_THREADS = 1
+METRICS_TYPE = "text/plain; version=0.0.4"
 RELAY_TIMEOUT_S = 1.0
 LEASE_S = 5.0
 """A new leader needs up to four seconds to renew the leases of its predecessor."""
@@ -115,20 +118,30 @@
         cfg: settings.
         ports: the platform.
         clock: source of time.
+        metrics: metrics of this instance.
     """
 
-    def __init__(self, *, cfg: NodeSettings, ports: Ports, clock: Clock) -> None:
+    def __init__(
+        self, *, cfg: NodeSettings, ports: Ports, clock: Clock, metrics: JobMetrics
+    ) -> None:
         self._cfg = cfg
+        self._metrics = metrics
         self._ports = ports
         self._clock = clock
         self._kernel = Kernel()
         self._states = JobStates()
-        self._store = WatchedStore(store=ports.store, clock=clock)
+        self._store = WatchedStore(store=ports.store, clock=clock, metrics=metrics)
         self.config = ConfigWatch(source=ports.config, clock=clock, on_change=self._configure)
         self._build_leadership()
         self.intake = JobIntake(
             store=self._store, clock=clock, states=self._states, leader=self._news
         )
+        self._metrics_server = HttpServer(
+            address=f"{cfg.ip}:{cfg.metrics_port}",
+            threads=METRICS_THREADS,
+            app=self._serve_metrics,
+            clock=clock,
+        )
         self._callers = HttpServer(
             address=cfg.callers, threads=CALLER_THREADS, app=ports.make_app(self), clock=clock
         )
@@ -145,6 +158,7 @@
             ("leadership", self._leadership),
             ("callers", self._callers),
             ("health", self._health),
+            ("metrics", self._metrics_server),
         ):
             self._kernel.add(name, lambda _, owner=owner: OwnerService(owner=owner))
         return self
@@ -218,6 +232,7 @@
             lease_s=min(LEASE_S, self._cfg.max_lease_s),
             view=lambda: self.config.view,
             publish=self._publish,
+            metrics=self._metrics,
         )
 
     def _publish(self, states: dict[str, JobState], pending: dict[str, int] | None) -> None:
@@ -243,13 +258,26 @@
         start_response(status, [("Content-Length", "0")])
         return [b""]
 
+    def _serve_metrics(self, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
+        """WSGI application of the metrics address."""
+        data = self._metrics.render()
+        start_response(
+            "200 OK", [("Content-Type", METRICS_TYPE), ("Content-Length", str(len(data)))]
+        )
+        return [data]
+
     def _store_for_follower(self, message: StoreJob) -> str:
         """Stores a row for a follower that the store turns away."""
         return store_row(self._store, message, timeout_s=RELAY_TIMEOUT_S)
 
 
 def run_node(
-    cfg: NodeSettings, ports: Ports, clock: Clock, *, read_settings: Callable[[], NodeSettings]
+    cfg: NodeSettings,
+    ports: Ports,
+    clock: Clock,
+    metrics: JobMetrics,
+    *,
+    read_settings: Callable[[], NodeSettings],
 ) -> int:
     """Runs an instance until SIGTERM; returns the exit code.
 
@@ -257,6 +285,7 @@
         cfg: settings at the start.
         ports: the platform.
         clock: source of time.
+        metrics: metrics of this instance.
         read_settings: reads the settings anew, after SIGHUP and now and then.
     """
     stop = threading.Event()
@@ -264,7 +293,7 @@
     signal.signal(signal.SIGTERM, lambda *_: stop.set())
     signal.signal(signal.SIGHUP, lambda *_: reload.signal())
     _log.info("instance starts", instance=cfg.instance, zone=cfg.zone, cores=cfg.cores)
-    with JobNode(cfg=cfg, ports=ports, clock=clock) as node:
+    with JobNode(cfg=cfg, ports=ports, clock=clock, metrics=metrics) as node:
         while not stop.wait(SIGNAL_POLL_S):
             if reload.step():
                 node.reconfigure(reload.cfg)
--- a/fescuerudder/jobs/nodesettings.py
+++ b/fescuerudder/jobs/nodesettings.py
@@ -12,7 +12,8 @@
         zone: its availability zone.
         region: region of the zone.
         callers: `ip:port` for callers.
-        health: `ip:port` for health checks and metrics.
+        health: `ip:port` for health checks.
+        metrics_port: port of `ip` for metrics.
         ip: address at which peers reach it.
         first_port: first of the ports that are free for messages between instances.
         store: `ip:port` of the row store.
@@ -26,6 +27,7 @@
     region: str
     callers: str
     health: str
+    metrics_port: int
     ip: str
     first_port: int
     store: str
--- a/fescuerudder/jobs/watchedstore.py
+++ b/fescuerudder/jobs/watchedstore.py
@@ -1,6 +1,11 @@
-"""A row store that notes when it was last reached."""
+"""A row store that notes when it was last reached, and how long its calls take."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
 
 from fescuerudder.clock import Clock
+from fescuerudder.errors import PlatformError
+from fescuerudder.jobs.jobmetrics import JobMetrics
 from fescuerudder.jobs.rows import (
     Changes,
     HistoryLostError,
@@ -17,11 +22,13 @@
     Args:
         store: the store.
         clock: source of time.
+        metrics: metrics of this instance.
     """
 
-    def __init__(self, *, store: RowStore, clock: Clock) -> None:
+    def __init__(self, *, store: RowStore, clock: Clock, metrics: JobMetrics) -> None:
         self._store = store
         self._clock = clock
+        self._metrics = metrics
         self._reached_s = clock.now_s()
 
     @property
@@ -31,31 +38,40 @@
 
     def write(self, txn: RowsTxn, *, timeout_s: float) -> int:
         """Applies a transaction; see `RowStore.write`."""
-        try:
-            version = self._store.write(txn, timeout_s=timeout_s)
-        except RowConflictError:
-            self._note()
-            raise
-        self._note()
-        return version
+        with self._timed("write"):
+            return self._store.write(txn, timeout_s=timeout_s)
 
     def read(
         self, *, table: str, part: str, first: str = "", end: str = "", timeout_s: float
     ) -> Page:
         """Returns rows of a partition; see `RowStore.read`."""
-        page = self._store.read(table=table, part=part, first=first, end=end, timeout_s=timeout_s)
-        self._note()
-        return page
+        with self._timed("read"):
+            return self._store.read(
+                table=table, part=part, first=first, end=end, timeout_s=timeout_s
+            )
 
     def changes(self, *, table: str, after: int, wait_s: float) -> Changes:
         """Returns changes of a table; see `RowStore.changes`."""
+        with self._timed("changes"):
+            return self._store.changes(table=table, after=after, wait_s=wait_s)
+
+    @contextmanager
+    def _timed(self, operation: str) -> Iterator[None]:
+        """Notes whether the store answered, with what outcome, and how long it took."""
+        started_s, outcome, answered = self._clock.now_s(), "answered", True
         try:
-            changes = self._store.changes(table=table, after=after, wait_s=wait_s)
-        except HistoryLostError:
-            self._note()
+            yield
+        except PlatformError as exc:
+            outcome = type(exc).__name__
+            answered = isinstance(exc, RowConflictError | HistoryLostError)
             raise
-        self._note()
-        return changes
+        finally:
+            now_s = self._clock.now_s()
+            if answered:
+                self._reached_s = now_s
+            self._record(operation, outcome, now_s - started_s)
 
-    def _note(self) -> None:
-        self._reached_s = self._clock.now_s()
+    def _record(self, operation: str, outcome: str, seconds: float) -> None:
+        self._metrics.record_call(
+            peer="store", operation=operation, outcome=outcome, seconds=seconds
+        )
--- a/fescuerudder/platform/callers.py
+++ b/fescuerudder/platform/callers.py
@@ -13,6 +13,7 @@
 from fescuerudder.httpserver import MAX_BODY_BYTES, close_after_answer
 from fescuerudder.jobs.intake import Refusal
 from fescuerudder.jobs.job import Job, Repetition, Step
+from fescuerudder.jobs.jobmetrics import JobMetrics
 from fescuerudder.jobs.jobrun import JobState
 from fescuerudder.jobs.manifest import Queue
 from fescuerudder.platform.operations import size
@@ -50,6 +51,7 @@
         find_queue: returns the queue of a host and path; raises LookupError without a manifest.
         is_draining: whether connections are to be closed after their answers.
         clock: source of time.
+        metrics: metrics of this instance.
     """
 
     def __init__(
@@ -59,8 +61,10 @@
         find_queue: Callable[[str, str], Queue | None],
         is_draining: Callable[[], bool],
         clock: Clock,
+        metrics: JobMetrics,
     ) -> None:
         self._intake = intake
+        self._metrics = metrics
         self._find_queue = find_queue
         self._is_draining = is_draining
         self._clock = clock
@@ -84,13 +88,18 @@
                 *headers.items(),
             ],
         )
+        took_s = self._clock.now_s() - started_s
+        method = environ["REQUEST_METHOD"]
+        self._metrics.record_call(
+            peer="caller", operation=method, outcome=str(status), seconds=took_s
+        )
         _log.info(
             "request answered",
-            method=environ["REQUEST_METHOD"],
+            method=method,
             path=environ.get("PATH_INFO"),
             status=status,
             body=body,
-            took_ms=round((self._clock.now_s() - started_s) * 1000, 1),
+            took_ms=round(took_s * 1000, 1),
         )
         return [data]
 
--- a/fescuerudder/platform/run.py
+++ b/fescuerudder/platform/run.py
@@ -6,7 +6,9 @@
 
 from fescuerudder.clock import Clock, SystemClock
 from fescuerudder.errors import SettingsError
+from fescuerudder.jobs.jobmetrics import JobMetrics
 from fescuerudder.jobs.node import JobNode, Ports, run_node
+from fescuerudder.jobs.nodesettings import NodeSettings
 from fescuerudder.logs import configure_logs
 from fescuerudder.platform.callers import CallerApp
 from fescuerudder.platform.http import HttpClient
@@ -20,29 +22,30 @@
 _log = structlog.get_logger(__name__)
 
 
-def run_on_platform(*, settings: str = "") -> int:
+def run_on_platform(*, metrics_port: int, settings: str = "") -> int:
     """Runs an instance until SIGTERM; returns the exit code.
 
     Args:
+        metrics_port: port for metrics.
         settings: path of the settings file, instead of the one that the environment names.
     """
+
+    def read_settings() -> NodeSettings:
+        return load_node_settings(settings, metrics_port=metrics_port)
+
     try:
-        cfg = load_node_settings(settings)
+        cfg = read_settings()
     except SettingsError as exc:
         print(f"fescuerudder: {exc}", file=sys.stderr)
         return EXIT_SETTINGS
-    configure_logs(level="info", instance=cfg.instance)
     clock = SystemClock()
-    with HttpClient() as http:
-        return run_node(
-            cfg,
-            make_ports(http, cfg.store, clock),
-            clock,
-            read_settings=lambda: load_node_settings(settings),
-        )
+    with HttpClient() as http, JobMetrics(instance=cfg.instance) as metrics:
+        configure_logs(level="info", instance=cfg.instance, observers=(metrics.count_event,))
+        ports = make_ports(http, cfg.store, clock, metrics)
+        return run_node(cfg, ports, clock, metrics, read_settings=read_settings)
 
 
-def make_ports(http: HttpClient, store_address: str, clock: Clock) -> Ports:
+def make_ports(http: HttpClient, store_address: str, clock: Clock, metrics: JobMetrics) -> Ports:
     """Returns the platform's ports."""
     store = PlatformStore(http=http, address=store_address)
     return Ports(
@@ -50,14 +53,15 @@
         workers=PlatformWorkers(http=http),
         registry=PlatformRegistry(store=store),
         config=PlatformConfig(store=store),
-        make_app=lambda node: _make_app(node, clock),
+        make_app=lambda node: _make_app(node, clock, metrics),
     )
 
 
-def _make_app(node: JobNode, clock: Clock) -> CallerApp:
+def _make_app(node: JobNode, clock: Clock, metrics: JobMetrics) -> CallerApp:
     return CallerApp(
         intake=node.intake,
         find_queue=node.config.find_queue,
         is_draining=lambda: node.is_draining,
         clock=clock,
+        metrics=metrics,
     )
--- a/fescuerudder/platform/settings.py
+++ b/fescuerudder/platform/settings.py
@@ -11,9 +11,11 @@
 FILE_ENV = "FESCUERUDDER_NODE_FILE"
 
 
-def load_node_settings(path: str = "") -> NodeSettings:
+def load_node_settings(path: str = "", *, metrics_port: int) -> NodeSettings:
     """Returns the settings of the file at `path`, or of the one that the environment names.
 
+    The file has no address for metrics; the deploy file names the port.
+
     Raises:
         SettingsError: with every fault.
     """
@@ -24,10 +26,10 @@
         raw = tomllib.loads(Path(path).read_text(encoding="utf-8"))
     except (OSError, ValueError) as exc:
         raise SettingsError(problems=[f"{path}: {exc}"]) from exc
-    return _decode(raw)
+    return _decode(raw, metrics_port)
 
 
-def _decode(raw: dict[str, Any]) -> NodeSettings:
+def _decode(raw: dict[str, Any], metrics_port: int) -> NodeSettings:
     problems: list[str] = []
 
     def get(place: str, kind: Any) -> Any:
@@ -49,6 +51,7 @@
         "callers": get("listenAddrs.front", str),
         "health": get("listenAddrs.readyAddr", str),
         "ip": get("ip", str),
+        "metrics_port": metrics_port,
         "first_port": get("internalPorts", lambda ports: int(ports[0])),
         "store": get("platform.address", str),
         "cores": get("limits", lambda limits: limits["cpuShare"] * limits["cpuCores"]),
--- /dev/null
+++ b/tests/jobs/test_jobmetrics.py
@@ -0,0 +1,48 @@
+"""Metrics of an instance that serves jobs."""
+
+import pytest
+
+from fescuerudder.clock import ManualClock
+from fescuerudder.errors import StoreOutcomeUnknownError, StoreUnavailableError
+from fescuerudder.jobs.jobmetrics import JobMetrics
+from fescuerudder.jobs.rows import RowKey, RowsTxn
+from fescuerudder.jobs.watchedstore import WatchedStore
+from standins.rows import MemoryRows
+
+TXN = RowsTxn(puts=((RowKey("t", "", "k"), b"v"),))
+
+
+def test_each_log_event_is_counted_by_its_outcome():
+    """Guards against a failure that the counters don't show."""
+    with JobMetrics(instance="a") as metrics:
+        for end in ("done", "done", "failed"):
+            event = {"event": "attempt ended", "end": end, "job": "secret"}
+            assert metrics.count_event(None, "info", event) is event
+        text = metrics.render().decode()
+    counts = [line for line in text.splitlines() if line.startswith("fescuerudder_decisions")]
+    assert [line.rsplit(" ", 1)[1] for line in sorted(counts)] == ["2.0", "1.0"]
+    assert "secret" not in text
+
+
+@pytest.mark.parametrize(
+    ("fault", "outcome", "is_reached"),
+    [
+        ({}, "answered", True),
+        ({"down": True}, "StoreUnavailableError", False),
+        ({"lose_answers": 1}, "StoreOutcomeUnknownError", False),
+    ],
+)
+def test_store_calls_are_timed_by_outcome(fault, outcome, is_reached):
+    """Guards against a store that fails unseen, and one that counts as reached when it isn't."""
+    clock, rows = ManualClock(), MemoryRows()
+    for name, value in fault.items():
+        setattr(rows.faults, name, value)
+    with JobMetrics(instance="a") as metrics:
+        store = WatchedStore(store=rows, clock=clock, metrics=metrics)
+        clock.advance(seconds=5.0)
+        try:
+            store.write(TXN, timeout_s=1.0)
+        except (StoreUnavailableError, StoreOutcomeUnknownError) as exc:
+            assert type(exc).__name__ == outcome
+        assert (store.age_s == 0.0) is is_reached
+        assert f'operation="write",outcome="{outcome}",peer="store"' in metrics.render().decode()
--- a/tests/jobs/test_reloading.py
+++ b/tests/jobs/test_reloading.py
@@ -14,6 +14,7 @@
     region="r",
     callers="127.0.0.1:1",
     health="127.0.0.1:2",
+    metrics_port=9,
     ip="127.0.0.1",
     first_port=3,
     store="127.0.0.1:4",
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -9,7 +9,9 @@
 
 def test_fields_are_decoded_with_their_units(tmp_path):
     """Guards against names and units of the platform that reach the product."""
-    cfg = load_node_settings(write_settings(tmp_path / "s.toml", front_port=81, grace_s=7))
+    cfg = load_node_settings(
+        write_settings(tmp_path / "s.toml", front_port=81, grace_s=7), metrics_port=9
+    )
     assert (cfg.instance, cfg.callers, cfg.cores) == ("n1", "127.0.0.1:81", 1.0)
     assert (cfg.max_lease_s, cfg.grace_s) == (6.0, 7.0)
 
@@ -17,7 +19,7 @@
 def test_path_comes_from_the_environment(tmp_path, monkeypatch):
     """Guards against a start that needs flags."""
     monkeypatch.setenv(FILE_ENV, write_settings(tmp_path / "s.toml"))
-    assert load_node_settings().instance == "n1"
+    assert load_node_settings(metrics_port=9).instance == "n1"
 
 
 @pytest.mark.parametrize(
@@ -35,7 +37,7 @@
     lines = path.read_text().splitlines()
     path.write_text("\n".join(line for line in lines if not line.startswith(tuple(cut))))
     with pytest.raises(SettingsError) as caught:
-        load_node_settings(str(path))
+        load_node_settings(str(path), metrics_port=9)
     for problem in problems:
         assert problem in str(caught.value)
 
@@ -46,4 +48,4 @@
     path = tmp_path / "s.toml"
     path.write_text(text)
     with pytest.raises(SettingsError):
-        load_node_settings(str(path))
+        load_node_settings(str(path), metrics_port=9)
