Count a job as begun once a task was seen to run

A job counted as begun with the order for its first task; a leader that ended before its orders went out had stored that, and its successor went by it. An instance that the leader has told no counts yet reads them from the store now, too. Tests: test_a_job_waits_until_a_task_is_seen_to_run, tests/jobs/test_intake.py (failing before).

--- a/fescuerudder/jobs/followerlink.py
+++ b/fescuerudder/jobs/followerlink.py
@@ -69,7 +69,7 @@
         self._task: asyncio.Task | None = None
         self._numbers = itertools.count(UNASKED + 1)
         self._questions: dict[int, Future] = {}
-        self.pending: dict[str, int] = {}
+        self.pending: dict[str, int] | None = None
         self.pulse_s: float | None = None
         self.refused = False
 
@@ -164,7 +164,8 @@
         message = envelope.message
         if isinstance(message, Pulse) and message.epoch == claim.epoch:
             self.pulse_s = self._clock.now_s()
-            self.pending = message.pending or self.pending
+            if message.pending is not None:
+                self.pending = message.pending
             for job_id, state in message.states.items():
                 self._states.note(job_id, JobState(state))
         elif isinstance(message, ClaimNow):
--- a/fescuerudder/jobs/intake.py
+++ b/fescuerudder/jobs/intake.py
@@ -63,8 +63,8 @@
         """Whether it hears from the leader."""
 
     @property
-    def pending(self) -> dict[str, int]:
-        """Number of waiting jobs of each queue."""
+    def pending(self) -> dict[str, int] | None:
+        """Number of waiting jobs of each queue, None if the leader hasn't told it yet."""
 
     def store(self, message: StoreJob, *, timeout_s: float) -> str:
         """Asks the leader to store a row; returns an outcome as in `StoreOutcome`."""
@@ -163,8 +163,9 @@
 
     def pending(self, queue: str) -> Result[int, Refusal]:
         """Returns the number of jobs of a queue of which no task has started."""
-        if self._leader.is_fresh:
-            return Ok(self._leader.pending.get(queue, 0))
+        told = self._leader.pending
+        if self._leader.is_fresh and told is not None:
+            return Ok(told.get(queue, 0))
         try:
             page = self._store.read(
                 table=HEARTBEAT.table, part=HEARTBEAT.part, timeout_s=READ_TIMEOUT_S
--- a/fescuerudder/jobs/jobrun.py
+++ b/fescuerudder/jobs/jobrun.py
@@ -169,7 +169,7 @@
         version: version of its row in the store.
         received_s: when this instance learned of it, on its clock.
         state: state of its progress; callers see it once it is stored.
-        begun: a task has been started at some time.
+        begun: a task was seen to run at some time.
         cancel_requested: a caller asked for its cancellation.
         chain_ms: estimated work on the longest chain of steps, in milliseconds.
         steps: the steps of all occurrences.
--- a/fescuerudder/jobs/linkmessages.py
+++ b/fescuerudder/jobs/linkmessages.py
@@ -34,12 +34,12 @@
     Args:
         epoch: number of its term.
         states: states of jobs that are stored and were not told yet, by job id.
-        pending: jobs of each queue of which no task has started.
+        pending: jobs of each queue of which no task has started, None if it isn't told.
     """
 
     epoch: int
     states: dict[str, str] = attrs.Factory(dict)
-    pending: dict[str, int] = attrs.Factory(dict)
+    pending: dict[str, int] | None = None
 
 
 @attrs.frozen(kw_only=True)
--- a/fescuerudder/jobs/node.py
+++ b/fescuerudder/jobs/node.py
@@ -90,7 +90,7 @@
     def __init__(self, *, link: FollowerLink, is_leading: Callable[[], bool]) -> None:
         self._link = link
         self._is_leading = is_leading
-        self._pending: dict[str, int] = {}
+        self._pending: dict[str, int] | None = None
 
     @property
     def is_fresh(self) -> bool:
@@ -98,8 +98,8 @@
         return self._is_leading() or self._link.is_fresh
 
     @property
-    def pending(self) -> dict[str, int]:
-        """Number of waiting jobs of each queue."""
+    def pending(self) -> dict[str, int] | None:
+        """Number of waiting jobs of each queue, None if the leader hasn't told it yet."""
         return self._pending if self._is_leading() else self._link.pending
 
     def note_pending(self, pending: dict[str, int]) -> None:
--- a/fescuerudder/jobs/reports.py
+++ b/fescuerudder/jobs/reports.py
@@ -105,6 +105,7 @@
             self._note_worker(attempt, end.end, now_s)
         if task is None:
             return
+        world.note_begun(task.step.job)
         task.last_number = max(task.last_number, end.attempt)
         if end.end is AttemptEnd.DONE and not task.step.spec.long_running:
             self._note_done(task)
@@ -146,6 +147,7 @@
         if attempt.phase in (Phase.STARTING, Phase.UNCERTAIN):
             attempt.phase = Phase.RUNNING
             attempt.confirmed_s = now_s
+        self._world.note_begun(attempt.task.step.job)
         attempt.checkpoint = row.checkpoint or attempt.checkpoint
         attempt.percent = row.percent
         attempt.latency_ms = row.latency_ms
@@ -174,9 +176,6 @@
             throttle=None,
         )
         self._world.add_attempt(attempt)
-        if not task.step.job.begun:
-            task.step.job.begun = True
-            self._world.mark_dirty(task.step.job)
         _log.info(
             "attempt adopted",
             job=row.task.job,
--- a/fescuerudder/jobs/scheduler.py
+++ b/fescuerudder/jobs/scheduler.py
@@ -272,6 +272,7 @@
         if answer.result is OrderResult.DONE:
             attempt.phase = Phase.RUNNING if attempt.phase is not Phase.STOPPING else attempt.phase
             attempt.confirmed_s = now_s
+            self.world.note_begun(attempt.task.step.job)
             return
         _log.info(
             "start not confirmed",
--- a/fescuerudder/jobs/starts.py
+++ b/fescuerudder/jobs/starts.py
@@ -7,7 +7,7 @@
 
 from fescuerudder.jobs.job import Step
 from fescuerudder.jobs.jobplacement import Demand, choose, choose_lasting, placed_headroom
-from fescuerudder.jobs.jobrun import Attempt, JobRun, JobState, Phase, StepRun, TaskRun
+from fescuerudder.jobs.jobrun import Attempt, JobRun, Phase, StepRun, TaskRun
 from fescuerudder.jobs.leases import LeaseTerms
 from fescuerudder.jobs.load import Load
 from fescuerudder.jobs.manifest import Queue
@@ -173,10 +173,6 @@
         self._world.add_attempt(attempt)
         self._world.health.note_start(book.id)
         run = task.step.job
-        if not run.begun:
-            run.begun = True
-            run.state = JobState.RUNNING
-            self._world.mark_dirty(run)
         _log.info(
             "start ordered",
             job=task.id.job,
--- a/fescuerudder/jobs/world.py
+++ b/fescuerudder/jobs/world.py
@@ -7,7 +7,7 @@
 
 from fescuerudder.clock import Clock
 from fescuerudder.jobs.job import TaskId
-from fescuerudder.jobs.jobrun import Attempt, JobRun, StepRun, TaskRun
+from fescuerudder.jobs.jobrun import Attempt, JobRun, JobState, StepRun, TaskRun
 from fescuerudder.jobs.knowledge import Knowledge
 from fescuerudder.jobs.load import Load
 from fescuerudder.jobs.manifest import Manifest, Pool, Queue
@@ -115,6 +115,15 @@
         attempt.task.last_number = max(attempt.task.last_number, attempt.number)
         self.books[attempt.worker].attempts[(attempt.task.id, attempt.number)] = attempt
 
+    def note_begun(self, run: JobRun) -> None:
+        """Notes that a task of a job was seen to run; an order alone is no proof of that."""
+        if run.begun:
+            return
+        run.begun = True
+        if run.state is JobState.QUEUED:
+            run.state = JobState.RUNNING
+        self.mark_dirty(run)
+
     def load_of(self, book: WorkerBook, *, now_s: float) -> Load:
         """Returns the load of a worker; a plan that adds an attempt adds its step there too."""
         load = self._loads.get(book.id)
--- /dev/null
+++ b/tests/jobs/test_intake.py
@@ -0,0 +1,114 @@
+"""Callers' jobs and questions at any instance, with a store that fails."""
+
+import attrs
+import pytest
+from result import Err, Ok
+
+from fescuerudder.clock import ManualClock
+from fescuerudder.document import Size
+from fescuerudder.jobs.claim import Heartbeat, dump
+from fescuerudder.jobs.intake import REFUSED, STORED, UNKNOWN, JobIntake, store_row
+from fescuerudder.jobs.job import Job, Step
+from fescuerudder.jobs.jobrun import JobState
+from fescuerudder.jobs.jobstates import JobStates
+from fescuerudder.jobs.rows import RowsTxn
+from fescuerudder.jobs.storage import HEARTBEAT, job_key
+from standins.rows import MemoryRows
+
+JOB = Job(
+    id="00000000000000aa",
+    queue="q",
+    payload="p",
+    steps=(Step(count=1, size=Size(processors=1.0, memory_mb=10)),),
+)
+
+
+@attrs.define
+class FakeLeader:
+    """What an instance hears from the leader."""
+
+    is_fresh: bool = False
+    pending: dict[str, int] | None = None
+    rows: MemoryRows | None = None
+
+    def store(self, message, *, timeout_s):
+        return REFUSED if self.rows is None else store_row(self.rows, message, timeout_s=timeout_s)
+
+
+def make_intake(rows, leader=None):
+    return JobIntake(
+        store=rows, clock=ManualClock(), states=JobStates(), leader=leader or FakeLeader()
+    )
+
+
+@pytest.mark.parametrize(
+    ("fault", "ran", "is_stored"),
+    [
+        ({"down": True}, False, False),
+        ({"lose_answers": 1}, "accepted", True),
+        ({"lose_writes": 99}, None, False),
+    ],
+)
+def test_answer_tells_what_is_certain(fault, ran, is_stored):
+    """Guards against "not run" for a job that may be stored, and 2xx for one that isn't."""
+    rows = MemoryRows()
+    for name, value in fault.items():
+        setattr(rows.faults, name, value)
+    answer = make_intake(rows).submit(JOB, deadline_s=3.0)
+    if ran == "accepted":
+        assert answer == Ok(None)
+    else:
+        assert isinstance(answer, Err) and answer.err_value.ran is ran
+        assert answer.err_value.retry_after_s > 0
+    assert (rows.get(job_key(JOB.id)) is not None) is is_stored
+
+
+def test_leader_stores_for_an_instance_that_the_store_turns_away():
+    """Guards against refusals while another instance reaches the store."""
+    away, rows = MemoryRows(), MemoryRows()
+    away.faults.down = True
+    intake = make_intake(away, FakeLeader(is_fresh=True, rows=rows))
+    assert intake.submit(JOB, deadline_s=3.0) == Ok(None)
+    assert rows.get(job_key(JOB.id)) is not None
+
+
+def test_job_sent_again_stays_one():
+    """Guards against a repeat that replaces the job or is refused."""
+    rows = MemoryRows()
+    assert make_intake(rows).submit(JOB, deadline_s=3.0) == Ok(None)
+    version = rows.get(job_key(JOB.id)).version
+    assert make_intake(rows).submit(JOB, deadline_s=3.0) == Ok(None)
+    assert rows.get(job_key(JOB.id)).version == version
+    assert make_intake(rows).state(JOB.id) == Ok(JobState.QUEUED)
+
+
+@pytest.mark.parametrize(
+    ("leader", "count"),
+    [
+        (FakeLeader(is_fresh=True, pending={"q": 4}), 4),
+        (FakeLeader(is_fresh=True, pending={}), 0),
+        (FakeLeader(is_fresh=True, pending=None), 7),
+        (FakeLeader(is_fresh=False, pending={"q": 4}), 7),
+    ],
+)
+def test_waiting_jobs_come_from_who_knows_them(leader, count):
+    """Guards against "none waits" from an instance that the leader has told nothing yet."""
+    rows = MemoryRows()
+    beat = dump(Heartbeat(epoch=1, count=1, pending={"q": 7}))
+    rows.write(RowsTxn(puts=((HEARTBEAT, beat),)), timeout_s=1.0)
+    assert make_intake(rows, leader).pending("q") == Ok(count)
+
+
+@pytest.mark.parametrize(
+    ("fault", "outcome"),
+    [({}, STORED), ({"down": True}, REFUSED), ({"lose_answers": 1}, UNKNOWN)],
+)
+def test_cancellation_of_a_known_job(fault, outcome):
+    """Guards against a cancellation that is confirmed and not stored."""
+    rows = MemoryRows()
+    intake = make_intake(rows)
+    intake.submit(JOB, deadline_s=3.0)
+    for name, value in fault.items():
+        setattr(rows.faults, name, value)
+    answer = intake.cancel(JOB.id, deadline_s=3.0)
+    assert answer.is_ok() is (outcome is not REFUSED)
--- a/tests/jobs/test_scheduler.py
+++ b/tests/jobs/test_scheduler.py
@@ -465,3 +465,17 @@
     world.run(2.5)
     assert sum(len(w.runs) for w in world.workers.values()) == 4
     assert "w0" not in world.leaders[-1].scheduler.world.books
+
+
+def test_a_job_waits_until_a_task_is_seen_to_run():
+    """Guards against jobs that count as begun because of orders that no worker carried out."""
+    world = JobWorld(workers=1)
+    world.workers["w0"].refuses_all = True
+    world.submit(JOB, steps=steps(1))
+    leader = world.claim("a")
+    world.run(3)
+    assert leader.scheduler.pending() == {"q": 1}
+    world.workers["w0"].refuses_all = False
+    world.run(0.8)
+    assert leader.scheduler.pending() == {}
+    assert world.state(JOB) is JobState.RUNNING
