--- a/fescuerudder/jobs/jobmetrics.py
+++ b/fescuerudder/jobs/jobmetrics.py
@@ -3,13 +3,12 @@
 from collections import Counter
 from typing import Any
 
-from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from opentelemetry.metrics import CallbackOptions, Observation
-from opentelemetry.sdk.metrics import MeterProvider
-from opentelemetry.sdk.resources import Resource
-from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client import generate_latest
 from structlog.typing import EventDict
 
+from fescuerudder._meterprovider import create_provider
+
 LATENCY_BOUNDS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0)
 
 LABELS = ("event", "level", "end", "result", "outcome", "status")
@@ -24,12 +23,7 @@
     """
 
     def __init__(self, *, instance: str) -> None:
-        self._registry = CollectorRegistry()
-        reader = PrometheusMetricReader(registry=self._registry, scope_info_enabled=False)
-        resource = Resource({"service.name": "fescuerudder", "service.instance.id": instance})
-        self._provider = MeterProvider(
-            metric_readers=[reader], resource=resource, shutdown_on_exit=False
-        )
+        self._provider, self._registry = create_provider(instance)
         meter = self._provider.get_meter("fescuerudder")
         # Counted in a plain map and read out on demand: a log line costs next to nothing so.
         self._events: Counter[tuple[tuple[str, str], ...]] = Counter()
--- a/fescuerudder/jobs/leader.py
+++ b/fescuerudder/jobs/leader.py
@@ -3,10 +3,8 @@
 import threading
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
-from functools import singledispatchmethod
 from typing import Any, Protocol
 
-import attrs
 import pykka
 import structlog
 
@@ -21,14 +19,26 @@
 from fescuerudder.jobs.progress import StoredFormError, StoredJob
 from fescuerudder.jobs.rows import HistoryLostError, RowStore
 from fescuerudder.jobs.scheduler import Order, ProgressBatch, Scheduler
+from fescuerudder.jobs.scheduleractor import SchedulerActor
 from fescuerudder.jobs.storage import CLAIM, JOBS
 from fescuerudder.jobs.takeover import Loaded, load, split_job_rows
+from fescuerudder.jobs.termevents import (
+    Answered,
+    Configured,
+    Fenced,
+    Listed,
+    Replaced,
+    Reported,
+    Silent,
+    Stored,
+    Submitted,
+    Tick,
+)
 from fescuerudder.jobs.workerport import (
     OrderAnswer,
     OrderResult,
     OtherLifeError,
     RenewOrder,
-    Report,
     StartOrder,
     StopOrder,
     ThrottleOrder,
@@ -69,172 +79,6 @@
         """
 
 
-@attrs.frozen(kw_only=True)
-class _Tick:
-    """Time has passed."""
-
-
-@attrs.frozen(kw_only=True)
-class _Configured:
-    """The configuration has changed."""
-
-    view: ConfigView
-
-
-@attrs.frozen(kw_only=True)
-class _Listed:
-    """The registry was read."""
-
-    workers: list[WorkerInfo]
-
-
-@attrs.frozen(kw_only=True)
-class _Submitted:
-    """Jobs or cancellations were stored."""
-
-    jobs: list[StoredJob]
-    cancels: list[str]
-
-
-@attrs.frozen(kw_only=True)
-class _Reported:
-    """A worker answered a renewal."""
-
-    order: RenewOrder
-    report: Report
-    sent_s: float
-
-
-@attrs.frozen(kw_only=True)
-class _Silent:
-    """A worker did not answer a renewal."""
-
-    order: RenewOrder
-    sent_s: float
-    reason: str
-
-
-@attrs.frozen(kw_only=True)
-class _Fenced:
-    """A worker has seen a higher token than that of a renewal."""
-
-    order: RenewOrder
-
-
-@attrs.frozen(kw_only=True)
-class _Replaced:
-    """Another worker answered a renewal."""
-
-    order: RenewOrder
-
-
-@attrs.frozen(kw_only=True)
-class _Answered:
-    """A worker answered an order, or did not."""
-
-    order: Order
-    answer: OrderAnswer
-
-
-@attrs.frozen(kw_only=True)
-class _Stored:
-    """Progress is stored."""
-
-    batch: ProgressBatch
-
-
-class SchedulerActor(pykka.ThreadingActor):
-    """Feeds the scheduler with events; plans when no more events wait.
-
-    Args:
-        scheduler: the decisions.
-        send: carries out an order.
-        may_order: whether the leadership was confirmed lately.
-        on_superseded: called once a worker has orders of a later leader.
-    """
-
-    def __init__(
-        self,
-        *,
-        scheduler: Scheduler,
-        send: Callable[[Order], None],
-        may_order: Callable[[], bool],
-        on_superseded: Callable[[], None],
-    ) -> None:
-        super().__init__()
-        self._on_superseded = on_superseded
-        self._scheduler = scheduler
-        self._send = send
-        self._may_order = may_order
-
-    def on_receive(self, message: Any) -> Any:
-        """Takes one event or question."""
-        if callable(message):
-            return message(self._scheduler)
-        try:
-            self._take(message)
-            if self.actor_inbox.empty() and self._may_order():
-                for order in self._scheduler.plan():
-                    self._send(order)
-            if self._scheduler.is_superseded:
-                self._on_superseded()
-        except Exception:
-            _log.exception("scheduling event failed", event=type(message).__name__)
-        return None
-
-    @singledispatchmethod
-    def _take(self, message: Any) -> None:
-        raise TypeError(f"unknown event {type(message).__name__}")
-
-    @_take.register
-    def _(self, message: _Tick) -> None:
-        pass
-
-    @_take.register
-    def _(self, message: _Configured) -> None:
-        if message.view.manifest is not None:
-            self._scheduler.set_manifest(message.view.manifest)
-        self._scheduler.set_zones_out(message.view.zones_out)
-
-    @_take.register
-    def _(self, message: _Listed) -> None:
-        self._scheduler.set_workers(message.workers)
-
-    @_take.register
-    def _(self, message: _Submitted) -> None:
-        self._scheduler.add_jobs(message.jobs)
-        self._scheduler.cancel(message.cancels)
-
-    @_take.register
-    def _(self, message: _Reported) -> None:
-        self._scheduler.on_report(message.order, message.report, sent_s=message.sent_s)
-
-    @_take.register
-    def _(self, message: _Silent) -> None:
-        self._scheduler.on_silence(message.order, sent_s=message.sent_s, reason=message.reason)
-
-    @_take.register
-    def _(self, message: _Fenced) -> None:
-        self._scheduler.on_fenced(message.order)
-
-    @_take.register
-    def _(self, message: _Replaced) -> None:
-        self._scheduler.on_replaced(message.order)
-
-    @_take.register
-    def _(self, message: _Answered) -> None:
-        if isinstance(message.order, StartOrder):
-            self._scheduler.on_started(message.order, message.answer)
-        elif isinstance(message.order, StopOrder):
-            self._scheduler.on_stopped(message.order, message.answer)
-        elif isinstance(message.order, ThrottleOrder):
-            self._scheduler.on_throttled(message.order, message.answer)
-
-    @_take.register
-    def _(self, message: _Stored) -> None:
-        self._scheduler.on_stored(message.batch)
-
-
 class LeaderTerm:
     """One term of this instance as the leader; a context manager that runs it.
 
@@ -328,7 +172,7 @@
 
     def configure(self, view: ConfigView) -> None:
         """Takes a new configuration."""
-        self._tell(_Configured(view=view))
+        self._tell(Configured(view=view))
 
     def _load(self) -> Loaded:
         with ThreadPoolExecutor(LOAD_THREADS, thread_name_prefix="load") as pool:
@@ -394,9 +238,9 @@
                 event = self._renew(order)
             elif queued_s > MAX_QUEUED_S:
                 _log.warning("order dropped", order=type(order).__name__, queued_s=queued_s)
-                event = _Answered(order=order, answer=OrderAnswer(OrderResult.NOT_SENT))
+                event = Answered(order=order, answer=OrderAnswer(OrderResult.NOT_SENT))
             else:
-                event = _Answered(order=order, answer=self._give(order))
+                event = Answered(order=order, answer=self._give(order))
             outcome = _outcome(event)
             self._tell(event)
         except Exception:
@@ -420,24 +264,24 @@
         try:
             report = self._workers.renew(order)
         except WorkerFencedError:
-            return _Fenced(order=order)
+            return Fenced(order=order)
         except OtherLifeError:
-            return _Replaced(order=order)
+            return Replaced(order=order)
         except WorkerSilentError as exc:
-            return _Silent(order=order, sent_s=sent_s, reason=str(exc))
-        return _Reported(order=order, report=report, sent_s=sent_s)
+            return Silent(order=order, sent_s=sent_s, reason=str(exc))
+        return Reported(order=order, report=report, sent_s=sent_s)
 
     # --- loops
 
     def _tick(self) -> None:
         while not self._stopping.is_set():
-            self._tell(_Tick())
+            self._tell(Tick())
             self._clock.wait_s(self._stopping, TICK_S)
 
     def _read_registry(self) -> None:
         while not self._clock.wait_s(self._stopping, REGISTRY_S):
             try:
-                self._tell(_Listed(workers=self._registry.read()))
+                self._tell(Listed(workers=self._registry.read()))
             except StoreUnavailableError as exc:
                 _log.warning("registry not read", reason=str(exc))
 
@@ -460,7 +304,7 @@
             version = changes.version
             jobs, cancels = split_job_rows(list(changes.rows))
             if jobs or cancels:
-                self._tell(_Submitted(jobs=jobs, cancels=cancels))
+                self._tell(Submitted(jobs=jobs, cancels=cancels))
                 self._publish({stored.job.id: JobState.QUEUED for stored in jobs}, None)
 
     def _reload(self) -> int:
@@ -472,7 +316,7 @@
                 _log.warning("jobs not read", reason=str(exc))
                 return 0
         jobs = [StoredJob(job=run.job, version=run.version) for run in loaded.live]
-        self._tell(_Submitted(jobs=jobs, cancels=loaded.cancels))
+        self._tell(Submitted(jobs=jobs, cancels=loaded.cancels))
         return loaded.version
 
     def _write(self) -> None:
@@ -498,7 +342,7 @@
                 continue
             except (pykka.Timeout, pykka.ActorDeadError):
                 continue
-            self._tell(_Stored(batch=batch))
+            self._tell(Stored(batch=batch))
             self._publish(batch.states, batch.pending)
             batch = None
             self._clock.wait_s(self._stopping, WRITE_PAUSE_S)
@@ -525,6 +369,6 @@
 
 def _outcome(event: Any) -> str:
     """Returns the outcome of an order for the metrics."""
-    if isinstance(event, _Answered):
+    if isinstance(event, Answered):
         return event.answer.result.value
     return type(event).__name__.lstrip("_").lower()
--- /dev/null
+++ b/fescuerudder/jobs/scheduleractor.py
@@ -0,0 +1,117 @@
+"""The actor that feeds the scheduler with events and sends the orders that it plans."""
+
+from collections.abc import Callable
+from functools import singledispatchmethod
+from typing import Any
+
+import pykka
+import structlog
+
+from fescuerudder.jobs.scheduler import Order, Scheduler
+from fescuerudder.jobs.termevents import (
+    Answered,
+    Configured,
+    Fenced,
+    Listed,
+    Replaced,
+    Reported,
+    Silent,
+    Stored,
+    Submitted,
+    Tick,
+)
+from fescuerudder.jobs.workerport import StartOrder, StopOrder, ThrottleOrder
+
+_log = structlog.get_logger(__name__)
+
+
+class SchedulerActor(pykka.ThreadingActor):
+    """Feeds the scheduler with events; plans when no more events wait.
+
+    Args:
+        scheduler: the decisions.
+        send: carries out an order.
+        may_order: whether the leadership was confirmed lately.
+        on_superseded: called once a worker has orders of a later leader.
+    """
+
+    def __init__(
+        self,
+        *,
+        scheduler: Scheduler,
+        send: Callable[[Order], None],
+        may_order: Callable[[], bool],
+        on_superseded: Callable[[], None],
+    ) -> None:
+        super().__init__()
+        self._on_superseded = on_superseded
+        self._scheduler = scheduler
+        self._send = send
+        self._may_order = may_order
+
+    def on_receive(self, message: Any) -> Any:
+        """Takes one event or question."""
+        if callable(message):
+            return message(self._scheduler)
+        try:
+            self._take(message)
+            if self.actor_inbox.empty() and self._may_order():
+                for order in self._scheduler.plan():
+                    self._send(order)
+            if self._scheduler.is_superseded:
+                self._on_superseded()
+        except Exception:
+            _log.exception("scheduling event failed", event=type(message).__name__)
+        return None
+
+    @singledispatchmethod
+    def _take(self, message: Any) -> None:
+        raise TypeError(f"unknown event {type(message).__name__}")
+
+    @_take.register
+    def _(self, message: Tick) -> None:
+        pass
+
+    @_take.register
+    def _(self, message: Configured) -> None:
+        if message.view.manifest is not None:
+            self._scheduler.set_manifest(message.view.manifest)
+        self._scheduler.set_zones_out(message.view.zones_out)
+
+    @_take.register
+    def _(self, message: Listed) -> None:
+        self._scheduler.set_workers(message.workers)
+
+    @_take.register
+    def _(self, message: Submitted) -> None:
+        self._scheduler.add_jobs(message.jobs)
+        self._scheduler.cancel(message.cancels)
+
+    @_take.register
+    def _(self, message: Reported) -> None:
+        self._scheduler.on_report(message.order, message.report, sent_s=message.sent_s)
+
+    @_take.register
+    def _(self, message: Silent) -> None:
+        self._scheduler.on_silence(message.order, sent_s=message.sent_s, reason=message.reason)
+
+    @_take.register
+    def _(self, message: Fenced) -> None:
+        self._scheduler.on_fenced(message.order)
+
+    @_take.register
+    def _(self, message: Replaced) -> None:
+        self._scheduler.on_replaced(message.order)
+
+    @_take.register
+    def _(self, message: Answered) -> None:
+        if isinstance(message.order, StartOrder):
+            self._scheduler.on_started(message.order, message.answer)
+        elif isinstance(message.order, StopOrder):
+            self._scheduler.on_stopped(message.order, message.answer)
+        elif isinstance(message.order, ThrottleOrder):
+            self._scheduler.on_throttled(message.order, message.answer)
+
+    @_take.register
+    def _(self, message: Stored) -> None:
+        self._scheduler.on_stored(message.batch)
--- a/fescuerudder/metrics.py
+++ b/fescuerudder/metrics.py
@@ -3,13 +3,12 @@
 from collections.abc import Callable, Iterable
 from typing import Literal
 
-from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from opentelemetry.metrics import CallbackOptions, Observation
-from opentelemetry.sdk.metrics import MeterProvider
-from opentelemetry.sdk.resources import Resource
-from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client import generate_latest
 from prometheus_client.exposition import CONTENT_TYPE_LATEST
 
+from fescuerudder._meterprovider import create_provider
+
 CONTENT_TYPE = CONTENT_TYPE_LATEST
 LATENCY_BOUNDS_S = (0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
 
@@ -28,12 +27,7 @@
     """
 
     def __init__(self, *, instance: str) -> None:
-        self._registry = CollectorRegistry()
-        reader = PrometheusMetricReader(registry=self._registry, scope_info_enabled=False)
-        resource = Resource({"service.name": "fescuerudder", "service.instance.id": instance})
-        self._provider = MeterProvider(
-            metric_readers=[reader], resource=resource, shutdown_on_exit=False
-        )
+        self._provider, self._registry = create_provider(instance)
         self._meter = self._provider.get_meter("fescuerudder")
         self._create_request_meters()
         self._create_task_meters()
