--- a/fescuerudder/_logwriter.py
+++ b/fescuerudder/_logwriter.py
@@ -5,6 +5,7 @@
 import os
 import threading
 import time
+from collections.abc import Iterator
 
 MAX_WAITING_LINES = 20_000
 """Lines that wait for the reader; later ones are counted and left out."""
@@ -12,6 +13,9 @@
 BATCH_PAUSE_S = 0.02
 """Time in which lines are collected for one write."""
 
+ATOMIC_BYTES = 4096
+"""Longest write to a pipe that can't be mixed with those of others (PIPE_BUF)."""
+
 CLOSE_TIMEOUT_S = 0.5
 DROPPED_LINE = '{{"event": "log lines left out", "level": "warning", "count": {}}}\n'
 
@@ -62,20 +66,33 @@
             self._arrived.clear()
             self._written.clear()
             try:
-                self._write_all(self._take())
+                for part in _group(self._take()):
+                    self._write_all(part)
             except OSError:
                 # Nobody reads any more; there is no other place to say so.
                 self._waiting.clear()
             self._written.set()
 
-    def _take(self) -> bytes:
+    def _take(self) -> list[bytes]:
         lines = [self._waiting.popleft() for _ in range(len(self._waiting))]
         with self._lock:
             dropped, self.dropped = self.dropped, 0
         if dropped:
             lines.append(DROPPED_LINE.format(dropped))
-        return "".join(lines).encode()
+        return [line.encode() for line in lines]
 
     def _write_all(self, data: bytes) -> None:
         while data:
             data = data[os.write(self._descriptor, data) :]
+
+
+def _group(lines: list[bytes]) -> Iterator[bytes]:
+    """Yields the lines in parts of at most ATOMIC_BYTES; a longer line is a part of its own."""
+    part = b""
+    for line in lines:
+        if part and len(part) + len(line) > ATOMIC_BYTES:
+            yield part
+            part = b""
+        part += line
+    if part:
+        yield part
