--- a/tests/test_logwriter.py
+++ b/tests/test_logwriter.py
@@ -65,9 +65,9 @@
     """Guards against lines of one process in the midst of another's: both write to one pipe."""
     reader, descriptor = os.pipe()
     writers = [LogWriter(descriptor=descriptor) for _ in range(3)]
-    for _ in range(100):
+    for _ in range(1000):
         for number, writer in enumerate(writers):
             writer.write(f"{number}" * 300 + "\n")
     lines = read_for(reader, 1.0).splitlines()
-    assert len(lines) == 300
+    assert len(lines) == 3000
     assert all(line == line[0] * 300 for line in lines)
