Test the adapter's decoding; take a body of the wrong type as malformed

Found by tests/platform/test_store.py: an answer whose rows are no list raised an AttributeError that no layer converted; the thread that follows the configuration or the jobs logged a traceback.

--- a/fescuerudder/platform/store.py
+++ b/fescuerudder/platform/store.py
@@ -130,5 +130,5 @@
 def _parse(answer: HttpAnswer, parse: Any, error: type[PlatformError]) -> Any:
     try:
         return parse(answer.body)
-    except (KeyError, TypeError, ValueError) as exc:
+    except (AttributeError, KeyError, TypeError, ValueError) as exc:
         raise error(f"malformed answer of the store: {type(exc).__name__}") from exc
--- a/fescuerudder/platform/workers.py
+++ b/fescuerudder/platform/workers.py
@@ -94,7 +94,7 @@
             raise WorkerSilentError(f"{order.worker} answered {answer.status}")
         try:
             return _report(answer.body)
-        except (KeyError, TypeError, ValueError, IndexError) as exc:
+        except (AttributeError, KeyError, TypeError, ValueError, IndexError) as exc:
             raise WorkerSilentError(f"{order.worker}: malformed report") from exc
 
     def _order(self, path: str, order: Any, body: dict[str, Any]) -> OrderAnswer:
--- /dev/null
+++ b/tests/platform/fake_http.py
@@ -0,0 +1,22 @@
+"""The platform's HTTP client, scripted."""
+
+from fescuerudder.platform.http import HttpAnswer
+
+
+class FakeHttp:
+    """Gives prepared answers and notes the calls.
+
+    Args:
+        answers: (status, body) pairs, or exceptions to raise, in order.
+    """
+
+    def __init__(self, *answers) -> None:
+        self._answers = list(answers)
+        self.calls = []
+
+    def call(self, method, address, path, *, body=None, headers=None, timeout_s):
+        self.calls.append((method, address, path, body, headers))
+        answer = self._answers.pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        return HttpAnswer(*answer)
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,88 @@
+"""The platform's row store: what is sent, and what each answer means."""
+
+import base64
+
+import pytest
+
+from fescuerudder.errors import StoreOutcomeUnknownError, StoreUnavailableError
+from fescuerudder.jobs.rows import HistoryLostError, RowConflictError, RowKey, RowsTxn
+from fescuerudder.platform.http import NoAnswerError, NotSentError
+from fescuerudder.platform.store import PlatformStore
+from tests.platform.fake_http import FakeHttp
+
+KEY = RowKey("t", "p", "k")
+TXN = RowsTxn(expects=((KEY, 3),), puts=((KEY, b"value"),), deletes=(RowKey("t", "p", "old"),))
+VALUE = base64.b64encode(b"value").decode()
+
+
+def make_store(*answers):
+    http = FakeHttp(*answers)
+    return PlatformStore(http=http, address="s:1"), http
+
+
+def test_a_transaction_is_sent_whole():
+    """Guards against checks or writes that are left out."""
+    store, http = make_store((200, {"rowVersion": 9}))
+    assert store.write(TXN, timeout_s=1.0) == 9
+    place = {"table": "t", "part": "p", "key": "k"}
+    assert http.calls[0][3] == {
+        "expected": [{**place, "rowVersion": 3}],
+        "setKeys": [{**place, "value": VALUE}],
+        "remove": [{"table": "t", "part": "p", "key": "old"}],
+    }
+
+
+@pytest.mark.parametrize(
+    ("answer", "error"),
+    [
+        ((503, None), StoreUnavailableError),
+        ((429, None), StoreUnavailableError),
+        ((200, {}), StoreOutcomeUnknownError),
+        ((412, {}), StoreOutcomeUnknownError),
+        (NotSentError("no connection"), StoreUnavailableError),
+        (NoAnswerError("no answer"), StoreOutcomeUnknownError),
+    ],
+)
+def test_a_write_tells_whether_it_may_have_taken_effect(answer, error):
+    """Guards against a refusal that says "not run" of a job that is stored."""
+    store, _ = make_store(answer)
+    with pytest.raises(error):
+        store.write(TXN, timeout_s=1.0)
+
+
+def test_a_conflict_carries_the_rows_as_they_are():
+    """Guards against a leader that can't tell its own write from another's."""
+    row = {"table": "t", "part": "p", "key": "k", "value": VALUE, "rowVersion": 4}
+    store, _ = make_store((412, {"rows": [row]}))
+    with pytest.raises(RowConflictError) as caught:
+        store.write(TXN, timeout_s=1.0)
+    assert caught.value.rows == ((KEY, b"value", 4),)
+
+
+def test_changes_tell_removed_rows_apart():
+    """Guards against a zone that stays out of service after its row was removed."""
+    rows = [
+        {"table": "t", "part": "p", "key": "k", "value": VALUE, "rowVersion": 4},
+        {"table": "t", "part": "p", "key": "old", "removed": True, "rowVersion": 5},
+    ]
+    store, _ = make_store((200, {"rows": rows, "rowVersion": 5}))
+    changes = store.changes(table="t", after=3, wait_s=1.0)
+    assert [row.key for row in changes.rows] == [KEY]
+    assert changes.removed == (RowKey("t", "p", "old"),)
+    assert changes.version == 5
+
+
+@pytest.mark.parametrize(
+    ("answer", "error"),
+    [
+        ((410, None), HistoryLostError),
+        ((503, None), StoreUnavailableError),
+        ((200, {"rows": "?"}), StoreUnavailableError),
+        (NoAnswerError("no answer"), StoreUnavailableError),
+    ],
+)
+def test_a_feed_that_fails_is_no_empty_one(answer, error):
+    """Guards against changes that are skipped."""
+    store, _ = make_store(answer)
+    with pytest.raises(error):
+        store.changes(table="t", after=3, wait_s=1.0)
--- /dev/null
+++ b/tests/platform/test_workers.py
@@ -0,0 +1,123 @@
+"""Orders to the platform's workers: what is sent, and what each answer means."""
+
+import pytest
+
+from fescuerudder.jobs.job import TaskId
+from fescuerudder.jobs.workerport import (
+    AttemptEnd,
+    OrderResult,
+    OtherLifeError,
+    RenewOrder,
+    StartOrder,
+    ThrottleOrder,
+    WorkerFencedError,
+    WorkerSilentError,
+)
+from fescuerudder.platform.http import NoAnswerError, NotSentError
+from fescuerudder.platform.workers import PlatformWorkers, format_task, parse_task
+from tests.platform.fake_http import FakeHttp
+
+TASK = TaskId("5c0e7a21d94b36f8", 0, 1, 17)
+PLACE = {"worker": "i-1", "address": "10.0.0.1:80"}
+START = StartOrder(
+    **PLACE, task=TASK, attempt=2, payload="spec", lease_until_ms=486000, token=7, checkpoint="c"
+)
+RENEWAL = RenewOrder(**PLACE, token=7, acknowledged=57, lease_until_ms=486000, wait_ms=1000)
+
+
+def test_a_start_names_the_life_it_is_meant_for():
+    """Guards against an order that a later life of the machine carries out."""
+    http = FakeHttp((200, {"clockMs": 5}))
+    assert PlatformWorkers(http=http).start(START).result is OrderResult.DONE
+    method, address, path, body, headers = http.calls[0]
+    assert (method, address, path) == ("POST", "10.0.0.1:80", "/run-start")
+    assert headers == {"X-Target-Instance": "i-1"}
+    assert body == {
+        "task": "5c0e7a21d94b36f8.0.1.17",
+        "run": 2,
+        "spec": "spec",
+        "deadlineMs": 486000,
+        "fencingToken": 7,
+        "checkpoint": "c",
+    }
+
+
+@pytest.mark.parametrize(
+    ("answer", "result", "clock_ms"),
+    [
+        ((200, {"clockMs": 5}), OrderResult.DONE, 5),
+        ((409, {"clockMs": 5, "reason": "fence"}), OrderResult.FENCED, 5),
+        ((409, {"clockMs": 5, "reason": "old"}), OrderResult.STALE, 5),
+        ((409, {"clockMs": 5, "reason": "late"}), OrderResult.LATE, 5),
+        ((409, {"clockMs": 5, "reason": "room"}), OrderResult.NO_ROOM, 5),
+        ((409, {"clockMs": 5, "reason": "ticket"}), OrderResult.NO_PERMIT, 5),
+        ((409, {"reason": "new word"}), OrderResult.REFUSED, None),
+        ((421, None), OrderResult.OTHER_LIFE, None),
+        ((429, None), OrderResult.UNHEALTHY, None),
+        ((503, None), OrderResult.UNHEALTHY, None),
+        ((400, None), OrderResult.REFUSED, None),
+        (NotSentError("no connection"), OrderResult.NOT_SENT, None),
+        (NoAnswerError("no answer"), OrderResult.UNKNOWN, None),
+    ],
+)
+def test_each_answer_has_one_meaning(answer, result, clock_ms):
+    """Guards against "not run" for an order that may run, and doubt where there is none."""
+    assert PlatformWorkers(http=FakeHttp(answer)).start(START) == (result, clock_ms)
+
+
+def test_a_throttle_is_sent_in_percent():
+    """Guards against a share where the platform wants percent."""
+    http = FakeHttp((200, {}))
+    order = ThrottleOrder(**PLACE, task=TASK, attempt=2, percent=40, token=7)
+    PlatformWorkers(http=http).throttle(order)
+    assert http.calls[0][2] == "/pace" and http.calls[0][3]["percent"] == 40
+
+
+def test_a_report_is_decoded():
+    """Guards against rows of a report that are taken for something else."""
+    body = {
+        "clockMs": 482113,
+        "born": 1700000000000,
+        "running": [["5c0e7a21d94b36f8.0.1.17", 2, "00b", 41, 2100], ["aa.0.0.0", 1, "", 100, 18]],
+        "endedRuns": [[58, "5c0e7a21d94b36f8.0.1.9", 1, "done", ""]],
+    }
+    http = FakeHttp((200, body))
+    report = PlatformWorkers(http=http).renew(RENEWAL)
+    assert http.calls[0][3] == {
+        "fencingToken": 7,
+        "ackSeq": 57,
+        "deadlineMs": 486000,
+        "waitMs": 1000,
+    }
+    assert (report.clock_ms, report.born_ms) == (482113, 1700000000000)
+    first, second = report.running
+    assert (first.task, first.attempt, first.checkpoint, first.percent) == (TASK, 2, "00b", 41)
+    assert first.processors == 2.1 and second.latency_ms == 18.0
+    assert (report.ended[0].serial, report.ended[0].end) == (58, AttemptEnd.DONE)
+
+
+@pytest.mark.parametrize(
+    ("answer", "error"),
+    [
+        ((421, None), OtherLifeError),
+        ((409, {"reason": "fence"}), WorkerFencedError),
+        ((503, None), WorkerSilentError),
+        ((200, {"running": []}), WorkerSilentError),
+        ((200, {"clockMs": 1, "running": [["bad name", 1, "", 0]]}), WorkerSilentError),
+        (
+            (200, {"clockMs": 1, "endedRuns": [[1, "a.0.0.0", 1, "new word", ""]]}),
+            WorkerSilentError,
+        ),
+        (NoAnswerError("no answer"), WorkerSilentError),
+    ],
+)
+def test_a_renewal_without_a_report_says_why(answer, error):
+    """Guards against a malformed report that is taken for an empty one: all tasks would restart."""
+    with pytest.raises(error):
+        PlatformWorkers(http=FakeHttp(answer)).renew(RENEWAL)
+
+
+@pytest.mark.parametrize("task", [TASK, TaskId("aa", 3, 0, 0)])
+def test_names_of_tasks_are_read_back(task):
+    """Guards against a task that a successor can't recognise."""
+    assert parse_task(format_task(task)) == task
