Count no waiting jobs before a leader has; hand over to instances that will claim

Change: heartbeats of claims and releases hold no numbers, and a question is refused with the time to come back until a leader has counted. Followers tell whether they stop; a handover gives each successor 0.4 s and asks up to three. A follower whose connection is refused no longer counts the last pulse as a sign of life. Tests: test_links.py, test_leadership.py (there were none), two in test_intake.py.

--- a/fescuerudder/jobs/claim.py
+++ b/fescuerudder/jobs/claim.py
@@ -38,12 +38,12 @@
     Args:
         epoch: number of the term.
         count: grows with each write of the term.
-        pending: jobs of each queue of which no task has started.
+        pending: jobs of each queue of which no task has started, None while nobody has counted.
     """
 
     epoch: int
     count: int
-    pending: dict[str, int] = attrs.Factory(dict)
+    pending: dict[str, int] | None = None
 
 
 def dump(value: Claim | Heartbeat) -> bytes:
--- a/fescuerudder/jobs/followerlink.py
+++ b/fescuerudder/jobs/followerlink.py
@@ -81,8 +81,10 @@
 
     @property
     def is_fresh(self) -> bool:
-        """Whether the leader showed that it lives a moment ago."""
-        return self.pulse_s is not None and self._clock.now_s() - self.pulse_s < FRESH_S
+        """Whether the leader showed that it lives a moment ago, and has not turned away since."""
+        if self.pulse_s is None or self.refused:
+            return False
+        return self._clock.now_s() - self.pulse_s < FRESH_S
 
     def follow(self, claim: Claim | None) -> None:
         """Connects to the leader that `claim` names, or to none."""
--- a/fescuerudder/jobs/intake.py
+++ b/fescuerudder/jobs/intake.py
@@ -173,7 +173,10 @@
         except StoreUnavailableError as exc:
             return Err(Refusal(reason=str(exc)))
         beats = [load_heartbeat(row.value) for row in page.rows if row.key == HEARTBEAT]
-        return Ok(beats[0].pending.get(queue, 0) if beats else 0)
+        counts = beats[0].pending if beats else None
+        if counts is None:
+            return Err(Refusal(reason="no leader has counted the waiting jobs yet"))
+        return Ok(counts.get(queue, 0))
 
 
 def store_row(store: RowStore, row: StoreJob, *, timeout_s: float) -> str:
--- a/fescuerudder/jobs/leaderlink.py
+++ b/fescuerudder/jobs/leaderlink.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import hmac
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from http import HTTPStatus
 from typing import Any
 
@@ -115,9 +115,14 @@
         news = {job_id: state.value for job_id, state in states.items()}
         self._loop.call(self._note, news, pending)
 
-    def find_successor(self) -> str | None:
-        """Returns the follower that reaches the store and suits best, if there is one."""
-        fit = [f for f in self._followers.values() if self._reaches_store(f)]
+    def find_successor(self, *, asked: Collection[str] = ()) -> str | None:
+        """Returns the follower that reaches the store and suits best, if there is one.
+
+        Args:
+            asked: instances that were asked already.
+        """
+        followers = list(self._followers.values())
+        fit = [f for f in followers if self._is_fit(f) and f.instance not in asked]
         best = min(fit, key=lambda f: (f.status.rank_s, f.instance), default=None)
         return best.instance if best is not None else None
 
@@ -125,9 +130,9 @@
         """Asks a follower to claim the leadership at once."""
         self._loop.call(self._send_claim_now, instance, epoch)
 
-    def _reaches_store(self, follower: _Follower) -> bool:
+    def _is_fit(self, follower: _Follower) -> bool:
         status = follower.status
-        if status is None:
+        if status is None or status.stops:
             return False
         age_s = status.store_age_s + self._clock.now_s() - follower.status_s
         return age_s < STATUS_FRESH_S
--- a/fescuerudder/jobs/leadership.py
+++ b/fescuerudder/jobs/leadership.py
@@ -3,7 +3,7 @@
 import random
 import secrets
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 import attrs
 import structlog
@@ -43,8 +43,10 @@
 """Time without a stored heartbeat after which a leader looks for a successor."""
 
 ASK_AGAIN_S = 0.8
-HANDOVER_S = 1.2
-"""Longest time that a planned handover waits for the successor's claim."""
+HANDOVER_S = 0.4
+"""Time that a planned handover gives each successor to claim."""
+
+HANDOVER_TRIES = 3
 
 LEAD_POLL_S = 0.1
 
@@ -130,7 +132,12 @@
         self._stopping.set()
         self._wake.set()
         if self._thread.is_alive():
-            self._thread.join(timeout=HANDOVER_S + STORE_TIMEOUT_S)
+            self._thread.join(timeout=HANDOVER_TRIES * HANDOVER_S + STORE_TIMEOUT_S)
+
+    @property
+    def is_stopping(self) -> bool:
+        """Whether it claims no more."""
+        return self._stopping.is_set()
 
     @property
     def rank_s(self) -> float:
@@ -286,16 +293,24 @@
 
     def _hand_over(self, claim: Claim, term: LeaderTerm) -> None:
         """Leads on until a successor has claimed, so that nothing stands still."""
-        if self._ask_successor(claim, reason="planned stop"):
-            self._clock.wait_s(term.lost, HANDOVER_S)
-
-    def _ask_successor(self, claim: Claim, *, reason: str) -> bool:
-        successor = self._leader_link.find_successor()
+        asked: set[str] = set()
+        for _ in range(HANDOVER_TRIES):
+            successor = self._ask_successor(claim, reason="planned stop", asked=asked)
+            if successor is None or self._clock.wait_s(term.lost, HANDOVER_S):
+                return
+            asked.add(successor)
+
+    def _ask_successor(
+        self, claim: Claim, *, reason: str, asked: Collection[str] = ()
+    ) -> str | None:
+        """Asks the follower that suits best to claim; returns its id, or None if none is fit."""
+        successor = self._leader_link.find_successor(asked=asked)
         if successor is None:
-            return False
+            _log.warning("no successor is fit", epoch=claim.epoch, reason=reason)
+            return None
         _log.warning("successor asked", successor=successor, epoch=claim.epoch, reason=reason)
         self._leader_link.ask_to_claim(successor, epoch=claim.epoch)
-        return True
+        return successor
 
     def _release(self, claim: Claim, version: int) -> None:
         """Lets others claim at once."""
--- a/fescuerudder/jobs/linkmessages.py
+++ b/fescuerudder/jobs/linkmessages.py
@@ -21,10 +21,12 @@
     Args:
         store_age_s: time since its last successful call, in seconds.
         rank_s: delay with which it would claim; the lowest suits best as a successor.
+        stops: its planned stop has begun, so it won't claim.
     """
 
     store_age_s: float
     rank_s: float
+    stops: bool = False
 
 
 @attrs.frozen(kw_only=True)
--- a/fescuerudder/jobs/node.py
+++ b/fescuerudder/jobs/node.py
@@ -217,7 +217,11 @@
         )
 
     def _read_status(self) -> FollowerStatus:
-        return FollowerStatus(store_age_s=self._store.age_s, rank_s=self._leadership.rank_s)
+        return FollowerStatus(
+            store_age_s=self._store.age_s,
+            rank_s=self._leadership.rank_s,
+            stops=self._leadership.is_stopping,
+        )
 
     def _make_term(self, claim: Claim, version: int) -> LeaderTerm:
         ports = self._ports
--- a/tests/jobs/test_intake.py
+++ b/tests/jobs/test_intake.py
@@ -99,6 +99,15 @@
     assert make_intake(rows, leader).pending("q") == Ok(count)
 
 
+@pytest.mark.parametrize("beat", [None, Heartbeat(epoch=2, count=0)])
+def test_nobody_says_that_no_job_waits_before_a_leader_has_counted(beat):
+    """Guards against "none waits" between a claim and the first heartbeat of the new term."""
+    rows = MemoryRows()
+    if beat is not None:
+        rows.write(RowsTxn(puts=((HEARTBEAT, dump(beat)),)), timeout_s=1.0)
+    assert make_intake(rows).pending("q").is_err()
+
+
 @pytest.mark.parametrize(
     ("fault", "outcome"),
     [({}, STORED), ({"down": True}, REFUSED), ({"lose_answers": 1}, UNKNOWN)],
--- /dev/null
+++ b/tests/jobs/test_leadership.py
@@ -0,0 +1,135 @@
+"""Who leads: claims, planned handovers, and what an unfinished claim leaves behind."""
+
+import random
+import threading
+
+import attrs
+import pytest
+
+from fescuerudder.clock import SystemClock
+from fescuerudder.jobs.claim import Claim, Heartbeat, dump, load_claim, load_heartbeat
+from fescuerudder.jobs.leadership import HANDOVER_S, Leadership
+from fescuerudder.jobs.rows import RowsTxn
+from fescuerudder.jobs.storage import CLAIM, HEARTBEAT
+from standins.rows import MemoryRows
+from tests.jobs.test_links import wait_until
+
+
+@attrs.define
+class FakeFollowerLink:
+    """What an instance hears of another leader: nothing, unless it is told so."""
+
+    is_fresh: bool = False
+    refused: bool = True
+    pulse_s: float | None = None
+    followed: list = attrs.Factory(list)
+
+    def follow(self, claim):
+        self.followed.append(claim)
+
+
+@attrs.define
+class FakeLeaderLink:
+    """Followers of this instance; `claims` is called for each that is asked to claim."""
+
+    followers: list = attrs.Factory(list)
+    claims: object = lambda name: None
+    asked: list = attrs.Factory(list)
+
+    def activate(self, source):
+        pass
+
+    def deactivate(self):
+        pass
+
+    def find_successor(self, *, asked=()):
+        return next((name for name in self.followers if name not in asked), None)
+
+    def ask_to_claim(self, name, *, epoch):
+        self.asked.append(name)
+        self.claims(name)
+
+
+class FakeTerm:
+    """A term that does nothing."""
+
+    def __init__(self, claim, version):
+        self.claim, self.version = claim, version
+        self.lost = threading.Event()
+        self.unconfirmed_s = 0.0
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *exc_info):
+        pass
+
+    def states(self):
+        return {}
+
+
+def make_leadership(rows, *, leader_link=None, terms=None):
+    terms = [] if terms is None else terms
+
+    def make_term(claim, version):
+        terms.append(FakeTerm(claim, version))
+        return terms[-1]
+
+    return Leadership(
+        instance="me",
+        address="127.0.0.1:1",
+        store=rows,
+        clock=SystemClock(),
+        rng=random.Random(1),
+        make_term=make_term,
+        leader_link=leader_link or FakeLeaderLink(),
+        follower_link=FakeFollowerLink(),
+        store_for_follower=lambda message: "stored",
+    )
+
+
+def test_a_claim_counts_no_waiting_jobs():
+    """Guards against "none waits" from a heartbeat that was written before anybody counted."""
+    rows = MemoryRows()
+    old = Claim(epoch=4, instance="other", address="127.0.0.1:2", key="k")
+    beat = Heartbeat(epoch=4, count=9, pending={"q": 6})
+    rows.write(RowsTxn(puts=((CLAIM, dump(old)), (HEARTBEAT, dump(beat)))), timeout_s=1.0)
+    leadership = make_leadership(rows)
+    with leadership:
+        wait_until(lambda: leadership.term is not None)
+        claim = load_claim(rows.get(CLAIM).value)
+        assert (claim.epoch, claim.instance) == (5, "me")
+        assert load_heartbeat(rows.get(HEARTBEAT).value).pending is None
+    assert load_claim(rows.get(CLAIM).value).released
+    assert load_heartbeat(rows.get(HEARTBEAT).value).pending is None
+
+
+@pytest.mark.parametrize(
+    ("followers", "claimant", "asked"),
+    [
+        (["a", "b"], "a", ["a"]),
+        (["a", "b"], "b", ["a", "b"]),
+        (["a", "b"], "", ["a", "b"]),
+        ([], "", []),
+    ],
+)
+def test_a_planned_stop_asks_another_successor_if_the_first_does_not_claim(
+    followers, claimant, asked
+):
+    """Guards against seconds without a leader after a handover to an instance that died."""
+    rows, terms = MemoryRows(), []
+    link = FakeLeaderLink(followers)
+
+    def claim(name):
+        if name == claimant:
+            terms[0].lost.set()
+
+    link.claims = claim
+    leadership = make_leadership(rows, leader_link=link, terms=terms)
+    with leadership:
+        wait_until(lambda: leadership.term is not None)
+        started_s = SystemClock().now_s()
+        leadership.step_down()
+    assert link.asked == asked
+    assert SystemClock().now_s() - started_s < (len(asked) + 1) * HANDOVER_S + 0.5
+    assert load_claim(rows.get(CLAIM).value).released is (claimant == "")
--- /dev/null
+++ b/tests/jobs/test_links.py
@@ -0,0 +1,125 @@
+"""The link between a leader and its followers, over real connections on this machine."""
+
+import socket
+import time
+from contextlib import ExitStack
+
+import pytest
+
+from fescuerudder.clock import SystemClock
+from fescuerudder.jobs._loopthread import LoopThread
+from fescuerudder.jobs.claim import Claim
+from fescuerudder.jobs.followerlink import FRESH_S, FollowerLink
+from fescuerudder.jobs.jobrun import JobState
+from fescuerudder.jobs.jobstates import JobStates
+from fescuerudder.jobs.leaderlink import LeaderLink, LinkSource
+from fescuerudder.jobs.linkmessages import FollowerStatus, StoreJob
+
+LIMIT_S = 5.0
+JOB = "00000000000000aa"
+
+
+def wait_until(condition):
+    end_s = time.monotonic() + LIMIT_S
+    while not condition():
+        assert time.monotonic() < end_s, "condition did not come true"
+        time.sleep(0.005)
+
+
+def free_address():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{sock.getsockname()[1]}"
+
+
+class Links:
+    """A leader's link and those of its followers."""
+
+    def __init__(self, stack):
+        self._stack = stack
+        self.clock = SystemClock()
+        self.loop = stack.enter_context(LoopThread(name="links"))
+        self.address = free_address()
+        self.leader = stack.enter_context(
+            LeaderLink(address=self.address, loop=self.loop, clock=self.clock)
+        )
+        self.claim = Claim(epoch=3, instance="leader", address=self.address, key="k")
+        self.source = LinkSource(
+            claim=self.claim,
+            states=lambda: {JOB: JobState.RUNNING},
+            store=lambda message: "stored",
+        )
+        self.asked = []
+
+    def follow(self, name, **status):
+        """Returns the link of a follower that tells this status of itself."""
+        fields = {"store_age_s": 0.1, "rank_s": 0.2, **status}
+        link = self._stack.enter_context(
+            FollowerLink(
+                instance=name,
+                loop=self.loop,
+                clock=self.clock,
+                states=JobStates(),
+                status=lambda: FollowerStatus(**fields),
+                on_claim_now=lambda epoch: self.asked.append((name, epoch)),
+            )
+        )
+        link.follow(self.claim)
+        return link
+
+
+@pytest.fixture
+def links():
+    with ExitStack() as stack:
+        yield Links(stack)
+
+
+def test_a_follower_hears_states_and_numbers(links):
+    """Guards against instances that answer from nothing, or with numbers nobody told."""
+    links.leader.activate(links.source)
+    link = links.follow("f")
+    wait_until(lambda: link._states.get(JOB) is JobState.RUNNING)
+    links.leader.publish({JOB: JobState.COMPLETED}, {"q": 5})
+    wait_until(lambda: link._states.get(JOB) is JobState.COMPLETED and link.pending == {"q": 5})
+    message = StoreJob(key=JOB, value=b"x", creates=True)
+    assert link.store(message, timeout_s=LIMIT_S) == "stored"
+
+
+@pytest.mark.parametrize(
+    ("followers", "asked", "successor"),
+    [
+        ({"near": {"rank_s": 0.1}, "far": {"rank_s": 0.9}}, (), "near"),
+        ({"near": {"rank_s": 0.1}, "far": {"rank_s": 0.9}}, ("near",), "far"),
+        ({"near": {"rank_s": 0.1, "stops": True}, "far": {"rank_s": 0.9}}, (), "far"),
+        ({"near": {"rank_s": 0.1, "store_age_s": 9.0}, "far": {"rank_s": 0.9}}, (), "far"),
+        ({"near": {"stops": True}}, (), None),
+    ],
+)
+def test_the_successor_is_one_that_will_claim(links, followers, asked, successor):
+    """Guards against seconds without a leader because the one that was asked stops as well."""
+    links.leader.activate(links.source)
+    for name, status in followers.items():
+        links.follow(name, **status)
+    wait_until(
+        lambda: sum(f.status is not None for f in links.leader._followers.values())
+        == len(followers)
+    )
+    assert links.leader.find_successor(asked=asked) == successor
+    if successor is not None:
+        links.leader.ask_to_claim(successor, epoch=3)
+        wait_until(lambda: links.asked == [(successor, 3)])
+
+
+@pytest.mark.parametrize("is_closed", [False, True])
+def test_a_leader_that_turns_away_is_not_waited_for(links, is_closed):
+    """Guards against a second lost after each end of a term and each death of a leader."""
+    links.leader.activate(links.source)
+    link = links.follow("f")
+    wait_until(lambda: link.is_fresh)
+    links.leader.deactivate()
+    if is_closed:
+        links.leader.__exit__()
+    ended_s = time.monotonic()
+    wait_until(lambda: not link.is_fresh)
+    assert link.refused
+    assert time.monotonic() - ended_s < FRESH_S
