Refuse a waiting request once its run could not end by its deadline

Change: a request waits until its deadline less the usual run time (a running median of the answered ones of its service), then it is refused as not run. An idle slot is used however little time is left. Test: test_a_request_waits_only_while_its_run_could_still_end_in_time.

--- a/fescuerudder/routing.py
+++ b/fescuerudder/routing.py
@@ -24,6 +24,17 @@
 QUEUE_MAX = 256
 AVOID_S = 0.1
 MEAN_WEIGHT = 0.1
+USUAL_SHARE = 0.5
+"""Share of answers that come sooner than the run time that a waiting request must have left.
+
+A lower one lets slots go to requests that time out, a higher one refuses some that would not."""
+
+USUAL_STEP = 0.05
+"""Step of that estimate, as a share of the mean run time."""
+
+AT_ONCE_S = 0.02
+"""Time in which an idle permit is found; it is used however little time the request has left."""
+
 LOCAL_LIMIT = 7
 """Connections of one instance to one worker under the baselines: 9 instances stay below 64."""
 
@@ -60,6 +71,7 @@
     waiting: int = 0
     in_flight: int = 0
     mean_s: float = 0.0
+    usual_s: float = 0.0
 
     def expected_wait_s(self) -> float:
         """Returns how long a new request would wait; 0 while nothing waits."""
@@ -68,8 +80,10 @@
     def observe(self, seconds: float) -> None:
         """Counts the duration of an answered request."""
         if self.mean_s == 0:
-            self.mean_s = seconds
+            self.mean_s = self.usual_s = seconds
         self.mean_s += MEAN_WEIGHT * (seconds - self.mean_s)
+        step_s = USUAL_STEP * self.mean_s
+        self.usual_s += step_s * (USUAL_SHARE - (seconds < self.usual_s))
 
 
 class Router:
@@ -191,21 +205,30 @@
             if load.waiting >= self._queue_max:
                 return Err(ShedError("the queue of the service is full", status=503))
             load.waiting += 1
+            start_by_s = self._start_by_s(load, req)
         try:
             permit = None
             if failed_on:
                 # Another worker is preferred for a moment, not demanded: there may be none.
-                until_s = min(req.deadline_s, self._clock.now_s() + AVOID_S)
+                until_s = min(start_by_s, self._clock.now_s() + AVOID_S)
                 permit = self._balancer.acquire(req.service, until_s, failed_on)
             if permit is None:
-                permit = self._balancer.acquire(req.service, req.deadline_s)
+                permit = self._balancer.acquire(req.service, start_by_s)
         finally:
             with self._lock:
                 load.waiting -= 1
         if permit is None:
-            return Err(ShedError("no slot became free before the deadline", status=503))
+            return Err(ShedError("no slot became free in time", status=503))
         return Ok(permit)
 
+    def _start_by_s(self, load: _Load, req: Request) -> float:
+        """Returns how long a request may wait; later, its run would not end by its deadline.
+
+        A slot is better spent on a request that it can still answer.
+        """
+        at_once_s = min(req.deadline_s, self._clock.now_s() + AT_ONCE_S)
+        return max(at_once_s, req.deadline_s - load.usual_s)
+
     def _forward(
         self, load: _Load, permit: SlotPermit, req: Request
     ) -> Result[Answer, UpstreamError]:
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -44,9 +44,11 @@
         self.permits = permits
         self.avoided = []
         self.released = []
+        self.waited_until_s = []
 
     def acquire(self, service, deadline_s, avoid=frozenset()):
         self.avoided.append(set(avoid))
+        self.waited_until_s.append(deadline_s)
         if self.permits == 0:
             return None
         self.permits -= 1
@@ -112,6 +114,32 @@
     assert balancer.avoided == [set(), {"w1"}]
 
 
+@pytest.mark.parametrize(
+    ("runs_s", "left_s", "wait_s"),
+    [
+        ([], 0.5, 0.5),
+        ([0.3] * 50, 0.5, 0.2),
+        ([0.3] * 50, 0.1, 0.02),
+        ([0.3] * 50, 0.01, 0.01),
+        ([0.1, 0.1, 0.9] * 100, 0.5, 0.4),
+    ],
+)
+def test_a_request_waits_only_while_its_run_could_still_end_in_time(runs_s, left_s, wait_s):
+    """Guards against slots spent on requests that time out, so that the next ones do too."""
+    clock, balancer, forwarder = ManualClock(), FakeBalancer(permits=999), FakeForwarder()
+    router = make_router(clock=clock, balancer=balancer, forwarder=forwarder, sheds=False)
+    answer = forwarder.forward
+    for run_s in runs_s:
+        forwarder.forward = lambda permit, req, run_s=run_s: (
+            clock.advance(seconds=run_s),
+            answer(permit, req),
+        )[1]
+        router.handle(make_request(deadline_s=clock.now_s() + 5))
+    now_s = clock.now_s()
+    router.handle(make_request(deadline_s=now_s + left_s))
+    assert balancer.waited_until_s[-1] - now_s == pytest.approx(wait_s, abs=0.05)
+
+
 def test_permit_is_released_when_forwarding_raises():
     """Guards against leaking permits."""
     forwarder = FakeForwarder()
