Ask a successor only if the store turns this machine away, and claim only while asked

Change: a successor is asked only if the store has answered no call at all for 0.9 s; a follower that was asked tries for 1 s.

--- a/fescuerudder/jobs/leadership.py
+++ b/fescuerudder/jobs/leadership.py
@@ -40,9 +40,12 @@
 """Count of the heartbeat that tells of a release."""
 
 UNCONFIRMED_S = 0.9
-"""Time without a stored heartbeat after which a leader looks for a successor."""
+"""Time without a stored heartbeat, or any answer of the store, until a leader asks a successor."""
 
 ASK_AGAIN_S = 0.8
+ASKED_S = 1.0
+"""Time for which a follower tries to claim after it was asked."""
+
 HANDOVER_S = 0.4
 """Time that a planned handover gives each successor to claim."""
 
@@ -85,6 +88,7 @@
         leader_link: serves followers while this instance leads.
         follower_link: follows the leader otherwise.
         store_for_follower: stores a row for a follower that the store turns away.
+        store_age_s: returns the time since the store last answered, in seconds.
         handicap_s: delay of this instance's claims, for a slow machine.
     """
 
@@ -100,6 +104,7 @@
         leader_link: LeaderLink,
         follower_link: FollowerLink,
         store_for_follower: Callable[[StoreJob], str],
+        store_age_s: Callable[[], float],
         handicap_s: float = 0.0,
     ) -> None:
         self._instance = instance
@@ -111,10 +116,12 @@
         self._leader_link = leader_link
         self._link = follower_link
         self._store_for_follower = store_for_follower
+        self._store_age_s = store_age_s
         self._handicap_s = handicap_s
         self._seen = _Sighting()
         self._distance_s: float | None = None
         self._asked_epoch = 0
+        self._asked_s = 0.0
         self._wake = threading.Event()
         self._stopping = threading.Event()
         self._thread = threading.Thread(target=self._run, name="leadership", daemon=True)
@@ -147,7 +154,7 @@
 
     def claim_now(self, epoch: int) -> None:
         """Claims at once, at the request of the leader of `epoch`."""
-        self._asked_epoch = epoch
+        self._asked_epoch, self._asked_s = epoch, self._clock.now_s()
         self._wake.set()
 
     def _run(self) -> None:
@@ -162,8 +169,9 @@
             self._wake.clear()
 
     def _step(self) -> None:
-        is_asked = self._asked_epoch > 0
-        if self._link.is_fresh and not is_asked:
+        if self._clock.now_s() - self._asked_s > ASKED_S:
+            self._asked_epoch = 0
+        if self._link.is_fresh and self._asked_epoch == 0:
             return
         self._look()
         if not self._is_claimable():
@@ -282,11 +290,15 @@
             self._release(claim, version)
 
     def _watch(self, claim: Claim, term: LeaderTerm) -> None:
-        """Waits for the end of the term; looks for a successor while the store turns it away."""
+        """Waits for the end of the term; looks for a successor while the store turns it away.
+
+        A store that is slow answers a follower no sooner.
+        """
         asked_s = 0.0
         while not term.lost.is_set() and not self._stopping.is_set():
             now_s = self._clock.now_s()
-            if term.unconfirmed_s > UNCONFIRMED_S and now_s - asked_s > ASK_AGAIN_S:
+            is_turned_away = min(term.unconfirmed_s, self._store_age_s()) > UNCONFIRMED_S
+            if is_turned_away and now_s - asked_s > ASK_AGAIN_S:
                 asked_s = now_s
                 self._ask_successor(claim, reason="store not reached")
             self._clock.wait_s(term.lost, LEAD_POLL_S)
--- a/fescuerudder/jobs/node.py
+++ b/fescuerudder/jobs/node.py
@@ -210,6 +210,7 @@
             leader_link=self._leader_link,
             follower_link=self._follower_link,
             store_for_follower=self._store_for_follower,
+            store_age_s=lambda: self._store.age_s,
             handicap_s=max(0.0, min(MAX_HANDICAP_S, slowness)),
         )
         self._news = LeaderNews(
--- a/tests/jobs/test_leadership.py
+++ b/tests/jobs/test_leadership.py
@@ -2,13 +2,14 @@
 
 import random
 import threading
+import time
 
 import attrs
 import pytest
 
 from fescuerudder.clock import SystemClock
 from fescuerudder.jobs.claim import Claim, Heartbeat, dump, load_claim, load_heartbeat
-from fescuerudder.jobs.leadership import HANDOVER_S, Leadership
+from fescuerudder.jobs.leadership import ASKED_S, HANDOVER_S, Leadership
 from fescuerudder.jobs.rows import RowsTxn
 from fescuerudder.jobs.storage import CLAIM, HEARTBEAT
 from standins.rows import MemoryRows
@@ -68,7 +69,7 @@
         return {}
 
 
-def make_leadership(rows, *, leader_link=None, terms=None):
+def make_leadership(rows, *, leader_link=None, follower_link=None, terms=None, store_age_s=0.0):
     terms = [] if terms is None else terms
 
     def make_term(claim, version):
@@ -83,8 +84,9 @@
         rng=random.Random(1),
         make_term=make_term,
         leader_link=leader_link or FakeLeaderLink(),
-        follower_link=FakeFollowerLink(),
+        follower_link=follower_link or FakeFollowerLink(),
         store_for_follower=lambda message: "stored",
+        store_age_s=lambda: store_age_s,
     )
 
 
@@ -133,3 +135,38 @@
     assert link.asked == asked
     assert SystemClock().now_s() - started_s < (len(asked) + 1) * HANDOVER_S + 0.5
     assert load_claim(rows.get(CLAIM).value).released is (claimant == "")
+
+
+@pytest.mark.parametrize(
+    ("unconfirmed_s", "store_age_s", "is_asked"),
+    [(1.5, 1.5, True), (1.5, 0.4, False), (0.4, 1.5, False)],
+)
+def test_a_leader_asks_a_successor_only_if_the_store_turns_it_away(
+    unconfirmed_s, store_age_s, is_asked
+):
+    """Guards against handovers to and fro while the store is slow for everybody."""
+    rows, terms, link = MemoryRows(), [], FakeLeaderLink(["a"])
+    leadership = make_leadership(rows, leader_link=link, terms=terms, store_age_s=store_age_s)
+    with leadership:
+        wait_until(lambda: leadership.term is not None)
+        terms[0].unconfirmed_s = unconfirmed_s
+        time.sleep(0.3)
+        assert link.asked == (["a"] if is_asked else [])
+        terms[0].lost.set()
+
+
+@pytest.mark.parametrize(("outage_s", "claims"), [(0.3, True), (ASKED_S + 0.5, False)])
+def test_a_follower_that_was_asked_long_ago_claims_no_more(outage_s, claims):
+    """Guards against a healthy leader replaced at the end of an outage of the store."""
+    rows = MemoryRows()
+    other = Claim(epoch=4, instance="other", address="127.0.0.1:2", key="k")
+    beat = Heartbeat(epoch=4, count=9, pending={})
+    rows.write(RowsTxn(puts=((CLAIM, dump(other)), (HEARTBEAT, dump(beat)))), timeout_s=1.0)
+    rows.faults.down = True
+    link = FakeFollowerLink(is_fresh=True, refused=False, pulse_s=SystemClock().now_s() + 60)
+    with make_leadership(rows, follower_link=link) as leadership:
+        leadership.claim_now(4)
+        time.sleep(outage_s)
+        rows.faults.down = False
+        time.sleep(0.6)
+        assert (leadership.term is not None) is claims
