--- a/fescuerudder/cli.py
+++ b/fescuerudder/cli.py
@@ -34,6 +34,7 @@
 )
 from fescuerudder.document import ServiceDocument, dump_document, parse_document
 from fescuerudder.errors import FescuerudderError, SettingsError
+from fescuerudder.explain import read_lines, render, tell
 from fescuerudder.settings import Settings, load_settings
 
 EXIT_DONE = 0
@@ -256,15 +257,33 @@
     return EXIT_DONE
 
 
-def node(*, settings: str = "", metrics_port: int = 9464) -> int:
+def explain(job: str, logs: str = "") -> int:
+    """Prints what the logs of many instances say of one job, and what they do not show.
+
+    Args:
+        job: id of the job.
+        logs: file with log lines, or directory of such files; standard input if left out.
+    """
+    story = tell(job, read_lines(_read_logs(logs) if logs else sys.stdin))
+    print(render(story))
+    return EXIT_DONE if story.lines else EXIT_FAILED
+
+
+def node(*, settings: str = "", metrics_port: int = 9464, check: bool = False) -> int:
     """Runs an instance that serves jobs on the users' platform, until SIGTERM.
 
     Args:
         metrics_port: port for metrics, on the instance's own address.
         settings: settings file, instead of the one named by FESCUERUDDER_NODE_FILE.
+        check: only checks the settings file.
     """
     from fescuerudder.platform.run import run_on_platform
+    from fescuerudder.platform.settings import load_node_settings
 
+    if check:
+        cfg = load_node_settings(settings, metrics_port=metrics_port)
+        print(f"the settings of instance {cfg.instance!r} are valid")
+        return EXIT_DONE
     return run_on_platform(metrics_port=metrics_port, settings=settings)
 
 
@@ -310,6 +329,7 @@
     "report": {"burn": report_burn},
     "trace": {"take": trace_take},
     "settings": settings,
+    "explain": explain,
 }
 
 
@@ -409,6 +429,19 @@
         raise ClientError(f"{file}: {exc}") from exc
 
 
+def _read_logs(place: str) -> list[str]:
+    """Returns the lines of a file, or of all files of a directory."""
+    path = Path(place)
+    try:
+        files = (
+            sorted(item for item in path.iterdir() if item.is_file()) if path.is_dir() else [path]
+        )
+        texts = [file.read_text(encoding="utf-8", errors="replace") for file in files]
+    except OSError as exc:
+        raise ClientError(f"{place}: {exc}") from exc
+    return [line for text in texts for line in text.splitlines()]
+
+
 def _write_file(file: str, text: str) -> None:
     try:
         Path(file).write_text(text, encoding="utf-8")
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from fescuerudder.cli import run
 from fescuerudder.errors import SettingsError
 from fescuerudder.platform.settings import FILE_ENV, load_node_settings
 from tests.platform.settings_file import write_settings
@@ -49,3 +50,16 @@
     path.write_text(text)
     with pytest.raises(SettingsError):
         load_node_settings(str(path), metrics_port=9)
+
+
+@pytest.mark.parametrize(("cut", "code"), [("", 0), ("zone =", 2)])
+def test_settings_are_checked_without_a_start(tmp_path, capsys, cut, code):
+    """Guards against a fault in the settings that shows only when an instance is replaced."""
+    path = tmp_path / "s.toml"
+    write_settings(path)
+    lines = path.read_text().splitlines()
+    path.write_text("\n".join(line for line in lines if not cut or not line.startswith(cut)))
+    assert run(["node", "--check", "--settings", str(path)]) == code
+    shown = capsys.readouterr()
+    assert ("valid" in shown.out) is (code == 0)
+    assert ("zone is missing" in shown.err) is (code == 2)
