Refuse with certainty for followers too while the store is down

Change: a leader whose own store is down refuses for its followers without a call; a follower then refuses after 0.6 s (503, come back after 0.2 s) unless the store is back.

--- a/fescuerudder/jobs/intake.py
+++ b/fescuerudder/jobs/intake.py
@@ -30,14 +30,15 @@
 WRITE_TIMEOUT_S = 1.0
 READ_TIMEOUT_S = 1.0
 RETRY_S = 0.1
-RETRY_AFTER_S = 0.5
+RETRY_AFTER_S = 0.2
 PATIENCE_S = 1.0
 """Longest time for which a job is tried to be stored; its caller may come back soon."""
 
-DOWN_PATIENCE_S = 0.3
+DOWN_PATIENCE_S = 0.6
 """The same while neither the store nor the leader can be reached."""
 
 PROBE_TIMEOUT_S = 0.3
+RELAY_TIMEOUT_S = 1.0
 
 STORED = "stored"
 REFUSED = "refused"
@@ -134,7 +135,7 @@
         """Writes until the outcome is known or the caller's time is up."""
         started_s = self._clock.now_s()
         outcomes: set[str] = set()
-        while (left_s := self._end_s(started_s, deadline_s) - self._clock.now_s()) > 0:
+        while (left_s := self._end_s(started_s, deadline_s, outcomes) - self._clock.now_s()) > 0:
             outcomes |= self._try(row, timeout_s=min(WRITE_TIMEOUT_S, left_s))
             if STORED in outcomes:
                 return Ok(None)
@@ -143,9 +144,10 @@
         ran = None if UNKNOWN in outcomes else False
         return Err(Refusal(reason="store not reached in time", ran=ran))
 
-    def _end_s(self, started_s: float, deadline_s: float) -> float:
+    def _end_s(self, started_s: float, deadline_s: float, outcomes: set[str]) -> float:
         """Returns until when a request that came at `started_s` is tried."""
-        is_cut_off = self._store_is_down() and not self._leader.relays
+        has_leader = self._leader.relays and REFUSED not in outcomes
+        is_cut_off = self._store_is_down() and not has_leader
         return min(deadline_s, started_s + (DOWN_PATIENCE_S if is_cut_off else PATIENCE_S))
 
     def _try(self, row: StoreJob, *, timeout_s: float) -> set[str]:
@@ -163,6 +165,12 @@
             self._probe()
         return outcomes
 
+    def relay(self, row: StoreJob) -> str:
+        """Stores a row for an instance that the store turns away; see `StoreOutcome`."""
+        if self._store_is_down():
+            return REFUSED
+        return store_row(self._store, row, timeout_s=RELAY_TIMEOUT_S)
+
     def _probe(self) -> None:
         """Reads from the store to find out whether it is back; one caller at a time."""
         if not self._probing.acquire(blocking=False):
--- a/fescuerudder/jobs/node.py
+++ b/fescuerudder/jobs/node.py
@@ -18,7 +18,7 @@
 from fescuerudder.jobs.configview import ConfigSource, ConfigView
 from fescuerudder.jobs.configwatch import ConfigWatch
 from fescuerudder.jobs.followerlink import FollowerLink
-from fescuerudder.jobs.intake import JobIntake, store_row
+from fescuerudder.jobs.intake import JobIntake
 from fescuerudder.jobs.jobmetrics import JobMetrics
 from fescuerudder.jobs.jobrun import JobState
 from fescuerudder.jobs.jobstates import JobStates
@@ -38,7 +38,6 @@
 HEALTH_THREADS = 2
 METRICS_THREADS = 1
 METRICS_TYPE = "text/plain; version=0.0.4"
-RELAY_TIMEOUT_S = 1.0
 LEASE_S = 5.0
 """A new leader needs up to four seconds to renew the leases of its predecessor."""
 
@@ -218,7 +217,7 @@
             make_term=self._make_term,
             leader_link=self._leader_link,
             follower_link=self._follower_link,
-            store_for_follower=self._store_for_follower,
+            store_for_follower=lambda message: self.intake.relay(message),
             store_age_s=lambda: self._store.age_s,
             handicap_s=max(0.0, min(MAX_HANDICAP_S, slowness)),
         )
@@ -280,10 +279,6 @@
         )
         return [data]
 
-    def _store_for_follower(self, message: StoreJob) -> str:
-        """Stores a row for a follower that the store turns away."""
-        return store_row(self._store, message, timeout_s=RELAY_TIMEOUT_S)
-
 
 def run_node(
     cfg: NodeSettings,
