--- a/fescuerudder/frontend.py
+++ b/fescuerudder/frontend.py
@@ -7,14 +7,21 @@
 import threading
 from collections.abc import Callable, Iterable
 from typing import Any, Protocol
-from urllib.parse import unquote
 
 import attrs
 import structlog
-from cheroot.errors import MaxSizeExceeded
-from cheroot.server import ChunkedRFile
 from result import Ok, Result
 
+from fescuerudder._httpcall import (
+    Call,
+    Json,
+    check_key,
+    deadline_s,
+    if_match,
+    json_object,
+    read_call,
+    text_field,
+)
 from fescuerudder.clock import Clock
 from fescuerudder.document import NAME_PATTERN
 from fescuerudder.errors import (
@@ -24,20 +31,14 @@
     RequestError,
 )
 from fescuerudder.httpserver import (
-    MAX_BODY_BYTES,
     HttpServer,
     close_after_answer,
     discard_body,
 )
-from fescuerudder.upstream import Answer, Headers, Request, end_to_end
+from fescuerudder.upstream import Answer, Request, end_to_end
 
 _log = structlog.get_logger(__name__)
 
-MAX_HEADER_BYTES = 16 * 1024
-MAX_HEADER_COUNT = 100
-MAX_KEY_LENGTH = 255
-DEFAULT_DEADLINE_S = 30.0
-MAX_DEADLINE_S = 24 * 3600.0
 RESERVED_SHARE = 0.1
 """Share of the HTTP threads, at least one, that callers' requests never occupy.
 
@@ -46,15 +47,9 @@
 """
 
 PRIORITIES = ("normal", "urgent")
-METHODS = frozenset({"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"})
 
 _TRACE_PATTERN = re.compile(r"[A-Za-z0-9._-]{1,64}")
-_TARGET_PATTERN = re.compile(r"[!-~]+")
-_KEY_PATTERN = re.compile(rf"[ -~]{{1,{MAX_KEY_LENGTH}}}")
-_LENGTH_PATTERN = re.compile(r"[0-9]{1,18}")
-_REVISION_PATTERN = re.compile(r'"(\d{1,18})"')
 
-Json = dict[str, Any]
 _NO_BODY_STATUS = frozenset({204, 304})
 
 
@@ -119,21 +114,6 @@
         """Returns the metrics in the Prometheus text format."""
 
 
-@attrs.frozen(kw_only=True)
-class _Call:
-    """One received HTTP request."""
-
-    method: str
-    path: str
-    query: str
-    headers: Headers
-    body: bytes
-    trace_id: str
-
-    def header(self, name: str) -> str | None:
-        return next((value for key, value in self.headers if key.lower() == name), None)
-
-
 @attrs.frozen(kw_only=True)
 class _Route:
     """A method and path pattern with its handler."""
@@ -287,10 +267,10 @@
             failed = RequestError("internal error", status=500, outcome="unknown")
             return _problem(failed, trace_id), failed.outcome
 
-    def _receive(self, environ: dict[str, Any], trace_id: str) -> _Call:
+    def _receive(self, environ: dict[str, Any], trace_id: str) -> Call:
         """Reads one request; closes the connection if the request was not read completely."""
         try:
-            call = _read_call(environ, trace_id)
+            call = read_call(environ, trace_id)
             if self._server.is_draining and call.path != "/metrics":
                 raise RequestError("this instance is stopping", status=503)
         except RequestError:
@@ -299,7 +279,7 @@
             raise
         return call
 
-    def _dispatch(self, call: _Call) -> Answer:
+    def _dispatch(self, call: Call) -> Answer:
         if call.path.startswith("/s/"):
             with self._caller_threads:
                 return self._forward(call)
@@ -318,52 +298,52 @@
             raise MalformedRequestError(detail, status=405)
         raise MalformedRequestError("no such path", status=404)
 
-    def _require_operator(self, call: _Call) -> None:
+    def _require_operator(self, call: Call) -> None:
         scheme, _, given = (call.header("authorization") or "").partition(" ")
         matches = hmac.compare_digest(given.strip().encode(), self._operator_key)
         if scheme.lower() != "bearer" or not matches:
             raise MalformedRequestError("a valid operator key is required", status=401)
 
-    def _forward(self, call: _Call) -> Answer:
+    def _forward(self, call: Call) -> Answer:
         service, _, rest = call.path.removeprefix("/s/").partition("/")
         if not NAME_PATTERN.fullmatch(service):
             raise MalformedRequestError("no such service", status=404)
         query = f"?{call.query}" if call.query else ""
         key = call.header("idempotency-key")
         if key is not None:
-            _check_key(key)
+            check_key(key)
         req = Request(
             service=service,
             method=call.method,
             target=f"/{service}/{rest}{query}",
             headers=end_to_end(call.headers),
             body=call.body,
-            deadline_s=self._clock.now_s() + _deadline_s(call),
+            deadline_s=self._clock.now_s() + deadline_s(call),
             trace_id=call.trace_id,
         )
         return _unwrap(self._router.handle(req))
 
-    def _submit_task(self, call: _Call) -> Answer:
+    def _submit_task(self, call: Call) -> Answer:
         with self._caller_threads:
             return self._submit(call)
 
-    def _submit(self, call: _Call) -> Answer:
-        raw = _json_object(call)
+    def _submit(self, call: Call) -> Answer:
+        raw = json_object(call)
         key = call.header("idempotency-key")
         if key is None:
             raise MalformedRequestError("the header Idempotency-Key is required", status=400)
-        _check_key(key)
+        check_key(key)
         unknown = sorted(set(raw) - {"service", "payload", "priority"})
         if unknown:
             raise MalformedRequestError(f"unknown fields: {', '.join(unknown)}", status=400)
-        service = _text(raw, "service")
+        service = text_field(raw, "service")
         priority = raw.get("priority", "normal")
         if priority not in PRIORITIES:
             detail = f"priority must be one of {', '.join(PRIORITIES)}"
             raise MalformedRequestError(detail, status=400)
         res = self._tasks.submit(
             service=service,
-            payload=_text(raw, "payload"),
+            payload=text_field(raw, "payload"),
             urgent=priority == "urgent",
             idempotency_key=key,
             body_hash=hashlib.sha256(call.body).hexdigest(),
@@ -371,53 +351,51 @@
         )
         return _json(_unwrap(res), status=202)
 
-    def _get_task(self, call: _Call, task_id: str) -> Answer:
+    def _get_task(self, call: Call, task_id: str) -> Answer:
         return _json(_unwrap(self._tasks.get(task_id)))
 
-    def _cancel_task(self, call: _Call, task_id: str) -> Answer:
+    def _cancel_task(self, call: Call, task_id: str) -> Answer:
         return _json(_unwrap(self._tasks.cancel(task_id)), status=202)
 
-    def _put_service(self, call: _Call, name: str) -> Answer:
-        raw = _json_object(call)
+    def _put_service(self, call: Call, name: str) -> Answer:
+        raw = json_object(call)
         if raw.get("name", name) != name:
             detail = "the document's name differs from the path"
             raise MalformedRequestError(detail, status=400)
-        res = self._operations.put_service(name=name, raw=raw, base_revision=_if_match(call))
+        res = self._operations.put_service(name=name, raw=raw, base_revision=if_match(call))
         return _json(_unwrap(res))
 
-    def _get_services(self, call: _Call, name: str | None = None) -> Answer:
+    def _get_services(self, call: Call, name: str | None = None) -> Answer:
         return _json(_unwrap(self._operations.get_services(name)))
 
-    def _put_zone(self, call: _Call, zone: str) -> Answer:
-        raw = _json_object(call)
+    def _put_zone(self, call: Call, zone: str) -> Answer:
+        raw = json_object(call)
         if set(raw) != {"state"} or raw["state"] not in ("in", "out"):
             detail = 'the body must be {"state": "in"} or {"state": "out"}'
             raise MalformedRequestError(detail, status=400)
-        res = self._operations.put_zone(
-            zone=zone, state=raw["state"], base_revision=_if_match(call)
-        )
+        res = self._operations.put_zone(zone=zone, state=raw["state"], base_revision=if_match(call))
         body = _unwrap(res)
         return _json(body, status=202 if body.get("provisional") else 200)
 
-    def _get_zones(self, call: _Call) -> Answer:
+    def _get_zones(self, call: Call) -> Answer:
         return _json(_unwrap(self._operations.get_zones()))
 
-    def _get_status(self, call: _Call) -> Answer:
+    def _get_status(self, call: Call) -> Answer:
         return _json(_unwrap(self._operations.status()))
 
-    def _get_burn(self, call: _Call) -> Answer:
+    def _get_burn(self, call: Call) -> Answer:
         return _json(_unwrap(self._operations.burn()))
 
-    def _get_trace(self, call: _Call) -> Answer:
+    def _get_trace(self, call: Call) -> Answer:
         lines = _unwrap(self._operations.trace_lines())
         headers = (("Content-Type", "application/jsonl"),)
         return Answer(status=200, headers=headers, body=lines)
 
-    def _get_metrics(self, call: _Call) -> Answer:
+    def _get_metrics(self, call: Call) -> Answer:
         headers = (("Content-Type", "text/plain; version=0.0.4; charset=utf-8"),)
         return Answer(status=200, headers=headers, body=self._operations.metrics_text())
 
-    def _get_health(self, call: _Call) -> Answer:
+    def _get_health(self, call: Call) -> Answer:
         return _json({"state": "serving"})
 
 
@@ -434,127 +412,6 @@
     return answer.status not in _NO_BODY_STATUS and (method != "HEAD" or bool(answer.body))
 
 
-def _read_call(environ: dict[str, Any], trace_id: str) -> _Call:
-    """Checks and reads one request."""
-    method = environ["REQUEST_METHOD"]
-    if method not in METHODS:
-        raise MalformedRequestError("method not supported", status=501)
-    headers = _headers(environ)
-    path, _, query = _target(environ).partition("?")
-    return _Call(
-        method=method,
-        path=path,
-        query=query,
-        headers=headers,
-        body=_read_body(environ),
-        trace_id=trace_id,
-    )
-
-
-def _target(environ: dict[str, Any]) -> str:
-    target = environ["REQUEST_URI"]
-    if not target.startswith("/") or not _TARGET_PATTERN.fullmatch(target):
-        raise MalformedRequestError("malformed path", status=400)
-    # A worker that resolves dot segments would otherwise be led to another service.
-    segments = unquote(target.partition("?")[0]).replace("\\", "/").split("/")
-    if "." in segments or ".." in segments:
-        raise MalformedRequestError("the path must not contain dot segments", status=400)
-    return target
-
-
-def _headers(environ: dict[str, Any]) -> Headers:
-    names = [key for key in environ if key.startswith("HTTP_")]
-    headers = [(key[5:].replace("_", "-").title(), environ[key]) for key in names]
-    if environ.get("CONTENT_TYPE"):
-        headers.append(("Content-Type", environ["CONTENT_TYPE"]))
-    size = sum(len(key) + len(value) for key, value in headers)
-    if len(headers) > MAX_HEADER_COUNT or size > MAX_HEADER_BYTES:
-        raise MalformedRequestError("the headers are too large", status=431)
-    return tuple(headers)
-
-
-def _read_body(environ: dict[str, Any]) -> bytes:
-    declared = environ.get("CONTENT_LENGTH", "")
-    chunked = environ["wsgi.input_terminated"]
-    if chunked and declared:
-        detail = "Content-Length and Transfer-Encoding exclude each other"
-        raise MalformedRequestError(detail, status=400)
-    if chunked:
-        return _read_chunked(environ["wsgi.input"])
-    if declared and not _LENGTH_PATTERN.fullmatch(declared):
-        raise MalformedRequestError("Content-Length must be a whole number", status=400)
-    size = int(declared or 0)
-    if size > MAX_BODY_BYTES:
-        raise _too_large()
-    try:
-        body = environ["wsgi.input"].read(size) if size else b""
-    except OSError as exc:
-        raise MalformedRequestError("the body could not be read", status=400) from exc
-    if len(body) != size:
-        raise MalformedRequestError("the body is shorter than declared", status=400)
-    return body
-
-
-def _read_chunked(rfile: ChunkedRFile) -> bytes:
-    try:
-        body = rfile.read(MAX_BODY_BYTES + 1)
-        if len(body) > MAX_BODY_BYTES:
-            raise _too_large()
-        for _ in rfile.read_trailer_lines():
-            pass
-    except (ValueError, TimeoutError) as exc:
-        raise MalformedRequestError("the chunked body is malformed", status=400) from exc
-    except (MaxSizeExceeded, OSError) as exc:
-        raise _too_large() from exc
-    return body
-
-
-def _too_large() -> MalformedRequestError:
-    return MalformedRequestError(f"the body exceeds {MAX_BODY_BYTES} bytes", status=413)
-
-
-def _deadline_s(call: _Call) -> float:
-    given = call.header("deadline-ms")
-    if given is None:
-        return DEFAULT_DEADLINE_S
-    if not re.fullmatch(r"[0-9]{1,12}", given):
-        raise MalformedRequestError("Deadline-Ms must be a whole number", status=400)
-    return min(MAX_DEADLINE_S, int(given) / 1000)
-
-
-def _check_key(key: str) -> None:
-    if not _KEY_PATTERN.fullmatch(key):
-        detail = f"Idempotency-Key must be 1 to {MAX_KEY_LENGTH} printable ASCII characters"
-        raise MalformedRequestError(detail, status=400)
-
-
-def _if_match(call: _Call) -> int | None:
-    given = call.header("if-match")
-    if given is None or given == "*":
-        return None
-    match = _REVISION_PATTERN.fullmatch(given)
-    if match is None:
-        raise MalformedRequestError('If-Match must be "<revision>"', status=400)
-    return int(match.group(1))
-
-
-def _json_object(call: _Call) -> Json:
-    try:
-        raw = json.loads(call.body)
-    except (ValueError, RecursionError) as exc:
-        raise MalformedRequestError("the body is not valid JSON", status=400) from exc
-    if not isinstance(raw, dict):
-        raise MalformedRequestError("the body must be a JSON object", status=400)
-    return raw
-
-
-def _text(raw: Json, name: str) -> str:
-    value = raw.get(name)
-    if not isinstance(value, str):
-        raise MalformedRequestError(f"{name} must be text", status=400)
-    return value
-
-
 def _unwrap(res: Result[Any, FescuerudderError]) -> Any:
     """Returns the value of Ok; raises the error of Err as a RequestError."""
     if isinstance(res, Ok):
--- a/fescuerudder/jobs/leader.py
+++ b/fescuerudder/jobs/leader.py
@@ -17,8 +17,9 @@
 from fescuerudder.jobs.leaderwrites import LeadershipLostError, LeaderWrites
 from fescuerudder.jobs.leases import LeaseTerms
 from fescuerudder.jobs.progress import StoredFormError, StoredJob
+from fescuerudder.jobs.progressbatch import ProgressBatch
 from fescuerudder.jobs.rows import HistoryLostError, RowStore
-from fescuerudder.jobs.scheduler import Order, ProgressBatch, Scheduler
+from fescuerudder.jobs.scheduler import Order, Scheduler
 from fescuerudder.jobs.scheduleractor import SchedulerActor
 from fescuerudder.jobs.storage import CLAIM, JOBS
 from fescuerudder.jobs.takeover import Loaded, load, split_job_rows
--- a/fescuerudder/jobs/scheduler.py
+++ b/fescuerudder/jobs/scheduler.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable, Iterable
 
-import attrs
 import structlog
 
 from fescuerudder.clock import Clock
@@ -11,12 +10,11 @@
 from fescuerudder.jobs.leases import PREDECESSOR_S, LeaseTerms
 from fescuerudder.jobs.manifest import Manifest
 from fescuerudder.jobs.progress import StoredJob, dump_progress
+from fescuerudder.jobs.progressbatch import ProgressBatch
 from fescuerudder.jobs.relocation import evict_from
 from fescuerudder.jobs.reports import ReportReader
 from fescuerudder.jobs.roster import dump_roster
-from fescuerudder.jobs.rows import RowKey
 from fescuerudder.jobs.starts import StartPlanner
-from fescuerudder.jobs.storage import KNOWLEDGE, ROSTER
 from fescuerudder.jobs.throttling import plan_throttles
 from fescuerudder.jobs.workerbook import WorkerBook, WorkerClock
 from fescuerudder.jobs.workerhealth import Verdict
@@ -55,34 +53,6 @@
 _log = structlog.get_logger(__name__)
 
 
-@attrs.frozen(kw_only=True)
-class ProgressBatch:
-    """Progress to be stored.
-
-    Args:
-        rows: stored progress by job id.
-        states: state of each of these jobs, shown to callers once it is stored.
-        serials: highest end of each worker that the rows account for, with the worker's birth.
-        pending: jobs of each queue of which no task has started.
-        knowledge: what was learned about tasks, None if it was stored lately.
-        roster: the workers that may get tasks, None if it is stored as it is.
-        recorded: the workers on the roster, with their births.
-    """
-
-    rows: dict[str, bytes]
-    states: dict[str, JobState]
-    serials: dict[str, tuple[int, int]]
-    pending: dict[str, int]
-    knowledge: bytes | None
-    roster: bytes | None
-    recorded: dict[str, int]
-
-    def own_rows(self) -> dict[RowKey, bytes]:
-        """Returns the rows of the batch that belong to no job."""
-        rows = {KNOWLEDGE: self.knowledge, ROSTER: self.roster}
-        return {key: value for key, value in rows.items() if value is not None}
-
-
 class Scheduler:
     """Schedules the tasks of all jobs on all workers during one term.
 
--- a/fescuerudder/jobs/termevents.py
+++ b/fescuerudder/jobs/termevents.py
@@ -4,7 +4,8 @@
 
 from fescuerudder.jobs.configview import ConfigView
 from fescuerudder.jobs.progress import StoredJob
-from fescuerudder.jobs.scheduler import Order, ProgressBatch
+from fescuerudder.jobs.progressbatch import ProgressBatch
+from fescuerudder.jobs.scheduler import Order
 from fescuerudder.jobs.workerport import OrderAnswer, RenewOrder, Report, WorkerInfo
 
 
