--- /dev/null
+++ b/tests/jobs/test_leader.py
@@ -0,0 +1,60 @@
+"""Orders of a term on their way to the workers."""
+
+import pytest
+
+from fescuerudder.clock import ManualClock
+from fescuerudder.jobs.claim import Claim
+from fescuerudder.jobs.configview import ConfigView
+from fescuerudder.jobs.job import TaskId
+from fescuerudder.jobs.jobmetrics import JobMetrics
+from fescuerudder.jobs.leader import MAX_QUEUED_S, LeaderTerm
+from fescuerudder.jobs.workerport import OrderAnswer, OrderResult, StartOrder
+from standins.rows import MemoryRows
+
+START = StartOrder(
+    worker="w",
+    address="w:1",
+    task=TaskId("00000000000000aa", 0, 0, 0),
+    attempt=1,
+    payload="",
+    lease_until_ms=1,
+    token=1,
+)
+
+
+class FakeWorkers:
+    """Starts everything."""
+
+    def __init__(self):
+        self.started = []
+
+    def start(self, order):
+        self.started.append(order)
+        return OrderAnswer(OrderResult.DONE)
+
+
+@pytest.mark.parametrize(
+    ("queued_s", "result"),
+    [(0.0, OrderResult.DONE), (MAX_QUEUED_S + 0.1, OrderResult.NOT_SENT)],
+)
+def test_an_order_that_waited_too_long_is_not_sent(monkeypatch, queued_s, result):
+    """Guards against starts from an outdated plan, once threads are free again."""
+    clock, workers, told = ManualClock(start_s=10.0), FakeWorkers(), []
+    with JobMetrics(instance="n") as metrics:
+        term = LeaderTerm(
+            store=MemoryRows(),
+            workers=workers,
+            registry=None,
+            clock=clock,
+            wall_ms=lambda: 0.0,
+            claim=Claim(epoch=1, instance="n", address="", key=""),
+            claim_version=1,
+            lease_s=5.0,
+            view=ConfigView,
+            publish=lambda states, pending: None,
+            metrics=metrics,
+        )
+        monkeypatch.setattr(term, "_tell", told.append)
+        term._carry_out(START, clock.now_s() - queued_s)
+    assert told[0].answer.result is result
+    assert len(workers.started) == (result is OrderResult.DONE)
--- a/tests/jobs/test_throttling.py
+++ b/tests/jobs/test_throttling.py
@@ -15,7 +15,8 @@
 from fescuerudder.jobs.load import Load
 from fescuerudder.jobs.throttling import plan_throttles
 from fescuerudder.jobs.workerbook import WorkerBook, WorkerClock
-from fescuerudder.jobs.workerport import WorkerInfo
+from fescuerudder.jobs.workerport import OrderAnswer, OrderResult, WorkerInfo
+from tests.jobs.job_world import JobWorld
 
 GUARDED = Step(
     count=4,
@@ -199,3 +200,27 @@
             headrooms.read(book, now_s=0.5 * step)
     good, bad = (headrooms.expected(attempt, at_s=10.0) for attempt in attempts)
     assert good - bad > 1.0
+
+
+@pytest.mark.parametrize(
+    ("result", "is_repeated"), [(OrderResult.DONE, False), (OrderResult.UNKNOWN, True)]
+)
+def test_a_throttle_without_a_certain_answer_is_ordered_again(result, is_repeated):
+    """Guards against a task that disturbs others at a speed that nobody knows."""
+    world = JobWorld(workers=1)
+    world.submit(steps=(attrs.evolve(HEAVY, count=1),))
+    leader = world.claim("a")
+    world.run(1)
+    scheduler = leader.scheduler
+    (attempt,) = scheduler.world.books["w0"].attempts.values()
+    (order,) = _throttles(scheduler, attempt, throttle=40)
+    scheduler.on_throttled(order, OrderAnswer(result))
+    assert len(_throttles(scheduler, attempt)) == is_repeated
+
+
+def _throttles(scheduler, attempt, **changes):
+    """Returns the throttles that are planned for a worker now."""
+    for name, value in changes.items():
+        setattr(attempt, name, value)
+    book = scheduler.world.books[attempt.worker]
+    return plan_throttles(Load.of(book, scheduler.world.known, now_s=book.report_s))
