Start jobs that can still be in time before those that are late

Change: of one priority, jobs that can still be in time go first, then late ones, then those beyond three times their objective. Test: test_jobs_that_can_still_be_in_time_go_first; two of its cases fail in the order before.

--- a/fescuerudder/jobs/jobrun.py
+++ b/fescuerudder/jobs/jobrun.py
@@ -226,6 +226,12 @@
             return None
         return step.tasks[task_id.index]
 
+    def left_ms(self, number: int) -> int:
+        """Returns the estimated work on the longest chain that begins with a step."""
+        steps = self.job.steps
+        after = [k for k in range(number + 1, len(steps)) if number in steps[k].after]
+        return steps[number].estimated_ms + max(map(self.left_ms, after), default=0)
+
     def may_open(self, step: StepRun) -> bool:
         """Returns whether all steps that `step` depends on are done."""
         return all(self.steps[(step.occurrence, number)].is_done for number in step.spec.after)
--- a/fescuerudder/jobs/starts.py
+++ b/fescuerudder/jobs/starts.py
@@ -15,6 +15,9 @@
 from fescuerudder.jobs.workerport import StartOrder
 from fescuerudder.jobs.world import World
 
+LATEST = 3.0
+"""Multiple of a job's objective after which its completion is of no more use."""
+
 _log = structlog.get_logger(__name__)
 
 
@@ -44,7 +47,7 @@
         ]
         orders: list[StartOrder] = []
         demands = _image_demands(steps)
-        for step in sorted(steps, key=lambda s: (*self._urgency(s), *_grouping(s, demands))):
+        for step in sorted(steps, key=lambda s: (*self._urgency(s, now_s), *_grouping(s, demands))):
             orders += self._start_step(step, loads, now_s)
         return orders
 
@@ -96,17 +99,19 @@
     def _queue(self, step: StepRun) -> Queue | None:
         return self._world.queues.get(step.job.job.queue)
 
-    def _urgency(self, step: StepRun) -> tuple[float, ...]:
+    def _urgency(self, step: StepRun, now_s: float) -> tuple[float, ...]:
+        """Returns the key by which steps are started.
+
+        Jobs that can still be in time go first, the most pressing ones before the others. Jobs
+        that are late already would only make them late too.
+        """
         queue = self._queue(step)
-        priority = queue.priority if queue is not None else 0
-        due_s = 0.0 if step.spec.long_running else self._due_s(step, queue)
-        return (priority, due_s, step.number)
-
-    def _due_s(self, step: StepRun, queue: Queue | None) -> float:
-        """Returns when the job should be complete, by its estimated run times."""
-        if queue is None:
-            return step.job.received_s
-        return step.job.received_s + _objective_s(step, queue)
+        if queue is None or step.spec.long_running:
+            return (queue.priority if queue is not None else 0, 0, 0.0, step.number)
+        objective_s = _objective_s(step, queue)
+        done_s = now_s + step.job.left_ms(step.number) / 1000 - step.job.received_s
+        lateness = sum(done_s > factor * objective_s for factor in (1.0, LATEST))
+        return (queue.priority, lateness, step.job.received_s + objective_s, step.number)
 
     def _start_step(self, step: StepRun, loads: list[Load], now_s: float) -> list[StartOrder]:
         tasks = [task for task in step.startable() if self._is_free(task)]
--- a/tests/jobs/test_scheduler.py
+++ b/tests/jobs/test_scheduler.py
@@ -521,3 +521,29 @@
     world.run(0.8)
     assert leader.scheduler.pending() == {}
     assert world.state(JOB) is JobState.RUNNING
+
+
+@pytest.mark.parametrize(
+    ("ages_s", "first"),
+    [((2.0, 1.0), 0), ((8.0, 1.0), 1), ((30.0, 8.0), 1), ((40.0, 30.0), 0)],
+)
+def test_jobs_that_can_still_be_in_time_go_first(ages_s, first):
+    """Guards against one late job after the other, each of which makes the next one late.
+
+    Both jobs have 2 s of work and 5 s for it; after 15 s they are of no use.
+    """
+    world = JobWorld(workers=1, capacity=1.0)
+    spec = Step(count=1, size=ONE, estimated_ms=2000)
+    leader = world.claim("a")
+    world.workers["w0"].refuses_all = True
+    ids = [f"{number:016x}" for number in range(2)]
+    for job_id in ids:
+        world.submit(job_id, steps=(spec,))
+    world.run(1)
+    for job_id, age_s in zip(ids, ages_s, strict=True):
+        leader.scheduler.world.jobs[job_id].received_s = world.clock.now_s() - age_s
+    # What was ordered before is refused.
+    world.run(0.5)
+    world.workers["w0"].refuses_all = False
+    world.run(0.5)
+    assert [e[2].job for e in world.events if e[4] == "start"][:1] == [ids[first]]
