Start lasting tasks on workers that were set aside rather than not at all

Second cause, found by reading: a task of less than the kept share waited beside a single worker with room for two of it. Ruled out: the successor's view (no takeover), a missing registry entry (the workers ran other tasks). Change: a lasting task that has waited 2 s for sound workers takes one that was set aside; the kept share counts as free where there is room for two, on one worker or several. Tests: two of test_workerhealth.py and test_jobplacement.py.

--- a/fescuerudder/jobs/jobplacement.py
+++ b/fescuerudder/jobs/jobplacement.py
@@ -18,8 +18,8 @@
 KEPT_SHARE = 0.08
 """Share of each worker's processors that long-running tasks leave to short ones."""
 
-LEAST_USABLE = 2
-"""Workers with room from which on a long-running task may take the kept share of one."""
+ROOM_FOR = 2
+"""Tasks for which there must be room from which on a long-running one may take a kept share."""
 
 
 @attrs.frozen(kw_only=True)
@@ -64,18 +64,27 @@
     """Returns workers for long-running tasks, which keep KEPT_SHARE free for short ones.
 
     A long-running task holds its processors for good, so without this short jobs that come later
-    would find none. It takes the kept share only where two workers or more have room for it: it
-    must not wait beside plain room.
+    would find none. It takes a kept share only where there is room for two of its kind, on one
+    worker or on several: it must not wait beside plain room.
     """
     chosen = choose(attrs.evolve(demand, kept_share=KEPT_SHARE), loads)
     while len(chosen) < demand.count:
         usable = [load for load in loads if _may_take(demand, load)]
-        if len(usable) < LEAST_USABLE:
+        if sum(_room_for(demand, load) for load in usable) < ROOM_FOR:
             break
         chosen += choose(attrs.evolve(demand, count=1), usable)
     return chosen
 
 
+def _room_for(demand: Demand, load: Load) -> int:
+    """Returns for how many tasks a worker that has room for one has room, at most ROOM_FOR."""
+    trial, count = load.copy(), 0
+    while count < ROOM_FOR and fits(demand, trial):
+        trial.add(demand.step)
+        count += 1
+    return count
+
+
 def _may_take(demand: Demand, load: Load) -> bool:
     most = demand.step.max_per_worker or demand.step.count
     has_starts = load.starts_left is None or load.starts_left > 0
--- a/fescuerudder/jobs/starts.py
+++ b/fescuerudder/jobs/starts.py
@@ -16,6 +16,9 @@
 from fescuerudder.jobs.workerport import StartOrder
 from fescuerudder.jobs.world import World
 
+LAST_RESORT_S = 2.0
+"""Time for which a long-running task waits for sound workers before it takes a suspect one."""
+
 _log = structlog.get_logger(__name__)
 
 
@@ -38,17 +41,25 @@
         if not steps:
             return []
         world = self._world
-        loads = [
-            self._load_of(book, now_s)
+        loads = self.loads(now_s)
+        suspects = [
+            world.load_of(book, now_s=now_s)
             for book in world.books.values()
-            if self.takes_work(book, now_s)
+            if self._is_usable(book, now_s) and not self._is_trusted(book)
         ]
         orders: list[StartOrder] = []
         demands = _image_demands(steps)
         for step in sorted(steps, key=lambda s: (*self._urgency(s, now_s), *_grouping(s, demands))):
             orders += self._start_step(step, loads, now_s)
+            if suspects and step.spec.long_running:
+                orders += self._start_overdue(step, suspects, now_s)
         return orders
 
+    def loads(self, now_s: float) -> list[Load]:
+        """Returns the loads of the workers that may get tasks now."""
+        books = self._world.books.values()
+        return [self._load_of(book, now_s) for book in books if self.takes_work(book, now_s)]
+
     def _load_of(self, book: WorkerBook, now_s: float) -> Load:
         load = self._world.load_of(book, now_s=now_s)
         load.starts_left = self._world.health.most_starts(book.id)
@@ -82,9 +93,16 @@
 
     def takes_work(self, book: WorkerBook, now_s: float) -> bool:
         """Returns whether a worker may get tasks now."""
+        return self._is_trusted(book) and self._is_usable(book, now_s)
+
+    def _is_trusted(self, book: WorkerBook) -> bool:
+        """Returns whether a worker does well, or is due for a probe."""
+        return self._world.health.most_starts(book.id) != 0
+
+    def _is_usable(self, book: WorkerBook, now_s: float) -> bool:
+        """Returns whether a worker could take tasks, however it does."""
         return (
-            self._world.health.most_starts(book.id) != 0
-            and book.listed
+            book.listed
             and book.recorded
             and not book.gone
             and book.resolved
@@ -127,6 +145,29 @@
             ]
         return orders
 
+    def _start_overdue(self, step: StepRun, suspects: list[Load], now_s: float) -> list[StartOrder]:
+        """Starts long-running tasks that found no room on workers that were set aside.
+
+        There they may fail again, but elsewhere they would not run at all.
+        """
+        opened_s = step.opened_s or now_s
+        tasks = [
+            task
+            for task in step.startable()
+            if self._is_free(task) and now_s - max(opened_s, task.freed_s) >= LAST_RESORT_S
+        ]
+        queue = self._queue(step)
+        if not tasks or queue is None or step.spec.gang:
+            return []
+        eligible = [load for load in suspects if _is_eligible(load, step.spec, queue)]
+        for load in eligible:
+            load.starts_left = None
+        taken = Counter(a.worker for task in step.tasks for a in task.attempts)
+        chosen = choose(Demand(step=step.spec, count=len(tasks), taken=taken), eligible)
+        return [
+            self._start(task, load.book, now_s) for task, load in zip(tasks, chosen, strict=False)
+        ]
+
     def _is_free(self, task: TaskRun) -> bool:
         """Returns whether no later leader can know more of the task's earlier attempts.
 
--- a/tests/jobs/test_jobplacement.py
+++ b/tests/jobs/test_jobplacement.py
@@ -23,6 +23,17 @@
     return loads
 
 
+@pytest.mark.parametrize(
+    ("free", "waits"),
+    [((2.5,), False), ((1.9,), True), ((1.2, 1.2), False), ((1.2, 0.8), True)],
+)
+def test_a_lasting_task_does_not_wait_beside_room_for_two(free, waits):
+    """Guards against a lost task: the kept share of a single worker had room for it twice over."""
+    small = attrs.evolve(LASTING, size=Size(processors=1.0, memory_mb=10))
+    chosen = choose_lasting(Demand(step=small, count=1), make_loads(*free))
+    assert (chosen == []) is waits
+
+
 @pytest.mark.parametrize(
     ("free", "count"),
     [
--- a/tests/jobs/test_workerhealth.py
+++ b/tests/jobs/test_workerhealth.py
@@ -4,6 +4,7 @@
 
 from fescuerudder.document import Size
 from fescuerudder.jobs.job import Step
+from fescuerudder.jobs.starts import LAST_RESORT_S
 from tests.jobs.job_world import JobWorld
 
 JOB = "00000000000000aa"
@@ -35,3 +36,16 @@
     world.claim("a")
     world.run(8)
     assert world.starts(JOB) == starts
+
+
+@pytest.mark.parametrize(("lasts", "running"), [(True, 2), (False, 0)])
+def test_lasting_tasks_take_a_suspect_worker_rather_than_none(lasts, running):
+    """Guards against lasting tasks that wait for probes, one in 3 s or more, beside free room."""
+    world = JobWorld(workers=1)
+    world.run_s = 60.0
+    leader = world.claim("a")
+    world.run(0.5)
+    leader.scheduler.world.health._quarantine.set_aside(worker="w0")
+    world.submit(JOB, steps=(Step(count=2, size=ONE, long_running=lasts),))
+    world.run(LAST_RESORT_S + 0.3)
+    assert len(world.workers["w0"].runs) == running
