Move throttled attempts to workers where they can work at full speed

Change: an attempt that saves its progress and has been throttled for 0.6 s moves if another worker has room and headroom for it and what is left ends sooner there. The worker is not held against it. What is known of ended attempts is dropped every 2 s; nothing had called the functions for it.

--- a/fescuerudder/jobs/jobrun.py
+++ b/fescuerudder/jobs/jobrun.py
@@ -64,6 +64,7 @@
             earlier leader may have told it.
         stop_sent_s: when a stop was last sent.
         evicted: it is to be stopped and started elsewhere.
+        throttled_away: it is because it was throttled; its worker does well.
         doubted: its worker is silent, slow or stands still; a copy may start.
     """
 
@@ -81,6 +82,7 @@
     throttle: int | None = FULL_SPEED
     stop_sent_s: float | None = None
     evicted: bool = False
+    throttled_away: bool = False
     doubted: bool = False
 
 
--- a/fescuerudder/jobs/relocation.py
+++ b/fescuerudder/jobs/relocation.py
@@ -1,15 +1,28 @@
-"""Decides which attempts leave a worker that is slow or stands still."""
+"""Decides which attempts leave their worker: it is slow or stands still, or they are throttled."""
+
+from collections.abc import Iterable
 
 import structlog
 
 from fescuerudder.jobs.headroom import AT_WORK
-from fescuerudder.jobs.jobrun import Attempt, Phase, StepRun
+from fescuerudder.jobs.jobplacement import Demand, fits
+from fescuerudder.jobs.jobrun import FULL_SPEED, Attempt, Phase, StepRun
+from fescuerudder.jobs.load import Load
 from fescuerudder.jobs.workerbook import WorkerBook
 from fescuerudder.jobs.workerhealth import Verdict
 
 MOST_DONE_PERCENT = 60
 """Progress up to which it pays to start a task anew elsewhere, if it saves none."""
 
+SLOWED_S = 0.6
+"""Time for which an attempt is throttled before a move is thought of; throttles come and go."""
+
+LEAST_RUN_S = 1.5
+"""Time that an attempt runs before it moves, so that none moves to and fro."""
+
+MOVE_COST_S = 1.5
+"""Time from the stop of an attempt until it works elsewhere."""
+
 _log = structlog.get_logger(__name__)
 
 
@@ -54,6 +67,79 @@
     return attempt.percent <= MOST_DONE_PERCENT
 
 
+class ThrottledMoves:
+    """Moves throttled best-effort attempts to workers where they can work at full speed."""
+
+    def __init__(self) -> None:
+        self._slowed_s: dict[Attempt, float] = {}
+
+    def plan(self, attempts: Iterable[Attempt], loads: list[Load], *, now_s: float) -> None:
+        """Marks the attempts that are to move, and counts them where there is room for them.
+
+        Args:
+            attempts: attempts on workers that have just reported.
+            loads: loads of the workers that take work.
+            now_s: the time.
+        """
+        for attempt in attempts:
+            if not _is_slowed(attempt):
+                self._slowed_s.pop(attempt, None)
+                continue
+            since_s = self._slowed_s.setdefault(attempt, now_s)
+            if now_s - since_s < SLOWED_S or not _gains(attempt, now_s):
+                continue
+            load = _find_room(attempt, loads)
+            if load is None:
+                continue
+            load.add(attempt.task.step.spec)
+            attempt.evicted = attempt.throttled_away = True
+            _log.info(
+                "attempt gives up its worker",
+                job=attempt.task.id.job,
+                task=attempt.task.id[1:],
+                attempt=attempt.number,
+                worker=attempt.worker,
+                reason="throttled",
+                percent=attempt.percent,
+                throttle=attempt.throttle,
+                stopped=True,
+            )
+
+    def forget_ended(self) -> None:
+        """Drops what is known of attempts that are no longer live."""
+        self._slowed_s = {a: s for a, s in self._slowed_s.items() if a in a.task.attempts}
+
+
+def _is_slowed(attempt: Attempt) -> bool:
+    spec = attempt.task.step.spec
+    return (
+        spec.best_effort
+        and spec.checkpoints
+        and not spec.gang
+        and attempt.phase is Phase.RUNNING
+        and not attempt.evicted
+        and attempt.throttle is not None
+        and attempt.throttle < FULL_SPEED
+    )
+
+
+def _gains(attempt: Attempt, now_s: float) -> bool:
+    """Returns whether what is left ends sooner elsewhere, the move included."""
+    if attempt.confirmed_s is None or now_s - attempt.confirmed_s < LEAST_RUN_S:
+        return False
+    estimated_s = attempt.task.step.spec.estimated_ms / 1000
+    left_s = estimated_s * (1 - attempt.percent / 100)
+    speed = (attempt.throttle or 0) / FULL_SPEED
+    return left_s * (1 - speed) > MOVE_COST_S * speed
+
+
+def _find_room(attempt: Attempt, loads: list[Load]) -> Load | None:
+    demand = Demand(step=attempt.task.step.spec, count=1)
+    return next(
+        (load for load in loads if load.book.id != attempt.worker and fits(demand, load)), None
+    )
+
+
 def may_interrupt(step: StepRun) -> bool:
     """Returns whether one more task of a long-running step may be away because of the scheduler."""
     if step.spec.max_unavailable is None:
--- a/fescuerudder/jobs/reports.py
+++ b/fescuerudder/jobs/reports.py
@@ -120,7 +120,7 @@
     def _note_worker(self, attempt: Attempt, end: AttemptEnd, now_s: float) -> None:
         """Notes where the task went well or badly."""
         task = attempt.task
-        if end is AttemptEnd.FAILED or attempt.evicted:
+        if end is AttemptEnd.FAILED or (attempt.evicted and not attempt.throttled_away):
             task.avoid.add(attempt.worker)
         if end is AttemptEnd.DONE and attempt.confirmed_s is not None and not task.checkpoint:
             run_s = max(SHORTEST_RUN_S, now_s - attempt.confirmed_s)
--- a/fescuerudder/jobs/scheduler.py
+++ b/fescuerudder/jobs/scheduler.py
@@ -6,12 +6,12 @@
 
 from fescuerudder.clock import Clock
 from fescuerudder.jobs.job import TaskId
-from fescuerudder.jobs.jobrun import Attempt, JobRun, JobState, Phase
+from fescuerudder.jobs.jobrun import FULL_SPEED, Attempt, JobRun, JobState, Phase
 from fescuerudder.jobs.leases import PREDECESSOR_S, LeaseTerms
 from fescuerudder.jobs.manifest import Manifest
 from fescuerudder.jobs.progress import StoredJob, dump_progress
 from fescuerudder.jobs.progressbatch import ProgressBatch
-from fescuerudder.jobs.relocation import evict_from
+from fescuerudder.jobs.relocation import ThrottledMoves, evict_from
 from fescuerudder.jobs.reports import ReportReader
 from fescuerudder.jobs.roster import dump_roster
 from fescuerudder.jobs.starts import StartPlanner
@@ -80,6 +80,7 @@
         self._planner = StartPlanner(world=self.world, leases=leases)
         self.visible: dict[str, JobState] = {}
         self.is_superseded = False
+        self._moves = ThrottledMoves()
         self._reported: set[str] = set()
         self._tight: set[str] = set()
         self._next_knowledge_s = clock.now_s() + KNOWLEDGE_S
@@ -334,8 +335,15 @@
         if now_s < self._next_knowledge_s:
             return None
         self._next_knowledge_s = now_s + KNOWLEDGE_S
+        self._forget_ended()
         return self.world.known.dump()
 
+    def _forget_ended(self) -> None:
+        """Drops what is kept of attempts that are no longer live."""
+        self.world.known.headrooms.forget_ended()
+        self.world.health.forget_ended()
+        self._moves.forget_ended()
+
     def on_stored(self, batch: ProgressBatch) -> None:
         """Takes note that a batch is stored: the ends in it may be acknowledged."""
         for worker, (born_ms, serial) in batch.serials.items():
@@ -358,6 +366,7 @@
         self._expire(now_s)
         orders: list[Order] = []
         self._evict(now_s)
+        self._move_throttled(now_s)
         orders += self._plan_stops(now_s)
         orders += self._plan_throttles(now_s)
         orders += self._planner.plan(now_s=now_s, wall_ms=self._wall_ms())
@@ -397,6 +406,13 @@
                 has_room = any(self._planner.takes_work(b, now_s) for b in others)
                 evict_from(book, verdict, has_room_elsewhere=has_room)
 
+    def _move_throttled(self, now_s: float) -> None:
+        """Marks throttled attempts on the workers that reported and can work elsewhere."""
+        books = [self.world.books[name] for name in self._reported & self.world.books.keys()]
+        attempts = [attempt for book in books for attempt in book.attempts.values()]
+        if any(attempt.throttle != FULL_SPEED for attempt in attempts):
+            self._moves.plan(attempts, self._planner.loads(now_s), now_s=now_s)
+
     def _plan_stops(self, now_s: float) -> list[Order]:
         orders: list[Order] = []
         for book in self.world.books.values():
--- a/tests/jobs/test_workerhealth.py
+++ b/tests/jobs/test_workerhealth.py
@@ -4,6 +4,7 @@
 
 from fescuerudder.document import Size
 from fescuerudder.jobs.job import Step
+from fescuerudder.jobs.scheduler import KNOWLEDGE_S
 from fescuerudder.jobs.starts import LAST_RESORT_S
 from tests.jobs.job_world import JobWorld
 
@@ -49,3 +50,17 @@
     world.submit(JOB, steps=(Step(count=2, size=ONE, long_running=lasts),))
     world.run(LAST_RESORT_S + 0.3)
     assert len(world.workers["w0"].runs) == running
+
+
+def test_ended_attempts_are_forgotten():
+    """Guards against a leader whose memory grows with every attempt it ever saw."""
+    world = JobWorld(workers=1)
+    leader = world.claim("a")
+    for number in range(4):
+        world.submit(f"{number:016x}", steps=(Step(count=3, size=ONE),))
+        world.run(2)
+    world.workers["w0"].crash()
+    world.run(2 * KNOWLEDGE_S + 10)
+    scheduler = leader.scheduler
+    assert not scheduler.world.health._tracks
+    assert not scheduler.world.known.headrooms._measured
