Ask the advice service which workers a policy allows

A queue with advice could not run at all: its starts carry a permit that only the advice service gives. Design: the product asks about up to 30 workers of a step at a time, those first that would be chosen and those whose permit has only ended; two queries are under way, because the service answers one after the other. Whether a worker is allowed never changes, a permit ends with its time and the life of its worker. Without an answer the step waits and nobody else does. Weighed: asking about all workers at once (a service that takes 50 ms a worker would need seconds for the first start), asking for each start (a query for each task).

--- a/fescuerudder/jobs/job.py
+++ b/fescuerudder/jobs/job.py
@@ -23,6 +23,20 @@
     index: int
 
 
+class StepId(NamedTuple):
+    """Identity of one step of a job.
+
+    Args:
+        job: id of the job.
+        occurrence: repetition of the job, from 0.
+        step: number of the step, from 0.
+    """
+
+    job: str
+    occurrence: int
+    step: int
+
+
 @attrs.frozen(kw_only=True)
 class Step:
     """Like tasks that may run once other steps are done.
--- a/fescuerudder/jobs/jobplacement.py
+++ b/fescuerudder/jobs/jobplacement.py
@@ -91,6 +91,12 @@
     return has_starts and demand.taken[load.book.id] < most and fits(demand, load)
 
 
+def rank(demand: Demand, loads: Iterable[Load]) -> list[Load]:
+    """Returns the workers with room for one of the tasks, in the order of preference."""
+    usable = [load for load in loads if _may_take(demand, load)]
+    return sorted(usable, key=lambda load: (_cost(demand, load), load.book.id))
+
+
 def choose(demand: Demand, loads: Iterable[Load]) -> list[Load]:
     """Returns workers for as many of the tasks as have room, and counts the tasks there."""
     step, taken = demand.step, demand.taken
--- a/fescuerudder/jobs/jobrun.py
+++ b/fescuerudder/jobs/jobrun.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from fescuerudder.jobs.job import Job, Step, TaskId
+from fescuerudder.jobs.job import Job, Step, StepId, TaskId
 
 FULL_SPEED = 100
 """Throttle, in percent, of an attempt that works at its own speed."""
@@ -155,6 +155,11 @@
     tasks: list[TaskRun] = attrs.Factory(list)
     opened_s: float | None = None
 
+    @property
+    def id(self) -> StepId:
+        """Its identity."""
+        return StepId(self.job.job.id, self.occurrence, self.number)
+
     @property
     def is_done(self) -> bool:
         """Whether all tasks are done."""
--- a/fescuerudder/jobs/leader.py
+++ b/fescuerudder/jobs/leader.py
@@ -10,6 +10,7 @@
 
 from fescuerudder.clock import Clock
 from fescuerudder.errors import StoreOutcomeUnknownError, StoreUnavailableError
+from fescuerudder.jobs.adviceport import AdvicePort, AdviceQuery, AdviceUnavailableError
 from fescuerudder.jobs.claim import Claim
 from fescuerudder.jobs.configview import ConfigView
 from fescuerudder.jobs.jobmetrics import JobMetrics
@@ -24,6 +25,7 @@
 from fescuerudder.jobs.storage import CLAIM, JOBS
 from fescuerudder.jobs.takeover import Loaded, load, split_job_rows
 from fescuerudder.jobs.termevents import (
+    Advised,
     Answered,
     Configured,
     Fenced,
@@ -93,6 +95,7 @@
         claim_version: version of its row.
         lease_s: length of the leases in seconds.
         view: returns the configuration.
+        advice: the advice service, None if the deployment has none.
         publish: told of states of jobs that are stored, and of the number of waiting jobs of
             each queue, None if unchanged.
         metrics: metrics of this instance.
@@ -103,6 +106,7 @@
         *,
         store: RowStore,
         workers: WorkerPort,
+        advice: AdvicePort | None,
         registry: WorkerRegistry,
         clock: Clock,
         wall_ms: Callable[[], float],
@@ -117,6 +121,7 @@
         self._metrics = metrics
         self._publish = publish
         self._workers = workers
+        self._advice = advice
         self._registry = registry
         self._clock = clock
         self._wall_ms = wall_ms
@@ -241,6 +246,8 @@
         try:
             if isinstance(order, RenewOrder):
                 event = self._renew(order)
+            elif isinstance(order, AdviceQuery):
+                event = self._ask_advice(order)
             elif queued_s > MAX_QUEUED_S:
                 _log.warning("order dropped", order=type(order).__name__, queued_s=queued_s)
                 event = Answered(order=order, answer=OrderAnswer(OrderResult.NOT_SENT))
@@ -251,7 +258,7 @@
         except Exception:
             _log.exception("order failed", order=type(order).__name__)
         self._metrics.record_call(
-            peer="worker",
+            peer="advice" if isinstance(order, AdviceQuery) else "worker",
             operation=type(order).__name__,
             outcome=outcome,
             seconds=self._clock.now_s() - started_s,
@@ -276,6 +283,16 @@
             return Silent(order=order, sent_s=sent_s, reason=str(exc))
         return Reported(order=order, report=report, sent_s=sent_s)
 
+    def _ask_advice(self, query: AdviceQuery) -> Advised:
+        sent_s, advice = self._clock.now_s(), None
+        try:
+            if self._advice is None:
+                raise AdviceUnavailableError("the settings name no advice service")
+            advice = self._advice.ask(query)
+        except AdviceUnavailableError as exc:
+            _log.warning("no advice", job=query.step.job, step=query.step[1:], reason=str(exc))
+        return Advised(query=query, advice=advice, sent_s=sent_s)
+
     # --- loops
 
     def _tick(self) -> None:
--- a/fescuerudder/jobs/node.py
+++ b/fescuerudder/jobs/node.py
@@ -14,6 +14,7 @@
 from fescuerudder.clock import Clock
 from fescuerudder.httpserver import HttpServer
 from fescuerudder.jobs._loopthread import LoopThread
+from fescuerudder.jobs.adviceport import AdvicePort
 from fescuerudder.jobs.claim import Claim
 from fescuerudder.jobs.configview import ConfigSource, ConfigView
 from fescuerudder.jobs.configwatch import ConfigWatch
@@ -67,6 +68,7 @@
         store: the row store.
         workers: sends orders to workers.
         registry: lists workers.
+        advice: the advice service, None if the deployment has none.
         config: reads what operators wrote.
         make_app: creates the callers' WSGI application of an instance.
     """
@@ -74,6 +76,7 @@
     store: RowStore
     workers: WorkerPort
     registry: WorkerRegistry
+    advice: AdvicePort | None
     config: ConfigSource
     make_app: Callable[["JobNode"], Any]
 
@@ -241,6 +244,7 @@
             store=self._store,
             workers=ports.workers,
             registry=ports.registry,
+            advice=ports.advice,
             clock=self._clock,
             wall_ms=_wall_ms,
             claim=claim,
--- a/fescuerudder/jobs/nodesettings.py
+++ b/fescuerudder/jobs/nodesettings.py
@@ -17,6 +17,7 @@
         ip: address at which peers reach it.
         first_port: first of the ports that are free for messages between instances.
         store: `ip:port` of the row store.
+        advice: `ip:port` of the advice service, empty if there is none.
         cores: processor share, in cores.
         max_lease_s: longest lease that a worker grants, in seconds.
         grace_s: time between the order to stop and the kill, in seconds.
@@ -34,3 +35,4 @@
     cores: float
     max_lease_s: float
     grace_s: float
+    advice: str = ""
--- a/fescuerudder/jobs/scheduler.py
+++ b/fescuerudder/jobs/scheduler.py
@@ -5,6 +5,7 @@
 import structlog
 
 from fescuerudder.clock import Clock
+from fescuerudder.jobs.adviceport import Advice, AdviceQuery
 from fescuerudder.jobs.job import TaskId
 from fescuerudder.jobs.jobrun import FULL_SPEED, Attempt, JobRun, JobState, Phase
 from fescuerudder.jobs.leases import PREDECESSOR_S, LeaseTerms
@@ -48,7 +49,7 @@
 FULL_S = 0.3
 """Time without starts on a worker that refused one for want of room."""
 
-Order = StartOrder | StopOrder | ThrottleOrder | RenewOrder
+Order = StartOrder | StopOrder | ThrottleOrder | RenewOrder | AdviceQuery
 
 _log = structlog.get_logger(__name__)
 
@@ -256,10 +257,16 @@
             return
         if answer.result is OrderResult.FENCED:
             self._note_fence(book, order.token)
+        elif answer.result is OrderResult.NO_PERMIT:
+            self.world.advice.drop_permit(attempt.task.step.id, order.worker)
         elif answer.result in (OrderResult.NO_ROOM, OrderResult.UNHEALTHY, OrderResult.NOT_SENT):
             book.full_until_s = now_s + FULL_S
         self.world.requeue(attempt, checkpoint="", reason=answer.result.value)
 
+    def on_advice(self, query: AdviceQuery, advice: Advice | None, *, sent_s: float) -> None:
+        """Takes the answer to a query of the advice service, None if there was none."""
+        self.world.advice.on_answer(query, advice, self._births(), sent_s=sent_s)
+
     def _doubt(self, book: WorkerBook, attempt: Attempt) -> None:
         """Fences a start without an answer: a report to a higher token settles it."""
         if attempt.phase is Phase.STARTING:
@@ -343,6 +350,7 @@
         self.world.known.headrooms.forget_ended()
         self.world.health.forget_ended()
         self._moves.forget_ended()
+        self.world.advice.keep_only(step.id for step in self.world.open_steps)
 
     def on_stored(self, batch: ProgressBatch) -> None:
         """Takes note that a batch is stored: the ends in it may be acknowledged."""
@@ -370,6 +378,7 @@
         orders += self._plan_stops(now_s)
         orders += self._plan_throttles(now_s)
         orders += self._planner.plan(now_s=now_s, wall_ms=self._wall_ms())
+        orders += self.world.advice.take_queries()
         orders += self._plan_renewals(now_s)
         return orders
 
--- a/fescuerudder/jobs/scheduleractor.py
+++ b/fescuerudder/jobs/scheduleractor.py
@@ -9,6 +9,7 @@
 
 from fescuerudder.jobs.scheduler import Order, Scheduler
 from fescuerudder.jobs.termevents import (
+    Advised,
     Answered,
     Configured,
     Fenced,
@@ -112,6 +113,10 @@
         elif isinstance(message.order, ThrottleOrder):
             self._scheduler.on_throttled(message.order, message.answer)
 
+    @_take.register
+    def _(self, message: Advised) -> None:
+        self._scheduler.on_advice(message.query, message.advice, sent_s=message.sent_s)
+
     @_take.register
     def _(self, message: Stored) -> None:
         self._scheduler.on_stored(message.batch)
--- a/fescuerudder/jobs/starts.py
+++ b/fescuerudder/jobs/starts.py
@@ -6,11 +6,11 @@
 import structlog
 
 from fescuerudder.jobs.job import Step
-from fescuerudder.jobs.jobplacement import Demand, choose, choose_lasting, placed_headroom
+from fescuerudder.jobs.jobplacement import Demand, choose, choose_lasting, placed_headroom, rank
 from fescuerudder.jobs.jobrun import Attempt, JobRun, Phase, StepRun, TaskRun
 from fescuerudder.jobs.leases import LeaseTerms
 from fescuerudder.jobs.load import Load
-from fescuerudder.jobs.manifest import Queue
+from fescuerudder.jobs.manifest import AdvicePolicy, Queue
 from fescuerudder.jobs.urgency import objective_s, urgency
 from fescuerudder.jobs.workerbook import WorkerBook
 from fescuerudder.jobs.workerport import StartOrder
@@ -131,6 +131,8 @@
             taken=Counter(a.worker for task in step.tasks for a in task.attempts),
             headroom=placed_headroom(waited_share=waited_share),
         )
+        if queue.advice is not None:
+            eligible = self._keep_permitted(step, queue.advice, eligible, demand)
         if step.spec.gang:
             return self._start_gang(step, tasks, eligible, demand, now_s)
         orders: list[StartOrder] = []
@@ -145,6 +147,19 @@
             ]
         return orders
 
+    def _keep_permitted(
+        self, step: StepRun, policy: AdvicePolicy, eligible: list[Load], demand: Demand
+    ) -> list[Load]:
+        """Returns the workers with a permit; asks for further ones if the tasks need them."""
+        advice = self._world.advice
+        permitted = [load for load in eligible if advice.permit(step.id, load.book)]
+        trial = attrs.evolve(demand, taken=Counter(demand.taken))
+        placed = choose(trial, [load.copy() for load in permitted])
+        if len(placed) < demand.count:
+            others = [load for load in eligible if load not in permitted]
+            advice.want(step.id, policy, rank(demand, others), count=demand.count - len(placed))
+        return permitted
+
     def _start_overdue(self, step: StepRun, suspects: list[Load], now_s: float) -> list[StartOrder]:
         """Starts long-running tasks that found no room on workers that were set aside.
 
@@ -160,6 +175,8 @@
         if not tasks or queue is None or step.spec.gang:
             return []
         eligible = [load for load in suspects if _is_eligible(load, step.spec, queue)]
+        if queue.advice is not None:
+            eligible = [load for load in eligible if self._world.advice.permit(step.id, load.book)]
         for load in eligible:
             load.starts_left = None
         taken = Counter(a.worker for task in step.tasks for a in task.attempts)
@@ -231,6 +248,7 @@
             lease_until_ms=book.next_lease_ms(now_s=now_s, lease_s=self._leases.length_s(now_s)),
             token=book.token,
             checkpoint=task.checkpoint,
+            permit=self._world.advice.permit(task.step.id, book),
         )
 
 
--- a/fescuerudder/jobs/termevents.py
+++ b/fescuerudder/jobs/termevents.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from fescuerudder.jobs.adviceport import Advice, AdviceQuery
 from fescuerudder.jobs.configview import ConfigView
 from fescuerudder.jobs.progress import StoredJob
 from fescuerudder.jobs.progressbatch import ProgressBatch
@@ -76,6 +77,15 @@
     answer: OrderAnswer
 
 
+@attrs.frozen(kw_only=True)
+class Advised:
+    """The advice service answered a query; `advice` is None if it did not."""
+
+    query: AdviceQuery
+    advice: Advice | None
+    sent_s: float
+
+
 @attrs.frozen(kw_only=True)
 class Stored:
     """Progress is stored."""
--- a/fescuerudder/jobs/world.py
+++ b/fescuerudder/jobs/world.py
@@ -7,6 +7,7 @@
 import structlog
 
 from fescuerudder.clock import Clock
+from fescuerudder.jobs.advice import AdviceBook
 from fescuerudder.jobs.job import TaskId
 from fescuerudder.jobs.jobrun import Attempt, JobRun, JobState, StepRun, TaskRun
 from fescuerudder.jobs.knowledge import Knowledge
@@ -67,6 +68,7 @@
         open_steps: steps with tasks that are not done, in the order of their opening.
         opening: jobs of which another step may open.
         sizes: usual work of the jobs of each queue.
+        advice: workers that policies allow for steps.
         known: what was learned about tasks.
         health: how the workers do.
         dirty: jobs whose progress is not stored.
@@ -89,11 +91,13 @@
     freed_s: float = -math.inf
     roster_changed: bool = False
     sizes: JobSizes = attrs.Factory(JobSizes)
+    advice: AdviceBook = attrs.field(init=False)
     known: Knowledge = attrs.Factory(Knowledge)
     health: WorkerHealth = attrs.field(init=False)
     _loads: dict[str, Load] = attrs.Factory(dict)
 
     def __attrs_post_init__(self) -> None:
+        self.advice = AdviceBook(clock=self.clock)
         self.health = WorkerHealth(clock=self.clock, headrooms=self.known.headrooms)
 
     def set_manifest(self, manifest: Manifest) -> None:
--- /dev/null
+++ b/fescuerudder/platform/advice.py
@@ -0,0 +1,45 @@
+"""The platform's advice service as the product's `AdvicePort`."""
+
+from typing import Any
+
+from fescuerudder.jobs.adviceport import Advice, AdviceQuery, AdviceUnavailableError
+from fescuerudder.platform.http import HttpClient, NoAnswerError, NotSentError
+
+
+class PlatformAdvice:
+    """Asks the service over HTTP.
+
+    Args:
+        http: shared client.
+        address: `ip:port` of the service.
+    """
+
+    def __init__(self, *, http: HttpClient, address: str) -> None:
+        self._http = http
+        self._address = address
+
+    def ask(self, query: AdviceQuery) -> Advice:
+        """Returns the advice; see `AdvicePort`."""
+        body = {
+            "step": ".".join(str(part) for part in query.step),
+            "workers": list(query.workers),
+        }
+        try:
+            answer = self._http.call(
+                "POST", self._address, "/advise", body=body, timeout_s=query.timeout_s
+            )
+        except (NotSentError, NoAnswerError) as exc:
+            raise AdviceUnavailableError(str(exc)) from exc
+        if answer.status != 200:
+            raise AdviceUnavailableError(f"the advice service answered {answer.status}")
+        try:
+            return _advice(answer.body)
+        except (AttributeError, KeyError, TypeError, ValueError) as exc:
+            raise AdviceUnavailableError(f"malformed advice: {type(exc).__name__}") from exc
+
+
+def _advice(raw: dict[str, Any]) -> Advice:
+    return Advice(
+        permits={str(worker): str(ticket) for worker, ticket in raw["good"]},
+        valid_s=float(raw["validityMs"]) / 1000,
+    )
--- a/fescuerudder/platform/run.py
+++ b/fescuerudder/platform/run.py
@@ -10,6 +10,7 @@
 from fescuerudder.jobs.node import JobNode, Ports, run_node
 from fescuerudder.jobs.nodesettings import NodeSettings
 from fescuerudder.logs import configure_logs
+from fescuerudder.platform.advice import PlatformAdvice
 from fescuerudder.platform.callers import CallerApp
 from fescuerudder.platform.http import HttpClient
 from fescuerudder.platform.operations import PlatformConfig, PlatformRegistry
@@ -41,17 +42,18 @@
     clock = SystemClock()
     with HttpClient() as http, JobMetrics(instance=cfg.instance) as metrics:
         configure_logs(level="info", instance=cfg.instance, observers=(metrics.count_event,))
-        ports = make_ports(http, cfg.store, clock, metrics)
+        ports = make_ports(http, cfg, clock, metrics)
         return run_node(cfg, ports, clock, metrics, read_settings=read_settings)
 
 
-def make_ports(http: HttpClient, store_address: str, clock: Clock, metrics: JobMetrics) -> Ports:
+def make_ports(http: HttpClient, cfg: NodeSettings, clock: Clock, metrics: JobMetrics) -> Ports:
     """Returns the platform's ports."""
-    store = PlatformStore(http=http, address=store_address)
+    store = PlatformStore(http=http, address=cfg.store)
     return Ports(
         store=store,
         workers=PlatformWorkers(http=http),
         registry=PlatformRegistry(store=store),
+        advice=PlatformAdvice(http=http, address=cfg.advice) if cfg.advice else None,
         config=PlatformConfig(store=store),
         make_app=lambda node: _make_app(node, clock, metrics),
     )
--- a/fescuerudder/platform/settings.py
+++ b/fescuerudder/platform/settings.py
@@ -59,6 +59,8 @@
         "max_lease_s": get("bounds.maxHoldMs", float),
         "grace_s": get("bounds.graceS", float),
     }
+    if "advice" in raw:
+        fields["advice"] = get("advice", str)
     if problems:
         raise SettingsError(problems=problems)
     fields["max_lease_s"] /= 1000
--- a/tests/jobs/job_worker.py
+++ b/tests/jobs/job_worker.py
@@ -68,6 +68,7 @@
         self.up = True
         self.refuses_all = False
         self.stands_still = False
+        self.accepts_permit = lambda order: True
         self._seen_s = now_s()
 
     def clock_ms(self) -> float:
@@ -126,6 +127,8 @@
             return self._answer(OrderResult.LATE)
         if self.refuses_all:
             return self._answer(OrderResult.UNHEALTHY)
+        if not self.accepts_permit(order):
+            return self._answer(OrderResult.NO_PERMIT)
         size, run_s, fails = self._plan(order.task, order.attempt, self.info.id)
         used = sum(run.size.processors for run in self.runs.values())
         self._extend(order.lease_until_ms)
--- a/tests/jobs/job_world.py
+++ b/tests/jobs/job_world.py
@@ -9,12 +9,13 @@
 from fescuerudder.clock import ManualClock
 from fescuerudder.document import Size
 from fescuerudder.errors import StoreOutcomeUnknownError, StoreUnavailableError
+from fescuerudder.jobs.adviceport import Advice, AdviceQuery
 from fescuerudder.jobs.claim import Claim, Heartbeat, dump, load_claim
-from fescuerudder.jobs.job import Job, Step
+from fescuerudder.jobs.job import Job, Step, StepId
 from fescuerudder.jobs.jobrun import JobState
 from fescuerudder.jobs.leaderwrites import LeadershipLostError, LeaderWrites
 from fescuerudder.jobs.leases import LeaseTerms
-from fescuerudder.jobs.manifest import Manifest, Pool, Queue
+from fescuerudder.jobs.manifest import AdvicePolicy, Manifest, Pool, Queue
 from fescuerudder.jobs.progress import dump_job, load_state
 from fescuerudder.jobs.rows import ABSENT, RowConflictError, RowsTxn
 from fescuerudder.jobs.scheduler import Scheduler
@@ -70,6 +71,43 @@
     return Queue(**{**fields, **changes})
 
 
+class FakeAdvice:
+    """The advice service: one query after the other, permits that end."""
+
+    def __init__(self, *, now_s):
+        self._now_s = now_s
+        self._free_s = 0.0
+        self.allows = None
+        self.policy = AdvicePolicy(decision_ms=100, per_worker_ms=20, valid_ms=2000)
+        self.down = False
+        self.queries = []
+
+    def answer(self, query, workers):
+        """Returns when the answer arrives, and the advice."""
+        self.queries.append(query)
+        if self.down:
+            return self._now_s() + 0.1, None
+        took_s = (self.policy.decision_ms + self.policy.per_worker_ms * len(query.workers)) / 1000
+        self._free_s = max(self._free_s, self._now_s()) + took_s
+        until_s = self._free_s + self.policy.valid_ms / 1000
+        permits = {
+            name: f"{query.step}|{name}|{workers[name].info.born_ms}|{until_s}"
+            for name in query.workers
+            if self.allows(query.step, name)
+        }
+        return self._free_s, Advice(permits=permits, valid_s=self.policy.valid_ms / 1000)
+
+    def accepts(self, order, born_ms):
+        """Returns whether a start carries a permit that holds, if it needs one."""
+        if self.allows is None:
+            return True
+        step, _, rest = order.permit.partition("|")
+        if step != str(StepId(*order.task[:3])):
+            return False
+        name, born, until_s = rest.split("|")
+        return (name, int(born)) == (order.worker, born_ms) and self._now_s() < float(until_s)
+
+
 class Leader:
     """One instance in its term, driven by the world."""
 
@@ -208,6 +246,7 @@
         self.replaced: dict[str, str] = {}
         self.errors: list[str] = []
         self.copies_allowed = False
+        self.advice = FakeAdvice(now_s=self.clock.now_s)
 
     def add_worker(self, number: int, capacity: float) -> JobWorker:
         info = WorkerInfo(
@@ -229,6 +268,7 @@
             plan=lambda task, attempt, name: self.plan(task, attempt, name),
             rate=self.rng.choice((1.0, 0.985)),
         )
+        worker.accepts_permit = lambda order: self.advice.accepts(order, worker.info.born_ms)
         self.workers[info.id] = worker
         return worker
 
@@ -279,6 +319,10 @@
     def send(self, leader: Leader, order) -> None:
         """Delivers an order after a delay, late, or not at all."""
         sent_s = self.clock.now_s()
+        if isinstance(order, AdviceQuery):
+            answer_s, advice = self.advice.answer(order, self.workers)
+            self._at(answer_s, lambda: leader.scheduler.on_advice(order, advice, sent_s=sent_s))
+            return
         is_lost = self.rng.random() < self.lose_orders
         delay_s = self.rng.uniform(*self.delay_s)
         if is_lost:
--- a/tests/jobs/test_leader.py
+++ b/tests/jobs/test_leader.py
@@ -44,6 +44,7 @@
         term = LeaderTerm(
             store=MemoryRows(),
             workers=workers,
+            advice=None,
             registry=None,
             clock=clock,
             wall_ms=lambda: 0.0,
