After a takeover, wait with the tasks of silent workers only

Ruled out: the other workers (all resolved within 0.1 s of the claim), jobs that came later (they started). Change: once a worker has left two renewals unanswered, the roster says what may run there. The leader gives such a worker nothing before a roster without the list is stored, so a successor waits with the listed tasks only. A report of a later attempt drops an older held one. Limit: a worker that is lost less than about 2 s before its leader still holds everything up for 9.4 s.

--- a/fescuerudder/jobs/jobrun.py
+++ b/fescuerudder/jobs/jobrun.py
@@ -65,6 +65,7 @@
         stop_sent_s: when a stop was last sent.
         evicted: it is to be stopped and started elsewhere.
         throttled_away: it is because it was throttled; its worker does well.
+        held: an earlier leader started it on a worker that has been silent since.
         doubted: its worker is silent, slow or stands still; a copy may start.
     """
 
@@ -83,6 +84,7 @@
     stop_sent_s: float | None = None
     evicted: bool = False
     throttled_away: bool = False
+    held: bool = False
     doubted: bool = False
 
 
--- a/fescuerudder/jobs/reports.py
+++ b/fescuerudder/jobs/reports.py
@@ -45,6 +45,9 @@
         if report.born_ms > book.info.born_ms:
             self.begin_life(book, born_ms=report.born_ms, clock_ms=report.clock_ms, now_s=now_s)
         is_newest = book.note_report(report, now_s=now_s)
+        if book.held:
+            # It gets tasks once the roster no longer says what may run there.
+            book.held, self._world.roster_changed = False, True
         book.sent_serial = max(book.sent_serial, order.acknowledged)
         self._read_ends(book, report, now_s)
         if not is_newest:
@@ -163,10 +166,13 @@
         task = self._world.find_task(row.task)
         if task is None or not task.step.job.is_live or task.done:
             return None
-        if task.attempts and not task.step.spec.speculative:
-            return None
         if row.attempt < task.last_number:
             return None
+        for older in [a for a in task.attempts if a.held and a.number < row.attempt]:
+            # Its leader started this one because it knew that the older one had ended.
+            self._world.drop_attempt(older)
+        if task.attempts and not task.step.spec.speculative:
+            return None
         attempt = Attempt(
             task=task,
             worker=book.id,
--- a/fescuerudder/jobs/scheduler.py
+++ b/fescuerudder/jobs/scheduler.py
@@ -14,7 +14,7 @@
 from fescuerudder.jobs.progressbatch import ProgressBatch
 from fescuerudder.jobs.relocation import ThrottledMoves, evict_from
 from fescuerudder.jobs.reports import ReportReader
-from fescuerudder.jobs.roster import dump_roster
+from fescuerudder.jobs.roster import Held, RosterEntry, dump_roster
 from fescuerudder.jobs.starts import StartPlanner
 from fescuerudder.jobs.throttling import plan_throttles
 from fescuerudder.jobs.workerbook import WorkerBook, WorkerClock
@@ -31,6 +31,9 @@
 )
 from fescuerudder.jobs.world import Term, World
 
+HELD_SILENCES = 2
+"""Unanswered renewals after which the roster says what may run on a worker."""
+
 RENEWAL_PAUSE_S = 0.1
 """Least time between two renewals of one worker, so that one report tells several ends."""
 
@@ -107,14 +110,38 @@
             if book.id not in listed:
                 self._unlist_worker(book)
 
-    def restore_roster(self, workers: Iterable[WorkerInfo]) -> None:
-        """Takes the workers on which tasks of earlier leaders may run, before `set_workers`."""
+    def restore_roster(self, entries: Iterable[RosterEntry]) -> None:
+        """Takes the workers on which tasks of earlier leaders may run.
+
+        It is called when all jobs are restored, and before `set_workers`.
+        """
         now_s = self._clock.now_s()
-        for info in workers:
-            book = self._new_book(info, now_s)
+        for entry in entries:
+            book = self._new_book(entry.info, now_s)
             book.listed, book.recorded, book.resolved = False, True, False
             book.resolved_by_s = self._claimed_s + PREDECESSOR_S
-            self.world.books[info.id] = book
+            self.world.books[book.id] = book
+            if entry.held is not None:
+                self._restore_held(book, entry.held, now_s)
+
+    def _restore_held(self, book: WorkerBook, held: Iterable[Held], now_s: float) -> None:
+        """Takes what may run on a worker that was silent already to an earlier leader."""
+        book.resolved, book.recorded, book.held = True, False, True
+        book.silent_since_s, book.silences = now_s, HELD_SILENCES
+        for task_id, number in held:
+            task = self.world.find_task(task_id)
+            if task is None or task.done or not task.step.job.is_live:
+                continue
+            attempt = Attempt(
+                task=task,
+                worker=book.id,
+                number=number,
+                phase=Phase.UNCERTAIN,
+                token=book.token - 1,
+                sent_s=now_s,
+                held=True,
+            )
+            self.world.add_attempt(attempt)
 
     def _list_worker(self, info: WorkerInfo, now_s: float) -> None:
         book = self.world.books.get(info.id)
@@ -195,6 +222,9 @@
             return
         book.end_renewal()
         book.next_renewal_s = self._clock.now_s() + RETRY_RENEWAL_S
+        book.silences += 1
+        if book.silences == HELD_SILENCES and book.resolved:
+            self.world.roster_changed = True
         if book.silent_since_s is None:
             book.silent_since_s = sent_s
             for attempt in book.attempts.values():
@@ -314,7 +344,7 @@
         """Returns the progress that is not stored yet, and counts it as taken."""
         roster = None
         if self.world.roster_changed:
-            roster = dump_roster(book.info for book in self.world.books.values())
+            roster = dump_roster(_roster_entry(book) for book in self.world.books.values())
             self.world.roster_changed = False
         runs = list(self.world.dirty)
         self.world.dirty.clear()
@@ -331,9 +361,13 @@
             pending=self.pending(),
             knowledge=self._dump_knowledge(),
             roster=roster,
-            recorded=self._births() if roster is not None else {},
+            recorded=self._recorded() if roster is not None else {},
         )
 
+    def _recorded(self) -> dict[str, int]:
+        """Returns the workers that get tasks once the roster is stored, with their births."""
+        return {book.id: book.info.born_ms for book in self.world.books.values() if not book.held}
+
     def _births(self) -> dict[str, int]:
         return {book.id: book.info.born_ms for book in self.world.books.values()}
 
@@ -495,6 +529,15 @@
         return counts
 
 
+def _roster_entry(book: WorkerBook) -> RosterEntry:
+    """Returns what the roster is to say of a worker, and notes it."""
+    book.held = book.resolved and book.silences >= HELD_SILENCES
+    if not book.held:
+        return RosterEntry(info=book.info)
+    book.recorded = False
+    return RosterEntry(info=book.info, held=tuple(book.attempts))
+
+
 def _is_due(last_s: float | None, now_s: float) -> bool:
     return last_s is None or now_s - last_s >= RESEND_STOP_S
 
--- a/fescuerudder/jobs/takeover.py
+++ b/fescuerudder/jobs/takeover.py
@@ -16,7 +16,7 @@
     load_state,
     restore_progress,
 )
-from fescuerudder.jobs.roster import load_roster
+from fescuerudder.jobs.roster import RosterEntry, load_roster
 from fescuerudder.jobs.rows import Row, RowStore, read_part
 from fescuerudder.jobs.storage import (
     CANCEL_SUFFIX,
@@ -29,7 +29,6 @@
     PROGRESS,
     ROSTER,
 )
-from fescuerudder.jobs.workerport import WorkerInfo
 
 LOAD_TIMEOUT_S = 3.0
 
@@ -46,7 +45,7 @@
         cancels: ids of jobs whose cancellation was requested.
         version: version from which on the feed of jobs continues.
         knowledge: what was learned about tasks, None if nothing is stored.
-        roster: workers on which tasks of earlier leaders may run.
+        roster: workers on which tasks of earlier leaders may run, and which tasks.
     """
 
     live: list[JobRun]
@@ -54,7 +53,7 @@
     cancels: list[str]
     version: int
     knowledge: bytes | None = None
-    roster: list[WorkerInfo] = attrs.Factory(list)
+    roster: list[RosterEntry] = attrs.Factory(list)
 
 
 def load(*, store: RowStore, clock: Clock, wall_ms: Callable[[], float], pool: Executor) -> Loaded:
--- a/fescuerudder/jobs/workerbook.py
+++ b/fescuerudder/jobs/workerbook.py
@@ -53,6 +53,8 @@
         resolved_by_s: when the leases of earlier leaders have certainly lapsed.
         listed: the registry has an entry for it.
         recorded: this life is on the stored roster, so that a successor will know of it.
+        silences: unanswered renewals since the last answer.
+        held: the roster says what may run there; nothing else may until it no longer does.
         gone: another worker answers at its address, so this life has ended.
         attempts: live attempts there.
         orphans: attempts that run there and should not.
@@ -77,6 +79,8 @@
     resolved_by_s: float = 0.0
     listed: bool = True
     recorded: bool = False
+    silences: int = 0
+    held: bool = False
     gone: bool = False
     attempts: dict[Key, Attempt] = attrs.Factory(dict)
     orphans: set[Key] = attrs.Factory(set)
@@ -142,6 +146,7 @@
     def note_report(self, report: Report, *, now_s: float) -> bool:
         """Takes the clock of a report; returns whether it is the newest one so far."""
         self.silent_since_s = None
+        self.silences = 0
         self.clock.note(reading_ms=report.clock_ms, now_s=now_s)
         if report.clock_ms < self.report_clock_ms:
             return False
@@ -161,7 +166,8 @@
         self.report_clock_ms = -1.0
         self.report_s = None
         self.silent_since_s = None
+        self.silences = 0
         self.resolved = False
-        self.recorded = False
+        self.recorded = self.held = False
         self.gone = False
         return lost
