--- a/fescuerudder/jobs/scheduler.py
+++ b/fescuerudder/jobs/scheduler.py
@@ -8,16 +8,17 @@
 from fescuerudder.jobs.adviceport import Advice, AdviceQuery
 from fescuerudder.jobs.job import TaskId
 from fescuerudder.jobs.jobrun import FULL_SPEED, Attempt, JobRun, JobState, Phase
-from fescuerudder.jobs.leases import PREDECESSOR_S, LeaseTerms
+from fescuerudder.jobs.leases import LeaseTerms
 from fescuerudder.jobs.manifest import Manifest
 from fescuerudder.jobs.progress import StoredJob, dump_progress
 from fescuerudder.jobs.progressbatch import ProgressBatch
 from fescuerudder.jobs.relocation import ThrottledMoves, evict_from
 from fescuerudder.jobs.reports import ReportReader
-from fescuerudder.jobs.roster import Held, RosterEntry, dump_roster
+from fescuerudder.jobs.roster import RosterEntry
+from fescuerudder.jobs.rosterkeeper import RosterKeeper
 from fescuerudder.jobs.starts import StartPlanner
 from fescuerudder.jobs.throttling import plan_throttles
-from fescuerudder.jobs.workerbook import WorkerBook, WorkerClock
+from fescuerudder.jobs.workerbook import WorkerBook
 from fescuerudder.jobs.workerhealth import Verdict
 from fescuerudder.jobs.workerport import (
     OrderAnswer,
@@ -31,9 +32,6 @@
 )
 from fescuerudder.jobs.world import Term, World
 
-HELD_SILENCES = 2
-"""Unanswered renewals after which the roster says what may run on a worker."""
-
 RENEWAL_PAUSE_S = 0.1
 """Least time between two renewals of one worker, so that one report tells several ends."""
 
@@ -79,8 +77,8 @@
         self._clock = clock
         self._wall_ms = wall_ms
         self._leases = leases
-        self._claimed_s = clock.now_s()
         self._reader = ReportReader(world=self.world)
+        self._roster = RosterKeeper(world=self.world, reader=self._reader)
         self._planner = StartPlanner(world=self.world, leases=leases)
         self.visible: dict[str, JobState] = {}
         self.is_superseded = False
@@ -101,79 +99,14 @@
 
     def set_workers(self, infos: Iterable[WorkerInfo]) -> None:
         """Takes the complete registry of workers."""
-        now_s = self._clock.now_s()
-        listed = {info.id: info for info in infos}
-        for info in listed.values():
-            self._list_worker(info, now_s)
-            self.world.forget_load(info.id)
-        for book in list(self.world.books.values()):
-            if book.id not in listed:
-                self._unlist_worker(book)
+        self._roster.set_workers(infos)
 
     def restore_roster(self, entries: Iterable[RosterEntry]) -> None:
         """Takes the workers on which tasks of earlier leaders may run.
 
         It is called when all jobs are restored, and before `set_workers`.
         """
-        now_s = self._clock.now_s()
-        for entry in entries:
-            book = self._new_book(entry.info, now_s)
-            book.listed, book.recorded, book.resolved = False, True, False
-            book.resolved_by_s = self._claimed_s + PREDECESSOR_S
-            self.world.books[book.id] = book
-            if entry.held is not None:
-                self._restore_held(book, entry.held, now_s)
-
-    def _restore_held(self, book: WorkerBook, held: Iterable[Held], now_s: float) -> None:
-        """Takes what may run on a worker that was silent already to an earlier leader."""
-        book.resolved, book.recorded, book.held = True, False, True
-        book.silent_since_s, book.silences = now_s, HELD_SILENCES
-        for task_id, number in held:
-            task = self.world.find_task(task_id)
-            if task is None or task.done or not task.step.job.is_live:
-                continue
-            attempt = Attempt(
-                task=task,
-                worker=book.id,
-                number=number,
-                phase=Phase.UNCERTAIN,
-                token=book.token - 1,
-                sent_s=now_s,
-                held=True,
-            )
-            self.world.add_attempt(attempt)
-
-    def _list_worker(self, info: WorkerInfo, now_s: float) -> None:
-        book = self.world.books.get(info.id)
-        if book is not None and book.info.address != info.address:
-            self.world.roster_changed = True
-        if book is None:
-            self.world.books[info.id] = self._new_book(info, now_s)
-            self.world.roster_changed = True
-        elif info.born_ms > book.info.born_ms:
-            self._reader.begin_life(book, born_ms=info.born_ms, clock_ms=info.clock_ms, now_s=now_s)
-            book.info = info
-            book.listed = True
-        elif info.born_ms == book.info.born_ms:
-            book.clock.note(reading_ms=info.clock_ms, now_s=now_s)
-            book.info = info
-            book.listed = True
-
-    def _new_book(self, info: WorkerInfo, now_s: float) -> WorkerBook:
-        """Returns the book of a worker on which nobody has started anything."""
-        return WorkerBook(
-            info=info,
-            clock=WorkerClock(reading_ms=info.clock_ms, read_s=now_s),
-            token=self.world.raised_tokens.get(info.id, self.world.term.first_token),
-            resolved=True,
-        )
-
-    def _unlist_worker(self, book: WorkerBook) -> None:
-        if book.listed:
-            _log.info("worker left the registry", worker=book.id, attempts=len(book.attempts))
-        book.listed = False
-        if not book.attempts and book.resolved:
-            self.world.forget_worker(book)
+        self._roster.restore(entries)
 
     def add_jobs(self, jobs: Iterable[StoredJob]) -> None:
         """Takes jobs that were submitted; known ones are ignored."""
@@ -222,9 +155,7 @@
             return
         book.end_renewal()
         book.next_renewal_s = self._clock.now_s() + RETRY_RENEWAL_S
-        book.silences += 1
-        if book.silences == HELD_SILENCES and book.resolved:
-            self.world.roster_changed = True
+        self._roster.note_silence(book)
         if book.silent_since_s is None:
             book.silent_since_s = sent_s
             for attempt in book.attempts.values():
@@ -295,7 +226,7 @@
 
     def on_advice(self, query: AdviceQuery, advice: Advice | None, *, sent_s: float) -> None:
         """Takes the answer to a query of the advice service, None if there was none."""
-        self.world.advice.on_answer(query, advice, self._births(), sent_s=sent_s)
+        self.world.advice.on_answer(query, advice, self.world.births(), sent_s=sent_s)
 
     def _doubt(self, book: WorkerBook, attempt: Attempt) -> None:
         """Fences a start without an answer: a report to a higher token settles it."""
@@ -342,10 +273,7 @@
 
     def take_progress(self) -> ProgressBatch:
         """Returns the progress that is not stored yet, and counts it as taken."""
-        roster = None
-        if self.world.roster_changed:
-            roster = dump_roster(_roster_entry(book) for book in self.world.books.values())
-            self.world.roster_changed = False
+        stored = self._roster.take()
         runs = list(self.world.dirty)
         self.world.dirty.clear()
         for run in runs:
@@ -360,17 +288,10 @@
             },
             pending=self.pending(),
             knowledge=self._dump_knowledge(),
-            roster=roster,
-            recorded=self._recorded() if roster is not None else {},
+            roster=stored.form if stored is not None else None,
+            recorded=stored.births if stored is not None else {},
         )
 
-    def _recorded(self) -> dict[str, int]:
-        """Returns the workers that get tasks once the roster is stored, with their births."""
-        return {book.id: book.info.born_ms for book in self.world.books.values() if not book.held}
-
-    def _births(self) -> dict[str, int]:
-        return {book.id: book.info.born_ms for book in self.world.books.values()}
-
     def _dump_knowledge(self) -> bytes | None:
         now_s = self._clock.now_s()
         if now_s < self._next_knowledge_s:
@@ -392,10 +313,7 @@
             book = self.world.books.get(worker)
             if book is not None and book.info.born_ms == born_ms:
                 book.stored_serial = max(book.stored_serial, serial)
-        for worker, born_ms in batch.recorded.items():
-            book = self.world.books.get(worker)
-            if book is not None and book.info.born_ms == born_ms:
-                book.recorded = True
+        self._roster.note_stored(batch.recorded)
         self.visible.update(batch.states)
 
     # --- what is to be done
@@ -529,15 +447,6 @@
         return counts
 
 
-def _roster_entry(book: WorkerBook) -> RosterEntry:
-    """Returns what the roster is to say of a worker, and notes it."""
-    book.held = book.resolved and book.silences >= HELD_SILENCES
-    if not book.held:
-        return RosterEntry(info=book.info)
-    book.recorded = False
-    return RosterEntry(info=book.info, held=tuple(book.attempts))
-
-
 def _is_due(last_s: float | None, now_s: float) -> bool:
     return last_s is None or now_s - last_s >= RESEND_STOP_S
 
--- a/fescuerudder/jobs/world.py
+++ b/fescuerudder/jobs/world.py
@@ -182,6 +182,10 @@
         if book.token > self.term.first_token:
             self.raised_tokens[book.id] = book.token
 
+    def births(self) -> dict[str, int]:
+        """Returns the births of the present lives of all workers, by id."""
+        return {book.id: book.info.born_ms for book in self.books.values()}
+
     def unresolved(self) -> list[WorkerBook]:
         """Returns the workers on which attempts of earlier leaders may run unseen."""
         return [book for book in self.books.values() if not book.resolved]
