Doubt a start that no report has listed when its worker is born again; add a soak

The leader, which did not know yet, sent a start; the new life took it and answered. When the registry showed the new life, the leader took all that had run there as lost and started the task again beside the first run. Ruled out: the soak's own checks (the worker lists both attempts in one report), a takeover (none at the time). Change: at a rebirth only attempts that a report of the old life listed count as lost; the others stay uncertain until the new life has answered to a higher token. The same goes for starts without an answer that a fence had settled: the new life has not seen it. The soak (python -m bench soak) runs three nodes as processes on an HTTP stand-in of the store and of four workers, with relays between them: kills, stops, pauses, reloads, cuts, delays, crashes, a store that is down, loses answers, applies writes late or forgets its history.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -14,6 +14,7 @@
 from bench.placement_experiment import COMPARISONS, run_comparison
 from bench.placement_experiment import table_text as comparison_text
 from bench.replay import DRAIN_S, Replayer
+from bench.soak import Soak
 from fescuerudder._usage import UsageError
 from fescuerudder.cli import EXIT_DONE, EXIT_FAILED, KEY_ENV, run
 from fescuerudder.trace import read_trace
@@ -75,6 +76,31 @@
     return EXIT_DONE
 
 
+def soak(*, seeds: str = "1", first: str = "0", seconds: str = "20", logs: str = "") -> int:
+    """Runs nodes on stand-ins under random faults; exits with 0 only if no promise broke.
+
+    Args:
+        seeds: number of runs.
+        first: seed of the first run; each next one has the next seed.
+        seconds: time with faults of each run.
+        logs: directory for the nodes' logs of runs that broke a promise.
+    """
+    broken = 0
+    for seed in range(int(first), int(first) + int(seeds)):
+        run = Soak(seed=seed, duration_s=_number("--seconds", seconds))
+        verdict = run.run()
+        broken += bool(verdict.problems)
+        print(f"seed {seed}: {verdict.accepted} jobs, {verdict.starts} starts", flush=True)
+        for problem in verdict.problems:
+            print(f"  {problem}", flush=True)
+        if verdict.problems:
+            print(f"  faults: {', '.join(verdict.faults)}", flush=True)
+        if verdict.problems and logs:
+            Path(logs).mkdir(parents=True, exist_ok=True)
+            (Path(logs) / f"soak-{seed}.log").write_text(run.logs)
+    return EXIT_FAILED if broken else EXIT_DONE
+
+
 EXPERIMENTS: dict[str, dict[str, dict[str, str]]] = {
     "routing": {
         name: {"routing": name}
@@ -316,6 +342,7 @@
     "outage": outage,
     "slopes": slopes,
     "capacity": capacity,
+    "soak": soak,
 }
 
 if __name__ == "__main__":
--- a/fescuerudder/jobs/jobrun.py
+++ b/fescuerudder/jobs/jobrun.py
@@ -56,6 +56,7 @@
         token: fencing token of its start order.
         sent_s: when the order was sent.
         confirmed_s: when the worker confirmed that it runs, None before.
+        reported: a report of the worker's present life listed it.
         checkpoint: latest saved state known.
         percent: progress of its work, see `RunningAttempt`.
         latency_ms: last reported tail latency, 0 if none.
@@ -76,6 +77,7 @@
     token: int
     sent_s: float
     confirmed_s: float | None = None
+    reported: bool = False
     checkpoint: str = ""
     percent: int = 0
     latency_ms: float = 0.0
--- a/fescuerudder/jobs/reports.py
+++ b/fescuerudder/jobs/reports.py
@@ -67,15 +67,15 @@
     def begin_life(self, book: WorkerBook, *, born_ms: int, clock_ms: int, now_s: float) -> None:
         """Takes note that a worker was born again: what ran there before has ended.
 
-        A start without an answer may still arrive and run in the new life, so it stays
-        uncertain until the worker has seen a higher token. The new life has seen none of a later
-        leader, so it gets no tasks before this leader has stored it.
+        The new life may have carried out a start that no report has listed, whether or not it
+        was answered, so that stays uncertain until a report to a higher token. The new life has
+        seen no token of a later leader, so it gets no tasks before this leader has stored it.
         """
         self._world.roster_changed = True
         info = attrs.evolve(book.info, born_ms=born_ms, clock_ms=clock_ms)
         _log.info("worker born again", worker=book.id, born_ms=born_ms, ran=len(book.attempts))
         for attempt in book.begin_life(info, now_s=now_s):
-            if attempt.phase in (Phase.STARTING, Phase.UNCERTAIN):
+            if not attempt.reported:
                 attempt.phase = Phase.UNCERTAIN
                 book.attempts[(attempt.task.id, attempt.number)] = attempt
                 book.resolved_by_s = max(book.resolved_by_s, now_s + LATE_ORDER_S)
@@ -83,8 +83,27 @@
                 self._world.requeue(
                     attempt, checkpoint=attempt.checkpoint, reason="worker born again"
                 )
+        self._doubt_settled(book, now_s)
         book.token += 1
 
+    def _doubt_settled(self, book: WorkerBook, now_s: float) -> None:
+        """Makes starts uncertain again that the life before had certainly not carried out.
+
+        Where the task runs elsewhere already, nothing can be done about it.
+        """
+        self.forget_settled(book, now_s)
+        settled, book.settled = book.settled, []
+        for attempt in settled:
+            task = attempt.task
+            if task.attempts or task.done or not task.step.job.is_live:
+                continue
+            self._world.add_attempt(attempt)
+            book.resolved_by_s = max(book.resolved_by_s, now_s + LATE_ORDER_S)
+
+    def forget_settled(self, book: WorkerBook, now_s: float) -> None:
+        """Drops the starts without an answer that no life can carry out any more."""
+        book.settled = [a for a in book.settled if now_s - a.sent_s < LATE_ORDER_S]
+
     def _read_ends(self, book: WorkerBook, report: Report, now_s: float) -> None:
         for end in report.ended:
             if end.serial > book.seen_serial:
@@ -152,6 +171,7 @@
         if attempt.phase in (Phase.STARTING, Phase.UNCERTAIN):
             attempt.phase = Phase.RUNNING
             attempt.confirmed_s = now_s
+        attempt.reported = True
         self._world.note_begun(attempt.task.step.job)
         attempt.checkpoint = row.checkpoint or attempt.checkpoint
         attempt.percent = row.percent
--- a/fescuerudder/jobs/scheduler.py
+++ b/fescuerudder/jobs/scheduler.py
@@ -305,6 +305,8 @@
         self.world.known.headrooms.forget_ended()
         self.world.health.forget_ended()
         self._moves.forget_ended()
+        for book in self.world.books.values():
+            self._reader.forget_settled(book, self._clock.now_s())
         self.world.advice.keep_only(step.id for step in self.world.open_steps)
 
     def on_stored(self, batch: ProgressBatch) -> None:
--- a/fescuerudder/jobs/workerbook.py
+++ b/fescuerudder/jobs/workerbook.py
@@ -57,6 +57,8 @@
         held: the roster says what may run there; nothing else may until it no longer does.
         gone: another worker answers at its address, so this life has ended.
         attempts: live attempts there.
+        settled: starts without an answer that can't be carried out in this life any more; a later
+            life, which has seen no token, may still do so.
         orphans: attempts that run there and should not.
         orphans_told_s: when they were last told to stop.
         lease_until_ms: latest end of the lease that was sent, on the worker's clock.
@@ -83,6 +85,7 @@
     held: bool = False
     gone: bool = False
     attempts: dict[Key, Attempt] = attrs.Factory(dict)
+    settled: list[Attempt] = attrs.Factory(list)
     orphans: set[Key] = attrs.Factory(set)
     orphans_told_s: float = 0.0
     lease_until_ms: float = 0.0
--- a/fescuerudder/jobs/world.py
+++ b/fescuerudder/jobs/world.py
@@ -9,7 +9,7 @@
 from fescuerudder.clock import Clock
 from fescuerudder.jobs.advice import AdviceBook
 from fescuerudder.jobs.job import TaskId
-from fescuerudder.jobs.jobrun import Attempt, JobRun, JobState, StepRun, TaskRun
+from fescuerudder.jobs.jobrun import Attempt, JobRun, JobState, Phase, StepRun, TaskRun
 from fescuerudder.jobs.knowledge import Knowledge
 from fescuerudder.jobs.load import Load
 from fescuerudder.jobs.manifest import Manifest, Pool, Queue
@@ -160,6 +160,9 @@
 
     def requeue(self, attempt: Attempt, *, checkpoint: str, reason: str) -> None:
         """Forgets an attempt that ended early; its task may start again from `checkpoint`."""
+        book = self.books.get(attempt.worker)
+        if attempt.phase is Phase.UNCERTAIN and book is not None:
+            book.settled.append(attempt)
         self.drop_attempt(attempt)
         task, run = attempt.task, attempt.task.step.job
         if checkpoint and not task.done:
--- /dev/null
+++ b/standins/preparedstore.py
@@ -0,0 +1,89 @@
+"""HTTP face of `MemoryRows`: the row store as the prepared platform speaks it."""
+
+import base64
+import contextlib
+from typing import Any
+
+from fescuerudder.errors import StoreOutcomeUnknownError, StoreUnavailableError
+from fescuerudder.jobs.rows import (
+    HistoryLostError,
+    Row,
+    RowConflictError,
+    RowKey,
+    RowsTxn,
+)
+from standins._http import Answer, Request
+from standins.rows import MemoryRows
+
+TIMEOUT_S = 1.0
+"""The memory store answers at once; the port wants a time all the same."""
+
+
+def store_handler(rows: MemoryRows) -> Any:
+    """Returns the HTTP handler of a store."""
+
+    def handle(req: Request) -> Answer:
+        calls = {"/rows-tx": _write, "/rows-get": _read, "/rows-feed": _follow}
+        call = calls.get(req.path)
+        if call is None:
+            return Answer(status=404, body={"error": "no such call"})
+        try:
+            return call(rows, req)
+        except StoreUnavailableError:
+            return Answer(status=503, body={"error": "down"})
+        except StoreOutcomeUnknownError:
+            return Answer(abort=True)
+
+    return handle
+
+
+def _write(rows: MemoryRows, req: Request) -> Answer:
+    raw = req.json()
+    txn = RowsTxn(
+        expects=tuple((_key(row), int(row["rowVersion"])) for row in raw["expected"]),
+        puts=tuple((_key(row), base64.b64decode(row["value"])) for row in raw["setKeys"]),
+        deletes=tuple(_key(row) for row in raw["remove"]),
+    )
+    try:
+        version = rows.write(txn, timeout_s=TIMEOUT_S)
+    except RowConflictError as exc:
+        return Answer(status=412, body={"rows": [_dump(row) for row in exc.rows]})
+    return Answer(body={"rowVersion": version, "nowMs": 0})
+
+
+def _read(rows: MemoryRows, req: Request) -> Answer:
+    query = req.query
+    page = rows.read(
+        table=query["table"],
+        part=query.get("part", ""),
+        first=query.get("from", ""),
+        end=query.get("to", ""),
+        timeout_s=TIMEOUT_S,
+    )
+    found = [_dump(row) for row in page.rows]
+    body = {"rows": found, "hasMore": page.more, "rowVersion": page.version}
+    return Answer(body={**body, "nowMs": page.store_ms})
+
+
+def _follow(rows: MemoryRows, req: Request) -> Answer:
+    query = req.query
+    wait_s = int(query.get("waitMs", "0")) / 1000
+    with contextlib.suppress(HistoryLostError):
+        changes = rows.changes(table=query["table"], after=int(query["after"]), wait_s=wait_s)
+        removed = [{**_place(key), "removed": True} for key in changes.removed]
+        found = [_dump(row) for row in changes.rows]
+        return Answer(body={"rows": found + removed, "rowVersion": changes.version})
+    return Answer(status=410, body={"error": "history lost"})
+
+
+def _key(raw: dict[str, Any]) -> RowKey:
+    return RowKey(raw["table"], raw.get("part", ""), raw["key"])
+
+
+def _place(key: RowKey) -> dict[str, str]:
+    return {"table": key.table, "part": key.part, "key": key.key}
+
+
+def _dump(row: Row) -> dict[str, Any]:
+    value = base64.b64encode(row.value).decode()
+    return {**_place(row.key), "value": value, "rowVersion": row.version}
--- /dev/null
+++ b/standins/preparedworker.py
@@ -0,0 +1,159 @@
+"""HTTP face of `JobWorker`: a worker as the prepared platform speaks it."""
+
+import threading
+import time
+from typing import Any
+
+from fescuerudder.jobs.job import TaskId
+from fescuerudder.jobs.workerport import (
+    EndedAttempt,
+    OrderAnswer,
+    OrderResult,
+    RenewOrder,
+    RunningAttempt,
+    StartOrder,
+    StopOrder,
+    ThrottleOrder,
+    WorkerFencedError,
+)
+from standins._http import Answer, Request
+from standins.jobworker import JobWorker
+
+POLL_S = 0.02
+"""Time between two looks for an end while a report waits for one."""
+
+_REASONS = {
+    OrderResult.FENCED: "fence",
+    OrderResult.STALE: "old",
+    OrderResult.LATE: "late",
+    OrderResult.NO_ROOM: "room",
+    OrderResult.NO_PERMIT: "ticket",
+}
+
+
+class PreparedWorker:
+    """Serves a worker to several callers at a time.
+
+    Args:
+        worker: the model.
+    """
+
+    def __init__(self, *, worker: JobWorker) -> None:
+        self.worker = worker
+        self.lock = threading.RLock()
+
+    def tick(self) -> None:
+        """Ends what is due."""
+        with self.lock:
+            self.worker.tick()
+
+    def entry(self) -> dict[str, Any]:
+        """Returns its entry in the registry."""
+        with self.lock:
+            info = self.worker.entry()
+        capacity = {"cpu": int(info.capacity.processors * 1000), "memMb": info.capacity.memory_mb}
+        return {
+            "service": info.pool,
+            "address": info.address,
+            "zone": info.zone,
+            "state": "draining" if info.draining else "ready",
+            "capacity": {**capacity, "gpu": info.capacity.accelerators},
+            "labels": ["a", info.rack],
+            "clockMs": info.clock_ms,
+            "born": info.born_ms,
+        }
+
+    def handle(self, req: Request) -> Answer:
+        """Answers one order; a worker that is down breaks the connection."""
+        if not self.worker.up:
+            return Answer(abort=True)
+        if req.headers.get("x-target-instance") != self.worker.info.id:
+            return Answer(status=421, body={})
+        raw = req.json()
+        orders = {"/run-start": self._start, "/run-stop": self._stop, "/pace": self._pace}
+        if req.path == "/hold":
+            return self._hold(raw)
+        return _answer(orders[req.path](raw))
+
+    def _start(self, raw: dict[str, Any]) -> OrderAnswer:
+        order = StartOrder(
+            **self._attempt(raw),
+            payload=raw["spec"],
+            lease_until_ms=int(raw["deadlineMs"]),
+            checkpoint=raw.get("checkpoint", ""),
+            permit=raw.get("ticket", ""),
+        )
+        with self.lock:
+            return self.worker.start(order)
+
+    def _stop(self, raw: dict[str, Any]) -> OrderAnswer:
+        with self.lock:
+            return self.worker.stop(StopOrder(**self._attempt(raw)))
+
+    def _pace(self, raw: dict[str, Any]) -> OrderAnswer:
+        order = ThrottleOrder(**self._attempt(raw), percent=int(raw["percent"]))
+        with self.lock:
+            return self.worker.throttle(order)
+
+    def _hold(self, raw: dict[str, Any]) -> Answer:
+        lease = raw.get("deadlineMs")
+        order = RenewOrder(
+            **self._place(),
+            token=int(raw["fencingToken"]),
+            acknowledged=int(raw["ackSeq"]),
+            lease_until_ms=None if lease is None else int(lease),
+            wait_ms=int(raw.get("waitMs", 0)),
+        )
+        end_s = time.monotonic() + order.wait_ms / 1000
+        while True:
+            with self.lock:
+                if not self.worker.up:
+                    return Answer(abort=True)
+                try:
+                    report = self.worker.renew(order)
+                except WorkerFencedError:
+                    return _answer(OrderAnswer(OrderResult.FENCED, int(self.worker.clock_ms())))
+            if report.ended or time.monotonic() >= end_s:
+                break
+            time.sleep(POLL_S)
+        return Answer(
+            body={
+                "clockMs": report.clock_ms,
+                "born": report.born_ms,
+                "running": [_running(row) for row in report.running],
+                "endedRuns": [_ended(row) for row in report.ended],
+            }
+        )
+
+    def _place(self) -> dict[str, str]:
+        return {"worker": self.worker.info.id, "address": self.worker.info.address}
+
+    def _attempt(self, raw: dict[str, Any]) -> dict[str, Any]:
+        job, occurrence, step, index = raw["task"].split(".")
+        return {
+            **self._place(),
+            "task": TaskId(job, int(occurrence), int(step), int(index)),
+            "attempt": int(raw["run"]),
+            "token": int(raw["fencingToken"]),
+        }
+
+
+def _answer(answer: OrderAnswer) -> Answer:
+    body: dict[str, Any] = {"clockMs": answer.clock_ms}
+    if answer.result is OrderResult.DONE:
+        return Answer(body=body)
+    if answer.result is OrderResult.UNHEALTHY:
+        return Answer(status=503, body=body)
+    return Answer(status=409, body={**body, "reason": _REASONS[answer.result]})
+
+
+def _name(task: TaskId) -> str:
+    return ".".join(str(part) for part in task)
+
+
+def _running(row: RunningAttempt) -> list[Any]:
+    return [_name(row.task), row.attempt, row.checkpoint, row.percent, 0]
+
+
+def _ended(row: EndedAttempt) -> list[Any]:
+    return [row.serial, _name(row.task), row.attempt, row.end.value, row.checkpoint]
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -162,6 +162,22 @@
         self._call(route.heal())
         self._routes[name] = route
 
+    def names(self) -> list[str]:
+        """Returns the names of all routes."""
+        return list(self._routes)
+
+    def cut(self, name: str, new: str) -> None:
+        """Stops passing data on a route; see `Route.cut`."""
+        self._call(self._routes[name].cut(new))
+
+    def heal(self, name: str) -> None:
+        """Passes data on a route again."""
+        self._call(self._routes[name].heal())
+
+    def delay(self, name: str, delay_ms: float) -> None:
+        """Delays data on a route, each way."""
+        self._routes[name].delay_ms = delay_ms
+
     def _handle(self, req: Request) -> Answer:
         body = req.json()
         if req.path == "/routes" and req.method == "POST":
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from tests.platform.settings_file import write_settings
+from standins.nodesettings import write_settings
 
 LIMIT_S = 20.0
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -5,7 +5,7 @@
 from fescuerudder.cli import run
 from fescuerudder.errors import SettingsError
 from fescuerudder.platform.settings import FILE_ENV, load_node_settings
-from tests.platform.settings_file import write_settings
+from standins.nodesettings import write_settings
 
 
 def test_fields_are_decoded_with_their_units(tmp_path):
