--- a/standins/relay.py
+++ b/standins/relay.py
@@ -213,10 +213,11 @@
         for route in self._routes.values():
             if route.server is not None:
                 route.server.close()
-        tasks = asyncio.all_tasks() - {asyncio.current_task()}
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        # A connection that was accepted a moment ago begins its tasks only now.
+        while tasks := asyncio.all_tasks() - {asyncio.current_task()}:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
 
 
 def run(*, listen: str, routes: str = "") -> None:
