Tell a new term the configuration that came while it was loading

A manifest between the two reached no term. Ruled out: the waiting of older jobs for workers (it ends after 9.4 s), urgency and headroom (nothing at all ran). Change: the leadership hands the current configuration to a term as soon as the term is known. Test: test_a_configuration_that_comes_while_a_term_loads_is_not_missed; it fails without the change.

--- a/fescuerudder/jobs/leadership.py
+++ b/fescuerudder/jobs/leadership.py
@@ -283,6 +283,8 @@
         try:
             with term:
                 self.term = term
+                # What changed while the term was loading was told to no term.
+                term.configure(self._config.view)
                 source = LinkSource(
                     claim=claim,
                     states=term.states,
--- a/tests/jobs/test_leadership.py
+++ b/tests/jobs/test_leadership.py
@@ -9,6 +9,7 @@
 
 from fescuerudder.clock import SystemClock
 from fescuerudder.jobs.claim import Claim, Heartbeat, dump, load_claim, load_heartbeat
+from fescuerudder.jobs.configview import ConfigView
 from fescuerudder.jobs.leadership import (
     ASKED_S,
     HANDOVER_S,
@@ -69,10 +70,16 @@
         self.claim, self.version = claim, version
         self.lost = threading.Event()
         self.unconfirmed_s = 0.0
+        self.while_loading = lambda: None
+        self.views = []
 
     def __enter__(self):
+        self.while_loading()
         return self
 
+    def configure(self, view):
+        self.views.append(view)
+
     def __exit__(self, *exc_info):
         pass
 
@@ -80,11 +87,21 @@
         return {}
 
 
-def make_leadership(rows, *, leader_link=None, follower_link=None, terms=None, store_age_s=0.0):
+def make_leadership(
+    rows,
+    *,
+    leader_link=None,
+    follower_link=None,
+    terms=None,
+    store_age_s=0.0,
+    config=None,
+    while_loading=lambda: None,
+):
     terms = [] if terms is None else terms
 
     def make_term(claim, version):
         terms.append(FakeTerm(claim, version))
+        terms[-1].while_loading = while_loading
         return terms[-1]
 
     return Leadership(
@@ -98,7 +115,7 @@
         follower_link=follower_link or FakeFollowerLink(),
         store_for_follower=lambda message: "stored",
         store_age_s=lambda: store_age_s,
-        config=FakeConfig(),
+        config=config or FakeConfig(),
     )
 
 
@@ -196,3 +213,20 @@
         assert rows.reads >= 3
         assert leadership.rank_s < MAX_RANK_S
         assert leadership.term is None
+
+
+def test_a_configuration_that_comes_while_a_term_loads_is_not_missed():
+    """Guards against a leader that starts nothing all day because it never heard of a queue.
+
+    The first manifest came after the term had looked for one, and before anybody knew of the term.
+    """
+    rows, terms, config = MemoryRows(), [], FakeConfig()
+    newer = ConfigView(version=7)
+
+    def take():
+        config.view = newer
+
+    leadership = make_leadership(rows, terms=terms, config=config, while_loading=take)
+    with leadership:
+        wait_until(lambda: leadership.term is not None and terms[0].views)
+        assert terms[0].views[-1] is newer
