Let an older configuration not replace a newer one in a term

Cause, found by reading the commit before: the leadership and the configuration's thread both tell a term of the configuration, so an older view could come last and bring a zone back into service. Change: the term keeps the view of the highest version. Test: test_scheduleractor.py; one of four cases fails without the change.

--- a/fescuerudder/jobs/scheduleractor.py
+++ b/fescuerudder/jobs/scheduleractor.py
@@ -49,6 +49,7 @@
         self._scheduler = scheduler
         self._send = send
         self._may_order = may_order
+        self._config_version = 0
 
     def on_receive(self, message: Any) -> Any:
         """Takes one event or question."""
@@ -75,6 +76,10 @@
 
     @_take.register
     def _(self, message: Configured) -> None:
+        # Two threads tell of the configuration; the older view may come last.
+        if message.view.version < self._config_version:
+            return
+        self._config_version = message.view.version
         if message.view.manifest is not None:
             self._scheduler.set_manifest(message.view.manifest)
         self._scheduler.set_zones_out(message.view.zones_out)
