--- a/tests/jobs/test_workerhealth.py
+++ b/tests/jobs/test_workerhealth.py
@@ -64,3 +64,24 @@
     scheduler = leader.scheduler
     assert not scheduler.world.health._tracks
     assert not scheduler.world.known.headrooms._measured
+
+
+@pytest.mark.xfail(reason="KNOWN-RED.txt", strict=True)
+def test_a_lasting_task_returns_to_a_worker_it_failed_on_rather_than_wait():
+    """Guards against a lasting task that waits beside the one worker with room, its former one."""
+    world = JobWorld(workers=2, capacity=1.0)
+    world.run_s = 60.0
+    leader = world.claim("a")
+    world.run(0.5)
+    first, second = JOB, "00000000000000bb"
+    world.submit(first, steps=(Step(count=1, size=ONE, long_running=True),))
+    world.run(0.5)
+    (free,) = [worker for worker in world.workers.values() if not worker.runs]
+    free.refuses_all = True
+    world.submit(second, steps=(Step(count=1, size=ONE, long_running=True),))
+    world.run(0.5)
+    (task,) = leader.scheduler.world.jobs[second].tasks()
+    task.avoid.add(free.info.id)
+    free.refuses_all = False
+    world.run(LAST_RESORT_S + 3)
+    assert [key[0].job for key in free.runs] == [second]
