--- a/bench/_soakworld.py
+++ b/bench/_soakworld.py
@@ -9,7 +9,6 @@
 import tempfile
 import threading
 import time
-from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
 
@@ -51,7 +50,7 @@
 
 @attrs.define(kw_only=True)
 class Node:
-    """One node as a process that is killed, paused and started again.
+    """One node as a process that is killed and started again.
 
     Args:
         name: its id.
@@ -64,13 +63,11 @@
     store: str
     callers: str = ""
     process: subprocess.Popen | None = None
-    paused: bool = False
 
     def start(self) -> None:
         """Starts the process if it does not run."""
         if self.process is not None and self.process.poll() is None:
             return
-        self.paused = False
         settings = self._write_settings()
         command = [sys.executable, "-m", "fescuerudder", "node", "--settings", settings]
         with (self.directory / f"{self.name}.log").open("ab") as log:
@@ -82,8 +79,6 @@
         """Sends a signal to the process if it runs."""
         if self.process is not None and self.process.poll() is None:
             self.process.send_signal(number)
-            if number in (signal.SIGSTOP, signal.SIGCONT):
-                self.paused = number is signal.SIGSTOP
 
     def end(self) -> None:
         """Ends the process."""
@@ -220,9 +215,8 @@
                 self.rows.write(change, timeout_s=1.0)
 
 
-@contextlib.contextmanager
-def healed(world: SoakWorld) -> Iterator[None]:
-    """Ends all faults, and starts what does not run, before the block."""
+def heal(world: SoakWorld) -> None:
+    """Ends all faults, and starts what does not run."""
     world.rows.faults.down = False
     world.rows.faults.lose_answers = world.rows.faults.lose_writes = 0
     for name in world.relay.names():
@@ -234,4 +228,3 @@
     for node in world.nodes:
         node.send(signal.SIGCONT)
         node.start()
-    yield
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -16,7 +16,7 @@
 import attrs
 import urllib3
 
-from bench._soakworld import QUEUE, SoakWorld, healed
+from bench._soakworld import QUEUE, SoakWorld, heal
 from fescuerudder.document import Size
 from fescuerudder.jobs.job import TaskId
 
@@ -106,8 +106,8 @@
             self._inject(world)
             self._stopping.set()
             load.join()
-            with healed(world):
-                problems = self._wait_for_ends(world)
+            heal(world)
+            problems = self._wait_for_ends(world)
             problems += self._check(world)
             self.logs = world.logs()
             starts = sum(1 for event in world.events if event[4] == "start")
--- a/fescuerudder/jobs/followerlink.py
+++ b/fescuerudder/jobs/followerlink.py
@@ -1,4 +1,4 @@
-"""A follower's side of the link to the leader: states of jobs, signs of life, stored jobs."""
+"""A follower's side of the link to the leader: states of jobs, configuration, stored jobs."""
 
 import asyncio
 import itertools
