Log why steps whose turn has come start nothing

An operator saw a step that could run and did not; no log line or metric told whether it waited for an earlier leader's attempts, for a start without an answer, for room, or for workers in quarantine.

--- a/fescuerudder/jobs/scheduler.py
+++ b/fescuerudder/jobs/scheduler.py
@@ -21,6 +21,7 @@
 from fescuerudder.jobs.schedulerstate import SchedulerState, Term
 from fescuerudder.jobs.starts import StartPlanner
 from fescuerudder.jobs.throttling import plan_throttles
+from fescuerudder.jobs.waitreasons import WaitMonitor
 from fescuerudder.jobs.workerhealth import HealthStatus
 from fescuerudder.jobs.workerport import (
     OrderAnswer,
@@ -91,6 +92,7 @@
         self._reconciler = ReportReconciler(state=self.state)
         self._roster = RosterKeeper(state=self.state, reconciler=self._reconciler)
         self._planner = StartPlanner(state=self.state, leases=leases)
+        self._waits = WaitMonitor(state=self.state, planner=self._planner)
         self.stored_states: dict[str, JobState] = {}
         self.is_superseded = False
         self._moves = ThrottledMoves()
@@ -348,6 +350,7 @@
         orders += self._plan_stops(now_s)
         orders += self._plan_throttles(now_s)
         orders += self._planner.plan(now_s=now_s, wall_ms=self._wall_ms())
+        self._waits.observe(now_s)
         orders += self.state.advice.take_queries()
         orders += self._plan_renewals(now_s)
         return orders
--- a/fescuerudder/jobs/starts.py
+++ b/fescuerudder/jobs/starts.py
@@ -91,11 +91,7 @@
         for step, tasks in waiting.items():
             for task in tasks if step.spec.long_running else ():
                 load = by_worker.get(task.last_worker)
-                if (
-                    load is not None
-                    and not self._is_restart_safe(task)
-                    and load.has_room(step.spec)
-                ):
+                if load is not None and not self.is_restart_safe(task) and load.has_room(step.spec):
                     load.add(step.spec)
                     held.append(task.last_worker)
         return held
@@ -110,7 +106,7 @@
         orders: list[StartOrder] = []
         for step, tasks in waiting.items():
             queue = self._queue(step)
-            ended = [t for t in tasks if t.last_number and self._is_restart_safe(t)]
+            ended = [t for t in tasks if t.last_number and self.is_restart_safe(t)]
             if not step.spec.long_running or step.spec.gang or not ended or queue is None:
                 continue
             demand = self._demand(step, len(ended), queue, now_s)
@@ -129,7 +125,7 @@
         waiting = {}
         for step in self._state.open_steps:
             tasks = step.startable_tasks()
-            if tasks and self._may_start(step):
+            if tasks and self.may_start(step):
                 waiting[step] = tasks
         return waiting
 
@@ -166,7 +162,7 @@
             self._state.open_steps[step] = None
         return waits
 
-    def _may_start(self, step: StepRun) -> bool:
+    def may_start(self, step: StepRun) -> bool:
         """Returns whether no earlier leader's attempt of the step can still run unseen."""
         term = self._state.term
         return step.job.version > term.claim_version or not self._state.unresolved_workers()
@@ -175,6 +171,17 @@
         """Returns whether a worker may get tasks now."""
         return self._passes_quarantine(record) and self._is_usable(record, now_s)
 
+    def usable_workers(self, step: StepRun, now_s: float) -> list[WorkerRecord]:
+        """Returns the workers that a step may use, quarantined ones included, with room or not."""
+        queue = self._queue(step)
+        return [
+            record
+            for record in self._state.workers.values()
+            if queue is not None
+            and _may_use(record, step.spec, queue)
+            and self._is_usable(record, now_s)
+        ]
+
     def _passes_quarantine(self, record: WorkerRecord) -> bool:
         """Returns whether a worker is not quarantined, or is due for a probe."""
         return self._state.health.max_starts(record.id) != 0
@@ -206,7 +213,7 @@
         saturation: Saturation,
         now_s: float,
     ) -> list[StartOrder]:
-        tasks = [task for task in startable if self._is_restart_safe(task)]
+        tasks = [task for task in startable if self.is_restart_safe(task)]
         queue = self._queue(step)
         if not tasks or queue is None:
             return []
@@ -269,7 +276,7 @@
         tasks = [
             task
             for task in step.startable_tasks()
-            if self._is_restart_safe(task)
+            if self.is_restart_safe(task)
             and now_s - max(opened_s, task.last_end_s) >= FALLBACK_WAIT_S
         ]
         queue = self._queue(step)
@@ -299,7 +306,7 @@
             and (queue.advice is None or advice.permit(step.id, load.record))
         ]
 
-    def _is_restart_safe(self, task: TaskRun) -> bool:
+    def is_restart_safe(self, task: TaskRun) -> bool:
         """Returns whether the leadership was confirmed after the task's last attempt ended.
 
         Until then a later leader may have seen an attempt end as done, or may have renewed a lease
@@ -404,7 +411,12 @@
 
 
 def _is_eligible(load: Load, step: Step, queue: Queue) -> bool:
-    info = load.record.info
+    return _may_use(load.record, step, queue)
+
+
+def _may_use(record: WorkerRecord, step: Step, queue: Queue) -> bool:
+    """Returns whether pool and label of a worker are those that a step needs."""
+    info = record.info
     return info.pool == queue.pool and (
         not step.required_label or step.required_label in info.labels
     )
--- /dev/null
+++ b/tests/jobs/test_waitreasons.py
@@ -0,0 +1,67 @@
+"""Log lines on steps that could run and don't."""
+
+import pytest
+from structlog.testing import capture_logs
+
+from bench._jobsimulation import JobSimulation
+from tests.jobs.test_scheduler import JOB, steps
+
+
+def fill_workers(sim):
+    sim.run_s = 60.0
+    sim.submit("00000000000000bb", steps=steps(12))
+    sim.run(1)
+    sim.submit(JOB, steps=steps(2))
+
+
+def quarantine_workers(sim):
+    health = sim.leaders[-1].scheduler.state.health
+    for name in sim.workers:
+        for number in range(3):
+            health._quarantine.record_failure(worker=name, task=f"t{number}")
+    sim.submit(JOB, steps=steps(2))
+
+
+def cut_off_successor(sim):
+    sim.leaders[-1].alive = False
+    sim.submit(JOB, steps=steps(2))
+    sim.cut = {("b", name) for name in sim.workers}
+    sim.claim("b")
+
+
+def take_out_zones(sim):
+    sim.leaders[-1].scheduler.set_zones_out(frozenset({"z0", "z1", "z2"}))
+    sim.submit(JOB, steps=steps(2))
+
+
+@pytest.mark.parametrize(
+    ("prepare", "result"),
+    [
+        (fill_workers, "no room"),
+        (quarantine_workers, "room only on quarantined workers"),
+        (cut_off_successor, "attempts of earlier leaders unresolved"),
+        (take_out_zones, "no usable worker"),
+    ],
+)
+def test_a_step_that_waits_is_reported_with_its_reason(prepare, result):
+    """Guards against a step that starts nothing although the log shows no reason."""
+    sim = JobSimulation()
+    sim.claim("a")
+    sim.run(0.5)
+    prepare(sim)
+    with capture_logs() as lines:
+        sim.run(4.5)
+    waits = [line for line in lines if line["event"] == "steps wait"]
+    assert [line["result"] for line in waits] == [result], "one line in five seconds"
+    assert (waits[0]["job"], waits[0]["steps"]) == (JOB, 1)
+
+
+def test_a_step_that_runs_is_not_reported():
+    """Guards against lines about steps whose tasks are at work."""
+    sim = JobSimulation()
+    sim.run_s = 10.0
+    sim.submit(JOB, steps=steps(2))
+    sim.claim("a")
+    with capture_logs() as lines:
+        sim.run(8)
+    assert not [line for line in lines if line["event"] == "steps wait"]
