Keep the scheduler running after an error in one event

Callers would see a leader that starts nothing any more, with all room free.

Cause: the handler of errors in events called the logger with a field named event, which collides with the logger's own argument and raises TypeError. The exception left the actor, so pykka ended it, without a log line; the leader went on without a scheduler until a follower claimed. In a batch an error also lost the events behind it, answers to starts among them, and an attempt whose answer is lost stays in the phase STARTING.

Change: each event is handled on its own, the log field has another name, and an error in a plan has its own line.

--- a/fescuerudder/jobs/scheduleractor.py
+++ b/fescuerudder/jobs/scheduleractor.py
@@ -67,8 +67,9 @@
         """Handles an event, or calls a function with the scheduler and returns its result."""
         if callable(message):
             return message(self._scheduler)
+        for event in message.events if isinstance(message, Batch) else (message,):
+            self._handle_logged(event)
         try:
-            self._handle(message)
             if self.actor_inbox.empty():
                 self._wait_for_plan()
             if self.actor_inbox.empty() and self._may_order():
@@ -76,9 +77,16 @@
             if self._scheduler.is_superseded:
                 self._on_superseded()
         except Exception:
-            _log.exception("scheduling event failed", event=type(message).__name__)
+            _log.exception("plan failed")
         return None
 
+    def _handle_logged(self, event: Any) -> None:
+        """Handles one event; an error in it doesn't lose the other events of its batch."""
+        try:
+            self._handle(event)
+        except Exception:
+            _log.exception("scheduling event failed", event_type=type(event).__name__)
+
     def _wait_for_plan(self) -> None:
         """Waits for the end of the pause after the last plan; further events may arrive."""
         left_s = self._planned_s + PLAN_PAUSE_S - self._clock.now_s()
@@ -95,11 +103,6 @@
     def _handle(self, message: Any) -> None:
         raise TypeError(f"unknown event {type(message).__name__}")
 
-    @_handle.register
-    def _(self, message: Batch) -> None:
-        for event in message.events:
-            self._handle(event)
-
     @_handle.register
     def _(self, message: Tick) -> None:
         pass
