Treat an order that fails unexpectedly as one without an answer

Callers would see a task that never runs, or all tasks of a worker stand still.

Cause: an exception that no port should raise (such as OverflowError for a port out of range) was logged, but no event told the scheduler. The attempt stayed in the phase STARTING, which no report and no lease ends, or the worker was not asked for a report again.

Evidence: the new test; on the code before, no event arrives (2 of 2 cases). Change: the scheduler gets the event of an order without an answer. Result: both cases pass.

--- a/fescuerudder/jobs/leader.py
+++ b/fescuerudder/jobs/leader.py
@@ -285,9 +285,10 @@
             else:
                 event = Answered(order=order, answer=await self._send_order(order))
             outcome = _outcome_label(event)
-            self._collect_event(event)
-        except Exception:
+        except Exception as exc:
             _log.exception("order failed", order=type(order).__name__)
+            event = _failure_event(order, started_s, exc)
+        self._collect_event(event)
         self._metrics.record_call(
             peer="advice" if isinstance(order, AdviceQuery) else "worker",
             operation=type(order).__name__,
@@ -447,6 +448,18 @@
         self.lost.set()
 
 
+def _failure_event(order: Order, sent_s: float, exc: Exception) -> Any:
+    """Returns the event for an order that failed in an unexpected way, after it may have been sent.
+
+    Without an event the scheduler would wait for an answer forever.
+    """
+    if isinstance(order, RenewOrder):
+        return Silent(order=order, sent_s=sent_s, reason=repr(exc))
+    if isinstance(order, AdviceQuery):
+        return Advised(query=order, advice=None, sent_s=sent_s)
+    return Answered(order=order, answer=OrderAnswer(OrderResult.UNKNOWN))
+
+
 def _resolve_pause_s(unanswered: int) -> float:
     """Returns the pause after a write without an answer: none at first, then up to STORE_RETRY_S.
 
--- a/tests/jobs/test_leader.py
+++ b/tests/jobs/test_leader.py
@@ -12,7 +12,8 @@
 from fescuerudder.jobs.jobmetrics import JobMetrics
 from fescuerudder.jobs.leader import MAX_ORDER_QUEUE_S, LeaderTerm
 from fescuerudder.jobs.progressbatch import ProgressBatch
-from fescuerudder.jobs.workerport import OrderAnswer, OrderResult, StartOrder
+from fescuerudder.jobs.termevents import Answered, Silent
+from fescuerudder.jobs.workerport import OrderAnswer, OrderResult, RenewOrder, StartOrder
 from standins.rows import MemoryRowStore
 
 START = StartOrder(
@@ -82,6 +83,35 @@
     assert len(workers.started) == (result is OrderResult.DONE)
 
 
+RENEW = RenewOrder(
+    worker="w", address="w:1", token=1, acknowledged=0, lease_until_ms=None, wait_ms=0
+)
+
+
+class FailingWorkers:
+    """A port whose calls raise an error that no port should raise."""
+
+    async def start(self, order, *, timeout_s):
+        raise OverflowError("port must be 0-65535")
+
+    async def renew(self, order, *, timeout_s):
+        raise OverflowError("port must be 0-65535")
+
+
+@pytest.mark.parametrize(("order", "expected"), [(START, Answered), (RENEW, Silent)])
+def test_an_order_that_fails_unexpectedly_counts_as_unanswered(monkeypatch, order, expected):
+    """Guards against a task or a worker that waits forever for the answer to an order."""
+    clock, events = ManualClock(start_s=10.0), []
+    with JobMetrics(instance="n") as metrics:
+        term = make_term(clock, metrics, store=MemoryRowStore(), workers=FailingWorkers())
+        monkeypatch.setattr(term, "_collect_event", events.append)
+        asyncio.run(term._execute_order(order, clock.now_s()))
+    (event,) = events
+    assert isinstance(event, expected)
+    if expected is Answered:
+        assert event.answer.result is OrderResult.UNKNOWN
+
+
 class ResettingStore:
     """A store that resets the connection of each call."""
 
