End the term of a leader whose scheduler has ended

Callers would see accepted jobs stand still while an instance leads that schedules nothing.

Cause: the thread that writes took the end of the scheduler for a timeout and asked again in a loop, without a pause and without a heartbeat. Evidence: the new test does not end on the code before. Change: the term ends with a log line, so that the instance or another claims anew; a real timeout is logged. Result: the test passes.

--- a/fescuerudder/jobs/leader.py
+++ b/fescuerudder/jobs/leader.py
@@ -421,8 +421,13 @@
                 _log.warning("progress not stored", reason=str(exc))
                 self._clock.wait_s(self._stopping, STORE_RETRY_S)
                 continue
-            except (pykka.Timeout, pykka.ActorDeadError):
+            except pykka.Timeout:
+                _log.warning("no progress from the scheduler", waited_s=PROGRESS_REQUEST_TIMEOUT_S)
                 continue
+            except pykka.ActorDeadError:
+                if not self._stopping.is_set():
+                    self._end_term("the scheduler has ended")
+                return
             self._post_event(Stored(batch=batch))
             self._publish(batch.states, batch.pending)
             batch = None
--- a/tests/jobs/test_leader.py
+++ b/tests/jobs/test_leader.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import pykka
 import pytest
 
 from fescuerudder.clock import ManualClock
@@ -112,6 +113,20 @@
         assert event.answer.result is OrderResult.UNKNOWN
 
 
+def test_a_term_ends_with_its_scheduler(monkeypatch):
+    """Guards against a leader that goes on, and asks in a loop, after its scheduler has ended."""
+    clock = ManualClock(start_s=10.0)
+
+    def raise_dead():
+        raise pykka.ActorDeadError("the actor has ended")
+
+    with JobMetrics(instance="n") as metrics:
+        term = make_term(clock, metrics, store=MemoryRowStore())
+        monkeypatch.setattr(term, "_next_batch", raise_dead)
+        term._write()
+    assert term.lost.is_set()
+
+
 class ResettingStore:
     """A store that resets the connection of each call."""
 
