Count the wait for a silent worker once, not anew after each takeover

Callers saw accepted jobs that did not run with most of the room free.

Cause: a successor that can't reach a worker of the roster holds up older jobs until 9.4 s after its own claim, though nothing may run there longer than 9.4 s after the first claim. While leaders follow each other more often, as in a rolling restart, no older job ever runs because of one dead worker.

Evidence: the new test, four takeovers 3.1 s apart beside one dead worker of four: on the code before, no task of the job starts after the first takeover.

Change: the leader stores with the roster when everything on a silent worker has ended, on the store's clock, which all instances share; a successor takes this time if it is earlier. It is a row of its own that counts only with the version of the roster beside it, so instances of the version before can still read the roster, and a roster of theirs makes the deadlines void. A worker with a deadline gets no task before a roster without it is stored.

--- a/bench/_jobsimulation.py
+++ b/bench/_jobsimulation.py
@@ -147,7 +147,7 @@
         if loaded.knowledge is not None:
             self.scheduler.state.knowledge.restore(loaded.knowledge)
         self.scheduler.cancel(loaded.cancels)
-        self.scheduler.restore_roster(loaded.roster)
+        self.scheduler.restore_roster(loaded.roster, store_clock=loaded.store_clock)
         self.scheduler.set_workers(sim.registry())
         self.feed = loaded.version
 
@@ -227,7 +227,7 @@
     def __init__(self, *, seed=1, workers=3, plan=None, queues=None, capacity=4.0):
         self.clock = ManualClock(start_s=100.0)
         self.rng = random.Random(seed)
-        self.store = MemoryRowStore()
+        self.store = MemoryRowStore(now_ms=lambda: int(self.clock.now_s() * 1000))
         self.events = []
         self.manifest = Manifest(
             revision=1,
--- a/fescuerudder/jobs/leader.py
+++ b/fescuerudder/jobs/leader.py
@@ -212,7 +212,7 @@
         if loaded.knowledge is not None:
             self._restore_knowledge(loaded.knowledge)
         scheduler.cancel(loaded.cancels)
-        scheduler.restore_roster(loaded.roster)
+        scheduler.restore_roster(loaded.roster, store_clock=loaded.store_clock)
         scheduler.set_workers(self._registry.read())
         self._publish(scheduler.stored_states.copy(), scheduler.pending())
         _log.info(
--- a/fescuerudder/jobs/leaderwriter.py
+++ b/fescuerudder/jobs/leaderwriter.py
@@ -23,8 +23,8 @@
 WRITE_TIMEOUT_S = 1.5
 """Timeout of one attempt to write; a slow store needs most of a second."""
 
-ROWS_PER_TXN = MAX_TXN_ROWS - 5
-"""Progress rows of one transaction; the other five are reserved for the leader's own rows."""
+ROWS_PER_TXN = MAX_TXN_ROWS - 6
+"""Progress rows of one transaction; the other six are reserved for the leader's own rows."""
 
 _log = structlog.get_logger(__name__)
 
@@ -73,7 +73,7 @@
     ) -> None:
         """Stores progress rows by job id, a heartbeat and `leader_rows`.
 
-        At most two `leader_rows` fit.
+        At most three `leader_rows` fit.
         After a StoreOutcomeUnknownError call `resolve` until it returns. The rows of the
         unresolved transaction are stored then; later rows of the call are not.
 
--- a/fescuerudder/jobs/progressbatch.py
+++ b/fescuerudder/jobs/progressbatch.py
@@ -4,7 +4,7 @@
 
 from fescuerudder.jobs.jobrun import JobState
 from fescuerudder.jobs.rows import RowKey
-from fescuerudder.jobs.storage import KNOWLEDGE_KEY, ROSTER_KEY
+from fescuerudder.jobs.storage import DEADLINES_KEY, KNOWLEDGE_KEY, ROSTER_KEY
 
 
 @attrs.frozen(kw_only=True)
@@ -19,6 +19,7 @@
         pending: number of jobs of each queue of which no task has started.
         knowledge: serialized knowledge about tasks, None if it was stored recently.
         roster: the serialized roster, None if the stored one is up to date.
+        deadlines: serialized deadlines of the roster, None if the roster is.
         roster_incarnations: incarnations of the workers that may get tasks once the roster is
             stored, by worker id.
     """
@@ -29,9 +30,14 @@
     pending: dict[str, int]
     knowledge: bytes | None
     roster: bytes | None
+    deadlines: bytes | None
     roster_incarnations: dict[str, int]
 
     def leader_rows(self) -> dict[RowKey, bytes]:
         """Returns the rows of the batch that don't belong to a job."""
-        rows = {KNOWLEDGE_KEY: self.knowledge, ROSTER_KEY: self.roster}
+        rows = {
+            KNOWLEDGE_KEY: self.knowledge,
+            ROSTER_KEY: self.roster,
+            DEADLINES_KEY: self.deadlines,
+        }
         return {key: value for key, value in rows.items() if value is not None}
--- a/fescuerudder/jobs/roster.py
+++ b/fescuerudder/jobs/roster.py
@@ -4,6 +4,9 @@
 stores a worker here before it starts the first task on it. For a worker that has become silent it
 stores the attempts that may run there, and starts nothing else on it until the stored roster no
 longer restricts it. If the successor can't reach the worker either, it delays only these tasks.
+
+A deadline on the store's clock, stored with the roster, says when everything on a silent worker has
+ended, so that a further takeover doesn't count the time anew.
 """
 
 import json
@@ -28,10 +31,13 @@
     Args:
         info: its id, incarnation and address.
         only_attempts: the only attempts that may run there, None for no restriction.
+        deadline_ms: when everything that may run there has ended, on the store's clock; None if
+            the worker is not silent.
     """
 
     info: WorkerInfo
     only_attempts: tuple[AttemptRef, ...] | None = None
+    deadline_ms: int | None = None
 
 
 def dump_roster(entries: Iterable[RosterEntry]) -> bytes:
@@ -52,6 +58,36 @@
         raise StoredFormError(f"malformed roster: {type(exc).__name__}") from exc
 
 
+def dump_deadlines(entries: Iterable[RosterEntry]) -> bytes:
+    """Returns the serialized deadlines of the entries that have one, by worker and incarnation.
+
+    They are a row of their own, since instances of an earlier version can't read other rosters.
+    """
+    rows = sorted(
+        [entry.info.id, entry.info.incarnation_ms, entry.deadline_ms]
+        for entry in entries
+        if entry.deadline_ms is not None
+    )
+    return json.dumps(rows, separators=(",", ":")).encode()
+
+
+def add_deadlines(entries: Iterable[RosterEntry], data: bytes) -> list[RosterEntry]:
+    """Returns the entries with their serialized deadlines.
+
+    Raises:
+        StoredFormError: the data is malformed.
+    """
+    try:
+        rows = json.loads(data)
+        deadlines = {(str(name), int(born_ms)): int(until_ms) for name, born_ms, until_ms in rows}
+    except (ValueError, TypeError) as exc:
+        raise StoredFormError(f"malformed deadlines: {type(exc).__name__}") from exc
+    return [
+        attrs.evolve(e, deadline_ms=deadlines.get((e.info.id, e.info.incarnation_ms)))
+        for e in entries
+    ]
+
+
 def _dump_entry(entry: RosterEntry) -> list[Any]:
     info = entry.info
     fields = [info.id, info.incarnation_ms, info.address]
--- a/fescuerudder/jobs/rosterkeeper.py
+++ b/fescuerudder/jobs/rosterkeeper.py
@@ -8,7 +8,8 @@
 from fescuerudder.jobs.jobrun import Attempt, Phase
 from fescuerudder.jobs.leases import PREDECESSOR_LEASES_S
 from fescuerudder.jobs.reports import ReportReconciler
-from fescuerudder.jobs.roster import AttemptRef, RosterEntry, dump_roster
+from fescuerudder.jobs.roster import AttemptRef, RosterEntry, dump_deadlines, dump_roster
+from fescuerudder.jobs.rows import StoreClock
 from fescuerudder.jobs.schedulerstate import SchedulerState
 from fescuerudder.jobs.workerport import WorkerInfo
 from fescuerudder.jobs.workerrecord import WorkerClock, WorkerRecord
@@ -25,10 +26,12 @@
 
     Args:
         data: the serialized roster.
+        deadlines: the serialized deadlines of its entries.
         incarnations: incarnations of the workers that may get tasks once it is stored, by id.
     """
 
     data: bytes
+    deadlines: bytes
     incarnations: dict[str, int]
 
 
@@ -44,6 +47,7 @@
         self._state = state
         self._reconciler = reconciler
         self._claimed_s = state.clock.now_s()
+        self._store_clock: StoreClock | None = None
 
     def set_workers(self, infos: Iterable[WorkerInfo]) -> None:
         """Updates the records from the complete registry of workers."""
@@ -56,28 +60,37 @@
             if record.id not in listed:
                 self._mark_unlisted(record)
 
-    def restore(self, entries: Iterable[RosterEntry]) -> None:
+    def restore(self, entries: Iterable[RosterEntry], *, store_clock: StoreClock | None) -> None:
         """Adds the workers on which tasks of earlier leaders may run.
 
         Must be called after all jobs are restored and before `set_workers`.
         """
         now_s = self._state.clock.now_s()
+        self._store_clock = store_clock
         for entry in entries:
             record = self._new_record(entry.info, now_s)
             record.listed, record.on_roster, record.resolved = False, True, False
-            record.resolved_by_s = self._claimed_s + PREDECESSOR_LEASES_S
+            record.resolved_by_s = self._ended_by_s(entry)
             record.may_run_unknown, record.unknown_until_s = True, record.resolved_by_s
             self._state.workers[record.id] = record
+            if entry.only_attempts is not None or entry.deadline_ms is not None:
+                record.on_roster, record.is_restricted = False, True
+                record.silent_since_s, record.unanswered_renewals = now_s, RESTRICT_AFTER_RENEWALS
             if entry.only_attempts is not None:
                 self._restore_attempts(record, entry.only_attempts, now_s)
 
+    def _ended_by_s(self, entry: RosterEntry) -> float:
+        """Returns when everything that earlier leaders left on a worker has ended."""
+        until_s = self._claimed_s + PREDECESSOR_LEASES_S
+        if entry.deadline_ms is None or self._store_clock is None:
+            return until_s
+        return min(until_s, self._store_clock.latest_s(entry.deadline_ms))
+
     def _restore_attempts(
         self, record: WorkerRecord, only_attempts: Iterable[AttemptRef], now_s: float
     ) -> None:
         """Restores the attempts on a worker that did not answer an earlier leader either."""
-        record.resolved, record.on_roster, record.is_restricted = True, False, True
-        record.may_run_unknown = False
-        record.silent_since_s, record.unanswered_renewals = now_s, RESTRICT_AFTER_RENEWALS
+        record.resolved, record.may_run_unknown = True, False
         for task_id, number in only_attempts:
             task = self._state.find_task(task_id)
             if task is None or task.done or not task.step.job.is_live:
@@ -130,7 +143,7 @@
     def count_unanswered_renewal(self, record: WorkerRecord) -> None:
         """Counts a renewal without an answer."""
         record.unanswered_renewals += 1
-        if record.unanswered_renewals == RESTRICT_AFTER_RENEWALS and record.resolved:
+        if record.unanswered_renewals == _restrict_after(record):
             self._state.roster_changed = True
 
     def take_changed(self) -> PendingRoster | None:
@@ -138,14 +151,31 @@
         if not self._state.roster_changed:
             return None
         self._state.roster_changed = False
-        data = dump_roster(_roster_entry(record) for record in self._state.workers.values())
+        entries = [self._entry(record) for record in self._state.workers.values()]
         restricted = {record.id for record in self._state.workers.values() if record.is_restricted}
         incarnations = {
             name: incarnation_ms
             for name, incarnation_ms in self._state.incarnations().items()
             if name not in restricted
         }
-        return PendingRoster(data=data, incarnations=incarnations)
+        return PendingRoster(
+            data=dump_roster(entries),
+            deadlines=dump_deadlines(entries),
+            incarnations=incarnations,
+        )
+
+    def _entry(self, record: WorkerRecord) -> RosterEntry:
+        """Returns the roster entry of a worker, and restricts the worker if it has been silent."""
+        record.is_restricted = record.unanswered_renewals >= _restrict_after(record)
+        if not record.is_restricted:
+            return RosterEntry(info=record.info)
+        record.on_roster = False
+        ended_by_s, clock = record.lapsed_by_s(), self._store_clock
+        return RosterEntry(
+            info=record.info,
+            only_attempts=None if record.may_run_unknown else tuple(record.attempts),
+            deadline_ms=clock.latest_ms(ended_by_s) if clock is not None else None,
+        )
 
     def mark_stored(self, incarnations: dict[str, int]) -> None:
         """Marks workers as on the stored roster if they are still the given incarnations."""
@@ -159,10 +189,9 @@
                 record.on_roster = True
 
 
-def _roster_entry(record: WorkerRecord) -> RosterEntry:
-    """Returns the roster entry of a worker, and restricts the worker if it has been silent."""
-    record.is_restricted = record.resolved and record.unanswered_renewals >= RESTRICT_AFTER_RENEWALS
-    if not record.is_restricted:
-        return RosterEntry(info=record.info)
-    record.on_roster = False
-    return RosterEntry(info=record.info, only_attempts=tuple(record.attempts))
+def _restrict_after(record: WorkerRecord) -> int:
+    """Returns the number of unanswered renewals after which the roster restricts a worker.
+
+    A worker that this leader has never reached runs nothing of this leader, so one is enough.
+    """
+    return 1 if record.may_run_unknown else RESTRICT_AFTER_RENEWALS
--- a/fescuerudder/jobs/rows.py
+++ b/fescuerudder/jobs/rows.py
@@ -1,5 +1,6 @@
 """Port to a transactional row store with tables, partitions and a feed of changes."""
 
+import math
 from typing import NamedTuple, Protocol
 
 import attrs
@@ -76,6 +77,29 @@
     version: int
 
 
+@attrs.frozen(kw_only=True)
+class StoreClock:
+    """One reading of the store's monotonic clock, which all instances share.
+
+    Args:
+        reading_ms: the reading, in milliseconds.
+        sent_s: when the call that returned it was sent, on this instance's clock.
+        received_s: when its answer arrived.
+    """
+
+    reading_ms: int
+    sent_s: float
+    received_s: float
+
+    def latest_ms(self, at_s: float) -> int:
+        """Returns the latest reading that the store's clock can show at a time of this instance."""
+        return self.reading_ms + math.ceil((at_s - self.sent_s) * 1000)
+
+    def latest_s(self, store_ms: int) -> float:
+        """Returns the latest time of this instance at which the store's clock shows `store_ms`."""
+        return self.received_s + (store_ms - self.reading_ms) / 1000
+
+
 class RowConflictError(PlatformError):
     """A transaction was not applied because a row had another version.
 
--- a/fescuerudder/jobs/scheduler.py
+++ b/fescuerudder/jobs/scheduler.py
@@ -18,6 +18,7 @@
 from fescuerudder.jobs.reports import ReportReconciler
 from fescuerudder.jobs.roster import RosterEntry
 from fescuerudder.jobs.rosterkeeper import RosterKeeper
+from fescuerudder.jobs.rows import StoreClock
 from fescuerudder.jobs.schedulerstate import SchedulerState, Term
 from fescuerudder.jobs.starts import StartPlanner
 from fescuerudder.jobs.throttling import plan_throttles
@@ -116,12 +117,14 @@
         """Updates the workers from the complete registry."""
         self._roster.set_workers(infos)
 
-    def restore_roster(self, entries: Iterable[RosterEntry]) -> None:
+    def restore_roster(
+        self, entries: Iterable[RosterEntry], *, store_clock: StoreClock | None
+    ) -> None:
         """Adds the workers on which tasks of earlier leaders may run.
 
         Must be called after all jobs are restored and before `set_workers`.
         """
-        self._roster.restore(entries)
+        self._roster.restore(entries, store_clock=store_clock)
 
     def add_jobs(self, jobs: Iterable[StoredJob]) -> None:
         """Adds submitted jobs; ignores those that are known already."""
@@ -307,6 +310,7 @@
             pending=self.pending(),
             knowledge=self._dump_knowledge(),
             roster=stored.data if stored is not None else None,
+            deadlines=stored.deadlines if stored is not None else None,
             roster_incarnations=stored.incarnations if stored is not None else {},
         )
 
@@ -364,8 +368,9 @@
         """
         certain_s = min(now_s, self._leases.confirmed_s())
         for record in list(self.state.workers.values()):
-            if record.may_run_unknown and certain_s >= record.unknown_until_s:
+            if record.may_run_unknown and certain_s >= record.unknown_ended_by_s():
                 record.may_run_unknown = False
+                self.state.roster_changed = True
             if record.resolved and not record.is_silent:
                 continue
             if certain_s < record.lapsed_by_s():
--- a/fescuerudder/jobs/storage.py
+++ b/fescuerudder/jobs/storage.py
@@ -32,6 +32,9 @@
 ROSTER_KEY = RowKey(LEADER_TABLE, LEADER_PARTITION, "workers")
 """The workers that may run tasks."""
 
+DEADLINES_KEY = RowKey(LEADER_TABLE, LEADER_PARTITION, "deadlines")
+"""When the attempts on silent workers of the roster have ended; written together with it."""
+
 
 def partition_of(job_id: str) -> str:
     """Returns the partition of a job."""
--- a/fescuerudder/jobs/takeover.py
+++ b/fescuerudder/jobs/takeover.py
@@ -16,11 +16,12 @@
     load_state,
     restore_progress,
 )
-from fescuerudder.jobs.roster import RosterEntry, load_roster
-from fescuerudder.jobs.rows import Row, RowStore, read_partition
+from fescuerudder.jobs.roster import RosterEntry, add_deadlines, load_roster
+from fescuerudder.jobs.rows import Row, RowKey, RowStore, StoreClock, read_partition
 from fescuerudder.jobs.storage import (
     CANCEL_SUFFIX,
     CLAIM_KEY,
+    DEADLINES_KEY,
     JOB_PARTITIONS,
     JOBS_TABLE,
     KNOWLEDGE_KEY,
@@ -46,6 +47,7 @@
         version: version from which to follow the feed of jobs.
         knowledge: what earlier leaders learned about tasks, serialized; None if not stored.
         roster: workers on which tasks of earlier leaders may run, with these tasks.
+        store_clock: reading of the store's clock, None if the store told none.
     """
 
     live: list[JobRun]
@@ -54,6 +56,7 @@
     version: int
     knowledge: bytes | None = None
     roster: list[RosterEntry] = attrs.Factory(list)
+    store_clock: StoreClock | None = None
 
 
 def load_stored_state(
@@ -71,9 +74,9 @@
         StoreUnavailableError: a partition could not be read.
         StoredFormError: the roster is malformed; without it tasks could run twice.
     """
-    position = store.read(
-        table=JOBS_TABLE, partition=LEADER_PARTITION, timeout_s=LOAD_TIMEOUT_S
-    ).version
+    sent_s = clock.now_s()
+    head = store.read(table=JOBS_TABLE, partition=LEADER_PARTITION, timeout_s=LOAD_TIMEOUT_S)
+    store_clock = StoreClock(reading_ms=head.store_ms, sent_s=sent_s, received_s=clock.now_s())
 
     def read_rows(partition_key: tuple[str, str]) -> list[Row]:
         table, partition = partition_key
@@ -91,16 +94,29 @@
         {row.key.key: row.value for row in progress},
         now_s=clock.now_s(),
         wall_ms=wall_ms(),
-        version=position,
+        version=head.version,
     )
-    values = {row.key: row.value for row in leader_rows}
+    stored = {row.key: row for row in leader_rows}
+    knowledge = stored.get(KNOWLEDGE_KEY)
     return attrs.evolve(
         loaded,
-        knowledge=values.get(KNOWLEDGE_KEY),
-        roster=load_roster(values[ROSTER_KEY]) if ROSTER_KEY in values else [],
+        knowledge=knowledge.value if knowledge is not None else None,
+        roster=_load_roster(stored),
+        store_clock=store_clock if head.store_ms else None,
     )
 
 
+def _load_roster(stored: dict[RowKey, Row]) -> list[RosterEntry]:
+    """Returns the roster, with the deadlines if they were written in the same transaction."""
+    roster, deadlines = stored.get(ROSTER_KEY), stored.get(DEADLINES_KEY)
+    if roster is None:
+        return []
+    entries = load_roster(roster.value)
+    if deadlines is None or deadlines.version != roster.version:
+        return entries
+    return add_deadlines(entries, deadlines.value)
+
+
 def _assemble(
     rows: list[Row],
     progress: dict[str, bytes],
--- a/fescuerudder/jobs/workerrecord.py
+++ b/fescuerudder/jobs/workerrecord.py
@@ -133,6 +133,13 @@
         """Returns when all leases there have expired if no more renewals arrive."""
         return max(self.resolved_by_s, self.clock.reached_s(self.lease_until_ms))
 
+    def unknown_ended_by_s(self) -> float:
+        """Returns when the unknown attempts of earlier leaders have ended at the latest.
+
+        A renewal of this leader may have reached the worker although it got no answer.
+        """
+        return max(self.unknown_until_s, self.clock.reached_s(self.lease_until_ms))
+
     def may_renew(self) -> bool:
         """Returns whether a renewal may be sent now, as far as those under way are concerned.
 
--- a/tests/jobs/test_leader.py
+++ b/tests/jobs/test_leader.py
@@ -35,6 +35,7 @@
     pending={},
     knowledge=None,
     roster=None,
+    deadlines=None,
     roster_incarnations={},
 )
 
--- a/tests/jobs/test_roster.py
+++ b/tests/jobs/test_roster.py
@@ -2,14 +2,16 @@
 
 import pytest
 
-from bench._jobsimulation import JobSimulation
+from bench._jobsimulation import InlineExecutor, JobSimulation
 from fescuerudder.document import Size
 from fescuerudder.jobs.job import Step, TaskId
 from fescuerudder.jobs.jobrun import JobState
 from fescuerudder.jobs.leases import PREDECESSOR_LEASES_S
 from fescuerudder.jobs.progress import StoredFormError
-from fescuerudder.jobs.roster import RosterEntry, dump_roster, load_roster
-from fescuerudder.jobs.storage import ROSTER_KEY
+from fescuerudder.jobs.roster import RosterEntry, dump_deadlines, dump_roster, load_roster
+from fescuerudder.jobs.rows import RowTransaction
+from fescuerudder.jobs.storage import DEADLINES_KEY, ROSTER_KEY
+from fescuerudder.jobs.takeover import load_stored_state
 
 SILENT_JOB = "00000000000000aa"
 WAITING_JOB = "00000000000000bb"
@@ -40,6 +42,30 @@
     return next(entry.only_attempts for entry in entries if entry.info.id == "w0")
 
 
+@pytest.mark.parametrize(
+    ("rewritten", "expected"), [(False, [90_000]), (True, [None])], ids=["together", "alone"]
+)
+def test_deadlines_count_only_with_the_roster_that_they_were_written_with(rewritten, expected):
+    """Guards against a task that runs twice after a takeover in a mixed deployment.
+
+    An instance of an earlier version writes rosters without deadlines; a deadline that stands
+    beside such a roster says nothing about what this instance has started since.
+    """
+    sim = JobSimulation(workers=1)
+    info = sim.workers["w0"].info
+    entries = [RosterEntry(info=info, only_attempts=(), deadline_ms=90_000)]
+    roster, deadlines = dump_roster(entries), dump_deadlines(entries)
+    sim.store.write(
+        RowTransaction(puts=((ROSTER_KEY, roster), (DEADLINES_KEY, deadlines))), timeout_s=1
+    )
+    if rewritten:
+        sim.store.write(RowTransaction(puts=((ROSTER_KEY, roster),)), timeout_s=1)
+    loaded = load_stored_state(
+        store=sim.store, clock=sim.clock, wall_ms=lambda: 0.0, pool=InlineExecutor()
+    )
+    assert [entry.deadline_ms for entry in loaded.roster] == expected
+
+
 def test_the_roster_says_what_may_run_on_a_silent_worker():
     """Guards against a roster without the attempts of a silent worker.
 
--- a/tests/jobs/test_takeover_waits.py
+++ b/tests/jobs/test_takeover_waits.py
@@ -3,6 +3,7 @@
 import pytest
 
 from bench._jobsimulation import JobSimulation
+from fescuerudder.jobs.leases import PREDECESSOR_LEASES_S
 from tests.jobs.test_scheduler import JOB, ONE, steps
 
 WAIT_S = 3.0
@@ -47,3 +48,27 @@
     sim.cut.add(("b", name))
     sim.restart_worker(name, registry_lag_s=0.2)
     assert longest_wait_s(sim, JOB, 10.0) < WAIT_S
+
+
+def test_a_further_takeover_does_not_extend_the_wait_for_a_worker_out_of_reach():
+    """Guards against accepted jobs that never run while leaders follow one another.
+
+    A worker vanishes with the first leader. What may run there ends some time after the first
+    takeover, however many leaders follow.
+    """
+    sim = JobSimulation(workers=4)
+    sim.run_s = 0.5
+    sim.submit(JOB, steps=steps(*[1] * 40))
+    sim.claim("a")
+    sim.run(0.5)
+    used = next(n for n, w in sim.workers.items() if any(t.job == JOB for t, _ in w.runs))
+    lost = next(n for n in sim.workers if n != used)
+    sim.workers[lost].crash()
+    for name in ("b", "c", "d", "e"):
+        sim.leaders[-1].alive = False
+        sim.claim(name)
+        sim.run(PREDECESSOR_LEASES_S / 3)
+    started = sim.starts(JOB)
+    sim.run(WAIT_S)
+    assert sim.starts(JOB) > started
+    sim.check_history()
