Let what was seen to run go on beside a worker out of reach after a takeover

Callers saw accepted jobs that did not run with most of the room free.

Cause: while a worker may run unknown attempts of earlier leaders, no job older than the claim starts anything, for up to 9.4 s. But a task that a report to this leader listed as running can't run there as well, and a step that depends on such a task had not been ready for the earlier leader.

The new test, with one dead worker of four: no second start within 3 s (2 of 2 cases fail on the code before).

Change: such tasks and steps start; only those that no report has shown still wait.

--- a/fescuerudder/jobs/jobrun.py
+++ b/fescuerudder/jobs/jobrun.py
@@ -109,6 +109,9 @@
         done_by: id of the worker of that attempt, or empty.
         last_end_s: when an attempt of it last ended, on this instance's clock.
         last_worker: id of the worker of that attempt, or empty.
+        seen_running: a report to this leader listed an attempt, so the earlier leader had not found
+            it ended, and had not started another one.
+        done_in_term: such an attempt completed the task.
     """
 
     id: TaskId
@@ -123,6 +126,8 @@
     done_by: str = ""
     last_end_s: float = -math.inf
     last_worker: str = ""
+    seen_running: bool = False
+    done_in_term: bool = False
 
     @property
     def is_likely_faulty(self) -> bool:
@@ -260,6 +265,18 @@
         """Returns whether all steps that `step` depends on are done."""
         return all(self.steps[(step.occurrence, number)].is_done for number in step.spec.after)
 
+    def opened_in_term(self, step: StepRun) -> bool:
+        """Returns whether a step became ready under this leader.
+
+        A task that it depends on was seen to run in this term, so no earlier leader found the step
+        ready.
+        """
+        return any(
+            task.done_in_term
+            for number in step.spec.after
+            for task in self.steps[(step.occurrence, number)].tasks
+        )
+
     def record_done(self, task: TaskRun) -> None:
         """Records that an attempt completed the task; the job is complete with its last task.
 
--- a/fescuerudder/jobs/reports.py
+++ b/fescuerudder/jobs/reports.py
@@ -150,6 +150,7 @@
         state.mark_begun(task.step.job)
         task.last_number = max(task.last_number, end.attempt)
         if end.end is AttemptEnd.DONE and not task.step.spec.long_running:
+            task.done_in_term = attempt is not None and task.seen_running
             self._record_done(task)
         elif end.end is AttemptEnd.FAILED:
             self._record_failure(task, end)
@@ -191,7 +192,7 @@
         if attempt.phase in (Phase.STARTING, Phase.UNCERTAIN):
             attempt.phase = Phase.RUNNING
             attempt.confirmed_s = now_s
-        attempt.reported = True
+        attempt.reported = attempt.task.seen_running = True
         self._state.mark_begun(attempt.task.step.job)
         attempt.checkpoint = row.checkpoint or attempt.checkpoint
         attempt.percent = row.percent
--- a/fescuerudder/jobs/starts.py
+++ b/fescuerudder/jobs/starts.py
@@ -124,8 +124,8 @@
         """Returns the tasks that may be started, by step."""
         waiting = {}
         for step in self._state.open_steps:
-            tasks = step.startable_tasks()
-            if tasks and self.may_start(step):
+            tasks = self.startable_tasks(step)
+            if tasks:
                 waiting[step] = tasks
         return waiting
 
@@ -162,10 +162,15 @@
             self._state.open_steps[step] = None
         return waits
 
-    def may_start(self, step: StepRun) -> bool:
-        """Returns whether no earlier leader's attempt of the step can still run unseen."""
-        term = self._state.term
-        return step.job.version > term.claim_version or not self._state.unresolved_workers()
+    def startable_tasks(self, step: StepRun) -> list[TaskRun]:
+        """Returns the tasks of which no attempt runs or, of an earlier leader, may run unseen."""
+        tasks = step.startable_tasks()
+        run, term = step.job, self._state.term
+        if run.version > term.claim_version or not self._state.unresolved_workers():
+            return tasks
+        if run.opened_in_term(step):
+            return tasks
+        return [task for task in tasks if task.seen_running]
 
     def takes_work(self, record: WorkerRecord, now_s: float) -> bool:
         """Returns whether a worker may get tasks now."""
@@ -275,7 +280,7 @@
         opened_s = step.opened_s or now_s
         tasks = [
             task
-            for task in step.startable_tasks()
+            for task in self.startable_tasks(step)
             if self.is_restart_safe(task)
             and now_s - max(opened_s, task.last_end_s) >= FALLBACK_WAIT_S
         ]
--- a/fescuerudder/jobs/waitreasons.py
+++ b/fescuerudder/jobs/waitreasons.py
@@ -102,9 +102,9 @@
         state, planner = self._state, self._planner
         if step.job.job.queue not in state.queues:
             return WaitReason.NO_QUEUE, []
-        if not planner.may_start(step):
+        startable = planner.startable_tasks(step)
+        if not startable and step.startable_tasks():
             return WaitReason.EARLIER_LEADER, state.unresolved_workers()
-        startable = step.startable_tasks()
         if not startable:
             names = {attempt.worker for task in step.tasks for attempt in task.attempts}
             return WaitReason.UNCERTAIN_START, [r for r in state.workers.values() if r.id in names]
--- a/tests/jobs/test_takeover_waits.py
+++ b/tests/jobs/test_takeover_waits.py
@@ -3,6 +3,7 @@
 import pytest
 
 from bench._jobsimulation import JobSimulation
+from fescuerudder.jobs.jobrun import JobState
 from fescuerudder.jobs.leases import PREDECESSOR_LEASES_S
 from tests.jobs.test_scheduler import JOB, ONE, steps
 
@@ -72,3 +73,27 @@
     sim.run(WAIT_S)
     assert sim.starts(JOB) > started
     sim.check_history()
+
+
+@pytest.mark.parametrize("fails", [False, True], ids=["next step", "same task"])
+def test_what_was_seen_to_run_goes_on_beside_a_worker_out_of_reach(fails):
+    """Guards against accepted jobs that stop for 9 s after a takeover beside free workers.
+
+    A worker vanishes together with the leader. It can't run a task that runs elsewhere, nor a step
+    that depends on one.
+    """
+    sim = JobSimulation(workers=4)
+    sim.plan = lambda task, attempt, worker: (ONE, 2.0, fails and attempt == 1)
+    sim.submit(JOB, steps=steps(1, 1))
+    sim.claim("a")
+    sim.run(1.0)
+    used = next(n for n, w in sim.workers.items() if w.runs)
+    lost = next(n for n in sim.workers if n != used)
+    sim.workers[lost].crash()
+    sim.leaders[-1].alive = False
+    sim.claim("b")
+    sim.run(2.0)
+    assert sim.starts(JOB) == 2
+    sim.run(6.0)
+    assert sim.state(JOB) is JobState.COMPLETED
+    sim.check_history()
