Let only failed probes delay the next probe of a quarantined worker

Callers saw accepted jobs that did not run with most of the room free.

Cause: each failure on a quarantined worker doubled the time to its next probe, also of tasks that had begun before the quarantine. A worker that failed four tasks at once went from 3 s to 24 s without one failed probe.

Change: a failure in quarantine counts only if its task began in it.

--- a/fescuerudder/jobs/workerhealth.py
+++ b/fescuerudder/jobs/workerhealth.py
@@ -144,9 +144,10 @@
             self._quarantine.record_success(worker=worker, run_s=now_s - attempt.confirmed_s)
         if end is not AttemptEnd.FAILED or attempt.confirmed_s is None:
             return
-        if now_s - attempt.confirmed_s < QUICK_FAILURE_S:
+        run_s = now_s - attempt.confirmed_s
+        if run_s < QUICK_FAILURE_S:
             was_quarantined = self._quarantine.is_quarantined(worker=worker)
-            self._quarantine.record_failure(worker=worker, task=str(attempt.task.id))
+            self._quarantine.record_failure(worker=worker, task=str(attempt.task.id), run_s=run_s)
             if not was_quarantined and self._quarantine.is_quarantined(worker=worker):
                 _log.warning("worker set aside", worker=worker, reason="fails what it starts")
 
--- a/fescuerudder/quarantine.py
+++ b/fescuerudder/quarantine.py
@@ -46,11 +46,17 @@
         self._policy = policy or QuarantinePolicy()
         self._histories: dict[str, _WorkerHistory] = {}
 
-    def record_failure(self, *, worker: str, task: str) -> None:
-        """Records a failed start or a failed task."""
+    def record_failure(self, *, worker: str, task: str, run_s: float = 0.0) -> None:
+        """Records a failed start or a task that failed after `run_s` seconds.
+
+        In quarantine only a task that began in it delays the next probe; the others tell nothing
+        that the quarantine doesn't say already.
+        """
         history = self._histories.setdefault(worker, _WorkerHistory())
         history.failed_tasks.add(task)
         if history.probe_delay_s:
+            if not self._began_in_quarantine(worker, run_s):
+                return
             self._schedule_probe(
                 history, min(history.probe_delay_s * 2, self._policy.max_probe_delay_s)
             )
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -50,3 +50,21 @@
     assert quarantine.is_quarantined(worker="w") is not is_passed
     quarantine.record_success(worker="w", run_s=run_s)
     assert quarantine.is_quarantined(worker="w") is not is_passed
+
+
+@pytest.mark.parametrize(("run_s", "wait_s"), [(2.0, 4.5), (0.0, 10.0)])
+def test_only_failures_of_probes_delay_the_next_probe(run_s, wait_s):
+    """Guards against a recovered worker that gets nothing for half a minute.
+
+    The tasks that run beside each other on a worker fail together when it does.
+    """
+    clock = ManualClock(start_s=100.0)
+    quarantine = Quarantine(clock=clock)
+    for task in "abc":
+        quarantine.record_failure(worker="w", task=task, run_s=1.0)
+    clock.advance(seconds=0.5)
+    quarantine.record_failure(worker="w", task="d", run_s=run_s)
+    clock.advance(seconds=wait_s - 0.1)
+    assert not quarantine.is_probe_due(worker="w")
+    clock.advance(seconds=0.2)
+    assert quarantine.is_probe_due(worker="w")
