Probe a stalled worker on time although each report confirms the verdict

Callers saw accepted jobs that did not run with most of the room free.

In the new test no probe is due within 20 s.

Change: a repeated verdict leaves the due probe alone; if a probe has begun since, the time to the next one doubles.

--- a/fescuerudder/quarantine.py
+++ b/fescuerudder/quarantine.py
@@ -25,12 +25,16 @@
 
 @attrs.define(kw_only=True)
 class _WorkerHistory:
-    """Consecutive failures and quarantine of one worker; a delay above 0 means quarantined."""
+    """Consecutive failures and quarantine of one worker; a delay above 0 means quarantined.
+
+    `is_probed` means that a probe has begun since the last delay was set.
+    """
 
     failed_tasks: set[str] = attrs.field(factory=set)
     probe_delay_s: float = 0.0
     quarantined_at_s: float = 0.0
     probe_at_s: float = 0.0
+    is_probed: bool = False
 
 
 class Quarantine:
@@ -64,9 +68,19 @@
             self._schedule_probe(history, self._policy.first_probe_delay_s)
 
     def add(self, *, worker: str) -> None:
-        """Quarantines a worker for another reason than failures."""
+        """Quarantines a worker for another reason than failures.
+
+        If it is quarantined already, the probe that is due stays due, unless one began meanwhile:
+        that has shown nothing better.
+        """
         history = self._histories.setdefault(worker, _WorkerHistory())
-        self._schedule_probe(history, max(history.probe_delay_s, self._policy.first_probe_delay_s))
+        if not history.probe_delay_s:
+            self._schedule_probe(history, self._policy.first_probe_delay_s)
+        elif history.is_probed:
+            history.is_probed = False
+            self._schedule_probe(
+                history, min(history.probe_delay_s * 2, self._policy.max_probe_delay_s)
+            )
 
     def record_success(self, *, worker: str, run_s: float = 0.0) -> None:
         """Records a task that finished after `run_s` seconds.
@@ -95,6 +109,7 @@
         """Records that a probe was assigned; the next one waits at least the current delay."""
         history = self._histories.get(worker)
         if history is not None:
+            history.is_probed = True
             self._schedule_probe(history, history.probe_delay_s)
 
     def _began_in_quarantine(self, worker: str, run_s: float) -> bool:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -68,3 +68,23 @@
     assert not quarantine.is_probe_due(worker="w")
     clock.advance(seconds=0.2)
     assert quarantine.is_probe_due(worker="w")
+
+
+@pytest.mark.parametrize(("is_probed", "probe_after_s"), [(False, 5.0), (True, 15.0)])
+def test_repeated_verdicts_do_not_postpone_the_probe(is_probed, probe_after_s):
+    """Guards against a stalled worker that is never probed, as each report confirms the verdict."""
+    clock = ManualClock(start_s=100.0)
+    quarantine = Quarantine(clock=clock)
+    quarantine.add(worker="w")
+    due_s = None
+    for tenth in range(200):
+        clock.advance(seconds=0.1)
+        if quarantine.is_probe_due(worker="w"):
+            if is_probed:
+                is_probed = False
+                quarantine.record_probe(worker="w")
+            else:
+                due_s = (tenth + 1) / 10
+                break
+        quarantine.add(worker="w")
+    assert due_s == pytest.approx(probe_after_s, abs=0.25)
