Start one task of a job that stands still beside an idle pool

Callers saw accepted jobs that did not run with most of the room free.

Cause: a task that ends waits until a worker is not quarantined, or is due for a probe, and best-effort tasks until a worker has headroom; only long-running tasks had a fallback. While most workers are quarantined or slow, nothing of the job runs, though the pool is idle.

Change: while at least half of a pool is not reserved, a job without a live attempt for 2 s starts one task on any worker with room.

--- a/fescuerudder/jobs/jobrun.py
+++ b/fescuerudder/jobs/jobrun.py
@@ -66,6 +66,8 @@
         evicted_for_throttle: it is evicted because it was throttled; its worker is healthy.
         from_roster: it was restored from the roster, as an attempt of an earlier leader on a worker
             that has been silent since.
+        is_last_resort: it was started on a worker that its task would otherwise not use, so it is
+            not evicted from there.
         worker_in_doubt: its worker is silent, slow or stalled, so a copy of a speculative task may
             start.
     """
@@ -87,6 +89,7 @@
     evicted: bool = False
     evicted_for_throttle: bool = False
     from_roster: bool = False
+    is_last_resort: bool = False
     worker_in_doubt: bool = False
 
 
--- a/fescuerudder/jobs/relocation.py
+++ b/fescuerudder/jobs/relocation.py
@@ -38,6 +38,8 @@
     for attempt in record.attempts.values():
         if attempt.phase is not Phase.RUNNING or attempt.evicted or attempt.worker_in_doubt:
             continue
+        if attempt.is_last_resort:
+            continue
         spec = attempt.task.step.spec
         if spec.speculative and not spec.gang:
             attempt.worker_in_doubt = True
--- a/fescuerudder/jobs/starts.py
+++ b/fescuerudder/jobs/starts.py
@@ -5,6 +5,7 @@
 import attrs
 import structlog
 
+from fescuerudder.jobs.idleroom import ANY_HEADROOM, idle_pools, stands_still
 from fescuerudder.jobs.job import Step
 from fescuerudder.jobs.jobplacement import (
     Demand,
@@ -76,6 +77,7 @@
             orders += self._start_step(step, tasks, loads, saturation, now_s)
             if step.spec.long_running:
                 orders += self._start_on_fallback_workers(step, loads, quarantined, now_s)
+        orders += self._start_beside_idle_room(waiting, [*loads, *quarantined], now_s)
         for record in held:
             state.discard_load(record)
         return orders
@@ -301,6 +303,55 @@
             self._start(task, load.record, now_s) for task, load in zip(tasks, chosen, strict=False)
         ]
 
+    def _start_beside_idle_room(
+        self, waiting: dict[StepRun, list[TaskRun]], loads: list[Load], now_s: float
+    ) -> list[StartOrder]:
+        """Starts one task of each job that nothing runs of although most of its pool is idle.
+
+        Its step finds no worker because most are quarantined, or because best-effort tasks would
+        leave too little headroom there. The task may fail or be throttled, but otherwise an
+        accepted job would not run at all.
+        """
+        idle = idle_pools(loads)
+        orders: list[StartOrder] = []
+        for step, tasks in waiting.items() if idle else ():
+            queue = self._queue(step)
+            if queue is None or queue.pool not in idle or step.spec.gang or step.spec.long_running:
+                continue
+            safe = [task for task in tasks if self.is_restart_safe(task)]
+            if safe and stands_still(step.job, now_s):
+                task = min(safe, key=lambda t: len(t.failed_attempts))
+                orders += self._start_anywhere(task, queue, loads, now_s)
+        return orders
+
+    def _start_anywhere(
+        self, task: TaskRun, queue: Queue, loads: list[Load], now_s: float
+    ) -> list[StartOrder]:
+        """Starts a task on a worker with room, quarantined or not, whatever headroom is left."""
+        step = task.step
+        eligible = self._eligible_with_permit(step, queue, loads)
+        preferred = [load for load in eligible if load.record.id not in task.avoided_workers]
+        for load in eligible:
+            load.starts_left = None
+        demand = Demand(
+            step=step.spec,
+            count=1,
+            per_worker=Counter(a.worker for t in step.tasks for a in t.attempts),
+            min_headroom=ANY_HEADROOM,
+        )
+        orders = []
+        for load in choose_workers(demand, preferred) or choose_workers(demand, eligible):
+            _log.warning(
+                "job started beside idle room",
+                job=task.id.job,
+                task=task.id[1:],
+                worker=load.record.id,
+                quarantined=not self._passes_quarantine(load.record),
+            )
+            orders.append(self._start(task, load.record, now_s))
+            task.attempts[-1].is_last_resort = True
+        return orders
+
     def _eligible_with_permit(self, step: StepRun, queue: Queue, loads: list[Load]) -> list[Load]:
         """Returns the workers that a step may use, with a permit if its queue requires one."""
         advice = self._state.advice
