--- a/fescuerudder/jobs/starts.py
+++ b/fescuerudder/jobs/starts.py
@@ -5,6 +5,7 @@
 import attrs
 import structlog
 
+from fescuerudder.jobs.attemptstarter import AttemptStarter
 from fescuerudder.jobs.idleroom import ANY_HEADROOM, idle_pools, stands_still
 from fescuerudder.jobs.job import Step
 from fescuerudder.jobs.jobplacement import (
@@ -13,7 +14,7 @@
     choose_workers,
     rank_workers,
 )
-from fescuerudder.jobs.jobrun import Attempt, JobRun, Phase, StepRun, TaskRun
+from fescuerudder.jobs.jobrun import JobRun, StepRun, TaskRun
 from fescuerudder.jobs.leases import LeasePolicy
 from fescuerudder.jobs.load import Load
 from fescuerudder.jobs.manifest import AdvicePolicy, Queue
@@ -42,6 +43,7 @@
     def __init__(self, *, state: SchedulerState, leases: LeasePolicy) -> None:
         self._state = state
         self._leases = leases
+        self._starter = AttemptStarter(state=state, leases=leases)
         self._margin_control = MarginControl()
 
     @property
@@ -117,7 +119,7 @@
                 usable = [load for load in eligible if load.record.id not in avoided]
                 chosen = choose_workers(attrs.evolve(demand, count=len(group)), usable)
                 orders += [
-                    self._start(task, load.record, now_s)
+                    self._starter.start(task, load.record, now_s)
                     for task, load in zip(group, chosen, strict=False)
                 ]
         return orders
@@ -242,7 +244,7 @@
             if len(chosen) < len(group) and not avoided and _has_free_choice(step.spec, queue):
                 saturation.add(queue.pool, demand)
             orders += [
-                self._start(task, load.record, now_s)
+                self._starter.start(task, load.record, now_s)
                 for task, load in zip(group, chosen, strict=False)
             ]
         return orders
@@ -300,7 +302,8 @@
             load.starts_left = None
         chosen += choose_workers(attrs.evolve(demand, count=len(tasks) - len(chosen)), others)
         return [
-            self._start(task, load.record, now_s) for task, load in zip(tasks, chosen, strict=False)
+            self._starter.start(task, load.record, now_s)
+            for task, load in zip(tasks, chosen, strict=False)
         ]
 
     def _start_beside_idle_room(
@@ -348,7 +351,7 @@
                 worker=load.record.id,
                 quarantined=not self._passes_quarantine(load.record),
             )
-            orders.append(self._start(task, load.record, now_s))
+            orders.append(self._starter.start(task, load.record, now_s))
             task.attempts[-1].is_last_resort = True
         return orders
 
@@ -384,53 +387,12 @@
         chosen = _choose_gang(demand, eligible)
         if len(chosen) < len(tasks):
             return []
-        number = max(self._next_number(task) for task in tasks)
+        number = max(self._starter.next_number(task) for task in tasks)
         return [
-            self._start(task, load.record, now_s, number=number)
+            self._starter.start(task, load.record, now_s, number=number)
             for task, load in zip(tasks, chosen, strict=True)
         ]
 
-    def _next_number(self, task: TaskRun) -> int:
-        return max(task.last_number + 1, self._state.term.first_attempt)
-
-    def _start(
-        self, task: TaskRun, record: WorkerRecord, now_s: float, *, number: int = 0
-    ) -> StartOrder:
-        attempt = Attempt(
-            task=task,
-            worker=record.id,
-            number=number or self._next_number(task),
-            phase=Phase.STARTING,
-            token=record.token,
-            sent_s=now_s,
-            checkpoint=task.checkpoint,
-        )
-        self._state.add_attempt(attempt)
-        self._state.health.record_start(record.id)
-        run = task.step.job
-        _log.info(
-            "start ordered",
-            job=task.id.job,
-            task=task.id[1:],
-            attempt=attempt.number,
-            worker=record.id,
-            token=attempt.token,
-            checkpoint=task.checkpoint,
-        )
-        return StartOrder(
-            worker=record.id,
-            address=record.info.address,
-            task=task.id,
-            attempt=attempt.number,
-            payload=run.job.payload,
-            lease_until_ms=record.extend_lease_ms(
-                now_s=now_s, lease_s=self._leases.length_s(now_s)
-            ),
-            token=record.token,
-            checkpoint=task.checkpoint,
-            permit=self._state.advice.permit(task.step.id, record),
-        )
-
 
 def _image_demands(waiting: dict[StepRun, list[TaskRun]]) -> dict[str, float]:
     """Returns the processors that the waiting tasks of each latency-critical image reserve."""
