--- a/tests/jobs/test_waitreasons.py
+++ b/tests/jobs/test_waitreasons.py
@@ -15,6 +15,10 @@
 
 
 def quarantine_workers(sim):
+    """Quarantines all workers; more than half of their room is in use."""
+    sim.run_s = 60.0
+    sim.submit("00000000000000bb", steps=steps(7))
+    sim.run(1)
     health = sim.leaders[-1].scheduler.state.health
     for name in sim.workers:
         for number in range(3):
