Give up a task that crashes the workers that start it

Callers saw one job crash worker after worker, and the jobs beside it restart again and again.

Cause: an attempt that ended with its worker was requeued without a trace, so its task started at once on the next worker, without a limit.

Change: when a worker has restarted, or another one answers at its address, the attempts that began last are suspected. From the second crash on a task starts alone on its worker. After three crashes, or two that nothing else can have caused, its job fails. The suspicions are stored with the job's progress; a task that has run for 10 s is cleared. Suspected tasks get no copies.

--- a/bench/_jobsimulation.py
+++ b/bench/_jobsimulation.py
@@ -6,6 +6,8 @@
 import random
 from concurrent.futures import Executor, Future
 
+import attrs
+
 from fescuerudder.clock import ManualClock
 from fescuerudder.document import Size
 from fescuerudder.errors import StoreOutcomeUnknownError, StoreUnavailableError
@@ -253,6 +255,9 @@
         self.copies_allowed = False
         self.stale_entries: dict[str, tuple[WorkerInfo, float]] = {}
         self.advice = FakeAdvice(now_s=self.clock.now_s)
+        self.crash_delay_s = lambda task: None
+        self.restart_delay_s = 3.0
+        self.keeps_id = True
 
     def add_worker(self, number: int, capacity: float) -> JobWorker:
         info = WorkerInfo(
@@ -303,6 +308,29 @@
         worker.crash()
         worker.restart()
 
+    def _crash_workers(self) -> None:
+        """Crashes the workers on which a task has run for its crash delay; they restart later."""
+        now_s = self.clock.now_s()
+        for name, worker in list(self.workers.items()):
+            delays = [(self.crash_delay_s(run.task), run) for run in worker.runs.values()]
+            if any(d is not None and now_s - run.started_s >= d - 1e-9 for d, run in delays):
+                worker.crash()
+                self._at(
+                    now_s + self.restart_delay_s, lambda name=name: self._restart_crashed(name)
+                )
+
+    def _restart_crashed(self, name: str) -> None:
+        worker = self.workers[name]
+        if worker.is_up or self.keeps_id:
+            worker.restart()
+            return
+        number = len(self.workers)
+        successor = self.add_worker(number, worker.info.capacity.processors)
+        successor.info = attrs.evolve(
+            successor.info, address=worker.info.address, zone=worker.info.zone
+        )
+        self.replaced[name] = successor.info.id
+
     def submit(self, job_id="00000000000000aa", *, steps=None, queue_name="q", **fields) -> Job:
         steps = steps or (Step(count=2, size=Size(processors=1.0, memory_mb=10)),)
         job = Job(id=job_id, queue=queue_name, payload="p", steps=tuple(steps), **fields)
@@ -433,6 +461,7 @@
                 heapq.heappop(self._pending_calls)[2]()
             for worker in self.workers.values():
                 worker.tick()
+            self._crash_workers()
             for leader in self.leaders:
                 leader.tick()
             self.check()
--- a/fescuerudder/jobs/attemptstarter.py
+++ b/fescuerudder/jobs/attemptstarter.py
@@ -2,6 +2,7 @@
 
 import structlog
 
+from fescuerudder.jobs.crashes import RECENT_START_S, is_on_probation
 from fescuerudder.jobs.jobrun import Attempt, Phase, TaskRun
 from fescuerudder.jobs.leases import LeasePolicy
 from fescuerudder.jobs.schedulerstate import SchedulerState
@@ -48,6 +49,9 @@
             checkpoint=task.checkpoint,
         )
         self._state.add_attempt(attempt)
+        if is_on_probation(task):
+            record.probation_until_s = now_s + RECENT_START_S
+            self._state.load_of(record, now_s=now_s).starts_left = 0
         self._state.health.record_start(record.id)
         run = task.step.job
         _log.info(
--- /dev/null
+++ b/fescuerudder/jobs/crashes.py
@@ -0,0 +1,100 @@
+"""Which tasks crash the workers that start them, and when such a task is given up.
+
+A worker that crashes takes all its attempts with it, so one crash doesn't tell which of them caused
+it. Those that began last are suspected. A task that is suspected twice starts alone: nothing else
+starts on its worker for a while, so that a further crash tells.
+"""
+
+from collections.abc import Iterable
+
+import structlog
+
+from fescuerudder.jobs.jobrun import Attempt, TaskRun
+from fescuerudder.jobs.schedulerstate import SchedulerState
+
+RECENT_START_S = 1.5
+"""Age up to which an attempt is suspected first when its worker crashes, and time for which nothing
+else starts beside a task on probation."""
+
+EXONERATED_AFTER_S = 10.0
+"""Run time after which a task is not the cause of a crash of its worker."""
+
+CORRELATED_S = 1.0
+"""Time between the losses of two workers up to which they may have a common cause, as power."""
+
+CRASHES_TO_PROBATION = 2
+"""Number of crashes from which a suspected task starts alone."""
+
+MIN_CRASHES_ALONE = 2
+"""Number of crashes after which a task is given up if it was the only suspect of the last one, and
+no other worker was lost at that time."""
+
+MAX_CRASHES = 3
+"""Number of crashes after which a suspected task is given up in any case."""
+
+_log = structlog.get_logger(__name__)
+
+
+def record_crash(
+    state: SchedulerState, worker: str, attempts: Iterable[Attempt], *, lost_contact_s: float
+) -> None:
+    """Records that a worker has crashed; gives up the tasks that have crashed enough of them.
+
+    Args:
+        state: state of the term.
+        worker: id of the worker.
+        attempts: attempts that ended with it.
+        lost_contact_s: when the leader lost contact with it.
+    """
+    suspects = find_suspects(attempts, lost_contact_s=lost_contact_s)
+    is_alone = len(suspects) == 1 and not state.lost_contact_with_others(
+        worker, at_s=lost_contact_s, within_s=CORRELATED_S
+    )
+    _log.warning(
+        "worker crashed",
+        worker=worker,
+        suspects=[(a.task.id.job, *a.task.id[1:], a.number) for a in suspects],
+    )
+    for attempt in suspects:
+        task, run = attempt.task, attempt.task.step.job
+        if attempt.number in task.crashed_attempts or task.done or run.state.is_final:
+            continue
+        task.crashed_attempts.append(attempt.number)
+        state.mark_dirty(run)
+        if _is_convicted(task, is_alone=is_alone):
+            run.give_up()
+            _log.warning(
+                "job given up",
+                job=task.id.job,
+                task=task.id[1:],
+                crashed_attempts=task.crashed_attempts,
+            )
+
+
+def is_on_probation(task: TaskRun) -> bool:
+    """Returns whether a task must start alone."""
+    return len(task.crashed_attempts) >= CRASHES_TO_PROBATION
+
+
+def find_suspects(attempts: Iterable[Attempt], *, lost_contact_s: float) -> list[Attempt]:
+    """Returns the attempts that may have crashed their worker: those that began last."""
+    young = [a for a in attempts if lost_contact_s - a.sent_s < EXONERATED_AFTER_S]
+    recent = [a for a in young if not a.adopted and lost_contact_s - a.sent_s <= RECENT_START_S]
+    return recent or young
+
+
+def exonerate(state: SchedulerState, attempt: Attempt, now_s: float) -> None:
+    """Drops the suspicion against a task whose attempt has run for EXONERATED_AFTER_S."""
+    task = attempt.task
+    if (
+        task.crashed_attempts
+        and attempt.confirmed_s is not None
+        and now_s - attempt.confirmed_s >= EXONERATED_AFTER_S
+    ):
+        task.crashed_attempts.clear()
+        state.mark_dirty(task.step.job)
+
+
+def _is_convicted(task: TaskRun, *, is_alone: bool) -> bool:
+    crashes = len(task.crashed_attempts)
+    return crashes >= MAX_CRASHES or (is_alone and crashes >= MIN_CRASHES_ALONE)
--- a/fescuerudder/jobs/jobrun.py
+++ b/fescuerudder/jobs/jobrun.py
@@ -64,6 +64,7 @@
         stop_sent_s: when a stop was last sent, None if none was.
         evicted: it is to be stopped so that its task can start elsewhere.
         evicted_for_throttle: it is evicted because it was throttled; its worker is healthy.
+        adopted: an earlier leader started it, so `sent_s` is not when it began.
         from_roster: it was restored from the roster, as an attempt of an earlier leader on a worker
             that has been silent since.
         is_last_resort: it was started on a worker that its task would otherwise not use, so it is
@@ -88,6 +89,7 @@
     stop_sent_s: float | None = None
     evicted: bool = False
     evicted_for_throttle: bool = False
+    adopted: bool = False
     from_roster: bool = False
     is_last_resort: bool = False
     worker_in_doubt: bool = False
@@ -103,6 +105,7 @@
         done: an attempt has completed the task.
         failed_attempts: numbers of the attempts that failed. Each counts once, though a worker may
             report an end twice.
+        crashed_attempts: numbers of the attempts that are suspected to have crashed their worker.
         checkpoint: state to resume from, or empty.
         last_number: highest attempt number used so far.
         attempts: live attempts; more than one only for speculative steps.
@@ -121,6 +124,7 @@
     step: "StepRun"
     done: bool = False
     failed_attempts: list[int] = attrs.Factory(list)
+    crashed_attempts: list[int] = attrs.Factory(list)
     checkpoint: str = ""
     last_number: int = 0
     attempts: list[Attempt] = attrs.Factory(list)
@@ -141,7 +145,8 @@
     def is_startable(self) -> bool:
         """Whether an attempt may be started: the task is not done and has no live attempt.
 
-        A copy of a speculative task may also run beside an attempt whose worker is in doubt.
+        A copy of a speculative task may also run beside an attempt whose worker is in doubt, unless
+        the task is suspected to crash its workers.
         """
         if self.done or not self.attempts:
             return not self.done
@@ -149,6 +154,7 @@
         return (
             self.step.spec.speculative
             and not is_copied
+            and not self.crashed_attempts
             and all(a.worker_in_doubt for a in self.attempts)
         )
 
@@ -308,6 +314,12 @@
         if len({number for member in members for number in member.failed_attempts}) >= max_failures:
             self.state = JobState.FAILED
 
+    def give_up(self) -> None:
+        """Fails the job because one of its tasks crashes the workers that start it."""
+        if not self.state.is_final:
+            self.state = JobState.FAILED
+            self.dirty = True
+
     def cancel(self) -> None:
         """Cancels the job at a caller's request; a job that has ended stays as it is."""
         if self.state.is_final:
--- a/fescuerudder/jobs/progress.py
+++ b/fescuerudder/jobs/progress.py
@@ -35,7 +35,7 @@
 
 
 def dump_progress(run: JobRun) -> bytes:
-    """Returns serialized progress: state, and each step's done tasks, failures, checkpoints."""
+    """Returns serialized progress: the state, and what is known of each step's tasks."""
     raw: dict[str, Any] = {"state": run.state.value}
     if not run.state.is_final:
         steps = {f"{o}.{n}": _dump_step(step) for (o, n), step in run.steps.items()}
@@ -78,19 +78,29 @@
     failed = {
         str(t.id.index): t.failed_attempts for t in step.tasks if t.failed_attempts and not t.done
     }
+    crashed = {
+        str(t.id.index): t.crashed_attempts for t in step.tasks if t.crashed_attempts and not t.done
+    }
     saved = {str(t.id.index): t.checkpoint for t in step.tasks if t.checkpoint and not t.done}
-    raw = {"done": f"{done:x}" if done else "", "failed": failed, "checkpoints": saved}
+    raw = {
+        "done": f"{done:x}" if done else "",
+        "failed": failed,
+        "crashed": crashed,
+        "checkpoints": saved,
+    }
     return {name: value for name, value in raw.items() if value}
 
 
 def _restore_step(step: StepRun, raw: dict[str, Any]) -> None:
     done = int(raw.get("done") or "0", 16)
     failed, saved = raw.get("failed", {}), raw.get("checkpoints", {})
+    crashed = raw.get("crashed", {})
     for task in step.tasks:
         index = str(task.id.index)
         task.done = bool(done >> task.id.index & 1)
         step.job.done_work += step.spec.work if task.done else 0.0
         task.failed_attempts = [int(number) for number in failed.get(index, ())]
+        task.crashed_attempts = [int(number) for number in crashed.get(index, ())]
         task.checkpoint = str(saved.get(index, ""))
 
 
--- a/fescuerudder/jobs/reports.py
+++ b/fescuerudder/jobs/reports.py
@@ -3,6 +3,7 @@
 import attrs
 import structlog
 
+from fescuerudder.jobs.crashes import exonerate, record_crash
 from fescuerudder.jobs.jobrun import FULL_SPEED, Attempt, Phase, TaskRun
 from fescuerudder.jobs.schedulerstate import SchedulerState
 from fescuerudder.jobs.workerhealth import QUICK_FAILURE_S
@@ -54,6 +55,7 @@
                 record, incarnation_ms=report.incarnation_ms, clock_ms=report.clock_ms, now_s=now_s
             )
         is_newest = record.update_from_report(report, now_s=now_s)
+        record.take_lapsed()
         if record.is_restricted:
             # It gets tasks once the stored roster no longer restricts it.
             record.is_restricted, self._state.roster_changed = False, True
@@ -89,7 +91,11 @@
         _log.info(
             "worker born again", worker=record.id, born_ms=incarnation_ms, ran=len(record.attempts)
         )
-        for attempt in record.begin_incarnation(info, now_s=now_s):
+        lost_contact_s = record.lost_contact_s or now_s
+        lapsed = record.take_lapsed()
+        lost = record.begin_incarnation(info, now_s=now_s)
+        record_crash(self._state, record.id, [*lost, *lapsed], lost_contact_s=lost_contact_s)
+        for attempt in lost:
             if not attempt.reported:
                 attempt.phase = Phase.UNCERTAIN
                 record.attempts[(attempt.task.id, attempt.number)] = attempt
@@ -196,6 +202,7 @@
         self._state.mark_begun(attempt.task.step.job)
         attempt.checkpoint = row.checkpoint or attempt.checkpoint
         attempt.percent = row.percent
+        exonerate(self._state, attempt, now_s)
         attempt.latency_ms = row.latency_ms
         attempt.processors = row.processors
         if attempt.throttle == FULL_SPEED:
@@ -223,6 +230,7 @@
             sent_s=now_s,
             confirmed_s=now_s,
             throttle=None,
+            adopted=True,
         )
         self._state.add_attempt(attempt)
         _log.info(
--- a/fescuerudder/jobs/scheduler.py
+++ b/fescuerudder/jobs/scheduler.py
@@ -8,6 +8,7 @@
 from fescuerudder.clock import Clock
 from fescuerudder.jobs.adviceport import Advice, AdviceQuery
 from fescuerudder.jobs.answerloss import AnswerLoss
+from fescuerudder.jobs.crashes import record_crash
 from fescuerudder.jobs.job import TaskId
 from fescuerudder.jobs.jobrun import FULL_SPEED, Attempt, JobRun, JobState, Phase
 from fescuerudder.jobs.leases import LeasePolicy
@@ -178,6 +179,7 @@
         self._roster.count_unanswered_renewal(record)
         if record.silent_since_s is None:
             record.silent_since_s = sent_s
+            self.state.record_lost_contact(record)
             for attempt in record.attempts.values():
                 attempt.worker_in_doubt = True
             _log.warning(
@@ -197,6 +199,10 @@
         record.gone = record.resolved = True
         record.may_run_unknown = False
         record.orphans = set()
+        lost = [*record.attempts.values(), *record.take_lapsed()]
+        if not record.info.draining:
+            lost_contact_s = record.lost_contact_s or self._clock.now_s()
+            record_crash(self.state, worker, lost, lost_contact_s=lost_contact_s)
         for attempt in list(record.attempts.values()):
             self.state.requeue(attempt, checkpoint=attempt.checkpoint, reason="worker gone")
         if not record.listed:
@@ -381,6 +387,7 @@
             record.orphans = set()
             for attempt in list(record.attempts.values()):
                 if attempt.phase is not Phase.STARTING:
+                    record.lapsed.append(attempt)
                     self.state.requeue(
                         attempt, checkpoint=attempt.checkpoint, reason="lease ended unseen"
                     )
--- a/fescuerudder/jobs/schedulerstate.py
+++ b/fescuerudder/jobs/schedulerstate.py
@@ -20,6 +20,9 @@
 TOKENS_PER_EPOCH = 1_000_000
 """Number of fencing tokens in one epoch; a leader raises a worker's token within this range."""
 
+LOST_CONTACT_AGE_S = 60.0
+"""Time for which the loss of a worker is remembered."""
+
 MAX_LOAD_AGE_S = 0.25
 """Age up to which the cached load of a worker is reused."""
 
@@ -97,6 +100,7 @@
     knowledge: Knowledge = attrs.Factory(Knowledge)
     health: WorkerHealth = attrs.field(init=False)
     _loads: dict[str, Load] = attrs.Factory(dict)
+    _lost_contacts: list[tuple[float, str]] = attrs.Factory(list)
 
     def __attrs_post_init__(self) -> None:
         self.advice = AdviceCache(clock=self.clock)
@@ -192,6 +196,22 @@
         """Returns the start time of the current incarnation of each worker, by worker id."""
         return {record.id: record.info.incarnation_ms for record in self.workers.values()}
 
+    def record_lost_contact(self, record: WorkerRecord) -> None:
+        """Records that a worker that answered before does so no more."""
+        now_s = self.clock.now_s()
+        record.lost_contact_s = now_s
+        self._lost_contacts = [
+            (at_s, name) for at_s, name in self._lost_contacts if now_s - at_s < LOST_CONTACT_AGE_S
+        ]
+        self._lost_contacts.append((now_s, record.id))
+
+    def lost_contact_with_others(self, worker: str, *, at_s: float, within_s: float) -> bool:
+        """Returns whether contact with another worker was lost at about the same time."""
+        return any(
+            name != worker and abs(lost_s - at_s) <= within_s
+            for lost_s, name in self._lost_contacts
+        )
+
     def unresolved_workers(self) -> list[WorkerRecord]:
         """Returns the workers on which unknown attempts of earlier leaders may run."""
         return [record for record in self.workers.values() if record.may_run_unknown]
--- a/fescuerudder/jobs/starts.py
+++ b/fescuerudder/jobs/starts.py
@@ -6,6 +6,7 @@
 import structlog
 
 from fescuerudder.jobs.attemptstarter import AttemptStarter
+from fescuerudder.jobs.crashes import is_on_probation
 from fescuerudder.jobs.idleroom import ANY_HEADROOM, idle_pools, stands_still
 from fescuerudder.jobs.job import Step
 from fescuerudder.jobs.jobplacement import (
@@ -115,7 +116,7 @@
                 continue
             demand = self._demand(step, len(ended), queue, now_s)
             eligible = self._eligible_with_permit(step, queue, loads)
-            for avoided, group in _group_by_avoided(ended).items():
+            for avoided, group in _group_by_avoided(ended):
                 usable = [load for load in eligible if load.record.id not in avoided]
                 chosen = choose_workers(attrs.evolve(demand, count=len(group)), usable)
                 orders += [
@@ -205,7 +206,7 @@
             and not record.info.draining
             and not record.is_silent
             and record.info.zone not in self._state.zones_out
-            and now_s >= record.no_starts_until_s
+            and now_s >= max(record.no_starts_until_s, record.probation_until_s)
         )
 
     def _queue(self, step: StepRun) -> Queue | None:
@@ -236,7 +237,7 @@
         if step.spec.gang:
             return self._start_gang(step, tasks, eligible, demand, now_s)
         orders: list[StartOrder] = []
-        for avoided, group in _group_by_avoided(tasks).items():
+        for avoided, group in _group_by_avoided(tasks):
             # A task that failed everywhere may try again anywhere.
             loads = [load for load in eligible if load.record.id not in avoided] or eligible
             choice = choose_for_long_running if step.spec.long_running else choose_workers
@@ -414,13 +415,20 @@
     return (-demands[spec.image], spec.image, spec.max_per_worker or spec.count)
 
 
-def _group_by_avoided(tasks: list[TaskRun]) -> dict[frozenset[str], list[TaskRun]]:
-    """Groups tasks by the workers to avoid: those they run on already, and those they failed on."""
+def _group_by_avoided(tasks: list[TaskRun]) -> list[tuple[frozenset[str], list[TaskRun]]]:
+    """Groups tasks by the workers to avoid: those they run on already, and those they failed on.
+
+    Tasks on probation are alone, so that each gets a worker of its own.
+    """
+    alone = []
     groups: dict[frozenset[str], list[TaskRun]] = {}
     for task in tasks:
         avoided = frozenset(task.avoided_workers | {attempt.worker for attempt in task.attempts})
-        groups.setdefault(avoided, []).append(task)
-    return groups
+        if is_on_probation(task):
+            alone.append((avoided, [task]))
+        else:
+            groups.setdefault(avoided, []).append(task)
+    return [*groups.items(), *alone]
 
 
 def _has_free_choice(step: Step, queue: Queue) -> bool:
--- a/fescuerudder/jobs/workerrecord.py
+++ b/fescuerudder/jobs/workerrecord.py
@@ -76,6 +76,12 @@
         acknowledged_serial: highest serial that was acknowledged.
         silent_since_s: when the first of the latest unanswered renewals was sent, None if the
             last renewal was answered.
+        lost_contact_s: when the first of the latest unanswered renewals ended without an answer,
+            None if the last renewal was answered.
+        lapsed: attempts whose leases ended while the worker was silent; whether it had crashed is
+            known once it answers again or another worker answers at its address.
+        probation_until_s: time before which nothing is started there, beside a task that is
+            suspected to crash its workers.
         report_clock_ms: the worker's clock in the latest report.
         report_s: when the latest report arrived.
         renewals_in_flight: number of renewals that were sent and have not ended.
@@ -106,6 +112,9 @@
     stored_serial: int = 0
     acknowledged_serial: int = 0
     silent_since_s: float | None = None
+    lost_contact_s: float | None = None
+    lapsed: list[Attempt] = attrs.Factory(list)
+    probation_until_s: float = 0.0
     report_clock_ms: float = -1.0
     report_s: float | None = None
     renewals_in_flight: int = 0
@@ -167,9 +176,14 @@
         """Returns whether the outcome of any start is unknown."""
         return any(a.phase is Phase.UNCERTAIN for a in self.attempts.values())
 
+    def take_lapsed(self) -> list[Attempt]:
+        """Returns the attempts whose leases ended while the worker was silent, and forgets them."""
+        lapsed, self.lapsed = self.lapsed, []
+        return lapsed
+
     def update_from_report(self, report: Report, *, now_s: float) -> bool:
         """Updates clock and contact from a report; returns whether it is the newest so far."""
-        self.silent_since_s = None
+        self.silent_since_s = self.lost_contact_s = None
         self.unanswered_renewals = 0
         self.clock.update(reading_ms=report.clock_ms, now_s=now_s)
         if report.clock_ms < self.report_clock_ms:
@@ -189,7 +203,7 @@
         self.seen_serial = self.stored_serial = self.acknowledged_serial = 0
         self.report_clock_ms = -1.0
         self.report_s = None
-        self.silent_since_s = None
+        self.silent_since_s = self.lost_contact_s = None
         self.unanswered_renewals = 0
         self.resolved = False
         self.on_roster = self.is_restricted = False
