Permit holder: racks without owner are a module of their own

`unownedracks` now contains which racks have no reachable owner, when their workers were probed and which of them serve a request. The permit holder keeps permits, queues and the exchange with owners, and reads in terms of one call per event instead of the fields of that state. Behaviour is unchanged.

Tests run: tests/test_permits.py, test_leaving.py, test_routing.py, test_soak.py and test_map.py, 92 passed.

--- a/fescuerudder/permitholder.py
+++ b/fescuerudder/permitholder.py
@@ -9,23 +9,17 @@
 
 from fescuerudder.clock import Clock
 from fescuerudder.errors import PeerError
-from fescuerudder.messages import (
-    PermitAsk,
-    PermitReply,
-    SlotPermit,
-)
+from fescuerudder.messages import PermitAsk, PermitReply, SlotPermit
 from fescuerudder.permits import (
     DEMAND_HOLD_S,
     MAX_WANTED,
     PERMIT_IDLE_S,
     PERMIT_RENEW_S,
     PERMIT_RETRY_S,
-    PROBE_S,
-    UNOWNED_ASK_S,
     UNOWNED_SERIAL,
-    UPSTREAM_FRESH_S,
 )
 from fescuerudder.routes import RackRoute, WorkerRoute
+from fescuerudder.unownedracks import UnownedRacks
 from fescuerudder.waitqueue import Waiter, WaitQueue
 
 _log = structlog.get_logger(__name__)
@@ -62,16 +56,6 @@
         return 0.0 if now < self.demanded_until_s else PERMIT_IDLE_S
 
 
-@attrs.define(kw_only=True)
-class _Unowned:
-    """State of a rack without a reachable owner."""
-
-    ask_s: float
-    probed_s: dict[str, float] = attrs.field(factory=dict)
-    probing: bool = False
-    probe_due_s: float = float("-inf")
-
-
 def _call_inline(work: Callable[[], None]) -> None:
     work()
 
@@ -113,8 +97,7 @@
         self._pools: dict[tuple[str, str], _Pool] = {}
         self._queues: dict[str, WaitQueue] = {}
         self._busy: dict[tuple[str, int], tuple[_Pool, _Held]] = {}
-        self._unowned: dict[str, _Unowned] = {}
-        self._unowned_busy: dict[str, tuple[str, str]] = {}
+        self._unowned = UnownedRacks(rng=rng)
         self._avoid: dict[str, float] = {}
         self._lock = threading.RLock()
 
@@ -122,7 +105,7 @@
         """Replaces the known racks."""
         with self._lock:
             self._racks = {item.rack: item for item in racks}
-            self._unowned = {k: v for k, v in self._unowned.items() if k in self._racks}
+            self._unowned.retain(self._racks)
         self.wake.set()
 
     def acquire(
@@ -151,7 +134,7 @@
             if not ok:
                 self._avoid[permit.worker] = self._clock.now_s() + PERMIT_RENEW_S
             if permit.serial == UNOWNED_SERIAL:
-                self._unowned_busy.pop(permit.worker, None)
+                self._unowned.release(permit.worker)
                 self._on_drop(permit)
             else:
                 self._release_held(permit, ok)
@@ -206,7 +189,8 @@
             due = [pool for pool in self._pools.values() if self._is_due(pool, now)]
             for pool in due:
                 pool.in_flight = True
-            probes = self._plan_probes(now)
+            waiting = [name for name, queue in self._queues.items() if len(queue)]
+            probes = self._unowned.start_probes(self._racks, waiting, now)
         for pool in due:
             self._run(lambda pool=pool: self._exchange(pool))
         for route in probes:
@@ -273,7 +257,11 @@
                 pool.asking = 0
         if wanted <= 0:
             return
-        routes = [r for r in self._racks.values() if r.runs(service) and not self._is_cut(r, now)]
+        routes = [
+            route
+            for route in self._racks.values()
+            if route.runs(service) and not self._unowned.is_ask_deferred(route.rack, now)
+        ]
         near = [r for r in routes if r.near]
         far = [r for r in routes if not r.near]
         open_near = self._open(near, service, now)
@@ -298,10 +286,6 @@
             if not pools[route.rack].in_flight and pools[route.rack].dry_until_s <= now
         ]
 
-    def _is_cut(self, route: RackRoute, now: float) -> bool:
-        state = self._unowned.get(route.rack)
-        return state is not None and state.ask_s > now
-
     def _pool(self, rack: str, service: str) -> _Pool:
         return self._pools.setdefault((rack, service), _Pool(rack=rack, service=service))
 
@@ -310,18 +294,13 @@
             return False
         if pool.asking:
             return True
-        route = self._racks.get(pool.rack)
-        if route is not None and self._is_cut(route, now):
+        if pool.rack in self._racks and self._unowned.is_ask_deferred(pool.rack, now):
             return False
-        if pool.returning or self._unowned_of(pool) != pool.told_unowned:
+        in_use = self._unowned.workers_in_use(pool.rack, pool.service)
+        if pool.returning or in_use != pool.told_unowned:
             return True
         return bool(pool.held) and now - pool.asked_s >= PERMIT_RENEW_S
 
-    def _unowned_of(self, pool: _Pool) -> tuple[str, ...]:
-        """Returns the workers with a request of the pool in progress without a permit."""
-        place = (pool.rack, pool.service)
-        return tuple(sorted(w for w, used in self._unowned_busy.items() if used == place))
-
     def _exchange(self, pool: _Pool) -> None:
         """Sends one ask and applies its answer."""
         with self._lock:
@@ -357,19 +336,18 @@
             held=tuple(held.permit for held in in_use_first),
             returned=tuple(pool.returning),
             avoid=tuple(sorted(self._avoid)),
-            unowned=self._unowned_of(pool),
+            unowned=self._unowned.workers_in_use(pool.rack, pool.service),
         )
 
     def _apply(self, pool: _Pool, ask: PermitAsk, reply: PermitReply, sent_s: float) -> None:
         now = self._clock.now_s()
         self._expire(pool, now)
         if not reply.is_owner:
-            state = self._unowned.setdefault(pool.rack, _Unowned(ask_s=now))
-            state.ask_s = now + UNOWNED_ASK_S
+            self._unowned.mark_unowned(pool.rack, now)
             if pool.rack in self._racks:
                 pool.returning.extend(ask.returned)
             return
-        self._unowned.pop(pool.rack, None)
+        self._unowned.mark_owned(pool.rack)
         pool.told_unowned = ask.unowned
         asked = {permit.serial for permit in ask.held}
         listed = {permit.serial for permit in reply.permits}
@@ -418,7 +396,7 @@
             if not held.busy and held.ends_s > now and held.permit.worker not in waiter.avoid
         ]
         if not idle:
-            return self._take_unowned(service, waiter, now)
+            return self._acquire_unowned(service, waiter, now)
         # The most recently used permit first, so that surplus ones become idle and return.
         pool, held = max(idle, key=lambda item: (self._is_near(item[0]), item[1].idle_since_s))
         held.busy = True
@@ -429,49 +407,14 @@
         route = self._racks.get(pool.rack)
         return route is not None and route.near
 
-    def _take_unowned(self, service: str, waiter: Waiter, now: float) -> SlotPermit | None:
+    def _acquire_unowned(self, service: str, waiter: Waiter, now: float) -> SlotPermit | None:
+        """Returns a substitute on a worker of which this instance holds no permit, or None."""
         with_permits = {
             held.permit.worker for pool in self._pools.values() for held in pool.held.values()
         }
         with_permits |= {held.permit.worker for _, held in self._busy.values()}
-        choices = [
-            (route, item)
-            for route in sorted(self._racks.values(), key=lambda route: not route.near)
-            if route.rack in self._unowned
-            for item in route.workers
-            if service in item.services
-            and item.worker not in self._unowned_busy.keys() | with_permits | waiter.avoid
-            and self._is_probed(route.rack, item.worker, now)
-        ]
-        near = [choice for choice in choices if choice[0].near]
-        if not choices:
-            return None
-        route, item = self._rng.choice(near or choices)
-        self._unowned_busy[item.worker] = (route.rack, service)
-        return SlotPermit(
-            rack=route.rack,
-            worker=item.worker,
-            data=item.data,
-            slot=UNOWNED_SERIAL,
-            serial=UNOWNED_SERIAL,
-            ttl_s=self._unowned[route.rack].probed_s[item.worker] + UPSTREAM_FRESH_S - now,
-        )
-
-    def _is_probed(self, rack: str, worker: str, now: float) -> bool:
-        probed_s = self._unowned[rack].probed_s.get(worker, float("-inf"))
-        return now - probed_s <= UPSTREAM_FRESH_S
-
-    def _plan_probes(self, now: float) -> list[RackRoute]:
-        due = []
-        for rack, state in self._unowned.items():
-            route = self._racks.get(rack)
-            if route is None or state.probing or state.probe_due_s > now:
-                continue
-            if any(len(q) and route.runs(name) for name, q in self._queues.items()):
-                state.probing = True
-                state.probe_due_s = now + PROBE_S
-                due.append(route)
-        return due
+        excluded = with_permits | waiter.avoid
+        return self._unowned.acquire(service, self._racks.values(), excluded, now)
 
     def _probe_rack(self, route: RackRoute) -> None:
         try:
@@ -479,18 +422,13 @@
                 self._probe_worker(route.rack, item)
         finally:
             with self._lock:
-                if route.rack in self._unowned:
-                    self._unowned[route.rack].probing = False
+                self._unowned.end_probe(route.rack)
 
     def _probe_worker(self, rack: str, item: WorkerRoute) -> None:
         sent_s = self._clock.now_s()
         usable = self._probe(item)
         with self._lock:
-            state = self._unowned.get(rack)
-            if state is None:
+            if not self._unowned.note_probe(rack, item, usable=usable, sent_s=sent_s):
                 return
-            state.probed_s.pop(item.worker, None)
-            if usable:
-                state.probed_s[item.worker] = sent_s
             for service in self._queues:
                 self._dispatch(service)
