Entry instance: messages of peers are a module of their own

`peermessages` contains how an instance sends notices and what a message of a peer causes in it. `entry` keeps the assembly of the services, which was hard to see among the handlers. Behaviour is unchanged.

Tests run: tests/test_entry.py, test_dist.py, test_peers.py and test_map.py, 22 passed.

--- a/fescuerudder/entry.py
+++ b/fescuerudder/entry.py
@@ -23,26 +23,14 @@
 from fescuerudder.kernel import Kernel
 from fescuerudder.logs import configure_logs
 from fescuerudder.membership import Membership
-from fescuerudder.messages import (
-    Accepted,
-    DrainNotice,
-    FencedNotice,
-    Handover,
-    Hello,
-    Message,
-    PermitAsk,
-    PermitDemand,
-    PermitOffer,
-    PermitReply,
-    TaskHint,
-    ViewHint,
-)
+from fescuerudder.messages import Hello, PermitAsk, PermitReply, TaskHint
 from fescuerudder.metrics import Metrics
 from fescuerudder.observedrouter import ObservedRouter
 from fescuerudder.observedtable import ObservedTable
-from fescuerudder.operators import OperatorOperations, TaskOperations, settle_notice
+from fescuerudder.operators import OperatorOperations, TaskOperations
 from fescuerudder.ownership import Ownership
 from fescuerudder.ownership_types import RackLease
+from fescuerudder.peermessages import Notifier, PeerMessageReceiver
 from fescuerudder.peers import MessageHandlers, PeerClients, PeerServer
 from fescuerudder.permitholder import PermitHolder
 from fescuerudder.permits import PermitGranter
@@ -143,13 +131,16 @@
         self._handlers = MessageHandlers()
         self._server = PeerServer(address=cfg.peer, key=cfg.peer_key, handler=self._handlers)
         self._clients = PeerClients(key=cfg.peer_key, hello=self._hello, clock=clock, rng=self._rng)
+        self._notifier = Notifier(
+            instance=cfg.instance, clients=self._clients, handlers=self._handlers
+        )
         self._ownership = Ownership(
             keeper=self._keeper,
             observer=self._observer,
             table=self._table,
             clock=clock,
             before_release=lambda lease: self._racks.release(lease),
-            tell=self._tell,
+            tell=self._notifier.tell,
         )
 
     def _build_scheduling(self) -> None:
@@ -164,7 +155,7 @@
             ownership=self._ownership,
             clients=self._clients,
             racks=self._racks,
-            tell=self._tell,
+            tell=self._notifier.tell,
         )
         self._submission = Submission(
             table=self._table,
@@ -228,6 +219,16 @@
             is_known=self._is_known,
             sheds=cfg.shedding == "expected_wait",
         )
+        self._receiver = PeerMessageReceiver(
+            instance=cfg.instance,
+            racks=self._racks,
+            holder=self._holder,
+            view=self._view,
+            configurator=self._configurator,
+            ownership=self._ownership,
+            keeper=self._keeper,
+            wake=lambda service: self._kernel.find(service).wake(),
+        )
         self._frontend = Frontend(
             address=cfg.http,
             threads=cfg.threads,
@@ -250,13 +251,13 @@
                 burn=self._burn,
                 recording=self._recording,
                 read_status=self._read_status,
-                tell_all=self._tell_all,
+                tell_all=self._notifier.tell_all,
             ),
         )
 
     def _start(self) -> None:
         """Adds all services to the kernel, in the order in which they depend on each other."""
-        self._add_handlers()
+        self._receiver.register(self._handlers)
         self._metrics.watch_view_age(lambda: self._clock.now_s() - self._view.current().sent_at_s)
         self._add_owner("store", self._store)
         self._add_owner("commit", self._committer)
@@ -285,56 +286,6 @@
             name, lambda _: PeriodicService(name=name, interval_s=lambda: interval_s, step=step)
         )
 
-    def _add_handlers(self) -> None:
-        add = self._handlers.add
-        add(PermitAsk, lambda peer, ask: self._racks.answer(peer, ask))
-        add(PermitDemand, self._on_permit_demand)
-        add(PermitOffer, self._on_permit_offer)
-        add(TaskHint, self._on_task_hint)
-        add(ViewHint, self._on_view_hint)
-        add(Handover, self._on_handover)
-        add(DrainNotice, self._on_drain_notice)
-        add(FencedNotice, self._on_fenced)
-        add(Hello, lambda peer, message: Accepted())
-
-    def _on_task_hint(self, peer: str, message: TaskHint) -> Message:
-        self._racks.hint(message.rack, message.task)
-        return Accepted()
-
-    def _on_permit_demand(self, peer: str, message: PermitDemand) -> Message:
-        self._holder.note_demand(message.rack, message.service)
-        return Accepted()
-
-    def _on_permit_offer(self, peer: str, message: PermitOffer) -> Message:
-        self._holder.note_offer(message.rack, message.service)
-        return Accepted()
-
-    def _tell_holder(self, instance: str, message: Message) -> None:
-        """Sends a notice about permits to a peer or to this instance itself."""
-        if instance == self._cfg.instance:
-            self._handlers(instance, message)
-        else:
-            self._tell(instance, message)
-
-    def _on_view_hint(self, peer: str, message: ViewHint) -> Message:
-        if message.revision > self._view.current().revision:
-            self._kernel.find("view").wake()
-        return Accepted()
-
-    def _on_handover(self, peer: str, message: Handover) -> Message:
-        if self._ownership.notice(message):
-            self._kernel.find("racks").wake()
-        return Accepted()
-
-    def _on_drain_notice(self, peer: str, message: DrainNotice) -> Message:
-        settle_notice(self._configurator, message)
-        return Accepted()
-
-    def _on_fenced(self, peer: str, message: FencedNotice) -> Message:
-        if message.instance == self._cfg.instance:
-            self._keeper.mark_fenced(incarnation=message.incarnation)
-        return Accepted()
-
     def _hello(self) -> Hello:
         return Hello(
             instance=self._cfg.instance,
@@ -342,24 +293,13 @@
             zone=self._cfg.zone,
         )
 
-    def _tell(self, instance: str, message: Message) -> None:
-        """Sends a message whose loss does no harm."""
-        try:
-            self._clients.tell(instance, message)
-        except PeerError as exc:
-            _log.debug("message not sent", peer=instance, reason=str(exc))
-
-    def _tell_all(self, message: Message) -> None:
-        for instance in self._clients.connected():
-            self._tell(instance, message)
-
     def _hint(self, rack: str, task_id: str) -> None:
         """Tells the owner of a rack about a task, here or at a peer."""
         if self._racks.hint(rack, task_id):
             return
         owner = self._membership.owner_of(rack)
         if owner is not None:
-            self._tell(owner, TaskHint(rack=rack, task=task_id))
+            self._notifier.tell(owner, TaskHint(rack=rack, task=task_id))
 
     def _make_rack(self, lease: RackLease) -> tuple[RackController, PermitGranter]:
         granter = PermitGranter(
@@ -368,7 +308,7 @@
             clock=self._clock,
             is_owner=self._keeper.is_live,
             reaches_all=self._reaches_all,
-            tell=self._tell_holder,
+            tell=self._notifier.tell_any,
         )
         controller = RackController(
             rack=lease.rack,
@@ -440,7 +380,7 @@
         self._burn.set_objectives(objectives_of(self._view.current().services.values()))
         self._metrics.set_leases(count=sum(s.running for s in self._racks.summaries()))
         for notice in self._configurator.notices():
-            self._tell_all(notice)
+            self._notifier.tell_all(notice)
         # Also without notices: a settled drain ends only once the view shows what replaced it.
         self._configurator.settle()
         for service, length in self._router.waiting().items():
