Frontend: the form of HTTP answers is a module of its own

`_httpanswer` contains how results, problems and status lines are written, beside `_httpcall`, which reads requests. `frontend` keeps the paths and what they call. Behaviour is unchanged.

--- a/fescuerudder/frontend.py
+++ b/fescuerudder/frontend.py
@@ -2,7 +2,6 @@
 
 import hashlib
 import hmac
-import json
 import re
 import threading
 from collections.abc import Callable, Iterable
@@ -10,8 +9,16 @@
 
 import attrs
 import structlog
-from result import Ok, Result
-
+from result import Result
+
+from fescuerudder._httpanswer import (
+    NO_BODY_STATUS,
+    json_answer,
+    needs_length,
+    problem_answer,
+    status_line,
+    unwrap,
+)
 from fescuerudder._httpcall import (
     Call,
     Json,
@@ -24,17 +31,8 @@
 )
 from fescuerudder.clock import Clock
 from fescuerudder.document import NAME_PATTERN
-from fescuerudder.errors import (
-    DocumentError,
-    FescuerudderError,
-    MalformedRequestError,
-    RequestError,
-)
-from fescuerudder.httpserver import (
-    HttpServer,
-    close_after_answer,
-    discard_body,
-)
+from fescuerudder.errors import DocumentError, MalformedRequestError, RequestError
+from fescuerudder.httpserver import HttpServer, close_after_answer, discard_body
 from fescuerudder.upstream import Answer, Request, end_to_end
 
 _log = structlog.get_logger(__name__)
@@ -50,8 +48,6 @@
 
 _TRACE_PATTERN = re.compile(r"[A-Za-z0-9._-]{1,64}")
 
-_NO_BODY_STATUS = frozenset({204, 304})
-
 
 class RequestRouter(Protocol):
     """Takes requests to services."""
@@ -234,12 +230,12 @@
         answer, outcome = self._answer(environ, trace_id)
         headers = [(k, v) for k, v in answer.headers if k.lower() != "x-request-id"]
         headers.append(("X-Request-Id", trace_id))
-        if _needs_length(environ["REQUEST_METHOD"], answer):
+        if needs_length(environ["REQUEST_METHOD"], answer):
             headers.append(("Content-Length", str(len(answer.body))))
         if self._server.is_draining:
             # The connection is about to end; its caller must not send another request on it.
             close_after_answer(environ)
-        start_response(_status_line(answer.status), headers)
+        start_response(status_line(answer.status), headers)
         _log.info(
             "request finished",
             trace_id=trace_id,
@@ -249,7 +245,7 @@
             outcome=outcome,
             duration_ms=round((self._clock.now_s() - start_s) * 1000, 3),
         )
-        has_body = environ["REQUEST_METHOD"] != "HEAD" and answer.status not in _NO_BODY_STATUS
+        has_body = environ["REQUEST_METHOD"] != "HEAD" and answer.status not in NO_BODY_STATUS
         return [answer.body] if has_body else []
 
     def _trace_id(self, environ: dict[str, Any]) -> str:
@@ -261,11 +257,11 @@
         try:
             return self._dispatch(self._receive(environ, trace_id)), "answered"
         except RequestError as exc:
-            return _problem(exc, trace_id), exc.outcome
+            return problem_answer(exc, trace_id), exc.outcome
         except Exception:
             _log.exception("request handler failed", trace_id=trace_id)
             failed = RequestError("internal error", status=500, outcome="unknown")
-            return _problem(failed, trace_id), failed.outcome
+            return problem_answer(failed, trace_id), failed.outcome
 
     def _receive(self, environ: dict[str, Any], trace_id: str) -> Call:
         """Reads one request; closes the connection if the request was not read completely."""
@@ -321,7 +317,7 @@
             deadline_s=self._clock.now_s() + deadline_s(call),
             trace_id=call.trace_id,
         )
-        return _unwrap(self._router.handle(req))
+        return unwrap(self._router.handle(req))
 
     def _submit_task(self, call: Call) -> Answer:
         with self._caller_threads:
@@ -349,13 +345,13 @@
             body_hash=hashlib.sha256(call.body).hexdigest(),
             trace_id=call.trace_id,
         )
-        return _json(_unwrap(res), status=202)
+        return json_answer(unwrap(res), status=202)
 
     def _get_task(self, call: Call, task_id: str) -> Answer:
-        return _json(_unwrap(self._tasks.get(task_id)))
+        return json_answer(unwrap(self._tasks.get(task_id)))
 
     def _cancel_task(self, call: Call, task_id: str) -> Answer:
-        return _json(_unwrap(self._tasks.cancel(task_id)), status=202)
+        return json_answer(unwrap(self._tasks.cancel(task_id)), status=202)
 
     def _put_service(self, call: Call, name: str) -> Answer:
         raw = json_object(call)
@@ -363,10 +359,10 @@
             detail = "the document's name differs from the path"
             raise MalformedRequestError(detail, status=400)
         res = self._operations.put_service(name=name, raw=raw, base_revision=if_match(call))
-        return _json(_unwrap(res))
+        return json_answer(unwrap(res))
 
     def _get_services(self, call: Call, name: str | None = None) -> Answer:
-        return _json(_unwrap(self._operations.get_services(name)))
+        return json_answer(unwrap(self._operations.get_services(name)))
 
     def _put_zone(self, call: Call, zone: str) -> Answer:
         raw = json_object(call)
@@ -374,20 +370,20 @@
             detail = 'the body must be {"state": "in"} or {"state": "out"}'
             raise MalformedRequestError(detail, status=400)
         res = self._operations.put_zone(zone=zone, state=raw["state"], base_revision=if_match(call))
-        body = _unwrap(res)
-        return _json(body, status=202 if body.get("provisional") else 200)
+        body = unwrap(res)
+        return json_answer(body, status=202 if body.get("provisional") else 200)
 
     def _get_zones(self, call: Call) -> Answer:
-        return _json(_unwrap(self._operations.get_zones()))
+        return json_answer(unwrap(self._operations.get_zones()))
 
     def _get_status(self, call: Call) -> Answer:
-        return _json(_unwrap(self._operations.status()))
+        return json_answer(unwrap(self._operations.status()))
 
     def _get_burn(self, call: Call) -> Answer:
-        return _json(_unwrap(self._operations.burn()))
+        return json_answer(unwrap(self._operations.burn()))
 
     def _get_trace(self, call: Call) -> Answer:
-        lines = _unwrap(self._operations.trace_lines())
+        lines = unwrap(self._operations.trace_lines())
         headers = (("Content-Type", "application/jsonl"),)
         return Answer(status=200, headers=headers, body=lines)
 
@@ -396,71 +392,9 @@
         return Answer(status=200, headers=headers, body=self._operations.metrics_text())
 
     def _get_health(self, call: Call) -> Answer:
-        return _json({"state": "serving"})
+        return json_answer({"state": "serving"})
 
 
 def _caller_limit(threads: int) -> int:
     """Returns how many of the HTTP threads callers' requests may occupy."""
     return max(1, threads - max(1, int(threads * RESERVED_SHARE)))
-
-
-def _needs_length(method: str, answer: Answer) -> bool:
-    """Returns whether the length of the body is to be declared.
-
-    An answer to HEAD without a body declares what the worker stated, or nothing.
-    """
-    return answer.status not in _NO_BODY_STATUS and (method != "HEAD" or bool(answer.body))
-
-
-def _unwrap(res: Result[Any, FescuerudderError]) -> Any:
-    """Returns the value of Ok; raises the error of Err as a RequestError."""
-    if isinstance(res, Ok):
-        return res.ok_value
-    exc = res.err_value
-    if isinstance(exc, DocumentError):
-        details: dict[str, object] = {"problems": exc.problems}
-        raise MalformedRequestError("the document is invalid", status=422, details=details)
-    raise exc
-
-
-def _json(body: Json, *, status: int = 200) -> Answer:
-    headers = (("Content-Type", "application/json"),)
-    return Answer(status=status, headers=headers, body=json.dumps(body).encode())
-
-
-def _problem(exc: RequestError, trace_id: str) -> Answer:
-    body = {
-        **exc.details,
-        "type": "about:blank",
-        "title": _TITLES.get(exc.status, "Error"),
-        "status": exc.status,
-        "detail": str(exc),
-        "outcome": exc.outcome,
-        "trace_id": trace_id,
-    }
-    headers = [("Content-Type", "application/problem+json")]
-    if exc.status == 401:
-        headers.append(("WWW-Authenticate", "Bearer"))
-    return Answer(status=exc.status, headers=tuple(headers), body=json.dumps(body).encode())
-
-
-_TITLES = {
-    400: "Bad Request",
-    401: "Unauthorized",
-    404: "Not Found",
-    405: "Method Not Allowed",
-    409: "Conflict",
-    412: "Precondition Failed",
-    413: "Content Too Large",
-    422: "Unprocessable Content",
-    431: "Request Header Fields Too Large",
-    500: "Internal Server Error",
-    501: "Not Implemented",
-    502: "Bad Gateway",
-    503: "Service Unavailable",
-    504: "Gateway Timeout",
-}
-
-
-def _status_line(status: int) -> str:
-    return f"{status} {_TITLES.get(status, 'Status')}"
