Bench: what a launcher starts is a module of its own

`bench.deployment` contains zones, workers and flags as data, with the places of the workers and the question whether any relay is needed, which depend on these data alone. `bench.launcher` keeps the processes and the faults. Behaviour is unchanged; in tests only import paths changed.

--- a/bench/_bed.py
+++ b/bench/_bed.py
@@ -9,7 +9,8 @@
 
 import attrs
 
-from bench.launcher import Deployment, Launcher, LauncherError, Zone
+from bench.deployment import Deployment, Zone
+from bench.launcher import Launcher, LauncherError
 from fescuerudder.client import Client, ClientError
 
 SERVICE = "probe"
--- a/bench/_field.py
+++ b/bench/_field.py
@@ -18,8 +18,9 @@
 import attrs
 
 from bench._load import Sent, plan_arrivals, send_all
+from bench.deployment import Deployment, Zone
 from bench.experiment import commit_id
-from bench.launcher import Deployment, Launcher, LauncherError, Zone
+from bench.launcher import Launcher, LauncherError
 from bench.witness import Event, Run, read_events, read_runs
 from fescuerudder.client import Client, ClientError
 
--- a/bench/_processes.py
+++ b/bench/_processes.py
@@ -10,7 +10,8 @@
 from bench._constantload import Load
 from bench._fit import Point
 from bench._meter import Meter
-from bench.launcher import Deployment, Launcher, Zone
+from bench.deployment import Deployment, Zone
+from bench.launcher import Launcher
 from fescuerudder.client import Client, ClientError
 
 SETTLE_S = 6.0
--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -7,7 +7,8 @@
 
 import attrs
 
-from bench.launcher import Deployment, Launcher, Zone
+from bench.deployment import Deployment, Zone
+from bench.launcher import Launcher
 from bench.replay import Probes
 from bench.witness import Finding, find_all, read_events, read_runs, starts_after
 
--- a/bench/launcher.py
+++ b/bench/launcher.py
@@ -11,13 +11,15 @@
 import subprocess
 import sys
 import time
-from collections.abc import Iterator, Mapping
+from collections.abc import Mapping
 from pathlib import Path
 from typing import Any
 
 import attrs
 import urllib3
 
+from bench.deployment import Deployment, Zone
+
 HOST = "127.0.0.1"
 PORTS = range(20_000, 32_000)
 """Below the range that the kernel picks from for outgoing connections."""
@@ -35,56 +37,6 @@
     """A process could not be started or addressed."""
 
 
-@attrs.frozen(kw_only=True)
-class Zone:
-    """One availability zone of a deployment.
-
-    Args:
-        name: zone name.
-        region: its region.
-        racks: number of racks.
-        entries: number of entry instances.
-    """
-
-    name: str
-    region: str
-    racks: int = 1
-    entries: int = 1
-
-
-@attrs.frozen(kw_only=True)
-class Deployment:
-    """What to start.
-
-    Args:
-        zones: zones with their racks and entry instances.
-        workers_per_rack: workers in each rack.
-        lag_s: lag of the membership list in seconds.
-        relay_store: put a relay between each entry instance and the store.
-        relay_members: put a relay between each entry instance and the membership list.
-        relay_workers: put relays before the control and data address of each worker.
-        relay_worker_store: put a relay between each worker and the object store.
-        worker_flags: further flags of all workers.
-        worker_flags_by_id: further flags of single workers, by id.
-        entry_flags: further flags of all entry instances.
-        peer_key: shared key of the entry instances.
-        operator_key: key of the operators.
-    """
-
-    zones: tuple[Zone, ...]
-    workers_per_rack: int = 8
-    lag_s: float = 2.0
-    relay_store: bool = False
-    relay_members: bool = False
-    relay_workers: bool = False
-    relay_worker_store: bool = False
-    worker_flags: Mapping[str, Any] = attrs.field(factory=dict)
-    worker_flags_by_id: Mapping[str, Mapping[str, Any]] = attrs.field(factory=dict)
-    entry_flags: Mapping[str, Any] = attrs.field(factory=dict)
-    peer_key: str = "peer-key-for-tests-only"
-    operator_key: str = "operator-key-for-tests-only"
-
-
 @attrs.define(kw_only=True)
 class Process:
     """A started process.
@@ -351,27 +303,14 @@
         self._start_standin("members", {"lag_s": self.deployment.lag_s})
         for name in ("table", "members"):
             self.wait_ready(name)
-        if self._needs_relay():
+        if self.deployment.needs_relay:
             self._start_standin("relay", {})
             self.wait_ready("relay")
-        workers = [self._start_worker(*place) for place in self._worker_places()]
+        workers = [self._start_worker(*place) for place in self.deployment.worker_places()]
         for worker in workers:
             self.wait_ready(worker.name)
             self.register(worker.name, immediate=True)
 
-    def _needs_relay(self) -> bool:
-        dep = self.deployment
-        flags = (dep.relay_store, dep.relay_members, dep.relay_workers, dep.relay_worker_store)
-        return any(flags)
-
-    def _worker_places(self) -> Iterator[tuple[str, str, Zone]]:
-        """Yields worker id, rack and zone."""
-        for zone in self.deployment.zones:
-            for rack_number in range(1, zone.racks + 1):
-                rack = f"rack-{zone.name}-{rack_number}"
-                for number in range(1, self.deployment.workers_per_rack + 1):
-                    yield f"worker-{zone.name}-{rack_number}-{number}", rack, zone
-
     def _start_standin(self, name: str, flags: Mapping[str, Any]) -> Process:
         listen = self.new_address()
         paths = {"table": "/stats", "members": "/v1/members", "relay": "/routes"}
--- a/bench/regions.py
+++ b/bench/regions.py
@@ -4,7 +4,8 @@
 from pathlib import Path
 from typing import Any
 
-from bench.launcher import Deployment, Launcher, Zone
+from bench.deployment import Deployment, Zone
+from bench.launcher import Launcher
 from bench.small_cluster import Cluster, Shape, wait_until
 from fescuerudder.client import ClientError
 
--- a/bench/small_cluster.py
+++ b/bench/small_cluster.py
@@ -7,7 +7,8 @@
 
 import attrs
 
-from bench.launcher import Deployment, Launcher, Zone
+from bench.deployment import Deployment, Zone
+from bench.launcher import Launcher
 from bench.witness import Event, read_events
 from fescuerudder.client import Client, ClientError
 
--- a/tests/test_dist.py
+++ b/tests/test_dist.py
@@ -10,8 +10,9 @@
 import pytest
 import urllib3
 
+from bench.deployment import Deployment, Zone
 from bench.dist import build
-from bench.launcher import Deployment, Launcher, Zone
+from bench.launcher import Launcher
 from fescuerudder import __version__
 
 READY_S = 30.0
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -5,7 +5,8 @@
 
 import pytest
 
-from bench.launcher import Deployment, Launcher, Zone
+from bench.deployment import Deployment, Zone
+from bench.launcher import Launcher
 from fescuerudder.client import Client
 
 WAIT_S = 60.0
--- a/tests/test_standins_platform.py
+++ b/tests/test_standins_platform.py
@@ -8,7 +8,8 @@
 import pytest
 import urllib3
 
-from bench.launcher import Deployment, Launcher, LauncherError, Zone
+from bench.deployment import Deployment, Zone
+from bench.launcher import Launcher, LauncherError
 from bench.witness import find_all, read_events, read_runs
 from fescuerudder.clock import ManualClock
 from fescuerudder.errors import StoreOutcomeUnknownError, StoreUnavailableError
