Command line: how a command line runs is a module of its own

`commandline` contains the exit codes, the one-line errors and the help, for any table of commands. `cli` keeps the commands of the product. Behaviour is unchanged; in tests only import paths changed.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -25,7 +25,8 @@
 from bench.replay import DRAIN_S, Replayer
 from bench.soak import Soak
 from fescuerudder._usage import UsageError
-from fescuerudder.cli import EXIT_DONE, EXIT_FAILED, KEY_ENV, run
+from fescuerudder.cli import KEY_ENV
+from fescuerudder.commandline import EXIT_DONE, EXIT_FAILED, run_command_line
 from fescuerudder.trace import read_trace
 
 
@@ -378,4 +379,4 @@
 if __name__ == "__main__":
     # An exit by exception lets the launcher end what it started.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_FAILED))
-    sys.exit(run(sys.argv[1:], commands=COMMANDS, name="bench"))
+    sys.exit(run_command_line(sys.argv[1:], commands=COMMANDS, name="bench"))
--- a/fescuerudder/cli.py
+++ b/fescuerudder/cli.py
@@ -1,7 +1,6 @@
 """Command line: the entry instance, the client commands and the reports."""
 
 import inspect
-import io
 import json
 import os
 import re
@@ -9,20 +8,16 @@
 import time
 import tomllib
 from collections.abc import Callable
-from contextlib import redirect_stderr
 from pathlib import Path
 from typing import Any
 
 import attrs
-import fire
-from fire import core as fire_core
 
-from fescuerudder import __version__
 from fescuerudder._burnfetch import fetch_report
 from fescuerudder._burnpage import render_page
 from fescuerudder._burntext import render_json, render_text
 from fescuerudder._settingsdoc import describe_setting, settings_page
-from fescuerudder._usage import UsageError, check_command_line, tidy_help
+from fescuerudder._usage import UsageError
 from fescuerudder.client import (
     SAFE_METHODS,
     Answer,
@@ -32,17 +27,12 @@
     outcome_of,
     refusal_of,
 )
+from fescuerudder.commandline import EXIT_DONE, EXIT_FAILED, run_command_line
 from fescuerudder.document import ServiceDocument, dump_document, parse_document
-from fescuerudder.errors import FescuerudderError, SettingsError
+from fescuerudder.errors import FescuerudderError
 from fescuerudder.explain import read_lines, render, tell
 from fescuerudder.settings import Settings, load_settings
 
-EXIT_DONE = 0
-EXIT_FAILED = 1
-EXIT_USAGE = 2
-EXIT_UNKNOWN = 3
-EXIT_INTERRUPTED = 130
-
 SERVER_ENV = "FESCUERUDDER_SERVER"
 KEY_ENV = "FESCUERUDDER_OPERATOR_KEY"
 ADDRESS_PATTERN = re.compile(r"[^\s/:@]+:\d{1,5}")
@@ -338,53 +328,9 @@
     sys.exit(run(sys.argv[1:]))
 
 
-def run(args: list[str], *, commands: dict[str, Any] = COMMANDS, name: str = "fescuerudder") -> int:
-    """Runs one command line and returns its exit code; errors take one line on stderr."""
-    if args == ["--version"]:
-        print(__version__)
-        return EXIT_DONE
-    try:
-        return _run_fire(commands, check_command_line(commands, args), name)
-    except (UsageError, SettingsError) as exc:
-        return _fail(name, exc, EXIT_USAGE)
-    except OutcomeUnknownError as exc:
-        return _fail(name, f"outcome unknown: {exc}", EXIT_UNKNOWN)
-    except BrokenPipeError:
-        # The reader of the output left; a flush at exit would raise the error again.
-        sys.stdout = open(os.devnull, "w", encoding="utf-8")  # noqa: SIM115
-        return EXIT_FAILED
-    except KeyboardInterrupt:
-        return EXIT_INTERRUPTED
-    except Exception as exc:
-        known = isinstance(exc, FescuerudderError)
-        return _fail(name, exc if known else f"{type(exc).__name__}: {exc}", EXIT_FAILED)
-
-
-def _run_fire(commands: dict[str, Any], args: list[str], name: str) -> int:
-    if args[-1:] == ["--help"]:
-        return _print_help(commands, args, name)
-    code = fire.Fire(commands, command=args, name=name, serialize=lambda _: None)
-    return code if isinstance(code, int) else EXIT_DONE
-
-
-def _print_help(commands: dict[str, Any], args: list[str], name: str) -> int:
-    text = io.StringIO()
-    show = fire_core.Display
-    fire_core.Display = lambda lines, out: out.write("\n".join(lines) + "\n")
-    try:
-        with redirect_stderr(text):
-            fire.Fire(commands, command=args, name=name)
-    except fire_core.FireExit:
-        pass
-    finally:
-        fire_core.Display = show
-    print(tidy_help(text.getvalue()))
-    return EXIT_DONE
-
-
-def _fail(name: str, reason: object, code: int) -> int:
-    print(f"{name}: {' '.join(str(reason).split())}", file=sys.stderr)
-    return code
+def run(args: list[str]) -> int:
+    """Runs one command line of the product and returns its exit code."""
+    return run_command_line(args, commands=COMMANDS, name="fescuerudder")
 
 
 def _server(flag: str) -> str:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -14,6 +14,7 @@
 from fescuerudder import cli
 from fescuerudder._settingsdoc import settings_page
 from fescuerudder.burn import BurnRecorder, dump_data
+from fescuerudder.commandline import EXIT_DONE, EXIT_FAILED, EXIT_USAGE
 from fescuerudder.document import ServiceDocument, parse_document
 from fescuerudder.settings import Settings
 from tests.fake_entry import KEY, PROBLEM, FakeEntry
@@ -60,7 +61,7 @@
 )
 def test_a_wrong_command_line_runs_nothing(fake, capsys, line, said):
     """Guards against fire's way of running a command before it finds a wrong flag."""
-    assert cli.run(line.split()) == cli.EXIT_USAGE
+    assert cli.run(line.split()) == EXIT_USAGE
     err = capsys.readouterr().err
     assert said in err and err.count("\n") == 1
     assert fake.seen == []
@@ -88,14 +89,14 @@
 )
 def test_commands_make_the_calls_of_the_interface(fake, line, call):
     """Guards against a command that calls another path than the page states."""
-    assert cli.run(line.split()) == cli.EXIT_DONE
+    assert cli.run(line.split()) == EXIT_DONE
     assert fake.seen[0][:2] == call
 
 
 def test_apply_names_the_revision_it_replaces(fake, document, capsys):
     """Guards against one operator silently overwriting another's change."""
     assert cli.run(["apply", document]) == 0
-    assert cli.run(["apply", document, "--revision", "0"]) == cli.EXIT_FAILED
+    assert cli.run(["apply", document, "--revision", "0"]) == EXIT_FAILED
     assert "revision is 1" in capsys.readouterr().err
     assert cli.run(["apply", document, "--force"]) == 0
     matches = [headers.get("If-Match") for m, _, headers, _ in fake.seen if m == "PUT"]
@@ -173,7 +174,7 @@
     """Guards against starting with half-checked settings."""
     for field in attrs.fields(Settings):
         monkeypatch.delenv(f"FESCUERUDDER_{field.name.upper()}", raising=False)
-    assert cli.run(["entry", "--zone", "a", "--threads", "many"]) == cli.EXIT_USAGE
+    assert cli.run(["entry", "--zone", "a", "--threads", "many"]) == EXIT_USAGE
     err = capsys.readouterr().err
     assert "region is required" in err and "threads" in err
 
@@ -200,7 +201,7 @@
     done = subprocess.run(
         [sys.executable, "-m", "fescuerudder", "nothing"], capture_output=True, text=True
     )
-    assert done.returncode == cli.EXIT_USAGE and "Traceback" not in done.stderr
+    assert done.returncode == EXIT_USAGE and "Traceback" not in done.stderr
 
 
 @pytest.mark.parametrize("page", ["README.md", "docs/documents.md"])
