Stand-in worker: attempts and usage reports are modules of their own

`_simattempt` contains one simulated attempt with its payload, `_usagereports` the measurement and its lag. `workerstate` keeps leases, fencing, commitments and slots. Behaviour is unchanged.

--- a/standins/_checkpoints.py
+++ b/standins/_checkpoints.py
@@ -5,7 +5,8 @@
 
 import urllib3
 
-from standins.workerstate import RefusedError, SimAttempt
+from standins._simattempt import SimAttempt
+from standins.workerstate import RefusedError
 
 STORE_TIMEOUT_S = 0.7
 """Shorter than the client's timeout, so that a command that writes a checkpoint still answers."""
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -14,9 +14,10 @@
 from standins._dataplane import DataPlane
 from standins._events import EventLog
 from standins._http import Answer, HttpServer, Request, wait_for_signal
+from standins._simattempt import SimAttempt
 from standins._workerfault import Fault, FaultSet
 from standins.interference import FactorTable
-from standins.workerstate import RefusedError, SimAttempt, WorkerState
+from standins.workerstate import RefusedError, WorkerState
 
 TICK_INTERVAL_S = 0.1
 CHECKPOINT_RETRY_INTERVAL_S = 1.0
--- a/standins/workerstate.py
+++ b/standins/workerstate.py
@@ -15,12 +15,10 @@
 
 from fescuerudder.clock import Clock
 from fescuerudder.document import Size
+from standins._simattempt import SimAttempt, decode_payload
+from standins._usagereports import UsageReports
 from standins.interference import FactorTable
 
-STEP_MS = 100.0
-"""Duration of one work step of a batch task without interference, which usage reports scale."""
-
-DEFAULT_WORK_S = 1.0
 FAILING_RUN_S = 0.05
 """Run time of tasks while the `fail_tasks` fault is active."""
 
@@ -35,52 +33,6 @@
         self.reason = reason
 
 
-@attrs.define(kw_only=True)
-class SimAttempt:
-    """A simulated attempt of a task, running or ended.
-
-    Args:
-        task: task id.
-        attempt: attempt number.
-        service: service of the task.
-        kind: `batch` or `replica`.
-        size: committed resources.
-        payload: decoded payload.
-        lease_until_s: end of the lease on the worker's clock.
-        started_at_s: start on the worker's clock.
-        done_s: work done, in seconds of a run without interference.
-        share: share of its processors that throttling leaves, 0 to 1.
-        paused: whether work is suspended while a checkpoint is written.
-    """
-
-    task: str
-    attempt: int
-    service: str
-    kind: str
-    size: Size
-    payload: dict[str, Any]
-    lease_until_s: float
-    started_at_s: float
-    done_s: float = 0.0
-    share: float = 1.0
-    paused: bool = False
-    state: str = "running"
-    checkpoint: str = ""
-    result: str = ""
-
-    @property
-    def work_s(self) -> float:
-        """Total work in seconds of a run without interference; infinite for replicas."""
-        if self.kind == "replica":
-            return float("inf")
-        return float(self.payload.get("work_s", DEFAULT_WORK_S))
-
-    def describe(self) -> dict[str, Any]:
-        """Returns the attempt's entry in the status."""
-        names = ("task", "attempt", "service", "state", "lease_until_s", "checkpoint", "result")
-        return {**{n: getattr(self, n) for n in names}, "size": attrs.asdict(self.size)}
-
-
 class WorkerState:
     """State of one worker; thread-safe.
 
@@ -111,13 +63,11 @@
         self._slots = slots
         self._factors = factors
         self._record = record
-        self._usage_lag_s = usage_lag_s
+        self._usage = UsageReports(lag_s=usage_lag_s, slowdown=self._slowdown, load=self._load)
         self._lock = threading.RLock()
         self._now_s = clock.now_s()
         self._attempts: dict[tuple[str, int], SimAttempt] = {}
         self._highest_attempt: dict[str, int] = {}
-        self._usage: list[dict[str, Any]] = []
-        self._service_times: dict[str, list[float]] = {}
         self._busy_slots = 0
         self.highest_epoch = 0
         self.leaving = False
@@ -134,7 +84,7 @@
                 "leaving": self.leaving,
                 "highest_epoch": self.highest_epoch,
                 "tasks": [item.describe() for item in self._attempts.values()],
-                "usage": self._visible_usage(now_s),
+                "usage": self._usage.visible(now_s),
             }
 
     def start(self, command: dict[str, Any], *, done_s: float) -> None:
@@ -280,7 +230,7 @@
         """Frees a slot and records how long the request took."""
         with self._lock:
             self._busy_slots -= 1
-            self._service_times.setdefault(service, []).append(took_ms)
+            self._usage.add_request(service, took_ms)
 
     def runs_replica(self, service: str) -> bool:
         """Returns whether a replica of `service` runs here."""
@@ -292,11 +242,7 @@
         """Measures all running attempts; their reports become visible after the lag."""
         with self._lock:
             now_s = self._advance()
-            running = self._running()
-            self._usage += [self._measure(item, running, now_s) for item in running]
-            self._service_times.clear()
-            oldest_s = now_s - self._usage_lag_s - max(self._usage_lag_s, 5.0)
-            self._usage = [u for u in self._usage if u["measured_at_s"] >= oldest_s]
+            self._usage.sample(self._running(), now_s)
 
     def shut_down(self) -> None:
         """Stops all attempts."""
@@ -431,38 +377,3 @@
             epoch=command.get("epoch", 0),
         )
         raise RefusedError(reason=reason)
-
-    def _measure(self, item: SimAttempt, running: list[SimAttempt], now_s: float) -> dict[str, Any]:
-        """Returns the usage report of `item`."""
-        times = self._service_times.get(item.service, [])
-        step_ms = STEP_MS * self._slowdown(item.service) / max(item.share, 0.01)
-        request_ms = sum(times) / len(times) if times else 0.0
-        processors = float(item.payload.get("use_processors", item.size.processors))
-        return {
-            "measured_at_s": now_s,
-            "task": item.task,
-            "service": item.service,
-            "processors": processors * item.share,
-            "memory_mb": int(item.payload.get("use_memory_mb", item.size.memory_mb)),
-            "service_time_ms": request_ms if item.kind == "replica" else step_ms,
-            "neighbours": sorted({i.service for i in running} - {item.service}),
-            "load": self._load(),
-        }
-
-    def _visible_usage(self, now_s: float) -> list[dict[str, Any]]:
-        """Returns the newest report of each task among those old enough to be visible."""
-        newest: dict[str, dict[str, Any]] = {}
-        for report in self._usage:
-            if report["measured_at_s"] <= now_s - self._usage_lag_s:
-                newest[report["task"]] = report
-        return list(newest.values())
-
-
-def decode_payload(payload: Any) -> dict[str, Any]:
-    """Returns the simulation parameters in a payload, none if it has another format."""
-    if isinstance(payload, str):
-        try:
-            payload = json.loads(payload or "{}")
-        except ValueError:
-            return {}
-    return payload if isinstance(payload, dict) else {}
