Racks: one place converts a worker's refusals and lost answers

Start, stop, renewal, throttling and acknowledgement each caught the same two errors and reported a stale epoch to the fleet. `Fleet.send` now does it once and returns the answer or the error, so each caller states only what follows from either. Behaviour is unchanged.

--- a/fescuerudder/assign.py
+++ b/fescuerudder/assign.py
@@ -4,9 +4,10 @@
 from collections.abc import Mapping
 
 import attrs
+from result import Err, Ok
 
 from fescuerudder.document import ServiceDocument, Size
-from fescuerudder.errors import WorkerRefusedError, WorkerUnreachableError
+from fescuerudder.errors import WorkerRefusedError
 from fescuerudder.fleet import WorkerState
 from fescuerudder.leases import lease_end_s, start_deadline_s
 from fescuerudder.placement import WorkerLoad
@@ -160,15 +161,11 @@
     record = StartRecord(start_by_s=order.start_by_s, sent_at_s=now_s)
     state.sent_starts[(task.id, task.attempt)] = record
     worker.last_sent_s = now_s
-    try:
-        worker.control.start(order)
-    except WorkerUnreachableError:
-        return
-    except WorkerRefusedError as exc:
-        state.fleet.handle_refusal(exc)
-        record.refusal = "" if exc.reason in ATTEMPT_KNOWN_REFUSALS else exc.reason
-        return
-    state.observe(task_event("start", task))
+    match state.fleet.send(lambda: worker.control.start(order)):
+        case Ok(_):
+            state.observe(task_event("start", task))
+        case Err(WorkerRefusedError(reason=reason)):
+            record.refusal = "" if reason in ATTEMPT_KNOWN_REFUSALS else reason
 
 
 def _start_order(state: RackState, task: Task, worker: WorkerState, now_s: float) -> StartOrder:
--- a/fescuerudder/evict.py
+++ b/fescuerudder/evict.py
@@ -5,7 +5,6 @@
 import attrs
 
 from fescuerudder.document import Size
-from fescuerudder.errors import WorkerRefusedError, WorkerUnreachableError
 from fescuerudder.fleet import WorkerState
 from fescuerudder.graceful import RunningTask, select_stoppable
 from fescuerudder.interference import Remedy
@@ -166,19 +165,15 @@
         rack = _better_rack(state, stored.task) or ""
         evict_many(state, [(stored, worker)], reason="interference", rack=rack)
         return
-    try:
-        worker.control.throttle(
-            task=stored.task.id,
-            attempt=stored.task.attempt,
-            epoch=state.lease.epoch,
-            share=remedy.share,
-        )
-    except WorkerUnreachableError:
-        return
-    except WorkerRefusedError as exc:
-        state.fleet.handle_refusal(exc)
-        return
-    state.observe(task_event("remedy", stored.task, detail=_remedy_name(remedy.share)))
+    throttle = functools.partial(
+        worker.control.throttle,
+        task=stored.task.id,
+        attempt=stored.task.attempt,
+        epoch=state.lease.epoch,
+        share=remedy.share,
+    )
+    if state.fleet.send(throttle).is_ok():
+        state.observe(task_event("remedy", stored.task, detail=_remedy_name(remedy.share)))
 
 
 def _remedy_name(share: float) -> str:
--- a/fescuerudder/fleet.py
+++ b/fescuerudder/fleet.py
@@ -1,9 +1,11 @@
 """Workers of a rack: their last statuses, and commands to them."""
 
 from collections.abc import Callable
-from typing import Any
+from functools import partial
+from typing import Any, TypeAlias, TypeVar
 
 import attrs
+from result import Err, Ok, Result
 
 from fescuerudder.clock import Clock
 from fescuerudder.errors import WorkerRefusedError, WorkerUnreachableError
@@ -17,6 +19,11 @@
 usage reports of a worker, so reading it in every cycle of a busy rack exceeds the cycle's budget.
 Less than the pause of an idle rack, so each of its cycles reads them."""
 
+T = TypeVar("T")
+
+CommandError: TypeAlias = WorkerUnreachableError | WorkerRefusedError
+"""Why a command got no answer that confirms it."""
+
 
 @attrs.define(kw_only=True)
 class WorkerState:
@@ -120,23 +127,34 @@
         If the worker refuses to take a checkpoint, the attempt is stopped without one.
         """
         for wanted in (True, False) if checkpoint else (False,):
-            try:
-                outcome = state.control.stop(
-                    task=task, attempt=attempt, epoch=self._lease.epoch, checkpoint=wanted
-                )
-            except WorkerUnreachableError:
-                return None
-            except WorkerRefusedError as exc:
-                self.handle_refusal(exc)
-                continue
-            self._record_stop(state, task, attempt, outcome)
-            return outcome
+            stop = partial(
+                state.control.stop,
+                task=task,
+                attempt=attempt,
+                epoch=self._lease.epoch,
+                checkpoint=wanted,
+            )
+            match self.send(stop):
+                case Ok(outcome):
+                    self._record_stop(state, task, attempt, outcome)
+                    return outcome
+                case Err(WorkerUnreachableError()):
+                    return None
         return None
 
-    def handle_refusal(self, exc: WorkerRefusedError) -> None:
-        """Records that the rack has a newer owner if the worker refused a stale epoch."""
-        if exc.reason == "stale_epoch":
-            self.is_superseded = True
+    def send(self, command: Callable[[], T]) -> Result[T, CommandError]:
+        """Sends a command to a worker and returns its answer.
+
+        If the worker refuses a stale epoch, the rack has a newer owner and counts as superseded.
+        """
+        try:
+            return Ok(command())
+        except WorkerUnreachableError as exc:
+            return Err(exc)
+        except WorkerRefusedError as exc:
+            if exc.reason == "stale_epoch":
+                self.is_superseded = True
+            return Err(exc)
 
     def _read_status(self, state: WorkerState) -> None:
         try:
--- a/fescuerudder/reconcile.py
+++ b/fescuerudder/reconcile.py
@@ -4,7 +4,6 @@
 
 import attrs
 
-from fescuerudder.errors import WorkerRefusedError, WorkerUnreachableError
 from fescuerudder.fleet import WorkerState
 from fescuerudder.graceful import select_stoppable
 from fescuerudder.leases import START_WINDOW_S, certain_expiry_s
@@ -228,9 +227,4 @@
 
 
 def _acknowledge(state: RackState, worker: WorkerState, done: list[Any]) -> None:
-    try:
-        worker.control.acknowledge(epoch=state.lease.epoch, ended=done)
-    except WorkerUnreachableError:
-        return
-    except WorkerRefusedError as exc:
-        state.fleet.handle_refusal(exc)
+    state.fleet.send(lambda: worker.control.acknowledge(epoch=state.lease.epoch, ended=done))
--- a/fescuerudder/renewals.py
+++ b/fescuerudder/renewals.py
@@ -2,7 +2,6 @@
 
 import functools
 
-from fescuerudder.errors import WorkerRefusedError, WorkerUnreachableError
 from fescuerudder.fleet import WorkerState
 from fescuerudder.leases import RENEW_INTERVAL_S, lease_end_s, may_renew
 from fescuerudder.rackstate import RackState
@@ -68,12 +67,9 @@
     now_s = state.clock.now_s()
     # Recorded before sending: without an answer, the renewal may still have taken effect.
     worker.last_sent_s = now_s
-    try:
-        worker.control.renew(epoch=state.lease.epoch, leases=leases)
-    except WorkerUnreachableError:
-        return
-    except WorkerRefusedError as exc:
-        state.fleet.handle_refusal(exc)
-        return
-    worker.renewed_at_s = now_s
-    worker.renewed_attempts = frozenset((task, attempt) for task, (attempt, _) in leases.items())
+    sent = state.fleet.send(lambda: worker.control.renew(epoch=state.lease.epoch, leases=leases))
+    if sent.is_ok():
+        worker.renewed_at_s = now_s
+        worker.renewed_attempts = frozenset(
+            (task, attempt) for task, (attempt, _) in leases.items()
+        )
