Bench: one loop measures the runs of disruptions and comparisons

Both experiments repeated the loop over seeded runs, its result lines and its file. Each now states only its calls. Behaviour is unchanged.

--- a/bench/_field.py
+++ b/bench/_field.py
@@ -34,6 +34,8 @@
 SUBMIT_TRIES = 5
 CHECKPOINTED = frozenset({"checkpointed", "lapsed"})
 
+Line = dict[str, Any]
+
 
 @attrs.frozen(kw_only=True)
 class Traffic:
@@ -229,6 +231,33 @@
         return {name: fut.result() for name, fut in futs.items()}
 
 
+def measure_runs(
+    make_calls: Callable[[int], Mapping[str, Callable[[], Line]]],
+    *,
+    runs: int,
+    experiment: str,
+    label: str,
+    path: Path,
+) -> list[Line]:
+    """Measures each run's calls side by side and writes the result lines after each run.
+
+    Args:
+        make_calls: returns the calls of a run by name, given the run's number.
+        runs: number of runs.
+        experiment: name of the experiment, for the lines.
+        label: field of the lines that contains the call's name.
+        path: result file.
+    """
+    context = run_context()
+    lines: list[Line] = []
+    for number in range(runs):
+        for name, line in side_by_side(make_calls(number)).items():
+            lines.append({**context, "experiment": experiment, label: name, **line})
+            print(json.dumps(lines[-1], sort_keys=True), flush=True)
+        write_lines(path, lines)
+    return lines
+
+
 def write_lines(path: Path, lines: Sequence[Mapping[str, Any]]) -> None:
     """Writes result lines as JSON lines."""
     path.parent.mkdir(parents=True, exist_ok=True)
@@ -236,7 +265,7 @@
 
 
 def spread_text(values: Sequence[float | None]) -> str:
-    """Returns median and range of the values that are known, and how many are."""
+    """Returns median and range of the values other than None, and how many there are."""
     known = [value for value in values if value is not None]
     if not known:
         return f"none of {len(values)}"
--- a/bench/disruption.py
+++ b/bench/disruption.py
@@ -1,11 +1,10 @@
 """Experiments: work done while a zone goes out and returns, and during a store outage."""
 
 import functools
-import json
 import os
 import time
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from pathlib import Path
 from typing import Any
 
@@ -14,18 +13,17 @@
 from bench._field import (
     SERVICE,
     Field,
+    Line,
     Traffic,
     batch_payloads,
     finishes,
     in_background,
     lost_work_s,
+    measure_runs,
     open_field,
     rate_between,
     read_all_runs,
-    run_context,
-    side_by_side,
     spread_text,
-    write_lines,
 )
 from bench.witness import Run, find_all
 from fescuerudder.clock import SystemClock
@@ -60,8 +58,6 @@
     },
 }
 
-Line = dict[str, Any]
-
 
 @attrs.frozen(kw_only=True)
 class Timing:
@@ -224,20 +220,16 @@
     name: str, *, runs: int, seed: int, timing: Timing, rate: float, mean_ms: float, path: Path
 ) -> list[Line]:
     """Measures all runs and writes the result lines to `path`."""
-    context = run_context()
-    lines: list[Line] = []
-    for number in range(runs):
-        calls = {
+
+    def make_calls(number: int) -> dict[str, Callable[[], Line]]:
+        return {
             measure.__name__.removeprefix("measure_"): functools.partial(
                 measure, seed=seed + number, timing=timing, rate=rate, mean_ms=mean_ms
             )
             for measure in EXPERIMENTS[name]
         }
-        for condition, line in side_by_side(calls).items():
-            lines.append({**context, "experiment": name, "condition": condition, **line})
-            print(json.dumps(lines[-1], sort_keys=True), flush=True)
-        write_lines(path, lines)
-    return lines
+
+    return measure_runs(make_calls, runs=runs, experiment=name, label="condition", path=path)
 
 
 def table_text(lines: Sequence[Line]) -> str:
--- a/bench/placement_experiment.py
+++ b/bench/placement_experiment.py
@@ -1,12 +1,11 @@
 """Experiment: interference-aware placement and graded remedies against their baselines."""
 
 import functools
-import json
 import os
 import random
 import time
 from collections import Counter
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from pathlib import Path
 from typing import Any
 
@@ -15,17 +14,16 @@
 from bench._field import (
     SERVICE,
     Field,
+    Line,
     Traffic,
     finishes,
     in_background,
     lost_work_s,
+    measure_runs,
     open_field,
     rate_between,
     read_all_runs,
-    run_context,
-    side_by_side,
     spread_text,
-    write_lines,
 )
 from bench.experiment import summarise
 from bench.witness import Run, find_all
@@ -44,8 +42,6 @@
 RATE = 60.0
 WARM_S = 4.0
 
-Line = dict[str, Any]
-
 
 @attrs.frozen(kw_only=True)
 class Comparison:
@@ -110,10 +106,9 @@
 def run_comparison(name: str, *, runs: int, seed: int, duration_s: float, path: Path) -> list[Line]:
     """Measures the policies of a comparison and writes the result lines to `path`."""
     comparison = COMPARISONS[name]
-    context = run_context()
-    lines: list[Line] = []
-    for number in range(runs):
-        calls = {
+
+    def make_calls(number: int) -> dict[str, Callable[[], Line]]:
+        return {
             policy: functools.partial(
                 _measure,
                 seed=seed + number,
@@ -123,11 +118,8 @@
             )
             for policy, flags in comparison.flags.items()
         }
-        for policy, line in side_by_side(calls).items():
-            lines.append({**context, "experiment": name, "policy": policy, **line})
-            print(json.dumps(lines[-1], sort_keys=True), flush=True)
-        write_lines(path, lines)
-    return lines
+
+    return measure_runs(make_calls, runs=runs, experiment=name, label="policy", path=path)
 
 
 def table_text(lines: Sequence[Line]) -> str:
