Names and doc strings of the flat modules that needed explaining

Doc strings that began with "Takes" now state what the method does. In the permit holder, racks that granted nothing are exhausted instead of dry, racks that may be asked are askable, and a claim of an idle permit is called so; `_all_dry` is now `_is_asking`, which is what it computed, inverted. Behaviour is unchanged.

--- a/fescuerudder/_logwriter.py
+++ b/fescuerudder/_logwriter.py
@@ -41,7 +41,7 @@
         atexit.register(self.close)
 
     def write(self, text: str) -> None:
-        """Takes text to be written soon, or counts it as left out."""
+        """Queues text for the writer thread; drops and counts it if too much waits."""
         if len(self._waiting) >= self._max_waiting:
             with self._lock:
                 self.dropped += 1
--- a/fescuerudder/budget.py
+++ b/fescuerudder/budget.py
@@ -43,7 +43,7 @@
             self._requests.append(self._clock.now_s())
 
     def try_retry(self) -> bool:
-        """Takes one retry from the budget; returns whether it was there."""
+        """Spends one retry of the budget; returns whether one was left."""
         with self._lock:
             self._forget()
             allowed = max(self._reserve, self._share * len(self._requests))
--- a/fescuerudder/burn.py
+++ b/fescuerudder/burn.py
@@ -166,7 +166,7 @@
         self._lock = threading.Lock()
 
     def set_objectives(self, objectives: dict[str, Objective]) -> None:
-        """Takes the objectives of all services; counts of services without one are dropped."""
+        """Replaces the objectives; counts of services without one are dropped."""
         with self._lock:
             self._objectives = dict(sorted(objectives.items())[:MAX_SERVICES])
             gone = [name for name in self._services if name not in self._objectives]
--- a/fescuerudder/configuration.py
+++ b/fescuerudder/configuration.py
@@ -134,7 +134,7 @@
         return notice
 
     def merge(self, notice: DrainNotice) -> None:
-        """Takes over a provisional drain; the one that rests on the latest revision counts.
+        """Merges a peer's provisional drain; the one based on the latest revision counts.
 
         A drain that the view shows to be replaced is ignored: peers that have not settled it
         yet would otherwise bring it back to those that have, without end.
--- a/fescuerudder/frontend.py
+++ b/fescuerudder/frontend.py
@@ -50,7 +50,7 @@
 
 
 class RequestRouter(Protocol):
-    """Takes requests to services."""
+    """Handles requests to services."""
 
     def handle(self, req: Request) -> Result[Answer, RequestError]:
         """Returns the complete answer, or why there is none."""
@@ -142,12 +142,12 @@
     """HTTP server of one entry instance; a context manager.
 
     Args:
-        address: `ip:port` to listen on; port 0 takes a free one.
+        address: `ip:port` to listen on; port 0 selects a free one.
         threads: threads that serve requests.
         operator_key: key of the operators.
         clock: source of time.
         new_id: returns a unique id for requests that bring none.
-        router: takes requests to services.
+        router: handles requests to services.
         tasks: batch tasks.
         operations: what operators do.
     """
--- a/fescuerudder/operators.py
+++ b/fescuerudder/operators.py
@@ -230,7 +230,7 @@
 
 
 def settle_notice(configurator: Configurator, notice: DrainNotice) -> None:
-    """Takes over a provisional drain that a peer announced."""
+    """Merges a provisional drain that a peer announced."""
     configurator.merge(notice)
     _log.warning("peer announced a provisional drain", zone=notice.zone, peer=notice.instance)
 
--- a/fescuerudder/ownership.py
+++ b/fescuerudder/ownership.py
@@ -228,7 +228,7 @@
             return not self.owned()
 
     def notice(self, handover: Handover) -> bool:
-        """Takes notice of a rack handed to this instance; returns whether its row says so."""
+        """Handles the handover of a rack to this instance; returns whether its row confirms it."""
         with self._lock:
             self._forget_if_fenced()
             try:
--- a/fescuerudder/permitholder.py
+++ b/fescuerudder/permitholder.py
@@ -47,7 +47,7 @@
     told_unowned: tuple[str, ...] = ()
     in_flight: bool = False
     asked_s: float = float("-inf")
-    dry_until_s: float = float("-inf")
+    exhausted_until_s: float = float("-inf")
     demanded_until_s: float = float("-inf")
     offered_s: float = float("-inf")
 
@@ -102,7 +102,7 @@
         self._lock = threading.RLock()
 
     def update_racks(self, racks: Sequence[RackRoute]) -> None:
-        """Replaces the known racks."""
+        """Replaces the racks whose owners are asked."""
         with self._lock:
             self._racks = {item.rack: item for item in racks}
             self._unowned.retain(self._racks)
@@ -154,7 +154,7 @@
         with self._lock:
             pool = self._pool(rack, service)
             pool.offered_s = self._clock.now_s()
-            pool.dry_until_s = float("-inf")
+            pool.exhausted_until_s = float("-inf")
         self.wake.set()
 
     def waiting(self, service: str) -> int:
@@ -248,7 +248,7 @@
                 pool.returning.append(held.permit)
 
     def _plan_wanted(self, service: str, now: float) -> None:
-        """Sets how many permits each rack is asked for; far racks only if near ones are dry."""
+        """Sets how many permits each rack is asked for; far racks only if near ones grant none."""
         pools = [pool for pool in self._pools.values() if pool.service == service]
         pending = sum(pool.asking for pool in pools if pool.in_flight)
         wanted = len(self._queue(service)) - pending
@@ -264,26 +264,29 @@
         ]
         near = [r for r in routes if r.near]
         far = [r for r in routes if not r.near]
-        open_near = self._open(near, service, now)
-        choices = open_near or (self._open(far, service, now) if self._all_dry(near) else [])
+        askable_near = self._askable(near, service, now)
+        choices = askable_near or (
+            [] if self._is_asking(near) else self._askable(far, service, now)
+        )
         if choices:
             route = self._rng.choice(choices)
             self._pool(route.rack, service).asking = min(wanted, MAX_WANTED)
 
-    def _all_dry(self, near: list[RackRoute]) -> bool:
-        return not any(
+    def _is_asking(self, routes: list[RackRoute]) -> bool:
+        """Returns whether an ask for more permits of one of these racks is in flight."""
+        return any(
             pool.in_flight and pool.asking
             for pool in self._pools.values()
-            if any(pool.rack == route.rack for route in near)
+            if any(pool.rack == route.rack for route in routes)
         )
 
-    def _open(self, routes: list[RackRoute], service: str, now: float) -> list[RackRoute]:
+    def _askable(self, routes: list[RackRoute], service: str, now: float) -> list[RackRoute]:
         """Returns the racks that may be asked for more now."""
         pools = {route.rack: self._pool(route.rack, service) for route in routes}
         return [
             route
             for route in routes
-            if not pools[route.rack].in_flight and pools[route.rack].dry_until_s <= now
+            if not pools[route.rack].in_flight and pools[route.rack].exhausted_until_s <= now
         ]
 
     def _pool(self, rack: str, service: str) -> _Pool:
@@ -357,10 +360,10 @@
             if serial in pool.held:
                 self._revoke(pool, serial)
         # A permit that ended on its way counts as none, or the holder would ask without pause.
-        is_dry = not (listed - asked) & pool.held.keys()
+        is_exhausted = not (listed - asked) & pool.held.keys()
         # An offer may overtake the answer to the ask before it.
-        if ask.wanted and is_dry and pool.offered_s < sent_s:
-            pool.dry_until_s = now + PERMIT_RETRY_S
+        if ask.wanted and is_exhausted and pool.offered_s < sent_s:
+            pool.exhausted_until_s = now + PERMIT_RETRY_S
 
     def _accept(self, pool: _Pool, permit: SlotPermit, ends_s: float, renewed: bool) -> None:
         held = pool.held.get(permit.serial)
@@ -382,9 +385,9 @@
     def _dispatch(self, service: str) -> None:
         queue = self._queue(service)
         if len(queue):
-            queue.serve(lambda waiter: self._take(service, waiter))
+            queue.serve(lambda waiter: self._claim_idle(service, waiter))
 
-    def _take(self, service: str, waiter: Waiter) -> SlotPermit | None:
+    def _claim_idle(self, service: str, waiter: Waiter) -> SlotPermit | None:
         now = self._clock.now_s()
         if waiter.deadline_s <= now:
             return None
--- a/fescuerudder/reporting.py
+++ b/fescuerudder/reporting.py
@@ -24,7 +24,7 @@
 
 
 class EventReporter:
-    """Takes the events of all racks of this instance; implements `RackObserver`.
+    """Receives the events of all racks of this instance; implements `RackObserver`.
 
     Args:
         metrics: metrics of this instance.
--- a/fescuerudder/routing.py
+++ b/fescuerudder/routing.py
@@ -87,7 +87,7 @@
 
 
 class Router:
-    """Takes a request to its answer. Safe for use by several threads.
+    """Forwards requests to workers and returns their answers. Thread-safe.
 
     Args:
         clock: source of time.
@@ -323,9 +323,9 @@
     def _dispatch(self) -> None:
         for service, queue in self._queues.items():
             if len(queue):
-                queue.serve(lambda waiter, service=service: self._take(service, waiter))
+                queue.serve(lambda waiter, service=service: self._grant_permit(service, waiter))
 
-    def _take(self, service: str, waiter: Waiter) -> SlotPermit | None:
+    def _grant_permit(self, service: str, waiter: Waiter) -> SlotPermit | None:
         if waiter.deadline_s <= self._clock.now_s():
             return None
         for near in (True, False):
--- a/fescuerudder/service.py
+++ b/fescuerudder/service.py
@@ -16,11 +16,11 @@
 
 @attrs.frozen(kw_only=True)
 class Tick:
-    """Asks a periodic actor to take its step."""
+    """Message on which a periodic actor runs its step."""
 
 
 class PeriodicActor(pykka.ThreadingActor):
-    """Actor that takes one step for each `Tick` and survives a failing step."""
+    """Actor that runs one step for each `Tick` and survives a failing step."""
 
     def __init__(self, *, name: str, step: Callable[[], None]) -> None:
         super().__init__()
@@ -28,7 +28,7 @@
         self._step = step
 
     def on_receive(self, message: Any) -> Any:
-        """Takes the step; a failure is logged and the next tick tries again."""
+        """Runs the step; a failure is logged and the next tick tries again."""
         if not isinstance(message, Tick):
             return None
         try:
@@ -67,7 +67,7 @@
         self._ticker.start()
 
     def wake(self) -> None:
-        """Takes the next step at once."""
+        """Runs the next step at once."""
         self._wake.set()
 
     def stop(self) -> None:
--- a/fescuerudder/session.py
+++ b/fescuerudder/session.py
@@ -214,7 +214,7 @@
             self._session = attrs.evolve(self._session, state="draining")
 
     def mark_fenced(self, *, incarnation: str) -> None:
-        """Takes notice from a peer that `incarnation` was fenced."""
+        """Records a peer's notice that `incarnation` was fenced."""
         with self._lock:
             if incarnation == self.incarnation:
                 self._fenced = True
@@ -322,7 +322,7 @@
         self._observations: dict[str, _Observation] = {}
 
     def observe(self, rows: Iterable[Row]) -> None:
-        """Takes the rows of one reading that just arrived; other rows than sessions are ignored."""
+        """Evaluates the rows of one read that has just ended; only session rows count."""
         now_s = self._clock.now_s()
         interrupted = now_s - self._read_at_s > self._gap_s
         sessions = [parse_session(row) for row in rows if row.key.startswith(SESSION_PREFIX)]
--- a/standins/workerstate.py
+++ b/standins/workerstate.py
@@ -209,7 +209,7 @@
             return [i for i in items if i.state == "lapsed" and not i.checkpoint]
 
     def take_slot(self, service: str) -> tuple[str, float]:
-        """Takes a slot for a request.
+        """Occupies a slot for a request.
 
         Returns:
             The reason for a refusal, empty if the slot was taken; the slowdown of the request.
