--- /dev/null
+++ b/fescuerudder/jobs/renewalplanner.py
@@ -0,0 +1,76 @@
+"""Renewals of the workers: when each is due, with which lease, and how long it may wait."""
+
+from fescuerudder.jobs.answerloss import AnswerLoss
+from fescuerudder.jobs.leases import LeasePolicy
+from fescuerudder.jobs.load import Load
+from fescuerudder.jobs.schedulerstate import SchedulerState
+from fescuerudder.jobs.workerport import RenewOrder
+from fescuerudder.jobs.workerrecord import WorkerRecord
+
+RENEWAL_WAIT_MS = 1000
+"""Time that a worker waits for an attempt to end before it reports; a lease outlasts several such
+waits."""
+
+LOW_HEADROOM = 2.0
+LOW_HEADROOM_WAIT_MS = 400
+"""The wait, instead of RENEWAL_WAIT_MS, on workers where a task beside best-effort ones is expected
+to have less headroom than LOW_HEADROOM."""
+
+LOST_ANSWERS_WAIT_MS = 300
+"""The wait while answers are lost now and then: a lost report hides ends for as long."""
+
+
+class RenewalPlanner:
+    """Plans the renewals of a term.
+
+    Args:
+        state: state of the term.
+        leases: length of the leases.
+    """
+
+    def __init__(self, *, state: SchedulerState, leases: LeasePolicy) -> None:
+        self._state = state
+        self._leases = leases
+        self.answer_loss = AnswerLoss()
+        self._low_headroom: set[str] = set()
+
+    def update_headroom(self, load: Load) -> None:
+        """Records whether tasks of a worker need reports more often, as they lack headroom."""
+        if load.best_effort_tasks and load.lowest_headroom() < LOW_HEADROOM:
+            self._low_headroom.add(load.record.id)
+        else:
+            self._low_headroom.discard(load.record.id)
+
+    def plan(self, now_s: float) -> list[RenewOrder]:
+        """Returns the renewals that are due."""
+        return [
+            self._renew_order(record, now_s)
+            for record in self._state.workers.values()
+            if record.may_renew() and now_s >= record.next_renewal_s and record.needs_renewal()
+        ]
+
+    def _renew_order(self, record: WorkerRecord, now_s: float) -> RenewOrder:
+        """Returns the next renewal of a worker.
+
+        A silent worker is asked for a report only. A new lease might take effect without an
+        answer, and would delay the restart of its tasks on other workers.
+        """
+        record.renewals_in_flight += 1
+        record.renewal_token = record.token
+        waits = record.resolved and not record.is_silent and not record.has_uncertain_start()
+        until_ms = None
+        if not record.is_silent:
+            until_ms = record.extend_lease_ms(now_s=now_s, lease_s=self._leases.length_s(now_s))
+        return RenewOrder(
+            worker=record.id,
+            address=record.info.address,
+            token=record.token,
+            acknowledged=record.stored_serial,
+            lease_until_ms=until_ms,
+            wait_ms=self._wait_ms(record, now_s) if waits and record.attempts else 0,
+        )
+
+    def _wait_ms(self, record: WorkerRecord, now_s: float) -> int:
+        if self.answer_loss.is_frequent(now_s):
+            return LOST_ANSWERS_WAIT_MS
+        return LOW_HEADROOM_WAIT_MS if record.id in self._low_headroom else RENEWAL_WAIT_MS
--- a/fescuerudder/jobs/scheduler.py
+++ b/fescuerudder/jobs/scheduler.py
@@ -7,7 +7,6 @@
 
 from fescuerudder.clock import Clock
 from fescuerudder.jobs.adviceport import Advice, AdviceQuery
-from fescuerudder.jobs.answerloss import AnswerLoss
 from fescuerudder.jobs.crashes import record_crash
 from fescuerudder.jobs.job import TaskId
 from fescuerudder.jobs.jobrun import FULL_SPEED, Attempt, JobRun, JobState, Phase
@@ -16,6 +15,7 @@
 from fescuerudder.jobs.progress import StoredJob, dump_progress
 from fescuerudder.jobs.progressbatch import ProgressBatch
 from fescuerudder.jobs.relocation import ThrottledMoves, mark_evictions
+from fescuerudder.jobs.renewalplanner import RenewalPlanner
 from fescuerudder.jobs.reports import ReportReconciler
 from fescuerudder.jobs.roster import RosterEntry
 from fescuerudder.jobs.rosterkeeper import RosterKeeper
@@ -40,18 +40,7 @@
 MIN_RENEWAL_INTERVAL_S = 0.1
 """Shortest time between two renewals of a worker, so that one report covers several ends."""
 
-RENEWAL_WAIT_MS = 1000
-"""Time that a worker waits for an attempt to end before it reports; a lease outlasts several such
-waits."""
-
-LOW_HEADROOM = 2.0
-LOW_HEADROOM_WAIT_MS = 400
-"""The wait, instead of RENEWAL_WAIT_MS, on workers where a task beside best-effort ones is expected
-to have less headroom than LOW_HEADROOM."""
-
 RETRY_RENEWAL_S = 0.2
-LOST_ANSWERS_WAIT_MS = 300
-"""The wait while answers are lost now and then: a lost report hides ends for as long."""
 
 RESEND_STOP_S = 0.5
 STOP_SCAN_INTERVAL_S = 0.1
@@ -98,9 +87,8 @@
         self.stored_states: dict[str, JobState] = {}
         self.is_superseded = False
         self._moves = ThrottledMoves()
-        self._answer_loss = AnswerLoss()
+        self._renewals = RenewalPlanner(state=self.state, leases=leases)
         self._reported: dict[str, None] = {}
-        self._low_headroom: set[str] = set()
         self._next_stop_scan_s = -math.inf
         self._next_knowledge_s = clock.now_s() + KNOWLEDGE_WRITE_INTERVAL_S
 
@@ -163,7 +151,7 @@
         record.end_renewal()
         extended = order.lease_until_ms is not None
         if record.is_silent:
-            self._answer_loss.record(now_s)
+            self._renewals.answer_loss.record(now_s)
         record.next_renewal_s = now_s + MIN_RENEWAL_INTERVAL_S if extended else now_s
         self._reconciler.reconcile(record, order, report, sent_s=sent_s, now_s=now_s)
         self._reported[record.id] = None
@@ -363,7 +351,7 @@
         orders += self._planner.plan(now_s=now_s, wall_ms=self._wall_ms())
         self._waits.observe(now_s)
         orders += self.state.advice.take_queries()
-        orders += self._plan_renewals(now_s)
+        orders += self._renewals.plan(now_s)
         return orders
 
     def _expire(self, now_s: float) -> None:
@@ -442,46 +430,10 @@
         for record in self._reported_workers():
             load = self.state.load_of(record, now_s=now_s)
             orders += plan_throttles(load, self._planner.margins)
-            if load.best_effort_tasks and load.lowest_headroom() < LOW_HEADROOM:
-                self._low_headroom.add(record.id)
-            else:
-                self._low_headroom.discard(record.id)
+            self._renewals.update_headroom(load)
         self._reported.clear()
         return orders
 
-    def _plan_renewals(self, now_s: float) -> list[Order]:
-        return [
-            self._renew_order(record, now_s)
-            for record in self.state.workers.values()
-            if record.may_renew() and now_s >= record.next_renewal_s and record.needs_renewal()
-        ]
-
-    def _renew_order(self, record: WorkerRecord, now_s: float) -> RenewOrder:
-        """Returns the next renewal of a worker.
-
-        A silent worker is asked for a report only. A new lease might take effect without an
-        answer, and would delay the restart of its tasks on other workers.
-        """
-        record.renewals_in_flight += 1
-        record.renewal_token = record.token
-        waits = record.resolved and not record.is_silent and not record.has_uncertain_start()
-        until_ms = None
-        if not record.is_silent:
-            until_ms = record.extend_lease_ms(now_s=now_s, lease_s=self._leases.length_s(now_s))
-        return RenewOrder(
-            worker=record.id,
-            address=record.info.address,
-            token=record.token,
-            acknowledged=record.stored_serial,
-            lease_until_ms=until_ms,
-            wait_ms=self._wait_ms(record, now_s) if waits and record.attempts else 0,
-        )
-
-    def _wait_ms(self, record: WorkerRecord, now_s: float) -> int:
-        if self._answer_loss.is_frequent(now_s):
-            return LOST_ANSWERS_WAIT_MS
-        return LOW_HEADROOM_WAIT_MS if record.id in self._low_headroom else RENEWAL_WAIT_MS
-
     # --- output to callers
 
     def pending(self) -> dict[str, int]:
--- a/tests/jobs/test_answertimes.py
+++ b/tests/jobs/test_answertimes.py
@@ -10,7 +10,7 @@
     MIN_TIMEOUT_S,
     AnswerTimes,
 )
-from fescuerudder.jobs.scheduler import LOST_ANSWERS_WAIT_MS, RENEWAL_WAIT_MS
+from fescuerudder.jobs.renewalplanner import LOST_ANSWERS_WAIT_MS, RENEWAL_WAIT_MS
 from fescuerudder.jobs.workerport import RenewOrder
 from tests.jobs.test_scheduler import JOB, steps
 
--- a/tests/jobs/test_scheduler.py
+++ b/tests/jobs/test_scheduler.py
@@ -415,7 +415,7 @@
     leader = sim.claim("a")
     sim.run(1)
     records = leader.scheduler.state.workers
-    order = leader.scheduler._renew_order(records["w0"], sim.clock.now_s())
+    order = leader.scheduler._renewals._renew_order(records["w0"], sim.clock.now_s())
     sim.unlisted.add("w0")
     sim.run(0.2)
     sim.unlisted.clear()
