Start tasks on probation where nothing has begun lately

Callers could see a job given up that did not crash workers but had begun beside such a task three times.

Cause: a task on probation started on a worker on which others had begun just before, so its crash had several suspects, all of them blamed.

Change: a task on probation starts where nothing has begun for 1.5 s, if there is such a worker within 3 s. If no attempt has begun lately when a worker crashes, only young tasks that were suspected before are suspected, if there are any.

--- a/fescuerudder/jobs/attemptstarter.py
+++ b/fescuerudder/jobs/attemptstarter.py
@@ -49,6 +49,7 @@
             checkpoint=task.checkpoint,
         )
         self._state.add_attempt(attempt)
+        record.last_start_s, task.quiet_wait_since_s = now_s, None
         if is_on_probation(task):
             record.probation_until_s = now_s + RECENT_START_S
             self._state.load_of(record, now_s=now_s).starts_left = 0
--- a/fescuerudder/jobs/crashes.py
+++ b/fescuerudder/jobs/crashes.py
@@ -2,7 +2,7 @@
 
 A worker that crashes takes all its attempts with it, so one crash doesn't tell which of them caused
 it. Those that began last are suspected. A task that is suspected twice starts alone: nothing else
-starts on its worker for a while, so that a further crash tells.
+starts on its worker for a while before and after, so that a further crash tells.
 """
 
 from collections.abc import Iterable
@@ -11,6 +11,7 @@
 
 from fescuerudder.jobs.jobrun import Attempt, TaskRun
 from fescuerudder.jobs.schedulerstate import SchedulerState
+from fescuerudder.jobs.workerrecord import WorkerRecord
 
 RECENT_START_S = 1.5
 """Age up to which an attempt is suspected first when its worker crashes, and time for which nothing
@@ -25,6 +26,9 @@
 CRASHES_TO_PROBATION = 2
 """Number of crashes from which a suspected task starts alone."""
 
+MAX_QUIET_WAIT_S = 3.0
+"""Time for which a task on probation waits for a worker on which nothing has begun lately."""
+
 MIN_CRASHES_ALONE = 2
 """Number of crashes after which a task is given up if it was the only suspect of the last one, and
 no other worker was lost at that time."""
@@ -61,7 +65,7 @@
             continue
         task.crashed_attempts.append(attempt.number)
         state.mark_dirty(run)
-        if _is_convicted(task, is_alone=is_alone):
+        if len(task.crashed_attempts) >= (MIN_CRASHES_ALONE if is_alone else MAX_CRASHES):
             run.give_up()
             _log.warning(
                 "job given up",
@@ -77,10 +81,24 @@
 
 
 def find_suspects(attempts: Iterable[Attempt], *, lost_contact_s: float) -> list[Attempt]:
-    """Returns the attempts that may have crashed their worker: those that began last."""
+    """Returns the attempts that may have crashed their worker.
+
+    These are the ones that began last. If none has begun lately, they are the young ones of tasks
+    that were suspected before, or all young ones.
+    """
     young = [a for a in attempts if lost_contact_s - a.sent_s < EXONERATED_AFTER_S]
     recent = [a for a in young if not a.adopted and lost_contact_s - a.sent_s <= RECENT_START_S]
-    return recent or young
+    return recent or [a for a in young if a.task.crashed_attempts] or young
+
+
+def may_start_beside(task: TaskRun, record: WorkerRecord, now_s: float) -> bool:
+    """Returns whether a task may start on a worker as far as its probation is concerned."""
+    if not is_on_probation(task):
+        return True
+    if task.quiet_wait_since_s is None:
+        task.quiet_wait_since_s = now_s
+    has_waited = now_s - task.quiet_wait_since_s >= MAX_QUIET_WAIT_S
+    return has_waited or now_s - record.last_start_s > RECENT_START_S
 
 
 def exonerate(state: SchedulerState, attempt: Attempt, now_s: float) -> None:
@@ -93,8 +111,3 @@
     ):
         task.crashed_attempts.clear()
         state.mark_dirty(task.step.job)
-
-
-def _is_convicted(task: TaskRun, *, is_alone: bool) -> bool:
-    crashes = len(task.crashed_attempts)
-    return crashes >= MAX_CRASHES or (is_alone and crashes >= MIN_CRASHES_ALONE)
--- a/fescuerudder/jobs/jobrun.py
+++ b/fescuerudder/jobs/jobrun.py
@@ -113,6 +113,8 @@
         rate: progress, in percent per second, of the attempt that completed the task, None if
             unknown.
         done_by: id of the worker of that attempt, or empty.
+        quiet_wait_since_s: since when it has waited for a worker on which nothing has begun lately,
+            None if it does not.
         last_end_s: when an attempt of it last ended, on this instance's clock.
         last_worker: id of the worker of that attempt, or empty.
         seen_running: a report to this leader listed an attempt, so the earlier leader had not found
@@ -131,6 +133,7 @@
     avoided_workers: set[str] = attrs.Factory(set)
     rate: float | None = None
     done_by: str = ""
+    quiet_wait_since_s: float | None = None
     last_end_s: float = -math.inf
     last_worker: str = ""
     seen_running: bool = False
--- a/fescuerudder/jobs/starts.py
+++ b/fescuerudder/jobs/starts.py
@@ -6,7 +6,7 @@
 import structlog
 
 from fescuerudder.jobs.attemptstarter import AttemptStarter
-from fescuerudder.jobs.crashes import is_on_probation
+from fescuerudder.jobs.crashes import is_on_probation, may_start_beside
 from fescuerudder.jobs.idleroom import ANY_HEADROOM, idle_pools, stands_still
 from fescuerudder.jobs.job import Step
 from fescuerudder.jobs.jobplacement import (
@@ -117,7 +117,12 @@
             demand = self._demand(step, len(ended), queue, now_s)
             eligible = self._eligible_with_permit(step, queue, loads)
             for avoided, group in _group_by_avoided(ended):
-                usable = [load for load in eligible if load.record.id not in avoided]
+                usable = [
+                    load
+                    for load in eligible
+                    if load.record.id not in avoided
+                    and may_start_beside(group[0], load.record, now_s)
+                ]
                 chosen = choose_workers(attrs.evolve(demand, count=len(group)), usable)
                 orders += [
                     self._starter.start(task, load.record, now_s)
@@ -240,9 +245,11 @@
         for avoided, group in _group_by_avoided(tasks):
             # A task that failed everywhere may try again anywhere.
             loads = [load for load in eligible if load.record.id not in avoided] or eligible
+            loads = [load for load in loads if may_start_beside(group[0], load.record, now_s)]
             choice = choose_for_long_running if step.spec.long_running else choose_workers
             chosen = choice(attrs.evolve(demand, count=len(group)), loads)
-            if len(chosen) < len(group) and not avoided and _has_free_choice(step.spec, queue):
+            may_use_all = not avoided and not is_on_probation(group[0])
+            if len(chosen) < len(group) and may_use_all and _has_free_choice(step.spec, queue):
                 saturation.add(queue.pool, demand)
             orders += [
                 self._starter.start(task, load.record, now_s)
--- a/fescuerudder/jobs/workerrecord.py
+++ b/fescuerudder/jobs/workerrecord.py
@@ -1,5 +1,7 @@
 """What the leader knows about one worker: its clock, its lease and its live attempts."""
 
+import math
+
 import attrs
 
 from fescuerudder.jobs.job import TaskId
@@ -80,6 +82,7 @@
             None if the last renewal was answered.
         lapsed: attempts whose leases ended while the worker was silent; whether it had crashed is
             known once it answers again or another worker answers at its address.
+        last_start_s: when a start was last ordered there.
         probation_until_s: time before which nothing is started there, beside a task that is
             suspected to crash its workers.
         report_clock_ms: the worker's clock in the latest report.
@@ -114,6 +117,7 @@
     silent_since_s: float | None = None
     lost_contact_s: float | None = None
     lapsed: list[Attempt] = attrs.Factory(list)
+    last_start_s: float = -math.inf
     probation_until_s: float = 0.0
     report_clock_ms: float = -1.0
     report_s: float | None = None
