Leave out odd rows of operators and workers, and keep reading the others

What operators saw: one odd entry among those of the workers, and the leader no longer followed the registry.

Cause: _parse_row expected four kinds of errors. A deeply nested row raised RecursionError, an infinite number OverflowError; both ended the thread that reads the registry, without a log line. A port out of range, an id that fits no header, a negative capacity or a huge clock was taken in, and broke the order or the plan that used it later.

Change: fescuerudder/checked.py holds conversions that bound their results; a row that fails in any way is left out, and logged and counted (event "row not readable") once for each version.

--- a/fescuerudder/platform/sources.py
+++ b/fescuerudder/platform/sources.py
@@ -1,15 +1,15 @@
 """Reads the tables that operators and workers write: manifest, zones, worker registry."""
 
-import json
 from collections.abc import Callable
 from typing import Any, TypeVar
 
 import structlog
 
+from fescuerudder import checked
 from fescuerudder.document import Size
 from fescuerudder.jobs.configview import ConfigChange, ConfigView
 from fescuerudder.jobs.manifest import AdvicePolicy, Manifest, Pool, Queue
-from fescuerudder.jobs.rows import HistoryLostError, Row, RowStore, read_partition
+from fescuerudder.jobs.rows import HistoryLostError, Row, RowKey, RowStore, read_partition
 from fescuerudder.jobs.workerport import WorkerInfo
 
 READ_TIMEOUT_S = 1.0
@@ -19,6 +19,12 @@
 _ZONE_PREFIX = "evacuate/"
 _DRAINING_BY_STATE = {"ready": False, "draining": True}
 
+MAX_REPORTED_ROWS = 1000
+"""Number of odd rows that are remembered as logged."""
+
+_MALFORMED = (AttributeError, LookupError, TypeError, ValueError)
+"""Errors that decoding raises for fields that are missing or of another type."""
+
 _log = structlog.get_logger(__name__)
 _T = TypeVar("_T")
 
@@ -32,6 +38,7 @@
 
     def __init__(self, *, store: RowStore) -> None:
         self._store = store
+        self._decoder = _RowDecoder()
 
     def read(self) -> ConfigView:
         """Returns the configuration; see `ConfigSource`."""
@@ -41,7 +48,9 @@
         rows = {row.key.key: row for page in pages for row in page.rows}
         manifest = rows.get(_MANIFEST_KEY)
         return ConfigView(
-            manifest=_parse_row(manifest, _parse_manifest) if manifest is not None else None,
+            manifest=(
+                self._decoder.decode(manifest, _parse_manifest) if manifest is not None else None
+            ),
             zones_out=frozenset(
                 name.removeprefix(_ZONE_PREFIX) for name in rows if name.startswith(_ZONE_PREFIX)
             ),
@@ -56,7 +65,7 @@
         manifest, zones_out = view.manifest, set(view.zones_out)
         for row in changes.rows:
             if row.key.key == _MANIFEST_KEY:
-                manifest = _parse_row(row, _parse_manifest) or manifest
+                manifest = self._decoder.decode(row, _parse_manifest) or manifest
             elif row.key.key.startswith(_ZONE_PREFIX):
                 zones_out.add(row.key.key.removeprefix(_ZONE_PREFIX))
         for key in changes.removed:
@@ -77,50 +86,80 @@
 
     def __init__(self, *, store: RowStore) -> None:
         self._store = store
+        self._decoder = _RowDecoder()
 
     def read(self) -> list[WorkerInfo]:
         """Returns all workers whose entry can be decoded; see `WorkerRegistry`."""
         pages = read_partition(
             self._store, table=_WORKER_TABLE, partition="", timeout_s=READ_TIMEOUT_S
         )
-        found = [_parse_row(row, _parse_worker, row.key.key) for page in pages for row in page.rows]
+        found = [
+            self._decoder.decode(row, _parse_worker, row.key.key)
+            for page in pages
+            for row in page.rows
+        ]
         return [info for info in found if info is not None]
 
 
-def _parse_row(row: Row, decode: Callable[..., _T], *args: Any) -> _T | None:
-    """Returns the decoded value of a row, or None if it is malformed."""
-    try:
-        return decode(json.loads(row.value), *args)
-    except (ValueError, KeyError, TypeError, AttributeError) as exc:
-        _log.warning("row not readable", row=row.key.key, reason=repr(exc))
-        return None
+class _RowDecoder:
+    """Decodes rows of other writers; an odd row is left out and never hides the others.
+
+    Each version of an odd row is logged, and thereby counted, once: the registry is read each
+    second.
+    """
+
+    def __init__(self) -> None:
+        self._reported: dict[RowKey, int] = {}
+
+    def decode(self, row: Row, parse: Callable[..., _T], *args: Any) -> _T | None:
+        """Returns the decoded value of a row, or None if it is malformed."""
+        try:
+            return parse(checked.load_json(row.value), *args)
+        except Exception as exc:
+            self._report(row, exc)
+            return None
+
+    def _report(self, row: Row, exc: Exception) -> None:
+        if self._reported.get(row.key) == row.version:
+            return
+        if len(self._reported) >= MAX_REPORTED_ROWS:
+            self._reported.clear()
+        self._reported[row.key] = row.version
+        _log.warning(
+            "row not readable",
+            table=row.key.table,
+            row=row.key.key,
+            version=row.version,
+            reason=checked.reason(exc),
+            exc_info=not isinstance(exc, _MALFORMED),
+        )
 
 
 def _parse_manifest(raw: dict[str, Any]) -> Manifest:
     return Manifest(
-        revision=int(raw["version"]),
-        queues=tuple(_parse_queue(route) for route in raw["routes"]),
+        revision=checked.whole(raw["version"]),
+        queues=tuple(_parse_queue(route) for route in checked.items(raw["routes"])),
         pools=tuple(
             Pool(
-                name=service["name"],
+                name=checked.text(service["name"]),
                 rejects_overload=bool(service.get("rejectsOverload", False)),
                 standby=bool(service.get("standby", False)),
             )
-            for service in raw["services"]
+            for service in checked.items(raw["services"])
         ),
     )
 
 
 def _parse_queue(route: dict[str, Any]) -> Queue:
     return Queue(
-        name=route["name"],
-        host=route["hostname"],
-        prefix=route["prefix"],
-        pool=route["service"],
-        priority=int(route.get("priority", 0)),
-        max_failures=int(route.get("maxAttempts", 1)),
-        stretch=float(route.get("stretch", 1.0)),
-        allowance_ms=int(route.get("targetCompletionMs", 0)),
+        name=checked.text(route["name"]),
+        host=checked.text(route["hostname"]),
+        prefix=checked.text(route["prefix"]),
+        pool=checked.text(route["service"]),
+        priority=checked.whole(route.get("priority", 0), least=-checked.MAX_WHOLE),
+        max_failures=checked.whole(route.get("maxAttempts", 1)),
+        stretch=checked.finite(route.get("stretch", 1.0)),
+        allowance_ms=int(checked.finite(route.get("targetCompletionMs", 0))),
         advice=_parse_advice_policy(route.get("advice")),
     )
 
@@ -129,34 +168,38 @@
     if not raw:
         return None
     return AdvicePolicy(
-        decision_ms=int(raw.get("decisionMs", 0)),
-        per_worker_ms=int(raw.get("periodMs", 0)),
-        valid_ms=int(raw.get("validityMs", 0)),
+        decision_ms=int(checked.finite(raw.get("decisionMs", 0))),
+        per_worker_ms=int(checked.finite(raw.get("periodMs", 0))),
+        valid_ms=int(checked.finite(raw.get("validityMs", 0))),
     )
 
 
 def _parse_worker(raw: dict[str, Any], worker_id: str) -> WorkerInfo:
-    capacity = raw["capacity"]
-    labels = [str(label) for label in raw.get("labels", ())]
+    labels = [checked.text(label) for label in checked.items(raw.get("labels", []))]
     return WorkerInfo(
-        id=worker_id,
-        incarnation_ms=int(raw.get("born", 0)),
-        pool=raw["service"],
-        address=raw["address"],
-        zone=raw["zone"],
+        id=checked.identifier(worker_id),
+        incarnation_ms=checked.whole(raw["born"], most=checked.MAX_UNIX_MS),
+        pool=checked.name(raw["service"]),
+        address=checked.address(raw["address"]),
+        zone=checked.name(raw["zone"]),
         # The first label is the worker's kind, the second its rack.
         rack=labels[1] if len(labels) > 1 else "",
         labels=frozenset(labels),
-        capacity=parse_size(capacity),
+        capacity=parse_size(raw["capacity"]),
         draining=_DRAINING_BY_STATE[raw["state"]],
-        clock_ms=int(raw["clockMs"]),
+        clock_ms=checked.whole(raw["clockMs"]),
     )
 
 
 def parse_size(raw: dict[str, Any]) -> Size:
-    """Returns resources; the platform states processors in thousandths of a core."""
+    """Returns resources; the platform states processors in thousandths of a core.
+
+    Raises:
+        ValueError: an amount is negative or no finite number.
+    """
+    most = checked.MAX_AMOUNT
     return Size(
-        processors=int(raw.get("cpu", 0)) / 1000,
-        memory_mb=int(raw.get("memMb", 0)),
-        accelerators=int(raw.get("gpu", 0)),
+        processors=checked.finite(raw.get("cpu", 0), most=most) / 1000,
+        memory_mb=int(checked.finite(raw.get("memMb", 0), most=most)),
+        accelerators=int(checked.finite(raw.get("gpu", 0), most=most)),
     )
