Turn every odd answer over HTTP into an error that callers expect

What operators saw: one unreadable row or nested answer, and the threads that read the store ended; an order to a port out of range had no outcome, so its worker was never renewed again.

Cause: parse_json let RecursionError through, the response reader ValueError for a status or length of thousands of digits, and both clients OverflowError for a port out of range. A value that isn't base64 made the whole page unreadable. A page without rows that promised more raised IndexError. Versions of any size and keys of any type were taken from the store, and a permit of the advice service could be valid without end.

Change: the decoders use the checked conversions. A row whose value can't be read is passed on with an empty value, logged once for each version, so that its reader leaves it out and sees the others. Pages that don't advance are given up.

--- a/fescuerudder/jobs/rows.py
+++ b/fescuerudder/jobs/rows.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from fescuerudder.errors import PlatformError
+from fescuerudder.errors import PlatformError, StoreUnavailableError
 
 ABSENT = 0
 """Version of a row that does not exist."""
@@ -142,8 +142,12 @@
         StoreUnavailableError: a page could not be read.
     """
     pages = [store.read(table=table, partition=partition, timeout_s=timeout_s)]
+    first = ""
     while pages[-1].more:
+        last = pages[-1].rows[-1].key.key if pages[-1].rows else ""
+        if last < first:
+            raise StoreUnavailableError(f"pages of {table} do not advance")
         # The smallest key greater than the last one.
-        first = pages[-1].rows[-1].key.key + "\0"
+        first = last + "\0"
         pages.append(store.read(table=table, partition=partition, first=first, timeout_s=timeout_s))
     return pages
--- a/fescuerudder/platform/_responsereader.py
+++ b/fescuerudder/platform/_responsereader.py
@@ -11,6 +11,9 @@
 
 MAX_HEAD_BYTES = 16 * 1024
 MAX_BODY_BYTES = 16 * 1024 * 1024
+STATUS_DIGITS = 3
+MAX_LENGTH_DIGITS = 20
+"""A number of thousands of digits can't be decoded: `int` refuses it with an error of its own."""
 
 _STATUSES_WITHOUT_BODY = (204, 304)
 
@@ -123,7 +126,7 @@
 def _parse_head(text: bytes) -> _Head:
     status_line, *lines = text.split(b"\r\n")
     parts = status_line.split(b" ", 2)
-    if len(parts) < 2 or not parts[0].startswith(b"HTTP/1.") or not parts[1].isdigit():
+    if len(parts) < 2 or not parts[0].startswith(b"HTTP/1.") or not _is_status(parts[1]):
         raise MalformedResponseError("no status line")
     headers = {}
     for line in lines:
@@ -146,13 +149,17 @@
     )
 
 
+def _is_status(digits: bytes) -> bool:
+    return len(digits) == STATUS_DIGITS and digits.isdigit()
+
+
 def _parse_length(status: int, headers: dict[bytes, bytes]) -> int | None:
     if status < 200 or status in _STATUSES_WITHOUT_BODY:
         return 0
     value = headers.get(b"content-length")
     if value is None:
         return None
-    if not value.isdigit() or int(value) > MAX_BODY_BYTES:
+    if not value.isdigit() or len(value) > MAX_LENGTH_DIGITS or int(value) > MAX_BODY_BYTES:
         raise MalformedResponseError("invalid length")
     return int(value)
 
--- a/fescuerudder/platform/advice.py
+++ b/fescuerudder/platform/advice.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+from fescuerudder import checked
 from fescuerudder.jobs.adviceport import Advice, AdviceQuery, AdviceUnavailableError
 from fescuerudder.platform.http import HttpClient, NoAnswerError, NotSentError
 
@@ -40,6 +41,9 @@
 
 def _parse_advice(raw: dict[str, Any]) -> Advice:
     return Advice(
-        permits={str(worker): str(ticket) for worker, ticket in raw["good"]},
-        valid_s=float(raw["validityMs"]) / 1000,
+        permits={
+            checked.text(worker): checked.text(ticket)
+            for worker, ticket in checked.items(raw["good"])
+        },
+        valid_s=checked.finite(raw["validityMs"]) / 1000,
     )
--- a/fescuerudder/platform/asynchttp.py
+++ b/fescuerudder/platform/asynchttp.py
@@ -165,7 +165,10 @@
             NotSentError: no connection was established, or none was free in time.
             NoAnswerError: no complete answer arrived.
         """
-        data = _format_request(method, address, path, body=body, headers=headers or {})
+        try:
+            data = _format_request(method, address, path, body=body, headers=headers or {})
+        except UnicodeEncodeError as exc:
+            raise NotSentError(f"no header can hold {address!r}, or an id") from exc
         peer = self._peers.setdefault(address, _Peer())
         await peer.acquire(address)
         try:
@@ -203,7 +206,8 @@
     try:
         async with asyncio.timeout(min(CONNECT_TIMEOUT_S, timeout_s)):
             _, conn = await loop.create_connection(_Connection, host, int(port))
-    except (OSError, ValueError) as exc:
+    except (OSError, ValueError, OverflowError) as exc:
+        # The socket layer raises OverflowError for a port out of range.
         raise NotSentError(f"{address} not reached: {type(exc).__name__}") from exc
     return conn
 
--- a/fescuerudder/platform/http.py
+++ b/fescuerudder/platform/http.py
@@ -9,6 +9,7 @@
 import urllib3
 from urllib3.connection import HTTPConnection
 
+from fescuerudder import checked
 from fescuerudder.errors import PlatformError
 
 CONNECT_TIMEOUT_S = 0.7
@@ -123,6 +124,8 @@
 
 def _connect(address: str, timeout_s: float) -> HTTPConnection:
     host, _, port = address.rpartition(":")
+    if not host or not port.isdigit():
+        raise NotSentError(f"{address} is no ip:port")
     conn = HTTPConnection(
         host,
         int(port),
@@ -131,7 +134,8 @@
     )
     try:
         conn.connect()
-    except (urllib3.exceptions.HTTPError, OSError) as exc:
+    except (urllib3.exceptions.HTTPError, OSError, ValueError, OverflowError) as exc:
+        # The socket layer raises OverflowError for a port out of range.
         conn.close()
         raise NotSentError(f"{address} not reached: {type(exc).__name__}") from exc
     return conn
@@ -142,6 +146,6 @@
     if not data:
         return None
     try:
-        return json.loads(data)
+        return checked.load_json(data)
     except ValueError:
         return None
--- a/fescuerudder/platform/store.py
+++ b/fescuerudder/platform/store.py
@@ -4,6 +4,9 @@
 from typing import Any
 from urllib.parse import urlencode
 
+import structlog
+
+from fescuerudder import checked
 from fescuerudder.errors import (
     PlatformError,
     StoreOutcomeUnknownError,
@@ -23,6 +26,11 @@
 FEED_MARGIN_S = 1.0
 """Time allowed for the answer of a feed beyond the time that the store waits for changes."""
 
+MAX_REPORTED_ROWS = 1000
+"""Number of rows without a readable value that are remembered as logged."""
+
+_log = structlog.get_logger(__name__)
+
 
 class PlatformStore:
     """Row store over HTTP.
@@ -35,6 +43,7 @@
     def __init__(self, *, http: HttpClient, address: str) -> None:
         self._http = http
         self._address = address
+        self._reported: set[tuple[RowKey, int]] = set()
 
     def write(self, txn: RowTransaction, *, timeout_s: float) -> int:
         """Applies a transaction; see `RowStore.write`."""
@@ -57,11 +66,11 @@
             raise StoreOutcomeUnknownError(str(exc)) from exc
         if answer.status == 200:
             return _parse_answer(
-                answer, lambda raw: int(raw["rowVersion"]), StoreOutcomeUnknownError
+                answer, lambda raw: checked.whole(raw["rowVersion"]), StoreOutcomeUnknownError
             )
         if answer.status == 412:
             rows = _parse_answer(
-                answer, lambda raw: _parse_rows(raw["rows"]), StoreOutcomeUnknownError
+                answer, lambda raw: self._parse_rows(raw["rows"]), StoreOutcomeUnknownError
             )
             raise RowConflictError(rows=rows)
         # 429 and 503 mean that nothing was written; other statuses reject the request itself.
@@ -77,7 +86,7 @@
         if end:
             query["to"] = end
         answer = self._get("/rows-get", query, timeout_s)
-        return _parse_answer(answer, _parse_page, StoreUnavailableError)
+        return _parse_answer(answer, self._parse_page, StoreUnavailableError)
 
     def changes(self, *, table: str, after: int, wait_s: float) -> Changes:
         """Returns changes of a table; see `RowStore.changes`."""
@@ -85,7 +94,7 @@
         answer = self._get("/rows-feed", query, wait_s + FEED_MARGIN_S, accept=(200, 410))
         if answer.status == 410:
             raise HistoryLostError(f"changes after {after} are gone")
-        return _parse_answer(answer, _parse_changes, StoreUnavailableError)
+        return _parse_answer(answer, self._parse_changes, StoreUnavailableError)
 
     def _get(
         self, path: str, query: dict[str, Any], timeout_s: float, accept: tuple[int, ...] = (200,)
@@ -100,6 +109,54 @@
             raise StoreUnavailableError(f"store answered {answer.status}")
         return answer
 
+    def _parse_page(self, raw: dict[str, Any]) -> Page:
+        return Page(
+            rows=self._parse_rows(raw["rows"]),
+            more=bool(raw.get("hasMore", False)),
+            version=checked.whole(raw["rowVersion"]),
+            store_ms=int(checked.finite(raw.get("nowMs", 0))),
+        )
+
+    def _parse_changes(self, raw: dict[str, Any]) -> Changes:
+        rows = checked.items(raw["rows"])
+        return Changes(
+            rows=self._parse_rows(rows),
+            removed=tuple(_parse_key(row) for row in rows if row.get("removed")),
+            version=checked.whole(raw["rowVersion"]),
+        )
+
+    def _parse_rows(self, raw: list[dict[str, Any]]) -> tuple[Row, ...]:
+        return tuple(
+            self._parse_row(row)
+            for row in checked.items(raw)
+            if not row.get("removed") and "value" in row
+        )
+
+    def _parse_row(self, raw: dict[str, Any]) -> Row:
+        """Returns a row; its value is empty if it can't be read, so that it hides no other row."""
+        key, version = _parse_key(raw), checked.whole(raw["rowVersion"])
+        try:
+            value = base64.b64decode(raw["value"])
+        except (TypeError, ValueError) as exc:
+            value = b""
+            self._report(key, version, exc)
+        return Row(key, value, version)
+
+    def _report(self, key: RowKey, version: int, exc: Exception) -> None:
+        """Logs a row without a readable value, once for each version."""
+        if (key, version) in self._reported:
+            return
+        if len(self._reported) >= MAX_REPORTED_ROWS:
+            self._reported.clear()
+        self._reported.add((key, version))
+        _log.warning(
+            "value of a row not readable",
+            table=key.table,
+            row=key.key,
+            version=version,
+            reason=checked.reason(exc),
+        )
+
 
 def _format_key(key: RowKey) -> dict[str, str]:
     return {"table": key.table, "part": key.partition, "key": key.key}
@@ -110,31 +167,11 @@
 
 
 def _parse_key(raw: dict[str, Any]) -> RowKey:
-    return RowKey(raw["table"], raw.get("part", ""), raw["key"])
-
-
-def _parse_rows(raw: list[dict[str, Any]]) -> tuple[Row, ...]:
-    return tuple(
-        Row(_parse_key(row), base64.b64decode(row["value"]), int(row["rowVersion"]))
-        for row in raw
-        if not row.get("removed") and "value" in row
-    )
-
-
-def _parse_page(raw: dict[str, Any]) -> Page:
-    return Page(
-        rows=_parse_rows(raw["rows"]),
-        more=bool(raw.get("hasMore", False)),
-        version=int(raw["rowVersion"]),
-        store_ms=int(raw.get("nowMs", 0)),
+    return RowKey(
+        checked.text(raw["table"]), checked.text(raw.get("part", "")), checked.text(raw["key"])
     )
 
 
-def _parse_changes(raw: dict[str, Any]) -> Changes:
-    removed = tuple(_parse_key(row) for row in raw["rows"] if row.get("removed"))
-    return Changes(rows=_parse_rows(raw["rows"]), removed=removed, version=int(raw["rowVersion"]))
-
-
 def _parse_answer(answer: HttpAnswer, parse: Any, error: type[PlatformError]) -> Any:
     try:
         return parse(answer.body)
