Give every order and renewal an outcome, whatever the worker answers

What callers would see: a worker that answers once with an odd figure gets no further renewals or starts, and the task of the order is never started again.

Cause: an infinite number in a report raised OverflowError, a `reason` that is a list TypeError, nested bodies RecursionError. None of them is expected by the leader, so the order never ended for the scheduler. A `clockMs` of another type went into the worker's clock and failed the event that carried it. The number of an end was taken as it came: a huge one acknowledges all ends to come unseen.

Change: attempts and ends are identified by checked numbers, and ends taken in the order of their numbers. A measurement or a saved state that can't be used no longer hides the other rows. A report in which a task or an end can't be identified counts as silence as before: tasks that it seems not to list would be started again, and ends acknowledged unseen.

--- a/fescuerudder/platform/workers.py
+++ b/fescuerudder/platform/workers.py
@@ -1,8 +1,12 @@
 """Implements `WorkerPort`: sends orders to the platform's workers and decodes their reports."""
 
 import functools
+import itertools
 from typing import Any
 
+import structlog
+
+from fescuerudder import checked
 from fescuerudder.jobs.job import TaskId
 from fescuerudder.jobs.workerport import (
     AttemptEnd,
@@ -25,6 +29,10 @@
 PARSED_TASKS = 32_768
 """Number of task names that are kept with their tasks; each report repeats all that run."""
 
+MAX_PERCENT = 100
+
+_log = structlog.get_logger(__name__)
+
 _TARGET_HEADER = "X-Target-Instance"
 
 _RESULT_BY_REASON = {
@@ -95,8 +103,10 @@
             raise WorkerSilentError(f"{order.worker} answered {answer.status}")
         try:
             return _parse_report(answer.body)
-        except (AttributeError, KeyError, TypeError, ValueError, IndexError) as exc:
-            raise WorkerSilentError(f"{order.worker}: malformed report") from exc
+        except (AttributeError, LookupError, TypeError, ValueError) as exc:
+            raise WorkerSilentError(
+                f"{order.worker}: malformed report: {checked.reason(exc)}"
+            ) from exc
 
     async def _send_order(
         self, path: str, order: Any, body: dict[str, Any], timeout_s: float
@@ -107,7 +117,7 @@
             return OrderAnswer(OrderResult.NOT_SENT)
         except NoAnswerError:
             return OrderAnswer(OrderResult.UNKNOWN)
-        clock = answer.body.get("clockMs") if isinstance(answer.body, dict) else None
+        clock = _parse_clock(answer, order)
         if answer.status == 409:
             return OrderAnswer(_RESULT_BY_REASON.get(_reason(answer), OrderResult.REFUSED), clock)
         return OrderAnswer(_RESULT_BY_STATUS.get(answer.status, OrderResult.REFUSED), clock)
@@ -137,7 +147,7 @@
     Raises:
         ValueError: the name is malformed.
     """
-    job, occurrence, step, index = name.split(".")
+    job, occurrence, step, index = checked.text(name).split(".")
     return TaskId(job, int(occurrence), int(step), int(index))
 
 
@@ -150,32 +160,77 @@
 
 
 def _reason(answer: HttpAnswer) -> str:
-    return answer.body.get("reason", "") if isinstance(answer.body, dict) else ""
+    reason = answer.body.get("reason") if isinstance(answer.body, dict) else None
+    return reason if isinstance(reason, str) else ""
+
+
+def _parse_clock(answer: HttpAnswer, order: Any) -> int | None:
+    """Returns the clock in an answer, None without one that can be used: the rest still holds."""
+    clock = answer.body.get("clockMs") if isinstance(answer.body, dict) else None
+    if clock is None:
+        return None
+    try:
+        return checked.whole(clock)
+    except ValueError as exc:
+        _log.warning("clock not readable", worker=order.worker, reason=checked.reason(exc))
+        return None
 
 
 def _parse_report(raw: dict[str, Any]) -> Report:
+    """Returns the report if every task and end in it can be identified.
+
+    Tasks that a report doesn't list are started again, and ends up to the last one are
+    acknowledged, so a report without some of its rows can't be used.
+
+    Raises:
+        ValueError: a task, an attempt or an end can't be identified.
+    """
+    rows = checked.items(raw.get("endedRuns", []))
+    ended = tuple(sorted(map(_parse_ended, rows), key=lambda end: end.serial))
+    if any(end.serial == later.serial for end, later in itertools.pairwise(ended)):
+        raise ValueError("two ends with the same number")
     return Report(
-        incarnation_ms=int(raw.get("born", 0)),
-        clock_ms=int(raw["clockMs"]),
-        running=tuple(_parse_running(row) for row in raw.get("running", ())),
-        ended=tuple(_parse_ended(row) for row in raw.get("endedRuns", ())),
+        incarnation_ms=checked.whole(raw.get("born", 0), most=checked.MAX_UNIX_MS),
+        clock_ms=checked.whole(raw["clockMs"]),
+        running=tuple(_parse_running(row) for row in checked.items(raw.get("running", []))),
+        ended=ended,
     )
 
 
 def _parse_running(row: list[Any]) -> RunningAttempt:
     # The value is a latency in milliseconds or a usage in thousandths of a core, by kind of task.
-    measurement = float(row[4]) if len(row) > 4 and row[4] is not None else 0.0
+    measurement = _measurement(row[4]) if len(row) > 4 else 0.0
     return RunningAttempt(
         parse_task(row[0]),
-        int(row[1]),
-        row[2] or "",
-        int(row[3]),
+        checked.whole(row[1]),
+        _checkpoint(row[2]),
+        min(MAX_PERCENT, int(_measurement(row[3]))),
         latency_ms=measurement,
         processors=measurement / 1000,
     )
 
 
+def _measurement(value: Any) -> float:
+    """Returns a measurement, 0 if it can't be used: the attempt is still known to run."""
+    try:
+        return checked.finite(value, most=checked.MAX_AMOUNT)
+    except ValueError:
+        return 0.0
+
+
+def _checkpoint(value: Any) -> str:
+    """Returns a saved state, empty if it can't be used: an earlier one stays valid."""
+    try:
+        return checked.text(value)
+    except ValueError:
+        return ""
+
+
 def _parse_ended(row: list[Any]) -> EndedAttempt:
     return EndedAttempt(
-        int(row[0]), parse_task(row[1]), int(row[2]), AttemptEnd(row[3]), row[4] or ""
+        checked.whole(row[0], least=1),
+        parse_task(row[1]),
+        checked.whole(row[2]),
+        AttemptEnd(row[3]),
+        _checkpoint(row[4]),
     )
