Keep the scheduler alive when one event fails

What callers would see: accepted jobs are not started any more, although workers have room, until another instance leads; that one ends the same way if the cause is in stored data.

Cause: the handler of failed events passed `event=` to a logger whose first parameter has that name. The TypeError left on_receive, and pykka ends an actor whose handler raises. So any failure of an event or of a plan ended the scheduler. Besides, a failing event hid the other events of its batch, such as the answers to starts of other workers, and the plan after them.

Change: the log line names the kind of the event; events of a batch, and the plan, fail each for itself, with the traceback in the log.

--- a/fescuerudder/jobs/scheduleractor.py
+++ b/fescuerudder/jobs/scheduleractor.py
@@ -67,18 +67,30 @@
         """Handles an event, or calls a function with the scheduler and returns its result."""
         if callable(message):
             return message(self._scheduler)
+        for event in message.events if isinstance(message, Batch) else (message,):
+            self._handle_safely(event)
         try:
-            self._handle(message)
-            if self.actor_inbox.empty():
-                self._wait_for_plan()
-            if self.actor_inbox.empty() and self._may_order():
-                self._plan()
-            if self._scheduler.is_superseded:
-                self._on_superseded()
+            self._plan_if_idle()
         except Exception:
-            _log.exception("scheduling event failed", event=type(message).__name__)
+            _log.exception("plan failed", after=type(message).__name__)
         return None
 
+    def _handle_safely(self, event: Any) -> None:
+        """Handles an event; one that fails must not hide those that arrived with it."""
+        try:
+            self._handle(event)
+        except Exception:
+            _log.exception("scheduling event failed", kind=type(event).__name__)
+
+    def _plan_if_idle(self) -> None:
+        """Plans if no further event waits."""
+        if self.actor_inbox.empty():
+            self._wait_for_plan()
+        if self.actor_inbox.empty() and self._may_order():
+            self._plan()
+        if self._scheduler.is_superseded:
+            self._on_superseded()
+
     def _wait_for_plan(self) -> None:
         """Waits for the end of the pause after the last plan; further events may arrive."""
         left_s = self._planned_s + PLAN_PAUSE_S - self._clock.now_s()
@@ -95,11 +107,6 @@
     def _handle(self, message: Any) -> None:
         raise TypeError(f"unknown event {type(message).__name__}")
 
-    @_handle.register
-    def _(self, message: Batch) -> None:
-        for event in message.events:
-            self._handle(event)
-
     @_handle.register
     def _(self, message: Tick) -> None:
         pass
--- a/tests/jobs/test_scheduleractor.py
+++ b/tests/jobs/test_scheduleractor.py
@@ -1,12 +1,21 @@
-"""Events that reach the scheduler's actor out of order."""
+"""Events that reach the scheduler's actor out of order, or that it fails to handle."""
+
+import threading
 
 import attrs
 import pytest
+import structlog
 
 from fescuerudder.clock import ManualClock
 from fescuerudder.jobs.configview import ConfigView
 from fescuerudder.jobs.scheduleractor import SchedulerActor
-from fescuerudder.jobs.termevents import Configured
+from fescuerudder.jobs.termevents import Batch, Configured, Listed, Silent, Tick
+from fescuerudder.jobs.workerport import RenewOrder
+from tests.jobs.link_simulation import LIMIT_S
+
+RENEWAL = RenewOrder(
+    worker="w", address="w:1", token=1, acknowledged=0, lease_until_ms=None, wait_ms=0
+)
 
 
 @attrs.define
@@ -42,3 +51,46 @@
         actor.tell(Configured(view=view))
     actor.stop()
     assert scheduler.zones[-1] == {f"z{kept}"}
+
+
+class BrokenScheduler:
+    """Fails to take a registry, and records what else it is asked."""
+
+    is_superseded = False
+
+    def __init__(self):
+        self.calls = []
+        self.planned = threading.Event()
+
+    def set_workers(self, workers):
+        raise OverflowError("large")
+
+    def on_silence(self, order, *, sent_s, reason):
+        self.calls.append("silence")
+
+    def plan(self):
+        self.calls.append("plan")
+        self.planned.set()
+        return []
+
+
+def test_an_event_that_fails_hides_neither_others_nor_the_plan():
+    """Guards against answers that are lost, and plans left out, because of another event.
+
+    The log line of a failed event was malformed and ended the scheduler.
+    """
+    scheduler = BrokenScheduler()
+    actor = SchedulerActor.start(
+        scheduler=scheduler,
+        clock=ManualClock(),
+        send_orders=print,
+        may_order=lambda: True,
+        on_superseded=lambda: None,
+    )
+    silent = Silent(order=RENEWAL, sent_s=0.0, reason="")
+    with structlog.testing.capture_logs() as logs:
+        actor.tell(Batch(events=[Listed(workers=[]), silent, Tick()]))
+        assert scheduler.planned.wait(LIMIT_S)
+        actor.stop()
+    assert scheduler.calls == ["silence", "plan"]
+    assert [line["event"] for line in logs] == ["scheduling event failed"]
