Keep a leader's loops running, and give each failed order an outcome

What operators saw: the machines stopped following the list of workers after one odd entry.

Cause: the threads that follow registry and jobs and that write progress ended at the first exception that they did not expect; a term went on without them. An order that failed unexpectedly was logged, but had no event: its start stayed STARTING, its worker counted a renewal in flight for good, and after two such queries no advice was asked for any more. After the end of its scheduler, the writer asked it again without a pause.

Change: each loop logs an unexpected exception with its traceback, pauses and goes on from the same version or batch. A failed order counts as one without an answer. A term whose scheduler has ended is over.

--- a/fescuerudder/jobs/leader.py
+++ b/fescuerudder/jobs/leader.py
@@ -13,6 +13,7 @@
 import pykka
 import structlog
 
+from fescuerudder import checked
 from fescuerudder.clock import Clock
 from fescuerudder.errors import StoreOutcomeUnknownError, StoreUnavailableError
 from fescuerudder.jobs._loopthread import LoopThread
@@ -45,6 +46,7 @@
     Stored,
     Submitted,
     Tick,
+    unanswered,
 )
 from fescuerudder.jobs.workerport import (
     OrderAnswer,
@@ -269,25 +271,18 @@
             task.cancel()
 
     async def _execute_order(self, order: Order, planned_s: float) -> None:
-        started_s, outcome = self._clock.now_s(), "failed"
+        started_s = self._clock.now_s()
         try:
-            if isinstance(order, RenewOrder):
-                event = await self._renew(order)
-            elif isinstance(order, AdviceQuery):
-                event = await asyncio.wrap_future(
-                    self._advice_calls.submit(self._ask_advice, order)
-                )
-            elif started_s - planned_s > MAX_ORDER_QUEUE_S:
-                _log.warning(
-                    "order dropped", order=type(order).__name__, queued_s=started_s - planned_s
-                )
-                event = Answered(order=order, answer=OrderAnswer(OrderResult.NOT_SENT))
-            else:
-                event = Answered(order=order, answer=await self._send_order(order))
+            event = await self._call_peer(order, planned_s, started_s)
             outcome = _outcome_label(event)
-            self._collect_event(event)
-        except Exception:
+        except Exception as exc:
+            # Without an event, the scheduler would wait for the outcome for good.
             _log.exception("order failed", order=type(order).__name__)
+            event, outcome = (
+                unanswered(order, sent_s=started_s, reason=checked.reason(exc)),
+                "failed",
+            )
+        self._collect_event(event)
         self._metrics.record_call(
             peer="advice" if isinstance(order, AdviceQuery) else "worker",
             operation=type(order).__name__,
@@ -295,6 +290,19 @@
             seconds=self._clock.now_s() - started_s,
         )
 
+    async def _call_peer(self, order: Order, planned_s: float, started_s: float) -> Any:
+        """Sends an order, or a query for advice; returns the event of its outcome."""
+        if isinstance(order, RenewOrder):
+            return await self._renew(order)
+        if isinstance(order, AdviceQuery):
+            return await asyncio.wrap_future(self._advice_calls.submit(self._ask_advice, order))
+        if started_s - planned_s > MAX_ORDER_QUEUE_S:
+            _log.warning(
+                "order dropped", order=type(order).__name__, queued_s=started_s - planned_s
+            )
+            return Answered(order=order, answer=OrderAnswer(OrderResult.NOT_SENT))
+        return Answered(order=order, answer=await self._send_order(order))
+
     def _collect_event(self, event: Any) -> None:
         """Passes an event to the actor, together with the others of this round of the loop."""
         if not self._unsent_events:
@@ -357,30 +365,40 @@
                 self._post_event(Listed(workers=self._registry.read()))
             except StoreUnavailableError as exc:
                 _log.warning("registry not read", reason=str(exc))
+            except Exception:
+                _log.exception("registry not taken")
 
     def _follow_jobs(self, version: int) -> None:
         while not self._stopping.is_set():
             try:
-                changes = self._store.changes(table=JOBS_TABLE, after=version, wait_s=FEED_WAIT_S)
+                version = self._take_changes(version)
+                continue
             except StoreUnavailableError as exc:
                 _log.warning("feed of jobs not read", reason=str(exc))
-                self._clock.wait_s(self._stopping, STORE_RETRY_S)
-                continue
-            except HistoryLostError:
-                _log.warning("feed of jobs lost its history", version=version)
-                version = self._reload()
-                continue
-            if any(
-                row.key == CLAIM_KEY and row.version > self._claim_version for row in changes.rows
-            ):
-                # Jobs stored after another instance's claim belong to the next leader.
-                self._end_term("another instance has claimed")
-                return
-            version = changes.version
-            jobs, cancels = split_job_rows(list(changes.rows))
-            if jobs or cancels:
-                self._post_event(Submitted(jobs=jobs, cancels=cancels))
-                self._publish({stored.job.id: JobState.QUEUED for stored in jobs}, None)
+            except Exception:
+                _log.exception("feed of jobs not taken", version=version)
+            self._clock.wait_s(self._stopping, STORE_RETRY_S)
+
+    def _take_changes(self, version: int) -> int:
+        """Takes the jobs stored after a version; returns the version to go on from.
+
+        Raises:
+            StoreUnavailableError: the feed can't be read.
+        """
+        try:
+            changes = self._store.changes(table=JOBS_TABLE, after=version, wait_s=FEED_WAIT_S)
+        except HistoryLostError:
+            _log.warning("feed of jobs lost its history", version=version)
+            return self._reload()
+        if any(row.key == CLAIM_KEY and row.version > self._claim_version for row in changes.rows):
+            # Jobs stored after another instance's claim belong to the next leader.
+            self._end_term("another instance has claimed")
+            return changes.version
+        jobs, cancels = split_job_rows(list(changes.rows))
+        if jobs or cancels:
+            self._post_event(Submitted(jobs=jobs, cancels=cancels))
+            self._publish({stored.job.id: JobState.QUEUED for stored in jobs}, None)
+        return changes.version
 
     def _reload(self) -> int:
         """Reads all jobs again; returns the version from which to follow the feed."""
@@ -420,7 +438,16 @@
                 _log.warning("progress not stored", reason=str(exc))
                 self._clock.wait_s(self._stopping, STORE_RETRY_S)
                 continue
-            except (pykka.Timeout, pykka.ActorDeadError):
+            except pykka.Timeout:
+                continue
+            except pykka.ActorDeadError:
+                self._end_term("the scheduler has ended")
+                return
+            except Exception:
+                # The batch is kept, and what was sent of it is resolved first.
+                _log.exception("progress not written")
+                is_resolved = False
+                self._clock.wait_s(self._stopping, STORE_RETRY_S)
                 continue
             self._post_event(Stored(batch=batch))
             self._publish(batch.states, batch.pending)
--- a/fescuerudder/jobs/termevents.py
+++ b/fescuerudder/jobs/termevents.py
@@ -1,6 +1,7 @@
 """Events that the scheduler handles during a term."""
 
 from collections.abc import Sequence
+from functools import singledispatch
 from typing import Any
 
 import attrs
@@ -10,7 +11,13 @@
 from fescuerudder.jobs.progress import StoredJob
 from fescuerudder.jobs.progressbatch import ProgressBatch
 from fescuerudder.jobs.scheduler import Order
-from fescuerudder.jobs.workerport import OrderAnswer, RenewOrder, Report, WorkerInfo
+from fescuerudder.jobs.workerport import (
+    OrderAnswer,
+    OrderResult,
+    RenewOrder,
+    Report,
+    WorkerInfo,
+)
 
 
 @attrs.frozen(kw_only=True)
@@ -101,3 +108,25 @@
     """A batch of progress was stored."""
 
     batch: ProgressBatch
+
+
+@singledispatch
+def unanswered(order: Order, *, sent_s: float, reason: str) -> Any:
+    """Returns the event of an order whose outcome is unknown.
+
+    Args:
+        order: the order, or the query for advice.
+        sent_s: when it was sent.
+        reason: why there is no answer.
+    """
+    return Answered(order=order, answer=OrderAnswer(OrderResult.UNKNOWN))
+
+
+@unanswered.register
+def _(order: RenewOrder, *, sent_s: float, reason: str) -> Silent:
+    return Silent(order=order, sent_s=sent_s, reason=reason)
+
+
+@unanswered.register
+def _(order: AdviceQuery, *, sent_s: float, reason: str) -> Advised:
+    return Advised(query=order, advice=None, sent_s=sent_s)
--- /dev/null
+++ b/tests/jobs/test_odd_data.py
@@ -0,0 +1,120 @@
+"""Data of other writers in the loops and links of an instance: none of them ends."""
+
+import asyncio
+
+import attrs
+import pykka
+import pytest
+import structlog
+
+from fescuerudder.clock import ManualClock
+from fescuerudder.jobs.adviceport import AdviceQuery
+from fescuerudder.jobs.jobmetrics import JobMetrics
+from fescuerudder.jobs.rows import Changes
+from fescuerudder.jobs.termevents import Advised, Answered, Silent
+from fescuerudder.jobs.workerport import OrderResult, RenewOrder
+from standins.rows import MemoryRowStore
+from tests.jobs.test_leader import EMPTY_BATCH, START, make_term
+
+UNEXPECTED = [RecursionError("deep"), OverflowError("large"), KeyError("x"), AttributeError("x")]
+RENEWAL = RenewOrder(
+    worker="w", address="w:1", token=1, acknowledged=0, lease_until_ms=None, wait_ms=0
+)
+QUERY = AdviceQuery(step=START.task[:3], workers=("w",), timeout_s=1.0)
+
+
+@attrs.define
+class Failing:
+    """Raises errors at the first calls of any method, then returns a value and stops the term."""
+
+    errors: list
+    value: object
+    term: object = None
+    calls: int = 0
+    confirmed_s: float = 10.0
+
+    def __getattr__(self, name):
+        return self._call
+
+    def _call(self, *args, **kwargs):
+        self.calls += 1
+        assert self.calls < 100
+        if self.errors:
+            raise self.errors.pop(0)
+        self.term._stopping.set()
+        return self.value
+
+
+@pytest.fixture
+def metrics():
+    with JobMetrics(instance="n") as found:
+        yield found
+
+
+LOOPS = {
+    "registry": ("_registry", [], lambda term: term._read_registry()),
+    "jobs": ("_store", Changes(rows=(), removed=(), version=3), lambda t: t._follow_jobs(2)),
+    "progress": ("_writer", None, lambda term: term._write()),
+}
+
+
+@pytest.mark.parametrize("loop", LOOPS)
+def test_no_loop_of_a_leader_ends_by_an_unexpected_error(monkeypatch, metrics, loop):
+    """Guards against a leader that silently stops following the workers or the jobs.
+
+    One odd entry ended the thread, and the term went on without it.
+    """
+    attribute, value, run = LOOPS[loop]
+    clock = ManualClock(start_s=10.0)
+    term = make_term(clock, metrics, store=MemoryRowStore())
+    source = Failing(errors=list(UNEXPECTED), value=value, term=term)
+    setattr(term, attribute, source)
+    monkeypatch.setattr(term, "_next_batch", lambda: EMPTY_BATCH)
+    with structlog.testing.capture_logs() as logs:
+        run(term)
+    assert not source.errors and not term.lost.is_set()
+    errors = [line for line in logs if line["log_level"] == "error"]
+    assert len(errors) == len(UNEXPECTED) and all(line["exc_info"] for line in errors)
+    assert clock.now_s() > 10.0
+
+
+class BrokenWorkers:
+    """Fails in a way that no port may."""
+
+    def __getattr__(self, name):
+        async def fail(order, *, timeout_s):
+            raise OverflowError("large")
+
+        return fail
+
+
+@pytest.mark.parametrize("order", [START, RENEWAL, QUERY], ids=lambda order: type(order).__name__)
+def test_an_order_that_fails_unexpectedly_has_no_answer(monkeypatch, metrics, order):
+    """Guards against a task or a worker that waits for the outcome of an order for good."""
+    events = []
+    term = make_term(
+        ManualClock(start_s=10.0), metrics, store=MemoryRowStore(), workers=BrokenWorkers()
+    )
+    term._advice = Failing(errors=list(UNEXPECTED), value=None, term=term)
+    monkeypatch.setattr(term, "_collect_event", events.append)
+    asyncio.run(term._execute_order(order, 10.0))
+    (event,) = events
+    if order is START:
+        assert isinstance(event, Answered) and event.answer.result is OrderResult.UNKNOWN
+    elif order is RENEWAL:
+        assert isinstance(event, Silent) and event.order is RENEWAL
+    else:
+        assert isinstance(event, Advised) and event.advice is None
+
+
+def test_a_term_without_its_scheduler_ends(monkeypatch, metrics):
+    """Guards against a leader that gives no orders, and tries to write without a pause."""
+    term = make_term(ManualClock(start_s=10.0), metrics, store=MemoryRowStore())
+    errors = [pykka.ActorDeadError("ended")] * 50
+
+    def ask():
+        raise errors.pop()
+
+    monkeypatch.setattr(term, "_next_batch", ask)
+    term._write()
+    assert term.lost.is_set() and len(errors) == 49
