Refuse jobs that no leader can plan, and answer odd requests with 400

What callers saw: 500 for a deeply nested job.

Callers get 400 for others. A row of another version with such a job is left out, with an error in the log, as other malformed rows are. A deadline that is no positive number counts as missing.

--- a/fescuerudder/jobs/progress.py
+++ b/fescuerudder/jobs/progress.py
@@ -8,6 +8,7 @@
 
 from fescuerudder.errors import PlatformError
 from fescuerudder.jobs.job import Job
+from fescuerudder.jobs.jobcheck import check_job
 from fescuerudder.jobs.jobrun import JobRun, JobState, StepRun
 
 _CONVERTER = cattrs.Converter(omit_if_default=True)
@@ -26,10 +27,12 @@
     """Returns the deserialized job.
 
     Raises:
-        StoredFormError: the data is malformed.
+        StoredFormError: the data is malformed, or the job can't be planned.
     """
     try:
-        return _CONVERTER.structure(json.loads(data), Job)
+        job = _CONVERTER.structure(json.loads(data), Job)
+        check_job(job)
+        return job
     except Exception as exc:
         raise StoredFormError(f"malformed job: {type(exc).__name__}") from exc
 
--- a/fescuerudder/platform/callers.py
+++ b/fescuerudder/platform/callers.py
@@ -9,16 +9,19 @@
 import structlog
 from result import Err, Ok, Result
 
+from fescuerudder import checked
 from fescuerudder.clock import Clock
 from fescuerudder.httpserver import MAX_BODY_BYTES, close_after_answer
 from fescuerudder.jobs.intake import Refusal
 from fescuerudder.jobs.job import Job, Repetition, Step
+from fescuerudder.jobs.jobcheck import check_job
 from fescuerudder.jobs.jobmetrics import JobMetrics
 from fescuerudder.jobs.jobrun import JobState
 from fescuerudder.jobs.manifest import Queue
 from fescuerudder.platform.sources import parse_size
 
 DEFAULT_DEADLINE_S = 3.0
+MAX_DEADLINE_MS = 3_600_000
 _ID_PATTERN = re.compile(r"[0-9a-fA-F]{16}")
 _DEADLINE_HEADER = "HTTP_X_DEADLINE_MS"
 
@@ -104,7 +107,11 @@
         return [data]
 
     def _answer(self, environ: dict[str, Any], started_s: float) -> Answer:
-        data = _read_body(environ)
+        try:
+            data = _read_body(environ)
+        except ValueError as exc:
+            _log.warning("malformed request", reason=checked.reason(exc))
+            return 400, {}, {}
         path = environ.get("PATH_INFO", "")
         host = environ.get("HTTP_HOST", "").partition(":")[0]
         try:
@@ -130,9 +137,10 @@
 
     def _submit(self, queue: Queue, job_id: str, data: bytes, deadline_s: float) -> Answer:
         try:
-            job = _parse_job(json.loads(data), job_id=job_id, queue=queue.name)
-        except (ValueError, KeyError, TypeError, AttributeError) as exc:
-            _log.warning("malformed job", job=job_id, reason=repr(exc))
+            job = _parse_job(checked.load_json(data), job_id=job_id, queue=queue.name)
+            check_job(job)
+        except (AttributeError, LookupError, TypeError, ValueError) as exc:
+            _log.warning("malformed job", job=job_id, reason=checked.reason(exc))
             return 400, {}, {}
         match self._intake.submit(job, deadline_s=deadline_s):
             case Ok():
@@ -172,32 +180,42 @@
 
 
 def _read_body(environ: dict[str, Any]) -> bytes:
-    length = min(int(environ.get("CONTENT_LENGTH") or 0), MAX_BODY_BYTES)
-    return environ["wsgi.input"].read(length) if length else b""
+    """Returns the body of a request.
+
+    Raises:
+        ValueError: its length is malformed.
+    """
+    length = int(environ.get("CONTENT_LENGTH") or 0)
+    if length < 0:
+        raise ValueError("negative length of the body")
+    return environ["wsgi.input"].read(min(length, MAX_BODY_BYTES)) if length else b""
 
 
 def _deadline_s(environ: dict[str, Any]) -> float:
     """Returns how long the caller waits for the answer, in seconds."""
     try:
-        return int(environ[_DEADLINE_HEADER]) / 1000
+        deadline_ms = int(environ[_DEADLINE_HEADER])
     except (KeyError, ValueError):
         return DEFAULT_DEADLINE_S
+    if deadline_ms <= 0:
+        return DEFAULT_DEADLINE_S
+    return min(deadline_ms, MAX_DEADLINE_MS) / 1000
 
 
 def _parse_job(raw: dict[str, Any], *, job_id: str, queue: str) -> Job:
-    times = int(raw.get("repeatCount", 0))
+    times = checked.whole(raw.get("repeatCount", 0))
     repetition = None
     if times > 0:
         repetition = Repetition(
             times=times,
-            first_ms=int(raw.get("startAtMs", 0)),
-            interval_ms=int(raw.get("intervalMs", 0)),
+            first_ms=_milliseconds(raw, "startAtMs"),
+            interval_ms=_milliseconds(raw, "intervalMs"),
         )
     return Job(
         id=job_id,
         queue=queue,
-        payload=raw.get("spec", ""),
-        steps=tuple(_parse_step(step) for step in raw["steps"]),
+        payload=checked.text(raw.get("spec", "")),
+        steps=tuple(_parse_step(step) for step in checked.items(raw["steps"])),
         repetition=repetition,
     )
 
@@ -205,20 +223,24 @@
 def _parse_step(raw: dict[str, Any]) -> Step:
     max_unavailable = raw.get("maxUnavailable")
     return Step(
-        count=int(raw.get("count", 0)),
+        count=checked.whole(raw.get("count", 0)),
         size=parse_size(raw),
-        estimated_ms=int(raw.get("estimatedMs", 0)),
-        after=tuple(int(number) for number in raw.get("after", ())),
+        estimated_ms=_milliseconds(raw, "estimatedMs"),
+        after=tuple(checked.whole(number) for number in checked.items(raw.get("after", []))),
         gang=bool(raw.get("gang", False)),
         same_rack=bool(raw.get("sameRack", False)),
-        required_label=raw.get("requires", ""),
-        data_rack=raw.get("affinity", ""),
-        max_per_worker=int(raw.get("antiAffinity", 0)),
+        required_label=checked.text(raw.get("requires", "")),
+        data_rack=checked.text(raw.get("affinity", "")),
+        max_per_worker=checked.whole(raw.get("antiAffinity", 0)),
         speculative=bool(raw.get("allowDuplicates", False)),
         checkpoints=bool(raw.get("savesProgress", False)),
         long_running=bool(raw.get("longLived", False)),
-        image=raw.get("image", ""),
-        latency_target_ms=int(raw.get("targetMs", 0)),
+        image=checked.text(raw.get("image", "")),
+        latency_target_ms=_milliseconds(raw, "targetMs"),
         best_effort=bool(raw.get("fills", False)),
-        max_unavailable=int(max_unavailable) if max_unavailable is not None else None,
+        max_unavailable=checked.whole(max_unavailable) if max_unavailable is not None else None,
     )
+
+
+def _milliseconds(raw: dict[str, Any], name: str) -> int:
+    return int(checked.finite(raw.get(name, 0)))
