Rank steps in linear time, whatever their dependencies

What callers would see: a job whose steps depend on many earlier ones stops all plans, or slows them down.

Cause: remaining_path_ms visited each path through the steps, 2**n for n steps that each depend on all earlier ones, and recursed as deep as the longest one.

Evidence: on the old code test_any_order_of_steps_can_be_ranked did not end within 12 s, at the first of its cases (300 steps).

Change: one pass from the last step back. Results are the same.

--- a/fescuerudder/jobs/jobrun.py
+++ b/fescuerudder/jobs/jobrun.py
@@ -253,8 +253,13 @@
     def remaining_path_ms(self, number: int) -> int:
         """Returns the estimated run time of the longest chain of steps that begins with a step."""
         steps = self.job.steps
-        after = [k for k in range(number + 1, len(steps)) if number in steps[k].after]
-        return steps[number].estimated_ms + max(map(self.remaining_path_ms, after), default=0)
+        # Longest chain that begins with a step that depends on the given one.
+        chains = [0] * len(steps)
+        for k in range(len(steps) - 1, number, -1):
+            path_ms = steps[k].estimated_ms + chains[k]
+            for earlier in steps[k].after:
+                chains[earlier] = max(chains[earlier], path_ms)
+        return steps[number].estimated_ms + chains[number]
 
     def may_open(self, step: StepRun) -> bool:
         """Returns whether all steps that `step` depends on are done."""
--- a/tests/jobs/test_odd_data.py
+++ b/tests/jobs/test_odd_data.py
@@ -8,8 +8,12 @@
 import structlog
 
 from fescuerudder.clock import ManualClock
+from fescuerudder.document import Size
 from fescuerudder.jobs.adviceport import AdviceQuery
+from fescuerudder.jobs.job import Job, Step
+from fescuerudder.jobs.jobcheck import check_job
 from fescuerudder.jobs.jobmetrics import JobMetrics
+from fescuerudder.jobs.jobrun import JobRun
 from fescuerudder.jobs.rows import Changes
 from fescuerudder.jobs.termevents import Advised, Answered, Silent
 from fescuerudder.jobs.workerport import OrderResult, RenewOrder
@@ -118,3 +122,22 @@
     monkeypatch.setattr(term, "_next_batch", ask)
     term._write()
     assert term.lost.is_set() and len(errors) == 49
+
+
+@pytest.mark.parametrize(
+    ("after", "path_ms"),
+    [
+        (lambda n: tuple(range(n)), 300),
+        (lambda n: (n - 1,) if n else (), 300),
+        (lambda n: (), 1),
+        (lambda n: (n % 2,) if n > 1 else (), 2),
+    ],
+    ids=["each on all earlier ones", "chain", "none", "two deep"],
+)
+def test_any_order_of_steps_can_be_ranked(after, path_ms):
+    """Guards against plans that never end, or fail, because of the dependencies of one job."""
+    steps = tuple(Step(count=1, size=Size(), estimated_ms=1, after=after(n)) for n in range(300))
+    job = Job(id="00000000000000aa", queue="q", payload="", steps=steps)
+    check_job(job)
+    run = JobRun.create(job=job, version=1, received_s=0.0)
+    assert run.remaining_path_ms(0) == path_ms and run.remaining_path_ms(299) == 1
