Lead with a malformed roster, as if a worker could not be reached

What callers would see: no instance leads any more. Each one claims, fails to load the roster and claims again.

Cause: load_stored_state raised StoredFormError for a malformed roster, and RecursionError or OverflowError for a nested or infinite entry. Taking it for an empty one would start tasks twice, so it was made an error.

Change: entries that can be read are used. For the others the term begins with an entry that has no address, and every worker of the registry counts as one on which unknown tasks may run: it is asked for a report first. So older jobs wait until all leases that the report of a worker doesn't show have ended, as for a worker that can't be reached, and no task runs twice. An error is logged.

--- a/bench/_jobsimulation.py
+++ b/bench/_jobsimulation.py
@@ -354,12 +354,12 @@
         self._at(sent_s + delay_s, lambda: self._deliver(leader, order, sent_s, is_lost))
 
     def _deliver(self, leader, order, sent_s, is_lost) -> None:
-        worker = self.workers[order.worker]
+        worker = self.workers.get(order.worker)
         is_partitioned = (leader.name, order.worker) in self.cut
         if order.worker in self.replaced and not is_partitioned:
             self._answer(leader, order, sent_s, OtherLifeError("another worker"))
             return
-        if not worker.is_up or is_partitioned:
+        if worker is None or not worker.is_up or is_partitioned:
             if not is_lost:
                 self._at(sent_s + CALL_TIMEOUT_S, lambda: self._no_answer(leader, order, sent_s))
             return
--- a/fescuerudder/jobs/roster.py
+++ b/fescuerudder/jobs/roster.py
@@ -11,12 +11,16 @@
 from typing import Any
 
 import attrs
+import structlog
 
+from fescuerudder import checked
 from fescuerudder.document import Size
 from fescuerudder.jobs.job import TaskId
 from fescuerudder.jobs.progress import StoredFormError
 from fescuerudder.jobs.workerport import WorkerInfo
 
+_log = structlog.get_logger(__name__)
+
 AttemptRef = tuple[TaskId, int]
 """Task and number of an attempt."""
 
@@ -47,9 +51,28 @@
         StoredFormError: the data is malformed.
     """
     try:
-        return [_load_entry(*row) for row in json.loads(data)]
+        return [_load_entry(*row) for row in checked.items(checked.load_json(data))]
     except (ValueError, TypeError) as exc:
-        raise StoredFormError(f"malformed roster: {type(exc).__name__}") from exc
+        raise StoredFormError(f"malformed roster: {checked.reason(exc)}") from exc
+
+
+def recover_roster(data: bytes) -> list[RosterEntry]:
+    """Returns the entries of a malformed roster that can be read, and `UNREADABLE` for the others.
+
+    Any worker may run tasks of which no readable entry tells, so the term begins as if there were a
+    worker that can't be reached.
+    """
+    try:
+        rows = checked.items(checked.load_json(data))
+    except ValueError:
+        rows = []
+    found = []
+    for row in rows:
+        try:
+            found.append(_load_entry(*row))
+        except (ValueError, TypeError) as exc:
+            _log.error("roster entry can't be read", reason=checked.reason(exc))
+    return [*found, UNREADABLE]
 
 
 def _dump_entry(entry: RosterEntry) -> list[Any]:
@@ -67,13 +90,16 @@
 ) -> RosterEntry:
     attempts = None
     if only_attempts is not None:
-        attempts = tuple(
-            (TaskId(str(job), int(occurrence), int(step), int(index)), int(number))
-            for job, occurrence, step, index, number in only_attempts
-        )
-    return RosterEntry(
-        info=_unlisted(str(name), int(incarnation_ms), str(address)), only_attempts=attempts
+        attempts = tuple(_load_attempt(*attempt) for attempt in checked.items(only_attempts))
+    info = _unlisted(checked.text(name), checked.whole(incarnation_ms), checked.text(address))
+    return RosterEntry(info=info, only_attempts=attempts)
+
+
+def _load_attempt(job: str, occurrence: int, step: int, index: int, number: int) -> AttemptRef:
+    task = TaskId(
+        checked.text(job), checked.whole(occurrence), checked.whole(step), checked.whole(index)
     )
+    return task, checked.whole(number)
 
 
 def _unlisted(name: str, incarnation_ms: int, address: str) -> WorkerInfo:
@@ -89,3 +115,7 @@
         draining=False,
         clock_ms=0,
     )
+
+
+UNREADABLE = RosterEntry(info=_unlisted("(unreadable)", 0, ""))
+"""Stands for the workers of which a malformed roster doesn't tell; it has no address."""
--- a/fescuerudder/jobs/rosterkeeper.py
+++ b/fescuerudder/jobs/rosterkeeper.py
@@ -8,7 +8,7 @@
 from fescuerudder.jobs.jobrun import Attempt, Phase
 from fescuerudder.jobs.leases import PREDECESSOR_LEASES_S
 from fescuerudder.jobs.reports import ReportReconciler
-from fescuerudder.jobs.roster import AttemptRef, RosterEntry, dump_roster
+from fescuerudder.jobs.roster import UNREADABLE, AttemptRef, RosterEntry, dump_roster
 from fescuerudder.jobs.schedulerstate import SchedulerState
 from fescuerudder.jobs.workerport import WorkerInfo
 from fescuerudder.jobs.workerrecord import WorkerClock, WorkerRecord
@@ -44,6 +44,7 @@
         self._state = state
         self._reconciler = reconciler
         self._claimed_s = state.clock.now_s()
+        self._is_roster_complete = True
 
     def set_workers(self, infos: Iterable[WorkerInfo]) -> None:
         """Updates the records from the complete registry of workers."""
@@ -64,12 +65,19 @@
         now_s = self._state.clock.now_s()
         for entry in entries:
             record = self._new_record(entry.info, now_s)
-            record.listed, record.on_roster, record.resolved = False, True, False
-            record.resolved_by_s = self._claimed_s + PREDECESSOR_LEASES_S
+            record.listed, record.on_roster = False, True
+            self._expect_unknown_attempts(record)
+            if entry == UNREADABLE:
+                self._is_roster_complete = False
             self._state.workers[record.id] = record
             if entry.only_attempts is not None:
                 self._restore_attempts(record, entry.only_attempts, now_s)
 
+    def _expect_unknown_attempts(self, record: WorkerRecord) -> None:
+        """Marks a worker on which attempts of earlier leaders may run until their leases end."""
+        record.resolved = False
+        record.resolved_by_s = self._claimed_s + PREDECESSOR_LEASES_S
+
     def _restore_attempts(
         self, record: WorkerRecord, only_attempts: Iterable[AttemptRef], now_s: float
     ) -> None:
@@ -96,7 +104,9 @@
         if record is not None and record.info.address != info.address:
             self._state.roster_changed = True
         if record is None:
-            self._state.workers[info.id] = self._new_record(info, now_s)
+            record = self._state.workers[info.id] = self._new_record(info, now_s)
+            if not self._is_roster_complete and now_s < self._claimed_s + PREDECESSOR_LEASES_S:
+                self._expect_unknown_attempts(record)
             self._state.roster_changed = True
         elif info.incarnation_ms > record.info.incarnation_ms:
             self._reconciler.begin_incarnation(
--- a/fescuerudder/jobs/takeover.py
+++ b/fescuerudder/jobs/takeover.py
@@ -16,7 +16,7 @@
     load_state,
     restore_progress,
 )
-from fescuerudder.jobs.roster import RosterEntry, load_roster
+from fescuerudder.jobs.roster import RosterEntry, load_roster, recover_roster
 from fescuerudder.jobs.rows import Row, RowStore, read_partition
 from fescuerudder.jobs.storage import (
     CANCEL_SUFFIX,
@@ -69,7 +69,6 @@
 
     Raises:
         StoreUnavailableError: a partition could not be read.
-        StoredFormError: the roster is malformed; without it tasks could run twice.
     """
     position = store.read(
         table=JOBS_TABLE, partition=LEADER_PARTITION, timeout_s=LOAD_TIMEOUT_S
@@ -97,10 +96,19 @@
     return attrs.evolve(
         loaded,
         knowledge=values.get(KNOWLEDGE_KEY),
-        roster=load_roster(values[ROSTER_KEY]) if ROSTER_KEY in values else [],
+        roster=_read_roster(values[ROSTER_KEY]) if ROSTER_KEY in values else [],
     )
 
 
+def _read_roster(data: bytes) -> list[RosterEntry]:
+    """Returns the roster; of a malformed one, what is safe to use instead."""
+    try:
+        return load_roster(data)
+    except StoredFormError as exc:
+        _log.error("roster can't be read, older jobs wait for all leases", reason=str(exc))
+        return recover_roster(data)
+
+
 def _assemble(
     rows: list[Row],
     progress: dict[str, bytes],
--- a/tests/jobs/test_roster.py
+++ b/tests/jobs/test_roster.py
@@ -1,5 +1,7 @@
 """Tests the stored roster: which workers a successor waits for, and which tasks it delays."""
 
+import json
+
 import pytest
 
 from bench._jobsimulation import JobSimulation
@@ -9,6 +11,7 @@
 from fescuerudder.jobs.leases import PREDECESSOR_LEASES_S
 from fescuerudder.jobs.progress import StoredFormError
 from fescuerudder.jobs.roster import RosterEntry, dump_roster, load_roster
+from fescuerudder.jobs.rows import RowTransaction
 from fescuerudder.jobs.storage import ROSTER_KEY
 
 SILENT_JOB = "00000000000000aa"
@@ -139,3 +142,38 @@
         (loaded,) = load_roster(dump_roster([entry]))
         assert loaded.only_attempts == entry.only_attempts
         assert (loaded.info.id, loaded.info.incarnation_ms) == (info.id, info.incarnation_ms)
+
+
+DAMAGES = {
+    "no document": lambda data: b"{}x",
+    "nested": lambda data: b"[" * 100_000,
+    "no list": lambda data: b'{"a": 1}',
+    "one odd entry": lambda data: json.dumps([["w0", 1e999, 1], *json.loads(data)[1:]]).encode(),
+    "entries of another version": lambda data: json.dumps(
+        [[*row, None, "more"] for row in json.loads(data)]
+    ).encode(),
+}
+
+
+@pytest.mark.parametrize("is_reachable", [True, False])
+@pytest.mark.parametrize("damage", DAMAGES)
+def test_a_successor_leads_with_a_damaged_roster(damage, is_reachable):
+    """Guards against an instance after instance that fails to lead because of one row.
+
+    No task may run twice either, although nothing tells on which workers tasks run.
+    """
+    sim = make_simulation()
+    if is_reachable:
+        sim.cut.clear()
+    data = DAMAGES[damage](sim.store.get(ROSTER_KEY).value)
+    sim.leaders[-1].alive = False
+    sim.store.write(RowTransaction(puts=((ROSTER_KEY, data),)), timeout_s=1)
+    sim.claim("b")
+    sim.run(PREDECESSOR_LEASES_S + 100)
+    assert sim.state(SILENT_JOB) is sim.state(WAITING_JOB) is JobState.COMPLETED
+    sim.check_history()
+    assert {entry.info.id for entry in load_roster(sim.store.get(ROSTER_KEY).value)} == {
+        "w0",
+        "w1",
+        "w2",
+    }
