Claim the leadership whatever the rows of the last leader hold

What callers would see: no leader, or one whose orders all workers refuse.

Cause: a heartbeat that can't be read failed each step of each instance. A claim that can't be read counted as none, so the next term began with epoch 1 and tokens that every worker had already seen exceeded. An epoch of any size was taken and raised in each claim.

Change: a heartbeat that can't be read counts as one that stands still, with an error in the log; the next epoch is above those of claim and heartbeat, and an epoch beyond the exact range of tokens makes its row malformed.

--- a/fescuerudder/jobs/claim.py
+++ b/fescuerudder/jobs/claim.py
@@ -8,6 +8,9 @@
 
 from fescuerudder.jobs.progress import StoredFormError
 
+MAX_EPOCH = 2**31
+"""Fencing tokens are multiples of the epoch; beyond it they are not exact in JSON."""
+
 _CONVERTER = cattrs.Converter()
 _T = TypeVar("_T")
 
@@ -58,7 +61,9 @@
     Raises:
         StoredFormError: the data is malformed.
     """
-    return _load(data, Claim)
+    claim = _load(data, Claim)
+    _check_epoch(claim.epoch)
+    return claim
 
 
 def load_heartbeat(data: bytes) -> Heartbeat:
@@ -67,7 +72,14 @@
     Raises:
         StoredFormError: the data is malformed.
     """
-    return _load(data, Heartbeat)
+    heartbeat = _load(data, Heartbeat)
+    _check_epoch(heartbeat.epoch)
+    return heartbeat
+
+
+def _check_epoch(epoch: int) -> None:
+    if not 0 <= epoch <= MAX_EPOCH:
+        raise StoredFormError("epoch out of range")
 
 
 def _load(data: bytes, form: type[_T]) -> _T:
--- a/fescuerudder/jobs/leadership.py
+++ b/fescuerudder/jobs/leadership.py
@@ -16,7 +16,14 @@
 from fescuerudder.jobs.leaderlink import ConfigProvider, LeaderLink, LinkSource
 from fescuerudder.jobs.linkmessages import StoreJob
 from fescuerudder.jobs.progress import StoredFormError
-from fescuerudder.jobs.rows import ABSENT, RowConflictError, RowStore, RowTransaction, read_row
+from fescuerudder.jobs.rows import (
+    ABSENT,
+    Row,
+    RowConflictError,
+    RowStore,
+    RowTransaction,
+    read_row,
+)
 from fescuerudder.jobs.storage import CLAIM_KEY, HEARTBEAT_KEY
 
 STEP_INTERVAL_S = 0.25
@@ -79,6 +86,12 @@
     heartbeat_id: tuple[int, int] | None = None
     heartbeat_since_s: float | None = None
 
+    @property
+    def epoch(self) -> int:
+        """Epoch of the last known term; the heartbeat also tells it if the claim is malformed."""
+        claimed = self.claim.epoch if self.claim is not None else 0
+        return max(claimed, self.heartbeat_id[0] if self.heartbeat_id is not None else 0)
+
 
 class Leadership:
     """Claims the leadership when no other instance leads, and runs the terms; a context manager.
@@ -189,7 +202,7 @@
         if not self._is_claimable():
             return
         claim = Claim(
-            epoch=(self._observed.claim.epoch if self._observed.claim else 0) + 1,
+            epoch=self._observed.epoch + 1,
             instance=self._instance,
             address=self._address,
             key=secrets.token_hex(16),
@@ -204,8 +217,7 @@
         row = read_row(self._store, HEARTBEAT_KEY, timeout_s=STORE_TIMEOUT_S)
         now_s = self._clock.now_s()
         self._update_store_latency(now_s - started_s)
-        heartbeat = load_heartbeat(row.value) if row is not None else None
-        heartbeat_id = (heartbeat.epoch, heartbeat.count) if heartbeat is not None else None
+        heartbeat_id = _heartbeat_id(row) if row is not None else None
         last_id = self._observed.heartbeat_id
         if self._observed.heartbeat_since_s is not None and heartbeat_id == last_id:
             return
@@ -357,3 +369,13 @@
             _log.info("leadership released", epoch=claim.epoch)
         except PlatformError as exc:
             _log.warning("leadership not released", epoch=claim.epoch, reason=str(exc))
+
+
+def _heartbeat_id(row: Row) -> tuple[int, int] | None:
+    """Returns epoch and count of a heartbeat; None if it is malformed, which then stands still."""
+    try:
+        heartbeat = load_heartbeat(row.value)
+    except StoredFormError as exc:
+        _log.error("heartbeat can't be read", reason=str(exc))
+        return None
+    return heartbeat.epoch, heartbeat.count
--- a/tests/jobs/test_leadership.py
+++ b/tests/jobs/test_leadership.py
@@ -249,3 +249,23 @@
     with leadership:
         wait_until(lambda: leadership.term is not None and terms[0].views)
         assert terms[0].views[-1] is newer
+
+
+CLAIM = Claim(epoch=4, instance="other", address="127.0.0.1:2", key="k")
+BEAT = Heartbeat(epoch=4, count=9)
+ODD_ROWS = {"nested": b"[" * 100_000, "empty": b"", "huge": b'{"epoch": 1e300, "count": 1}'}
+
+
+@pytest.mark.parametrize("data", ODD_ROWS.values(), ids=ODD_ROWS)
+@pytest.mark.parametrize(
+    ("odd_key", "epoch"), [(HEARTBEAT_KEY, 5), (CLAIM_KEY, 5)], ids=["heartbeat", "claim"]
+)
+def test_an_odd_row_of_the_leader_keeps_nobody_from_claiming(odd_key, epoch, data):
+    """Guards against a system without a leader, or with one whose tokens all workers refuse."""
+    rows = MemoryRowStore()
+    puts = {CLAIM_KEY: dump_row(CLAIM), HEARTBEAT_KEY: dump_row(BEAT), odd_key: data}
+    rows.write(RowTransaction(puts=tuple(puts.items())), timeout_s=1.0)
+    leadership = make_leadership(rows)
+    with leadership:
+        wait_until(lambda: leadership.term is not None)
+        assert load_claim(rows.get(CLAIM_KEY).value).epoch == epoch
