Refuse a question about an unreadable row instead of failing

What callers would see: 500 for the state of a job, its cancellation or the number of waiting jobs, which tells them nothing.

Cause: the rows were decoded outside the handling of errors.

Evidence: before this change the cases of test_questions_about_unreadable_rows_ are_refused failed with RecursionError, TypeError and JSONDecodeError.

--- a/fescuerudder/jobs/intake.py
+++ b/fescuerudder/jobs/intake.py
@@ -16,7 +16,7 @@
 from fescuerudder.jobs.jobrun import JobState
 from fescuerudder.jobs.jobstates import JobStates
 from fescuerudder.jobs.linkmessages import StoreJob
-from fescuerudder.jobs.progress import dump_job, load_state
+from fescuerudder.jobs.progress import StoredFormError, dump_job, load_state
 from fescuerudder.jobs.rows import (
     ABSENT,
     RowConflictError,
@@ -247,7 +247,8 @@
             return Ok(known)
         try:
             state = self._read_state(job_id)
-        except StoreUnavailableError as exc:
+        except (StoreUnavailableError, StoredFormError) as exc:
+            _log.warning("state of a job not known", job=job_id, reason=str(exc))
             return Ok(known) if known is not None else Err(Refusal(reason=str(exc)))
         if state is not None:
             self._states.update(job_id, state)
@@ -267,9 +268,10 @@
             return Ok(reported.get(queue, 0))
         try:
             row = read_row(self._store, HEARTBEAT_KEY, timeout_s=READ_TIMEOUT_S)
-        except StoreUnavailableError as exc:
+            counts = load_heartbeat(row.value).pending if row is not None else None
+        except (StoreUnavailableError, StoredFormError) as exc:
+            _log.warning("waiting jobs not known", queue=queue, reason=str(exc))
             return Err(Refusal(reason=str(exc)))
-        counts = load_heartbeat(row.value).pending if row is not None else None
         if counts is None:
             return Err(Refusal(reason="no leader has counted the waiting jobs yet"))
         return Ok(counts.get(queue, 0))
--- a/tests/jobs/test_intake.py
+++ b/tests/jobs/test_intake.py
@@ -23,7 +23,7 @@
 from fescuerudder.jobs.jobstates import JobStates
 from fescuerudder.jobs.linkmessages import StoreJob
 from fescuerudder.jobs.rows import RowTransaction
-from fescuerudder.jobs.storage import HEARTBEAT_KEY, job_key
+from fescuerudder.jobs.storage import HEARTBEAT_KEY, job_key, progress_key
 from standins.rows import MemoryRowStore
 
 JOB = Job(
@@ -241,3 +241,19 @@
     answer = intake.submit(JOB, deadline_s=clock.now_s() + deadline_s)
     assert answer.err_value.ran is False
     assert clock.now_s() - 10.0 <= min(deadline_s, 1.0)
+
+
+@pytest.mark.parametrize("data", [b"", b"[" * 100_000, b"[]", b'{"state": "of a later version"}'])
+def test_questions_about_unreadable_rows_are_refused(data):
+    """Guards against 500, which tells a caller nothing, where it may ask again later."""
+    rows = MemoryRowStore()
+    rows.write(
+        RowTransaction(puts=((progress_key(JOB.id), data), (HEARTBEAT_KEY, data))), timeout_s=1
+    )
+    intake = make_intake(rows)
+    for answer in (
+        intake.state(JOB.id),
+        intake.pending("q"),
+        intake.cancel(JOB.id, deadline_s=3.0),
+    ):
+        assert answer.is_err() and answer.err().ran is False
