Check stored knowledge before it is used

What callers would see: no instance can begin a term, or tasks are placed by numbers that are none.

Cause: knowledge of another version or writer raised errors that the start of a term didn't expect (nested, infinite), and shares and effects of any size and type were taken in.

Change: shares and effects are checked before any is taken; malformed knowledge is left out with an error in the log, as before. The table also runs against rows of jobs and of progress at a takeover.

--- a/fescuerudder/jobs/estimates.py
+++ b/fescuerudder/jobs/estimates.py
@@ -1,5 +1,6 @@
 """Processor use of tasks, estimated from reports."""
 
+from fescuerudder import checked
 from fescuerudder.jobs.job import Step
 from fescuerudder.jobs.jobrun import Attempt
 
@@ -25,8 +26,15 @@
         return {image: round(share, 3) for image, share in self._shares.items()}
 
     def restore(self, shares: dict[str, float]) -> None:
-        """Adds the shares that an earlier leader learned."""
-        self._shares.update(shares)
+        """Adds the shares that an earlier leader learned.
+
+        Raises:
+            ValueError: a share is out of range.
+        """
+        checked_shares = {
+            checked.text(image): checked.finite(share, most=1.0) for image, share in shares.items()
+        }
+        self._shares.update(checked_shares)
 
     def observe(self, attempt: Attempt) -> None:
         """Updates the share of an image from the latest report on an attempt at full speed."""
--- a/fescuerudder/jobs/headroom.py
+++ b/fescuerudder/jobs/headroom.py
@@ -16,6 +16,7 @@
 
 import attrs
 
+from fescuerudder import checked
 from fescuerudder.jobs.job import Step
 from fescuerudder.jobs.jobrun import Attempt, StepRun
 from fescuerudder.jobs.workerrecord import WorkerRecord
@@ -178,11 +179,18 @@
         ]
 
     def restore(self, rows: list[list[Any]]) -> None:
-        """Adds the effects that an earlier leader learned."""
-        for best_effort, latency_critical, mean, variance in rows:
-            self._effects[(best_effort, latency_critical)] = _Effect(
-                mean=float(mean), variance=float(variance)
+        """Adds the effects that an earlier leader learned.
+
+        Raises:
+            ValueError: an effect is out of range.
+        """
+        effects = {
+            (checked.text(best_effort), checked.text(latency_critical)): _Effect(
+                mean=checked.finite(mean, most=MAX_EFFECT), variance=checked.finite(variance)
             )
+            for best_effort, latency_critical, mean, variance in rows
+        }
+        self._effects.update(effects)
 
     def headroom_loss(self, *, best_effort: Step, latency_critical: Step, share: float) -> float:
         """Returns the headroom that a latency-critical task loses to a best-effort one.
--- a/fescuerudder/jobs/knowledge.py
+++ b/fescuerudder/jobs/knowledge.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from fescuerudder import checked
 from fescuerudder.jobs.estimates import UsageEstimates
 from fescuerudder.jobs.headroom import HeadroomModel
 from fescuerudder.jobs.progress import StoredFormError
@@ -33,8 +34,8 @@
             StoredFormError: the data is malformed.
         """
         try:
-            raw = json.loads(data)
+            raw = checked.load_json(data)
             self.estimates.restore(raw["estimates"])
             self.headroom_model.restore(raw["effects"])
-        except (ValueError, KeyError, TypeError) as exc:
-            raise StoredFormError(f"malformed knowledge: {type(exc).__name__}") from exc
+        except (AttributeError, LookupError, TypeError, ValueError) as exc:
+            raise StoredFormError(f"malformed knowledge: {checked.reason(exc)}") from exc
--- a/tests/jobs/test_odd_data.py
+++ b/tests/jobs/test_odd_data.py
@@ -1,6 +1,10 @@
 """Data of other writers in the loops and links of an instance: none of them ends."""
 
 import asyncio
+import contextlib
+import json
+import math
+from concurrent.futures import ThreadPoolExecutor
 
 import attrs
 import pykka
@@ -14,11 +18,16 @@
 from fescuerudder.jobs.jobcheck import check_job
 from fescuerudder.jobs.jobmetrics import JobMetrics
 from fescuerudder.jobs.jobrun import JobRun
-from fescuerudder.jobs.rows import Changes
+from fescuerudder.jobs.knowledge import Knowledge
+from fescuerudder.jobs.progress import StoredFormError, dump_job, dump_progress
+from fescuerudder.jobs.rows import Changes, RowTransaction
+from fescuerudder.jobs.storage import KNOWLEDGE_KEY, job_key, progress_key
+from fescuerudder.jobs.takeover import load_stored_state
 from fescuerudder.jobs.termevents import Advised, Answered, Silent
 from fescuerudder.jobs.workerport import OrderResult, RenewOrder
 from standins.rows import MemoryRowStore
 from tests.jobs.test_leader import EMPTY_BATCH, START, make_term
+from tests.platform.odd_values import MAX_EXACT, ODD_BYTES, table, variants
 
 UNEXPECTED = [RecursionError("deep"), OverflowError("large"), KeyError("x"), AttributeError("x")]
 RENEWAL = RenewOrder(
@@ -141,3 +150,79 @@
     check_job(job)
     run = JobRun.create(job=job, version=1, received_s=0.0)
     assert run.remaining_path_ms(0) == path_ms and run.remaining_path_ms(299) == 1
+
+
+KNOWLEDGE = {"estimates": {"i": 0.5}, "effects": [["i", "j", 3.0, 2.0]]}
+KNOWLEDGE_PATHS = [
+    ("estimates",),
+    ("estimates", "i"),
+    ("effects",),
+    ("effects", 0),
+    *(("effects", 0, n) for n in range(4)),
+]
+
+
+@pytest.mark.parametrize(
+    "data",
+    table(
+        [*ODD_BYTES.items(), *((n, t.encode()) for n, t in variants(KNOWLEDGE, KNOWLEDGE_PATHS))]
+    ),
+)
+def test_odd_knowledge_is_left_out(data):
+    """Guards against a term that can't begin, or plans with numbers that are none."""
+    knowledge = Knowledge()
+    with contextlib.suppress(StoredFormError):
+        knowledge.restore(data)
+    for share in knowledge.estimates.dump().values():
+        assert 0 <= share <= 1
+    for images in knowledge.headroom_model.dump():
+        assert 0 <= images[2] < MAX_EXACT and 0 <= images[3] < MAX_EXACT
+    Knowledge().restore(knowledge.dump())
+
+
+JOB_ROW = {
+    "id": "00000000000000aa",
+    "queue": "q",
+    "payload": "",
+    "steps": [
+        {"count": 1, "size": {"processors": 1.0, "memory_mb": 1, "accelerators": 0}},
+        {"count": 1, "size": {}, "after": [0], "estimated_ms": 5, "max_unavailable": 1},
+    ],
+    "repetition": {"times": 2, "first_ms": 1, "interval_ms": 1},
+    "submitted_ms": 5,
+}
+JOB_ROW_PATHS = [
+    *((name,) for name in JOB_ROW),
+    *(("steps", 0, "size", part) for part in JOB_ROW["steps"][0]["size"]),
+    *(("steps", 1, name) for name in JOB_ROW["steps"][1]),
+    ("steps", 1, "after", 0),
+    *(("repetition", name) for name in JOB_ROW["repetition"]),
+]
+
+
+@pytest.mark.parametrize(
+    "data",
+    table([*ODD_BYTES.items(), *((n, t.encode()) for n, t in variants(JOB_ROW, JOB_ROW_PATHS))]),
+)
+def test_an_odd_row_of_a_job_or_its_progress_hides_no_other(data):
+    """Guards against a takeover that fails, or plans that fail, because of one row."""
+    good = Job(id="00000000000000bb", queue="q", payload="", steps=(Step(count=1, size=Size()),))
+    store = MemoryRowStore()
+    for key, value in (
+        (job_key(good.id), dump_job(good)),
+        (job_key(JOB_ROW["id"]), data),
+        (progress_key(good.id), data),
+        (progress_key(JOB_ROW["id"]), b'{"state": "queued"}'),
+        (KNOWLEDGE_KEY, data),
+    ):
+        store.write(RowTransaction(puts=((key, value),)), timeout_s=1)
+    with ThreadPoolExecutor(2) as pool:
+        loaded = load_stored_state(
+            store=store, clock=ManualClock(), wall_ms=lambda: 1e12, pool=pool
+        )
+    runs = {run.job.id: run for run in loaded.live}
+    assert good.id in runs or good.id in loaded.ended
+    for run in runs.values():
+        assert all(run.may_open(step) in (True, False) for step in run.steps.values())
+        assert math.isfinite(run.work) and math.isfinite(run.received_s)
+        json.loads(dump_progress(run))
