Keep the links between instances alive whatever a peer or a row names

What callers would see: an instance that never connects to the leader again, or a leader that its followers take for gone.

Cause: the task that keeps a follower connected ended at an error that it didn't expect, such as ValueError for a claim whose address has a port out of range. The leader's tasks that send pulses and configurations ended alike, for instance at a name that can't be encoded. A negative or NaN age confirmed a configuration for good, so the store was no longer read. One compressed message could fill the memory.

Change: each of the three loops logs an unexpected error and goes on after its pause; ages are checked; unpacked data is bounded.

--- a/fescuerudder/jobs/_packing.py
+++ b/fescuerudder/jobs/_packing.py
@@ -11,6 +11,9 @@
 COMPRESSION_LEVEL = 1
 """The fastest level; queues are so alike that it still compresses them to a tenth."""
 
+MAX_UNPACKED_BYTES = 64 * 1024 * 1024
+"""Bounds the memory that a message takes; the largest manifests have about a megabyte."""
+
 _CONVERTER = make_converter()
 _T = TypeVar("_T")
 
@@ -27,6 +30,10 @@
         PeerError: the data is malformed.
     """
     try:
-        return _CONVERTER.structure(cbor2.loads(zlib.decompress(data)), cls)
+        decoder = zlib.decompressobj()
+        plain = decoder.decompress(data, MAX_UNPACKED_BYTES)
+        if not decoder.eof:
+            raise ValueError("cut off, or too large")
+        return _CONVERTER.structure(cbor2.loads(plain), cls)
     except Exception as exc:
         raise PeerError(f"malformed {cls.__name__}: {type(exc).__name__}") from exc
--- a/fescuerudder/jobs/followerlink.py
+++ b/fescuerudder/jobs/followerlink.py
@@ -11,6 +11,7 @@
 from websockets.asyncio.client import ClientConnection, connect
 from websockets.exceptions import InvalidStatus, WebSocketException
 
+from fescuerudder import checked
 from fescuerudder.clock import Clock
 from fescuerudder.codec import Envelope
 from fescuerudder.errors import PeerError
@@ -159,6 +160,10 @@
                 self._report_malformed(claim, str(exc))
             except (OSError, WebSocketException, TimeoutError) as exc:
                 _log.debug("not connected to the leader", reason=f"{type(exc).__name__}: {exc}")
+            except Exception as exc:
+                # The claim may name an address that can't be used.
+                _log.debug("link to the leader failed", exc_info=True)
+                self._report_malformed(claim, checked.reason(exc))
             await asyncio.sleep(RECONNECT_S)
 
     async def _run_connection(self, claim: Claim) -> None:
@@ -209,7 +214,8 @@
             if message.pending is not None:
                 self.pending = message.pending
             self._update_states(claim, message.states)
-            if message.config_age_s is not None:
+            # A negative age, or NaN, confirms nothing.
+            if message.config_age_s is not None and message.config_age_s >= 0.0:
                 self._config.confirm(version=message.config_version, age_s=message.config_age_s)
         elif isinstance(message, ConfigNews) and message.epoch == claim.epoch:
             self._config.receive(unpack(message.form, ConfigView))
--- a/fescuerudder/jobs/leaderlink.py
+++ b/fescuerudder/jobs/leaderlink.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import hmac
-from collections.abc import Callable, Collection
+from collections.abc import Awaitable, Callable, Collection
 from http import HTTPStatus
 from typing import Any, Protocol
 
@@ -182,8 +182,12 @@
             close_timeout=CLOSE_TIMEOUT_S,
             ping_interval=None,
         )
-        self._pulse_task = asyncio.create_task(self._broadcast_pulses())
-        self._config_task = asyncio.create_task(self._broadcast_config())
+        self._pulse_task = asyncio.create_task(
+            self._repeat(self._broadcast_pulse, PULSE_INTERVAL_S)
+        )
+        self._config_task = asyncio.create_task(
+            self._repeat(self._broadcast_config, CONFIG_CHECK_INTERVAL_S)
+        )
 
     async def _close(self) -> None:
         for task in (self._pulse_task, self._config_task):
@@ -257,20 +261,27 @@
         answer = Envelope(number=number, answer=True, message=StoreOutcome(outcome=outcome))
         await follower.conn.send(CODEC.encode(answer))
 
-    async def _broadcast_pulses(self) -> None:
+    async def _repeat(self, step: Callable[[], Awaitable[None]], pause_s: float) -> None:
+        """Calls `step` with pauses; an error of one call must not end those that follow."""
         while True:
-            await asyncio.sleep(PULSE_INTERVAL_S)
-            if self._source is None:
-                continue
-            states, self._unsent_states = self._unsent_states, {}
-            pulse = Pulse(
-                epoch=self._source.claim.epoch,
-                states=states,
-                pending=self._pending,
-                config_version=self._sent_config.version,
-                config_age_s=self._config_age_s(self._source.config),
-            )
-            broadcast(list(self._followers), _encode(pulse))
+            await asyncio.sleep(pause_s)
+            try:
+                await step()
+            except Exception:
+                _log.exception("message to followers failed", step=step.__name__)
+
+    async def _broadcast_pulse(self) -> None:
+        if self._source is None:
+            return
+        states, self._unsent_states = self._unsent_states, {}
+        pulse = Pulse(
+            epoch=self._source.claim.epoch,
+            states=states,
+            pending=self._pending,
+            config_version=self._sent_config.version,
+            config_age_s=self._config_age_s(self._source.config),
+        )
+        broadcast(list(self._followers), _encode(pulse))
 
     def _config_age_s(self, config: ConfigProvider) -> float | None:
         """Returns the age of the configuration that was sent, None if there is a newer one."""
@@ -278,21 +289,19 @@
         return age_s if config.view.version == self._sent_config.version else None
 
     async def _broadcast_config(self) -> None:
-        while True:
-            await asyncio.sleep(CONFIG_CHECK_INTERVAL_S)
-            source = self._source
-            if source is None or source.config.view.version == self._sent_config.version:
-                continue
-            view = source.config.view
-            patch = make_patch(self._sent_config, view)
-            self._sent_config, self._whole_config = view, None
-            followers = list(self._followers.values())
-            patched = [f for f in followers if patch is not None and f.hello.takes_patches]
-            if patch is not None:
-                broadcast([f.conn for f in patched], self._encode_patch(source, patch))
-            others = [f.conn for f in followers if f not in patched]
-            if others:
-                broadcast(others, await self._encode_whole_config(source))
+        source = self._source
+        if source is None or source.config.view.version == self._sent_config.version:
+            return
+        view = source.config.view
+        patch = make_patch(self._sent_config, view)
+        self._sent_config, self._whole_config = view, None
+        followers = list(self._followers.values())
+        patched = [f for f in followers if patch is not None and f.hello.takes_patches]
+        if patch is not None:
+            broadcast([f.conn for f in patched], self._encode_patch(source, patch))
+        others = [f.conn for f in followers if f not in patched]
+        if others:
+            broadcast(others, await self._encode_whole_config(source))
 
     def _encode_patch(self, source: LinkSource, patch: ConfigPatch) -> bytes:
         return _encode(ConfigChanged(epoch=source.claim.epoch, form=pack(patch)))
--- a/tests/jobs/test_links.py
+++ b/tests/jobs/test_links.py
@@ -1,18 +1,25 @@
 """The link between a leader and its followers, over real connections on this machine."""
 
 import asyncio
+import math
 import time
+import zlib
 
+import attrs
 import pytest
 import structlog
 
 from bench._jobsimulation import queue
+from fescuerudder.errors import PeerError
 from fescuerudder.jobs._loopthread import log_failure
+from fescuerudder.jobs._packing import MAX_UNPACKED_BYTES, unpack
+from fescuerudder.jobs.claim import Claim
 from fescuerudder.jobs.configview import ConfigView
 from fescuerudder.jobs.configwatch import MAX_CONFIRMATION_AGE_S
-from fescuerudder.jobs.followerlink import MAX_PULSE_AGE_S
+from fescuerudder.jobs.followerlink import MAX_PULSE_AGE_S, RECONNECT_S
 from fescuerudder.jobs.jobrun import JobState
-from fescuerudder.jobs.linkmessages import StoreJob
+from fescuerudder.jobs.leaderlink import PULSE_INTERVAL_S, _encode
+from fescuerudder.jobs.linkmessages import Pulse, StoreJob
 from fescuerudder.jobs.manifest import Manifest
 from tests.jobs.link_simulation import JOB, LIMIT_S, wait_until
 
@@ -150,3 +157,63 @@
     with structlog.testing.capture_logs() as logs:
         asyncio.run(run())
     assert [entry["event"] for entry in logs] == ["task failed"] * lines
+
+
+@attrs.define
+class BrokenConfig:
+    """Configuration that can't be read a few times."""
+
+    failures: int = 3
+    age_s: float | None = 0.0
+
+    @property
+    def view(self):
+        self.failures -= 1
+        if self.failures >= 0:
+            raise RecursionError("deep")
+        return ConfigView(version=7)
+
+
+def test_the_leader_goes_on_after_messages_that_cannot_be_sent(links):
+    """Guards against a leader without pulses, which its followers take for gone."""
+    links.leader.activate(attrs.evolve(links.source, config=BrokenConfig()))
+    link = links.follow("f")
+    links.leader.publish({}, {"\ud800": 1})
+    time.sleep(3 * PULSE_INTERVAL_S)
+    links.leader.publish({}, {"q": 5})
+    wait_until(lambda: link.is_connected and link.pending == {"q": 5})
+    assert not links.leader._pulse_task.done() and not links.leader._config_task.done()
+
+
+@pytest.mark.parametrize(
+    "address", ["127.0.0.1:99999", "127.0.0.1", "", "[::1", "a b:1", "\u20ac:1"]
+)
+def test_a_follower_goes_on_after_a_claim_with_an_odd_address(links, address):
+    """Guards against a follower that never connects again, because its link has ended."""
+    link = links.follow("f")
+    link.follow(Claim(epoch=2, instance="odd", address=address, key="k"))
+    wait_until(lambda: link._claim is not None and link._claim.instance == "odd")
+    time.sleep(2 * RECONNECT_S)
+    assert not link._task.done()
+    links.leader.activate(links.source)
+    link.follow(links.source.claim)
+    wait_until(lambda: link.is_connected)
+
+
+@pytest.mark.parametrize("age_s", [math.nan, -1e9, -math.inf])
+def test_an_odd_age_confirms_no_configuration(links, age_s):
+    """Guards against a follower that never reads the configuration again."""
+    link = links.follow("f")
+    pulse = Pulse(epoch=links.source.claim.epoch, config_version=0, config_age_s=age_s)
+    link._handle(links.source.claim, _encode(pulse))
+    assert link._config._confirmed_s is None
+
+
+@pytest.mark.parametrize(
+    "data",
+    [b"", b"x", zlib.compress(b"\x81" * 100_000), zlib.compress(bytes(MAX_UNPACKED_BYTES + 1))],
+)
+def test_odd_packed_data_is_an_error_of_the_peer(data):
+    """Guards against memory that one message fills, and errors that end a link."""
+    with pytest.raises(PeerError):
+        unpack(data, ConfigView)
