Leave out stored jobs under another key or with texts that can't be sent

A row of the table of jobs whose job has another id replaced that job in the leader's state; a text with half of a surrogate pair can't be sent to followers. Both are left out with an error in the log, like other malformed rows of jobs.

--- a/fescuerudder/jobs/jobcheck.py
+++ b/fescuerudder/jobs/jobcheck.py
@@ -11,11 +11,13 @@
 
 
 def check_job(job: Job) -> None:
-    """Checks the numbers of a job and the order of its steps.
+    """Checks the texts and numbers of a job, and the order of its steps.
 
     Raises:
         ValueError: the job can't be planned.
     """
+    for value in (job.id, job.queue, job.payload):
+        checked.text(value)
     occurrences = checked.whole(job.occurrences, most=MAX_TASKS)
     if len(job.steps) > MAX_STEPS or occurrences * len(job.steps) > MAX_TASKS:
         raise ValueError("too many steps")
@@ -30,6 +32,8 @@
 
 
 def _check_step(step: Step, number: int) -> None:
+    for value in (step.required_label, step.data_rack, step.image):
+        checked.text(value)
     checked.whole(step.count, most=MAX_TASKS)
     for amount in attrs.astuple(step.size):
         checked.finite(amount, most=checked.MAX_AMOUNT)
--- a/fescuerudder/jobs/takeover.py
+++ b/fescuerudder/jobs/takeover.py
@@ -148,7 +148,9 @@
             cancels.append(row.key.key.removesuffix(CANCEL_SUFFIX))
             continue
         job = _parse(load_job, row.value)
-        if job is not None:
+        if job is not None and job.id != row.key.key:
+            _log.error("stored row names another job", row=row.key.key)
+        elif job is not None:
             jobs.append(StoredJob(job=job, version=row.version))
     return jobs, cancels
 
--- a/tests/jobs/test_odd_data.py
+++ b/tests/jobs/test_odd_data.py
@@ -213,6 +213,7 @@
         (job_key(JOB_ROW["id"]), data),
         (progress_key(good.id), data),
         (progress_key(JOB_ROW["id"]), b'{"state": "queued"}'),
+        (job_key("00000000000000cc"), dump_job(good)),
         (KNOWLEDGE_KEY, data),
     ):
         store.write(RowTransaction(puts=((key, value),)), timeout_s=1)
@@ -222,6 +223,7 @@
         )
     runs = {run.job.id: run for run in loaded.live}
     assert good.id in runs or good.id in loaded.ended
+    assert len(loaded.live) + len(loaded.ended) == len({*runs, *loaded.ended}) <= 2
     for run in runs.values():
         assert all(run.may_open(step) in (True, False) for step in run.steps.values())
         assert math.isfinite(run.work) and math.isfinite(run.received_s)
