Keep an instance running when its settings file is odd

What operators would see: a process that ends by itself once the file changes.

Cause: the reload expected SettingsError only. A short list of ports raised IndexError, missing limits KeyError, an infinite port OverflowError and nested lists RecursionError; all of them left the main loop. Ports out of range, no processor time and infinite times were taken.

Change: the fields are checked; an error that the reader doesn't expect is logged, and the settings in force stay.

--- a/fescuerudder/checked.py
+++ b/fescuerudder/checked.py
@@ -87,12 +87,19 @@
     return value
 
 
+def host_port(value: Any) -> str:
+    """Returns a `host:port` whose port is in range."""
+    host, _, port = text(value).rpartition(":")
+    if not host or not port.isascii() or not port.isdigit():
+        raise OddValueError("expected host:port")
+    if not 0 < int(port[:6]) <= MAX_PORT:
+        raise OddValueError(f"expected a port from 1 to {MAX_PORT}")
+    return value
+
+
 def address(value: Any) -> str:
     """Returns an `ip:port` of one machine."""
-    host, _, port = text(value).rpartition(":")
-    if not port.isascii() or not port.isdigit() or not 0 < int(port[:6]) <= MAX_PORT:
-        raise OddValueError(f"expected ip:port with a port from 1 to {MAX_PORT}")
-    ip = ipaddress.ip_address(host)
+    ip = ipaddress.ip_address(host_port(value).rpartition(":")[0])
     if ip.is_unspecified or ip.is_multicast:
         raise OddValueError("expected the address of one machine")
     return value
--- a/fescuerudder/jobs/settingsreloader.py
+++ b/fescuerudder/jobs/settingsreloader.py
@@ -56,6 +56,10 @@
                 _log.error("changed settings refused, the old ones stay", reason=str(exc))
             self._last_error = str(exc)
             return False
+        except Exception:
+            # An error that the reader doesn't expect must not end a running instance.
+            _log.exception("changed settings not read, the old ones stay")
+            return False
         self._last_error = ""
         changed = _changed(self.cfg, cfg)
         if is_requested or changed:
--- a/fescuerudder/platform/settings.py
+++ b/fescuerudder/platform/settings.py
@@ -1,10 +1,12 @@
 """Decodes the platform's settings file into the settings of a job node."""
 
+import ipaddress
 import os
 import tomllib
 from pathlib import Path
 from typing import Any
 
+from fescuerudder import checked
 from fescuerudder.errors import SettingsError
 from fescuerudder.jobs.nodesettings import NodeSettings
 
@@ -24,8 +26,8 @@
         raise SettingsError(problems=[f"no settings file: set {SETTINGS_FILE_ENV}"])
     try:
         raw = tomllib.loads(Path(path).read_text(encoding="utf-8"))
-    except (OSError, ValueError) as exc:
-        raise SettingsError(problems=[f"{path}: {exc}"]) from exc
+    except (OSError, ValueError, RecursionError) as exc:
+        raise SettingsError(problems=[f"{path}: {checked.reason(exc)}"]) from exc
     return _parse_settings(raw, metrics_port)
 
 
@@ -40,28 +42,42 @@
             if value is None:
                 raise ValueError("is missing")
             return convert(value)
-        except (TypeError, ValueError) as exc:
-            problems.append(f"{dotted_key} {exc}")
+        except KeyError as exc:
+            problems.append(f"{dotted_key} lacks {exc}")
+            return None
+        except (IndexError, TypeError, ValueError) as exc:
+            problems.append(f"{dotted_key} {str(exc)[:checked.MAX_REASON_LENGTH]}")
             return None
 
     fields = {
-        "instance": get("node", str),
-        "zone": get("zone", str),
-        "region": get("region", str),
-        "callers": get("listenAddrs.front", str),
-        "health": get("listenAddrs.readyAddr", str),
-        "ip": get("ip", str),
+        "instance": get("node", checked.name),
+        "zone": get("zone", checked.name),
+        "region": get("region", checked.text),
+        "callers": get("listenAddrs.front", checked.host_port),
+        "health": get("listenAddrs.readyAddr", checked.host_port),
+        "ip": get("ip", lambda ip: str(ipaddress.ip_address(checked.text(ip)))),
         "metrics_port": metrics_port,
-        "first_port": get("internalPorts", lambda ports: int(ports[0])),
-        "store": get("platform.address", str),
-        "cores": get("limits", lambda limits: limits["cpuShare"] * limits["cpuCores"]),
+        "first_port": get("internalPorts", _first_port),
+        "store": get("platform.address", checked.host_port),
+        "cores": get("limits", _cores),
         # Longest time for which a worker runs a task without a renewal of its lease.
-        "max_lease_s": get("bounds.maxHoldMs", float),
-        "grace_s": get("bounds.graceS", float),
+        "max_lease_s": get("bounds.maxHoldMs", checked.finite),
+        "grace_s": get("bounds.graceS", checked.finite),
     }
-    if "advice" in raw:
-        fields["advice"] = get("advice", str)
+    if raw.get("advice"):
+        fields["advice"] = get("advice", checked.host_port)
     if problems:
         raise SettingsError(problems=problems)
     fields["max_lease_s"] /= 1000
     return NodeSettings(**fields)
+
+
+def _first_port(ports: Any) -> int:
+    return checked.whole(checked.items(ports)[0], least=1, most=checked.MAX_PORT)
+
+
+def _cores(limits: dict[str, Any]) -> float:
+    cores = checked.finite(limits["cpuShare"]) * checked.finite(limits["cpuCores"])
+    if not cores:
+        raise ValueError("allow no processor time")
+    return cores
--- a/tests/jobs/test_settingsreloader.py
+++ b/tests/jobs/test_settingsreloader.py
@@ -28,6 +28,10 @@
     raise SettingsError(problems=["zone is missing"])
 
 
+def fail():
+    raise RecursionError("deep")
+
+
 @pytest.mark.parametrize(
     ("read", "signalled", "passed_s", "grace_s"),
     [
@@ -36,6 +40,7 @@
         (lambda: attrs.evolve(CFG, grace_s=9.0), False, 0.0, 6.0),
         (lambda: CFG, True, 0.0, 6.0),
         (refuse, True, CHECK_INTERVAL_S, 6.0),
+        (fail, True, CHECK_INTERVAL_S, 6.0),
     ],
 )
 def test_changed_settings_are_applied(read, signalled, passed_s, grace_s):
