--- a/fescuerudder/jobs/rosterkeeper.py
+++ b/fescuerudder/jobs/rosterkeeper.py
@@ -8,7 +8,13 @@
 from fescuerudder.jobs.jobrun import Attempt, Phase
 from fescuerudder.jobs.leases import PREDECESSOR_LEASES_S
 from fescuerudder.jobs.reports import ReportReconciler
-from fescuerudder.jobs.roster import AttemptRef, RosterEntry, dump_deadlines, dump_roster
+from fescuerudder.jobs.roster import (
+    UNREADABLE,
+    AttemptRef,
+    RosterEntry,
+    dump_deadlines,
+    dump_roster,
+)
 from fescuerudder.jobs.rows import StoreClock
 from fescuerudder.jobs.schedulerstate import SchedulerState
 from fescuerudder.jobs.workerport import WorkerInfo
@@ -48,6 +54,7 @@
         self._reconciler = reconciler
         self._claimed_s = state.clock.now_s()
         self._store_clock: StoreClock | None = None
+        self._is_roster_complete = True
 
     def set_workers(self, infos: Iterable[WorkerInfo]) -> None:
         """Updates the records from the complete registry of workers."""
@@ -69,9 +76,10 @@
         self._store_clock = store_clock
         for entry in entries:
             record = self._new_record(entry.info, now_s)
-            record.listed, record.on_roster, record.resolved = False, True, False
-            record.resolved_by_s = self._ended_by_s(entry)
-            record.may_run_unknown, record.unknown_until_s = True, record.resolved_by_s
+            record.listed, record.on_roster = False, True
+            self._expect_unknown_attempts(record, until_s=self._ended_by_s(entry))
+            if entry == UNREADABLE:
+                self._is_roster_complete = False
             self._state.workers[record.id] = record
             if entry.only_attempts is not None or entry.deadline_ms is not None:
                 record.on_roster, record.is_restricted = False, True
@@ -86,6 +94,11 @@
             return until_s
         return min(until_s, self._store_clock.latest_s(entry.deadline_ms))
 
+    def _expect_unknown_attempts(self, record: WorkerRecord, *, until_s: float) -> None:
+        """Marks a worker on which attempts of earlier leaders may run until their leases end."""
+        record.resolved, record.resolved_by_s = False, until_s
+        record.may_run_unknown, record.unknown_until_s = True, until_s
+
     def _restore_attempts(
         self, record: WorkerRecord, only_attempts: Iterable[AttemptRef], now_s: float
     ) -> None:
@@ -111,7 +124,10 @@
         if record is not None and record.info.address != info.address:
             self._state.roster_changed = True
         if record is None:
-            self._state.workers[info.id] = self._new_record(info, now_s)
+            record = self._state.workers[info.id] = self._new_record(info, now_s)
+            until_s = self._claimed_s + PREDECESSOR_LEASES_S
+            if not self._is_roster_complete and now_s < until_s:
+                self._expect_unknown_attempts(record, until_s=until_s)
             self._state.roster_changed = True
         elif info.incarnation_ms > record.info.incarnation_ms:
             self._reconciler.begin_incarnation(
--- a/fescuerudder/jobs/scheduleractor.py
+++ b/fescuerudder/jobs/scheduleractor.py
@@ -68,24 +68,28 @@
         if callable(message):
             return message(self._scheduler)
         for event in message.events if isinstance(message, Batch) else (message,):
-            self._handle_logged(event)
+            self._handle_safely(event)
         try:
-            if self.actor_inbox.empty():
-                self._wait_for_plan()
-            if self.actor_inbox.empty() and self._may_order():
-                self._plan()
-            if self._scheduler.is_superseded:
-                self._on_superseded()
+            self._plan_if_idle()
         except Exception:
-            _log.exception("plan failed")
+            _log.exception("plan failed", after=type(message).__name__)
         return None
 
-    def _handle_logged(self, event: Any) -> None:
-        """Handles one event; an error in it doesn't lose the other events of its batch."""
+    def _handle_safely(self, event: Any) -> None:
+        """Handles an event; one that fails must not hide those that arrived with it."""
         try:
             self._handle(event)
         except Exception:
-            _log.exception("scheduling event failed", event_type=type(event).__name__)
+            _log.exception("scheduling event failed", kind=type(event).__name__)
+
+    def _plan_if_idle(self) -> None:
+        """Plans if no further event waits."""
+        if self.actor_inbox.empty():
+            self._wait_for_plan()
+        if self.actor_inbox.empty() and self._may_order():
+            self._plan()
+        if self._scheduler.is_superseded:
+            self._on_superseded()
 
     def _wait_for_plan(self) -> None:
         """Waits for the end of the pause after the last plan; further events may arrive."""
--- a/fescuerudder/jobs/takeover.py
+++ b/fescuerudder/jobs/takeover.py
@@ -16,7 +16,7 @@
     load_state,
     restore_progress,
 )
-from fescuerudder.jobs.roster import RosterEntry, add_deadlines, load_roster
+from fescuerudder.jobs.roster import RosterEntry, add_deadlines, load_roster, recover_roster
 from fescuerudder.jobs.rows import Row, RowKey, RowStore, StoreClock, read_partition
 from fescuerudder.jobs.storage import (
     CANCEL_SUFFIX,
@@ -72,7 +72,6 @@
 
     Raises:
         StoreUnavailableError: a partition could not be read.
-        StoredFormError: the roster is malformed; without it tasks could run twice.
     """
     sent_s = clock.now_s()
     head = store.read(table=JOBS_TABLE, partition=LEADER_PARTITION, timeout_s=LOAD_TIMEOUT_S)
@@ -101,20 +100,31 @@
     return attrs.evolve(
         loaded,
         knowledge=knowledge.value if knowledge is not None else None,
-        roster=_load_roster(stored),
+        roster=_read_roster(stored),
         store_clock=store_clock if head.store_ms else None,
     )
 
 
-def _load_roster(stored: dict[RowKey, Row]) -> list[RosterEntry]:
-    """Returns the roster, with the deadlines if they were written in the same transaction."""
+def _read_roster(stored: dict[RowKey, Row]) -> list[RosterEntry]:
+    """Returns the roster, with the deadlines if they were written in the same transaction.
+
+    Of a malformed roster it returns what is safe to use instead.
+    """
     roster, deadlines = stored.get(ROSTER_KEY), stored.get(DEADLINES_KEY)
     if roster is None:
         return []
-    entries = load_roster(roster.value)
+    try:
+        entries = load_roster(roster.value)
+    except StoredFormError as exc:
+        _log.error("roster can't be read, older jobs wait for all leases", reason=str(exc))
+        return recover_roster(roster.value)
     if deadlines is None or deadlines.version != roster.version:
         return entries
-    return add_deadlines(entries, deadlines.value)
+    try:
+        return add_deadlines(entries, deadlines.value)
+    except StoredFormError as exc:
+        _log.error("deadlines can't be read, all leases are waited for", reason=str(exc))
+        return entries
 
 
 def _assemble(
@@ -156,7 +166,9 @@
             cancels.append(row.key.key.removesuffix(CANCEL_SUFFIX))
             continue
         job = _parse(load_job, row.value)
-        if job is not None:
+        if job is not None and job.id != row.key.key:
+            _log.error("stored row names another job", row=row.key.key)
+        elif job is not None:
             jobs.append(StoredJob(job=job, version=row.version))
     return jobs, cancels
 
