Simulate workers whose capacity changes and that don't guard it

Nothing in the repository could show a start that brings a worker over its capacity: all simulated workers refuse it, and their capacity never changes.

Workers of a simulation may now carry out each start (guards_capacity=False). Workers that guard their capacity also check memory and accelerators.

--- a/bench/_jobsimulation.py
+++ b/bench/_jobsimulation.py
@@ -6,6 +6,7 @@
 import random
 from concurrent.futures import Executor, Future
 
+from bench._jobcapacity import CapacityWitness, LaggingRegistry
 from fescuerudder.clock import ManualClock
 from fescuerudder.document import Size
 from fescuerudder.errors import StoreOutcomeUnknownError, StoreUnavailableError
@@ -46,6 +47,7 @@
 LEASE_S = 4.0
 CALL_TIMEOUT_S = 1.5
 HEARTBEAT_INTERVAL_S = 0.5
+REGISTRY_READ_INTERVAL_S = 1.0
 
 
 class InlineExecutor(Executor):
@@ -123,6 +125,7 @@
         self.is_resolved = True
         self.feed = 0
         self.next_heartbeat_s = 0.0
+        self.next_registry_read_s = sim.clock.now_s() + REGISTRY_READ_INTERVAL_S
         claim = Claim(epoch=epoch, instance=name, address="", key="")
         self.writer = LeaderWriter(
             store=sim.store, clock=sim.clock, claim=claim, claim_version=version
@@ -182,7 +185,10 @@
         jobs, cancels = split_job_rows(list(changes.rows))
         self.scheduler.add_jobs(jobs)
         self.scheduler.cancel(cancels)
-        self.scheduler.set_workers(self.sim.registry())
+        now_s = self.sim.clock.now_s()
+        if self.sim.lagging_registry is None or now_s >= self.next_registry_read_s:
+            self.next_registry_read_s = now_s + REGISTRY_READ_INTERVAL_S
+            self.scheduler.set_workers(self.sim.registry())
 
     def _write(self) -> None:
         if not self.reaches_store:
@@ -222,9 +228,13 @@
             task, attempt number and worker.
         queues: queues of the manifest.
         capacity: processors of each worker.
+        guards_capacity: workers refuse what exceeds their capacity. Otherwise they carry out each
+            start, and the registry shows changes of a worker only with its next heartbeat.
     """
 
-    def __init__(self, *, seed=1, workers=3, plan=None, queues=None, capacity=4.0):
+    def __init__(
+        self, *, seed=1, workers=3, plan=None, queues=None, capacity=4.0, guards_capacity=True
+    ):
         self.clock = ManualClock(start_s=100.0)
         self.rng = random.Random(seed)
         self.store = MemoryRowStore(now_ms=lambda: int(self.clock.now_s() * 1000))
@@ -232,13 +242,19 @@
         self.manifest = Manifest(
             revision=1,
             queues=tuple(queues or (queue(),)),
-            pools=(Pool(name="pool", rejects_overload=True),),
+            pools=(Pool(name="pool", rejects_overload=guards_capacity),),
         )
         self.run_s = 1.0
         self.plan = plan or self._default_plan
         self.specs: dict[str, Job] = {}
         self.workers: dict[str, JobWorker] = {}
         self.unlisted: set[str] = set()
+        self.errors: list[str] = []
+        self.guards_capacity = guards_capacity
+        self.capacity_witness = CapacityWitness(specs=self.specs, errors=self.errors)
+        self.lagging_registry: LaggingRegistry | None = None
+        if not guards_capacity:
+            self.lagging_registry = LaggingRegistry(now_s=self.clock.now_s)
         for number in range(workers):
             self.add_worker(number, capacity)
         self.leaders: list[Leader] = []
@@ -249,7 +265,6 @@
         self.delay_s = (0.001, 0.03)
         self.cut: set[tuple[str, str]] = set()
         self.replaced: dict[str, str] = {}
-        self.errors: list[str] = []
         self.copies_allowed = False
         self.stale_entries: dict[str, tuple[WorkerInfo, float]] = {}
         self.advice = FakeAdvice(now_s=self.clock.now_s)
@@ -274,6 +289,7 @@
             plan=lambda task, attempt, name: self.plan(task, attempt, name),
             clock_rate=self.rng.choice((1.0, 0.985)),
         )
+        worker.guards_capacity = self.guards_capacity
         worker.accepts_permit = lambda order: self.advice.accepts(order, worker.info.incarnation_ms)
         self.workers[info.id] = worker
         return worker
@@ -283,6 +299,8 @@
         return step.size, self.run_s, False
 
     def registry(self):
+        if self.lagging_registry is not None:
+            return self.lagging_registry.read()
         return [
             self._listed(worker)
             for name, worker in self.workers.items()
@@ -363,19 +381,19 @@
             if not is_lost:
                 self._at(sent_s + CALL_TIMEOUT_S, lambda: self._no_answer(leader, order, sent_s))
             return
-        answer = self._execute(worker, order)
+        answer = self._execute(worker, order, sent_s)
         if not is_lost:
             back_s = self.clock.now_s() + self.rng.uniform(*self.delay_s)
             self._at(back_s, lambda: self._answer(leader, order, sent_s, answer))
 
-    def _execute(self, worker, order):
+    def _execute(self, worker, order, sent_s):
         if isinstance(order, RenewOrder):
             try:
                 return worker.renew(order)
             except WorkerFencedError as exc:
                 return exc
         if isinstance(order, StartOrder):
-            return worker.start(order)
+            return self.capacity_witness.start(worker, order, sent_s=sent_s)
         if isinstance(order, StopOrder):
             return worker.stop(order)
         return worker.throttle(order)
@@ -433,6 +451,9 @@
                 heapq.heappop(self._pending_calls)[2]()
             for worker in self.workers.values():
                 worker.tick()
+            if self.lagging_registry is not None:
+                is_down = self.store.faults.down
+                self.lagging_registry.update(self.workers.values(), is_down=is_down)
             for leader in self.leaders:
                 leader.tick()
             self.check()
--- a/standins/jobworker.py
+++ b/standins/jobworker.py
@@ -70,6 +70,9 @@
         self.last_lapse_s = 0.0
         self.is_up = True
         self.refuses_starts = False
+        self.guards_capacity = True
+        self.stop_duration_s = STOP_DURATION_S
+        self._capacities = [(self.started_s, info.capacity)]
         self.is_stalled = False
         self.accepts_permit = lambda order: True
         self.measure = lambda run: (0.0, 0.0)
@@ -84,6 +87,25 @@
         """Returns its registry entry."""
         return attrs.evolve(self.info, clock_ms=int(self.clock_ms()))
 
+    def set_capacity(self, capacity: Size) -> None:
+        """Changes the capacity while the worker runs."""
+        self.info = attrs.evolve(self.info, capacity=capacity)
+        self._capacities.append((self._now_s(), capacity))
+
+    def largest_capacity(self, *, since_s: float) -> Size:
+        """Returns the largest amount of each resource in this incarnation from `since_s` on."""
+        ends_s = [at_s for at_s, _ in self._capacities[1:]] + [self._now_s()]
+        sizes = [
+            size
+            for (_, size), end_s in zip(self._capacities, ends_s, strict=True)
+            if end_s >= since_s
+        ]
+        return Size(
+            processors=max(size.processors for size in sizes),
+            memory_mb=max(size.memory_mb for size in sizes),
+            accelerators=max(size.accelerators for size in sizes),
+        )
+
     def crash(self) -> None:
         """Goes down and loses everything that runs."""
         self.is_up = False
@@ -95,6 +117,7 @@
         """Starts a new incarnation without the state of the last one."""
         self.is_up = True
         self.started_s = self._now_s()
+        self._capacities = [(self.started_s, self.info.capacity)]
         self.info = attrs.evolve(self.info, incarnation_ms=self.info.incarnation_ms + 1)
         self.highest_token, self.lease_until_ms, self.last_serial = 0, 0.0, 0
         self.unacknowledged.clear()
@@ -143,9 +166,11 @@
         if not self.accepts_permit(order):
             return self._answer(OrderResult.NO_PERMIT)
         size, run_s, fails = self._plan(order.task, order.attempt, self.info.id)
-        used = sum(run.size.processors for run in self.runs.values())
+        used = size
+        for run in self.runs.values():
+            used = used.plus(run.size)
         self._extend_lease(order.lease_until_ms)
-        if used + size.processors > self.info.capacity.processors + 1e-9:
+        if self.guards_capacity and not used.fits_in(self.info.capacity):
             return self._answer(OrderResult.NO_ROOM)
         self.runs[key] = Run(
             task=order.task,
@@ -171,7 +196,7 @@
                 self.highest_ended.get(order.task, 0), order.attempt
             )
         elif run.stops_at_s is None:
-            run.stops_at_s = self._now_s() + STOP_DURATION_S
+            run.stops_at_s = self._now_s() + self.stop_duration_s
         return self._answer(OrderResult.DONE)
 
     def throttle(self, order: ThrottleOrder) -> OrderAnswer:
