Count what a leader stops although it didn't start it as taking room

Cause: the load of a worker counted live attempts only. Attempts that run but should not (orphans) took no room.

Change: orphans of known jobs count with their step's size. Where an orphan's size is unknown, nothing is started on the worker until it has ended, if the worker's pool doesn't reject overload or isn't known.

--- a/fescuerudder/jobs/load.py
+++ b/fescuerudder/jobs/load.py
@@ -1,5 +1,7 @@
 """Load of a worker: its free resources, unused processors and latency headroom."""
 
+from collections.abc import Iterable
+
 import attrs
 
 from fescuerudder.jobs.headroom import Measurement
@@ -56,6 +58,7 @@
             speed.
         starts_left: number of tasks that may still be started there in this plan, None if
             unlimited.
+        is_closed: nothing may be started there, whatever seems to be free.
     """
 
     record: WorkerRecord
@@ -69,10 +72,25 @@
     best_effort_tasks: int = 0
     best_effort_processors: float = 0.0
     starts_left: int | None = None
+    is_closed: bool = False
 
     @classmethod
-    def of(cls, record: WorkerRecord, knowledge: Knowledge, *, now_s: float) -> "Load":
-        """Returns the load of a worker, computed from its live attempts."""
+    def of(
+        cls,
+        record: WorkerRecord,
+        knowledge: Knowledge,
+        *,
+        now_s: float,
+        orphans: Iterable[Step] = (),
+    ) -> "Load":
+        """Returns the load of a worker, computed from its live attempts and its orphans.
+
+        Args:
+            record: the worker.
+            knowledge: knowledge about tasks.
+            now_s: the time.
+            orphans: steps of the orphans there, which take room until they have ended.
+        """
         capacity = record.info.capacity
         load = cls(
             record=record,
@@ -83,7 +101,7 @@
             accelerators=capacity.accelerators,
             unused_processors=capacity.processors * (1 - SPARE_PROCESSOR_SHARE),
         )
-        others = []
+        others = list(orphans)
         for attempt in record.attempts.values():
             spec = attempt.task.step.spec
             if spec.latency_target_ms:
@@ -185,6 +203,8 @@
             step: the step.
             free_share: share of the worker's processors that must stay free beside it.
         """
+        if self.is_closed:
+            return False
         if step.size.memory_mb > self.memory_mb or step.size.accelerators > self.accelerators:
             return False
         if not step.best_effort:
--- a/fescuerudder/jobs/schedulerstate.py
+++ b/fescuerudder/jobs/schedulerstate.py
@@ -143,9 +143,21 @@
         """Returns the load of a worker; a plan that adds an attempt also adds its step to it."""
         load = self._loads.get(record.id)
         if load is None or now_s - load.computed_s > MAX_LOAD_AGE_S:
-            load = self._loads[record.id] = Load.of(record, self.knowledge, now_s=now_s)
+            load = self._loads[record.id] = self._compute_load(record, now_s)
         return load
 
+    def _compute_load(self, record: WorkerRecord, now_s: float) -> Load:
+        tasks = [self.find_task(task_id) for task_id, _ in record.orphans]
+        steps = [task.step.spec for task in tasks if task is not None]
+        load = Load.of(record, self.knowledge, now_s=now_s, orphans=steps)
+        load.is_closed = not self._guards_capacity(record) and len(steps) < len(tasks)
+        return load
+
+    def _guards_capacity(self, record: WorkerRecord) -> bool:
+        """Returns whether a worker is known to refuse what exceeds its capacity."""
+        pool = self.pools.get(record.info.pool)
+        return pool is not None and pool.rejects_overload
+
     def discard_load(self, worker: str) -> None:
         """Drops the cached load of a worker."""
         self._loads.pop(worker, None)
--- a/tests/jobs/test_limit.py
+++ b/tests/jobs/test_limit.py
@@ -30,6 +30,30 @@
     return sim.claim(f"l{len(sim.leaders)}")
 
 
+@pytest.mark.parametrize("before_s", [0.1, 1.0], ids=["job known", "job ended"])
+def test_what_a_successor_stops_still_takes_room(before_s):
+    """Guards against starts beside tasks of a cancelled job that a new leader has yet to stop.
+
+    The cancelled job has ended for the successor, so it doesn't know the size of its tasks, or it
+    is still being stopped.
+    """
+    sim = simulation()
+    sim.workers["w0"].stop_duration_s = 3.0
+    sim.submit(JOB, steps=steps(4))
+    sim.claim("a")
+    sim.run(1.0)
+    sim.cancel(JOB)
+    if before_s == 0.1:
+        replace_leader(sim)
+    else:
+        sim.run(before_s)
+        assert sim.state(JOB) is JobState.CANCELLED
+        replace_leader(sim)
+    sim.submit(OTHER, steps=steps(4))
+    sim.run(10.0)
+    assert sim.starts(OTHER) == 4
+
+
 @pytest.mark.parametrize(
     ("changed", "best_effort"),
     [
