Don't rely on a capacity that a worker stated long ago

What callers saw: with a worker that doesn't guard its capacity, a leader that couldn't read the registry started tasks in room that had shrunk over 5.5 s before (LIMIT).

Cause: the leader goes on for 8 s without the store, and took the capacity of the last registry entry for as long. Only the registry tells capacities; the workers' reports don't.

Evidence: test_an_old_capacity_is_not_relied_on, store down at three moments: 2 processors of 1 at 107.3, 108.1 and 108.9 s. With a worker cut off from the store the registry drops the entry in time; these cases passed before.

Change: a record knows the worker's clock when it stated its capacity. Nothing is started on a worker of a pool that doesn't reject overload, or isn't known, if that was more than 3.5 s ago.

--- a/fescuerudder/jobs/rosterkeeper.py
+++ b/fescuerudder/jobs/rosterkeeper.py
@@ -111,18 +111,17 @@
         if record is not None and record.info.address != info.address:
             self._state.roster_changed = True
         if record is None:
-            self._state.workers[info.id] = self._new_record(info, now_s)
+            record = self._state.workers[info.id] = self._new_record(info, now_s)
+            record.update_info(info)
             self._state.roster_changed = True
         elif info.incarnation_ms > record.info.incarnation_ms:
             self._reconciler.begin_incarnation(
                 record, incarnation_ms=info.incarnation_ms, clock_ms=info.clock_ms, now_s=now_s
             )
-            record.info = info
-            record.listed = True
+            record.update_info(info)
         elif info.incarnation_ms == record.info.incarnation_ms:
             record.clock.update(reading_ms=info.clock_ms, now_s=now_s)
-            record.info = info
-            record.listed = True
+            record.update_info(info)
 
     def _new_record(self, info: WorkerInfo, now_s: float) -> WorkerRecord:
         """Returns the record of a worker on which no leader has started anything."""
--- a/fescuerudder/jobs/schedulerstate.py
+++ b/fescuerudder/jobs/schedulerstate.py
@@ -150,7 +150,8 @@
         tasks = [self.find_task(task_id) for task_id, _ in record.orphans]
         steps = [task.step.spec for task in tasks if task is not None]
         load = Load.of(record, self.knowledge, now_s=now_s, orphans=steps)
-        load.is_closed = not self._guards_capacity(record) and len(steps) < len(tasks)
+        is_certain = len(steps) == len(tasks) and record.knows_capacity(now_s)
+        load.is_closed = not is_certain and not self._guards_capacity(record)
         return load
 
     def _guards_capacity(self, record: WorkerRecord) -> bool:
--- a/fescuerudder/jobs/workerrecord.py
+++ b/fescuerudder/jobs/workerrecord.py
@@ -9,6 +9,13 @@
 CLOCK_DRIFT = 0.02
 """Fraction by which a worker's clock may run slow, as specified by the platform."""
 
+MAX_CAPACITY_AGE_S = 3.5
+"""Age up to which a capacity is relied on at a worker that doesn't guard it.
+
+Room that has shrunk still counts for 5.5 s. The age may be a second too low, as an entry may first
+be read a second after it was written, and a start takes time to arrive.
+"""
+
 AttemptKey = tuple[TaskId, int]
 """Task and number of an attempt."""
 
@@ -64,6 +71,7 @@
         unanswered_renewals: number of renewals without an answer since the last answer.
         is_restricted: the roster lists the only attempts that may run there; nothing is started
             there until the stored roster no longer says so.
+        capacity_ms: the worker's clock when it stated its capacity, None if that is not known.
         gone: another worker answers at its address, so this incarnation has ended.
         attempts: live attempts there.
         discarded_starts: starts without an answer that this incarnation can no longer carry out; a
@@ -96,6 +104,7 @@
     on_roster: bool = False
     unanswered_renewals: int = 0
     is_restricted: bool = False
+    capacity_ms: float | None = None
     gone: bool = False
     attempts: dict[AttemptKey, Attempt] = attrs.Factory(dict)
     discarded_starts: list[Attempt] = attrs.Factory(list)
@@ -123,6 +132,18 @@
         """Whether the latest renewal got no answer."""
         return self.silent_since_s is not None
 
+    def update_info(self, info: WorkerInfo) -> None:
+        """Records what the worker said of itself in the registry."""
+        self.info = info
+        self.capacity_ms = info.clock_ms
+        self.listed = True
+
+    def knows_capacity(self, now_s: float) -> bool:
+        """Returns whether the capacity is recent enough for a worker that doesn't guard it."""
+        if self.capacity_ms is None:
+            return False
+        return self.clock.earliest_ms(now_s) - self.capacity_ms <= MAX_CAPACITY_AGE_S * 1000
+
     def extend_lease_ms(self, *, now_s: float, lease_s: float) -> int:
         """Records a lease that starts now; returns its end on the worker's clock."""
         until_ms = int(self.clock.earliest_ms(now_s) + lease_s * 1000)
--- a/tests/jobs/test_limit.py
+++ b/tests/jobs/test_limit.py
@@ -3,6 +3,7 @@
 import attrs
 import pytest
 
+from bench._jobcapacity import SHRUNK_ROOM_S
 from bench._jobsimulation import JobSimulation
 from fescuerudder.document import Size
 from fescuerudder.jobs.job import Step
@@ -88,6 +89,28 @@
     assert sim.state(JOB) is JobState.COMPLETED
 
 
+@pytest.mark.parametrize("shrinks_after_s", [0.0, 0.7, 1.4])
+@pytest.mark.parametrize("whole_store", [True, False], ids=["store down", "worker cut off"])
+def test_an_old_capacity_is_not_relied_on(whole_store, shrinks_after_s):
+    """Guards against starts by a leader that has not heard of a worker's capacity for seconds."""
+    sim = simulation(run_s=0.5)
+    sim.submit(JOB, steps=steps(200))
+    sim.claim("a")
+    sim.run(1.5 + shrinks_after_s)
+    if whole_store:
+        sim.store.faults.down = True
+    else:
+        sim.lagging_registry.unreachable_for.add("w0")
+    sim.run(0.1)
+    sim.workers["w0"].set_capacity(attrs.evolve(FULL, processors=1.0))
+    sim.run(SHRUNK_ROOM_S + 4.0)
+    sim.store.faults.down = False
+    sim.lagging_registry.unreachable_for.clear()
+    started = sim.starts(JOB)
+    sim.run(10.0)
+    assert sim.starts(JOB) > started
+
+
 def test_refused_starts_are_few():
     """Guards against a loop of starts on a worker that has less room than its registry entry."""
     sim = JobSimulation(workers=1)
