Take no capacity from a worker's last incarnation

What callers saw: after a restart of a worker that doesn't guard its capacity, the leader started tasks by the capacity of the last incarnation (LIMIT).

Cause: a report tells the leader of a new incarnation before the registry does; the record kept the capacity of the old entry. A new incarnation may be of a different kind.

Evidence: test_a_new_incarnation_may_be_smaller: 2 processors of 1 at 101.35 s, 0.2 s after the restart.

Change: a new incarnation's capacity is not known until the registry lists it; until then nothing is started there if its pool doesn't reject overload.

Result: the test passes; starts go on once the registry lists the worker.

--- a/fescuerudder/jobs/workerrecord.py
+++ b/fescuerudder/jobs/workerrecord.py
@@ -214,5 +214,6 @@
         self.unanswered_renewals = 0
         self.resolved = False
         self.on_roster = self.is_restricted = False
+        self.capacity_ms = None
         self.gone = False
         return lost
--- a/tests/jobs/test_limit.py
+++ b/tests/jobs/test_limit.py
@@ -3,7 +3,7 @@
 import attrs
 import pytest
 
-from bench._jobcapacity import SHRUNK_ROOM_S
+from bench._jobcapacity import HEARTBEAT_S, SHRUNK_ROOM_S
 from bench._jobsimulation import JobSimulation
 from fescuerudder.document import Size
 from fescuerudder.jobs.job import Step
@@ -111,6 +111,27 @@
     assert sim.starts(JOB) > started
 
 
+def test_a_new_incarnation_may_be_smaller():
+    """Guards against starts by the capacity of a worker's last incarnation.
+
+    The leader learns of the new incarnation from a report, before the registry shows it.
+    """
+    sim = simulation(run_s=0.5)
+    sim.submit(JOB, steps=steps(400))
+    sim.claim("a")
+    sim.run(1.0)
+    worker = sim.workers["w0"]
+    sim.lagging_registry.unreachable_for.add("w0")
+    worker.crash()
+    worker.info = attrs.evolve(worker.info, capacity=attrs.evolve(FULL, processors=1.0))
+    worker.restart()
+    sim.run(2 * HEARTBEAT_S)
+    sim.lagging_registry.unreachable_for.clear()
+    started = sim.starts(JOB)
+    sim.run(10.0)
+    assert sim.starts(JOB) > started
+
+
 def test_refused_starts_are_few():
     """Guards against a loop of starts on a worker that has less room than its registry entry."""
     sim = JobSimulation(workers=1)
