Start nothing on a worker whose tasks exceed its capacity

What callers saw: after a worker had shrunk below what its tasks reserve, best-effort tasks were still started there, so a start left it over its capacity (LIMIT).

Cause: best-effort tasks reserve no processors, so the room check never looked at the processors that others reserve beyond the capacity. Memory and accelerators were checked.

Result: the test passes, and the best-effort task starts once the worker has grown.

--- a/fescuerudder/jobs/load.py
+++ b/fescuerudder/jobs/load.py
@@ -203,7 +203,7 @@
             step: the step.
             free_share: share of the worker's processors that must stay free beside it.
         """
-        if self.is_closed:
+        if self.is_closed or self.processors < -ROUNDING_TOLERANCE:
             return False
         if step.size.memory_mb > self.memory_mb or step.size.accelerators > self.accelerators:
             return False
--- a/tests/jobs/test_limit.py
+++ b/tests/jobs/test_limit.py
@@ -132,6 +132,22 @@
     assert sim.starts(JOB) > started
 
 
+def test_nothing_starts_beside_tasks_that_exceed_a_capacity():
+    """Guards against best-effort starts on a worker whose other tasks have too little room."""
+    sim = simulation()
+    sim.submit(JOB, steps=steps(4))
+    sim.claim("a")
+    sim.run(1.0)
+    sim.workers["w0"].set_capacity(attrs.evolve(FULL, processors=1.0))
+    sim.run(SHRUNK_ROOM_S + 1.0)
+    sim.submit(OTHER, steps=steps(1, best_effort=True))
+    sim.run(3.0)
+    assert sim.starts(OTHER) == 0
+    sim.workers["w0"].set_capacity(FULL)
+    sim.run(HEARTBEAT_S + 2.0)
+    assert sim.starts(OTHER) == 1
+
+
 def test_refused_starts_are_few():
     """Guards against a loop of starts on a worker that has less room than its registry entry."""
     sim = JobSimulation(workers=1)
