--- a/bench/_jobcapacity.py
+++ b/bench/_jobcapacity.py
@@ -65,26 +65,34 @@
     def __init__(self, *, specs: dict[str, Job], errors: list[str]) -> None:
         self._specs = specs
         self._errors = errors
+        self._sent: dict[StartOrder, tuple[float, int]] = {}
 
-    def start(self, worker: JobWorker, order: StartOrder, *, sent_s: float) -> OrderAnswer:
-        """Lets a worker carry out a start that was sent at `sent_s`, and checks it."""
+    def record_sent(self, order: StartOrder, *, now_s: float, incarnation_ms: int) -> None:
+        """Records that a leader sends a start to what it takes for an incarnation of a worker."""
+        self._sent[order] = (now_s, incarnation_ms)
+
+    def start(self, worker: JobWorker, order: StartOrder) -> OrderAnswer:
+        """Lets a worker carry out a start that was sent, and checks it."""
         ran_before = set(worker.runs)
         answer = worker.start(order)
         if set(worker.runs) - ran_before and not worker.guards_capacity:
-            self._check(worker, sent_s)
+            self._check(worker, *self._sent[order])
         return answer
 
-    def _check(self, worker: JobWorker, sent_s: float) -> None:
+    def _check(self, worker: JobWorker, sent_s: float, incarnation_ms: int) -> None:
         """Checks what runs on a worker after a start.
 
-        Room that had shrunk less than SHRUNK_ROOM_S before the order was sent still counts. An
-        order to an earlier incarnation of the worker is not judged.
+        Room that had shrunk less than SHRUNK_ROOM_S before the order was sent still counts, also
+        that of an earlier incarnation if the leader didn't know of the new one. An order that was
+        sent before the worker restarted is late, and not judged.
         """
         if sent_s < worker.started_s:
             return
         used = Size()
         for task, _ in worker.runs:
             used = used.plus(reserved(self._specs[task.job].steps[task.step]))
-        allowed = worker.largest_capacity(since_s=sent_s - SHRUNK_ROOM_S)
+        allowed = worker.largest_capacity(
+            since_s=sent_s - SHRUNK_ROOM_S, incarnation_ms=incarnation_ms
+        )
         if not used.fits_in(allowed):
             self._errors.append(f"{worker.info.id} at {sent_s:.2f}: {used} exceeds {allowed}")
--- a/bench/_jobsimulation.py
+++ b/bench/_jobsimulation.py
@@ -364,6 +364,9 @@
             answer_s, advice = self.advice.answer(order, self.workers)
             self._at(answer_s, lambda: leader.scheduler.on_advice(order, advice, sent_s=sent_s))
             return
+        if isinstance(order, StartOrder):
+            known = leader.scheduler.state.workers[order.worker].info.incarnation_ms
+            self.capacity_witness.record_sent(order, now_s=sent_s, incarnation_ms=known)
         is_lost = self.rng.random() < self.order_loss_rate
         delay_s = self.rng.uniform(*self.delay_s)
         if is_lost:
@@ -381,19 +384,19 @@
             if not is_lost:
                 self._at(sent_s + CALL_TIMEOUT_S, lambda: self._no_answer(leader, order, sent_s))
             return
-        answer = self._execute(worker, order, sent_s)
+        answer = self._execute(worker, order)
         if not is_lost:
             back_s = self.clock.now_s() + self.rng.uniform(*self.delay_s)
             self._at(back_s, lambda: self._answer(leader, order, sent_s, answer))
 
-    def _execute(self, worker, order, sent_s):
+    def _execute(self, worker, order):
         if isinstance(order, RenewOrder):
             try:
                 return worker.renew(order)
             except WorkerFencedError as exc:
                 return exc
         if isinstance(order, StartOrder):
-            return self.capacity_witness.start(worker, order, sent_s=sent_s)
+            return self.capacity_witness.start(worker, order)
         if isinstance(order, StopOrder):
             return worker.stop(order)
         return worker.throttle(order)
--- a/standins/jobworker.py
+++ b/standins/jobworker.py
@@ -72,7 +72,7 @@
         self.refuses_starts = False
         self.guards_capacity = True
         self.stop_duration_s = STOP_DURATION_S
-        self._capacities = [(self.started_s, info.capacity)]
+        self._capacities = [(self.started_s, info)]
         self.is_stalled = False
         self.accepts_permit = lambda order: True
         self.measure = lambda run: (0.0, 0.0)
@@ -90,15 +90,18 @@
     def set_capacity(self, capacity: Size) -> None:
         """Changes the capacity while the worker runs."""
         self.info = attrs.evolve(self.info, capacity=capacity)
-        self._capacities.append((self._now_s(), capacity))
+        self._capacities.append((self._now_s(), self.info))
 
-    def largest_capacity(self, *, since_s: float) -> Size:
-        """Returns the largest amount of each resource in this incarnation from `since_s` on."""
+    def largest_capacity(self, *, since_s: float, incarnation_ms: int) -> Size:
+        """Returns the largest amount of each resource from `since_s` on.
+
+        Incarnations before `incarnation_ms` do not count.
+        """
         ends_s = [at_s for at_s, _ in self._capacities[1:]] + [self._now_s()]
         sizes = [
-            size
-            for (_, size), end_s in zip(self._capacities, ends_s, strict=True)
-            if end_s >= since_s
+            info.capacity
+            for (_, info), end_s in zip(self._capacities, ends_s, strict=True)
+            if end_s >= since_s and info.incarnation_ms >= incarnation_ms
         ]
         return Size(
             processors=max(size.processors for size in sizes),
@@ -117,8 +120,8 @@
         """Starts a new incarnation without the state of the last one."""
         self.is_up = True
         self.started_s = self._now_s()
-        self._capacities = [(self.started_s, self.info.capacity)]
         self.info = attrs.evolve(self.info, incarnation_ms=self.info.incarnation_ms + 1)
+        self._capacities.append((self.started_s, self.info))
         self.highest_token, self.lease_until_ms, self.last_serial = 0, 0.0, 0
         self.unacknowledged.clear()
         self.highest_ended.clear()
