--- a/fescuerudder/jobs/rosterkeeper.py
+++ b/fescuerudder/jobs/rosterkeeper.py
@@ -128,17 +128,16 @@
             until_s = self._claimed_s + PREDECESSOR_LEASES_S
             if not self._is_roster_complete and now_s < until_s:
                 self._expect_unknown_attempts(record, until_s=until_s)
+            record.update_info(info)
             self._state.roster_changed = True
         elif info.incarnation_ms > record.info.incarnation_ms:
             self._reconciler.begin_incarnation(
                 record, incarnation_ms=info.incarnation_ms, clock_ms=info.clock_ms, now_s=now_s
             )
-            record.info = info
-            record.listed = True
+            record.update_info(info)
         elif info.incarnation_ms == record.info.incarnation_ms:
             record.clock.update(reading_ms=info.clock_ms, now_s=now_s)
-            record.info = info
-            record.listed = True
+            record.update_info(info)
 
     def _new_record(self, info: WorkerInfo, now_s: float) -> WorkerRecord:
         """Returns the record of a worker on which no leader has started anything."""
