Grant no lease that outlasts the stored deadline of a worker

Callers could see a task run twice.

Cause: a silent worker gets a deadline with the stored roster. When it answers again, its next renewal extended the lease at once, though the roster with the deadline was still the stored one; a successor that can't reach the worker takes the deadline for the end of what runs there.

Evidence: the new test; on the code before, the task runs on two workers. Change: a worker that the stored roster may restrict is asked for reports, but gets no longer lease until a roster without the restriction is stored.

--- a/fescuerudder/jobs/renewalplanner.py
+++ b/fescuerudder/jobs/renewalplanner.py
@@ -53,13 +53,14 @@
         """Returns the next renewal of a worker.
 
         A silent worker is asked for a report only. A new lease might take effect without an
-        answer, and would delay the restart of its tasks on other workers.
+        answer, and would delay the restart of its tasks on other workers. So is one that the stored
+        roster may still restrict: a lease must not outlast the deadline stored with it.
         """
         record.renewals_in_flight += 1
         record.renewal_token = record.token
         waits = record.resolved and not record.is_silent and not record.has_uncertain_start()
         until_ms = None
-        if not record.is_silent:
+        if not record.is_silent and record.on_roster:
             until_ms = record.extend_lease_ms(now_s=now_s, lease_s=self._leases.length_s(now_s))
         return RenewOrder(
             worker=record.id,
--- a/tests/jobs/test_takeover_waits.py
+++ b/tests/jobs/test_takeover_waits.py
@@ -97,3 +97,29 @@
     sim.run(6.0)
     assert sim.state(JOB) is JobState.COMPLETED
     sim.check_history()
+
+
+@pytest.mark.parametrize("claim_after_s", [0.5, 1.5, 2.5, 4.0, 6.0])
+def test_a_lease_does_not_outlast_the_stored_deadline(claim_after_s):
+    """Guards against a task that runs twice: its worker answers again after a deadline was stored.
+
+    The leader loses the store before it stores a roster without the deadline, and its successor,
+    which can't reach the worker, takes the deadline for the end of the task.
+    """
+    sim = JobSimulation(workers=4)
+    sim.plan = lambda task, attempt, worker: (ONE, 60.0, False)
+    sim.submit(JOB, steps=steps(1))
+    first = sim.claim("a")
+    sim.run(1.0)
+    (used,) = [name for name, worker in sim.workers.items() if worker.runs]
+    sim.cut.add(("a", used))
+    while not first.scheduler.state.workers[used].is_restricted:
+        sim.run(0.05)
+    sim.run(0.1)
+    first.reaches_store = False
+    sim.cut.clear()
+    sim.run(claim_after_s)
+    sim.cut.add(("b", used))
+    sim.claim("b")
+    sim.run(12.0)
+    sim.check_history()
