Count a step as opened in the term only if no earlier leader can know of it

Callers could see a task run twice.

Cause: after a takeover a step was taken as not ready for the earlier leader if a task that it depends on was listed as running. A renewal of the earlier leader may still wait at that worker, past the higher token, and tell it of the end; a leader that has lost the store can start the step as well.

Change: the task must be listed as running 2.2 s or more after the worker's first report to this leader; a renewal waits 2 s at most.

--- a/fescuerudder/jobs/jobrun.py
+++ b/fescuerudder/jobs/jobrun.py
@@ -55,6 +55,7 @@
         sent_s: when the start order was sent.
         confirmed_s: when the worker confirmed that it runs, None before.
         reported: a report of the worker's current incarnation listed it.
+        listed_s: when a report last listed it, None before.
         checkpoint: latest saved state that was reported.
         percent: progress of its work; see `RunningAttempt`.
         latency_ms: last reported tail latency, 0 if none.
@@ -81,6 +82,7 @@
     sent_s: float
     confirmed_s: float | None = None
     reported: bool = False
+    listed_s: float | None = None
     checkpoint: str = ""
     percent: int = 0
     latency_ms: float = 0.0
@@ -119,7 +121,7 @@
         last_worker: id of the worker of that attempt, or empty.
         seen_running: a report to this leader listed an attempt, so the earlier leader had not found
             it ended, and had not started another one.
-        done_in_term: such an attempt completed the task.
+        done_in_term: an attempt completed the task of which no earlier leader can have learned.
     """
 
     id: TaskId
@@ -285,8 +287,7 @@
     def opened_in_term(self, step: StepRun) -> bool:
         """Returns whether a step became ready under this leader.
 
-        A task that it depends on was seen to run in this term, so no earlier leader found the step
-        ready.
+        No earlier leader can have learned of the end of a task that it depends on.
         """
         return any(
             task.done_in_term
--- a/fescuerudder/jobs/reports.py
+++ b/fescuerudder/jobs/reports.py
@@ -25,6 +25,10 @@
 MAX_ORDER_DELAY_S = 20.0
 """Time after which an unanswered order can't be carried out any more: it has been, or is lost."""
 
+EARLIER_RENEWAL_S = 2.2
+"""Time for which a renewal of an earlier leader may go on waiting at a worker, and be answered,
+after the worker has seen a higher token."""
+
 _log = structlog.get_logger(__name__)
 
 
@@ -156,7 +160,7 @@
         state.mark_begun(task.step.job)
         task.last_number = max(task.last_number, end.attempt)
         if end.end is AttemptEnd.DONE and not task.step.spec.long_running:
-            task.done_in_term = attempt is not None and task.seen_running
+            task.done_in_term = attempt is not None and _ended_in_term(record, attempt)
             self._record_done(task)
         elif end.end is AttemptEnd.FAILED:
             self._record_failure(task, end)
@@ -199,6 +203,7 @@
             attempt.phase = Phase.RUNNING
             attempt.confirmed_s = now_s
         attempt.reported = attempt.task.seen_running = True
+        attempt.listed_s = now_s
         self._state.mark_begun(attempt.task.step.job)
         attempt.checkpoint = row.checkpoint or attempt.checkpoint
         attempt.percent = row.percent
@@ -262,6 +267,16 @@
     )
 
 
+def _ended_in_term(record: WorkerRecord, attempt: Attempt) -> bool:
+    """Returns whether no earlier leader can have learned of the end of an attempt.
+
+    A renewal of theirs may still wait at the worker when the first report to this leader comes.
+    """
+    if attempt.listed_s is None or record.first_report_s is None:
+        return False
+    return attempt.listed_s - record.first_report_s >= EARLIER_RENEWAL_S
+
+
 def _proves_absence(attempt: Attempt, order: RenewOrder, sent_s: float) -> bool:
     """Returns whether a report that doesn't list an attempt proves that it does not run.
 
--- a/fescuerudder/jobs/workerrecord.py
+++ b/fescuerudder/jobs/workerrecord.py
@@ -95,6 +95,7 @@
             suspected to crash its workers.
         report_clock_ms: the worker's clock in the latest report.
         report_s: when the latest report arrived.
+        first_report_s: when the first report to this leader arrived, None before.
         renewals_in_flight: number of renewals that were sent and have not ended.
         renewal_token: fencing token of the latest renewal.
         next_renewal_s: when the next renewal is due.
@@ -130,6 +131,7 @@
     probation_until_s: float = 0.0
     report_clock_ms: float = -1.0
     report_s: float | None = None
+    first_report_s: float | None = None
     renewals_in_flight: int = 0
     renewal_token: int = 0
     next_renewal_s: float = 0.0
@@ -208,6 +210,8 @@
 
     def update_from_report(self, report: Report, *, now_s: float) -> bool:
         """Updates clock and contact from a report; returns whether it is the newest so far."""
+        if self.first_report_s is None:
+            self.first_report_s = now_s
         self.silent_since_s = self.lost_contact_s = None
         self.unanswered_renewals = 0
         self.clock.update(reading_ms=report.clock_ms, now_s=now_s)
