Check what table, list of instances and workers answer to an entry instance

What operators would see: one malformed entry, and the list of instances can't be read at all; control cycles of a rack and commits that fail with errors nobody expects.

Cause: the list was decoded as a whole; answers of the table and of workers were taken with keys, versions, clocks and capacities of any type, and nested answers raised RecursionError.

Change: the checked conversions are used here too. A 503 of the table means that nothing was stored, whatever its body.

--- a/fescuerudder/table.py
+++ b/fescuerudder/table.py
@@ -6,6 +6,7 @@
 import attrs
 import urllib3
 
+from fescuerudder import checked
 from fescuerudder.errors import (
     ConflictError,
     StoreOutcomeUnknownError,
@@ -116,9 +117,12 @@
         if resp.status != 200:
             raise StoreUnavailableError(f"store read answered {resp.status}")
         try:
-            return [Row(**row) for row in resp.json()["rows"]]
-        except (ValueError, KeyError, TypeError) as exc:
-            raise StoreUnavailableError(f"store read answer is malformed: {exc}") from exc
+            raw = checked.load_json(resp.data)
+            return [_parse_row(row) for row in checked.items(raw["rows"])]
+        except (LookupError, TypeError, ValueError) as exc:
+            raise StoreUnavailableError(
+                f"store read answer is malformed: {checked.reason(exc)}"
+            ) from exc
 
     def transact(self, txn: Transaction) -> dict[str, int]:
         """Applies `txn`; see `Table.transact`."""
@@ -139,16 +143,27 @@
         return _versions(resp)
 
 
+def _parse_row(raw: dict[str, Any]) -> Row:
+    """Returns a row; a value that is no object is empty, so that its reader finds it malformed."""
+    value = raw["value"]
+    return Row(
+        key=checked.text(raw["key"]),
+        value=value if isinstance(value, dict) else {},
+        version=checked.whole(raw["version"]),
+    )
+
+
 def _versions(resp: urllib3.BaseHTTPResponse) -> dict[str, int]:
     """Converts an answer of the store into versions or an error."""
-    try:
-        body = resp.json()
-    except ValueError as exc:
-        raise StoreOutcomeUnknownError("store answer is malformed") from exc
-    if resp.status == 200:
-        return dict(body["versions"])
-    if resp.status == 409:
-        raise ConflictError(failed_keys=list(body.get("failed", [])))
     if resp.status == 503:
         raise StoreUnavailableError("store is down")
-    raise StoreOutcomeUnknownError(f"store answered {resp.status}")
+    if resp.status not in (200, 409):
+        raise StoreOutcomeUnknownError(f"store answered {resp.status}")
+    try:
+        body = checked.load_json(resp.data)
+        if resp.status == 200:
+            return {key: checked.whole(no) for key, no in body["versions"].items()}
+        failed_keys = [checked.text(key) for key in checked.items(body.get("failed", []))]
+    except (AttributeError, LookupError, TypeError, ValueError) as exc:
+        raise StoreOutcomeUnknownError(f"store answer is malformed: {checked.reason(exc)}") from exc
+    raise ConflictError(failed_keys=failed_keys)
--- a/fescuerudder/workers.py
+++ b/fescuerudder/workers.py
@@ -6,6 +6,7 @@
 import cattrs
 import urllib3
 
+from fescuerudder import checked
 from fescuerudder.document import Size
 from fescuerudder.errors import WorkerRefusedError, WorkerUnreachableError
 
@@ -194,6 +195,11 @@
 
 
 _CONVERTER = cattrs.Converter()
+_CONVERTER.register_structure_hook(str, lambda value, _: checked.text(value))
+_CONVERTER.register_structure_hook(int, lambda value, _: int(checked.finite(value)))
+# The converter would apply the hook of int to bool as well, which is derived from it.
+_CONVERTER.register_structure_hook(bool, lambda value, _: bool(value))
+_CONVERTER.register_structure_hook(float, lambda value, _: checked.finite(value))
 
 
 class HttpWorker:
@@ -234,7 +240,10 @@
             for task, (attempt, until_s) in leases.items()
         }
         body = self._call("POST", "renew", {"epoch": epoch, "leases": items})
-        return [str(task) for task in body.get("unknown", [])]
+        try:
+            return [checked.text(task) for task in checked.items(body.get("unknown", []))]
+        except ValueError as exc:
+            raise WorkerUnreachableError(f"malformed answer: {checked.reason(exc)}") from exc
 
     def stop(self, *, task: str, attempt: int, epoch: int, checkpoint: bool) -> StopOutcome:
         """Stops an attempt."""
@@ -255,11 +264,12 @@
         """Sends one command and returns the decoded answer."""
         try:
             resp = self._pool.request(method, f"{self._url}/{name}", json=command)
-            body = resp.json()
+            body = checked.load_json(resp.data)
         except (urllib3.exceptions.HTTPError, ValueError) as exc:
-            raise WorkerUnreachableError(f"worker {name} failed: {exc}") from exc
+            raise WorkerUnreachableError(f"worker {name} failed: {checked.reason(exc)}") from exc
         if resp.status == 409:
-            raise WorkerRefusedError(reason=str(body.get("reason", "unknown")))
+            reason = body.get("reason") if isinstance(body, dict) else None
+            raise WorkerRefusedError(reason=reason if isinstance(reason, str) else "unknown")
         if resp.status != 200 or not isinstance(body, dict):
             raise WorkerUnreachableError(f"worker {name} answered {resp.status}")
         return body
