--- a/fescuerudder/workers.py
+++ b/fescuerudder/workers.py
@@ -196,7 +196,9 @@
 
 _CONVERTER = cattrs.Converter()
 _CONVERTER.register_structure_hook(str, lambda value, _: checked.text(value))
-_CONVERTER.register_structure_hook(int, lambda value, _: checked.whole(value))
+_CONVERTER.register_structure_hook(int, lambda value, _: int(checked.finite(value)))
+# The converter would apply the hook of int to bool as well, which is derived from it.
+_CONVERTER.register_structure_hook(bool, lambda value, _: bool(value))
 _CONVERTER.register_structure_hook(float, lambda value, _: checked.finite(value))
 
 
--- a/tests/test_odd_answers.py
+++ b/tests/test_odd_answers.py
@@ -150,3 +150,11 @@
     except WorkerUnreachableError:
         return
     pytest.fail(f"taken as {names}")
+
+
+@pytest.mark.parametrize("leaving", [True, False])
+def test_a_usual_status_is_taken(leaving):
+    """Guards against checks that are so strict that no worker can be used."""
+    text = json.dumps({**STATUS, "leaving": leaving, "unknown": [None]})
+    found = answered(HttpWorker(address="a:1"), 200, text).status()
+    assert found.leaving is leaving and found.capacity.slots == 1
