--- a/tests/jobs/test_takeover_waits.py
+++ b/tests/jobs/test_takeover_waits.py
@@ -127,7 +127,7 @@
 
 
 def let_renewals_wait(sim):
-    """Lets renewals wait at their worker for an end, as on the platform, also past a higher token."""
+    """Lets renewals wait at their worker for an end, also after it has seen a higher token."""
     deliver = sim._deliver
 
     def poll(leader, order, worker, serial, until_s):
