Don't count planned restarts of a worker under its id as crashes

Callers could see a job fail that could be done.

Cause: when a worker restarted under its id, its attempts were suspected although it had announced that it leaves; only a replacement at its address checked that. Change: one function records the end of an incarnation for both cases.

--- a/fescuerudder/jobs/crashes.py
+++ b/fescuerudder/jobs/crashes.py
@@ -39,17 +39,22 @@
 _log = structlog.get_logger(__name__)
 
 
-def record_crash(
-    state: SchedulerState, worker: str, attempts: Iterable[Attempt], *, lost_contact_s: float
-) -> None:
-    """Records that a worker has crashed; gives up the tasks that have crashed enough of them.
+def record_worker_end(state: SchedulerState, record: WorkerRecord) -> None:
+    """Records that an incarnation of a worker has ended; call it before its record is reset.
 
-    Args:
-        state: state of the term.
-        worker: id of the worker.
-        attempts: attempts that ended with it.
-        lost_contact_s: when the leader lost contact with it.
+    Unless it left as announced, it has crashed, and tasks that have crashed enough workers are
+    given up.
     """
+    attempts = [*record.attempts.values(), *record.take_lapsed()]
+    if not record.info.draining:
+        lost_contact_s = record.lost_contact_s
+        at_s = lost_contact_s if lost_contact_s is not None else state.clock.now_s()
+        _record_crash(state, record.id, attempts, lost_contact_s=at_s)
+
+
+def _record_crash(
+    state: SchedulerState, worker: str, attempts: Iterable[Attempt], *, lost_contact_s: float
+) -> None:
     suspects = find_suspects(attempts, lost_contact_s=lost_contact_s)
     is_alone = len(suspects) == 1 and not state.lost_contact_with_others(
         worker, at_s=lost_contact_s, within_s=CORRELATED_S
--- a/fescuerudder/jobs/reports.py
+++ b/fescuerudder/jobs/reports.py
@@ -3,7 +3,7 @@
 import attrs
 import structlog
 
-from fescuerudder.jobs.crashes import exonerate, record_crash
+from fescuerudder.jobs.crashes import exonerate, record_worker_end
 from fescuerudder.jobs.jobrun import FULL_SPEED, Attempt, Phase, TaskRun
 from fescuerudder.jobs.schedulerstate import SchedulerState
 from fescuerudder.jobs.workerhealth import QUICK_FAILURE_S
@@ -95,11 +95,8 @@
         _log.info(
             "worker born again", worker=record.id, born_ms=incarnation_ms, ran=len(record.attempts)
         )
-        lost_contact_s = record.lost_contact_s or now_s
-        lapsed = record.take_lapsed()
-        lost = record.begin_incarnation(info, now_s=now_s)
-        record_crash(self._state, record.id, [*lost, *lapsed], lost_contact_s=lost_contact_s)
-        for attempt in lost:
+        record_worker_end(self._state, record)
+        for attempt in record.begin_incarnation(info, now_s=now_s):
             if not attempt.reported:
                 attempt.phase = Phase.UNCERTAIN
                 record.attempts[(attempt.task.id, attempt.number)] = attempt
--- a/fescuerudder/jobs/scheduler.py
+++ b/fescuerudder/jobs/scheduler.py
@@ -7,7 +7,7 @@
 
 from fescuerudder.clock import Clock
 from fescuerudder.jobs.adviceport import Advice, AdviceQuery
-from fescuerudder.jobs.crashes import record_crash
+from fescuerudder.jobs.crashes import record_worker_end
 from fescuerudder.jobs.job import TaskId
 from fescuerudder.jobs.jobrun import FULL_SPEED, Attempt, JobRun, JobState, Phase
 from fescuerudder.jobs.leases import LeasePolicy
@@ -190,10 +190,7 @@
         record.gone = record.resolved = True
         record.may_run_unknown = False
         record.orphans = set()
-        lost = [*record.attempts.values(), *record.take_lapsed()]
-        if not record.info.draining:
-            lost_contact_s = record.lost_contact_s or self._clock.now_s()
-            record_crash(self.state, worker, lost, lost_contact_s=lost_contact_s)
+        record_worker_end(self.state, record)
         for attempt in list(record.attempts.values()):
             self.state.requeue(attempt, checkpoint=attempt.checkpoint, reason="worker gone")
         if not record.listed:
--- a/tests/jobs/test_crashes.py
+++ b/tests/jobs/test_crashes.py
@@ -1,5 +1,6 @@
 """Tasks that crash each worker that starts them."""
 
+import attrs
 import pytest
 
 from bench._jobsimulation import JobSimulation
@@ -100,3 +101,25 @@
     sim.run(30.0)
     for job_id in OTHERS:
         assert sim.state(job_id) is JobState.COMPLETED
+
+
+@pytest.mark.parametrize("restarts", [2, 3])
+def test_planned_restarts_of_workers_give_up_nothing(restarts):
+    """Guards against a job that fails because its workers were stopped as announced."""
+    sim = JobSimulation(workers=2)
+    sim.run_s = 8.0
+    sim.claim("a")
+    sim.submit(JOB, steps=steps(1))
+    sim.run(0.5)
+    for _ in range(restarts):
+        sim.run(5.0)
+        (worker,) = [w for w in sim.workers.values() if w.runs]
+        worker.info = attrs.evolve(worker.info, draining=True)
+        sim.run(1.0)
+        worker.crash()
+        sim.run(2.0)
+        worker.info = attrs.evolve(worker.info, draining=False)
+        worker.restart()
+        sim.run(0.3)
+    sim.run(20.0)
+    assert sim.state(JOB) is JobState.COMPLETED
