Suspect the attempts of a crashed worker however late it is back

Callers could see one task crash worker after worker all the same.

Cause: a worker that stays away until its leases have ended and its entry is gone was forgotten, and with it which attempts it had; on its return nobody was suspected. Change: the record is kept, and the worker asked once a second, for up to 30 s after its leases have ended.

--- a/fescuerudder/jobs/rosterkeeper.py
+++ b/fescuerudder/jobs/rosterkeeper.py
@@ -152,7 +152,7 @@
         if record.listed:
             _log.info("worker left the registry", worker=record.id, attempts=len(record.attempts))
         record.listed = False
-        if not record.attempts and record.resolved:
+        if record.is_forgettable():
             self._state.forget_worker(record)
 
     def count_unanswered_renewal(self, record: WorkerRecord) -> None:
--- a/fescuerudder/jobs/scheduler.py
+++ b/fescuerudder/jobs/scheduler.py
@@ -41,6 +41,9 @@
 """Shortest time between two renewals of a worker, so that one report covers several ends."""
 
 RETRY_RENEWAL_S = 0.2
+ABSENT_RENEWAL_S = 1.0
+"""Time between two renewals of a worker that left the registry and may have crashed."""
+
 
 RESEND_STOP_S = 0.5
 STOP_SCAN_INTERVAL_S = 0.1
@@ -166,7 +169,8 @@
         if record is None:
             return
         record.end_renewal()
-        record.next_renewal_s = self._clock.now_s() + RETRY_RENEWAL_S
+        retry_s = RETRY_RENEWAL_S if record.listed or record.attempts else ABSENT_RENEWAL_S
+        record.next_renewal_s = self._clock.now_s() + retry_s
         self._roster.count_unanswered_renewal(record)
         if record.silent_since_s is None:
             record.silent_since_s = sent_s
@@ -365,6 +369,7 @@
             if record.may_run_unknown and certain_s >= record.unknown_ended_by_s():
                 record.may_run_unknown = False
                 self.state.roster_changed = True
+            record.drop_old_lapsed(now_s)
             if record.resolved and not record.is_silent:
                 continue
             if certain_s < record.lapsed_by_s():
@@ -379,7 +384,7 @@
                     self.state.requeue(
                         attempt, checkpoint=attempt.checkpoint, reason="lease ended unseen"
                     )
-            if not record.listed and not record.attempts:
+            if not record.listed and record.is_forgettable():
                 self.state.forget_worker(record)
 
     def _reported_workers(self) -> list[WorkerRecord]:
--- a/fescuerudder/jobs/workerrecord.py
+++ b/fescuerudder/jobs/workerrecord.py
@@ -18,6 +18,9 @@
 be read a second after it was written, and a start takes time to arrive.
 """
 
+LAPSED_KEPT_S = 30.0
+"""Time for which a worker may stay away and its attempts still be suspected on its return."""
+
 AttemptKey = tuple[TaskId, int]
 """Task and number of an attempt."""
 
@@ -193,6 +196,7 @@
             or (self.is_silent and self.listed and not self.gone)
             or self.stored_serial > self.acknowledged_serial
             or not self.resolved
+            or (bool(self.lapsed) and not self.gone)
         )
 
     def end_renewal(self) -> None:
@@ -203,6 +207,15 @@
         """Returns whether the outcome of any start is unknown."""
         return any(a.phase is Phase.UNCERTAIN for a in self.attempts.values())
 
+    def is_forgettable(self) -> bool:
+        """Returns whether nothing runs there and nothing is to be learned from its return."""
+        return not self.attempts and self.resolved and not self.lapsed
+
+    def drop_old_lapsed(self, now_s: float) -> None:
+        """Forgets lapsed attempts once the worker has been away for LAPSED_KEPT_S."""
+        if self.lapsed and now_s - (self.lost_contact_s or 0.0) >= LAPSED_KEPT_S:
+            self.lapsed.clear()
+
     def take_lapsed(self) -> list[Attempt]:
         """Returns the attempts whose leases ended while the worker was silent, and forgets them."""
         lapsed, self.lapsed = self.lapsed, []
--- a/tests/jobs/test_crashes.py
+++ b/tests/jobs/test_crashes.py
@@ -123,3 +123,14 @@
         sim.run(0.3)
     sim.run(20.0)
     assert sim.state(JOB) is JobState.COMPLETED
+
+
+@pytest.mark.parametrize("keeps_id", [True, False], ids=["same id", "new id"])
+@pytest.mark.parametrize("restart_delay_s", [2.0, 5.0, 7.0, 12.0])
+def test_crashes_are_charged_however_late_the_worker_is_back(keeps_id, restart_delay_s):
+    """Guards against crashes that are forgotten if the leases end before the worker is back."""
+    sim = crash_simulation(keeps_id=keeps_id)
+    sim.restart_delay_s = restart_delay_s
+    sim.run(120)
+    assert starts_of_crashing_task(sim) <= MAX_STARTS
+    assert sim.state(JOB) is JobState.FAILED
