--- a/bench/_jobsimulation.py
+++ b/bench/_jobsimulation.py
@@ -8,17 +8,18 @@
 
 import attrs
 
+from bench._fakeadvice import FakeAdvice
 from bench._jobcapacity import CapacityWitness, LaggingRegistry
 from fescuerudder.clock import ManualClock
 from fescuerudder.document import Size
 from fescuerudder.errors import StoreOutcomeUnknownError, StoreUnavailableError
-from fescuerudder.jobs.adviceport import Advice, AdviceQuery
+from fescuerudder.jobs.adviceport import AdviceQuery
 from fescuerudder.jobs.claim import Claim, Heartbeat, dump_row, load_claim
-from fescuerudder.jobs.job import Job, Step, StepId
+from fescuerudder.jobs.job import Job, Step
 from fescuerudder.jobs.jobrun import JobState
 from fescuerudder.jobs.leaderwriter import LeadershipLostError, LeaderWriter
 from fescuerudder.jobs.leases import LeasePolicy
-from fescuerudder.jobs.manifest import AdvicePolicy, Manifest, Pool, Queue
+from fescuerudder.jobs.manifest import Manifest, Pool, Queue
 from fescuerudder.jobs.progress import dump_job, load_state
 from fescuerudder.jobs.rows import ABSENT, RowConflictError, RowTransaction
 from fescuerudder.jobs.scheduler import Scheduler
@@ -75,45 +76,6 @@
     return Queue(**{**fields, **changes})
 
 
-class FakeAdvice:
-    """The advice service: answers one query at a time and gives permits that expire."""
-
-    def __init__(self, *, now_s):
-        self._now_s = now_s
-        self._free_s = 0.0
-        self.allows = None
-        self.policy = AdvicePolicy(decision_ms=100, per_worker_ms=20, valid_ms=2000)
-        self.down = False
-        self.queries = []
-
-    def answer(self, query, workers):
-        """Returns the time at which the answer arrives, and the advice."""
-        self.queries.append(query)
-        if self.down:
-            return self._now_s() + 0.1, None
-        took_s = (self.policy.decision_ms + self.policy.per_worker_ms * len(query.workers)) / 1000
-        self._free_s = max(self._free_s, self._now_s()) + took_s
-        until_s = self._free_s + self.policy.valid_ms / 1000
-        permits = {
-            name: f"{query.step}|{name}|{workers[name].info.incarnation_ms}|{until_s}"
-            for name in query.workers
-            if self.allows(query.step, name)
-        }
-        return self._free_s, Advice(permits=permits, valid_s=self.policy.valid_ms / 1000)
-
-    def accepts(self, order, incarnation_ms):
-        """Returns whether a start has a valid permit, or needs none."""
-        if self.allows is None:
-            return True
-        step, _, rest = order.permit.partition("|")
-        if step != str(StepId(*order.task[:3])):
-            return False
-        name, incarnation, until_s = rest.split("|")
-        return (name, int(incarnation)) == (order.worker, incarnation_ms) and self._now_s() < float(
-            until_s
-        )
-
-
 class Leader:
     """One instance during its term as the leader; the simulation drives it."""
 
