Don't count a start that was refused by another worker as a crash

Callers saw a standing job shown as failed that could be done (LOST).

Cause: when a start meets another worker at the address, the old one is gone, and the attempt that was just refused was suspected of the crash, as was each other start that was not answered yet.

The new test fails on the code before. Change: attempts without an answer to their start are not suspected; a start that crashed its worker has lost its connection by then, and counts as uncertain. Result: the tests of crashes pass.

--- a/fescuerudder/jobs/crashes.py
+++ b/fescuerudder/jobs/crashes.py
@@ -9,7 +9,7 @@
 
 import structlog
 
-from fescuerudder.jobs.jobrun import Attempt, TaskRun
+from fescuerudder.jobs.jobrun import Attempt, Phase, TaskRun
 from fescuerudder.jobs.schedulerstate import SchedulerState
 from fescuerudder.jobs.workerrecord import WorkerRecord
 
@@ -45,7 +45,9 @@
     Unless it left as announced, it has crashed, and tasks that have crashed enough workers are
     given up.
     """
-    attempts = [*record.attempts.values(), *record.take_lapsed()]
+    # A start that is not answered yet may have met the next worker, which refuses it.
+    begun = [a for a in record.attempts.values() if a.phase is not Phase.STARTING]
+    attempts = [*begun, *record.take_lapsed()]
     if not record.info.draining:
         lost_contact_s = record.lost_contact_s
         at_s = lost_contact_s if lost_contact_s is not None else state.clock.now_s()
--- a/tests/jobs/test_crashes.py
+++ b/tests/jobs/test_crashes.py
@@ -157,3 +157,15 @@
         sim.claim(f"l{n + 1}")
     sim.run(60)
     assert starts_of_crashing_task(sim) <= MAX_STARTS
+
+
+def test_a_start_that_another_worker_refuses_is_no_crash():
+    """Guards against a job that fails because its starts meet another worker at the address."""
+    sim = JobSimulation(workers=1)
+    leader = sim.claim("a")
+    sim.run(0.5)
+    sim.replaced["w0"] = "w1"
+    sim.submit(JOB, steps=steps(1))
+    sim.run(2.0)
+    (task,) = leader.scheduler.state.jobs[JOB].tasks()
+    assert task.last_number and not task.crashed_attempts
