--- a/review/common/worker.py
+++ b/review/common/worker.py
@@ -82,6 +82,7 @@
         self, *, name: str, zone: str, rack: str, tasks: Tasks, store: Store, record: Record
     ) -> None:
         self.id, self.zone, self._rack = name, zone, rack
+        self.kind = "a"
         self._tasks, self._store, self._record = tasks, store, record
         self._server = Server(self._handle)
         self._background: list[asyncio.Task[None]] = []
@@ -159,7 +160,7 @@
                 "state": self.state,
                 "coldRemainingMs": 0,
                 "capacity": {"cpu": CPU, "memMb": MEM_MB, "gpu": 0},
-                "labels": ["a", self._rack],
+                "labels": [self.kind, self._rack],
                 "clockMs": self.clock_ms(),
                 "sequence": self._sequence,
                 "born": self.born_ms,
--- a/review/common/world.py
+++ b/review/common/world.py
@@ -36,11 +36,9 @@
 
 ENDS = ("done", "failed", "lapsed", "stopped", "broken", "alone", "lost")
 
-PROBE = [
-    {"count": 2, "cpu": 3500, "memMb": 6400, "estimatedMs": 2200},
-    {"count": 2, "cpu": 3500, "memMb": 6400, "estimatedMs": 2200, "after": [0]},
-]
-"""Steps after the mean of a kind of request on the users' sheet: 2 steps of tasks of 2.2 s."""
+PROBE_STEP = {"count": 1, "cpu": 3500, "memMb": 6400, "estimatedMs": 2200}
+PROBE = [PROBE_STEP, *({**PROBE_STEP, "after": [number]} for number in range(4))]
+"""A chain of 5 steps, the most that the site file has, of tasks of 2.2 s."""
 
 PROBE_WORK_S = 2.2
 
@@ -344,15 +342,25 @@
             if event["kind"] == "run" and event["task"].startswith(job_id)
         ]
 
-    def is_idle(self, job_id: str, *, for_s: float) -> bool:
-        """Returns whether a job has work left and has had nothing running for a time."""
+    def longest_idle_s(self, job_id: str, *, since_s: float) -> float:
+        """Returns the longest time after `since_s` in which a job with work left had no run."""
         runs = self.runs_of(job_id)
         done = {event["task"] for event in runs if event["what"] == "done"}
-        if len(done) == self.tasks.count(job_id):
-            return False
-        last_s = max((event["at"] for event in runs if event["what"] in ENDS), default=0.0)
-        is_running = any(self.worker_of(event["task"]) is not None for event in runs)
-        return not is_running and self.now_s() - last_s >= for_s
+        is_done = len(done) == self.tasks.count(job_id)
+        live: set[tuple[str, int, str]] = set()
+        longest_s, idle_from_s = 0.0, since_s
+        for event in runs:
+            run = (event["task"], event["run"], event["who"])
+            if event["what"] == "start":
+                if not live:
+                    longest_s = max(longest_s, event["at"] - idle_from_s)
+                live.add(run)
+            elif event["what"] in ENDS:
+                live.discard(run)
+                idle_from_s = max(since_s, event["at"])
+        if not live and not is_done:
+            longest_s = max(longest_s, self.now_s() - idle_from_s)
+        return longest_s
 
     def worker_of(self, task: str) -> Worker | None:
         """Returns the worker on which a task runs now."""
