--- a/review/common/world.py
+++ b/review/common/world.py
@@ -25,6 +25,9 @@
 
 START_TIMEOUT_S = 20.0
 
+MEMORY_MB = 300
+"""`memoryMb` of the settings; a process that exceeds it is killed."""
+
 BROKEN, HELD, NOT_RUN = 1, 0, 2
 
 QUEUES = {
@@ -63,7 +66,7 @@
 [limits]
 cpuShare = 0.537
 cpuCores = 2
-memoryMb = 300
+memoryMb = {memory_mb}
 maxFds = 4100
 [bounds]
 contactMs = 4000
@@ -102,7 +105,9 @@
         self.ready = f"{ip}:8167"
         self._folder, self._world = folder, world
         self.settings = folder / f"{name}.toml"
-        self.settings.write_text(SETTINGS.format(name=name, ip=ip, store=store))
+        self.settings.write_text(
+            SETTINGS.format(name=name, ip=ip, store=store, memory_mb=MEMORY_MB)
+        )
         self.process: subprocess.Popen[bytes] | None = None
         self.keep = True
         self.ends: list[int] = []
@@ -126,10 +131,24 @@
             self._world.record("node", self.name, number.name)
             self.process.send_signal(number)
 
+    def memory_mb(self) -> float:
+        """Returns the resident memory of the process."""
+        if self.process is None:
+            return 0.0
+        try:
+            pages = Path(f"/proc/{self.process.pid}/statm").read_text().split()[1]
+        except (OSError, IndexError):
+            return 0.0
+        return int(pages) * os.sysconf("SC_PAGE_SIZE") / 2**20
+
     async def watch(self) -> None:
-        """Starts the process again after each end."""
+        """Kills the process if it exceeds its memory, and starts it again after each end."""
         while True:
             await asyncio.sleep(0.02)
+            if self.process is not None and self.memory_mb() > MEMORY_MB:
+                self._world.record("node", self.name, "over its memory", mb=int(self.memory_mb()))
+                self.process.kill()
+                self.process.wait()
             if self.process is None or self.process.poll() is None:
                 continue
             code = self.process.returncode
