--- a/review/common/worker.py
+++ b/review/common/worker.py
@@ -90,7 +90,8 @@
         self.up = False
         self.silent = False
         self.state = "ready"
-        self.rejects: Callable[[str, int], int] = lambda task, number: 0
+        self.late: Callable[[str, int], bool] = lambda task, number: False
+        self.late_orders: list[dict[str, Any]] = []
         self.born_ms = 0
         self._begin_life()
 
@@ -237,22 +238,33 @@
         if req.headers.get("x-target-instance", self.id) != self.id:
             return 421, {"clockMs": self.clock_ms()}
         raw = req.json()
+        if req.path == "/run-start" and self.late(raw["task"], raw["run"]):
+            self._record("order", self.id, "start delayed", task=raw["task"], run=raw["run"])
+            self.late_orders.append(raw)
+            return SILENCE
+        return await self._carry_out(req.path, raw)
+
+    async def carry_out_late(self) -> None:
+        """Carries out the delayed orders, whose callers got no answer."""
+        orders, self.late_orders = self.late_orders, []
+        for raw in orders:
+            status, body = await self._carry_out("/run-start", raw)
+            fields = {"task": raw["task"], "run": raw["run"], "reason": body.get("reason", "")}
+            self._record("order", self.id, f"start carried out late: {status}", **fields)
+
+    async def _carry_out(self, path: str, raw: dict[str, Any]) -> Any:
         if raw.get("fencingToken", 0) < self.token:
             return 409, {"clockMs": self.clock_ms(), "reason": "fence"}
         self.token = raw.get("fencingToken", 0)
-        if req.path == "/hold":
+        if path == "/hold":
             return await self._hold(raw)
         calls = {"/run-start": self._start_run, "/run-stop": self._stop_run, "/pace": self._pace}
-        status, reason = calls[req.path](raw)
+        status, reason = calls[path](raw)
         body = {"clockMs": self.clock_ms()}
         return status, {**body, "reason": reason} if reason else body
 
     def _start_run(self, raw: dict[str, Any]) -> tuple[int, str]:
         task, number = raw["task"], raw["run"]
-        status = self.rejects(task, number)
-        if status:
-            self._record("order", self.id, f"start rejected {status}", task=task, run=number)
-            return status, ""
         if raw["deadlineMs"] <= self.clock_ms():
             return 409, "late"
         current = self.runs.get(task)
