--- a/review/common/world.py
+++ b/review/common/world.py
@@ -28,7 +28,8 @@
 MEMORY_MB = 300
 """`memoryMb` of the settings; a process that exceeds it is killed."""
 
-BROKEN, HELD, NOT_RUN = 1, 0, 2
+BROKEN, HELD, NOT_RUN = 3, 0, 2
+"""Exit codes of a case; Python itself ends with 1 on an error, so run.sh turns 3 into 1."""
 
 QUEUES = {
     "entry-check": {"priority": 0, "maxAttempts": 3, "targetCompletionMs": 600, "stretch": 1.5},
@@ -387,7 +388,7 @@
 
 
 def run_case(main: Any) -> None:
-    """Runs a case and exits with its result: 0 held, 1 broken, 2 could not run."""
+    """Runs a case and exits with its result, which run.sh translates."""
     try:
         code = asyncio.run(main())
     except CannotRunError as exc:
