--- a/bench/_jobsimulation.py
+++ b/bench/_jobsimulation.py
@@ -14,7 +14,7 @@
 from fescuerudder.document import Size
 from fescuerudder.errors import StoreOutcomeUnknownError, StoreUnavailableError
 from fescuerudder.jobs.adviceport import AdviceQuery
-from fescuerudder.jobs.claim import Claim, Heartbeat, dump_row, load_claim
+from fescuerudder.jobs.claim import Claim, Heartbeat, dump_row, load_claim, load_heartbeat
 from fescuerudder.jobs.job import Job, Step
 from fescuerudder.jobs.jobrun import JobState
 from fescuerudder.jobs.leaderwriter import LeadershipLostError, LeaderWriter
@@ -114,7 +114,10 @@
         if loaded.knowledge is not None:
             self.scheduler.state.knowledge.restore(loaded.knowledge)
         self.scheduler.cancel(loaded.cancels)
-        self.scheduler.restore_roster(loaded.roster, store_clock=loaded.store_clock)
+        self.scheduler.restore_roster(
+            loaded.roster, store_clock=loaded.store_clock, starts=loaded.starts
+        )
+        self.writer.starts_recorded = self.scheduler.state.starts_recorded
         self.scheduler.set_workers(sim.registry())
         self.feed = loaded.version
 
@@ -167,7 +170,11 @@
                     return
                 self.batch = self.scheduler.take_progress()
             self.writer.write(
-                self.batch.rows, pending=self.batch.pending, leader_rows=self.batch.leader_rows()
+                self.batch.rows,
+                pending=self.batch.pending,
+                deletes=self.batch.deletes,
+                leader_rows=self.batch.leader_rows(),
+                starts_recorded=self.batch.starts_recorded,
             )
         except LeadershipLostError:
             self.alive = False
@@ -178,6 +185,9 @@
         except StoreUnavailableError:
             return
         self.scheduler.on_stored(self.batch)
+        if self.leases.length_s(now_s) > 0:
+            for order in self.scheduler.take_starts():
+                self.sim.send(self, order)
         self.batch = None
         self.next_heartbeat_s = now_s + HEARTBEAT_INTERVAL_S
 
@@ -329,13 +339,11 @@
         row = self.store.get(CLAIM_KEY)
         epoch = (load_claim(row.value).epoch if row else 0) + 1
         claim = Claim(epoch=epoch, instance=name, address="", key="")
+        heartbeat = Heartbeat(epoch=epoch, count=0, starts_recorded=self._starts_recorded())
         version = self.store.write(
             RowTransaction(
                 expects=((CLAIM_KEY, row.version if row else ABSENT),),
-                puts=(
-                    (CLAIM_KEY, dump_row(claim)),
-                    (HEARTBEAT_KEY, dump_row(Heartbeat(epoch=epoch, count=0))),
-                ),
+                puts=((CLAIM_KEY, dump_row(claim)), (HEARTBEAT_KEY, dump_row(heartbeat))),
             ),
             timeout_s=1,
         )
@@ -343,6 +351,11 @@
         self.leaders.append(leader)
         return leader
 
+    def _starts_recorded(self) -> bool:
+        """Returns what the heartbeat of the last leader says of the records of starts."""
+        row = self.store.get(HEARTBEAT_KEY)
+        return row is not None and load_heartbeat(row.value).starts_recorded
+
     def state(self, job_id: str) -> JobState | None:
         row = self.store.get(progress_key(job_id))
         return load_state(row.value) if row else None
--- a/fescuerudder/jobs/attemptstarter.py
+++ b/fescuerudder/jobs/attemptstarter.py
@@ -1,4 +1,4 @@
-"""Begins attempts: records them and returns the orders that start them."""
+"""Begins attempts: plans them and, once their record is stored, returns their start orders."""
 
 import structlog
 
@@ -28,10 +28,10 @@
         """Returns the number of the next attempt of a task."""
         return max(task.last_number + 1, self._state.term.first_attempt)
 
-    def start(
+    def plan(
         self, task: TaskRun, record: WorkerRecord, now_s: float, *, number: int = 0
-    ) -> StartOrder:
-        """Adds an attempt of a task on a worker and returns its order.
+    ) -> Attempt:
+        """Adds an attempt of a task on a worker and returns it.
 
         Args:
             task: the task.
@@ -42,19 +42,26 @@
         attempt = Attempt(
             task=task,
             worker=record.id,
+            incarnation_ms=record.info.incarnation_ms,
             number=number or self.next_number(task),
-            phase=Phase.STARTING,
+            phase=Phase.PLANNED,
             token=record.token,
             sent_s=now_s,
             checkpoint=task.checkpoint,
         )
-        self._state.add_attempt(attempt)
+        self._state.plan_start(attempt)
         record.last_start_s, task.quiet_wait_since_s = now_s, None
         if is_on_probation(task):
             record.probation_until_s = now_s + RECENT_START_S
             self._state.load_of(record, now_s=now_s).starts_left = 0
         self._state.health.record_start(record.id)
-        run = task.step.job
+        return attempt
+
+    def order(self, attempt: Attempt, record: WorkerRecord, now_s: float) -> StartOrder:
+        """Returns the start order of a planned attempt, whose record must be stored."""
+        task = attempt.task
+        attempt.phase, attempt.token, attempt.sent_s = Phase.STARTING, record.token, now_s
+        record.last_start_s = now_s
         _log.info(
             "start ordered",
             job=task.id.job,
@@ -62,18 +69,18 @@
             attempt=attempt.number,
             worker=record.id,
             token=attempt.token,
-            checkpoint=task.checkpoint,
+            checkpoint=attempt.checkpoint,
         )
         return StartOrder(
             worker=record.id,
             address=record.info.address,
             task=task.id,
             attempt=attempt.number,
-            payload=run.job.payload,
+            payload=task.step.job.job.payload,
             lease_until_ms=record.extend_lease_ms(
                 now_s=now_s, lease_s=self._leases.length_s(now_s)
             ),
             token=record.token,
-            checkpoint=task.checkpoint,
+            checkpoint=attempt.checkpoint,
             permit=self._state.advice.permit(task.step.id, record),
         )
--- a/fescuerudder/jobs/claim.py
+++ b/fescuerudder/jobs/claim.py
@@ -43,11 +43,14 @@
         count: number of the write in the term.
         pending: number of jobs of each queue of which no task has started, None before the first
             count.
+        starts_recorded: every attempt that this or an earlier leader may have started, and that
+            may still run, is in a record of starts.
     """
 
     epoch: int
     count: int
     pending: dict[str, int] | None = None
+    starts_recorded: bool = False
 
 
 def dump_row(value: Claim | Heartbeat) -> bytes:
--- a/fescuerudder/jobs/crashes.py
+++ b/fescuerudder/jobs/crashes.py
@@ -46,7 +46,8 @@
     given up.
     """
     # A start that is not answered yet may have met the next worker, which refuses it.
-    begun = [a for a in record.attempts.values() if a.phase is not Phase.STARTING]
+    unsent = (Phase.PLANNED, Phase.STARTING)
+    begun = [a for a in record.attempts.values() if a.phase not in unsent]
     attempts = [*begun, *record.take_lapsed()]
     if not record.info.draining:
         lost_contact_s = record.lost_contact_s
--- a/fescuerudder/jobs/jobrun.py
+++ b/fescuerudder/jobs/jobrun.py
@@ -36,6 +36,7 @@
 class Phase(enum.Enum):
     """What is known about a live attempt."""
 
+    PLANNED = "planned"  # the start order waits until its record is stored
     STARTING = "starting"  # the start order has not been answered yet
     UNCERTAIN = "uncertain"  # the start order got no answer, so the attempt may run
     RUNNING = "running"
@@ -49,10 +50,12 @@
     Args:
         task: the task.
         worker: id of the worker.
+        incarnation_ms: start time of the worker's incarnation for which it was planned, or on which
+            a report listed it.
         number: number of the attempt.
         phase: what is known about it.
         token: fencing token of its start order.
-        sent_s: when the start order was sent.
+        sent_s: when the start order was planned or, later, sent.
         confirmed_s: when the worker confirmed that it runs, None before.
         reported: a report of the worker's current incarnation listed it.
         listed_s: when a report last listed it, None before.
@@ -66,8 +69,8 @@
         evicted: it is to be stopped so that its task can start elsewhere.
         evicted_for_throttle: it is evicted because it was throttled; its worker is healthy.
         adopted: an earlier leader started it, so `sent_s` is not when it began.
-        from_roster: it was restored from the roster, as an attempt of an earlier leader on a worker
-            that has been silent since.
+        restored: it was restored from what an earlier leader stored; no report to this leader has
+            listed it yet.
         is_last_resort: it was started on a worker that its task would otherwise not use, so it is
             not evicted from there.
         worker_in_doubt: its worker is silent, slow or stalled, so a copy of a speculative task may
@@ -76,6 +79,7 @@
 
     task: "TaskRun"
     worker: str
+    incarnation_ms: int = 0
     number: int
     phase: Phase
     token: int
@@ -92,7 +96,7 @@
     evicted: bool = False
     evicted_for_throttle: bool = False
     adopted: bool = False
-    from_roster: bool = False
+    restored: bool = False
     is_last_resort: bool = False
     worker_in_doubt: bool = False
 
@@ -194,11 +198,44 @@
         """Whether all tasks are done."""
         return all(task.done for task in self.tasks)
 
+    def task(self, index: int) -> TaskRun | None:
+        """Returns a task by its index, if the step has it."""
+        return self.tasks[index] if 0 <= index < len(self.tasks) else None
+
+    def live_attempts(self) -> Iterator[Attempt]:
+        """Yields the live attempts of the tasks that are not done."""
+        for task in self.tasks:
+            if not task.done:
+                yield from task.attempts
+
     def startable_tasks(self) -> list[TaskRun]:
         """Returns the tasks that may be started."""
         return [task for task in self.tasks if task.is_startable]
 
 
+@attrs.frozen(kw_only=True)
+class RecordedStart:
+    """A live attempt that a stored record names.
+
+    Args:
+        task: its task.
+        worker: id of its worker.
+        incarnation_ms: start time of the worker's incarnation.
+    """
+
+    task: TaskRun
+    worker: str
+    incarnation_ms: int
+
+    def covers(self, task: TaskRun) -> bool:
+        """Returns whether a task of the same job may start on the worker without a record.
+
+        These are the same task and the one with the same index in any other step, so the record
+        also tells a successor of them. A step with more tasks begins again with the first index.
+        """
+        return task.id.index % len(self.task.step.tasks) == self.task.id.index
+
+
 @attrs.define(eq=False, kw_only=True)
 class JobRun:
     """A job and its progress.
@@ -214,6 +251,9 @@
         work: estimated work of all tasks, in core seconds.
         done_work: estimated work of the tasks that are done, in core seconds.
         steps: steps of all occurrences, by occurrence and number.
+        recorded_starts: what the stored records name of tasks that are not done, as far as neither
+            a record nor progress that is being stored says otherwise.
+        earlier_starts: what the records of earlier leaders name.
         dirty: its progress has changed since it was last stored.
     """
 
@@ -227,6 +267,8 @@
     work: float = 0.0
     done_work: float = 0.0
     steps: dict[tuple[int, int], StepRun] = attrs.Factory(dict)
+    recorded_starts: set[RecordedStart] = attrs.Factory(set)
+    earlier_starts: set[RecordedStart] = attrs.Factory(set)
     dirty: bool = False
 
     @classmethod
@@ -265,9 +307,7 @@
     def task(self, task_id: TaskId) -> TaskRun | None:
         """Returns a task by its id, if the job has it."""
         step = self.steps.get((task_id.occurrence, task_id.step))
-        if step is None or not 0 <= task_id.index < len(step.tasks):
-            return None
-        return step.tasks[task_id.index]
+        return step.task(task_id.index) if step is not None else None
 
     def remaining_path_ms(self, number: int) -> int:
         """Returns the estimated run time of the longest chain of steps that begins with a step."""
--- a/fescuerudder/jobs/leader.py
+++ b/fescuerudder/jobs/leader.py
@@ -66,6 +66,9 @@
 WRITE_PAUSE_S = 0.05
 """Pause between two writes, so that one transaction holds the progress of many tasks."""
 
+STARTS_WRITE_PAUSE_S = 0.02
+"""The pause while starts wait for their records."""
+
 TICK_INTERVAL_S = 0.1
 FEED_WAIT_S = 1.0
 REGISTRY_READ_INTERVAL_S = 1.0
@@ -145,7 +148,7 @@
         self._claim_version = claim_version
         self.lost = threading.Event()
         self._stopping = threading.Event()
-        self._written = threading.Event()
+        self._starts_planned = threading.Event()
         self._writer = LeaderWriter(
             store=store,
             clock=clock,
@@ -171,6 +174,7 @@
         self._ref = SchedulerActor.start(
             scheduler=self._scheduler,
             send_orders=self._send_orders,
+            on_starts_planned=self._starts_planned.set,
             clock=self._clock,
             may_order=self._may_order,
             on_superseded=lambda: self._end_term("a worker has orders of a later leader"),
@@ -192,6 +196,11 @@
         """Time since the last heartbeat that is known to be stored was sent, in seconds."""
         return self._clock.now_s() - self._writer.confirmed_s
 
+    @property
+    def starts_recorded(self) -> bool:
+        """Whether the store has records of all attempts that may run."""
+        return self._writer.starts_recorded
+
     def states(self) -> dict[str, JobState]:
         """Returns the stored states of all jobs."""
         return self._scheduler.stored_states.copy()
@@ -214,7 +223,10 @@
         if loaded.knowledge is not None:
             self._restore_knowledge(loaded.knowledge)
         scheduler.cancel(loaded.cancels)
-        scheduler.restore_roster(loaded.roster, store_clock=loaded.store_clock)
+        scheduler.restore_roster(
+            loaded.roster, store_clock=loaded.store_clock, starts=loaded.starts
+        )
+        self._writer.starts_recorded = scheduler.state.starts_recorded
         scheduler.set_workers(self._registry.read())
         self._publish(scheduler.stored_states.copy(), scheduler.pending())
         _log.info(
@@ -222,6 +234,7 @@
             live=len(loaded.live),
             ended=len(loaded.ended),
             workers=len(scheduler.state.workers),
+            starts_recorded=scheduler.state.starts_recorded,
             version=loaded.version,
         )
         return loaded
@@ -424,7 +437,11 @@
                 if batch is None:
                     batch = self._next_batch()
                 self._writer.write(
-                    batch.rows, pending=batch.pending, leader_rows=batch.leader_rows()
+                    batch.rows,
+                    pending=batch.pending,
+                    deletes=batch.deletes,
+                    leader_rows=batch.leader_rows(),
+                    starts_recorded=batch.starts_recorded,
                 )
             except LeadershipLostError as exc:
                 self._end_term(str(exc))
@@ -454,7 +471,6 @@
             self._post_event(Stored(batch=batch))
             self._publish(batch.states, batch.pending)
             batch = None
-            self._clock.wait_s(self._stopping, WRITE_PAUSE_S)
             self._wait_for_progress()
 
     def _next_batch(self) -> ProgressBatch:
@@ -464,8 +480,13 @@
     def _wait_for_progress(self) -> None:
         """Waits until there is progress to store or a heartbeat is due."""
         end_s = self._clock.now_s() + HEARTBEAT_INTERVAL_S
-        while self._clock.now_s() < end_s and not self._scheduler.needs_write:
-            if self._clock.wait_s(self._stopping, WRITE_PAUSE_S):
+        self._clock.wait_s(self._stopping, STARTS_WRITE_PAUSE_S)
+        while self._clock.now_s() < end_s and not self._stopping.is_set():
+            self._starts_planned.clear()
+            if self._scheduler.has_unrecorded_starts:
+                return
+            self._clock.wait_s(self._starts_planned, WRITE_PAUSE_S - STARTS_WRITE_PAUSE_S)
+            if self._scheduler.needs_write:
                 return
 
     def _end_term(self, reason: str) -> None:
--- a/fescuerudder/jobs/leadership.py
+++ b/fescuerudder/jobs/leadership.py
@@ -79,12 +79,14 @@
         claim_version: version of its row.
         heartbeat_id: epoch and count of the heartbeat.
         heartbeat_since_s: when this heartbeat was first read, None before the first read.
+        starts_recorded: what this heartbeat says of the records of starts.
     """
 
     claim: Claim | None = None
     claim_version: int = ABSENT
     heartbeat_id: tuple[int, int] | None = None
     heartbeat_since_s: float | None = None
+    starts_recorded: bool = False
 
     @property
     def epoch(self) -> int:
@@ -92,6 +94,16 @@
         claimed = self.claim.epoch if self.claim is not None else 0
         return max(claimed, self.heartbeat_id[0] if self.heartbeat_id is not None else 0)
 
+    @property
+    def has_recorded_starts(self) -> bool:
+        """Whether the heartbeat is that of the claim and says that all starts are recorded.
+
+        Within a term this only ever becomes true, so it holds for the claim that replaces it.
+        """
+        claimed = self.claim.epoch if self.claim is not None else None
+        beaten = self.heartbeat_id[0] if self.heartbeat_id is not None else None
+        return self.starts_recorded and claimed == beaten
+
 
 class Leadership:
     """Claims the leadership when no other instance leads, and runs the terms; a context manager.
@@ -217,11 +229,13 @@
         row = read_row(self._store, HEARTBEAT_KEY, timeout_s=STORE_TIMEOUT_S)
         now_s = self._clock.now_s()
         self._update_store_latency(now_s - started_s)
-        heartbeat_id = _heartbeat_id(row) if row is not None else None
+        heartbeat = _load_heartbeat(row) if row is not None else None
+        heartbeat_id = (heartbeat.epoch, heartbeat.count) if heartbeat is not None else None
         last_id = self._observed.heartbeat_id
         if self._observed.heartbeat_since_s is not None and heartbeat_id == last_id:
             return
         self._observed.heartbeat_id, self._observed.heartbeat_since_s = heartbeat_id, now_s
+        self._observed.starts_recorded = heartbeat is not None and heartbeat.starts_recorded
         if (
             last_id is None
             or heartbeat_id is None
@@ -265,7 +279,9 @@
     def _claim(self, claim: Claim) -> int | None:
         """Writes the claim; returns its version, or None if another one came first."""
         self._claim_request_epoch = 0
-        heartbeat = Heartbeat(epoch=claim.epoch, count=0)
+        heartbeat = Heartbeat(
+            epoch=claim.epoch, count=0, starts_recorded=self._observed.has_recorded_starts
+        )
         txn = RowTransaction(
             expects=((CLAIM_KEY, self._observed.claim_version),),
             puts=((CLAIM_KEY, dump_row(claim)), (HEARTBEAT_KEY, dump_row(heartbeat))),
@@ -319,7 +335,7 @@
             self._reset_observed()
         _log.warning("term ended", epoch=claim.epoch, lost=term.lost.is_set())
         if not term.lost.is_set():
-            self._release(claim, version)
+            self._release(claim, version, starts_recorded=term.starts_recorded)
 
     def _await_term_end(self, claim: Claim, term: LeaderTerm) -> None:
         """Waits for the end of the term; asks for a successor if this instance loses the store.
@@ -356,10 +372,12 @@
         self._leader_link.request_claim(successor, epoch=claim.epoch)
         return successor
 
-    def _release(self, claim: Claim, version: int) -> None:
+    def _release(self, claim: Claim, version: int, *, starts_recorded: bool) -> None:
         """Marks the leadership as released, so that other instances claim at once."""
         released = dump_row(attrs.evolve(claim, released=True))
-        heartbeat = dump_row(Heartbeat(epoch=claim.epoch, count=RELEASED_COUNT))
+        heartbeat = dump_row(
+            Heartbeat(epoch=claim.epoch, count=RELEASED_COUNT, starts_recorded=starts_recorded)
+        )
         txn = RowTransaction(
             expects=((CLAIM_KEY, version),),
             puts=((CLAIM_KEY, released), (HEARTBEAT_KEY, heartbeat)),
@@ -371,11 +389,10 @@
             _log.warning("leadership not released", epoch=claim.epoch, reason=str(exc))
 
 
-def _heartbeat_id(row: Row) -> tuple[int, int] | None:
-    """Returns epoch and count of a heartbeat; None if it is malformed, which then stands still."""
+def _load_heartbeat(row: Row) -> Heartbeat | None:
+    """Returns a heartbeat; None if it is malformed, which then stands still."""
     try:
-        heartbeat = load_heartbeat(row.value)
+        return load_heartbeat(row.value)
     except StoredFormError as exc:
         _log.error("heartbeat can't be read", reason=str(exc))
         return None
-    return heartbeat.epoch, heartbeat.count
--- a/fescuerudder/jobs/leaderwriter.py
+++ b/fescuerudder/jobs/leaderwriter.py
@@ -1,5 +1,7 @@
 """Writer of the leader's rows: a chain of transactions that fails once another instance claims."""
 
+from collections.abc import Sequence
+
 import structlog
 
 from fescuerudder.clock import Clock
@@ -18,13 +20,14 @@
     RowStore,
     RowTransaction,
 )
-from fescuerudder.jobs.storage import CLAIM_KEY, HEARTBEAT_KEY, progress_key
+from fescuerudder.jobs.storage import CLAIM_KEY, HEARTBEAT_KEY
 
 WRITE_TIMEOUT_S = 1.5
 """Timeout of one attempt to write; a slow store needs most of a second."""
 
-ROWS_PER_TXN = MAX_TXN_ROWS - 6
-"""Progress rows of one transaction; the other six are reserved for the leader's own rows."""
+ENTRIES_PER_TXN = MAX_TXN_ROWS - 6
+"""Rows of jobs that one transaction writes or deletes; the other six entries are reserved for the
+leader's own rows."""
 
 _log = structlog.get_logger(__name__)
 
@@ -45,6 +48,10 @@
         clock: source of time.
         claim: the claim of this term.
         claim_version: version of its row, and of the heartbeat row that was written with it.
+
+    Attributes:
+        confirmed_s: when the last transaction that is known to be stored was sent.
+        starts_recorded: what the heartbeats say of the records of starts.
     """
 
     def __init__(
@@ -63,17 +70,22 @@
         self._count = 0
         self._unresolved: RowTransaction | None = None
         self.confirmed_s = clock.now_s()
+        self.starts_recorded = False
 
     def write(
         self,
-        rows: dict[str, bytes],
+        rows: dict[RowKey, bytes],
         *,
         pending: dict[str, int],
+        deletes: Sequence[RowKey] = (),
         leader_rows: dict[RowKey, bytes] | None = None,
+        starts_recorded: bool = False,
     ) -> None:
-        """Stores progress rows by job id, a heartbeat and `leader_rows`.
+        """Stores rows and a heartbeat, and deletes rows.
 
-        At most three `leader_rows` fit.
+        What doesn't fit into one transaction is stored in this order: `rows`, `deletes`, and with
+        the last transaction `leader_rows`, of which at most three fit. The heartbeats that follow
+        say of the records of starts what `starts_recorded` does.
         After a StoreOutcomeUnknownError call `resolve` until it returns. The rows of the
         unresolved transaction are stored then; later rows of the call are not.
 
@@ -82,11 +94,17 @@
             StoreUnavailableError: nothing of the current transaction was stored.
             StoreOutcomeUnknownError: a transaction may have been, or may still be, applied.
         """
-        names = list(rows)
-        for first in range(0, len(names) or 1, ROWS_PER_TXN):
-            part = names[first : first + ROWS_PER_TXN]
+        keys = [*rows, *deletes]
+        for first in range(0, len(keys) or 1, ENTRIES_PER_TXN):
+            part = keys[first : first + ENTRIES_PER_TXN]
+            is_last = first + ENTRIES_PER_TXN >= len(keys)
             self._count += 1
-            heartbeat = Heartbeat(epoch=self._claim.epoch, count=self._count, pending=pending)
+            heartbeat = Heartbeat(
+                epoch=self._claim.epoch,
+                count=self._count,
+                pending=pending,
+                starts_recorded=self.starts_recorded,
+            )
             self._unresolved = RowTransaction(
                 expects=(
                     (CLAIM_KEY, self._claim_version),
@@ -94,12 +112,13 @@
                 ),
                 puts=(
                     (HEARTBEAT_KEY, dump_row(heartbeat)),
-                    *((progress_key(name), rows[name]) for name in part),
-                    *(leader_rows or {}).items(),
+                    *((key, rows[key]) for key in part if key in rows),
+                    *((leader_rows or {}).items() if is_last else ()),
                 ),
+                deletes=tuple(key for key in part if key not in rows),
             )
-            leader_rows = None
             self.resolve()
+        self.starts_recorded = starts_recorded
 
     def resolve(self) -> None:
         """Writes the unresolved transaction, again if an earlier attempt got no answer.
--- a/fescuerudder/jobs/leases.py
+++ b/fescuerudder/jobs/leases.py
@@ -14,6 +14,10 @@
 
 TAKEOVER_MARGIN_S = 0.2
 
+STORE_OUT_S = 1.0
+"""Time without a confirmed heartbeat from which the store counts as out; a slow store needs most of
+a second."""
+
 
 @attrs.frozen(kw_only=True)
 class LeasePolicy:
@@ -35,6 +39,10 @@
         left_s = self.confirmed_s() + LEASE_HORIZON_S - now_s
         return min(self.lease_s, left_s) if left_s >= MIN_LEASE_S else 0.0
 
+    def is_store_out(self, now_s: float) -> bool:
+        """Returns whether no heartbeat was confirmed for so long that the store seems to be out."""
+        return now_s - self.confirmed_s() >= STORE_OUT_S
+
 
 PREDECESSOR_LEASES_S = LEASE_HORIZON_S / (1 - CLOCK_DRIFT) + TAKEOVER_MARGIN_S
 """Time after a claim at which all leases of earlier leaders have expired, even on slow clocks."""
--- a/fescuerudder/jobs/load.py
+++ b/fescuerudder/jobs/load.py
@@ -196,6 +196,12 @@
                 break
         return worst
 
+    @property
+    def is_exceeded(self) -> bool:
+        """Whether the tasks there need more than the worker's capacity."""
+        free = (self.processors, self.memory_mb, self.accelerators)
+        return min(free) < -ROUNDING_TOLERANCE
+
     def has_room(self, step: Step, *, free_share: float = 0.0) -> bool:
         """Returns whether the resources for one more task of a step are free.
 
--- a/fescuerudder/jobs/progressbatch.py
+++ b/fescuerudder/jobs/progressbatch.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from fescuerudder.jobs.jobrun import JobState
+from fescuerudder.jobs.jobrun import JobState, RecordedStart, StepRun
 from fescuerudder.jobs.rows import RowKey
 from fescuerudder.jobs.storage import DEADLINES_KEY, KNOWLEDGE_KEY, ROSTER_KEY
 
@@ -12,8 +12,12 @@
     """Progress to be stored.
 
     Args:
-        rows: serialized progress by job id.
-        states: state of each of these jobs, shown to callers once it is stored.
+        rows: rows to write: the progress of jobs, and the records of starts.
+        deletes: rows to delete: records of starts that are no longer needed.
+        recorded: the starts that each record in the batch names, by step.
+        starts_recorded: with this batch, every attempt that may run is in a record of starts.
+        states: state of each job whose progress is in the batch, shown to callers once it is
+            stored.
         serials: incarnation of each worker and serial of its latest end that the rows include, by
             worker id.
         pending: number of jobs of each queue of which no task has started.
@@ -24,7 +28,10 @@
             stored, by worker id.
     """
 
-    rows: dict[str, bytes]
+    rows: dict[RowKey, bytes]
+    deletes: tuple[RowKey, ...]
+    recorded: dict[StepRun, frozenset[RecordedStart]]
+    starts_recorded: bool
     states: dict[str, JobState]
     serials: dict[str, tuple[int, int]]
     pending: dict[str, int]
--- a/fescuerudder/jobs/reports.py
+++ b/fescuerudder/jobs/reports.py
@@ -97,7 +97,7 @@
         )
         record_worker_end(self._state, record)
         for attempt in record.begin_incarnation(info, now_s=now_s):
-            if not attempt.reported:
+            if not attempt.reported and attempt.phase is not Phase.PLANNED:
                 attempt.phase = Phase.UNCERTAIN
                 record.attempts[(attempt.task.id, attempt.number)] = attempt
                 record.resolved_by_s = max(record.resolved_by_s, attempt.sent_s + MAX_ORDER_DELAY_S)
@@ -200,6 +200,7 @@
             attempt.phase = Phase.RUNNING
             attempt.confirmed_s = now_s
         attempt.reported = attempt.task.seen_running = True
+        attempt.restored = False
         attempt.listed_s = now_s
         self._state.mark_begun(attempt.task.step.job)
         attempt.checkpoint = row.checkpoint or attempt.checkpoint
@@ -218,7 +219,7 @@
             return None
         if row.attempt < task.last_number:
             return None
-        for older in [a for a in task.attempts if a.from_roster and a.number < row.attempt]:
+        for older in [a for a in task.attempts if a.restored and a.number < row.attempt]:
             # The earlier leader started this one because it knew that the older one had ended.
             self._state.drop_attempt(older)
         if task.attempts and not task.step.spec.speculative:
@@ -226,6 +227,7 @@
         attempt = Attempt(
             task=task,
             worker=record.id,
+            incarnation_ms=record.info.incarnation_ms,
             number=row.attempt,
             phase=Phase.RUNNING,
             token=record.token,
@@ -235,6 +237,7 @@
             adopted=True,
         )
         self._state.add_attempt(attempt)
+        self._state.unrecorded_steps[task.step] = None
         _log.info(
             "attempt adopted",
             job=row.task.job,
@@ -279,7 +282,7 @@
 
     An unanswered start may still arrive, unless the worker has seen a higher token.
     """
-    if attempt.phase is Phase.STARTING:
+    if attempt.phase in (Phase.PLANNED, Phase.STARTING):
         return False
     if attempt.phase is Phase.UNCERTAIN:
         return order.token > attempt.token
--- a/fescuerudder/jobs/rosterkeeper.py
+++ b/fescuerudder/jobs/rosterkeeper.py
@@ -5,7 +5,7 @@
 import attrs
 import structlog
 
-from fescuerudder.jobs.jobrun import Attempt, Phase
+from fescuerudder.jobs.jobrun import Attempt, Phase, RecordedStart, TaskRun
 from fescuerudder.jobs.leases import PREDECESSOR_LEASES_S
 from fescuerudder.jobs.reports import ReportReconciler
 from fescuerudder.jobs.roster import (
@@ -17,6 +17,7 @@
 )
 from fescuerudder.jobs.rows import StoreClock
 from fescuerudder.jobs.schedulerstate import SchedulerState
+from fescuerudder.jobs.startrecords import StepStarts, StoredStarts
 from fescuerudder.jobs.workerport import WorkerInfo
 from fescuerudder.jobs.workerrecord import WorkerClock, WorkerRecord
 
@@ -67,25 +68,42 @@
             if record.id not in listed:
                 self._mark_unlisted(record)
 
-    def restore(self, entries: Iterable[RosterEntry], *, store_clock: StoreClock | None) -> None:
-        """Adds the workers on which tasks of earlier leaders may run.
+    def restore(
+        self,
+        entries: Iterable[RosterEntry],
+        *,
+        store_clock: StoreClock | None,
+        starts: StoredStarts,
+    ) -> None:
+        """Adds the workers on which tasks of earlier leaders may run, and these tasks.
 
         Must be called after all jobs are restored and before `set_workers`.
+
+        Args:
+            entries: the stored roster.
+            store_clock: reading of the store's clock, None if the store told none.
+            starts: the records of starts.
         """
         now_s = self._state.clock.now_s()
         self._store_clock = store_clock
+        entries = list(entries)
+        self._is_roster_complete = UNREADABLE not in entries
+        self._state.starts_recorded = starts.is_complete and self._is_roster_complete
         for entry in entries:
             record = self._new_record(entry.info, now_s)
             record.listed, record.on_roster = False, True
-            self._expect_unknown_attempts(record, until_s=self._ended_by_s(entry))
-            if entry == UNREADABLE:
-                self._is_roster_complete = False
+            self._expect_earlier_attempts(record, until_s=self._ended_by_s(entry))
             self._state.workers[record.id] = record
             if entry.only_attempts is not None or entry.deadline_ms is not None:
                 record.on_roster, record.is_restricted = False, True
                 record.silent_since_s, record.unanswered_renewals = now_s, RESTRICT_AFTER_RENEWALS
             if entry.only_attempts is not None:
-                self._restore_attempts(record, entry.only_attempts, now_s)
+                record.resolved, record.may_run_unknown = True, False
+            if entry.only_attempts is not None and not self._state.starts_recorded:
+                self._restore_listed_attempts(record, entry.only_attempts, now_s)
+        self._state.obsolete_records += starts.obsolete
+        for recorded in starts.steps:
+            self._restore_recorded_attempts(recorded, now_s)
 
     def _ended_by_s(self, entry: RosterEntry) -> float:
         """Returns when everything that earlier leaders left on a worker has ended."""
@@ -94,30 +112,66 @@
             return until_s
         return min(until_s, self._store_clock.latest_s(entry.deadline_ms))
 
-    def _expect_unknown_attempts(self, record: WorkerRecord, *, until_s: float) -> None:
+    def _expect_earlier_attempts(self, record: WorkerRecord, *, until_s: float) -> None:
         """Marks a worker on which attempts of earlier leaders may run until their leases end."""
         record.resolved, record.resolved_by_s = False, until_s
         record.may_run_unknown, record.unknown_until_s = True, until_s
 
-    def _restore_attempts(
+    def _restore_listed_attempts(
         self, record: WorkerRecord, only_attempts: Iterable[AttemptRef], now_s: float
     ) -> None:
         """Restores the attempts on a worker that did not answer an earlier leader either."""
-        record.resolved, record.may_run_unknown = True, False
         for task_id, number in only_attempts:
             task = self._state.find_task(task_id)
-            if task is None or task.done or not task.step.job.is_live:
+            if task is not None:
+                self._state.unrecorded_steps[task.step] = None
+                self._restore_attempt(record, task, number, record.info.incarnation_ms, now_s)
+
+    def _restore_recorded_attempts(self, recorded: StepStarts, now_s: float) -> None:
+        """Restores the attempts in the record of a step.
+
+        Those on a worker that is not on the roster have ended, else it would still be there.
+        """
+        step = self._state.find_step(recorded.step)
+        if step is None or step.is_done:
+            self._state.obsolete_records.append(recorded.step)
+            return
+        self._state.recorded_steps.add(recorded.step)
+        for start in recorded.starts if self._state.starts_recorded else ():
+            record, task = self._state.workers.get(start.worker), step.task(start.index)
+            if record is None or task is None or task.done:
                 continue
-            attempt = Attempt(
-                task=task,
-                worker=record.id,
-                number=number,
-                phase=Phase.UNCERTAIN,
-                token=record.token - 1,
-                sent_s=now_s,
-                from_roster=True,
+            self._restore_attempt(record, task, start.number, start.incarnation_ms, now_s)
+            recorded_start = RecordedStart(
+                task=task, worker=record.id, incarnation_ms=start.incarnation_ms
             )
-            self._state.add_attempt(attempt)
+            step.job.earlier_starts.add(recorded_start)
+            step.job.recorded_starts.add(recorded_start)
+
+    def _restore_attempt(
+        self,
+        record: WorkerRecord,
+        task: TaskRun,
+        number: int,
+        incarnation_ms: int,
+        now_s: float,
+    ) -> None:
+        """Restores an attempt as uncertain, unless its task no longer needs it."""
+        if task.done or not task.step.job.is_live:
+            return
+        attempt = Attempt(
+            task=task,
+            worker=record.id,
+            incarnation_ms=incarnation_ms,
+            number=number,
+            phase=Phase.UNCERTAIN,
+            token=record.token - 1,
+            sent_s=now_s,
+            throttle=None,
+            adopted=True,
+            restored=True,
+        )
+        self._state.add_attempt(attempt)
 
     def _update_listed(self, info: WorkerInfo, now_s: float) -> None:
         record = self._state.workers.get(info.id)
@@ -127,7 +181,7 @@
             record = self._state.workers[info.id] = self._new_record(info, now_s)
             until_s = self._claimed_s + PREDECESSOR_LEASES_S
             if not self._is_roster_complete and now_s < until_s:
-                self._expect_unknown_attempts(record, until_s=until_s)
+                self._expect_earlier_attempts(record, until_s=until_s)
             record.update_info(info)
             self._state.roster_changed = True
         elif info.incarnation_ms > record.info.incarnation_ms:
--- a/fescuerudder/jobs/scheduler.py
+++ b/fescuerudder/jobs/scheduler.py
@@ -7,6 +7,7 @@
 
 from fescuerudder.clock import Clock
 from fescuerudder.jobs.adviceport import Advice, AdviceQuery
+from fescuerudder.jobs.attemptstarter import AttemptStarter
 from fescuerudder.jobs.crashes import record_worker_end
 from fescuerudder.jobs.job import TaskId
 from fescuerudder.jobs.jobrun import FULL_SPEED, Attempt, JobRun, JobState, Phase
@@ -21,7 +22,10 @@
 from fescuerudder.jobs.rosterkeeper import RosterKeeper
 from fescuerudder.jobs.rows import StoreClock
 from fescuerudder.jobs.schedulerstate import SchedulerState, Term
+from fescuerudder.jobs.startrecords import StoredStarts
+from fescuerudder.jobs.startrelease import StartReleaser
 from fescuerudder.jobs.starts import StartPlanner
+from fescuerudder.jobs.storage import progress_key
 from fescuerudder.jobs.throttling import plan_throttles
 from fescuerudder.jobs.waitreasons import WaitMonitor
 from fescuerudder.jobs.workerhealth import HealthStatus
@@ -88,7 +92,9 @@
         self._leases = leases
         self._reconciler = ReportReconciler(state=self.state)
         self._roster = RosterKeeper(state=self.state, reconciler=self._reconciler)
-        self._planner = StartPlanner(state=self.state, leases=leases)
+        starter = AttemptStarter(state=self.state, leases=leases)
+        self._planner = StartPlanner(state=self.state, leases=leases, starter=starter)
+        self._releaser = StartReleaser(state=self.state, starter=starter)
         self._waits = WaitMonitor(state=self.state, planner=self._planner)
         self.stored_states: dict[str, JobState] = {}
         self.is_superseded = False
@@ -113,13 +119,22 @@
         self._roster.set_workers(infos)
 
     def restore_roster(
-        self, entries: Iterable[RosterEntry], *, store_clock: StoreClock | None
+        self,
+        entries: Iterable[RosterEntry],
+        *,
+        store_clock: StoreClock | None,
+        starts: StoredStarts,
     ) -> None:
         """Adds the workers on which tasks of earlier leaders may run.
 
         Must be called after all jobs are restored and before `set_workers`.
+
+        Args:
+            entries: the stored roster.
+            store_clock: reading of the store's clock, None if the store told none.
+            starts: the records of starts.
         """
-        self._roster.restore(entries, store_clock=store_clock)
+        self._roster.restore(entries, store_clock=store_clock, starts=starts)
 
     def add_jobs(self, jobs: Iterable[StoredJob]) -> None:
         """Adds submitted jobs; ignores those that are known already."""
@@ -288,17 +303,30 @@
     def needs_write(self) -> bool:
         """Whether there is progress to store, or a task's restart needs a confirmed heartbeat."""
         is_unconfirmed = self.state.last_end_s > self._leases.confirmed_s()
-        return bool(self.state.dirty_jobs) or self.state.roster_changed or is_unconfirmed
+        has_rows = self.state.dirty_jobs or self.state.roster_changed or self._releaser.has_records
+        return bool(has_rows) or is_unconfirmed
+
+    @property
+    def has_unrecorded_starts(self) -> bool:
+        """Whether starts wait for records that are not being stored yet."""
+        return bool(self.state.planned) and self._releaser.has_records
 
     def take_progress(self) -> ProgressBatch:
         """Returns the progress to store, and marks it as clean."""
         stored = self._roster.take_changed()
+        if not self.state.unresolved_workers():
+            # Attempts that this leader has learned of are recorded with this batch at the latest.
+            self.state.starts_recorded = True
         runs = list(self.state.dirty_jobs)
         self.state.dirty_jobs.clear()
+        starts = self._releaser.take_pending(runs)
         for run in runs:
             run.dirty = False
         return ProgressBatch(
-            rows={run.job.id: dump_progress(run) for run in runs},
+            rows={progress_key(run.job.id): dump_progress(run) for run in runs} | starts.rows,
+            deletes=starts.deletes,
+            recorded=starts.recorded,
+            starts_recorded=self.state.starts_recorded,
             states={run.job.id: run.state for run in runs},
             serials={
                 record.id: (record.info.incarnation_ms, record.seen_serial)
@@ -336,23 +364,34 @@
             if record is not None and record.info.incarnation_ms == incarnation_ms:
                 record.stored_serial = max(record.stored_serial, serial)
         self._roster.mark_stored(batch.roster_incarnations)
+        self._releaser.on_stored(batch.recorded)
         self.stored_states.update(batch.states)
 
     # --- output to the workers
 
+    def take_starts(self) -> list[StartOrder]:
+        """Returns the start orders that need no further record, or none if a later leader leads."""
+        return [] if self.is_superseded else self._releaser.take_orders(self._clock.now_s())
+
     def plan(self) -> list[Order]:
-        """Returns the orders that are due now, or none if there is a later leader."""
+        """Returns the orders that are due now, or none if there is a later leader.
+
+        The orders of the starts that it plans follow once their records are stored.
+        """
         if self.is_superseded:
             return []
         now_s = self._clock.now_s()
         self._expire(now_s)
         self._planner.update_margins(now_s)
+        if self._leases.is_store_out(now_s):
+            self._releaser.withdraw_overdue(now_s)
         orders: list[Order] = []
         self._mark_evictions(now_s)
         self._mark_throttled_moves(now_s)
         orders += self._plan_stops(now_s)
         orders += self._plan_throttles(now_s)
-        orders += self._planner.plan(now_s=now_s, wall_ms=self._wall_ms())
+        self._planner.plan(now_s=now_s, wall_ms=self._wall_ms())
+        orders += self.take_starts()
         self._waits.observe(now_s)
         orders += self.state.advice.take_queries()
         orders += self._renewals.plan(now_s)
@@ -379,11 +418,13 @@
             record.resolved = True
             record.orphans = set()
             for attempt in list(record.attempts.values()):
-                if attempt.phase is not Phase.STARTING:
+                if attempt.phase is Phase.STARTING:
+                    continue
+                if attempt.phase is not Phase.PLANNED:
                     record.lapsed.append(attempt)
-                    self.state.requeue(
-                        attempt, checkpoint=attempt.checkpoint, reason="lease ended unseen"
-                    )
+                self.state.requeue(
+                    attempt, checkpoint=attempt.checkpoint, reason="lease ended unseen"
+                )
             if not record.listed and record.is_forgettable():
                 self.state.forget_worker(record)
 
@@ -417,6 +458,8 @@
             if record.is_silent:
                 continue
             for attempt in record.attempts.values():
+                if attempt.phase is Phase.PLANNED:
+                    continue
                 if self._must_stop(attempt) and _is_stop_due(attempt.stop_sent_s, now_s):
                     attempt.stop_sent_s = now_s
                     if attempt.phase is Phase.RUNNING:
--- a/fescuerudder/jobs/scheduleractor.py
+++ b/fescuerudder/jobs/scheduleractor.py
@@ -40,6 +40,7 @@
         scheduler: makes the decisions.
         clock: source of time.
         send_orders: sends orders without waiting for their answers.
+        on_starts_planned: called when starts wait for their records.
         may_order: returns whether the leadership was confirmed recently enough to give orders.
         on_superseded: called when a worker has orders of a later leader.
     """
@@ -50,6 +51,7 @@
         scheduler: Scheduler,
         clock: Clock,
         send_orders: Callable[[Sequence[Order]], None],
+        on_starts_planned: Callable[[], None],
         may_order: Callable[[], bool],
         on_superseded: Callable[[], None],
     ) -> None:
@@ -58,6 +60,7 @@
         self._scheduler = scheduler
         self._clock = clock
         self._send_orders = send_orders
+        self._on_starts_planned = on_starts_planned
         self._may_order = may_order
         self._config_version = 0
         self._planned_s = -math.inf
@@ -101,6 +104,8 @@
         orders = self._scheduler.plan()
         if orders:
             self._send_orders(orders)
+        if self._scheduler.has_unrecorded_starts:
+            self._on_starts_planned()
         self._planned_s = self._clock.now_s()
 
     @singledispatchmethod
@@ -162,3 +167,6 @@
     @_handle.register
     def _(self, message: Stored) -> None:
         self._scheduler.on_stored(message.batch)
+        starts = self._scheduler.take_starts() if self._may_order() else []
+        if starts:
+            self._send_orders(starts)
--- a/fescuerudder/jobs/schedulerstate.py
+++ b/fescuerudder/jobs/schedulerstate.py
@@ -8,7 +8,7 @@
 
 from fescuerudder.clock import Clock
 from fescuerudder.jobs.advice import AdviceCache
-from fescuerudder.jobs.job import TaskId
+from fescuerudder.jobs.job import StepId, TaskId
 from fescuerudder.jobs.jobrun import Attempt, JobRun, JobState, Phase, StepRun, TaskRun
 from fescuerudder.jobs.knowledge import Knowledge
 from fescuerudder.jobs.load import Load
@@ -80,6 +80,12 @@
             by worker id.
         last_end_s: when an attempt last ended, on this instance's clock.
         roster_changed: the stored roster is out of date.
+        planned: attempts whose start orders were not sent yet, in the order of their plans.
+        unrecorded_steps: steps of which an attempt may be in no stored record.
+        recorded_steps: steps of which the store may hold a record that is still needed.
+        obsolete_records: steps of which the store may hold a record that is no longer needed.
+        starts_recorded: every attempt of an earlier leader that may run is known, and is in a
+            record or in one of unrecorded_steps.
     """
 
     term: Term
@@ -95,6 +101,11 @@
     raised_tokens: dict[str, int] = attrs.Factory(dict)
     last_end_s: float = -math.inf
     roster_changed: bool = False
+    planned: dict[Attempt, None] = attrs.Factory(dict)
+    unrecorded_steps: dict[StepRun, None] = attrs.Factory(dict)
+    recorded_steps: set[StepId] = attrs.Factory(set)
+    obsolete_records: list[StepId] = attrs.Factory(list)
+    starts_recorded: bool = False
     job_sizes: JobSizes = attrs.Factory(JobSizes)
     advice: AdviceCache = attrs.field(init=False)
     knowledge: Knowledge = attrs.Factory(Knowledge)
@@ -124,6 +135,11 @@
         run = self.jobs.get(task_id.job)
         return run.task(task_id) if run is not None else None
 
+    def find_step(self, step_id: StepId) -> StepRun | None:
+        """Returns a step by its id, None if its job is not known or doesn't have it."""
+        run = self.jobs.get(step_id.job)
+        return run.steps.get((step_id.occurrence, step_id.step)) if run is not None else None
+
     def mark_dirty(self, run: JobRun) -> None:
         """Marks the progress of a job as not stored."""
         run.dirty = True
@@ -136,6 +152,12 @@
         attempt.task.last_number = max(attempt.task.last_number, attempt.number)
         self.workers[attempt.worker].attempts[(attempt.task.id, attempt.number)] = attempt
 
+    def plan_start(self, attempt: Attempt) -> None:
+        """Adds an attempt whose order is sent once the record of its step is stored."""
+        self.add_attempt(attempt)
+        self.planned[attempt] = None
+        self.unrecorded_steps[attempt.task.step] = None
+
     def mark_begun(self, run: JobRun) -> None:
         """Records that a task of a job was seen to run; a start order alone is no proof."""
         if run.begun:
@@ -157,10 +179,10 @@
         steps = [task.step.spec for task in tasks if task is not None]
         load = Load.of(record, self.knowledge, now_s=now_s, orphans=steps)
         is_certain = len(steps) == len(tasks) and record.knows_capacity(now_s)
-        load.is_closed = not is_certain and not self._guards_capacity(record)
+        load.is_closed = not is_certain and not self.guards_capacity(record)
         return load
 
-    def _guards_capacity(self, record: WorkerRecord) -> bool:
+    def guards_capacity(self, record: WorkerRecord) -> bool:
         """Returns whether a worker is known to refuse what exceeds its capacity."""
         pool = self.pools.get(record.info.pool)
         return pool is not None and pool.rejects_overload
@@ -172,6 +194,7 @@
     def drop_attempt(self, attempt: Attempt) -> None:
         """Removes an attempt that is known not to run and not to start later."""
         self.discard_load(attempt.worker)
+        self.planned.pop(attempt, None)
         if attempt in attempt.task.attempts:
             attempt.task.attempts.remove(attempt)
         attempt.task.last_end_s = self.last_end_s = self.clock.now_s()
@@ -180,8 +203,25 @@
         if record is not None:
             record.attempts.pop((attempt.task.id, attempt.number), None)
 
+    def withdraw(self, attempt: Attempt, *, reason: str) -> None:
+        """Removes an attempt whose start order was not sent, so its task may start at once."""
+        last_end_s = attempt.task.last_end_s, self.last_end_s
+        self.drop_attempt(attempt)
+        attempt.task.last_end_s, self.last_end_s = last_end_s
+        _log.info(
+            "start withdrawn",
+            job=attempt.task.id.job,
+            task=attempt.task.id[1:],
+            attempt=attempt.number,
+            worker=attempt.worker,
+            reason=reason,
+        )
+
     def requeue(self, attempt: Attempt, *, checkpoint: str, reason: str) -> None:
         """Removes an attempt that ended early; its task may start again from `checkpoint`."""
+        if attempt.phase is Phase.PLANNED:
+            self.withdraw(attempt, reason=reason)
+            return
         record = self.workers.get(attempt.worker)
         if attempt.phase is Phase.UNCERTAIN and record is not None:
             record.discarded_starts.append(attempt)
@@ -227,11 +267,33 @@
             for lost_s, name in self._lost_contacts
         )
 
-    def unresolved_workers(self) -> list[WorkerRecord]:
-        """Returns the workers on which unknown attempts of earlier leaders may run."""
-        return [record for record in self.workers.values() if record.may_run_unknown]
+    def unresolved_workers(self, run: JobRun | None = None) -> list[WorkerRecord]:
+        """Returns the workers on which unknown attempts of earlier leaders may run.
+
+        Args:
+            run: the job whose attempts they must be, None for any job.
+        """
+        records = [record for record in self.workers.values() if record.may_run_unknown]
+        if run is None or not self.starts_recorded:
+            return records
+        named = {start.worker for start in run.earlier_starts}
+        return [record for record in records if record.id in named]
+
+    def may_run_unseen(self, task: TaskRun) -> bool:
+        """Returns whether an earlier leader may have started a task on an unresolved worker."""
+        if not self.starts_recorded:
+            return bool(self.unresolved_workers())
+        return any(
+            start.covers(task) and record.may_run_unknown
+            for start in task.step.job.earlier_starts
+            if (record := self.workers.get(start.worker)) is not None
+        )
 
     def close_steps(self, steps: Iterable[StepRun]) -> None:
         """Removes steps that have nothing left to start."""
         for step in steps:
             self.open_steps.pop(step, None)
+            self.unrecorded_steps.pop(step, None)
+            if step.id in self.recorded_steps:
+                self.recorded_steps.remove(step.id)
+                self.obsolete_records.append(step.id)
--- /dev/null
+++ b/fescuerudder/jobs/startrelease.py
@@ -0,0 +1,156 @@
+"""Records planned starts, and releases their orders.
+
+A stored record that names a task on a worker also tells a successor that the tasks it covers may
+have been started there. So only a start that no record covers waits for a write, and jobs that run
+go on starting tasks while the store is out.
+"""
+
+from collections.abc import Iterable
+
+import attrs
+
+from fescuerudder.jobs.attemptstarter import AttemptStarter
+from fescuerudder.jobs.jobrun import Attempt, JobRun, RecordedStart, StepRun
+from fescuerudder.jobs.rows import RowKey
+from fescuerudder.jobs.schedulerstate import SchedulerState
+from fescuerudder.jobs.startrecords import dump_starts
+from fescuerudder.jobs.storage import starts_key
+from fescuerudder.jobs.workerport import StartOrder
+from fescuerudder.jobs.workerrecord import WorkerRecord
+
+MAX_RECORD_WAIT_S = 0.5
+"""Time for which a start waits for its record while the store is out; its task may go to a worker
+that needs none then."""
+
+
+@attrs.frozen(kw_only=True)
+class PendingStarts:
+    """Records of starts that have to be stored.
+
+    Args:
+        rows: the records.
+        deletes: keys of the records that are no longer needed. They must not be deleted before the
+            progress of their jobs is stored.
+        recorded: the starts that each record names, by step.
+    """
+
+    rows: dict[RowKey, bytes]
+    deletes: tuple[RowKey, ...]
+    recorded: dict[StepRun, frozenset[RecordedStart]]
+
+
+class StartReleaser:
+    """Records planned starts, and releases their orders.
+
+    Args:
+        state: state of the term.
+        starter: returns the orders.
+    """
+
+    def __init__(self, *, state: SchedulerState, starter: AttemptStarter) -> None:
+        self._state = state
+        self._starter = starter
+
+    @property
+    def has_records(self) -> bool:
+        """Whether there are records to store."""
+        return bool(self._state.unrecorded_steps)
+
+    def take_pending(self, progressed: Iterable[JobRun]) -> PendingStarts:
+        """Returns the records to store, and marks them as taken.
+
+        What they no longer name doesn't count from now on, though they are not stored yet.
+
+        Args:
+            progressed: jobs whose progress is stored together with the records. Tasks that are done
+                then are no longer named.
+        """
+        state = self._state
+        recorded = {step: _live_starts(step) for step in state.unrecorded_steps}
+        pending = PendingStarts(
+            rows={starts_key(step.id): dump_starts(step) for step in recorded},
+            deletes=tuple(starts_key(step) for step in state.obsolete_records),
+            recorded=recorded,
+        )
+        for step, starts in recorded.items():
+            kept = {s for s in step.job.recorded_starts if s.task.step is not step or s in starts}
+            step.job.recorded_starts = kept
+        for run in progressed:
+            run.recorded_starts = {s for s in run.recorded_starts if not s.task.done}
+        state.recorded_steps.update(step.id for step in recorded)
+        state.unrecorded_steps.clear()
+        state.obsolete_records.clear()
+        return pending
+
+    def on_stored(self, recorded: dict[StepRun, frozenset[RecordedStart]]) -> None:
+        """Records that the records of steps are stored."""
+        for step, starts in recorded.items():
+            step.job.recorded_starts |= starts
+
+    def take_orders(self, now_s: float) -> list[StartOrder]:
+        """Returns the orders of the starts that a stored record covers.
+
+        A start that is outdated by now is withdrawn instead, and all members of its gang with it.
+        The members of a gang are released together.
+        """
+        state = self._state
+        outdated = {a: reason for a in state.planned if (reason := self._outdated_reason(a))}
+        broken = {a.task.step for a in outdated if a.task.step.spec.gang}
+        for attempt in [a for a in state.planned if a in outdated or a.task.step in broken]:
+            state.withdraw(attempt, reason=outdated.get(attempt, "another member was withdrawn"))
+        covered = {a for a in state.planned if is_covered(a)}
+        waiting = {a.task.step for a in state.planned if a not in covered}
+        orders = []
+        for attempt in list(state.planned):
+            is_complete = not attempt.task.step.spec.gang or attempt.task.step not in waiting
+            if attempt in covered and is_complete:
+                del state.planned[attempt]
+                record = state.workers[attempt.worker]
+                orders.append(self._starter.order(attempt, record, now_s))
+        return orders
+
+    def withdraw_overdue(self, now_s: float) -> None:
+        """Withdraws the starts that have waited too long for their records."""
+        for attempt in list(self._state.planned):
+            if now_s - attempt.sent_s >= MAX_RECORD_WAIT_S:
+                self._state.withdraw(attempt, reason="record not stored")
+
+    def _outdated_reason(self, attempt: Attempt) -> str:
+        """Returns why a planned attempt must not be started any more, or an empty text."""
+        task, state = attempt.task, self._state
+        if task.done or not task.step.job.is_live or attempt.evicted:
+            return "no longer needed"
+        record = state.workers[attempt.worker]
+        queue = state.queues[task.step.job.job.queue]
+        if queue.advice is not None and not state.advice.permit(task.step.id, record):
+            return "no permit"
+        if not record.listed or record.gone or record.is_silent or not record.on_roster:
+            return "worker lost"
+        if record.info.draining or record.info.zone in state.zones_out:
+            return "worker out of service"
+        return "" if self._has_room(record) else "no room"
+
+    def _has_room(self, record: WorkerRecord) -> bool:
+        """Returns whether a worker that doesn't guard its capacity still has room for its tasks."""
+        if self._state.guards_capacity(record):
+            return True
+        self._state.discard_load(record.id)
+        load = self._state.load_of(record, now_s=self._state.clock.now_s())
+        return not load.is_closed and not load.is_exceeded
+
+
+def is_covered(attempt: Attempt) -> bool:
+    """Returns whether a stored record tells a successor that an attempt may have been started."""
+    return any(
+        start.worker == attempt.worker
+        and start.incarnation_ms == attempt.incarnation_ms
+        and start.covers(attempt.task)
+        for start in attempt.task.step.job.recorded_starts
+    )
+
+
+def _live_starts(step: StepRun) -> frozenset[RecordedStart]:
+    return frozenset(
+        RecordedStart(task=a.task, worker=a.worker, incarnation_ms=a.incarnation_ms)
+        for a in step.live_attempts()
+    )
--- a/fescuerudder/jobs/starts.py
+++ b/fescuerudder/jobs/starts.py
@@ -23,7 +23,6 @@
 from fescuerudder.jobs.saturation import Saturation
 from fescuerudder.jobs.schedulerstate import SchedulerState
 from fescuerudder.jobs.urgency import objective_s, urgency_key
-from fescuerudder.jobs.workerport import StartOrder
 from fescuerudder.jobs.workerrecord import WorkerRecord
 
 FALLBACK_WAIT_S = 2.0
@@ -39,12 +38,15 @@
     Args:
         state: state of the term.
         leases: length of the leases.
+        starter: adds the attempts.
     """
 
-    def __init__(self, *, state: SchedulerState, leases: LeasePolicy) -> None:
+    def __init__(
+        self, *, state: SchedulerState, leases: LeasePolicy, starter: AttemptStarter
+    ) -> None:
         self._state = state
         self._leases = leases
-        self._starter = AttemptStarter(state=state, leases=leases)
+        self._starter = starter
         self._margin_control = MarginControl()
 
     @property
@@ -56,34 +58,56 @@
         """Adjusts the margins to how the best-effort jobs fare."""
         self._margin_control.update(self._state.open_steps, now_s=now_s)
 
-    def plan(self, *, now_s: float, wall_ms: float) -> list[StartOrder]:
-        """Returns the orders for all tasks that can start now, and adds their attempts."""
+    def plan(self, *, now_s: float, wall_ms: float) -> None:
+        """Plans an attempt of each task that can start now."""
         self._open_steps(now_s=now_s, wall_ms=wall_ms)
         waiting = self._waiting_tasks()
         if not waiting:
-            return []
+            return
         state = self._state
         loads = self.loads(now_s)
+        if self._leases.is_store_out(now_s):
+            self._start_on_recorded_workers(waiting, loads, now_s)
+            return
         held = self._hold_room(waiting, loads)
         quarantined = [
             state.load_of(record, now_s=now_s)
             for record in state.workers.values()
             if self._is_usable(record, now_s) and not self._passes_quarantine(record)
         ]
-        orders = self._restart_long_running(waiting, loads, now_s)
+        self._restart_long_running(waiting, loads, now_s)
         saturation = Saturation(loads=loads)
         demands = _image_demands(waiting)
         for step in sorted(
             waiting, key=lambda s: (*self._urgency(s, now_s), *_grouping_key(s, demands))
         ):
             tasks = [task for task in waiting[step] if not task.attempts or step.spec.speculative]
-            orders += self._start_step(step, tasks, loads, saturation, now_s)
+            self._start_step(step, tasks, loads, saturation, now_s)
             if step.spec.long_running:
-                orders += self._start_on_fallback_workers(step, loads, quarantined, now_s)
-        orders += self._start_beside_idle_room(waiting, [*loads, *quarantined], now_s)
+                self._start_on_fallback_workers(step, loads, quarantined, now_s)
+        self._start_beside_idle_room(waiting, [*loads, *quarantined], now_s)
         for record in held:
             state.discard_load(record)
-        return orders
+
+    def _start_on_recorded_workers(
+        self, waiting: dict[StepRun, list[TaskRun]], loads: list[Load], now_s: float
+    ) -> None:
+        """Starts tasks where a stored record covers them, as no other can be stored now."""
+        by_worker = {load.record.id: load for load in loads}
+        for step in sorted(waiting, key=lambda s: self._urgency(s, now_s)):
+            queue = self._queue(step)
+            for task in () if queue is None or step.spec.gang else waiting[step]:
+                covering = [
+                    load
+                    for start in step.job.recorded_starts
+                    if start.covers(task)
+                    and (load := by_worker.get(start.worker)) is not None
+                    and load.record.info.incarnation_ms == start.incarnation_ms
+                ]
+                eligible = self._eligible_with_permit(step, queue, covering)
+                if eligible and self.is_restart_safe(task):
+                    demand = self._demand(step, 1, queue, now_s)
+                    self._plan_starts([task], choose_workers(demand, eligible), now_s)
 
     def _hold_room(self, waiting: dict[StepRun, list[TaskRun]], loads: list[Load]) -> list[str]:
         """Keeps the room of long-running tasks that ended but may not be restarted yet.
@@ -103,12 +127,11 @@
 
     def _restart_long_running(
         self, waiting: dict[StepRun, list[TaskRun]], loads: list[Load], now_s: float
-    ) -> list[StartOrder]:
-        """Returns orders for long-running tasks that ran before, which go before all others.
+    ) -> None:
+        """Restarts long-running tasks that ran before, which go before all others.
 
         They take the room that they had, so they don't take any from short tasks.
         """
-        orders: list[StartOrder] = []
         for step, tasks in waiting.items():
             queue = self._queue(step)
             ended = [t for t in tasks if t.last_number and self.is_restart_safe(t)]
@@ -124,11 +147,12 @@
                     and may_start_beside(group[0], load.record, now_s)
                 ]
                 chosen = choose_workers(attrs.evolve(demand, count=len(group)), usable)
-                orders += [
-                    self._starter.start(task, load.record, now_s)
-                    for task, load in zip(group, chosen, strict=False)
-                ]
-        return orders
+                self._plan_starts(group, chosen, now_s)
+
+    def _plan_starts(self, tasks: list[TaskRun], chosen: list[Load], now_s: float) -> None:
+        """Plans an attempt of each task on its worker; fewer workers may be chosen."""
+        for task, load in zip(tasks, chosen, strict=False):
+            self._starter.plan(task, load.record, now_s)
 
     def _waiting_tasks(self) -> dict[StepRun, list[TaskRun]]:
         """Returns the tasks that may be started, by step."""
@@ -176,11 +200,11 @@
         """Returns the tasks of which no attempt runs or, of an earlier leader, may run unseen."""
         tasks = step.startable_tasks()
         run, term = step.job, self._state.term
-        if run.version > term.claim_version or not self._state.unresolved_workers():
+        if run.version > term.claim_version or not self._state.unresolved_workers(run):
             return tasks
         if run.opened_in_term(step):
             return tasks
-        return [task for task in tasks if task.seen_running]
+        return [t for t in tasks if t.seen_running or not self._state.may_run_unseen(t)]
 
     def takes_work(self, record: WorkerRecord, now_s: float) -> bool:
         """Returns whether a worker may get tasks now."""
@@ -227,21 +251,21 @@
         loads: list[Load],
         saturation: Saturation,
         now_s: float,
-    ) -> list[StartOrder]:
+    ) -> None:
         tasks = [task for task in startable if self.is_restart_safe(task)]
         queue = self._queue(step)
         if not tasks or queue is None:
-            return []
+            return
         demand = self._demand(step, len(tasks), queue, now_s)
         demand = attrs.evolve(demand, room_is_scarce=saturation.is_scarce(queue.pool))
         if saturation.covers(queue.pool, demand):
-            return []
-        eligible = [load for load in loads if _is_eligible(load, step.spec, queue)]
+            return
+        eligible = [load for load in loads if _may_use(load.record, step.spec, queue)]
         if queue.advice is not None:
             eligible = self._filter_permitted(step, queue.advice, eligible, demand)
         if step.spec.gang:
-            return self._start_gang(step, tasks, eligible, demand, now_s)
-        orders: list[StartOrder] = []
+            self._start_gang(step, tasks, eligible, demand, now_s)
+            return
         for avoided, group in _group_by_avoided(tasks):
             # A task that failed everywhere may try again anywhere.
             loads = [load for load in eligible if load.record.id not in avoided] or eligible
@@ -251,11 +275,7 @@
             may_use_all = not avoided and not is_on_probation(group[0])
             if len(chosen) < len(group) and may_use_all and _has_free_choice(step.spec, queue):
                 saturation.add(queue.pool, demand)
-            orders += [
-                self._starter.start(task, load.record, now_s)
-                for task, load in zip(group, chosen, strict=False)
-            ]
-        return orders
+            self._plan_starts(group, chosen, now_s)
 
     def _demand(self, step: StepRun, count: int, queue: Queue, now_s: float) -> Demand:
         waited_share = (now_s - step.job.received_s) / max(objective_s(step.job, queue), 1e-3)
@@ -283,7 +303,7 @@
 
     def _start_on_fallback_workers(
         self, step: StepRun, loads: list[Load], quarantined: list[Load], now_s: float
-    ) -> list[StartOrder]:
+    ) -> None:
         """Starts long-running tasks that have waited too long for a worker they don't avoid.
 
         They may fail again on a quarantined worker or on one that they failed on, but otherwise
@@ -298,25 +318,23 @@
         ]
         queue = self._queue(step)
         if not tasks or queue is None or step.spec.gang:
-            return []
+            return
         demand = Demand(
             step=step.spec,
             count=len(tasks),
             per_worker=Counter(a.worker for task in step.tasks for a in task.attempts),
         )
-        chosen = choose_for_long_running(demand, self._eligible_with_permit(step, queue, loads))
+        eligible = self._eligible_with_permit(step, queue, loads)
+        chosen = choose_for_long_running(demand, eligible)
         others = self._eligible_with_permit(step, queue, quarantined)
         for load in others:
             load.starts_left = None
         chosen += choose_workers(attrs.evolve(demand, count=len(tasks) - len(chosen)), others)
-        return [
-            self._starter.start(task, load.record, now_s)
-            for task, load in zip(tasks, chosen, strict=False)
-        ]
+        self._plan_starts(tasks, chosen, now_s)
 
     def _start_beside_idle_room(
         self, waiting: dict[StepRun, list[TaskRun]], loads: list[Load], now_s: float
-    ) -> list[StartOrder]:
+    ) -> None:
         """Starts one task of each job that nothing runs of although most of its pool is idle.
 
         Its step finds no worker because most are quarantined, or because best-effort tasks would
@@ -324,7 +342,6 @@
         accepted job would not run at all.
         """
         idle = idle_pools(loads)
-        orders: list[StartOrder] = []
         for step, tasks in waiting.items() if idle else ():
             queue = self._queue(step)
             if queue is None or queue.pool not in idle or step.spec.gang or step.spec.long_running:
@@ -332,12 +349,9 @@
             safe = [task for task in tasks if self.is_restart_safe(task)]
             if safe and stands_still(step.job, now_s):
                 task = min(safe, key=lambda t: len(t.failed_attempts))
-                orders += self._start_anywhere(task, queue, loads, now_s)
-        return orders
+                self._start_anywhere(task, queue, loads, now_s)
 
-    def _start_anywhere(
-        self, task: TaskRun, queue: Queue, loads: list[Load], now_s: float
-    ) -> list[StartOrder]:
+    def _start_anywhere(self, task: TaskRun, queue: Queue, loads: list[Load], now_s: float) -> None:
         """Starts a task on a worker with room, quarantined or not, whatever headroom is left."""
         step = task.step
         eligible = self._eligible_with_permit(step, queue, loads)
@@ -350,7 +364,6 @@
             per_worker=Counter(a.worker for t in step.tasks for a in t.attempts),
             min_headroom=ANY_HEADROOM,
         )
-        orders = []
         for load in choose_workers(demand, preferred) or choose_workers(demand, eligible):
             _log.warning(
                 "job started beside idle room",
@@ -359,9 +372,7 @@
                 worker=load.record.id,
                 quarantined=not self._passes_quarantine(load.record),
             )
-            orders.append(self._starter.start(task, load.record, now_s))
-            task.attempts[-1].is_last_resort = True
-        return orders
+            self._starter.plan(task, load.record, now_s).is_last_resort = True
 
     def _eligible_with_permit(self, step: StepRun, queue: Queue, loads: list[Load]) -> list[Load]:
         """Returns the workers that a step may use, with a permit if its queue requires one."""
@@ -369,7 +380,7 @@
         return [
             load
             for load in loads
-            if _is_eligible(load, step.spec, queue)
+            if _may_use(load.record, step.spec, queue)
             and (queue.advice is None or advice.permit(step.id, load.record))
         ]
 
@@ -388,18 +399,16 @@
         eligible: list[Load],
         demand: Demand,
         now_s: float,
-    ) -> list[StartOrder]:
+    ) -> None:
         """Starts either all members at once, with one attempt number, or none."""
         if len(tasks) < len(step.tasks):
-            return []
+            return
         chosen = _choose_gang(demand, eligible)
         if len(chosen) < len(tasks):
-            return []
+            return
         number = max(self._starter.next_number(task) for task in tasks)
-        return [
-            self._starter.start(task, load.record, now_s, number=number)
-            for task, load in zip(tasks, chosen, strict=True)
-        ]
+        for task, load in zip(tasks, chosen, strict=True):
+            self._starter.plan(task, load.record, now_s, number=number)
 
 
 def _image_demands(waiting: dict[StepRun, list[TaskRun]]) -> dict[str, float]:
@@ -443,10 +452,6 @@
     return not step.max_per_worker and not step.long_running and queue.advice is None
 
 
-def _is_eligible(load: Load, step: Step, queue: Queue) -> bool:
-    return _may_use(load.record, step, queue)
-
-
 def _may_use(record: WorkerRecord, step: Step, queue: Queue) -> bool:
     """Returns whether pool and label of a worker are those that a step needs."""
     info = record.info
--- a/fescuerudder/jobs/storage.py
+++ b/fescuerudder/jobs/storage.py
@@ -2,6 +2,7 @@
 
 import hashlib
 
+from fescuerudder.jobs.job import StepId
 from fescuerudder.jobs.rows import RowKey
 
 JOBS_TABLE = "jobs"
@@ -10,6 +11,9 @@
 PROGRESS_TABLE = "progress"
 """Table of the progress of jobs; only the leader writes to it."""
 
+STARTS_TABLE = "starts"
+"""Table of the records of starts, one row for each step that has live attempts."""
+
 LEADER_TABLE = "leader"
 """Table of the leader's heartbeat, of what it learned about tasks and of its roster."""
 
@@ -55,3 +59,18 @@
 def progress_key(job_id: str) -> RowKey:
     """Returns the key of the row of a job's progress."""
     return RowKey(PROGRESS_TABLE, LEADER_PARTITION, job_id)
+
+
+def starts_key(step: StepId) -> RowKey:
+    """Returns the key of the row that records the starts of a step."""
+    return RowKey(STARTS_TABLE, LEADER_PARTITION, f"{step.job}.{step.occurrence}.{step.step}")
+
+
+def parse_starts_key(key: str) -> StepId:
+    """Returns the step whose starts a row of STARTS_TABLE records.
+
+    Raises:
+        ValueError: the key names no step.
+    """
+    job, occurrence, step = key.rsplit(".", 2)
+    return StepId(job, int(occurrence), int(step))
--- a/fescuerudder/jobs/takeover.py
+++ b/fescuerudder/jobs/takeover.py
@@ -1,12 +1,13 @@
 """Loads the state that earlier leaders stored, at the start of a term."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from concurrent.futures import Executor
 
 import attrs
 import structlog
 
 from fescuerudder.clock import Clock
+from fescuerudder.jobs.claim import load_heartbeat
 from fescuerudder.jobs.job import Job
 from fescuerudder.jobs.jobrun import JobRun, JobState
 from fescuerudder.jobs.progress import (
@@ -18,10 +19,12 @@
 )
 from fescuerudder.jobs.roster import RosterEntry, add_deadlines, load_roster, recover_roster
 from fescuerudder.jobs.rows import Row, RowKey, RowStore, StoreClock, read_partition
+from fescuerudder.jobs.startrecords import StoredStarts, load_starts
 from fescuerudder.jobs.storage import (
     CANCEL_SUFFIX,
     CLAIM_KEY,
     DEADLINES_KEY,
+    HEARTBEAT_KEY,
     JOB_PARTITIONS,
     JOBS_TABLE,
     KNOWLEDGE_KEY,
@@ -29,6 +32,7 @@
     LEADER_TABLE,
     PROGRESS_TABLE,
     ROSTER_KEY,
+    STARTS_TABLE,
 )
 
 LOAD_TIMEOUT_S = 3.0
@@ -47,6 +51,7 @@
         version: version from which to follow the feed of jobs.
         knowledge: what earlier leaders learned about tasks, serialized; None if not stored.
         roster: workers on which tasks of earlier leaders may run, with these tasks.
+        starts: the records of starts.
         store_clock: reading of the store's clock, None if the store told none.
     """
 
@@ -56,6 +61,7 @@
     version: int
     knowledge: bytes | None = None
     roster: list[RosterEntry] = attrs.Factory(list)
+    starts: StoredStarts = attrs.Factory(StoredStarts)
     store_clock: StoreClock | None = None
 
 
@@ -85,9 +91,10 @@
     partition_keys = [
         (LEADER_TABLE, LEADER_PARTITION),
         (PROGRESS_TABLE, LEADER_PARTITION),
+        (STARTS_TABLE, LEADER_PARTITION),
         *((JOBS_TABLE, partition) for partition in JOB_PARTITIONS),
     ]
-    leader_rows, progress, *jobs = list(pool.map(read_rows, partition_keys))
+    leader_rows, progress, starts, *jobs = list(pool.map(read_rows, partition_keys))
     loaded = _assemble(
         [row for partition in jobs for row in partition],
         {row.key.key: row.value for row in progress},
@@ -101,10 +108,32 @@
         loaded,
         knowledge=knowledge.value if knowledge is not None else None,
         roster=_read_roster(stored),
+        starts=_read_starts(starts, stored.get(HEARTBEAT_KEY), loaded.ended),
         store_clock=store_clock if head.store_ms else None,
     )
 
 
+def _read_starts(rows: list[Row], heartbeat: Row | None, ended: Collection[str]) -> StoredStarts:
+    """Returns the records of starts; they are complete only if all of them can be read."""
+    records = [
+        _parse(lambda data, row=row: load_starts(row.key.key, data), row.value) for row in rows
+    ]
+    steps = [record for record in records if record is not None]
+    return StoredStarts(
+        steps=tuple(record for record in steps if record.step.job not in ended),
+        obsolete=tuple(record.step for record in steps if record.step.job in ended),
+        is_complete=len(steps) == len(rows) and _were_recorded(heartbeat),
+    )
+
+
+def _were_recorded(heartbeat: Row | None) -> bool:
+    """Returns whether the earlier leaders recorded their starts, as the claim took over."""
+    if heartbeat is None:
+        return False
+    loaded = _parse(load_heartbeat, heartbeat.value)
+    return loaded is not None and loaded.starts_recorded
+
+
 def _read_roster(stored: dict[RowKey, Row]) -> list[RosterEntry]:
     """Returns the roster, with the deadlines if they were written in the same transaction.
 
--- a/fescuerudder/jobs/waitreasons.py
+++ b/fescuerudder/jobs/waitreasons.py
@@ -104,7 +104,7 @@
             return WaitReason.NO_QUEUE, []
         startable = planner.startable_tasks(step)
         if not startable and step.startable_tasks():
-            return WaitReason.EARLIER_LEADER, state.unresolved_workers()
+            return WaitReason.EARLIER_LEADER, state.unresolved_workers(step.job)
         if not startable:
             names = {attempt.worker for task in step.tasks for attempt in task.attempts}
             return WaitReason.UNCERTAIN_START, [r for r in state.workers.values() if r.id in names]
--- a/tests/jobs/test_crashes.py
+++ b/tests/jobs/test_crashes.py
@@ -136,17 +136,7 @@
     assert sim.state(JOB) is JobState.FAILED
 
 
-@pytest.mark.parametrize(
-    "takeovers",
-    [
-        2,
-        3,
-        *(
-            pytest.param(n, marks=pytest.mark.xfail(reason="KNOWN-RED.txt", strict=True))
-            for n in (4, 6)
-        ),
-    ],
-)
+@pytest.mark.parametrize("takeovers", [2, 3, 4, 6])
 def test_crashes_are_charged_over_several_takeovers(takeovers):
     """Guards against a task that goes on crashing workers while leaders follow one another."""
     sim = crash_simulation()
--- a/tests/jobs/test_leader.py
+++ b/tests/jobs/test_leader.py
@@ -30,6 +30,9 @@
 
 EMPTY_BATCH = ProgressBatch(
     rows={},
+    deletes=(),
+    recorded={},
+    starts_recorded=False,
     states={},
     serials={},
     pending={},
--- a/tests/jobs/test_leadership.py
+++ b/tests/jobs/test_leadership.py
@@ -70,6 +70,7 @@
         self.claim, self.version = claim, version
         self.lost = threading.Event()
         self.unconfirmed_s = 0.0
+        self.starts_recorded = False
         self.while_loading = lambda: None
         self.views = []
 
--- a/tests/jobs/test_roster.py
+++ b/tests/jobs/test_roster.py
@@ -130,9 +130,7 @@
     sim = make_simulation()
     leader = sim.claim("b")
     scheduler = leader.scheduler
-    ((task, number),) = [
-        k for k, a in scheduler.state.workers["w0"].attempts.items() if a.from_roster
-    ]
+    ((task, number),) = [k for k, a in scheduler.state.workers["w0"].attempts.items() if a.restored]
     free = sim.add_worker(3, 1.0)
     sim.run(0.1)
     free.runs.update({(task, number + 1): sim.workers["w0"].runs[(task, number)]})
--- a/tests/jobs/test_scheduleractor.py
+++ b/tests/jobs/test_scheduleractor.py
@@ -24,6 +24,7 @@
 
     zones: list = attrs.Factory(list)
     is_superseded: bool = False
+    has_unrecorded_starts: bool = False
 
     def set_zones_out(self, zones):
         self.zones.append(zones)
@@ -43,6 +44,7 @@
         scheduler=scheduler,
         clock=ManualClock(),
         send_orders=print,
+        on_starts_planned=lambda: None,
         may_order=lambda: True,
         on_superseded=lambda: None,
     )
@@ -65,6 +67,7 @@
         scheduler=scheduler,
         clock=ManualClock(),
         send_orders=print,
+        on_starts_planned=lambda: None,
         may_order=lambda: True,
         on_superseded=lambda: None,
     )
@@ -82,6 +85,7 @@
     """Fails to take a registry, and records what else it is asked."""
 
     is_superseded = False
+    has_unrecorded_starts = False
 
     def __init__(self):
         self.calls = []
@@ -109,6 +113,7 @@
         scheduler=scheduler,
         clock=ManualClock(),
         send_orders=print,
+        on_starts_planned=lambda: None,
         may_order=lambda: True,
         on_superseded=lambda: None,
     )
--- a/tests/jobs/test_takeover_starts.py
+++ b/tests/jobs/test_takeover_starts.py
@@ -23,8 +23,6 @@
 
 DARK_MODES = ["crashed", "cut off", "cut off and unlisted"]
 
-known_red = pytest.mark.xfail(reason="KNOWN-RED.txt", strict=True, raises=AssertionError)
-
 
 @attrs.define(kw_only=True)
 class OrderLog:
@@ -190,7 +188,6 @@
     return sim, orders
 
 
-@known_red
 @pytest.mark.parametrize("mode", DARK_MODES)
 @pytest.mark.parametrize("shape", SHAPES)
 def test_what_never_started_on_a_dark_worker_starts_after_a_takeover(shape, mode):
@@ -214,7 +211,6 @@
     assert waiting == []
 
 
-@known_red
 @pytest.mark.parametrize("mode", DARK_MODES)
 @pytest.mark.parametrize("long_running", [False, True])
 def test_other_tasks_of_a_job_on_a_dark_worker_start_after_a_takeover(long_running, mode):
@@ -241,7 +237,6 @@
     assert never - started == set()
 
 
-@known_red
 @pytest.mark.parametrize("mode", DARK_MODES)
 @pytest.mark.parametrize("leaders", ["bcd", "bcde"])
 @pytest.mark.parametrize("term_s", [0.1, 0.4, 0.9, 1.6])
@@ -495,7 +490,6 @@
 SEEDS = range(24)
 
 
-@known_red
 @pytest.mark.parametrize("seed", SEEDS)
 def test_random_losses_of_leaders_and_workers_let_other_jobs_go_on(seed):
     """Guards against accepted jobs that stand still after a takeover beside free room.
