Log and metrics of the waits after a takeover

- "older steps wait": at the claim, when other workers are awaited, and each 5 s, the steps of older jobs, the longest wait, an example, and the workers with the reason and the time left.
- "older job waits" and "older job goes on" for each job, which `explain ID` turns into one sentence.
- "steps wait" tells a start of an earlier leader, one of this leader and a run on a silent worker apart, and a line says when the wait is over.
- Gauges of waiting steps and of the longest wait by reason, and a histogram of the time from a claim to the first start of an older job, taken from these lines, so neither scheduler nor leader changes.

--- a/fescuerudder/explain.py
+++ b/fescuerudder/explain.py
@@ -27,6 +27,8 @@
 
 ENDS = frozenset({"attempt ended", "attempt ended early"})
 START = "start ordered"
+WAITS = "older job waits"
+GOES_ON = "older job goes on"
 _HIDDEN = frozenset({"event", "instance", "level", "timestamp", "job"})
 
 Line = dict[str, Any]
@@ -39,10 +41,12 @@
     Args:
         lines: log lines in the order of their times, which are those of each instance's clock.
         missing: what the logs do not show.
+        waits: on which workers the job waited after which takeover, and for how long.
     """
 
     lines: list[Line]
     missing: list[str]
+    waits: list[str] = attrs.Factory(list)
 
 
 def read_lines(texts: Iterable[str]) -> Iterator[Line]:
@@ -67,6 +71,7 @@
     ordered = sorted(lines, key=lambda line: str(line.get("timestamp", "")))
     own = [line for line in ordered if _names(line, job)]
     workers = {line["worker"] for line in own if "worker" in line}
+    workers |= {awaited["id"] for line in own for awaited in _awaited(line)}
     first, last = (own[0], own[-1]) if own else ({}, {})
     between = [
         line
@@ -77,13 +82,14 @@
     ]
     kept = {id(line) for line in (*own, *between)}
     told = [line for line in ordered if id(line) in kept] if own else []
-    return Story(lines=told, missing=list(_missing(own, ordered)))
+    return Story(lines=told, missing=list(_missing(own, ordered)), waits=list(_waits(own)))
 
 
 def render(story: Story) -> str:
-    """Returns the story as text, one event a line, and what the logs do not show."""
+    """Returns the story as text: one event a line, then the waits, and what the logs lack."""
     start_s = _seconds(story.lines[0]) if story.lines else None
     rows = [_row(line, start_s) for line in story.lines]
+    rows += [f"waited: {text}" for text in story.waits]
     return "\n".join([*rows, *(f"not in the logs: {text}" for text in story.missing)])
 
 
@@ -98,6 +104,42 @@
     return event in TERM_EVENTS or (event in WORKER_EVENTS and line.get("worker") in workers)
 
 
+def _awaited(line: Line) -> list[dict[str, Any]]:
+    """Returns the workers that a waiting job names, with why and how long they are awaited."""
+    workers = line.get("workers", []) if line["event"] == WAITS else []
+    return [worker for worker in workers if isinstance(worker, dict) and "id" in worker]
+
+
+def _waits(own: list[Line]) -> Iterator[str]:
+    """Yields a sentence for each takeover after which the job waited for workers."""
+    for number, line in enumerate(own):
+        if line["event"] != WAITS:
+            continue
+        instance, claimed_s = line.get("instance", "?"), float(line.get("after_claim_s", 0.0))
+        workers = [_describe_awaited(worker, claimed_s) for worker in _awaited(line)]
+        others = int(line.get("worker_count", 0)) - len(workers)
+        workers += [f"{others} others"] if others > 0 else []
+        start = next(
+            (
+                later
+                for later in own[number:]
+                if later["event"] == GOES_ON and later.get("instance") == instance
+            ),
+            None,
+        )
+        end = (
+            f"first start {start.get('after_claim_s')} s after its claim"
+            if start is not None
+            else "no start of it by that leader"
+        )
+        yield f"after the takeover by {instance} for {', '.join(workers)}; {end}"
+
+
+def _describe_awaited(worker: dict[str, Any], after_claim_s: float) -> str:
+    until_s = after_claim_s + float(worker.get("left_s", 0.0))
+    return f"{worker['id']} ({worker.get('why')}, at most until {until_s:.1f} s after the claim)"
+
+
 def _missing(own: list[Line], lines: list[Line]) -> Iterator[str]:
     events = {line["event"] for line in own}
     if not own:
--- a/fescuerudder/jobs/waitreasons.py
+++ b/fescuerudder/jobs/waitreasons.py
@@ -7,9 +7,10 @@
 import attrs
 import structlog
 
-from fescuerudder.jobs.jobrun import Phase, StepRun
+from fescuerudder.jobs.jobrun import Attempt, Phase, StepRun
 from fescuerudder.jobs.schedulerstate import SchedulerState
 from fescuerudder.jobs.starts import StartPlanner
+from fescuerudder.jobs.takeoverwaits import TakeoverWaits, is_restored
 from fescuerudder.jobs.workerrecord import WorkerRecord
 
 CHECK_INTERVAL_S = 1.0
@@ -32,7 +33,9 @@
 
     NO_QUEUE = "queue unknown"
     EARLIER_LEADER = "attempts of earlier leaders unresolved"
+    EARLIER_START = "started by an earlier leader on a worker out of reach"
     UNCERTAIN_START = "start without an answer"
+    OUT_OF_SIGHT = "runs on a worker that does not answer"
     UNCONFIRMED = "leadership unconfirmed"
     NO_WORKER = "no usable worker"
     QUARANTINED = "room only on quarantined workers"
@@ -65,7 +68,9 @@
 
 
 class WaitMonitor:
-    """Reports steps that could start and have had no live attempt for LONG_WAIT_S.
+    """Reports steps that could start and have had no attempt in sight for LONG_WAIT_S.
+
+    An attempt on a worker that does not answer is out of sight.
 
     Args:
         state: state of the term.
@@ -77,21 +82,29 @@
         self._planner = planner
         self._next_check_s = -math.inf
         self._logged_s: dict[WaitReason, float] = {}
+        self._shown: set[WaitReason] = set()
+        self._takeover = TakeoverWaits(state=state, planner=planner)
 
     def observe(self, now_s: float) -> None:
-        """Logs one line for each reason, unless it was logged recently."""
+        """Logs one line for each reason, unless it was logged recently, and one when it is over."""
+        self._takeover.observe(now_s)
         if now_s < self._next_check_s:
             return
         self._next_check_s = now_s + CHECK_INTERVAL_S
-        for reason, waiting in self._collect(now_s).items():
+        found = self._collect(now_s)
+        for reason in self._shown - set(found):
+            _log.info("steps wait no more", result=reason.value)
+        self._shown &= set(found)
+        for reason, waiting in found.items():
             if now_s - self._logged_s.get(reason, -math.inf) >= LOG_INTERVAL_S:
                 self._logged_s[reason] = now_s
+                self._shown.add(reason)
                 _log_waiting(reason, waiting)
 
     def _collect(self, now_s: float) -> dict[WaitReason, _WaitingSteps]:
         found: dict[WaitReason, _WaitingSteps] = {}
         for step in self._state.open_steps:
-            waited_s = _waited_s(step, now_s)
+            waited_s = self._waited_s(step, now_s)
             if waited_s >= LONG_WAIT_S:
                 reason, workers = self._diagnose(step, now_s)
                 found.setdefault(reason, _WaitingSteps()).add(step, waited_s, workers)
@@ -106,8 +119,7 @@
         if not startable and step.startable_tasks():
             return WaitReason.EARLIER_LEADER, state.unresolved_workers(step.job)
         if not startable:
-            names = {attempt.worker for task in step.tasks for attempt in task.attempts}
-            return WaitReason.UNCERTAIN_START, [r for r in state.workers.values() if r.id in names]
+            return self._diagnose_attempts(step)
         if not any(planner.is_restart_safe(task) for task in startable):
             return WaitReason.UNCONFIRMED, []
         usable = planner.usable_workers(step, now_s)
@@ -120,17 +132,39 @@
             return WaitReason.QUARANTINED, with_room
         return WaitReason.OTHER, with_room
 
-
-def _waited_s(step: StepRun, now_s: float) -> float:
-    """Returns the time for which a step has had no attempt that is known to run."""
-    if step.opened_s is None or step.is_done or not step.job.is_live:
-        return 0.0
-    phases = {attempt.phase for task in step.tasks for attempt in task.attempts}
-    if phases - {Phase.UNCERTAIN, Phase.STARTING}:
-        return 0.0
-    sent_s = (a.sent_s for task in step.tasks for a in task.attempts)
-    ended_s = max(task.last_end_s for task in step.tasks)
-    return now_s - max(step.opened_s, ended_s, max(sent_s, default=-math.inf))
+    def _diagnose_attempts(self, step: StepRun) -> tuple[WaitReason, list[WorkerRecord]]:
+        """Returns the reason for a step of which each task has an attempt out of sight."""
+        attempts = _attempts(step)
+        names = {attempt.worker for attempt in attempts}
+        workers = [r for r in self._state.workers.values() if r.id in names]
+        if any(is_restored(attempt) for attempt in attempts):
+            return WaitReason.EARLIER_START, workers
+        if any(attempt.phase in (Phase.STARTING, Phase.UNCERTAIN) for attempt in attempts):
+            return WaitReason.UNCERTAIN_START, workers
+        return WaitReason.OUT_OF_SIGHT, workers
+
+    def _waited_s(self, step: StepRun, now_s: float) -> float:
+        """Returns the time for which a step has had no attempt that is known to run."""
+        if step.opened_s is None or step.is_done or not step.job.is_live:
+            return 0.0
+        since_s = max(step.opened_s, max(task.last_end_s for task in step.tasks))
+        for attempt in _attempts(step):
+            hidden_s = self._hidden_since_s(attempt)
+            if hidden_s is None:
+                return 0.0
+            since_s = max(since_s, hidden_s)
+        return now_s - since_s
+
+    def _hidden_since_s(self, attempt: Attempt) -> float | None:
+        """Returns since when it has not been known whether an attempt runs, None if it is known."""
+        if attempt.phase in (Phase.STARTING, Phase.UNCERTAIN):
+            return attempt.sent_s
+        record = self._state.workers.get(attempt.worker)
+        return record.silent_since_s if record is not None else None
+
+
+def _attempts(step: StepRun) -> list[Attempt]:
+    return [attempt for task in step.tasks for attempt in task.attempts]
 
 
 def _log_waiting(reason: WaitReason, waiting: _WaitingSteps) -> None:
--- a/fescuerudder/platform/run.py
+++ b/fescuerudder/platform/run.py
@@ -41,7 +41,7 @@
         print(f"fescuerudder: {exc}", file=sys.stderr)
         return EXIT_INVALID_SETTINGS
     clock = SystemClock()
-    with HttpClient() as http, JobMetrics(instance=cfg.instance) as metrics:
+    with HttpClient() as http, JobMetrics(instance=cfg.instance, clock=clock) as metrics:
         configure_logs(level="info", instance=cfg.instance, observers=(metrics.count_event,))
         ports = make_ports(http, cfg, clock, metrics)
         return run_node(cfg, ports, clock, metrics, read_settings=read_settings)
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -74,3 +74,40 @@
     assert run(["explain", OTHER, str(tmp_path / "0.log")]) == 1
     assert run(["explain", OTHER, str(tmp_path / "none")]) == 1
     assert render(tell(OTHER, WHOLE)) == "not in the logs: any line about the job"
+
+
+AWAITED = {"id": "w7", "why": "silent", "silent_s": 1.1, "left_s": 8.25}
+WAITS = line(1.5, "older job waits", job=JOB, after_claim_s=1.1, worker_count=3, workers=[AWAITED])
+GOES_ON = line(1.7, "older job goes on", job=JOB, after_claim_s=9.5, result="held back")
+BEFORE = (
+    "after the takeover by front-1 for w7 (silent, at most until 9.3 s after the claim), 2 others"
+)
+
+
+@pytest.mark.parametrize(
+    ("lines", "told"),
+    [
+        ([WAITS], f"{BEFORE}; no start of it by that leader"),
+        ([WAITS, GOES_ON], f"{BEFORE}; first start 9.5 s after its claim"),
+        ([GOES_ON, {**WAITS, "timestamp": "2026-03-22T07:44:01.800000Z"}], f"{BEFORE}; no start"),
+        ([WAITS, {**GOES_ON, "instance": "front-2"}], f"{BEFORE}; no start"),
+        (
+            [{**WAITS, "workers": "w7", "worker_count": 1}],
+            "after the takeover by front-1 for 1 others",
+        ),
+    ],
+)
+def test_the_story_tells_on_whom_the_job_waited(lines, told):
+    """Guards against a wait after a takeover without its cause, or with the start of another."""
+    story = tell(JOB, [*WHOLE, *lines])
+    (text,) = story.waits
+    assert text.startswith(told)
+    assert f"waited: {text}" in render(story).splitlines()
+
+
+@pytest.mark.parametrize(("worker", "is_told"), [("w7", True), ("w8", False)])
+def test_the_story_has_what_befell_the_worker_that_the_job_waited_for(worker, is_told):
+    """Guards against a wait for a worker of which the story says nothing."""
+    silent = line(1.6, "worker silent", worker=worker)
+    story = tell(JOB, [*WHOLE, WAITS, silent])
+    assert (silent in story.lines) is is_told
