Wait reasons: a start whose record is not stored, and a store that is out

With records of starts a step can wait for the leader's next write, or for the store to come back. Both were reported as "other" or not at all.

--- a/fescuerudder/jobs/starts.py
+++ b/fescuerudder/jobs/starts.py
@@ -54,6 +54,10 @@
         """Headroom that best-effort tasks leave latency-critical ones."""
         return self._margin_control.margins
 
+    def is_store_out(self, now_s: float) -> bool:
+        """Returns whether only starts that need no new record are planned."""
+        return self._leases.is_store_out(now_s)
+
     def update_margins(self, now_s: float) -> None:
         """Adjusts the margins to how the best-effort jobs fare."""
         self._margin_control.update(self._state.open_steps, now_s=now_s)
@@ -66,7 +70,7 @@
             return
         state = self._state
         loads = self.loads(now_s)
-        if self._leases.is_store_out(now_s):
+        if self.is_store_out(now_s):
             self._start_on_recorded_workers(waiting, loads, now_s)
             return
         held = self._hold_room(waiting, loads)
--- a/fescuerudder/jobs/waitreasons.py
+++ b/fescuerudder/jobs/waitreasons.py
@@ -36,6 +36,8 @@
     EARLIER_START = "started by an earlier leader on a worker out of reach"
     UNCERTAIN_START = "start without an answer"
     OUT_OF_SIGHT = "runs on a worker that does not answer"
+    UNRECORDED = "record of the start not stored"
+    STORE_OUT = "store out"
     UNCONFIRMED = "leadership unconfirmed"
     NO_WORKER = "no usable worker"
     QUARANTINED = "room only on quarantined workers"
@@ -120,6 +122,8 @@
             return WaitReason.EARLIER_LEADER, state.unresolved_workers(step.job)
         if not startable:
             return self._diagnose_attempts(step)
+        if planner.is_store_out(now_s):
+            return WaitReason.STORE_OUT, []
         if not any(planner.is_restart_safe(task) for task in startable):
             return WaitReason.UNCONFIRMED, []
         usable = planner.usable_workers(step, now_s)
@@ -139,6 +143,8 @@
         workers = [r for r in self._state.workers.values() if r.id in names]
         if any(is_restored(attempt) for attempt in attempts):
             return WaitReason.EARLIER_START, workers
+        if any(attempt.phase is Phase.PLANNED for attempt in attempts):
+            return WaitReason.UNRECORDED, workers
         if any(attempt.phase in (Phase.STARTING, Phase.UNCERTAIN) for attempt in attempts):
             return WaitReason.UNCERTAIN_START, workers
         return WaitReason.OUT_OF_SIGHT, workers
@@ -157,7 +163,7 @@
 
     def _hidden_since_s(self, attempt: Attempt) -> float | None:
         """Returns since when it has not been known whether an attempt runs, None if it is known."""
-        if attempt.phase in (Phase.STARTING, Phase.UNCERTAIN):
+        if attempt.phase in (Phase.PLANNED, Phase.STARTING, Phase.UNCERTAIN):
             return attempt.sent_s
         record = self._state.workers.get(attempt.worker)
         return record.silent_since_s if record is not None else None
--- a/tests/jobs/test_waitreasons.py
+++ b/tests/jobs/test_waitreasons.py
@@ -38,9 +38,18 @@
     sim.submit(JOB, steps=steps(2))
 
 
+def take_store_down(sim):
+    sim.submit("00000000000000bb", steps=steps(12))
+    sim.run(0.5)
+    sim.submit(JOB, steps=steps(2))
+    sim.run(0.1)
+    sim.store.faults.down = True
+
+
 @pytest.mark.parametrize(
     ("prepare", "result"),
     [
+        (take_store_down, "store out"),
         (fill_workers, "no room"),
         (quarantine_workers, "room only on quarantined workers"),
         (cut_off_successor, "attempts of earlier leaders unresolved"),
