Jobs: all members of a gang start from one checkpoint

A gang with savesProgress never completed once a member had failed, or its worker was lost: each member was started again with the state that it had saved itself, members with different states don't work together, so all ended alone after gangTimeoutMs, and the next attempt carried the same values.

Change: the checkpoint of a gang belongs to its step. The one of the latest attempt counts; of that attempt, one listed with an end goes before one listed while a member ran, which is older. It is stored with the number of its attempt, so a successor doesn't go back to what a worker lists late. Rows with a checkpoint for each member are still read: the first counts for all.

The simulation lets members of a gang work only together, with the same checkpoint, and end alone otherwise.

--- a/bench/_jobsimulation.py
+++ b/bench/_jobsimulation.py
@@ -43,6 +43,7 @@
     WorkerFencedError,
     WorkerInfo,
 )
+from standins.jobgangs import Gangs
 from standins.jobworker import JobWorker
 from standins.rows import MemoryRowStore
 
@@ -211,6 +212,7 @@
         self.run_s = 1.0
         self.plan = plan or self._default_plan
         self.specs: dict[str, Job] = {}
+        self.gangs = Gangs(size_of=self._gang_size)
         self.workers: dict[str, JobWorker] = {}
         self.unlisted: set[str] = set()
         self.errors: list[str] = []
@@ -257,6 +259,7 @@
             clock_rate=self.rng.choice((1.0, 0.985)),
         )
         worker.guards_capacity = self.guards_capacity
+        worker.gangs = self.gangs
         worker.accepts_permit = lambda order: self.advice.accepts(order, worker.info.incarnation_ms)
         self.workers[info.id] = worker
         return worker
@@ -265,6 +268,10 @@
         step = self.specs[task.job].steps[task.step]
         return step.size, self.run_s, False
 
+    def _gang_size(self, task) -> int:
+        step = self.specs[task.job].steps[task.step]
+        return step.count if step.gang else 0
+
     def registry(self):
         if self.lagging_registry is not None:
             return self.lagging_registry.read()
--- a/fescuerudder/jobs/jobrun.py
+++ b/fescuerudder/jobs/jobrun.py
@@ -108,7 +108,7 @@
         failed_attempts: numbers of the attempts that failed. Each counts once, though a worker may
             report an end twice.
         crashed_attempts: numbers of the attempts that are suspected to have crashed their worker.
-        checkpoint: state to resume from, or empty.
+        own_checkpoint: state that it saved; not used for members of a gang.
         last_number: highest attempt number used so far.
         attempts: live attempts; more than one only for speculative steps.
         avoided_workers: ids of the workers on which it failed or made no progress.
@@ -129,7 +129,7 @@
     done: bool = False
     failed_attempts: list[int] = attrs.Factory(list)
     crashed_attempts: list[int] = attrs.Factory(list)
-    checkpoint: str = ""
+    own_checkpoint: str = ""
     last_number: int = 0
     attempts: list[Attempt] = attrs.Factory(list)
     avoided_workers: set[str] = attrs.Factory(set)
@@ -141,6 +141,32 @@
     seen_running: bool = False
     done_in_term: bool = False
 
+    @property
+    def checkpoint(self) -> str:
+        """State to resume from, or empty; all members of a gang have the same."""
+        return self.step.gang_checkpoint if self.step.spec.gang else self.own_checkpoint
+
+    def save_checkpoint(self, checkpoint: str, *, attempt: int, has_ended: bool) -> None:
+        """Records a state that an attempt saved.
+
+        The state of any member is valid for its gang. The latest attempt counts, and in it a state
+        listed with an end goes before one that was listed while the member ran.
+
+        Args:
+            checkpoint: the state; if empty, the one known so far stays.
+            attempt: number of the attempt.
+            has_ended: it was listed with the end of the attempt.
+        """
+        step = self.step
+        if not checkpoint or self.done:
+            return
+        if not step.spec.gang:
+            self.own_checkpoint = checkpoint
+        elif attempt > step.checkpoint_attempt or (
+            has_ended and attempt == step.checkpoint_attempt
+        ):
+            step.gang_checkpoint, step.checkpoint_attempt = checkpoint, attempt
+
     @property
     def is_likely_faulty(self) -> bool:
         """Whether it failed or made no progress on several workers, so they are not the cause."""
@@ -175,6 +201,8 @@
         spec: the step as submitted.
         tasks: its tasks.
         opened_s: when its tasks could first start, on this instance's clock, None before.
+        gang_checkpoint: state from which all members of a gang resume, or empty.
+        checkpoint_attempt: number of the attempt that saved it, 0 if unknown.
     """
 
     job: "JobRun"
@@ -183,6 +211,8 @@
     spec: Step
     tasks: list[TaskRun] = attrs.Factory(list)
     opened_s: float | None = None
+    gang_checkpoint: str = ""
+    checkpoint_attempt: int = 0
 
     @property
     def id(self) -> StepId:
@@ -303,7 +333,8 @@
         for member in task.step.tasks if task.step.spec.gang else (task,):
             self.done_work += 0.0 if member.done else task.step.spec.work
             member.done = True
-            member.checkpoint = ""
+            member.own_checkpoint = ""
+        task.step.gang_checkpoint = ""
         self.dirty = True
         if not self.state.is_final and all(step.is_done for step in self.steps.values()):
             self.state = JobState.COMPLETED
--- a/fescuerudder/jobs/progress.py
+++ b/fescuerudder/jobs/progress.py
@@ -1,6 +1,7 @@
 """Serializes jobs and their progress as compact JSON for the store."""
 
 import json
+from collections.abc import Sequence
 from typing import Any
 
 import attrs
@@ -84,12 +85,15 @@
     crashed = {
         str(t.id.index): t.crashed_attempts for t in step.tasks if t.crashed_attempts and not t.done
     }
-    saved = {str(t.id.index): t.checkpoint for t in step.tasks if t.checkpoint and not t.done}
+    saved = {
+        str(t.id.index): t.own_checkpoint for t in step.tasks if t.own_checkpoint and not t.done
+    }
     raw = {
         "done": f"{done:x}" if done else "",
         "failed": failed,
         "crashed": crashed,
         "checkpoints": saved,
+        "gang": [step.checkpoint_attempt, step.gang_checkpoint] if step.gang_checkpoint else [],
     }
     return {name: value for name, value in raw.items() if value}
 
@@ -104,7 +108,25 @@
         step.job.done_work += step.spec.work if task.done else 0.0
         task.failed_attempts = [int(number) for number in failed.get(index, ())]
         task.crashed_attempts = [int(number) for number in crashed.get(index, ())]
-        task.checkpoint = str(saved.get(index, ""))
+        task.own_checkpoint = str(saved.get(index, ""))
+    if step.spec.gang:
+        _restore_gang(step, raw.get("gang", ()))
+
+
+def _restore_gang(step: StepRun, saved: Sequence[Any]) -> None:
+    """Restores the checkpoint of a gang.
+
+    Leaders up to 7f57da8 stored one for each member. The first is as valid as the others, and all
+    members must resume from the same.
+    """
+    if saved:
+        attempt, checkpoint = saved
+        step.checkpoint_attempt, step.gang_checkpoint = int(attempt), str(checkpoint)
+        return
+    stored = [task.own_checkpoint for task in step.tasks if task.own_checkpoint]
+    step.gang_checkpoint = stored[0] if stored and not step.is_done else ""
+    for task in step.tasks:
+        task.own_checkpoint = ""
 
 
 def _dump(raw: dict[str, Any]) -> bytes:
--- a/fescuerudder/jobs/reports.py
+++ b/fescuerudder/jobs/reports.py
@@ -162,7 +162,7 @@
         elif end.end is AttemptEnd.FAILED:
             self._record_failure(task, end)
         elif end.checkpoint and not task.done:
-            task.checkpoint = end.checkpoint
+            task.save_checkpoint(end.checkpoint, attempt=end.attempt, has_ended=True)
             state.mark_dirty(task.step.job)
 
     def _record_worker(self, attempt: Attempt, end: AttemptEnd, now_s: float) -> None:
@@ -186,7 +186,7 @@
         queue = self._state.queues.get(run.job.queue)
         limit = queue.max_failures if queue is not None else DEFAULT_MAX_FAILURES
         run.record_failure(task, attempt=end.attempt, max_failures=limit)
-        task.checkpoint = end.checkpoint or task.checkpoint
+        task.save_checkpoint(end.checkpoint, attempt=end.attempt, has_ended=True)
         self._state.mark_dirty(run)
 
     def _update_or_adopt(self, record: WorkerRecord, row: RunningAttempt, now_s: float) -> bool:
--- a/fescuerudder/jobs/schedulerstate.py
+++ b/fescuerudder/jobs/schedulerstate.py
@@ -188,7 +188,7 @@
         self.drop_attempt(attempt)
         task, run = attempt.task, attempt.task.step.job
         if checkpoint and not task.done:
-            task.checkpoint = checkpoint
+            task.save_checkpoint(checkpoint, attempt=attempt.number, has_ended=False)
             self.mark_dirty(run)
         _log.info(
             "attempt ended early",
--- a/standins/jobworker.py
+++ b/standins/jobworker.py
@@ -18,6 +18,7 @@
     WorkerFencedError,
     WorkerInfo,
 )
+from standins.jobgangs import GANG_TIMEOUT_S, Gangs
 
 STOP_DURATION_S = 0.2
 
@@ -38,6 +39,7 @@
     checkpoint: str
     stops_at_s: float | None = None
     throttle: int = 100
+    waits_since_s: float | None = None
 
 
 class JobWorker:
@@ -77,6 +79,7 @@
         self.accepts_permit = lambda order: True
         self.measure = lambda run: (0.0, 0.0)
         self.on_stop = lambda run, percent: None
+        self.gangs = Gangs(size_of=lambda task: 0)
         self._last_tick_s = now_s()
 
     def clock_ms(self) -> float:
@@ -113,6 +116,7 @@
         """Goes down and loses everything that runs."""
         self.is_up = False
         for key in list(self.runs):
+            self.gangs.leave(*key, is_done=False)
             self._record(*key, "lost")
         self.runs.clear()
 
@@ -137,6 +141,8 @@
                 run.started_s += now_s - self._last_tick_s
         for run in self.runs.values():
             run.done_at_s += (now_s - self._last_tick_s) * (1 - run.throttle / 100)
+        for run in list(self.runs.values()):
+            self._tick_member(run, now_s - self._last_tick_s)
         self._last_tick_s = now_s
         if self.clock_ms() >= self.lease_until_ms:
             self.last_lapse_s = now_s
@@ -149,6 +155,20 @@
             elif now_s >= run.done_at_s:
                 self._end(run, AttemptEnd.FAILED if run.fails else AttemptEnd.DONE)
 
+    def _tick_member(self, run: Run, elapsed_s: float) -> None:
+        """Lets a member of a gang wait for the others, and ends it with them."""
+        if run.waits_since_s is not None:
+            run.started_s += elapsed_s
+            run.done_at_s += elapsed_s
+            if self.gangs.works(run.task, run.attempt):
+                run.waits_since_s = None
+            elif self._now_s() - run.waits_since_s >= GANG_TIMEOUT_S:
+                self._end(run, AttemptEnd.ALONE)
+        elif self.gangs.is_done(run.task, run.attempt):
+            self._end(run, AttemptEnd.DONE)
+        elif self.gangs.is_broken(run.task, run.attempt):
+            self._end(run, AttemptEnd.BROKEN)
+
     def start(self, order: StartOrder) -> OrderAnswer:
         """Starts an attempt, or returns the reason for a refusal."""
         self.tick()
@@ -184,6 +204,8 @@
             fails=fails,
             checkpoint=order.checkpoint,
         )
+        if self.gangs.join(*key, order.checkpoint):
+            self.runs[key].waits_since_s = self._now_s()
         self._record(*key, "start")
         return self._answer(OrderResult.DONE)
 
@@ -249,7 +271,11 @@
         return min(100, int(100 * elapsed_s / (run.done_at_s - run.started_s)))
 
     def _checkpoint(self, run: Run) -> str:
-        return f"c{run.attempt}" if self._now_s() - run.started_s > 0.5 else run.checkpoint
+        return (
+            f"c{run.attempt}.{run.task.index}"
+            if self._now_s() - run.started_s > 0.5
+            else run.checkpoint
+        )
 
     def _extend_lease(self, until_ms: float) -> None:
         longest_ms = self.clock_ms() + self._max_lease_s * 1000
@@ -257,6 +283,7 @@
 
     def _end(self, run: Run, end: AttemptEnd) -> None:
         del self.runs[(run.task, run.attempt)]
+        self.gangs.leave(run.task, run.attempt, is_done=end is AttemptEnd.DONE)
         self.last_serial += 1
         self.ended_at_s[self.last_serial] = self._now_s()
         self.highest_ended[run.task] = max(self.highest_ended.get(run.task, 0), run.attempt)
