Jobs: a gang that can't become whole is stopped, and leaves the worker that refused it

A worker that refused one member of a gang (no room, unhealthy) kept the gang from ever starting: the other members held their room until they ended alone after gangTimeoutMs, and the next attempt went to the same workers, as the pause after a refusal is shorter and placement of gangs knew no workers to avoid. Members of which a lost leader had started only a part waited in vain as well.

Change: an attempt of a gang of which a member has ended, was refused or is known to be absent is marked as broken, and what is left of it is stopped.

The three new tests failed before (RUNNING at the end; no member stopped; 3 members ended alone).

--- a/fescuerudder/jobs/jobrun.py
+++ b/fescuerudder/jobs/jobrun.py
@@ -203,6 +203,8 @@
         opened_s: when its tasks could first start, on this instance's clock, None before.
         gang_checkpoint: state from which all members of a gang resume, or empty.
         checkpoint_attempt: number of the attempt that saved it, 0 if unknown.
+        broken_attempt: highest number of an attempt of a gang of which a member doesn't run any
+            more, so the others can't work.
     """
 
     job: "JobRun"
@@ -213,6 +215,7 @@
     opened_s: float | None = None
     gang_checkpoint: str = ""
     checkpoint_attempt: int = 0
+    broken_attempt: int = 0
 
     @property
     def id(self) -> StepId:
--- a/fescuerudder/jobs/scheduler.py
+++ b/fescuerudder/jobs/scheduler.py
@@ -441,7 +441,9 @@
                 self._fence_start(record, attempt)
 
     def _must_stop(self, attempt: Attempt) -> bool:
-        return attempt.evicted or attempt.task.done or not attempt.task.step.job.is_live
+        task = attempt.task
+        is_broken = attempt.number <= task.step.broken_attempt
+        return attempt.evicted or is_broken or task.done or not task.step.job.is_live
 
     def _plan_throttles(self, now_s: float) -> list[Order]:
         """Returns the throttle orders for the workers that reported since the last plan."""
--- a/fescuerudder/jobs/schedulerstate.py
+++ b/fescuerudder/jobs/schedulerstate.py
@@ -176,6 +176,9 @@
             attempt.task.attempts.remove(attempt)
         attempt.task.last_end_s = self.last_end_s = self.clock.now_s()
         attempt.task.last_worker = attempt.worker
+        step = attempt.task.step
+        if step.spec.gang:
+            step.broken_attempt = max(step.broken_attempt, attempt.number)
         record = self.workers.get(attempt.worker)
         if record is not None:
             record.attempts.pop((attempt.task.id, attempt.number), None)
@@ -187,6 +190,9 @@
             record.discarded_starts.append(attempt)
         self.drop_attempt(attempt)
         task, run = attempt.task, attempt.task.step.job
+        if task.step.spec.gang and attempt.confirmed_s is None:
+            # A worker that refuses one member would keep the gang from starting each time.
+            task.avoided_workers.add(attempt.worker)
         if checkpoint and not task.done:
             task.save_checkpoint(checkpoint, attempt=attempt.number, has_ended=False)
             self.mark_dirty(run)
--- a/fescuerudder/jobs/starts.py
+++ b/fescuerudder/jobs/starts.py
@@ -391,8 +391,13 @@
     ) -> list[StartOrder]:
         """Starts either all members at once, with one attempt number, or none."""
         if len(tasks) < len(step.tasks):
+            # The members that run can't work; an earlier leader may have started only these.
+            live = [a.number for task in step.tasks for a in task.attempts]
+            step.broken_attempt = max(step.broken_attempt, *live, 0)
             return []
-        chosen = _choose_gang(demand, eligible)
+        avoided = frozenset().union(*(task.avoided_workers for task in tasks))
+        preferred = [load for load in eligible if load.record.id not in avoided]
+        chosen = _choose_gang(demand, preferred) or _choose_gang(demand, eligible)
         if len(chosen) < len(tasks):
             return []
         number = max(self._starter.next_number(task) for task in tasks)
--- a/tests/jobs/test_gangs.py
+++ b/tests/jobs/test_gangs.py
@@ -114,6 +114,55 @@
     assert ends(sim, "alone") == 0
 
 
+def test_a_gang_avoids_a_worker_that_refused_a_member():
+    """Guards against a gang that never starts whole, as one worker refuses its member each time.
+
+    The other members waited for it until they ended alone, and the next attempt went to the same
+    workers.
+    """
+    sim = JobSimulation(workers=3, capacity=4.0)
+    sim.workers["w0"].refuses_starts = True
+    sim.submit(JOB, steps=gang(5))
+    sim.claim("a")
+    sim.run(4)
+    assert sim.state(JOB) is JobState.COMPLETED
+    assert ends(sim, "alone") == 0
+
+
+def test_members_of_a_gang_that_lost_one_do_not_wait():
+    """Guards against members that hold their room for a member that can't come any more."""
+    sim = JobSimulation(workers=2, capacity=4.0)
+    sim.workers["w0"].refuses_starts = True
+    sim.submit(JOB, steps=gang(5))
+    sim.claim("a")
+    sim.run(3)
+    assert ends(sim, "stopped") > 0 and ends(sim, "alone") == 0
+    sim.workers["w0"].refuses_starts = False
+    sim.run(4)
+    assert sim.state(JOB) is JobState.COMPLETED
+
+
+def test_a_gang_of_which_a_lost_leader_started_a_part_is_started_anew(monkeypatch):
+    """Guards against members that wait in vain because their leader was lost between the orders."""
+    sim = JobSimulation(workers=3)
+    send = sim.send
+
+    def send_half(leader, order):
+        if not isinstance(order, StartOrder) or leader.name == "b" or order.task.index < 3:
+            send(leader, order)
+
+    monkeypatch.setattr(sim, "send", send_half)
+    sim.submit(JOB, steps=gang(6))
+    first = sim.claim("a")
+    sim.run(0.5)
+    assert sim.starts(JOB) == 3
+    first.alive = False
+    sim.claim("b")
+    sim.run(4)
+    assert sim.state(JOB) is JobState.COMPLETED
+    assert ends(sim, "alone") == 0
+
+
 def test_what_a_lost_member_saved_last_does_not_replace_the_end_of_another():
     """Guards against work that is done again because a crash is noticed after other ends.
 
@@ -170,6 +219,10 @@
             sim.run(rng.uniform(0.1, 1.5))
     heal(sim)
     sim.run(60)
+    sim.store.apply_delayed()
+    sim.run(1)
+    ensure_leader(sim, "very last")
+    sim.run(15)
     by_gang = {}
     for order in starts:
         by_gang.setdefault((order.task[:3], order.attempt), set()).add(order.checkpoint)
