Signals: handlers before anything slow is imported

SIGHUP within about half a second after the start of a node ended it (exit by signal 1), SIGTERM ended it by the signal, and SIGINT ended it with KeyboardInterrupt at any time. Cause: the handlers were installed in run_node, after all imports, and there was none for SIGINT.

Change: __main__ installs the handlers of the commands that serve before it imports the command line; the script entry point and the one-file build go through it too. A signal that arrives early is kept: a node reads its settings again once it runs, and a stop ends it with 0 before anything is opened. SIGINT is a planned stop, as SIGTERM is. The handler puts into a SimpleQueue, as Event.set() may deadlock if it interrupts a wait for the same event.

--- a/bench/dist.py
+++ b/bench/dist.py
@@ -40,7 +40,7 @@
             stage,
             target,
             interpreter=INTERPRETER,
-            main="fescuerudder.cli:main",
+            main="fescuerudder.__main__:main",
             compressed=True,
         )
     return target
--- a/fescuerudder/entry.py
+++ b/fescuerudder/entry.py
@@ -1,8 +1,6 @@
 """The entry instance: assembles the services of one process and runs them until a signal."""
 
 import random
-import signal
-import threading
 import time
 import uuid
 from collections.abc import Callable
@@ -36,6 +34,7 @@
 from fescuerudder.permits import PermitGranter
 from fescuerudder.permitservice import PermitService, run_exchange
 from fescuerudder.placement import make_placement
+from fescuerudder.processsignals import COMMAND_SIGNALS, PROCESS_SIGNALS
 from fescuerudder.rack import RackController
 from fescuerudder.racks import Racks
 from fescuerudder.rackstate import LearnedModels
@@ -426,14 +425,15 @@
 def run_entry(cfg: Settings) -> int:
     """Runs an entry instance until SIGTERM or SIGINT; returns the exit code."""
     configure_logs(level=cfg.log_level, instance=cfg.instance)
-    stop = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stop.set())
+    # `__main__` has installed them already, unless another program calls this function.
+    PROCESS_SIGNALS.install(COMMAND_SIGNALS["entry"])
+    if PROCESS_SIGNALS.is_stop_requested:
+        return 0
     with EntryInstance(cfg=cfg, clock=SystemClock()) as instance:
         _log.info("entry instance serves", http=cfg.http, peer=cfg.peer, zone=cfg.zone)
         # A signal that arrives while the process is suspended does not wake a plain wait.
-        while not stop.wait(SIGNAL_POLL_S):
-            pass
+        while not PROCESS_SIGNALS.is_stop_requested:
+            PROCESS_SIGNALS.wait(SIGNAL_POLL_S)
         instance.shut_down()
     _log.info("entry instance ended")
     return 0
--- a/fescuerudder/jobs/node.py
+++ b/fescuerudder/jobs/node.py
@@ -1,7 +1,6 @@
 """One instance that serves jobs: accepts callers' requests and may lead."""
 
 import random
-import signal
 import threading
 import time
 import uuid
@@ -33,6 +32,7 @@
 from fescuerudder.jobs.settingsreloader import SettingsReloader
 from fescuerudder.jobs.workerport import WorkerPort
 from fescuerudder.kernel import Kernel
+from fescuerudder.processsignals import ProcessSignals
 from fescuerudder.service import OwnerService
 
 CALLER_THREADS = 16
@@ -303,8 +303,9 @@
     metrics: JobMetrics,
     *,
     read_settings: Callable[[], NodeSettings],
+    signals: ProcessSignals,
 ) -> int:
-    """Runs an instance until SIGTERM; returns the exit code.
+    """Runs an instance until SIGTERM or SIGINT; returns the exit code.
 
     Args:
         cfg: settings at the start.
@@ -312,14 +313,15 @@
         clock: source of time.
         metrics: metrics of this instance.
         read_settings: reads the settings again, after SIGHUP and at regular intervals.
+        signals: signals to this process, with their handlers installed.
     """
-    stop = threading.Event()
     reload = SettingsReloader(cfg=cfg, read=read_settings, clock=clock)
-    signal.signal(signal.SIGTERM, lambda *_: stop.set())
-    signal.signal(signal.SIGHUP, lambda *_: reload.request_reload())
     _log.info("instance starts", instance=cfg.instance, zone=cfg.zone, cores=cfg.cores)
     with JobNode(cfg=cfg, ports=ports, clock=clock, metrics=metrics) as node:
-        while not stop.wait(SIGNAL_POLL_S):
+        while not signals.is_stop_requested:
+            signals.wait(SIGNAL_POLL_S)
+            if signals.take_reload_request():
+                reload.request_reload()
             if reload.reload_if_due():
                 node.update_settings(reload.cfg)
         node.drain()
--- a/fescuerudder/platform/run.py
+++ b/fescuerudder/platform/run.py
@@ -18,6 +18,7 @@
 from fescuerudder.platform.sources import PlatformConfigSource, PlatformRegistry
 from fescuerudder.platform.store import PlatformStore
 from fescuerudder.platform.workers import PlatformWorkers
+from fescuerudder.processsignals import COMMAND_SIGNALS, PROCESS_SIGNALS
 
 EXIT_INVALID_SETTINGS = 2
 
@@ -25,7 +26,7 @@
 
 
 def run_on_platform(*, metrics_port: int, settings: str = "") -> int:
-    """Runs an instance until SIGTERM; returns the exit code.
+    """Runs an instance until SIGTERM or SIGINT; returns the exit code.
 
     Args:
         metrics_port: port for metrics.
@@ -35,16 +36,22 @@
     def read_settings() -> NodeSettings:
         return load_node_settings(settings, metrics_port=metrics_port)
 
+    # `__main__` has installed them already, unless another program calls this function.
+    PROCESS_SIGNALS.install(COMMAND_SIGNALS["node"])
     try:
         cfg = read_settings()
     except SettingsError as exc:
         print(f"fescuerudder: {exc}", file=sys.stderr)
         return EXIT_INVALID_SETTINGS
+    if PROCESS_SIGNALS.is_stop_requested:
+        return 0
     clock = SystemClock()
     with HttpClient() as http, JobMetrics(instance=cfg.instance) as metrics:
         configure_logs(level="info", instance=cfg.instance, observers=(metrics.count_event,))
         ports = make_ports(http, cfg, clock, metrics)
-        return run_node(cfg, ports, clock, metrics, read_settings=read_settings)
+        return run_node(
+            cfg, ports, clock, metrics, read_settings=read_settings, signals=PROCESS_SIGNALS
+        )
 
 
 def make_ports(
