Callers: a job without tasks is refused with 400

A job with "steps": [], or whose steps have a count of 0, was accepted and stayed queued for good: a job is complete with the end of its last task, and it has none.

Change: such a job gets 400 with a reason in the body, before it is stored. The check is made when a job is handed in and not where stored jobs are read, so one that an earlier version accepted is still known.

--- a/fescuerudder/platform/callers.py
+++ b/fescuerudder/platform/callers.py
@@ -142,6 +142,11 @@
         except (AttributeError, LookupError, TypeError, ValueError) as exc:
             _log.warning("malformed job", job=job_id, reason=checked.reason(exc))
             return 400, {}, {}
+        if not any(step.count for step in job.steps):
+            # No task of it would ever end, so it would stay queued for good. Stored jobs of this
+            # kind, which earlier versions accepted, can still be read.
+            _log.warning("job without tasks", job=job_id)
+            return 400, {"error": "the job has no tasks"}, {}
         match self._intake.submit(job, deadline_s=deadline_s):
             case Ok():
                 return 200, {}, {}
--- a/tests/platform/test_odd_jobs.py
+++ b/tests/platform/test_odd_jobs.py
@@ -68,6 +68,17 @@
     assert not intake.jobs
 
 
+@pytest.mark.parametrize("steps", [[], [{}], [{"cpu": 500}, {"count": 0, "after": [0]}]])
+@pytest.mark.parametrize("times", [0, 2])
+def test_a_job_without_tasks_is_refused_with_a_reason(steps, times):
+    """Guards against a job that is accepted and stays queued for good, as it has no task to end."""
+    intake = FakeIntake()
+    body = {"spec": "", "steps": steps, "repeatCount": times, "startAtMs": 1, "intervalMs": 1}
+    status, answer, _ = call(intake, "POST", f"/q/{ID}", body=body)
+    assert (status, answer) == (400, {"error": "the job has no tasks"})
+    assert not intake.jobs
+
+
 @pytest.mark.parametrize(
     "headers",
     [
