Logs: no line quotes a caller's body

A request with "Transfer-Encoding: chunked" whose body is not chunked, beside a Content-Length, had up to 200 characters of its body written to the log, so all of a small one: the HTTP server takes the first line for the size of a chunk and quotes it in its error, which was logged as the reason.

Change: of an error while a body is read only the type is logged. Besides, texts of more than 8,000 characters are cut in the middle in every log line, tracebacks included, as errors of libraries may quote what they were given; until now only some reasons were bounded.

--- a/fescuerudder/logs.py
+++ b/fescuerudder/logs.py
@@ -9,6 +9,22 @@
 
 from fescuerudder._logwriter import LogWriter
 
+MAX_TEXT_LENGTH = 8000
+"""Length up to which a text of a log line is written whole, about a hundred lines of a traceback.
+Errors of libraries may quote what they were given, such as a body of a quarter of a megabyte."""
+
+
+def shorten_texts(_: Any, __: str, event: EventDict) -> EventDict:
+    """Cuts long texts of a log line in the middle; a structlog processor."""
+    return {name: _shorten(value) for name, value in event.items()}
+
+
+def _shorten(value: Any) -> Any:
+    if not isinstance(value, str) or len(value) <= MAX_TEXT_LENGTH:
+        return value
+    half = MAX_TEXT_LENGTH // 2
+    return f"{value[:half]} ... {len(value) - 2 * half} characters left out ... {value[-half:]}"
+
 
 def _name_instance(instance: str) -> Processor:
     """Returns a processor that names the instance; context variables reach one thread only."""
@@ -34,6 +50,7 @@
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
             structlog.processors.format_exc_info,
+            shorten_texts,
             *observers,
             structlog.processors.JSONRenderer(),
         ],
--- a/fescuerudder/platform/callers.py
+++ b/fescuerudder/platform/callers.py
@@ -110,7 +110,8 @@
         try:
             data = _read_body(environ)
         except ValueError as exc:
-            _log.warning("malformed request", reason=checked.reason(exc))
+            # The HTTP server's errors quote the body, so only the type is logged.
+            _log.warning("malformed request", reason=type(exc).__name__)
             return 400, {}, {}
         path = environ.get("PATH_INFO", "")
         host = environ.get("HTTP_HOST", "").partition(":")[0]
--- a/tests/platform/test_odd_jobs.py
+++ b/tests/platform/test_odd_jobs.py
@@ -1,8 +1,12 @@
 """Odd jobs and headers of callers."""
 
+import io
+import json
 import math
 
 import pytest
+from cheroot.server import ChunkedRFile
+from structlog.testing import capture_logs
 
 from fescuerudder.jobs.jobrun import JobRun
 from fescuerudder.jobs.progress import dump_job, load_job
@@ -93,3 +97,41 @@
     status = call(intake, "POST", f"/q/{ID}", body=JOB, headers=headers)[0]
     assert status == (400 if "CONTENT_LENGTH" in headers else 200)
     assert all(0 < deadline_s < 10**6 for _, deadline_s in intake.jobs)
+
+
+SECRET = "secret-of-a-caller"
+STEP = {"count": 1}
+SECRET_JOBS = [
+    {"spec": SECRET, "steps": []},
+    {"spec": SECRET + "\ud800", "steps": [STEP]},
+    {"spec": {SECRET: 1}, "steps": [STEP]},
+    {"steps": SECRET},
+    {"steps": [SECRET]},
+    {"steps": [{"count": SECRET}]},
+    {"steps": [{**STEP, "after": [SECRET]}]},
+    {"steps": [STEP], "repeatCount": SECRET},
+    {SECRET: [STEP]},
+    [SECRET],
+    SECRET,
+]
+SECRET_BODIES = [
+    *(json.dumps(job).encode() for job in SECRET_JOBS),
+    SECRET.encode(),
+    SECRET.encode() + b"\xff",
+    b"\xff" + SECRET.encode(),
+    b'{"' + SECRET.encode(),
+]
+
+
+@pytest.mark.parametrize("is_chunked", [False, True])
+@pytest.mark.parametrize("body", SECRET_BODIES)
+def test_the_log_does_not_quote_the_body_of_a_refused_request(body, is_chunked):
+    """Guards against log lines with what a caller sent.
+
+    The HTTP server quotes the first line of a body that is announced as chunked and isn't.
+    """
+    headers = {"wsgi.input": ChunkedRFile(io.BytesIO(body), 10**6)} if is_chunked else {}
+    with capture_logs() as lines:
+        status, answer, _ = call(FakeIntake(), "POST", f"/q/{ID}", body=body, headers=headers)
+    assert status == 400
+    assert lines and SECRET not in json.dumps([lines, answer])
