--- a/fescuerudder/platform/callers.py
+++ b/fescuerudder/platform/callers.py
@@ -110,7 +110,8 @@
         try:
             data = _read_body(environ)
         except ValueError as exc:
-            _log.warning("malformed request", reason=checked.reason(exc))
+            # The HTTP server's errors quote the body, so only the type is logged.
+            _log.warning("malformed request", reason=type(exc).__name__)
             return 400, {}, {}
         path = environ.get("PATH_INFO", "")
         host = environ.get("HTTP_HOST", "").partition(":")[0]
@@ -142,6 +143,11 @@
         except (AttributeError, LookupError, TypeError, ValueError) as exc:
             _log.warning("malformed job", job=job_id, reason=checked.reason(exc))
             return 400, {}, {}
+        if not any(step.count for step in job.steps):
+            # No task of it would ever end, so it would stay queued for good. Stored jobs of this
+            # kind, which earlier versions accepted, can still be read.
+            _log.warning("job without tasks", job=job_id)
+            return 400, {"error": "the job has no tasks"}, {}
         match self._intake.submit(job, deadline_s=deadline_s):
             case Ok():
                 return 200, {}, {}
--- a/tests/platform/test_odd_jobs.py
+++ b/tests/platform/test_odd_jobs.py
@@ -1,8 +1,12 @@
 """Odd jobs and headers of callers."""
 
+import io
+import json
 import math
 
 import pytest
+from cheroot.server import ChunkedRFile
+from structlog.testing import capture_logs
 
 from fescuerudder.jobs.jobrun import JobRun
 from fescuerudder.jobs.progress import dump_job, load_job
@@ -68,6 +72,17 @@
     assert not intake.jobs
 
 
+@pytest.mark.parametrize("steps", [[], [{}], [{"cpu": 500}, {"count": 0, "after": [0]}]])
+@pytest.mark.parametrize("times", [0, 2])
+def test_a_job_without_tasks_is_refused_with_a_reason(steps, times):
+    """Guards against a job that is accepted and stays queued for good, as it has no task to end."""
+    intake = FakeIntake()
+    body = {"spec": "", "steps": steps, "repeatCount": times, "startAtMs": 1, "intervalMs": 1}
+    status, answer, _ = call(intake, "POST", f"/q/{ID}", body=body)
+    assert (status, answer) == (400, {"error": "the job has no tasks"})
+    assert not intake.jobs
+
+
 @pytest.mark.parametrize(
     "headers",
     [
@@ -82,3 +97,41 @@
     status = call(intake, "POST", f"/q/{ID}", body=JOB, headers=headers)[0]
     assert status == (400 if "CONTENT_LENGTH" in headers else 200)
     assert all(0 < deadline_s < 10**6 for _, deadline_s in intake.jobs)
+
+
+SECRET = "secret-of-a-caller"
+STEP = {"count": 1}
+SECRET_JOBS = [
+    {"spec": SECRET, "steps": []},
+    {"spec": SECRET + "\ud800", "steps": [STEP]},
+    {"spec": {SECRET: 1}, "steps": [STEP]},
+    {"steps": SECRET},
+    {"steps": [SECRET]},
+    {"steps": [{"count": SECRET}]},
+    {"steps": [{**STEP, "after": [SECRET]}]},
+    {"steps": [STEP], "repeatCount": SECRET},
+    {SECRET: [STEP]},
+    [SECRET],
+    SECRET,
+]
+SECRET_BODIES = [
+    *(json.dumps(job).encode() for job in SECRET_JOBS),
+    SECRET.encode(),
+    SECRET.encode() + b"\xff",
+    b"\xff" + SECRET.encode(),
+    b'{"' + SECRET.encode(),
+]
+
+
+@pytest.mark.parametrize("is_chunked", [False, True])
+@pytest.mark.parametrize("body", SECRET_BODIES)
+def test_the_log_does_not_quote_the_body_of_a_refused_request(body, is_chunked):
+    """Guards against log lines with what a caller sent.
+
+    The HTTP server quotes the first line of a body that is announced as chunked and isn't.
+    """
+    headers = {"wsgi.input": ChunkedRFile(io.BytesIO(body), 10**6)} if is_chunked else {}
+    with capture_logs() as lines:
+        status, answer, _ = call(FakeIntake(), "POST", f"/q/{ID}", body=body, headers=headers)
+    assert status == 400
+    assert lines and SECRET not in json.dumps([lines, answer])
