Measure what records of starts cost, by candidate

python -m bench starts plays streams of starts and ends through the rows of four candidates, against a store with given answer times, and counts tasks that end with shorter leases in the simulation of jobs.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -340,6 +340,22 @@
     return EXIT_DONE
 
 
+def starts(*, seed: str = "1") -> int:
+    """Measures what the candidate records of starts cost; writes bench/results/starts.jsonl.
+
+    Args:
+        seed: seed of the streams of jobs.
+    """
+    from bench.starts_experiment import run_starts, write_lines
+    from bench.starts_experiment import table_text as starts_text
+
+    context = {"command": f"python -m bench starts --seed={seed}", "commit": commit_id()}
+    lines = list(run_starts(seed=int(_number("--seed", seed)), context=context))
+    write_lines(lines)
+    print(starts_text(lines))
+    return EXIT_DONE
+
+
 def capacity(*, results: str = "") -> int:
     """Prints the latest slopes, and their sums today and at the target, as Markdown tables.
 
@@ -373,6 +389,7 @@
     "slopes": slopes,
     "capacity": capacity,
     "patterns": patterns,
+    "starts": starts,
     "soak": soak,
 }
 
