--- a/bench/starts_experiment.py
+++ b/bench/starts_experiment.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 from typing import Any
 
+import attrs
 import structlog
 
 from bench._leaselengths import lease_lines
@@ -31,7 +32,10 @@
     workers=48,
     measured_s=60.0,
 )
-"""The rates of the deployment asccl-sched; room for a quarter more than runs on average."""
+"""The rates of the deployment asccl-sched; about a seventh of the room is idle on average."""
+
+FULL = attrs.evolve(ASCCL, name="asccl-sched, full", room=120)
+"""The same with too little room, so that tasks start one by one, each when another one ends."""
 
 TARGET = Stream(
     name="target",
@@ -53,8 +57,7 @@
     warm_s=60.0,
     measured_s=20.0,
 )
-"""The same with steps of 64 tasks and too little room, so that the tasks of a step start one by
-one, and a row a step is written again for each of them."""
+"""The target with steps of 64 tasks, so that rows of a step or a job are large."""
 
 BESIDE = StoreModel(name="beside", one_way_s=0.001)
 REGION_BYTES_PER_S = 15e6 / 8
@@ -67,6 +70,7 @@
 
 PLAYS = (
     *((ASCCL, store) for store in (BESIDE, REGION, SLOW, SILENT, REFUSING)),
+    (FULL, BESIDE),
     *((TARGET, store) for store in (BESIDE, REGION)),
     *((WIDE, store) for store in (BESIDE, REGION)),
 )
