--- a/bench/_startstream.py
+++ b/bench/_startstream.py
@@ -113,6 +113,7 @@
         answer_s: time in which the store carries out a transaction.
         outage: begin and end, in seconds from the start of the measurement, None for none.
         is_silent: calls during the outage get no answer; otherwise they are refused.
+        outage_answer_s: the store answers during the outage, but takes as long; None if it doesn't.
     """
 
     name: str
@@ -121,6 +122,7 @@
     answer_s: float = TXN_S
     outage: tuple[float, float] | None = None
     is_silent: bool = False
+    outage_answer_s: float | None = None
 
 
 class _Recorder:
@@ -448,7 +450,8 @@
 
     def _write(self, batch: list[RowTransaction], *, unanswered: int) -> None:
         """Sends the next transaction of a batch; its answer, or the lack of one, comes later."""
-        if self._is_out():
+        is_out, slow_s = self._is_out(), self._model.outage_answer_s
+        if is_out and slow_s is None:
             if self._model.is_silent:
                 pause_s = WRITE_TIMEOUT_S + _resolve_pause_s(unanswered)
                 error: type[Exception] = StoreOutcomeUnknownError
@@ -461,7 +464,8 @@
         txn = batch.pop(0)
         self._heartbeat_version = self._store.write(txn, timeout_s=WRITE_TIMEOUT_S)
         sent_s = self._http.last_bytes / self._model.bytes_per_s
-        answer_s = 2 * self._model.one_way_s + self._model.answer_s + sent_s
+        txn_s = slow_s if is_out and slow_s is not None else self._model.answer_s
+        answer_s = 2 * self._model.one_way_s + txn_s + sent_s
         self._after(answer_s, lambda: self._on_answer(batch, txn))
 
     def _is_out(self) -> bool:
--- a/bench/starts_experiment.py
+++ b/bench/starts_experiment.py
@@ -65,11 +65,14 @@
 
 REGION = StoreModel(name="other region", one_way_s=0.030, bytes_per_s=REGION_BYTES_PER_S)
 SLOW = StoreModel(name="slow, 376 ms", one_way_s=0.001, answer_s=0.376)
+BRIEFLY_SLOW = StoreModel(
+    name="376 ms for 3.1 s", one_way_s=0.001, outage=(20.0, 23.1), outage_answer_s=0.376
+)
 SILENT = StoreModel(name="silent 4.2 s", one_way_s=0.001, outage=(20.0, 24.2), is_silent=True)
 REFUSING = StoreModel(name="refusing 6.3 s", one_way_s=0.001, outage=(20.0, 26.3))
 
 PLAYS = (
-    *((ASCCL, store) for store in (BESIDE, REGION, SLOW, SILENT, REFUSING)),
+    *((ASCCL, store) for store in (BESIDE, REGION, SLOW, BRIEFLY_SLOW, SILENT, REFUSING)),
     (FULL, BESIDE),
     *((TARGET, store) for store in (BESIDE, REGION)),
     *((WIDE, store) for store in (BESIDE, REGION)),
@@ -86,7 +89,7 @@
     for stream, store in PLAYS:
         for record in RECORDS:
             yield context | _play(stream, store, record, seed=seed)
-        if stream is ASCCL and store in (SLOW, SILENT, REFUSING):
+        if stream is ASCCL and store in (SLOW, BRIEFLY_SLOW, SILENT, REFUSING):
             line = _play(stream, store, "A step", seed=seed, consents=True)
             yield context | line | {"candidate": "A with G"}
         if stream is ASCCL and store in (BESIDE, REGION):
