Plan restarts at once, and send them once a record shows that the leader still leads

What callers saw: a long-running task that failed waited for a confirmed heartbeat and, since starts are recorded, for a second write before its order was sent.

Cause: the planner waited until the leadership had been confirmed after the end; the record, which is stored after that, confirms it as well.

Change: the check moves from the plan to the release of the order, so one write serves both. The room of a task that waits is held by its planned attempt, which replaces the pass that held it before.

--- a/fescuerudder/jobs/scheduler.py
+++ b/fescuerudder/jobs/scheduler.py
@@ -94,7 +94,7 @@
         self._roster = RosterKeeper(state=self.state, reconciler=self._reconciler)
         starter = AttemptStarter(state=self.state, leases=leases)
         self._planner = StartPlanner(state=self.state, leases=leases, starter=starter)
-        self._releaser = StartReleaser(state=self.state, starter=starter)
+        self._releaser = StartReleaser(state=self.state, starter=starter, leases=leases)
         self._waits = WaitMonitor(state=self.state, planner=self._planner)
         self.stored_states: dict[str, JobState] = {}
         self.is_superseded = False
--- a/fescuerudder/jobs/startrelease.py
+++ b/fescuerudder/jobs/startrelease.py
@@ -11,6 +11,7 @@
 
 from fescuerudder.jobs.attemptstarter import AttemptStarter
 from fescuerudder.jobs.jobrun import Attempt, JobRun, RecordedStart, StepRun
+from fescuerudder.jobs.leases import LeasePolicy
 from fescuerudder.jobs.rows import RowKey
 from fescuerudder.jobs.schedulerstate import SchedulerState
 from fescuerudder.jobs.startrecords import dump_starts
@@ -45,11 +46,15 @@
     Args:
         state: state of the term.
         starter: returns the orders.
+        leases: tells when the leadership was last confirmed.
     """
 
-    def __init__(self, *, state: SchedulerState, starter: AttemptStarter) -> None:
+    def __init__(
+        self, *, state: SchedulerState, starter: AttemptStarter, leases: LeasePolicy
+    ) -> None:
         self._state = state
         self._starter = starter
+        self._leases = leases
 
     @property
     def has_records(self) -> bool:
@@ -90,6 +95,10 @@
     def take_orders(self, now_s: float) -> list[StartOrder]:
         """Returns the orders of the starts that a stored record covers.
 
+        The leadership must have been confirmed after the last attempt of the task ended: else a
+        later leader may have seen that attempt end as done, or may have renewed a lease that has
+        ended as far as this leader knows. A record that was planned since then shows it.
+
         A start that is outdated by now is withdrawn instead, and all members of its gang with it.
         The members of a gang are released together.
         """
@@ -98,7 +107,8 @@
         broken = {a.task.step for a in outdated if a.task.step.spec.gang}
         for attempt in [a for a in state.planned if a in outdated or a.task.step in broken]:
             state.withdraw(attempt, reason=outdated.get(attempt, "another member was withdrawn"))
-        covered = {a for a in state.planned if is_covered(a)}
+        confirmed_s = self._leases.confirmed_s()
+        covered = {a for a in state.planned if a.task.last_end_s <= confirmed_s and is_covered(a)}
         waiting = {a.task.step for a in state.planned if a not in covered}
         orders = []
         for attempt in list(state.planned):
--- a/fescuerudder/jobs/starts.py
+++ b/fescuerudder/jobs/starts.py
@@ -73,7 +73,6 @@
         if self.is_store_out(now_s):
             self._start_on_recorded_workers(waiting, loads, now_s)
             return
-        held = self._hold_room(waiting, loads)
         quarantined = [
             state.load_of(record, now_s=now_s)
             for record in state.workers.values()
@@ -90,8 +89,6 @@
             if step.spec.long_running:
                 self._start_on_fallback_workers(step, loads, quarantined, now_s)
         self._start_beside_idle_room(waiting, [*loads, *quarantined], now_s)
-        for record in held:
-            state.discard_load(record)
 
     def _start_on_recorded_workers(
         self, waiting: dict[StepRun, list[TaskRun]], loads: list[Load], now_s: float
@@ -113,22 +110,6 @@
                     demand = self._demand(step, 1, queue, now_s)
                     self._plan_starts([task], choose_workers(demand, eligible), now_s)
 
-    def _hold_room(self, waiting: dict[StepRun, list[TaskRun]], loads: list[Load]) -> list[str]:
-        """Keeps the room of long-running tasks that ended but may not be restarted yet.
-
-        Otherwise short tasks would take it in parts, and a large task might find none for long.
-        Returns the ids of the workers whose loads include tasks that don't run.
-        """
-        by_worker = {load.record.id: load for load in loads}
-        held = []
-        for step, tasks in waiting.items():
-            for task in tasks if step.spec.long_running else ():
-                load = by_worker.get(task.last_worker)
-                if load is not None and not self.is_restart_safe(task) and load.has_room(step.spec):
-                    load.add(step.spec)
-                    held.append(task.last_worker)
-        return held
-
     def _restart_long_running(
         self, waiting: dict[StepRun, list[TaskRun]], loads: list[Load], now_s: float
     ) -> None:
@@ -138,7 +119,7 @@
         """
         for step, tasks in waiting.items():
             queue = self._queue(step)
-            ended = [t for t in tasks if t.last_number and self.is_restart_safe(t)]
+            ended = [task for task in tasks if task.last_number]
             if not step.spec.long_running or step.spec.gang or not ended or queue is None:
                 continue
             demand = self._demand(step, len(ended), queue, now_s)
@@ -251,12 +232,11 @@
     def _start_step(
         self,
         step: StepRun,
-        startable: list[TaskRun],
+        tasks: list[TaskRun],
         loads: list[Load],
         saturation: Saturation,
         now_s: float,
     ) -> None:
-        tasks = [task for task in startable if self.is_restart_safe(task)]
         queue = self._queue(step)
         if not tasks or queue is None:
             return
@@ -317,8 +297,7 @@
         tasks = [
             task
             for task in self.startable_tasks(step)
-            if self.is_restart_safe(task)
-            and now_s - max(opened_s, task.last_end_s) >= FALLBACK_WAIT_S
+            if now_s - max(opened_s, task.last_end_s) >= FALLBACK_WAIT_S
         ]
         queue = self._queue(step)
         if not tasks or queue is None or step.spec.gang:
@@ -350,9 +329,8 @@
             queue = self._queue(step)
             if queue is None or queue.pool not in idle or step.spec.gang or step.spec.long_running:
                 continue
-            safe = [task for task in tasks if self.is_restart_safe(task)]
-            if safe and stands_still(step.job, now_s):
-                task = min(safe, key=lambda t: len(t.failed_attempts))
+            if stands_still(step.job, now_s):
+                task = min(tasks, key=lambda t: len(t.failed_attempts))
                 self._start_anywhere(task, queue, loads, now_s)
 
     def _start_anywhere(self, task: TaskRun, queue: Queue, loads: list[Load], now_s: float) -> None:
@@ -389,11 +367,7 @@
         ]
 
     def is_restart_safe(self, task: TaskRun) -> bool:
-        """Returns whether the leadership was confirmed after the task's last attempt ended.
-
-        Until then a later leader may have seen an attempt end as done, or may have renewed a lease
-        that has ended as far as this leader knows.
-        """
+        """Returns whether a task may be started where a record covers it; see `StartReleaser`."""
         return task.last_end_s <= self._leases.confirmed_s()
 
     def _start_gang(
