Crashes: charge only runs that began, limit starts that may have

Cause: a start without an answer counted as a run when its worker's life ended, and two such charges give a task up.

Now a crash is charged only to runs that began on the worker, as a report of it listed them or it answered their start. A start without either is a possible crash: it counts for probation, and after four crashes of either kind the task is not started any more, with an error in the log and a reason of its own for the wait. Possible crashes never fail a job. Attempts on workers that are still away count for the limit, too, as their crashes are known only on return. An answer of the last life no longer confirms a start in the next one. Progress rows hold the possible crashes; rows without them are still read.

Weighed: failing the job at the limit (no run is known to have begun), and trying again after a pause (the limit on starts has no end).

--- a/fescuerudder/jobs/crashes.py
+++ b/fescuerudder/jobs/crashes.py
@@ -3,6 +3,10 @@
 A worker that crashes takes all its attempts with it, so one crash doesn't tell which of them caused
 it. Those that began last are suspected. A task that is suspected twice starts alone: nothing else
 starts on its worker for a while before and after, so that a further crash tells.
+
+Only a run that began on the worker, by its report or its answer, can be charged with the crash and
+fail its job. A start that may not have arrived only counts as a possible crash: it limits how the
+task starts and how often.
 """
 
 from collections.abc import Iterable
@@ -24,7 +28,7 @@
 """Time between the losses of two workers up to which they may have a common cause, as power."""
 
 CRASHES_TO_PROBATION = 2
-"""Number of crashes from which a suspected task starts alone."""
+"""Number of crashes, possible ones included, from which a suspected task starts alone."""
 
 MAX_QUIET_WAIT_S = 3.0
 """Time for which a task on probation waits for a worker on which nothing has begun lately."""
@@ -39,15 +43,26 @@
 _log = structlog.get_logger(__name__)
 
 
-def record_worker_end(state: SchedulerState, record: WorkerRecord) -> None:
+def record_worker_end(
+    state: SchedulerState, record: WorkerRecord, *, open_starts_refused: bool
+) -> None:
     """Records that an incarnation of a worker has ended; call it before its record is reset.
 
     Unless it left as announced, it has crashed, and tasks that have crashed enough workers are
     given up.
+
+    Args:
+        state: state of the term.
+        record: the worker.
+        open_starts_refused: whether another worker at its address refuses the starts that are not
+            answered yet, so they are no possible crashes.
     """
-    # A start that is not answered yet may have met the next worker, which refuses it.
-    begun = [a for a in record.attempts.values() if a.phase is not Phase.STARTING]
-    attempts = [*begun, *record.take_lapsed()]
+    attempts = [
+        a
+        for a in record.attempts.values()
+        if a.phase is not Phase.STARTING or not open_starts_refused
+    ]
+    attempts += record.take_lapsed()
     if not record.info.draining:
         lost_contact_s = record.lost_contact_s
         at_s = lost_contact_s if lost_contact_s is not None else state.clock.now_s()
@@ -64,27 +79,60 @@
     _log.warning(
         "worker crashed",
         worker=worker,
-        suspects=[(a.task.id.job, *a.task.id[1:], a.number) for a in suspects],
+        suspects=[(a.task.id.job, *a.task.id[1:], a.number) for a in suspects if has_begun(a)],
+        unconfirmed=[
+            (a.task.id.job, *a.task.id[1:], a.number) for a in suspects if not has_begun(a)
+        ],
     )
     for attempt in suspects:
         task, run = attempt.task, attempt.task.step.job
         if attempt.number in task.crashed_attempts or task.done or run.state.is_final:
             continue
-        task.crashed_attempts.append(attempt.number)
         state.mark_dirty(run)
-        if len(task.crashed_attempts) >= (MIN_CRASHES_ALONE if is_alone else MAX_CRASHES):
-            run.give_up()
-            _log.warning(
-                "job given up",
-                job=task.id.job,
-                task=task.id[1:],
-                crashed_attempts=task.crashed_attempts,
-            )
+        if has_begun(attempt):
+            _charge(attempt, is_alone=is_alone)
+        else:
+            _record_possible_crash(attempt)
+
+
+def has_begun(attempt: Attempt) -> bool:
+    """Returns whether the worker has said that an attempt began there, by report or answer."""
+    return attempt.reported or attempt.confirmed_s is not None
+
+
+def _charge(attempt: Attempt, *, is_alone: bool) -> None:
+    task = attempt.task
+    task.crashed_attempts.append(attempt.number)
+    if attempt.number in task.possible_crashes:
+        task.possible_crashes.remove(attempt.number)
+    if len(task.crashed_attempts) >= (MIN_CRASHES_ALONE if is_alone else MAX_CRASHES):
+        task.step.job.give_up()
+        _log.warning(
+            "job given up",
+            job=task.id.job,
+            task=task.id[1:],
+            crashed_attempts=task.crashed_attempts,
+        )
+
+
+def _record_possible_crash(attempt: Attempt) -> None:
+    task = attempt.task
+    if attempt.number in task.possible_crashes:
+        return
+    task.possible_crashes.append(attempt.number)
+    if task.is_held_back:
+        _log.error(
+            "task held back, all its starts were lost with their workers",
+            job=task.id.job,
+            task=task.id[1:],
+            crashed_attempts=task.crashed_attempts,
+            possible_crashes=task.possible_crashes,
+        )
 
 
 def is_on_probation(task: TaskRun) -> bool:
     """Returns whether a task must start alone."""
-    return len(task.crashed_attempts) >= CRASHES_TO_PROBATION
+    return task.crash_count >= CRASHES_TO_PROBATION
 
 
 def find_suspects(attempts: Iterable[Attempt], *, lost_contact_s: float) -> list[Attempt]:
@@ -95,7 +143,7 @@
     """
     young = [a for a in attempts if lost_contact_s - a.sent_s < EXONERATED_AFTER_S]
     recent = [a for a in young if not a.adopted and lost_contact_s - a.sent_s <= RECENT_START_S]
-    return recent or [a for a in young if a.task.crashed_attempts] or young
+    return recent or [a for a in young if a.task.crash_count] or young
 
 
 def may_start_beside(task: TaskRun, record: WorkerRecord, now_s: float) -> bool:
@@ -112,9 +160,10 @@
     """Drops the suspicion against a task whose attempt has run for EXONERATED_AFTER_S."""
     task = attempt.task
     if (
-        task.crashed_attempts
+        task.crash_count
         and attempt.confirmed_s is not None
         and now_s - attempt.confirmed_s >= EXONERATED_AFTER_S
     ):
         task.crashed_attempts.clear()
+        task.possible_crashes.clear()
         state.mark_dirty(task.step.job)
--- a/fescuerudder/jobs/jobrun.py
+++ b/fescuerudder/jobs/jobrun.py
@@ -14,6 +14,10 @@
 MAX_COPIES = 2
 """Maximum number of live attempts of a speculative task."""
 
+MAX_POSSIBLE_CRASHES = 4
+"""Number of crashes, possible ones included, from which a task isn't started any more. The platform
+allows five starts that crash their workers; a leader that is lost may not have noticed the last."""
+
 MAX_AVOIDED_WORKERS = 2
 """Number of avoided workers from which the task itself counts as the cause."""
 
@@ -107,7 +111,12 @@
         done: an attempt has completed the task.
         failed_attempts: numbers of the attempts that failed. Each counts once, though a worker may
             report an end twice.
-        crashed_attempts: numbers of the attempts that are suspected to have crashed their worker.
+        crashed_attempts: numbers of the attempts that began on a worker and are suspected to have
+            crashed it.
+        possible_crashes: numbers of the other attempts that were lost with their worker, and that
+            are not known to have begun there.
+        lapsed_count: number of its attempts whose leases ended on workers that are still away, and
+            may have crashed.
         checkpoint: state to resume from, or empty.
         last_number: highest attempt number used so far.
         attempts: live attempts; more than one only for speculative steps.
@@ -129,6 +138,8 @@
     done: bool = False
     failed_attempts: list[int] = attrs.Factory(list)
     crashed_attempts: list[int] = attrs.Factory(list)
+    possible_crashes: list[int] = attrs.Factory(list)
+    lapsed_count: int = 0
     checkpoint: str = ""
     last_number: int = 0
     attempts: list[Attempt] = attrs.Factory(list)
@@ -146,6 +157,21 @@
         """Whether it failed or made no progress on several workers, so they are not the cause."""
         return len(self.avoided_workers) >= MAX_AVOIDED_WORKERS
 
+    @property
+    def crash_count(self) -> int:
+        """Number of crashes of workers that it may have caused."""
+        return len(self.crashed_attempts) + len(self.possible_crashes)
+
+    @property
+    def is_held_back(self) -> bool:
+        """Whether it isn't started any more, as it may have crashed too many workers.
+
+        A task without any other suspicion may start again however many workers are away, as these
+        are probably cut off.
+        """
+        possible = self.crash_count + self.lapsed_count
+        return self.crash_count > 0 and possible >= MAX_POSSIBLE_CRASHES
+
     @property
     def is_startable(self) -> bool:
         """Whether an attempt may be started: the task is not done and has no live attempt.
@@ -153,13 +179,15 @@
         A copy of a speculative task may also run beside an attempt whose worker is in doubt, unless
         the task is suspected to crash its workers.
         """
-        if self.done or not self.attempts:
-            return not self.done
+        if self.done or self.is_held_back:
+            return False
+        if not self.attempts:
+            return True
         is_copied = len(self.attempts) >= MAX_COPIES or self.step.spec.gang
         return (
             self.step.spec.speculative
             and not is_copied
-            and not self.crashed_attempts
+            and not self.crash_count
             and all(a.worker_in_doubt for a in self.attempts)
         )
 
--- a/fescuerudder/jobs/progress.py
+++ b/fescuerudder/jobs/progress.py
@@ -84,11 +84,15 @@
     crashed = {
         str(t.id.index): t.crashed_attempts for t in step.tasks if t.crashed_attempts and not t.done
     }
+    possible = {
+        str(t.id.index): t.possible_crashes for t in step.tasks if t.possible_crashes and not t.done
+    }
     saved = {str(t.id.index): t.checkpoint for t in step.tasks if t.checkpoint and not t.done}
     raw = {
         "done": f"{done:x}" if done else "",
         "failed": failed,
         "crashed": crashed,
+        "possible": possible,
         "checkpoints": saved,
     }
     return {name: value for name, value in raw.items() if value}
@@ -97,13 +101,14 @@
 def _restore_step(step: StepRun, raw: dict[str, Any]) -> None:
     done = int(raw.get("done") or "0", 16)
     failed, saved = raw.get("failed", {}), raw.get("checkpoints", {})
-    crashed = raw.get("crashed", {})
+    crashed, possible = raw.get("crashed", {}), raw.get("possible", {})
     for task in step.tasks:
         index = str(task.id.index)
         task.done = bool(done >> task.id.index & 1)
         step.job.done_work += step.spec.work if task.done else 0.0
         task.failed_attempts = [int(number) for number in failed.get(index, ())]
         task.crashed_attempts = [int(number) for number in crashed.get(index, ())]
+        task.possible_crashes = [int(number) for number in possible.get(index, ())]
         task.checkpoint = str(saved.get(index, ""))
 
 
--- a/fescuerudder/jobs/reports.py
+++ b/fescuerudder/jobs/reports.py
@@ -95,10 +95,11 @@
         _log.info(
             "worker born again", worker=record.id, born_ms=incarnation_ms, ran=len(record.attempts)
         )
-        record_worker_end(self._state, record)
+        record_worker_end(self._state, record, open_starts_refused=False)
         for attempt in record.begin_incarnation(info, now_s=now_s):
             if not attempt.reported:
-                attempt.phase = Phase.UNCERTAIN
+                # An answer of the last incarnation says nothing about this one.
+                attempt.phase, attempt.confirmed_s = Phase.UNCERTAIN, None
                 record.attempts[(attempt.task.id, attempt.number)] = attempt
                 record.resolved_by_s = max(record.resolved_by_s, attempt.sent_s + MAX_ORDER_DELAY_S)
             else:
--- a/fescuerudder/jobs/scheduler.py
+++ b/fescuerudder/jobs/scheduler.py
@@ -194,7 +194,7 @@
         record.gone = record.resolved = True
         record.may_run_unknown = False
         record.orphans = set()
-        record_worker_end(self.state, record)
+        record_worker_end(self.state, record, open_starts_refused=True)
         for attempt in list(record.attempts.values()):
             self.state.requeue(attempt, checkpoint=attempt.checkpoint, reason="worker gone")
         if not record.listed:
@@ -380,7 +380,7 @@
             record.orphans = set()
             for attempt in list(record.attempts.values()):
                 if attempt.phase is not Phase.STARTING:
-                    record.lapsed.append(attempt)
+                    record.add_lapsed(attempt)
                     self.state.requeue(
                         attempt, checkpoint=attempt.checkpoint, reason="lease ended unseen"
                     )
--- a/fescuerudder/jobs/waitreasons.py
+++ b/fescuerudder/jobs/waitreasons.py
@@ -33,6 +33,7 @@
     NO_QUEUE = "queue unknown"
     EARLIER_LEADER = "attempts of earlier leaders unresolved"
     UNCERTAIN_START = "start without an answer"
+    HELD_BACK = "all starts were lost with their workers"
     UNCONFIRMED = "leadership unconfirmed"
     NO_WORKER = "no usable worker"
     QUARANTINED = "room only on quarantined workers"
@@ -105,6 +106,8 @@
         startable = planner.startable_tasks(step)
         if not startable and step.startable_tasks():
             return WaitReason.EARLIER_LEADER, state.unresolved_workers()
+        if any(task.is_held_back for task in step.tasks) and not startable:
+            return WaitReason.HELD_BACK, []
         if not startable:
             names = {attempt.worker for task in step.tasks for attempt in task.attempts}
             return WaitReason.UNCERTAIN_START, [r for r in state.workers.values() if r.id in names]
--- a/fescuerudder/jobs/workerrecord.py
+++ b/fescuerudder/jobs/workerrecord.py
@@ -211,14 +211,21 @@
         """Returns whether nothing runs there and nothing is to be learned from its return."""
         return not self.attempts and self.resolved and not self.lapsed
 
+    def add_lapsed(self, attempt: Attempt) -> None:
+        """Adds an attempt whose lease ended while the worker was silent."""
+        self.lapsed.append(attempt)
+        attempt.task.lapsed_count += 1
+
     def drop_old_lapsed(self, now_s: float) -> None:
         """Forgets lapsed attempts once the worker has been away for LAPSED_KEPT_S."""
         if self.lapsed and now_s - (self.lost_contact_s or 0.0) >= LAPSED_KEPT_S:
-            self.lapsed.clear()
+            self.take_lapsed()
 
     def take_lapsed(self) -> list[Attempt]:
         """Returns the attempts whose leases ended while the worker was silent, and forgets them."""
         lapsed, self.lapsed = self.lapsed, []
+        for attempt in lapsed:
+            attempt.task.lapsed_count -= 1
         return lapsed
 
     def update_from_report(self, report: Report, *, now_s: float) -> bool:
--- a/tests/jobs/test_crashes.py
+++ b/tests/jobs/test_crashes.py
@@ -3,10 +3,11 @@
 import attrs
 import pytest
 
-from bench._jobsimulation import JobSimulation
-from fescuerudder.jobs.crashes import MAX_CRASHES
+from bench._jobsimulation import CALL_TIMEOUT_S, JobSimulation
+from fescuerudder.jobs.crashes import EXONERATED_AFTER_S, MAX_CRASHES
 from fescuerudder.jobs.job import Step
 from fescuerudder.jobs.jobrun import JobState
+from fescuerudder.jobs.workerport import StartOrder
 from tests.jobs.test_scheduler import JOB, ONE, steps
 
 OTHERS = [f"{number:016x}" for number in range(1, 7)]
@@ -169,3 +170,122 @@
     sim.run(2.0)
     (task,) = leader.scheduler.state.jobs[JOB].tasks()
     assert task.last_number and not task.crashed_attempts
+
+
+def lose_power(sim, name, *, down_s=2.5):
+    """Takes a worker down, which is back under its id with nothing running."""
+    sim.workers[name].crash()
+    sim._at(sim.clock.now_s() + down_s, sim.workers[name].restart)
+
+
+def crash_before_answers(sim):
+    """Crashes the workers of the crashing task when they start it, before they answer."""
+    execute, answer, unanswered = sim._execute, sim._answer, []
+
+    def execute_or_crash(worker, order):
+        result = execute(worker, order)
+        if isinstance(order, StartOrder) and order.task.job == JOB and not order.task.index:
+            unanswered.append(order)
+            worker.crash()
+            name = worker.info.id
+            sim._at(sim.clock.now_s() + sim.restart_delay_s, lambda: sim._restart_crashed(name))
+        return result
+
+    def answer_unless_crashed(leader, order, sent_s, result):
+        if order in unanswered:
+            at_s = sent_s + CALL_TIMEOUT_S
+            sim._at(at_s, lambda: sim._no_answer(leader, order, sent_s))
+        else:
+            answer(leader, order, sent_s, result)
+
+    sim._execute, sim._answer = execute_or_crash, answer_unless_crashed
+    sim.crash_delay_s = lambda task: None
+
+
+def lose_power_at_starts(sim, *, count, down_s):
+    """Takes the workers of the next starts down just before these arrive; returns their ids."""
+    send, lost = sim.send, []
+
+    def send_or_lose(leader, order):
+        if isinstance(order, StartOrder) and len(lost) < count:
+            lost.append(order.worker)
+            lose_power(sim, order.worker, down_s=down_s)
+        send(leader, order)
+
+    sim.send = send_or_lose
+    return lost
+
+
+def run_until_begun(sim):
+    """Runs until a task has begun; returns its worker."""
+    for _ in range(400):
+        sim.run(0.05)
+        for name, worker in sim.workers.items():
+            if worker.runs:
+                return name
+    raise AssertionError("no task has begun")
+
+
+@pytest.mark.parametrize("lost_starts", [1, 2])
+@pytest.mark.parametrize("run_s", [0.1, 0.6, 1.2])
+@pytest.mark.parametrize("down_s", [0.6, 2.5])
+@pytest.mark.parametrize("workers", [1, 3])
+def test_a_start_that_never_arrived_is_no_crash(lost_starts, run_s, down_s, workers):
+    """Guards against a job that fails after one lost run, beside starts that met a dead worker."""
+    sim = JobSimulation(workers=workers)
+    sim.run_s = 4.0
+    sim.claim("a")
+    sim.run(0.5)
+    lost = lose_power_at_starts(sim, count=lost_starts, down_s=down_s)
+    sim.submit(JOB, steps=steps(1))
+    worker = run_until_begun(sim)
+    assert len(lost) == lost_starts
+    sim.run(run_s)
+    lose_power(sim, worker, down_s=down_s)
+    sim.run(25.0)
+    assert sim.state(JOB) is JobState.COMPLETED
+    assert sim.starts(JOB) == 2
+
+
+@pytest.mark.parametrize("keeps_id", [True, False], ids=["same id", "new id"])
+@pytest.mark.parametrize("restart_delay_s", [0.5, 1.0, 3.0, 7.0, 12.0])
+@pytest.mark.parametrize("fields", [{}, {"speculative": True}], ids=["plain", "copies"])
+def test_starts_without_an_answer_are_limited(keeps_id, restart_delay_s, fields):
+    """Guards against a task that crashes its workers before they answer, without end."""
+    sim = crash_simulation(keeps_id=keeps_id, **fields)
+    sim.copies_allowed = True
+    sim.restart_delay_s = restart_delay_s
+    crash_before_answers(sim)
+    sim.run(120)
+    assert starts_of_crashing_task(sim) <= MAX_STARTS
+    assert sim.state(JOB) is JobState.RUNNING, "no run of the task is known to have begun"
+    for job_id in OTHERS:
+        assert sim.state(job_id) is JobState.COMPLETED
+
+
+@pytest.mark.parametrize("replaced_at_s", [4.0, 8.0, 14.0])
+def test_a_successor_knows_of_possible_crashes(replaced_at_s):
+    """Guards against a limit on starts without an answer that begins anew with each leader."""
+    sim = crash_simulation()
+    crash_before_answers(sim)
+    sim.run(replaced_at_s)
+    sim.leaders[-1].alive = False
+    sim.run(1.0)
+    sim.claim("l1")
+    sim.run(90)
+    assert starts_of_crashing_task(sim) <= MAX_STARTS
+
+
+def test_a_long_run_clears_possible_crashes():
+    """Guards against a task that is held back for starts that were lost long before."""
+    sim = JobSimulation(workers=3)
+    sim.run_s = 60.0
+    leader = sim.claim("a")
+    sim.run(0.5)
+    lose_power_at_starts(sim, count=2, down_s=2.5)
+    sim.submit(JOB, steps=steps(1))
+    run_until_begun(sim)
+    (task,) = leader.scheduler.state.jobs[JOB].tasks()
+    assert len(task.possible_crashes) == 2
+    sim.run(EXONERATED_AFTER_S + 1.0)
+    assert not task.possible_crashes
--- a/tests/jobs/test_waitreasons.py
+++ b/tests/jobs/test_waitreasons.py
@@ -4,6 +4,7 @@
 from structlog.testing import capture_logs
 
 from bench._jobsimulation import JobSimulation
+from fescuerudder.jobs.jobrun import MAX_POSSIBLE_CRASHES
 from tests.jobs.test_scheduler import JOB, steps
 
 
@@ -38,6 +39,14 @@
     sim.submit(JOB, steps=steps(2))
 
 
+def hold_back(sim):
+    sim.submit(JOB, steps=steps(2))
+    leader = sim.leaders[-1]
+    leader._read_changes()
+    for task in leader.scheduler.state.jobs[JOB].tasks():
+        task.possible_crashes = list(range(1, MAX_POSSIBLE_CRASHES + 1))
+
+
 @pytest.mark.parametrize(
     ("prepare", "result"),
     [
@@ -45,6 +54,7 @@
         (quarantine_workers, "room only on quarantined workers"),
         (cut_off_successor, "attempts of earlier leaders unresolved"),
         (take_out_zones, "no usable worker"),
+        (hold_back, "all starts were lost with their workers"),
     ],
 )
 def test_a_step_that_waits_is_reported_with_its_reason(prepare, result):
