Starts: an answer of the next life is no word of the last one

A start that reaches a worker only after its restart is carried out and answered by the next life. If that answer came before the leader knew of the restart, the start counted as begun in the last life, whose crash was charged to it. A job could so fail after one lost run and one run that failed by its own fault.

Cause: an answer carries no start time of the worker, and the leader took it as the word of the life that it knew.

The worker's clock starts anew with each life, so an answer whose reading is below what the known life's clock must have shown when the order was sent is of a later life. Such a start is treated as one without an answer; the report to a higher token tells the rest. A start that was noted as a possible crash and is then listed by the next life was not lost with the last one, and the note is withdrawn.

Not covered: a worker that restarts within its first seconds, whose old and new readings can't be told apart.

Evidence: the three cases of the new test fail on the previous commit (job failed after one lost run, or a possible crash that stays) and pass now.

--- a/fescuerudder/jobs/crashes.py
+++ b/fescuerudder/jobs/crashes.py
@@ -130,6 +130,14 @@
         )
 
 
+def withdraw_possible_crash(state: SchedulerState, attempt: Attempt) -> None:
+    """Withdraws the suspicion against a start that reached only the next life of its worker."""
+    task = attempt.task
+    if attempt.number in task.possible_crashes:
+        task.possible_crashes.remove(attempt.number)
+        state.mark_dirty(task.step.job)
+
+
 def is_on_probation(task: TaskRun) -> bool:
     """Returns whether a task must start alone."""
     return task.crash_count >= CRASHES_TO_PROBATION
--- a/fescuerudder/jobs/reports.py
+++ b/fescuerudder/jobs/reports.py
@@ -3,7 +3,7 @@
 import attrs
 import structlog
 
-from fescuerudder.jobs.crashes import exonerate, record_worker_end
+from fescuerudder.jobs.crashes import exonerate, record_worker_end, withdraw_possible_crash
 from fescuerudder.jobs.jobrun import FULL_SPEED, Attempt, Phase, TaskRun
 from fescuerudder.jobs.schedulerstate import SchedulerState
 from fescuerudder.jobs.workerhealth import QUICK_FAILURE_S
@@ -200,6 +200,8 @@
         if attempt.phase in (Phase.STARTING, Phase.UNCERTAIN):
             attempt.phase = Phase.RUNNING
             attempt.confirmed_s = now_s
+        if not attempt.reported:
+            withdraw_possible_crash(self._state, attempt)
         attempt.reported = attempt.task.seen_running = True
         attempt.listed_s = now_s
         self._state.mark_begun(attempt.task.step.job)
--- a/fescuerudder/jobs/scheduler.py
+++ b/fescuerudder/jobs/scheduler.py
@@ -216,6 +216,14 @@
         now_s = self._clock.now_s()
         if answer.clock_ms is not None:
             record.clock.update(reading_ms=answer.clock_ms, now_s=now_s)
+        is_of_later_life = answer.clock_ms is not None and not record.clock.may_have_shown(
+            answer.clock_ms, since_s=attempt.sent_s
+        )
+        if answer.result is OrderResult.DONE and is_of_later_life:
+            # A report of that incarnation shows that it has begun, and that the last one has ended.
+            _log.info("start answered by a later incarnation", worker=record.id)
+            self._fence_start(record, attempt)
+            return
         if answer.result is OrderResult.DONE:
             attempt.phase = Phase.RUNNING if attempt.phase is not Phase.STOPPING else attempt.phase
             attempt.confirmed_s = now_s
--- a/fescuerudder/jobs/workerrecord.py
+++ b/fescuerudder/jobs/workerrecord.py
@@ -48,6 +48,15 @@
         """Returns the earliest time that the worker's clock can show now, in milliseconds."""
         return self.reading_ms + (now_s - self.read_s) * 1000 * (1 - CLOCK_DRIFT)
 
+    def may_have_shown(self, clock_ms: float, *, since_s: float) -> bool:
+        """Returns whether the clock may have shown `clock_ms` at `since_s` or later.
+
+        A lower reading is of a later incarnation, whose clock has started anew.
+        """
+        elapsed_s = since_s - self.read_s
+        slowest = 1 - CLOCK_DRIFT if elapsed_s > 0.0 else 1.0
+        return clock_ms >= math.floor(self.reading_ms + elapsed_s * 1000 * slowest)
+
     def reached_s(self, clock_ms: float) -> float:
         """Returns the latest time at which the worker's clock reaches `clock_ms`.
 
--- a/tests/jobs/test_crashes.py
+++ b/tests/jobs/test_crashes.py
@@ -289,3 +289,39 @@
     assert len(task.possible_crashes) == 2
     sim.run(EXONERATED_AFTER_S + 1.0)
     assert not task.possible_crashes
+
+
+@pytest.mark.parametrize(
+    ("is_registry_late", "arrives_s"), [(True, 0.7), (True, 1.3), (False, 0.6)]
+)
+def test_an_answer_of_the_next_life_is_no_word_of_the_last(is_registry_late, arrives_s):
+    """Guards against a crash that is charged to a start that the restarted worker carried out."""
+    sim = JobSimulation(workers=2)
+    sim.plan = lambda task, attempt, worker: (ONE, 2.0, attempt == 1)
+    leader = sim.claim("a")
+    sim.run(5.0)
+    send, deliver = sim.send, sim._deliver
+
+    def delay_first_start(leader, order):
+        if not isinstance(order, StartOrder) or order.attempt > 1:
+            send(leader, order)
+            return
+        sent_s, worker = sim.clock.now_s(), sim.workers[order.worker]
+        if is_registry_late:
+            sim.stale_entries[order.worker] = (worker.registry_entry(), sent_s + 3.0)
+        lose_power(sim, order.worker, down_s=0.6)
+        sim._at(sent_s + arrives_s, lambda: deliver(leader, order, sent_s, False))
+
+    sim.send = delay_first_start
+    sim.submit(JOB, steps=steps(1))
+    sim.run(1.8)
+    (task,) = leader.scheduler.state.jobs[JOB].tasks()
+    assert not task.crash_count, "it runs, so it was not lost"
+    sim.run(1.7)
+    worker = run_until_begun(sim)
+    sim.run(0.5)
+    lose_power(sim, worker)
+    sim.run(15.0)
+    events = [e[4] for e in sim.events if e[4] in ("start", "failed", "lost")]
+    assert events == ["start", "failed", "start", "lost", "start"]
+    assert sim.state(JOB) is JobState.COMPLETED
