Worker health: no quick failure without a known begin

Callers saw tasks wait for seconds for a worker that was set aside although it was healthy: tasks of an earlier leader, or ones whose start got no answer, failed by their own fault after a long run, soon after this leader had first seen them listed.

Cause: the run time of a failure was counted from the first sight of the attempt, so a failure after any time could count as one at once, and two of them quarantine a worker.

A failure counts against the worker only if it is known when the attempt began: this leader started it, and an answer or a report confirmed it within the second up to which a failure is quick.

Evidence: both cases of the new test fail on the previous commit ("worker set aside, fails what it starts", no task runs) and pass now.

--- a/fescuerudder/jobs/workerhealth.py
+++ b/fescuerudder/jobs/workerhealth.py
@@ -144,6 +144,8 @@
             self._quarantine.record_success(worker=worker, run_s=now_s - attempt.confirmed_s)
         if end is not AttemptEnd.FAILED or attempt.confirmed_s is None:
             return
+        if not _is_begin_known(attempt):
+            return
         run_s = now_s - attempt.confirmed_s
         if run_s < QUICK_FAILURE_S:
             was_quarantined = self._quarantine.is_quarantined(worker=worker)
@@ -262,6 +264,19 @@
         self._quarantine.add(worker=record.id)
 
 
+def _is_begin_known(attempt: Attempt) -> bool:
+    """Returns whether it is known when an attempt began.
+
+    One of an earlier leader, or one whose start got no answer, may have run long before this leader
+    learned of it.
+    """
+    return (
+        not attempt.adopted
+        and attempt.confirmed_s is not None
+        and attempt.confirmed_s - attempt.sent_s < QUICK_FAILURE_S
+    )
+
+
 def _reflects_worker_speed(attempt: Attempt) -> bool:
     """Returns whether the progress of an attempt reflects the speed of its worker."""
     spec = attempt.task.step.spec
--- a/tests/jobs/test_workerhealth.py
+++ b/tests/jobs/test_workerhealth.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from bench._jobsimulation import JobSimulation
+from bench._jobsimulation import CALL_TIMEOUT_S, JobSimulation
 from fescuerudder.document import Size
 from fescuerudder.jobs.job import Step
 from fescuerudder.jobs.scheduler import KNOWLEDGE_WRITE_INTERVAL_S
@@ -109,3 +109,41 @@
     free.refuses_starts = False
     sim.run(starts_s)
     assert [key[0].job for key in free.runs] == [second]
+
+
+def replace_leader(sim):
+    """Replaces the leader shortly before the tasks fail."""
+    sim.run(3.0)
+    sim.leaders[-1].alive = False
+    sim.run(0.4)
+    sim.claim("b")
+
+
+def cut_off_worker(sim):
+    """Cuts the worker off once it has begun the tasks, before any answer, until they fail."""
+
+    def lose(leader, order, sent_s, result):
+        at_s = sent_s + CALL_TIMEOUT_S
+        sim._at(at_s, lambda: sim._no_answer(leader, order, sent_s))
+
+    answer, sim._answer = sim._answer, lose
+    sim.run(0.2)
+    sim.cut = {("a", "w0")}
+    sim._answer = answer
+    sim.run(2.8)
+    sim.cut = set()
+    sim.run(0.4)
+
+
+@pytest.mark.parametrize("prepare", [replace_leader, cut_off_worker])
+def test_a_failure_after_an_unknown_run_time_says_nothing_of_the_worker(prepare):
+    """Guards against a quarantine for tasks that fail late, seen only shortly before."""
+    sim = JobSimulation(workers=1)
+    sim.plan = lambda task, attempt, worker: (ONE, 4.0, attempt == 1)
+    sim.claim("a")
+    sim.run(0.5)
+    sim.submit(JOB, steps=(Step(count=3, size=ONE),))
+    prepare(sim)
+    sim.run(1.6)
+    assert [e[4] for e in sim.events].count("failed") == 3
+    assert len(sim.workers["w0"].runs) == 3, "all three have started again"
