--- a/fescuerudder/jobs/crashes.py
+++ b/fescuerudder/jobs/crashes.py
@@ -57,11 +57,8 @@
         open_starts_refused: whether another worker at its address refuses the starts that are not
             answered yet, so they are no possible crashes.
     """
-    attempts = [
-        a
-        for a in record.attempts.values()
-        if a.phase is not Phase.STARTING or not open_starts_refused
-    ]
+    ignored = {Phase.PLANNED, Phase.STARTING} if open_starts_refused else {Phase.PLANNED}
+    attempts = [a for a in record.attempts.values() if a.phase not in ignored]
     attempts += record.take_lapsed()
     if not record.info.draining:
         lost_contact_s = record.lost_contact_s
--- a/fescuerudder/jobs/reports.py
+++ b/fescuerudder/jobs/reports.py
@@ -97,7 +97,7 @@
         )
         record_worker_end(self._state, record, open_starts_refused=False)
         for attempt in record.begin_incarnation(info, now_s=now_s):
-            if not attempt.reported:
+            if not attempt.reported and attempt.phase is not Phase.PLANNED:
                 # An answer of the last incarnation says nothing about this one.
                 attempt.phase, attempt.confirmed_s = Phase.UNCERTAIN, None
                 record.attempts[(attempt.task.id, attempt.number)] = attempt
@@ -203,6 +203,7 @@
         if not attempt.reported:
             withdraw_possible_crash(self._state, attempt)
         attempt.reported = attempt.task.seen_running = True
+        attempt.restored = False
         attempt.listed_s = now_s
         self._state.mark_begun(attempt.task.step.job)
         attempt.checkpoint = row.checkpoint or attempt.checkpoint
@@ -221,7 +222,7 @@
             return None
         if row.attempt < task.last_number:
             return None
-        for older in [a for a in task.attempts if a.from_roster and a.number < row.attempt]:
+        for older in [a for a in task.attempts if a.restored and a.number < row.attempt]:
             # The earlier leader started this one because it knew that the older one had ended.
             self._state.drop_attempt(older)
         if task.attempts and not task.step.spec.speculative:
@@ -229,6 +230,7 @@
         attempt = Attempt(
             task=task,
             worker=record.id,
+            incarnation_ms=record.info.incarnation_ms,
             number=row.attempt,
             phase=Phase.RUNNING,
             token=record.token,
@@ -238,6 +240,7 @@
             adopted=True,
         )
         self._state.add_attempt(attempt)
+        self._state.unrecorded_steps[task.step] = None
         _log.info(
             "attempt adopted",
             job=row.task.job,
@@ -282,7 +285,7 @@
 
     An unanswered start may still arrive, unless the worker has seen a higher token.
     """
-    if attempt.phase is Phase.STARTING:
+    if attempt.phase in (Phase.PLANNED, Phase.STARTING):
         return False
     if attempt.phase is Phase.UNCERTAIN:
         return order.token > attempt.token
--- a/fescuerudder/jobs/waitreasons.py
+++ b/fescuerudder/jobs/waitreasons.py
@@ -105,7 +105,7 @@
             return WaitReason.NO_QUEUE, []
         startable = planner.startable_tasks(step)
         if not startable and step.startable_tasks():
-            return WaitReason.EARLIER_LEADER, state.unresolved_workers()
+            return WaitReason.EARLIER_LEADER, state.unresolved_workers(step.job)
         if any(task.is_held_back for task in step.tasks) and not startable:
             return WaitReason.HELD_BACK, []
         if not startable:
