Crashes: the limit of starts is five, and two known crashes end it

After four possible crashes a task was held back. The margin of one was for a start that a lost leader had not noticed; the records of starts tell a successor of it now, so the limit is that of the platform, five starts, and fewer tasks stop for starts that met dead workers.

A task at the limit of which two crashes are known, but never as the only suspect, waited for ever. It is given up now, as the platform allows after two crashes, so that callers see an end. With fewer known crashes it is still held back, as its runs may never have begun.

A successor can't tell which recorded starts began before their worker was lost.

--- a/fescuerudder/jobs/crashes.py
+++ b/fescuerudder/jobs/crashes.py
@@ -13,7 +13,7 @@
 
 import structlog
 
-from fescuerudder.jobs.jobrun import Attempt, Phase, TaskRun
+from fescuerudder.jobs.jobrun import MAX_POSSIBLE_CRASHES, Attempt, Phase, TaskRun
 from fescuerudder.jobs.schedulerstate import SchedulerState
 from fescuerudder.jobs.workerrecord import WorkerRecord
 
@@ -35,7 +35,7 @@
 
 MIN_CRASHES_ALONE = 2
 """Number of crashes after which a task is given up if it was the only suspect of the last one, and
-no other worker was lost at that time."""
+no other worker was lost at that time, or if it must not be started any more."""
 
 MAX_CRASHES = 3
 """Number of crashes after which a suspected task is given up in any case."""
@@ -103,28 +103,43 @@
     if attempt.number in task.possible_crashes:
         task.possible_crashes.remove(attempt.number)
     if len(task.crashed_attempts) >= (MIN_CRASHES_ALONE if is_alone else MAX_CRASHES):
-        task.step.job.give_up()
-        _log.warning(
-            "job given up",
-            job=task.id.job,
-            task=task.id[1:],
-            crashed_attempts=task.crashed_attempts,
-        )
+        _give_up(task)
+    else:
+        _check_limit(task)
 
 
 def _record_possible_crash(attempt: Attempt) -> None:
     task = attempt.task
-    if attempt.number in task.possible_crashes:
+    if attempt.number not in task.possible_crashes:
+        task.possible_crashes.append(attempt.number)
+        _check_limit(task)
+
+
+def _check_limit(task: TaskRun) -> None:
+    """Gives a task up that may not be started any more if it is known to have run often enough."""
+    if task.crash_count < MAX_POSSIBLE_CRASHES:
         return
-    task.possible_crashes.append(attempt.number)
-    if task.is_held_back:
-        _log.error(
-            "task held back, all its starts were lost with their workers",
-            job=task.id.job,
-            task=task.id[1:],
-            crashed_attempts=task.crashed_attempts,
-            possible_crashes=task.possible_crashes,
-        )
+    if len(task.crashed_attempts) >= MIN_CRASHES_ALONE:
+        _give_up(task)
+        return
+    _log.error(
+        "task held back, its starts were lost with their workers",
+        job=task.id.job,
+        task=task.id[1:],
+        crashed_attempts=task.crashed_attempts,
+        possible_crashes=task.possible_crashes,
+    )
+
+
+def _give_up(task: TaskRun) -> None:
+    task.step.job.give_up()
+    _log.warning(
+        "job given up",
+        job=task.id.job,
+        task=task.id[1:],
+        crashed_attempts=task.crashed_attempts,
+        possible_crashes=task.possible_crashes,
+    )
 
 
 def withdraw_possible_crash(state: SchedulerState, attempt: Attempt) -> None:
--- a/fescuerudder/jobs/jobrun.py
+++ b/fescuerudder/jobs/jobrun.py
@@ -14,9 +14,9 @@
 MAX_COPIES = 2
 """Maximum number of live attempts of a speculative task."""
 
-MAX_POSSIBLE_CRASHES = 4
+MAX_POSSIBLE_CRASHES = 5
 """Number of crashes, possible ones included, from which a task isn't started any more. The platform
-allows five starts that crash their workers; a leader that is lost may not have noticed the last."""
+allows that a task starts twice more after it has crashed three workers."""
 
 MAX_AVOIDED_WORKERS = 2
 """Number of avoided workers from which the task itself counts as the cause."""
--- a/fescuerudder/jobs/waitreasons.py
+++ b/fescuerudder/jobs/waitreasons.py
@@ -33,7 +33,7 @@
     NO_QUEUE = "queue unknown"
     EARLIER_LEADER = "attempts of earlier leaders unresolved"
     UNCERTAIN_START = "start without an answer"
-    HELD_BACK = "all starts were lost with their workers"
+    HELD_BACK = "starts were lost with their workers"
     UNCONFIRMED = "leadership unconfirmed"
     NO_WORKER = "no usable worker"
     QUARANTINED = "room only on quarantined workers"
