--- a/fescuerudder/jobs/reports.py
+++ b/fescuerudder/jobs/reports.py
@@ -3,7 +3,7 @@
 import attrs
 import structlog
 
-from fescuerudder.jobs.crashes import exonerate, record_worker_end
+from fescuerudder.jobs.crashes import exonerate, record_worker_end, withdraw_possible_crash
 from fescuerudder.jobs.jobrun import FULL_SPEED, Attempt, Phase, TaskRun
 from fescuerudder.jobs.schedulerstate import SchedulerState
 from fescuerudder.jobs.workerhealth import QUICK_FAILURE_S
@@ -95,10 +95,11 @@
         _log.info(
             "worker born again", worker=record.id, born_ms=incarnation_ms, ran=len(record.attempts)
         )
-        record_worker_end(self._state, record)
+        record_worker_end(self._state, record, open_starts_refused=False)
         for attempt in record.begin_incarnation(info, now_s=now_s):
             if not attempt.reported and attempt.phase is not Phase.PLANNED:
-                attempt.phase = Phase.UNCERTAIN
+                # An answer of the last incarnation says nothing about this one.
+                attempt.phase, attempt.confirmed_s = Phase.UNCERTAIN, None
                 record.attempts[(attempt.task.id, attempt.number)] = attempt
                 record.resolved_by_s = max(record.resolved_by_s, attempt.sent_s + MAX_ORDER_DELAY_S)
             else:
@@ -199,6 +200,8 @@
         if attempt.phase in (Phase.STARTING, Phase.UNCERTAIN):
             attempt.phase = Phase.RUNNING
             attempt.confirmed_s = now_s
+        if not attempt.reported:
+            withdraw_possible_crash(self._state, attempt)
         attempt.reported = attempt.task.seen_running = True
         attempt.restored = False
         attempt.listed_s = now_s
--- a/fescuerudder/jobs/scheduler.py
+++ b/fescuerudder/jobs/scheduler.py
@@ -214,7 +214,7 @@
         record.gone = record.resolved = True
         record.may_run_unknown = False
         record.orphans = set()
-        record_worker_end(self.state, record)
+        record_worker_end(self.state, record, open_starts_refused=True)
         for attempt in list(record.attempts.values()):
             self.state.requeue(attempt, checkpoint=attempt.checkpoint, reason="worker gone")
         if not record.listed:
@@ -236,6 +236,14 @@
         now_s = self._clock.now_s()
         if answer.clock_ms is not None:
             record.clock.update(reading_ms=answer.clock_ms, now_s=now_s)
+        is_of_later_life = answer.clock_ms is not None and not record.clock.may_have_shown(
+            answer.clock_ms, since_s=attempt.sent_s
+        )
+        if answer.result is OrderResult.DONE and is_of_later_life:
+            # A report of that incarnation shows that it has begun, and that the last one has ended.
+            _log.info("start answered by a later incarnation", worker=record.id)
+            self._fence_start(record, attempt)
+            return
         if answer.result is OrderResult.DONE:
             attempt.phase = Phase.RUNNING if attempt.phase is not Phase.STOPPING else attempt.phase
             attempt.confirmed_s = now_s
@@ -426,7 +434,7 @@
                 if attempt.phase is Phase.STARTING:
                     continue
                 if attempt.phase is not Phase.PLANNED:
-                    record.lapsed.append(attempt)
+                    record.add_lapsed(attempt)
                 self.state.requeue(
                     attempt, checkpoint=attempt.checkpoint, reason="lease ended unseen"
                 )
--- a/fescuerudder/jobs/waitreasons.py
+++ b/fescuerudder/jobs/waitreasons.py
@@ -38,6 +38,7 @@
     OUT_OF_SIGHT = "runs on a worker that does not answer"
     UNRECORDED = "record of the start not stored"
     STORE_OUT = "store out"
+    HELD_BACK = "starts were lost with their workers"
     UNCONFIRMED = "leadership unconfirmed"
     NO_WORKER = "no usable worker"
     QUARANTINED = "room only on quarantined workers"
@@ -120,6 +121,8 @@
         startable = planner.startable_tasks(step)
         if not startable and step.startable_tasks():
             return WaitReason.EARLIER_LEADER, state.unresolved_workers(step.job)
+        if any(task.is_held_back for task in step.tasks) and not startable:
+            return WaitReason.HELD_BACK, []
         if not startable:
             return self._diagnose_attempts(step)
         if planner.is_store_out(now_s):
--- a/fescuerudder/jobs/workerrecord.py
+++ b/fescuerudder/jobs/workerrecord.py
@@ -48,6 +48,15 @@
         """Returns the earliest time that the worker's clock can show now, in milliseconds."""
         return self.reading_ms + (now_s - self.read_s) * 1000 * (1 - CLOCK_DRIFT)
 
+    def may_have_shown(self, clock_ms: float, *, since_s: float) -> bool:
+        """Returns whether the clock may have shown `clock_ms` at `since_s` or later.
+
+        A lower reading is of a later incarnation, whose clock has started anew.
+        """
+        elapsed_s = since_s - self.read_s
+        slowest = 1 - CLOCK_DRIFT if elapsed_s > 0.0 else 1.0
+        return clock_ms >= math.floor(self.reading_ms + elapsed_s * 1000 * slowest)
+
     def reached_s(self, clock_ms: float) -> float:
         """Returns the latest time at which the worker's clock reaches `clock_ms`.
 
@@ -211,14 +220,21 @@
         """Returns whether nothing runs there and nothing is to be learned from its return."""
         return not self.attempts and self.resolved and not self.lapsed
 
+    def add_lapsed(self, attempt: Attempt) -> None:
+        """Adds an attempt whose lease ended while the worker was silent."""
+        self.lapsed.append(attempt)
+        attempt.task.lapsed_count += 1
+
     def drop_old_lapsed(self, now_s: float) -> None:
         """Forgets lapsed attempts once the worker has been away for LAPSED_KEPT_S."""
         if self.lapsed and now_s - (self.lost_contact_s or 0.0) >= LAPSED_KEPT_S:
-            self.lapsed.clear()
+            self.take_lapsed()
 
     def take_lapsed(self) -> list[Attempt]:
         """Returns the attempts whose leases ended while the worker was silent, and forgets them."""
         lapsed, self.lapsed = self.lapsed, []
+        for attempt in lapsed:
+            attempt.task.lapsed_count -= 1
         return lapsed
 
     def update_from_report(self, report: Report, *, now_s: float) -> bool:
