Stops, the load of a term and the writer's pauses get modules of their own

Stops move to jobs/stops.py; the restore of a stored state, which stood in the leader and in the simulation, to takeover.restore_scheduler; the pause after a write without an answer to the writer, the registry's port to the other ports. A planned attempt of a gang of which a member has ended is now withdrawn like any other that is not wanted.

--- a/bench/_jobsimulation.py
+++ b/bench/_jobsimulation.py
@@ -32,7 +32,7 @@
     job_key,
     progress_key,
 )
-from fescuerudder.jobs.takeover import load_stored_state, split_job_rows
+from fescuerudder.jobs.takeover import load_stored_state, restore_scheduler, split_job_rows
 from fescuerudder.jobs.workerport import (
     OrderAnswer,
     OrderResult,
@@ -113,18 +113,7 @@
             pool=InlineExecutor(),
         )
         self.scheduler.set_manifest(sim.manifest)
-        for run in loaded.live:
-            self.scheduler.restore(run)
-        self.scheduler.stored_states.update(loaded.ended)
-        if loaded.knowledge is not None:
-            self.scheduler.state.knowledge.restore(loaded.knowledge)
-        self.scheduler.cancel(loaded.cancels)
-        self.scheduler.restore_roster(
-            loaded.roster,
-            store_clock=loaded.store_clock,
-            starts=loaded.starts,
-            leases_until_ms=loaded.leases_until_ms,
-        )
+        restore_scheduler(self.scheduler, loaded)
         self.writer.store_clock = loaded.store_clock
         self.writer.starts_recorded = self.scheduler.state.starts_recorded
         self.scheduler.set_workers(sim.registry())
--- a/bench/_startstream.py
+++ b/bench/_startstream.py
@@ -23,13 +23,13 @@
 from fescuerudder.jobs.claim import Heartbeat, dump_row
 from fescuerudder.jobs.job import Job, Step
 from fescuerudder.jobs.jobrun import Attempt, JobRun, JobState, Phase, TaskRun
-from fescuerudder.jobs.leader import (
-    HEARTBEAT_INTERVAL_S,
+from fescuerudder.jobs.leader import HEARTBEAT_INTERVAL_S, WRITE_PAUSE_S
+from fescuerudder.jobs.leaderwriter import (
+    ENTRIES_PER_TXN,
     STORE_RETRY_S,
-    WRITE_PAUSE_S,
-    _resolve_pause_s,
+    WRITE_TIMEOUT_S,
+    resolve_pause_s,
 )
-from fescuerudder.jobs.leaderwriter import ENTRIES_PER_TXN, WRITE_TIMEOUT_S
 from fescuerudder.jobs.rows import MAX_TXN_ROWS, Row, RowKey, RowTransaction
 from fescuerudder.jobs.scheduleractor import PLAN_PAUSE_S
 from fescuerudder.jobs.storage import CLAIM_KEY, HEARTBEAT_KEY, progress_key
@@ -453,7 +453,7 @@
         is_out, slow_s = self._is_out(), self._model.outage_answer_s
         if is_out and slow_s is None:
             if self._model.is_silent:
-                pause_s = WRITE_TIMEOUT_S + _resolve_pause_s(unanswered)
+                pause_s = WRITE_TIMEOUT_S + resolve_pause_s(unanswered)
                 error: type[Exception] = StoreOutcomeUnknownError
             else:
                 pause_s = 2 * self._model.one_way_s + STORE_RETRY_S
--- a/fescuerudder/jobs/jobrun.py
+++ b/fescuerudder/jobs/jobrun.py
@@ -104,6 +104,13 @@
     is_last_resort: bool = False
     worker_in_doubt: bool = False
 
+    @property
+    def is_wanted(self) -> bool:
+        """Whether it may start or go on, as far as its task and its gang are concerned."""
+        step = self.task.step
+        is_broken = self.number <= step.broken_attempt
+        return not (self.evicted or is_broken or self.task.done) and step.job.is_live
+
 
 @attrs.define(eq=False, kw_only=True)
 class TaskRun:
--- a/fescuerudder/jobs/leader.py
+++ b/fescuerudder/jobs/leader.py
@@ -8,7 +8,7 @@
 import threading
 from collections.abc import Callable, Sequence
 from concurrent.futures import Executor, ThreadPoolExecutor
-from typing import Any, Protocol
+from typing import Any
 
 import pykka
 import structlog
@@ -23,16 +23,26 @@
 from fescuerudder.jobs.configview import ConfigView
 from fescuerudder.jobs.jobmetrics import JobMetrics
 from fescuerudder.jobs.jobrun import JobState
-from fescuerudder.jobs.leaderwriter import LeadershipLostError, LeaderWriter
+from fescuerudder.jobs.leaderwriter import (
+    STORE_RETRY_S,
+    LeadershipLostError,
+    LeaderWriter,
+    resolve_pause_s,
+)
 from fescuerudder.jobs.leases import LeasePolicy
-from fescuerudder.jobs.progress import StoredFormError, StoredJob
+from fescuerudder.jobs.progress import StoredJob
 from fescuerudder.jobs.progressbatch import ProgressBatch
 from fescuerudder.jobs.rows import HistoryLostError, RowStore
 from fescuerudder.jobs.scheduler import Order, Scheduler
 from fescuerudder.jobs.scheduleractor import SchedulerActor
 from fescuerudder.jobs.schedulerstate import Term
 from fescuerudder.jobs.storage import CLAIM_KEY, JOBS_TABLE
-from fescuerudder.jobs.takeover import LoadedState, load_stored_state, split_job_rows
+from fescuerudder.jobs.takeover import (
+    LoadedState,
+    load_stored_state,
+    restore_scheduler,
+    split_job_rows,
+)
 from fescuerudder.jobs.termevents import (
     Advised,
     Answered,
@@ -57,8 +67,8 @@
     StopOrder,
     ThrottleOrder,
     WorkerFencedError,
-    WorkerInfo,
     WorkerPort,
+    WorkerRegistry,
     WorkerSilentError,
 )
 
@@ -72,10 +82,6 @@
 TICK_INTERVAL_S = 0.1
 FEED_WAIT_S = 1.0
 REGISTRY_READ_INTERVAL_S = 1.0
-STORE_RETRY_S = 0.2
-MIN_RESOLVE_PAUSE_S = 0.025
-"""Pause after the second write without an answer in a row; it doubles with each further one. A
-store that resets its connections would be asked a hundred times a second otherwise."""
 
 LOAD_THREADS = 8
 ADVICE_THREADS = 2
@@ -87,17 +93,6 @@
 _log = structlog.get_logger(__name__)
 
 
-class WorkerRegistry(Protocol):
-    """The list of workers that registered themselves."""
-
-    def read(self) -> list[WorkerInfo]:
-        """Returns all workers.
-
-        Raises:
-            StoreUnavailableError: the registry can't be read.
-        """
-
-
 class LeaderTerm:
     """One term of this instance as the leader; a context manager that runs it.
 
@@ -221,18 +216,7 @@
         if view.manifest is not None:
             scheduler.set_manifest(view.manifest)
         scheduler.set_zones_out(view.zones_out)
-        for run in loaded.live:
-            scheduler.restore(run)
-        scheduler.stored_states.update(loaded.ended)
-        if loaded.knowledge is not None:
-            self._restore_knowledge(loaded.knowledge)
-        scheduler.cancel(loaded.cancels)
-        scheduler.restore_roster(
-            loaded.roster,
-            store_clock=loaded.store_clock,
-            starts=loaded.starts,
-            leases_until_ms=loaded.leases_until_ms,
-        )
+        restore_scheduler(scheduler, loaded)
         self._writer.store_clock = loaded.store_clock
         self._writer.starts_recorded = scheduler.state.starts_recorded
         scheduler.set_workers(self._registry.read())
@@ -252,12 +236,6 @@
             store=self._store, clock=self._clock, wall_ms=self._wall_ms, pool=pool
         )
 
-    def _restore_knowledge(self, data: bytes) -> None:
-        try:
-            self._scheduler.state.knowledge.restore(data)
-        except StoredFormError as exc:
-            _log.error("knowledge can't be read", reason=str(exc))
-
     def _start_thread(self, target: Callable[[], None]) -> None:
         thread = threading.Thread(target=target, daemon=True)
         self._threads.append(thread)
@@ -456,7 +434,7 @@
                 return
             except StoreOutcomeUnknownError:
                 is_resolved = False
-                self._clock.wait_s(self._stopping, _resolve_pause_s(unanswered))
+                self._clock.wait_s(self._stopping, resolve_pause_s(unanswered))
                 unanswered += 1
                 continue
             except StoreUnavailableError as exc:
@@ -505,15 +483,6 @@
         self.lost.set()
 
 
-def _resolve_pause_s(unanswered: int) -> float:
-    """Returns the pause after a write without an answer: none at first, then up to STORE_RETRY_S.
-
-    Args:
-        unanswered: number of writes without an answer before it, one after another.
-    """
-    return min(STORE_RETRY_S, MIN_RESOLVE_PAUSE_S * 2 ** (unanswered - 1)) if unanswered else 0.0
-
-
 def _outcome_label(event: Any) -> str:
     """Returns the outcome of an order as a label of the metrics."""
     if isinstance(event, Answered):
--- a/fescuerudder/jobs/leaderwriter.py
+++ b/fescuerudder/jobs/leaderwriter.py
@@ -32,6 +32,11 @@
 """Rows of jobs that one transaction writes or deletes; the other seven entries are reserved for the
 leader's own rows."""
 
+STORE_RETRY_S = 0.2
+MIN_RESOLVE_PAUSE_S = 0.025
+"""Pause after the second write without an answer in a row; it doubles with each further one. A
+store that resets its connections would be asked a hundred times a second otherwise."""
+
 BOUND_INTERVAL_S = 0.3
 """Time between two bounds on leases, if there are so many writes."""
 
@@ -185,3 +190,12 @@
             f"the claim has version {claim.version if claim else ABSENT}, "
             f"not {self._claim_version}"
         )
+
+
+def resolve_pause_s(unanswered: int) -> float:
+    """Returns the pause after a write without an answer: none at first, then up to STORE_RETRY_S.
+
+    Args:
+        unanswered: number of writes without an answer before it, one after another.
+    """
+    return min(STORE_RETRY_S, MIN_RESOLVE_PAUSE_S * 2 ** (unanswered - 1)) if unanswered else 0.0
--- a/fescuerudder/jobs/node.py
+++ b/fescuerudder/jobs/node.py
@@ -22,7 +22,7 @@
 from fescuerudder.jobs.jobmetrics import JobMetrics
 from fescuerudder.jobs.jobrun import JobState
 from fescuerudder.jobs.jobstates import JobStates
-from fescuerudder.jobs.leader import LeaderTerm, WorkerRegistry
+from fescuerudder.jobs.leader import LeaderTerm
 from fescuerudder.jobs.leaderlink import LeaderLink
 from fescuerudder.jobs.leadership import Leadership
 from fescuerudder.jobs.linkmessages import FollowerStatus, StoreJob
@@ -30,7 +30,7 @@
 from fescuerudder.jobs.nodesettings import NodeSettings
 from fescuerudder.jobs.rows import RowStore
 from fescuerudder.jobs.settingsreloader import SettingsReloader
-from fescuerudder.jobs.workerport import WorkerPort
+from fescuerudder.jobs.workerport import WorkerPort, WorkerRegistry
 from fescuerudder.kernel import Kernel
 from fescuerudder.processsignals import ProcessSignals
 from fescuerudder.service import OwnerService
--- a/fescuerudder/jobs/scheduler.py
+++ b/fescuerudder/jobs/scheduler.py
@@ -1,6 +1,5 @@
 """Scheduling of one term: events go in, orders come out. Runs no threads and does no I/O."""
 
-import math
 from collections.abc import Callable, Iterable
 
 import structlog
@@ -9,8 +8,7 @@
 from fescuerudder.jobs.adviceport import Advice, AdviceQuery
 from fescuerudder.jobs.attemptstarter import AttemptStarter
 from fescuerudder.jobs.crashes import record_worker_end
-from fescuerudder.jobs.job import TaskId
-from fescuerudder.jobs.jobrun import FULL_SPEED, Attempt, JobRun, JobState, Phase
+from fescuerudder.jobs.jobrun import FULL_SPEED, JobRun, JobState, Phase
 from fescuerudder.jobs.leases import LeasePolicy
 from fescuerudder.jobs.manifest import Manifest
 from fescuerudder.jobs.progress import StoredJob, dump_progress
@@ -25,6 +23,7 @@
 from fescuerudder.jobs.startrecords import StoredStarts
 from fescuerudder.jobs.startrelease import StartReleaser
 from fescuerudder.jobs.starts import StartPlanner
+from fescuerudder.jobs.stops import StopPlanner
 from fescuerudder.jobs.storage import progress_key
 from fescuerudder.jobs.throttling import plan_throttles
 from fescuerudder.jobs.waitreasons import WaitMonitor
@@ -49,15 +48,9 @@
 """Time between two renewals of a worker that left the registry and may have crashed."""
 
 
-RESEND_STOP_S = 0.5
-STOP_SCAN_INTERVAL_S = 0.1
-"""Time between two searches for attempts that must stop; a search looks at all attempts."""
-
 KNOWLEDGE_WRITE_INTERVAL_S = 2.0
 """Time between two writes of the knowledge about tasks."""
 
-START_ANSWER_LIMIT_S = 5.0
-"""Time by which a start is answered or has failed, unless the event that says so was lost."""
 
 REFUSED_START_PAUSE_S = 0.3
 """Time without further starts on a worker that had no room for one, was unhealthy or was not
@@ -98,10 +91,10 @@
         self._waits = WaitMonitor(state=self.state, planner=self._planner)
         self.stored_states: dict[str, JobState] = {}
         self.is_superseded = False
+        self._stops = StopPlanner(state=self.state)
         self._moves = ThrottledMoves()
         self._renewals = RenewalPlanner(state=self.state, leases=leases)
         self._reported: dict[str, None] = {}
-        self._next_stop_scan_s = -math.inf
         self._next_knowledge_s = clock.now_s() + KNOWLEDGE_WRITE_INTERVAL_S
 
     # --- input from the store
@@ -242,7 +235,7 @@
         if answer.result is OrderResult.DONE and is_of_later_life:
             # A report of that incarnation shows that it has begun, and that the last one has ended.
             _log.info("start answered by a later incarnation", worker=record.id)
-            self._fence_start(record, attempt)
+            self.state.fence_start(attempt)
             return
         if answer.result is OrderResult.DONE:
             attempt.phase = Phase.RUNNING if attempt.phase is not Phase.STOPPING else attempt.phase
@@ -258,7 +251,7 @@
             result=answer.result.value,
         )
         if answer.result is OrderResult.UNKNOWN:
-            self._fence_start(record, attempt)
+            self.state.fence_start(attempt)
             return
         if answer.result is OrderResult.OTHER_LIFE:
             self.on_worker_gone(order.worker)
@@ -275,13 +268,6 @@
         """Handles the answer of the advice service to a query, None if there was none."""
         self.state.advice.on_answer(query, advice, self.state.incarnations(), sent_s=sent_s)
 
-    def _fence_start(self, record: WorkerRecord, attempt: Attempt) -> None:
-        """Fences a start without an answer; a report to a higher token shows whether it runs."""
-        if attempt.phase is Phase.STARTING:
-            attempt.phase = Phase.UNCERTAIN
-        record.token = max(record.token, attempt.token + 1)
-        record.next_renewal_s = 0.0
-
     def on_fenced(self, order: RenewOrder) -> None:
         """Handles a renewal that a worker refused because it has seen a higher token."""
         record = self.state.workers.get(order.worker)
@@ -401,7 +387,7 @@
         orders: list[Order] = []
         self._mark_evictions(now_s)
         self._mark_throttled_moves(now_s)
-        orders += self._plan_stops(now_s)
+        orders += self._stops.plan(now_s)
         orders += self._plan_throttles(now_s)
         self._planner.plan(now_s=now_s, wall_ms=self._wall_ms())
         orders += self.take_starts()
@@ -461,46 +447,6 @@
         if any(attempt.throttle != FULL_SPEED for attempt in attempts):
             self._moves.plan(attempts, self._planner.loads(now_s), now_s=now_s)
 
-    def _plan_stops(self, now_s: float) -> list[Order]:
-        if now_s < self._next_stop_scan_s:
-            return []
-        self._next_stop_scan_s = now_s + STOP_SCAN_INTERVAL_S
-        orders: list[Order] = []
-        for record in self.state.workers.values():
-            self._fence_overdue_starts(record, now_s)
-            if record.is_silent:
-                continue
-            for attempt in record.attempts.values():
-                if attempt.phase is Phase.PLANNED:
-                    continue
-                if self._must_stop(attempt) and _is_stop_due(attempt.stop_sent_s, now_s):
-                    attempt.stop_sent_s = now_s
-                    if attempt.phase is Phase.RUNNING:
-                        attempt.phase = Phase.STOPPING
-                    orders.append(_stop_order(record, attempt.task.id, attempt.number))
-            if record.orphans and now_s - record.orphan_stop_sent_s >= RESEND_STOP_S:
-                record.orphan_stop_sent_s = now_s
-                orders += [_stop_order(record, task, number) for task, number in record.orphans]
-        return orders
-
-    def _fence_overdue_starts(self, record: WorkerRecord, now_s: float) -> None:
-        """Fences the starts whose answers are overdue, as their events were lost."""
-        for attempt in record.attempts.values():
-            if attempt.phase is Phase.STARTING and now_s - attempt.sent_s >= START_ANSWER_LIMIT_S:
-                _log.error(
-                    "start neither answered nor failed",
-                    job=attempt.task.id.job,
-                    task=attempt.task.id[1:],
-                    attempt=attempt.number,
-                    worker=record.id,
-                )
-                self._fence_start(record, attempt)
-
-    def _must_stop(self, attempt: Attempt) -> bool:
-        task = attempt.task
-        is_broken = attempt.number <= task.step.broken_attempt
-        return attempt.evicted or is_broken or task.done or not task.step.job.is_live
-
     def _plan_throttles(self, now_s: float) -> list[Order]:
         """Returns the throttle orders for the workers that reported since the last plan."""
         orders: list[Order] = []
@@ -520,17 +466,3 @@
             if run.is_live and not run.begun:
                 counts[run.job.queue] = counts.get(run.job.queue, 0) + 1
         return counts
-
-
-def _is_stop_due(last_s: float | None, now_s: float) -> bool:
-    return last_s is None or now_s - last_s >= RESEND_STOP_S
-
-
-def _stop_order(record: WorkerRecord, task: TaskId, number: int) -> StopOrder:
-    return StopOrder(
-        worker=record.id,
-        address=record.info.address,
-        task=task,
-        attempt=number,
-        token=record.token,
-    )
--- a/fescuerudder/jobs/schedulerstate.py
+++ b/fescuerudder/jobs/schedulerstate.py
@@ -206,6 +206,14 @@
         if record is not None:
             record.attempts.pop((attempt.task.id, attempt.number), None)
 
+    def fence_start(self, attempt: Attempt) -> None:
+        """Fences a start without an answer; a report to a higher token shows whether it runs."""
+        record = self.workers[attempt.worker]
+        if attempt.phase is Phase.STARTING:
+            attempt.phase = Phase.UNCERTAIN
+        record.token = max(record.token, attempt.token + 1)
+        record.next_renewal_s = 0.0
+
     def withdraw(self, attempt: Attempt, *, reason: str) -> None:
         """Removes an attempt whose start order was not sent, so its task may start at once."""
         last_end_s = attempt.task.last_end_s, self.last_end_s
--- a/fescuerudder/jobs/startrelease.py
+++ b/fescuerudder/jobs/startrelease.py
@@ -128,7 +128,7 @@
     def _outdated_reason(self, attempt: Attempt) -> str:
         """Returns why a planned attempt must not be started any more, or an empty text."""
         task, state = attempt.task, self._state
-        if task.done or not task.step.job.is_live or attempt.evicted:
+        if not attempt.is_wanted:
             return "no longer needed"
         record = state.workers[attempt.worker]
         queue = state.queues[task.step.job.job.queue]
--- a/fescuerudder/jobs/takeover.py
+++ b/fescuerudder/jobs/takeover.py
@@ -19,6 +19,7 @@
 )
 from fescuerudder.jobs.roster import RosterEntry, add_deadlines, load_roster, recover_roster
 from fescuerudder.jobs.rows import Row, RowKey, RowStore, StoreClock, read_partition
+from fescuerudder.jobs.scheduler import Scheduler
 from fescuerudder.jobs.startrecords import StoredStarts, load_starts
 from fescuerudder.jobs.storage import (
     CANCEL_SUFFIX,
@@ -227,3 +228,22 @@
     except StoredFormError as exc:
         _log.error("stored row can't be read", reason=str(exc))
         return None
+
+
+def restore_scheduler(scheduler: Scheduler, loaded: LoadedState) -> None:
+    """Passes the stored state to the scheduler of a new term, which must know the configuration."""
+    for run in loaded.live:
+        scheduler.restore(run)
+    scheduler.stored_states.update(loaded.ended)
+    if loaded.knowledge is not None:
+        try:
+            scheduler.state.knowledge.restore(loaded.knowledge)
+        except StoredFormError as exc:
+            _log.error("knowledge can't be read", reason=str(exc))
+    scheduler.cancel(loaded.cancels)
+    scheduler.restore_roster(
+        loaded.roster,
+        store_clock=loaded.store_clock,
+        starts=loaded.starts,
+        leases_until_ms=loaded.leases_until_ms,
+    )
--- a/fescuerudder/jobs/workerport.py
+++ b/fescuerudder/jobs/workerport.py
@@ -244,3 +244,14 @@
             WorkerSilentError: the worker sent no report.
             OtherLifeError: another worker answers at the address.
         """
+
+
+class WorkerRegistry(Protocol):
+    """The list of workers that registered themselves."""
+
+    def read(self) -> list[WorkerInfo]:
+        """Returns all workers.
+
+        Raises:
+            StoreUnavailableError: the registry can't be read.
+        """
