Keep what a record covers known until it is resolved, over several takeovers and split batches

What callers would see: a task that runs twice (TWICE), after a start that only the record of another task covers (an outage of the store) and a takeover.

Cause: a batch of more rows than one transaction takes could store that the covering task is done before the record of the covered start; and a successor that learned from elsewhere that the covering task was done left no trace of the covered one for the next.

Evidence: tests/jobs/test_missed_starts.py, both failed.

Change: the rows of a job are stored in one transaction, as long as they fit; a successor that finds a covering task done records the tasks it still holds back, with the number 0 for an unknown attempt.

--- a/fescuerudder/jobs/leaderwriter.py
+++ b/fescuerudder/jobs/leaderwriter.py
@@ -1,7 +1,7 @@
 """Writer of the leader's rows: a chain of transactions that fails once another instance claims."""
 
 import math
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
 import structlog
 
@@ -23,7 +23,7 @@
     RowTransaction,
     StoreClock,
 )
-from fescuerudder.jobs.storage import CLAIM_KEY, HEARTBEAT_KEY, LEASES_KEY
+from fescuerudder.jobs.storage import CLAIM_KEY, HEARTBEAT_KEY, LEASES_KEY, job_of
 
 WRITE_TIMEOUT_S = 1.5
 """Timeout of one attempt to write; a slow store needs most of a second."""
@@ -101,8 +101,9 @@
         """Stores rows and a heartbeat, and deletes rows.
 
         What doesn't fit into one transaction is stored in this order: `rows`, `deletes`, and with
-        the last transaction `leader_rows`, of which at most three fit. The heartbeats that follow
-        say of the records of starts what `starts_recorded` does.
+        the last transaction `leader_rows`, of which at most three fit. The rows of a job are stored
+        together, unless they alone don't fit. The heartbeats that follow say of the records of
+        starts what `starts_recorded` does.
         After a StoreOutcomeUnknownError call `resolve` until it returns. The rows of the
         unresolved transaction are stored then; later rows of the call are not.
 
@@ -111,10 +112,9 @@
             StoreUnavailableError: nothing of the current transaction was stored.
             StoreOutcomeUnknownError: a transaction may have been, or may still be, applied.
         """
-        keys = [*rows, *deletes]
-        for first in range(0, len(keys) or 1, ENTRIES_PER_TXN):
-            part = keys[first : first + ENTRIES_PER_TXN]
-            is_last = first + ENTRIES_PER_TXN >= len(keys)
+        parts = _split(rows, deletes)
+        for part in parts:
+            is_last = part is parts[-1]
             self._count += 1
             heartbeat = Heartbeat(
                 epoch=self._claim.epoch,
@@ -199,3 +199,19 @@
         unanswered: number of writes without an answer before it, one after another.
     """
     return min(STORE_RETRY_S, MIN_RESOLVE_PAUSE_S * 2 ** (unanswered - 1)) if unanswered else 0.0
+
+
+def _split(rows: Iterable[RowKey], deletes: Iterable[RowKey]) -> list[list[RowKey]]:
+    """Returns the keys of each transaction: `rows`, those of a job together, then `deletes`."""
+    by_job: dict[str, list[RowKey]] = {}
+    for key in rows:
+        by_job.setdefault(job_of(key), []).append(key)
+    parts: list[list[RowKey]] = [[]]
+    for group in [*by_job.values(), *([key] for key in deletes)]:
+        if len(parts[-1]) + len(group) > ENTRIES_PER_TXN and parts[-1]:
+            parts.append([])
+        for first in range(0, len(group), ENTRIES_PER_TXN):
+            if first:
+                parts.append([])
+            parts[-1] += group[first : first + ENTRIES_PER_TXN]
+    return parts
--- a/fescuerudder/jobs/startrecords.py
+++ b/fescuerudder/jobs/startrecords.py
@@ -24,7 +24,7 @@
         worker: id of the worker.
         incarnation_ms: start time of the worker's incarnation.
         index: index of the task in its step.
-        number: number of the attempt.
+        number: number of the attempt, 0 if unknown.
     """
 
     worker: str
@@ -61,12 +61,20 @@
     is_complete: bool = False
 
 
-def dump_starts(step: StepRun) -> bytes:
-    """Returns the serialized live attempts of a step, grouped by the incarnation of the worker."""
+def dump_starts(step: StepRun, others: Iterable[StoredStart] = ()) -> bytes:
+    """Returns the serialized live attempts of a step, grouped by the incarnation of the worker.
+
+    Args:
+        step: the step.
+        others: further attempts that earlier leaders may have started.
+    """
     groups: dict[tuple[str, int], list[list[int]]] = {}
     for attempt in step.live_attempts():
         group = groups.setdefault((attempt.worker, attempt.incarnation_ms), [])
         group.append([attempt.task.id.index, attempt.number])
+    for start in others:
+        group = groups.setdefault((start.worker, start.incarnation_ms), [])
+        group.append([start.index, start.number])
     rows = [[worker, born_ms, starts] for (worker, born_ms), starts in groups.items()]
     return json.dumps(rows, separators=(",", ":")).encode()
 
--- a/fescuerudder/jobs/startrelease.py
+++ b/fescuerudder/jobs/startrelease.py
@@ -14,7 +14,7 @@
 from fescuerudder.jobs.leases import LeasePolicy
 from fescuerudder.jobs.rows import RowKey
 from fescuerudder.jobs.schedulerstate import SchedulerState
-from fescuerudder.jobs.startrecords import dump_starts
+from fescuerudder.jobs.startrecords import StoredStart, dump_starts
 from fescuerudder.jobs.storage import starts_key
 from fescuerudder.jobs.workerport import StartOrder
 from fescuerudder.jobs.workerrecord import WorkerRecord
@@ -71,9 +71,12 @@
                 then are no longer named.
         """
         state = self._state
+        runs = dict.fromkeys([*progressed, *(step.job for step in state.unrecorded_steps)])
+        held = self._held_starts(runs)
+        state.unrecorded_steps.update(dict.fromkeys(held))
         recorded = {step: _live_starts(step) for step in state.unrecorded_steps}
         pending = PendingStarts(
-            rows={starts_key(step.id): dump_starts(step) for step in recorded},
+            rows={starts_key(step.id): dump_starts(step, held.get(step, ())) for step in recorded},
             deletes=tuple(starts_key(step) for step in state.obsolete_records),
             recorded=recorded,
         )
@@ -87,6 +90,32 @@
         state.obsolete_records.clear()
         return pending
 
+    def _held_starts(self, runs: Iterable[JobRun]) -> dict[StepRun, list[StoredStart]]:
+        """Returns what an earlier leader may have started where a task that is now done covered it.
+
+        The record of that task tells the next leader no more of it, so each gets an entry.
+        """
+        held: dict[StepRun, list[StoredStart]] = {}
+        for run in runs:
+            covering = [s for s in run.earlier_starts if s.task.done and self._is_unresolved(s)]
+            for task in run.tasks() if covering else ():
+                if task.done or task.attempts:
+                    continue
+                for start in covering:
+                    if start.covers(task):
+                        entry = StoredStart(
+                            worker=start.worker,
+                            incarnation_ms=start.incarnation_ms,
+                            index=task.id.index,
+                            number=0,
+                        )
+                        held.setdefault(task.step, []).append(entry)
+        return held
+
+    def _is_unresolved(self, start: RecordedStart) -> bool:
+        record = self._state.workers.get(start.worker)
+        return record is not None and record.may_run_unknown
+
     def on_stored(self, recorded: dict[StepRun, frozenset[RecordedStart]]) -> None:
         """Records that the records of steps are stored."""
         for step, starts in recorded.items():
--- a/fescuerudder/jobs/storage.py
+++ b/fescuerudder/jobs/storage.py
@@ -69,6 +69,11 @@
     return RowKey(STARTS_TABLE, LEADER_PARTITION, f"{step.job}.{step.occurrence}.{step.step}")
 
 
+def job_of(key: RowKey) -> str:
+    """Returns the id of the job that a row of progress or of starts belongs to."""
+    return key.key.partition(".")[0]
+
+
 def parse_starts_key(key: str) -> StepId:
     """Returns the step whose starts a row of STARTS_TABLE records.
 
--- a/tests/jobs/test_review_29.py
+++ b/tests/jobs/test_missed_starts.py
@@ -1,4 +1,4 @@
-"""Records of starts: what a successor misses, by a review of issue 29."""
+"""Starts that a successor would miss: records that are split, or whose task has ended elsewhere."""
 
 from bench._jobsimulation import JobSimulation
 from fescuerudder.errors import StoreUnavailableError
