Experiment on starts: a record that covers the same index in other steps

Candidate I, as the product has it: an entry whose task is not stored as done also covers the task with the same index in other steps of the job, on the same worker. It is played on all streams, on one whose steps run beside each other, and in outages with workers that have little room.

The module also imports again: ROWS_PER_TXN, which it used, was renamed to ENTRIES_PER_TXN when the records were built, so its tests could not be collected. The pause while starts wait is the product's.

--- a/bench/_startrecords.py
+++ b/bench/_startrecords.py
@@ -7,7 +7,7 @@
 import attrs
 
 from fescuerudder.jobs.job import TaskId
-from fescuerudder.jobs.jobrun import Attempt, JobRun, StepRun
+from fescuerudder.jobs.jobrun import Attempt, JobRun, RecordedStart, StepRun, TaskRun
 from fescuerudder.jobs.progress import dump_progress
 from fescuerudder.jobs.rows import Row, RowKey
 from fescuerudder.jobs.storage import LEADER_PARTITION, progress_key
@@ -47,6 +47,12 @@
     def take(self) -> RecordChanges:
         """Returns the changes since the last call."""
 
+    def on_stored(self) -> None:
+        """Takes note that the changes that were taken last are stored."""
+
+    def covering_workers(self, task: TaskRun) -> list[str]:
+        """Returns the workers on which a task may start without a record of its own."""
+
     def load(self, rows: Iterable[Row]) -> set[AttemptKey]:
         """Returns the attempts that a successor finds in the rows of all tables."""
 
@@ -70,6 +76,13 @@
         """Returns no changes."""
         return RecordChanges()
 
+    def on_stored(self) -> None:
+        """Does nothing."""
+
+    def covering_workers(self, task: TaskRun) -> list[str]:
+        """Returns nothing, as each start needs a record of its own."""
+        return []
+
     def load(self, rows: Iterable[Row]) -> set[AttemptKey]:
         """Returns nothing, as no row tells of attempts."""
         return set()
@@ -121,6 +134,55 @@
         return found
 
 
+@attrs.define(kw_only=True)
+class CoveringStepRecord(StepRecord):
+    """As StepRecord; a stored entry also covers starts of the same index in other steps.
+
+    Follows StartReleaser of the product. An entry counts from the answer of the store until
+    progress or a record without it is taken to be stored.
+    """
+
+    _taken: set[RecordedStart] = attrs.Factory(set)
+    _recorded: dict[JobRun, set[RecordedStart]] = attrs.Factory(dict)
+
+    def take(self) -> RecordChanges:
+        """Returns the rows of the changed steps; what they no longer name doesn't count."""
+        steps = list(self._dirty)
+        self._taken = {
+            RecordedStart(
+                task=attempt.task,
+                worker=attempt.worker,
+                incarnation_ms=self.born_ms[attempt.worker],
+            )
+            for step in steps
+            for attempt in step.live_attempts()
+        }
+        for step in steps:
+            recorded = self._recorded.get(step.job, set())
+            self._recorded[step.job] = {
+                start for start in recorded if start.task.step is not step or start in self._taken
+            }
+        return super().take()
+
+    def dump_progress(self, run: JobRun) -> bytes:
+        """Returns the progress; entries of tasks that are done in it no longer count."""
+        recorded = {start for start in self._recorded.pop(run, set()) if not start.task.done}
+        if recorded:
+            self._recorded[run] = recorded
+        return super().dump_progress(run)
+
+    def on_stored(self) -> None:
+        """Lets the entries that were taken last count."""
+        for start in self._taken:
+            self._recorded.setdefault(start.task.step.job, set()).add(start)
+        self._taken = set()
+
+    def covering_workers(self, task: TaskRun) -> list[str]:
+        """Returns the workers on which entries cover a task."""
+        recorded = self._recorded.get(task.step.job, ())
+        return sorted({start.worker for start in recorded if start.covers(task)})
+
+
 @attrs.define(kw_only=True)
 class ProgressRecord(NoRecord):
     """The live attempts of a job in the row of its progress.
@@ -270,7 +332,7 @@
         }
 
 
-RECORDS = ("none", "A step", "B progress", "C log", "D worker")
+RECORDS = ("none", "A step", "A with I", "B progress", "C log", "D worker")
 
 
 def make_record(
@@ -279,6 +341,8 @@
     """Returns the candidate with a name of RECORDS."""
     if name == "A step":
         return StepRecord(born_ms=born_ms)
+    if name == "A with I":
+        return CoveringStepRecord(born_ms=born_ms)
     if name == "B progress":
         return ProgressRecord(born_ms=born_ms, dirty_jobs=dirty_jobs)
     if name == "C log":
@@ -286,6 +350,15 @@
     return WorkerRecordRows(born_ms=born_ms) if name == "D worker" else NoRecord()
 
 
+def load_entries(rows: Iterable[Row]) -> Iterable[tuple[TaskId, str]]:
+    """Yields task and worker of each entry in the rows of the steps."""
+    for row in rows:
+        if row.key.table == STARTS_TABLE:
+            job, occurrence, number = row.key.key.split(".")
+            for worker, _, index, _ in json.loads(row.value):
+                yield TaskId(job, int(occurrence), int(number), index), worker
+
+
 def _step_key(step: StepRun) -> RowKey:
     return RowKey(STARTS_TABLE, LEADER_PARTITION, ".".join(map(str, step.id)))
 
--- a/bench/_startstream.py
+++ b/bench/_startstream.py
@@ -5,40 +5,58 @@
 answers after a given time.
 """
 
+import functools
 import heapq
 import itertools
 import json
 import math
 import random
-from collections import deque
+import statistics
+from collections import Counter, deque
 from collections.abc import Callable
 from typing import Any
 
 import attrs
 
-from bench._startrecords import AttemptKey, StartRecord, make_record
+from bench._startrecords import (
+    AttemptKey,
+    CoveringStepRecord,
+    StartRecord,
+    StepRecord,
+    load_entries,
+    make_record,
+)
 from fescuerudder.clock import ManualClock
 from fescuerudder.document import Size
 from fescuerudder.errors import StoreOutcomeUnknownError, StoreUnavailableError
 from fescuerudder.jobs.claim import Heartbeat, dump_row
-from fescuerudder.jobs.job import Job, Step
-from fescuerudder.jobs.jobrun import Attempt, JobRun, JobState, Phase, TaskRun
+from fescuerudder.jobs.job import Job, Step, TaskId
+from fescuerudder.jobs.jobrun import (
+    Attempt,
+    JobRun,
+    JobState,
+    Phase,
+    RecordedStart,
+    StepRun,
+    TaskRun,
+)
 from fescuerudder.jobs.leader import (
     HEARTBEAT_INTERVAL_S,
+    STARTS_WRITE_PAUSE_S,
     STORE_RETRY_S,
+    TICK_INTERVAL_S,
     WRITE_PAUSE_S,
     _resolve_pause_s,
 )
-from fescuerudder.jobs.leaderwriter import ROWS_PER_TXN, WRITE_TIMEOUT_S
+from fescuerudder.jobs.leaderwriter import ENTRIES_PER_TXN, WRITE_TIMEOUT_S
+from fescuerudder.jobs.leases import STORE_OUT_S
 from fescuerudder.jobs.rows import MAX_TXN_ROWS, Row, RowKey, RowTransaction
 from fescuerudder.jobs.scheduleractor import PLAN_PAUSE_S
+from fescuerudder.jobs.startrelease import MAX_RECORD_WAIT_S
 from fescuerudder.jobs.storage import CLAIM_KEY, HEARTBEAT_KEY, progress_key
 from fescuerudder.platform.http import HttpAnswer
 from fescuerudder.platform.store import PlatformStore
 
-START_WRITE_PAUSE_S = 0.02
-"""Pause between two writes while starts wait for their record."""
-
 CONSENT_AFTER_S = 0.3
 """Age of the oldest start that waits at which the leader asks for consent to unrecorded starts."""
 
@@ -88,6 +106,7 @@
         standing: number of long-running tasks that are started before the measurement.
         workers: number of workers.
         failing: share of attempts that fail.
+        is_parallel: the steps of a job run beside each other, not one after another.
         warm_s: time before the measurement.
         measured_s: time of the measurement.
     """
@@ -98,6 +117,7 @@
     standing: int
     workers: int
     failing: float = 0.03
+    is_parallel: bool = False
     warm_s: float = 10.0
     measured_s: float = 30.0
 
@@ -166,6 +186,10 @@
         checks: number of comparisons of the record with the attempts that may run.
         missing: attempts that could run without being on record, over all checks.
         stale: mean number of attempts on record that had ended, without those of done tasks.
+        held: mean number of tasks that a successor would hold back if it reached no worker.
+        held_unsent: mean number of those of which no start order was ever sent.
+        held_unsent_open: mean number of those whose step could start.
+        held_unsent_most: the most of them in one comparison.
         running: mean number of batch tasks that run.
         running_in_outage: the same during the outage, None without one.
     """
@@ -184,6 +208,10 @@
     checks: int = 0
     missing: int = 0
     stale: float = 0.0
+    held: float = 0.0
+    held_unsent: float = 0.0
+    held_unsent_open: float = 0.0
+    held_unsent_most: int = 0
     running: float = 0.0
     running_in_outage: float | None = None
 
@@ -198,6 +226,8 @@
         seed: seed of the stream.
         start_pause_s: pause between two writes while starts wait, in seconds.
         consents: the followers consent to unrecorded starts while the store doesn't answer soon.
+        worker_room: number of batch tasks up to which a worker takes covered starts while the store
+            is out, None for any number. Other starts go to random workers.
     """
 
     def __init__(
@@ -207,12 +237,14 @@
         store: StoreModel,
         record: str,
         seed: int,
-        start_pause_s: float = START_WRITE_PAUSE_S,
+        start_pause_s: float = STARTS_WRITE_PAUSE_S,
         consents: bool = False,
+        worker_room: int | None = None,
     ) -> None:
         self._stream, self._model = stream, store
         self._start_pause_s = start_pause_s
         self._consents = consents
+        self._worker_room = worker_room
         self._sends_unrecorded = False
         self._in_write: list[tuple[Attempt, float]] = []
         self._write_began_s = 0.0
@@ -226,6 +258,14 @@
         born_ms = {name: BORN_MS + 137 * k for k, name in enumerate(self._workers)}
         self._dirty: dict[JobRun, None] = {}
         self._record: StartRecord = make_record(record, born_ms=born_ms, dirty_jobs=self._dirty)
+        self._covers = isinstance(self._record, CoveringStepRecord)
+        self._has_new_entries = False
+        self._confirmed_s = 0.0
+        self._first_planned_s: dict[TaskRun, float] = {}
+        self._on_worker: Counter[str] = Counter()
+        self._started: set[TaskRun] = set()
+        self._runs: dict[str, JobRun] = {}
+        self._held: list[tuple[int, int, int]] = []
         self._ready: deque[TaskRun] = deque()
         self._live_jobs: dict[JobRun, None] = {}
         self._free = stream.room
@@ -253,6 +293,8 @@
         self._after(CHECK_INTERVAL_S, self._check)
         if self._consents:
             self._after(POLL_S, self._send_unrecorded)
+        if self._covers:
+            self._after(TICK_INTERVAL_S, self._tick)
         self._run_until(self._stream.warm_s)
         before = vars(self._http).copy()
         self._is_measured = True
@@ -282,8 +324,10 @@
             left -= 6
             for task in run.tasks():
                 self._sent[self._begin(task)] = None
+                self._started.add(task)
             self._dirty[run] = None
             self._apply(self._next_batch())
+            self._record.on_stored()
         self._in_write.clear()
 
     def _await_job(self, kind: JobKind) -> None:
@@ -298,16 +342,20 @@
         for number in range(count):
             width = min(MAX_WIDTH, max(1, round(rng.expovariate(1 / kind.width))))
             run_ms = int(1000 * kind.run_s * rng.uniform(0.5, 1.5))
-            after = (number - 1,) if number else ()
+            after = (number - 1,) if number and not self._stream.is_parallel else ()
             steps.append(Step(count=width, size=Size(), estimated_ms=run_ms, after=after))
         run = self._new_job(tuple(steps))
         self._live_jobs[run] = None
-        self._ready.extend(run.steps[(0, 0)].tasks)
+        for step in run.steps.values():
+            if not step.spec.after:
+                self._ready.extend(step.tasks)
         self._plan_soon()
 
     def _new_job(self, steps: tuple[Step, ...]) -> JobRun:
         job = Job(id=f"{self._arrivals.getrandbits(64):016x}", queue="q", payload="", steps=steps)
-        return JobRun.create(job=job, version=1, received_s=self._clock.now_s())
+        run = JobRun.create(job=job, version=1, received_s=self._clock.now_s())
+        self._runs[job.id] = run
+        return run
 
     def _plan_soon(self) -> None:
         if not self._plan_due:
@@ -318,20 +366,71 @@
         self._plan_due = False
         now_s = self._clock.now_s()
         self._next_plan_s = now_s + PLAN_PAUSE_S
+        if self._covers and now_s - self._confirmed_s >= STORE_OUT_S:
+            self._withdraw_overdue(now_s)
+            self._plan_covered(now_s)
+            return
         while self._ready and self._free:
             self._free -= 1
             task = self._ready.popleft()
             task.step.job.begun, task.step.job.state = True, JobState.RUNNING
             attempt = self._begin(task)
-            if not self._record.waits or self._sends_unrecorded:
+            if not self._waits(attempt):
                 self._send(attempt, now_s)
 
-    def _begin(self, task: TaskRun) -> Attempt:
+    def _tick(self) -> None:
+        self._after(TICK_INTERVAL_S, self._tick)
+        self._plan_soon()
+
+    def _withdraw_overdue(self, now_s: float) -> None:
+        """Withdraws the starts that have waited too long for their records, as the product does."""
+        overdue = [
+            item
+            for item in self._in_write + self._waiting
+            if now_s - item[1] >= MAX_RECORD_WAIT_S - 1e-9
+        ]
+        for attempt, planned_s in reversed(overdue):
+            attempt.task.attempts.remove(attempt)
+            self._first_planned_s.setdefault(attempt.task, planned_s)
+            self._free += 1
+            self._ready.appendleft(attempt.task)
+        self._in_write = [item for item in self._in_write if item not in overdue]
+        self._waiting = [item for item in self._waiting if item not in overdue]
+
+    def _plan_covered(self, now_s: float) -> None:
+        """Starts the tasks that a stored record covers, as the product does in an outage."""
+        left: deque[TaskRun] = deque()
+        for task in self._ready:
+            # A restart after an end that may be unknown to a later leader waits for the store.
+            is_safe = task.last_end_s <= self._confirmed_s
+            workers = [
+                worker
+                for worker in (self._record.covering_workers(task) if self._free else ())
+                if self._worker_room is None or self._on_worker[worker] < self._worker_room
+            ]
+            if self._free:
+                self._first_planned_s.setdefault(task, now_s)
+            if not workers or not is_safe:
+                left.append(task)
+                continue
+            self._free -= 1
+            task.step.job.begun, task.step.job.state = True, JobState.RUNNING
+            self._send(self._begin(task, workers[0]), now_s)
+        self._ready = left
+
+    def _waits(self, attempt: Attempt) -> bool:
+        """Returns whether a start has to wait for a record."""
+        if not self._record.waits or self._sends_unrecorded:
+            return False
+        return attempt.worker not in self._record.covering_workers(attempt.task)
+
+    def _begin(self, task: TaskRun, worker: str = "") -> Attempt:
+        """Adds an attempt of a task, on a random worker if none is given."""
         now_s = self._clock.now_s()
         task.last_number = max(task.last_number + 1, 20_001)
         attempt = Attempt(
             task=task,
-            worker=self._draws(task).choice(self._workers),
+            worker=worker or self._draws(task).choice(self._workers),
             number=task.last_number,
             phase=Phase.STARTING,
             token=3_000_000,
@@ -339,8 +438,9 @@
         )
         task.attempts.append(attempt)
         self._record.on_start(attempt)
-        if self._record.waits and not self._sends_unrecorded:
+        if self._waits(attempt):
             self._waiting.append((attempt, now_s))
+        self._has_new_entries = self._covers
         return attempt
 
     def _send_unrecorded(self) -> None:
@@ -361,8 +461,11 @@
 
     def _send(self, attempt: Attempt, planned_s: float) -> None:
         self._sent[attempt] = None
+        self._started.add(attempt.task)
         self._running += 1
+        self._on_worker[attempt.worker] += 1
         self._sample()
+        planned_s = self._first_planned_s.pop(attempt.task, planned_s)
         if self._is_measured:
             self.result.delays_s.append(self._clock.now_s() - planned_s)
         rng = self._draws(attempt.task)
@@ -376,7 +479,9 @@
         del self._sent[attempt]
         self._free += 1
         self._running -= 1
+        self._on_worker[attempt.worker] -= 1
         self._sample()
+        task.last_end_s = self._clock.now_s()
         if fails:
             run.record_failure(task, attempt=attempt.number, max_failures=math.inf)
             self._ready.append(task)
@@ -385,8 +490,9 @@
         self._dirty[run] = None
         self._record.on_end(attempt)
         step = task.step
-        if step.is_done and (0, step.number + 1) in run.steps:
-            self._ready.extend(run.steps[(0, step.number + 1)].tasks)
+        following = run.steps.get((0, step.number + 1))
+        if step.is_done and following is not None and following.spec.after:
+            self._ready.extend(following.tasks)
         if run.state.is_final:
             self._live_jobs.pop(run)
             if self._is_measured:
@@ -404,7 +510,7 @@
         waited_s = self._clock.now_s() - self._idle_since_s + 1e-9
         is_due = (
             (self._waiting and waited_s >= self._start_pause_s)
-            or (self._dirty and waited_s >= WRITE_PAUSE_S)
+            or ((self._dirty or self._has_new_entries) and waited_s >= WRITE_PAUSE_S)
             or waited_s >= WRITE_PAUSE_S + HEARTBEAT_INTERVAL_S
         )
         if is_due:
@@ -418,6 +524,7 @@
         puts = {progress_key(run.job.id): self._record.dump_progress(run) for run in self._dirty}
         puts |= changes.puts
         self._dirty.clear()
+        self._has_new_entries = False
         self._in_write, self._waiting = self._waiting, []
         assert all(len(value) <= MAX_ROW_BYTES for value in puts.values()), "row too large"
         return self._split(puts, changes.deletes)
@@ -428,7 +535,7 @@
         size = 0
         for item in [*puts.items(), *((key, None) for key in deletes)]:
             item_size = 120 + (len(item[1]) * 4 // 3 if item[1] else 0)
-            if len(parts[-1]) >= ROWS_PER_TXN or size + item_size > MAX_TXN_BYTES * 0.9:
+            if len(parts[-1]) >= ENTRIES_PER_TXN or size + item_size > MAX_TXN_BYTES * 0.9:
                 parts.append([])
                 size = 0
             parts[-1].append(item)
@@ -466,7 +573,8 @@
         sent_s = self._http.last_bytes / self._model.bytes_per_s
         txn_s = slow_s if is_out and slow_s is not None else self._model.answer_s
         answer_s = 2 * self._model.one_way_s + txn_s + sent_s
-        self._after(answer_s, lambda: self._on_answer(batch, txn))
+        sent_at_s = self._clock.now_s()
+        self._after(answer_s, lambda: self._on_answer(batch, txn, sent_at_s))
 
     def _is_out(self) -> bool:
         if self._model.outage is None:
@@ -474,11 +582,15 @@
         first_s, end_s = self._model.outage
         return first_s <= self._clock.now_s() - self._stream.warm_s < end_s
 
-    def _on_answer(self, batch: list[RowTransaction], txn: RowTransaction) -> None:
+    def _on_answer(
+        self, batch: list[RowTransaction], txn: RowTransaction, sent_at_s: float
+    ) -> None:
         self._apply([txn])
+        self._confirmed_s = sent_at_s
         if batch:
             self._write(batch, unanswered=0)
             return
+        self._record.on_stored()
         for attempt, planned_s in self._in_write:
             self._send(attempt, planned_s)
         self._in_write.clear()
@@ -503,14 +615,49 @@
             return
         live = {_key_of(attempt) for attempt in self._sent}
         found = self._record.load(self._rows.values())
-        self.result.missing += len(live - found)
-        self._checks.append(len([key for key in found - live if not self._is_done(key)]))
+        holders = self._holders()
+        self.result.missing += sum(
+            _key_of(attempt) not in found and attempt.worker not in holders.get(attempt.task, ())
+            for attempt in self._sent
+        )
+        self._checks.append(len([key for key in found - live if not self._is_done(key[0])]))
+        unsent = [task for task in holders if task not in self._started]
+        is_open = [task for task in unsent if self._may_open(task.step)]
+        self._held.append((len(holders), len(unsent), len(is_open)))
+
+    def _holders(self) -> dict[TaskRun, set[str]]:
+        """Returns the tasks that a successor holds back, each with the workers that it waits for.
+
+        Empty for records of which this isn't known.
+        """
+        holders: dict[TaskRun, set[str]] = {}
+        if not isinstance(self._record, StepRecord):
+            return holders
+        for task_id, worker in load_entries(self._rows.values()):
+            run = self._runs[task_id.job]
+            task = run.task(task_id)
+            assert task is not None
+            if self._is_done(task_id):
+                continue
+            start = RecordedStart(task=task, worker=worker, incarnation_ms=0)
+            others = run.tasks() if self._covers else (task,)
+            for other in others:
+                if start.covers(other) and not self._is_done(other.id):
+                    holders.setdefault(other, set()).add(worker)
+        return holders
+
+    def _may_open(self, step: StepRun) -> bool:
+        """Returns whether a successor would start tasks of a step, by the stored progress."""
+        return all(
+            self._is_done(task.id)
+            for number in step.spec.after
+            for task in step.job.steps[(0, number)].tasks
+        )
 
-    def _is_done(self, key: AttemptKey) -> bool:
-        """Returns whether the stored progress shows the task, or its job, as done."""
-        task = key[0]
+    def _is_done(self, task: TaskId) -> bool:
+        """Returns whether the stored progress shows a task, or its job, as done."""
         row = self._rows.get(progress_key(task.job))
-        progress = json.loads(row.value) if row is not None else {}
+        progress = _load_progress(row.value) if row is not None else {}
         if progress.get("state") == JobState.COMPLETED.value:
             return True
         step = progress.get("steps", {}).get(f"{task.occurrence}.{task.step}", {})
@@ -529,11 +676,20 @@
         result.pages = math.ceil(max(len(rows) / PAGE_ROWS, result.stored_bytes * 4 / 3 / 1e6))
         result.checks = len(self._checks)
         result.stale = sum(self._checks) / len(self._checks) if self._checks else 0.0
+        if self._held:
+            columns = [list(column) for column in zip(*self._held, strict=True)]
+            result.held, result.held_unsent, result.held_unsent_open = map(statistics.mean, columns)
+            result.held_unsent_most = max(columns[1])
         result.running = _mean_level(self._samples, 0.0, seconds)
         if self._model.outage is not None:
             result.running_in_outage = _mean_level(self._samples, *self._model.outage)
 
 
+@functools.lru_cache(maxsize=4096)
+def _load_progress(value: bytes) -> Any:
+    return json.loads(value)
+
+
 def _key_of(attempt: Attempt) -> AttemptKey:
     return attempt.task.id, attempt.number
 
--- a/bench/starts_experiment.py
+++ b/bench/starts_experiment.py
@@ -1,7 +1,7 @@
 """Experiment: what a record of starts costs the store and the starts, by candidate.
 
-docs/starts.md describes the candidates. A to D are played in a simulation of the leader's writer,
-E (no record, shorter leases) in the simulation of jobs.
+docs/starts.md describes the candidates. A to D and I are played in a simulation of the leader's
+writer, E (no record, shorter leases) in the simulation of jobs.
 """
 
 import json
@@ -37,6 +37,10 @@
 FULL = attrs.evolve(ASCCL, name="asccl-sched, full", room=120)
 """The same with too little room, so that tasks start one by one, each when another one ends."""
 
+PARALLEL = attrs.evolve(ASCCL, name="asccl-sched, parallel", is_parallel=True)
+"""The same with steps that run beside each other, so that candidate I covers tasks that could start
+on any worker."""
+
 TARGET = Stream(
     name="target",
     kinds=(JobKind(per_s=25.0, steps=2.0, width=8.0, run_s=25.0),),
@@ -74,10 +78,15 @@
 PLAYS = (
     *((ASCCL, store) for store in (BESIDE, REGION, SLOW, BRIEFLY_SLOW, SILENT, REFUSING)),
     (FULL, BESIDE),
+    *((PARALLEL, store) for store in (BESIDE, REFUSING)),
     *((TARGET, store) for store in (BESIDE, REGION)),
     *((WIDE, store) for store in (BESIDE, REGION)),
 )
 
+WORKER_ROOM = 4
+"""Tasks that a worker takes in a play of candidate I with little room: the room of asccl-sched
+divided by its workers, rounded up."""
+
 START_PAUSES_S = (0.0, 0.05)
 """Other pauses between the writes of candidate A while starts wait."""
 
@@ -89,6 +98,9 @@
     for stream, store in PLAYS:
         for record in RECORDS:
             yield context | _play(stream, store, record, seed=seed)
+        if stream is ASCCL and store in (SILENT, REFUSING):
+            line = _play(stream, store, "A with I", seed=seed, worker_room=WORKER_ROOM)
+            yield context | line | {"candidate": f"A with I, {WORKER_ROOM} a worker"}
         if stream is ASCCL and store in (SLOW, BRIEFLY_SLOW, SILENT, REFUSING):
             line = _play(stream, store, "A step", seed=seed, consents=True)
             yield context | line | {"candidate": "A with G"}
@@ -131,6 +143,10 @@
         "checks": result.checks,
         "missing": result.missing,
         "stale": round(result.stale, 1),
+        "held": round(result.held, 1),
+        "held_unsent": round(result.held_unsent, 1),
+        "held_unsent_open": round(result.held_unsent_open, 1),
+        "held_unsent_most": result.held_unsent_most,
         "running": round(result.running, 1),
         "running_in_outage": (
             None if result.running_in_outage is None else round(result.running_in_outage, 1)
@@ -147,7 +163,7 @@
 HEADERS = (
     "stream", "store", "candidate", "starts/s", "tx/s", "rows/s", "kB/s", "largest kB",
     "delay ms, median", "p95", "most", "job s", "rows kept", "kB kept", "stale", "missing",
-    "running", "in outage",
+    "running", "in outage", "held", "unsent", "open",
 )  # fmt: skip
 
 
@@ -165,6 +181,7 @@
                 delay["median"], delay["p95"], delay["most"], line["job_s"], line["stored_rows"],
                 line["stored_kb"], line["stale"], line["missing"], line["running"],
                 "" if line["running_in_outage"] is None else line["running_in_outage"],
+                line["held"], line["held_unsent"], line["held_unsent_open"],
             )
         )  # fmt: skip
     return _markdown(rows) + "\n\n" + _markdown(_lease_rows(lines))
