--- a/bench/_jobsimulation.py
+++ b/bench/_jobsimulation.py
@@ -115,6 +115,7 @@
         self.scheduler.set_manifest(sim.manifest)
         restore_scheduler(self.scheduler, loaded)
         self.writer.store_clock = loaded.store_clock
+        self.writer.inherited_until_ms = loaded.inherited_until_ms(claimed_s=sim.clock.now_s())
         self.writer.starts_recorded = self.scheduler.state.starts_recorded
         self.scheduler.set_workers(sim.registry())
         self.feed = loaded.version
--- a/fescuerudder/jobs/jobrun.py
+++ b/fescuerudder/jobs/jobrun.py
@@ -298,10 +298,13 @@
     def covers(self, task: TaskRun) -> bool:
         """Returns whether a task of the same job may start on the worker without a record.
 
-        These are the same task and the one with the same index in any other step, so the record
-        also tells a successor of them. A step with more tasks begins again with the first index.
+        These are the same task and the one with the same index in any other step of the
+        occurrence, so the record also tells a successor of them. A step with more tasks begins
+        again with the first index.
         """
-        return task.id.index % len(self.task.step.tasks) == self.task.id.index
+        own = self.task.id
+        is_same_index = task.id.index % len(self.task.step.tasks) == own.index
+        return is_same_index and task.id.occurrence == own.occurrence
 
 
 @attrs.define(eq=False, kw_only=True)
--- a/fescuerudder/jobs/leader.py
+++ b/fescuerudder/jobs/leader.py
@@ -218,6 +218,9 @@
         scheduler.set_zones_out(view.zones_out)
         restore_scheduler(scheduler, loaded)
         self._writer.store_clock = loaded.store_clock
+        self._writer.inherited_until_ms = loaded.inherited_until_ms(
+            claimed_s=self._writer.bounded_s
+        )
         self._writer.starts_recorded = scheduler.state.starts_recorded
         scheduler.set_workers(self._registry.read())
         self._publish(scheduler.stored_states.copy(), scheduler.pending())
--- a/fescuerudder/jobs/leaderwriter.py
+++ b/fescuerudder/jobs/leaderwriter.py
@@ -64,6 +64,7 @@
         confirmed_s: when the last transaction that is known to be stored was sent.
         starts_recorded: what the heartbeats say of the records of starts.
         store_clock: reading of the store's clock, None to store no bounds on leases.
+        inherited_until_ms: when the leases of earlier leaders have ended, on the store's clock.
         bounded_s: when the last bound that is known to be stored was made; the claim counts as one.
     """
 
@@ -85,6 +86,7 @@
         self.confirmed_s = clock.now_s()
         self.starts_recorded = False
         self.store_clock: StoreClock | None = None
+        self.inherited_until_ms = 0
         self.bounded_s = clock.now_s()
         self._next_bound_s = -math.inf
         self._unresolved_bound_s: float | None = None
@@ -144,7 +146,7 @@
         if self.store_clock is None or now_s < self._next_bound_s:
             return []
         self._unresolved_bound_s = now_s
-        until_ms = self.store_clock.latest_ms(now_s + BOUND_S)
+        until_ms = max(self.store_clock.latest_ms(now_s + BOUND_S), self.inherited_until_ms)
         bound = LeaseBound(epoch=self._claim.epoch, until_ms=until_ms)
         return [(LEASES_KEY, dump_row(bound))]
 
--- a/fescuerudder/jobs/reports.py
+++ b/fescuerudder/jobs/reports.py
@@ -101,7 +101,9 @@
                 # An answer of the last incarnation says nothing about this one.
                 attempt.phase, attempt.confirmed_s = Phase.UNCERTAIN, None
                 record.attempts[(attempt.task.id, attempt.number)] = attempt
-                record.resolved_by_s = max(record.resolved_by_s, attempt.sent_s + MAX_ORDER_DELAY_S)
+                if not attempt.restored:
+                    until_s = attempt.sent_s + MAX_ORDER_DELAY_S
+                    record.resolved_by_s = max(record.resolved_by_s, until_s)
             else:
                 self._state.requeue(
                     attempt, checkpoint=attempt.checkpoint, reason="worker born again"
--- a/fescuerudder/jobs/rosterkeeper.py
+++ b/fescuerudder/jobs/rosterkeeper.py
@@ -18,6 +18,7 @@
 from fescuerudder.jobs.rows import StoreClock
 from fescuerudder.jobs.schedulerstate import SchedulerState
 from fescuerudder.jobs.startrecords import StepStarts, StoredStarts
+from fescuerudder.jobs.storage import starts_key
 from fescuerudder.jobs.workerport import WorkerInfo
 from fescuerudder.jobs.workerrecord import WorkerClock, WorkerRecord
 
@@ -105,7 +106,8 @@
                 record.resolved, record.may_run_unknown = True, False
             if entry.only_attempts is not None and not self._state.starts_recorded:
                 self._restore_listed_attempts(record, entry.only_attempts, now_s)
-        self._state.obsolete_records += starts.obsolete
+        self._state.obsolete_records.update(dict.fromkeys(map(starts_key, starts.obsolete)))
+        self._state.unreadable_records.update(dict.fromkeys(starts.unreadable))
         for recorded in starts.steps:
             self._restore_recorded_attempts(recorded, now_s)
 
@@ -139,10 +141,13 @@
         Those on a worker that is not on the roster have ended, else it would still be there.
         """
         step = self._state.find_step(recorded.step)
-        if step is None or step.is_done:
-            self._state.obsolete_records.append(recorded.step)
+        if step is None:
+            self._state.obsolete_records[starts_key(recorded.step)] = None
+            return
+        self._state.recorded_steps.add(step)
+        if step.is_done:
+            self._state.drop_record(step)
             return
-        self._state.recorded_steps.add(recorded.step)
         for start in recorded.starts if self._state.starts_recorded else ():
             record, task = self._state.workers.get(start.worker), step.task(start.index)
             if record is None or task is None or task.done:
--- a/fescuerudder/jobs/scheduler.py
+++ b/fescuerudder/jobs/scheduler.py
@@ -382,8 +382,7 @@
         now_s = self._clock.now_s()
         self._expire(now_s)
         self._planner.update_margins(now_s)
-        if self._leases.is_store_out(now_s):
-            self._releaser.withdraw_overdue(now_s)
+        self._releaser.withdraw_overdue(now_s)
         orders: list[Order] = []
         self._mark_evictions(now_s)
         self._mark_throttled_moves(now_s)
--- a/fescuerudder/jobs/schedulerstate.py
+++ b/fescuerudder/jobs/schedulerstate.py
@@ -13,6 +13,8 @@
 from fescuerudder.jobs.knowledge import Knowledge
 from fescuerudder.jobs.load import Load
 from fescuerudder.jobs.manifest import Manifest, Pool, Queue
+from fescuerudder.jobs.rows import RowKey
+from fescuerudder.jobs.startrecords import record_keys
 from fescuerudder.jobs.urgency import JobSizes
 from fescuerudder.jobs.workerhealth import WorkerHealth
 from fescuerudder.jobs.workerrecord import WorkerRecord
@@ -83,7 +85,9 @@
         planned: attempts whose start orders were not sent yet, in the order of their plans.
         unrecorded_steps: steps of which an attempt may be in no stored record.
         recorded_steps: steps of which the store may hold a record that is still needed.
-        obsolete_records: steps of which the store may hold a record that is no longer needed.
+        obsolete_records: keys of records that the store may hold and that are no longer needed.
+        unreadable_records: keys of records that can't be read, and that are deleted once all
+            attempts are known.
         starts_recorded: every attempt of an earlier leader that may run is known, and is in a
             record or in one of unrecorded_steps.
     """
@@ -103,8 +107,9 @@
     roster_changed: bool = False
     planned: dict[Attempt, None] = attrs.Factory(dict)
     unrecorded_steps: dict[StepRun, None] = attrs.Factory(dict)
-    recorded_steps: set[StepId] = attrs.Factory(set)
-    obsolete_records: list[StepId] = attrs.Factory(list)
+    recorded_steps: set[StepRun] = attrs.Factory(set)
+    obsolete_records: dict[RowKey, None] = attrs.Factory(dict)
+    unreadable_records: dict[RowKey, None] = attrs.Factory(dict)
     starts_recorded: bool = False
     job_sizes: JobSizes = attrs.Factory(JobSizes)
     advice: AdviceCache = attrs.field(init=False)
@@ -303,11 +308,15 @@
             if (record := self.workers.get(start.worker)) is not None
         )
 
+    def drop_record(self, step: StepRun) -> None:
+        """Marks the record of a step as no longer needed."""
+        self.unrecorded_steps.pop(step, None)
+        if step in self.recorded_steps:
+            self.recorded_steps.remove(step)
+            self.obsolete_records.update(dict.fromkeys(record_keys(step)))
+
     def close_steps(self, steps: Iterable[StepRun]) -> None:
         """Removes steps that have nothing left to start."""
         for step in steps:
             self.open_steps.pop(step, None)
-            self.unrecorded_steps.pop(step, None)
-            if step.id in self.recorded_steps:
-                self.recorded_steps.remove(step.id)
-                self.obsolete_records.append(step.id)
+            self.drop_record(step)
--- a/fescuerudder/jobs/startrecords.py
+++ b/fescuerudder/jobs/startrecords.py
@@ -13,7 +13,12 @@
 from fescuerudder.jobs.job import StepId
 from fescuerudder.jobs.jobrun import StepRun
 from fescuerudder.jobs.progress import StoredFormError
-from fescuerudder.jobs.storage import parse_starts_key
+from fescuerudder.jobs.rows import RowKey
+from fescuerudder.jobs.storage import parse_starts_key, starts_key
+
+TASKS_PER_ROW = 400
+"""Number of tasks whose attempts one row holds, so that it fits into the store's limit of 64 kB
+also with two copies of each."""
 
 
 @attrs.frozen(kw_only=True)
@@ -35,11 +40,11 @@
 
 @attrs.frozen(kw_only=True)
 class StepStarts:
-    """The recorded starts of one step.
+    """The recorded starts of one step, or of some of its tasks.
 
     Args:
         step: the step.
-        starts: its live attempts when the record was written.
+        starts: the live attempts when the record was written.
     """
 
     step: StepId
@@ -53,28 +58,47 @@
     Args:
         steps: the records of steps of live jobs.
         obsolete: steps of ended jobs whose records are left over.
+        unreadable: keys of the rows that can't be read.
         is_complete: the records tell of every attempt that earlier leaders may have started.
     """
 
     steps: tuple[StepStarts, ...] = ()
     obsolete: tuple[StepId, ...] = ()
+    unreadable: tuple[RowKey, ...] = ()
     is_complete: bool = False
 
 
-def dump_starts(step: StepRun, others: Iterable[StoredStart] = ()) -> bytes:
-    """Returns the serialized live attempts of a step, grouped by the incarnation of the worker.
+def dump_starts(step: StepRun, others: Iterable[StoredStart] = ()) -> dict[RowKey, bytes]:
+    """Returns the rows of a step's record, each with the live attempts of some tasks.
 
     Args:
         step: the step.
         others: further attempts that earlier leaders may have started.
     """
-    groups: dict[tuple[str, int], list[list[int]]] = {}
-    for attempt in step.live_attempts():
-        group = groups.setdefault((attempt.worker, attempt.incarnation_ms), [])
-        group.append([attempt.task.id.index, attempt.number])
-    for start in others:
-        group = groups.setdefault((start.worker, start.incarnation_ms), [])
-        group.append([start.index, start.number])
+    live = (
+        StoredStart(
+            worker=attempt.worker,
+            incarnation_ms=attempt.incarnation_ms,
+            index=attempt.task.id.index,
+            number=attempt.number,
+        )
+        for attempt in step.live_attempts()
+    )
+    keys = record_keys(step)
+    groups: list[dict[tuple[str, int], list[list[int]]]] = [{} for _ in keys]
+    for start in (*live, *others):
+        group = groups[start.index // TASKS_PER_ROW]
+        starts = group.setdefault((start.worker, start.incarnation_ms), [])
+        starts.append([start.index, start.number])
+    return {key: _dump_row(group) for key, group in zip(keys, groups, strict=True)}
+
+
+def record_keys(step: StepRun) -> list[RowKey]:
+    """Returns the keys of the rows of a step's record."""
+    return [starts_key(step.id, row) for row in range(-(-len(step.tasks) // TASKS_PER_ROW))]
+
+
+def _dump_row(groups: dict[tuple[str, int], list[list[int]]]) -> bytes:
     rows = [[worker, born_ms, starts] for (worker, born_ms), starts in groups.items()]
     return json.dumps(rows, separators=(",", ":")).encode()
 
--- a/fescuerudder/jobs/startrelease.py
+++ b/fescuerudder/jobs/startrelease.py
@@ -5,7 +5,7 @@
 go on starting tasks while the store is out.
 """
 
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 
 import attrs
 
@@ -15,7 +15,6 @@
 from fescuerudder.jobs.rows import RowKey
 from fescuerudder.jobs.schedulerstate import SchedulerState
 from fescuerudder.jobs.startrecords import StoredStart, dump_starts
-from fescuerudder.jobs.storage import starts_key
 from fescuerudder.jobs.workerport import StartOrder
 from fescuerudder.jobs.workerrecord import WorkerRecord
 
@@ -23,6 +22,9 @@
 """Time for which a start waits for its record while the store is out; its task may go to a worker
 that needs none then."""
 
+RECORD_LIMIT_S = 5.0
+"""The same while the store answers, unless the event that says so was lost."""
+
 
 @attrs.frozen(kw_only=True)
 class PendingStarts:
@@ -71,25 +73,43 @@
                 then are no longer named.
         """
         state = self._state
+        for run in progressed:
+            self._drop_records_of_ended(run)
         runs = dict.fromkeys([*progressed, *(step.job for step in state.unrecorded_steps)])
         held = self._held_starts(runs)
         state.unrecorded_steps.update(dict.fromkeys(held))
         recorded = {step: _live_starts(step) for step in state.unrecorded_steps}
-        pending = PendingStarts(
-            rows={starts_key(step.id): dump_starts(step, held.get(step, ())) for step in recorded},
-            deletes=tuple(starts_key(step) for step in state.obsolete_records),
-            recorded=recorded,
-        )
+        rows: dict[RowKey, bytes] = {}
+        for step in recorded:
+            rows |= dump_starts(step, held.get(step, ()))
+        pending = PendingStarts(rows=rows, deletes=self._take_deletes(rows), recorded=recorded)
         for step, starts in recorded.items():
             kept = {s for s in step.job.recorded_starts if s.task.step is not step or s in starts}
             step.job.recorded_starts = kept
         for run in progressed:
             run.recorded_starts = {s for s in run.recorded_starts if not s.task.done}
-        state.recorded_steps.update(step.id for step in recorded)
+        state.recorded_steps.update(recorded)
         state.unrecorded_steps.clear()
-        state.obsolete_records.clear()
         return pending
 
+    def _take_deletes(self, rows: Container[RowKey]) -> tuple[RowKey, ...]:
+        """Returns the keys of the records to delete, unless they are being written."""
+        state = self._state
+        keys = list(state.obsolete_records)
+        state.obsolete_records.clear()
+        for key in [key for key in state.unreadable_records if key in rows]:
+            del state.unreadable_records[key]
+        if state.starts_recorded:
+            keys += state.unreadable_records
+            state.unreadable_records.clear()
+        return tuple(key for key in keys if key not in rows)
+
+    def _drop_records_of_ended(self, run: JobRun) -> None:
+        """Drops the records of an ended job, of which some steps may never have been opened."""
+        if not run.is_live:
+            for step in [step for step in run.steps.values() if step in self._state.recorded_steps]:
+                self._state.drop_record(step)
+
     def _held_starts(self, runs: Iterable[JobRun]) -> dict[StepRun, list[StoredStart]]:
         """Returns what an earlier leader may have started where a task that is now done covered it.
 
@@ -150,8 +170,9 @@
 
     def withdraw_overdue(self, now_s: float) -> None:
         """Withdraws the starts that have waited too long for their records."""
+        limit_s = MAX_RECORD_WAIT_S if self._leases.is_store_out(now_s) else RECORD_LIMIT_S
         for attempt in list(self._state.planned):
-            if now_s - attempt.sent_s >= MAX_RECORD_WAIT_S:
+            if now_s - attempt.sent_s >= limit_s:
                 self._state.withdraw(attempt, reason="record not stored")
 
     def _outdated_reason(self, attempt: Attempt) -> str:
--- a/fescuerudder/jobs/starts.py
+++ b/fescuerudder/jobs/starts.py
@@ -94,22 +94,37 @@
         self, waiting: dict[StepRun, list[TaskRun]], loads: list[Load], now_s: float
     ) -> None:
         """Starts tasks where a stored record covers them, as no other can be stored now."""
-        by_worker = {load.record.id: load for load in loads}
+        by_life = {(load.record.id, load.record.info.incarnation_ms): load for load in loads}
         for step in sorted(waiting, key=lambda s: self._urgency(s, now_s)):
             queue = self._queue(step)
-            for task in () if queue is None or step.spec.gang else waiting[step]:
+            if queue is None or step.spec.gang:
+                continue
+            recorded = [
+                (start, load)
+                for start in step.job.recorded_starts
+                if start.task.id.occurrence == step.occurrence
+                and (load := by_life.get((start.worker, start.incarnation_ms))) is not None
+            ]
+            for task in waiting[step] if recorded else ():
                 covering = [
                     load
-                    for start in step.job.recorded_starts
-                    if start.covers(task)
-                    and (load := by_worker.get(start.worker)) is not None
-                    and load.record.info.incarnation_ms == start.incarnation_ms
+                    for start, load in recorded
+                    if start.covers(task) and self._suits(task, load.record, now_s)
                 ]
                 eligible = self._eligible_with_permit(step, queue, covering)
-                if eligible and self.is_restart_safe(task):
+                if eligible:
                     demand = self._demand(step, 1, queue, now_s)
                     self._plan_starts([task], choose_workers(demand, eligible), now_s)
 
+    def _suits(self, task: TaskRun, record: WorkerRecord, now_s: float) -> bool:
+        """Returns whether a task may be started on a worker, as far as its own past says."""
+        avoided = task.avoided_workers | {attempt.worker for attempt in task.attempts}
+        return (
+            self.is_restart_safe(task)
+            and record.id not in avoided
+            and may_start_beside(task, record, now_s)
+        )
+
     def _restart_long_running(
         self, waiting: dict[StepRun, list[TaskRun]], loads: list[Load], now_s: float
     ) -> None:
--- a/fescuerudder/jobs/storage.py
+++ b/fescuerudder/jobs/storage.py
@@ -64,9 +64,10 @@
     return RowKey(PROGRESS_TABLE, LEADER_PARTITION, job_id)
 
 
-def starts_key(step: StepId) -> RowKey:
-    """Returns the key of the row that records the starts of a step."""
-    return RowKey(STARTS_TABLE, LEADER_PARTITION, f"{step.job}.{step.occurrence}.{step.step}")
+def starts_key(step: StepId, row: int = 0) -> RowKey:
+    """Returns the key of a row that records starts of a step; wide steps have several rows."""
+    name = f"{step.job}.{step.occurrence}.{step.step}"
+    return RowKey(STARTS_TABLE, LEADER_PARTITION, f"{name}.{row}" if row else name)
 
 
 def job_of(key: RowKey) -> str:
@@ -80,5 +81,7 @@
     Raises:
         ValueError: the key names no step.
     """
-    job, occurrence, step = key.rsplit(".", 2)
+    job, occurrence, step, *rows = key.split(".")
+    if len(rows) > 1:
+        raise ValueError("malformed key of a record")
     return StepId(job, int(occurrence), int(step))
--- a/fescuerudder/jobs/takeover.py
+++ b/fescuerudder/jobs/takeover.py
@@ -10,6 +10,7 @@
 from fescuerudder.jobs.claim import load_heartbeat, load_lease_bound
 from fescuerudder.jobs.job import Job
 from fescuerudder.jobs.jobrun import JobRun, JobState
+from fescuerudder.jobs.leases import PREDECESSOR_LEASES_S
 from fescuerudder.jobs.progress import (
     StoredFormError,
     StoredJob,
@@ -69,6 +70,15 @@
     store_clock: StoreClock | None = None
     leases_until_ms: int | None = None
 
+    def inherited_until_ms(self, *, claimed_s: float) -> int:
+        """Returns when all leases of earlier leaders have ended at the latest.
+
+        It is a time on the store's clock, 0 if the store told none.
+        """
+        if self.leases_until_ms is not None or self.store_clock is None:
+            return self.leases_until_ms or 0
+        return self.store_clock.latest_ms(claimed_s + PREDECESSOR_LEASES_S)
+
 
 def load_stored_state(
     *, store: RowStore, clock: Clock, wall_ms: Callable[[], float], pool: Executor
@@ -135,14 +145,18 @@
 
 def _read_starts(rows: list[Row], heartbeat: Row | None, ended: Collection[str]) -> StoredStarts:
     """Returns the records of starts; they are complete only if all of them can be read."""
-    records = [
-        _parse(lambda data, row=row: load_starts(row.key.key, data), row.value) for row in rows
-    ]
-    steps = [record for record in records if record is not None]
+    records, unreadable = [], []
+    for row in rows:
+        record = _parse(lambda data, row=row: load_starts(row.key.key, data), row.value)
+        if record is None:
+            unreadable.append(row.key)
+        else:
+            records.append(record)
     return StoredStarts(
-        steps=tuple(record for record in steps if record.step.job not in ended),
-        obsolete=tuple(record.step for record in steps if record.step.job in ended),
-        is_complete=len(steps) == len(rows) and _were_recorded(heartbeat),
+        steps=tuple(record for record in records if record.step.job not in ended),
+        obsolete=tuple(record.step for record in records if record.step.job in ended),
+        unreadable=tuple(unreadable),
+        is_complete=not unreadable and _were_recorded(heartbeat),
     )
 
 
