Crashes: leave room for one lost start that goes unnoticed

Cause: a start that is not answered yet while another worker takes the address is not counted, as the new worker refuses it; it may have run before.

The case of a job that fails at the limit has one possible crash less, as the limit has.

--- a/fescuerudder/jobs/jobrun.py
+++ b/fescuerudder/jobs/jobrun.py
@@ -14,9 +14,10 @@
 MAX_COPIES = 2
 """Maximum number of live attempts of a speculative task."""
 
-MAX_POSSIBLE_CRASHES = 5
+MAX_POSSIBLE_CRASHES = 4
 """Number of crashes, possible ones included, from which a task isn't started any more. The platform
-allows that a task starts twice more after it has crashed three workers."""
+allows five starts that crash their workers, of which one may go unnoticed: a start that is not
+answered yet as another worker takes the address."""
 
 MAX_AVOIDED_WORKERS = 2
 """Number of avoided workers from which the task itself counts as the cause."""
