Accounts: keys of the manifest at every instance, the account in the stored job

Cause: any caller could submit. The manifest may now hold accounts (field `tenants`), and a call to a route that is not public needs the key of one: else 401, before anything is read or stored.

Only hashes of keys leave the adapter, so no log line, message or error can hold a key. A patch of the configuration carries changed and removed accounts. A leader of the previous version leaves accounts out of what it sends, which would open every route; so its configuration is not taken, and the instance reads the store. A malformed manifest is rejected as a whole; an instance that starts beside one takes the last good one from its leader.

Rows of the previous version have no account; it ignores the new field.

--- a/fescuerudder/jobs/configpatch.py
+++ b/fescuerudder/jobs/configpatch.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from fescuerudder.jobs.accounts import Account
 from fescuerudder.jobs.configview import ConfigView
 from fescuerudder.jobs.manifest import Manifest, Pool, Queue
 
@@ -18,6 +19,8 @@
         pools: all worker pools.
         zones_out: all zones that are out of service.
         version: version of the store of the resulting configuration.
+        accounts: accounts that are new or have changed.
+        removed_accounts: names of the accounts that are removed.
     """
 
     base_revision: int
@@ -27,6 +30,8 @@
     pools: tuple[Pool, ...]
     zones_out: frozenset[str]
     version: int
+    accounts: tuple[Account, ...] = ()
+    removed_accounts: tuple[str, ...] = ()
 
 
 def make_patch(base: ConfigView, view: ConfigView) -> ConfigPatch | None:
@@ -35,6 +40,8 @@
         return None
     known = {queue.name: queue for queue in base.manifest.queues}
     names = {queue.name for queue in view.manifest.queues}
+    accounts = {account.name: account for account in base.manifest.accounts}
+    kept = {account.name for account in view.manifest.accounts}
     return ConfigPatch(
         base_revision=base.manifest.revision,
         revision=view.manifest.revision,
@@ -43,6 +50,8 @@
         pools=view.manifest.pools,
         zones_out=view.zones_out,
         version=view.version,
+        accounts=tuple(a for a in view.manifest.accounts if accounts.get(a.name) != a),
+        removed_accounts=tuple(name for name in accounts if name not in kept),
     )
 
 
@@ -58,9 +67,14 @@
     for name in patch.removed:
         queues.pop(name, None)
     queues.update({queue.name: queue for queue in patch.queues})
+    accounts = {a.name: a for a in manifest.accounts if a.name not in patch.removed_accounts}
+    accounts.update({account.name: account for account in patch.accounts})
     return ConfigView(
         manifest=Manifest(
-            revision=patch.revision, queues=tuple(queues.values()), pools=patch.pools
+            revision=patch.revision,
+            queues=tuple(queues.values()),
+            pools=patch.pools,
+            accounts=tuple(accounts.values()),
         ),
         zones_out=patch.zones_out,
         version=patch.version,
--- a/fescuerudder/jobs/configwatch.py
+++ b/fescuerudder/jobs/configwatch.py
@@ -14,6 +14,7 @@
 
 from fescuerudder.clock import Clock
 from fescuerudder.errors import StoreUnavailableError
+from fescuerudder.jobs.accounts import NO_ACCOUNT, AccountIndex
 from fescuerudder.jobs.configpatch import ConfigPatch, apply_patch
 from fescuerudder.jobs.configview import ConfigSource, ConfigView
 from fescuerudder.jobs.manifest import Queue, QueueIndex
@@ -57,6 +58,7 @@
         self._on_change = on_change
         self._view = ConfigView()
         self._index = QueueIndex(queues=())
+        self._accounts = AccountIndex()
         self._position: int | None = None
         self._apply_lock = threading.Lock()
         self._stopping = threading.Event()
@@ -93,6 +95,19 @@
             raise LookupError("no manifest yet")
         return self._index.find(host=host, path=path)
 
+    def find_account(self, key: str | None, *, is_public: bool) -> str | None:
+        """Returns the account of a call, empty if it has none; None if the call is to be refused.
+
+        Args:
+            key: the key that the call carries, if any.
+            is_public: the call needs no key.
+        """
+        manifest = self._view.manifest
+        if manifest is None or not manifest.accounts:
+            return NO_ACCOUNT
+        account = self._accounts.find(key) if key is not None else None
+        return NO_ACCOUNT if account is None and is_public else account
+
     def receive(self, view: ConfigView) -> None:
         """Applies a configuration that the leader sent."""
         self._apply(view, source="leader")
@@ -162,16 +177,21 @@
     def _apply(self, view: ConfigView, *, source: str) -> None:
         with self._apply_lock:
             current, manifest = self._view.manifest, view.manifest
-            if view.version <= self._view.version:
+            if current is None and manifest is not None and view.version <= self._view.version:
+                # What this instance read itself was malformed; others know the last good one.
+                view = attrs.evolve(self._view, manifest=manifest)
+            elif view.version <= self._view.version:
                 return
             if current is not None and (manifest is None or manifest.revision < current.revision):
                 view = attrs.evolve(view, manifest=current)
             elif manifest is not None and (current is None or manifest.revision > current.revision):
                 self._index = QueueIndex(queues=manifest.queues)
+                self._accounts = AccountIndex(accounts=manifest.accounts)
                 _log.info(
                     "manifest taken",
                     revision=manifest.revision,
                     queues=len(manifest.queues),
+                    accounts=len(manifest.accounts),
                     source=source,
                 )
             if view.zones_out != self._view.zones_out:
--- a/fescuerudder/jobs/followerlink.py
+++ b/fescuerudder/jobs/followerlink.py
@@ -217,6 +217,10 @@
             # A negative age, or NaN, confirms nothing.
             if message.config_age_s is not None and message.config_age_s >= 0.0:
                 self._config.confirm(version=message.config_version, age_s=message.config_age_s)
+        elif isinstance(message, ConfigNews | ConfigChanged) and not message.has_accounts:
+            # Of an earlier version: without accounts, every call would pass. This instance goes on
+            # with what it knows, and reads the store itself as nothing confirms that.
+            pass
         elif isinstance(message, ConfigNews) and message.epoch == claim.epoch:
             self._config.receive(unpack(message.form, ConfigView))
         elif isinstance(message, ConfigChanged) and message.epoch == claim.epoch:
--- a/fescuerudder/jobs/job.py
+++ b/fescuerudder/jobs/job.py
@@ -116,6 +116,7 @@
         steps: its steps.
         repetition: schedule of a repeated job, None for a job that runs once and at once.
         submitted_ms: Unix time at which an instance accepted it, in milliseconds, 0 if unknown.
+        account: name of the account that submitted it, empty if none did.
         accepted_queue: its queue as it was then, for leaders that come after the queue is removed;
             None if an instance of an earlier version accepted it.
     """
@@ -127,6 +128,7 @@
     repetition: Repetition | None = None
     submitted_ms: int = 0
     accepted_queue: Queue | None = None
+    account: str = ""
 
     @property
     def occurrences(self) -> int:
--- a/fescuerudder/jobs/jobcheck.py
+++ b/fescuerudder/jobs/jobcheck.py
@@ -16,7 +16,7 @@
     Raises:
         ValueError: the job can't be planned.
     """
-    for value in (job.id, job.queue, job.payload):
+    for value in (job.id, job.queue, job.payload, job.account):
         checked.text(value)
     occurrences = checked.whole(job.occurrences, most=MAX_TASKS)
     if len(job.steps) > MAX_STEPS or occurrences * len(job.steps) > MAX_TASKS:
--- a/fescuerudder/jobs/leaderlink.py
+++ b/fescuerudder/jobs/leaderlink.py
@@ -304,7 +304,7 @@
             broadcast(others, await self._encode_whole_config(source))
 
     def _encode_patch(self, source: LinkSource, patch: ConfigPatch) -> bytes:
-        return _encode(ConfigChanged(epoch=source.claim.epoch, form=pack(patch)))
+        return _encode(ConfigChanged(epoch=source.claim.epoch, form=pack(patch), has_accounts=True))
 
     async def _encode_whole_config(self, source: LinkSource) -> bytes:
         """Returns the message with the configuration that was sent last, made once for all."""
@@ -312,7 +312,9 @@
         if self._whole_config is None:
 
             def encode() -> bytes:
-                return _encode(ConfigNews(epoch=source.claim.epoch, form=pack(view)))
+                return _encode(
+                    ConfigNews(epoch=source.claim.epoch, form=pack(view), has_accounts=True)
+                )
 
             self._whole_config = asyncio.create_task(asyncio.to_thread(encode))
         return await asyncio.shield(self._whole_config)
--- a/fescuerudder/jobs/linkmessages.py
+++ b/fescuerudder/jobs/linkmessages.py
@@ -61,10 +61,12 @@
     Args:
         epoch: number of the leader's term.
         form: the `ConfigView`, as serialized by `_packing.pack`.
+        has_accounts: the accounts are in it; leaders of earlier versions leave them out.
     """
 
     epoch: int
     form: bytes
+    has_accounts: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -74,10 +76,12 @@
     Args:
         epoch: number of the leader's term.
         form: the `ConfigPatch`, as serialized by `_packing.pack`.
+        has_accounts: see `ConfigNews`.
     """
 
     epoch: int
     form: bytes
+    has_accounts: bool = False
 
 
 @attrs.frozen(kw_only=True)
--- a/fescuerudder/jobs/manifest.py
+++ b/fescuerudder/jobs/manifest.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from fescuerudder.jobs.accounts import Account
+
 
 @attrs.frozen(kw_only=True)
 class AdvicePolicy:
@@ -34,6 +36,7 @@
         stretch: factor applied to a job's critical path in its latency objective.
         allowance_ms: constant part of that objective, in milliseconds.
         advice: set if a step may use only workers that the advice service permits.
+        is_public: a call needs no key.
     """
 
     name: str
@@ -45,6 +48,7 @@
     stretch: float
     allowance_ms: int
     advice: AdvicePolicy | None = None
+    is_public: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -70,11 +74,13 @@
         revision: increases with each change, not always by one.
         queues: all queues.
         pools: all worker pools.
+        accounts: all client accounts; without any, no call needs a key.
     """
 
     revision: int
     queues: tuple[Queue, ...]
     pools: tuple[Pool, ...]
+    accounts: tuple[Account, ...] = ()
 
     def queue(self, name: str) -> Queue | None:
         """Returns the queue called `name`, if it exists."""
--- a/fescuerudder/platform/callers.py
+++ b/fescuerudder/platform/callers.py
@@ -46,12 +46,20 @@
         """Returns the number of jobs that wait in a queue."""
 
 
+class FindAccount(Protocol):
+    """Finds the account of a call; see `ConfigWatch.find_account`."""
+
+    def __call__(self, key: str | None, *, is_public: bool) -> str | None:
+        """Returns its name, empty for none; None if the call is to be refused."""
+
+
 class CallerApp:
     """WSGI application that serves callers.
 
     Args:
         intake: accepts jobs and cancellations, and answers queries.
         find_queue: returns the queue of a host and path; raises LookupError without a manifest.
+        find_account: returns the account of a key, empty for none, None if the call is refused.
         is_draining: returns whether connections are to be closed after their answers.
         clock: source of time.
         metrics: metrics of this instance.
@@ -62,6 +70,7 @@
         *,
         intake: Intake,
         find_queue: Callable[[str, str], Queue | None],
+        find_account: FindAccount,
         is_draining: Callable[[], bool],
         clock: Clock,
         metrics: JobMetrics,
@@ -69,6 +78,7 @@
         self._intake = intake
         self._metrics = metrics
         self._find_queue = find_queue
+        self._find_account = find_account
         self._is_draining = is_draining
         self._clock = clock
 
@@ -121,6 +131,9 @@
             return _refusal_answer(Refusal(reason="no manifest yet"))
         if queue is None:
             return 404, {}, {}
+        account = self._find_account(_read_key(environ), is_public=queue.is_public)
+        if account is None:
+            return _refuse_key(queue, environ)
         job_id = path[len(queue.prefix) :]
         method = environ["REQUEST_METHOD"]
         deadline_s = started_s + _deadline_s(environ)
@@ -129,16 +142,19 @@
         if not _ID_PATTERN.fullmatch(job_id):
             return 404, {}, {}
         if method == "POST":
-            return self._submit(queue, job_id, data, deadline_s)
+            return self._submit(queue, account, job_id, data, deadline_s)
         if method == "GET":
             return self._state(job_id)
         if method == "DELETE":
             return self._cancel(job_id, deadline_s)
         return 405, {}, {}
 
-    def _submit(self, queue: Queue, job_id: str, data: bytes, deadline_s: float) -> Answer:
+    def _submit(
+        self, queue: Queue, account: str, job_id: str, data: bytes, deadline_s: float
+    ) -> Answer:
         try:
-            job = _parse_job(checked.load_json(data), job_id=job_id, queue=queue)
+            raw = checked.load_json(data)
+            job = _parse_job(raw, job_id=job_id, queue=queue, account=account)
             check_job(job)
         except (AttributeError, LookupError, TypeError, ValueError) as exc:
             _log.warning("malformed job", job=job_id, reason=checked.reason(exc))
@@ -185,6 +201,30 @@
     return 503, {"retryAfterMs": int(refusal.retry_after_s * 1000)}, headers
 
 
+def _read_key(environ: dict[str, Any]) -> str | None:
+    """Returns the key that a call carries, None if it carries none."""
+    scheme, _, key = environ.get("HTTP_AUTHORIZATION", "").strip().partition(" ")
+    if scheme.lower() != "bearer" or not key.strip():
+        return None
+    try:
+        # WSGI passes the bytes of a header as Latin-1.
+        return key.strip().encode("latin-1").decode()
+    except UnicodeError:
+        return None
+
+
+def _refuse_key(queue: Queue, environ: dict[str, Any]) -> Answer:
+    """Returns the answer to a call without a known key; the log line says nothing of the key."""
+    has_key = _read_key(environ) is not None
+    _log.info(
+        "call without a known key",
+        queue=queue.name,
+        result="unknown key" if has_key else "no key",
+    )
+    error = "unknown key" if has_key else "this call needs a key: Authorization: Bearer KEY"
+    return 401, {"error": error}, {"WWW-Authenticate": "Bearer"}
+
+
 def _read_body(environ: dict[str, Any]) -> bytes:
     """Returns the body of a request.
 
@@ -208,7 +248,7 @@
     return min(deadline_ms, MAX_DEADLINE_MS) / 1000
 
 
-def _parse_job(raw: dict[str, Any], *, job_id: str, queue: Queue) -> Job:
+def _parse_job(raw: dict[str, Any], *, job_id: str, queue: Queue, account: str) -> Job:
     times = checked.whole(raw.get("repeatCount", 0))
     repetition = None
     if times > 0:
@@ -224,6 +264,7 @@
         steps=tuple(_parse_step(step) for step in checked.items(raw["steps"])),
         repetition=repetition,
         accepted_queue=queue,
+        account=account,
     )
 
 
--- a/fescuerudder/platform/run.py
+++ b/fescuerudder/platform/run.py
@@ -73,6 +73,7 @@
     return CallerApp(
         intake=node.intake,
         find_queue=node.config.find_queue,
+        find_account=node.config.find_account,
         is_draining=lambda: node.is_draining,
         clock=clock,
         metrics=metrics,
--- a/fescuerudder/platform/sources.py
+++ b/fescuerudder/platform/sources.py
@@ -7,6 +7,7 @@
 
 from fescuerudder import checked
 from fescuerudder.document import Size
+from fescuerudder.jobs.accounts import Account, check_accounts, hash_key
 from fescuerudder.jobs.configview import ConfigChange, ConfigView
 from fescuerudder.jobs.manifest import AdvicePolicy, Manifest, Pool, Queue
 from fescuerudder.jobs.rows import HistoryLostError, Row, RowKey, RowStore, read_partition
@@ -136,6 +137,8 @@
 
 
 def _parse_manifest(raw: dict[str, Any]) -> Manifest:
+    accounts = tuple(_parse_account(item) for item in _list(raw.get("tenants")))
+    check_accounts(accounts)
     return Manifest(
         revision=checked.whole(raw["version"]),
         queues=tuple(_parse_queue(route) for route in checked.items(raw["routes"])),
@@ -147,9 +150,41 @@
             )
             for service in checked.items(raw["services"])
         ),
+        accounts=accounts,
     )
 
 
+def _parse_account(raw: dict[str, Any]) -> Account:
+    """Returns an account; an empty text is no key.
+
+    Raises:
+        ValueError: a field is malformed, or an amount is negative. The text names no key.
+    """
+    keys = [checked.text(key) for key in _list(raw.get("apiKeys"))]
+    return Account(
+        name=checked.name(raw["name"]),
+        key_hashes=tuple(sorted({hash_key(key) for key in keys if key})),
+        weight=checked.finite(raw.get("weight", 1.0)),
+        cap=_parse_cap(raw.get("cap")),
+    )
+
+
+def _parse_cap(raw: dict[str, Any] | None) -> Size:
+    """Returns a cap; a fraction must not become 0, which is no bound."""
+    if raw is None:
+        return Size()
+    return Size(
+        processors=checked.finite(raw.get("cpu", 0), most=checked.MAX_AMOUNT) / 1000,
+        memory_mb=checked.whole(raw.get("memMb", 0)),
+        accelerators=checked.whole(raw.get("gpu", 0)),
+    )
+
+
+def _list(value: Any) -> list[Any]:
+    """Returns a list; null is an empty one, and anything else is malformed."""
+    return [] if value is None else checked.items(value)
+
+
 def _parse_queue(route: dict[str, Any]) -> Queue:
     return Queue(
         name=checked.text(route["name"]),
@@ -161,6 +196,8 @@
         stretch=checked.finite(route.get("stretch", 1.0)),
         allowance_ms=int(checked.finite(route.get("targetCompletionMs", 0))),
         advice=_parse_advice_policy(route.get("advice")),
+        # Anything but a plain true needs a key.
+        is_public=route.get("public") is True,
     )
 
 
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -45,13 +45,28 @@
         return self.answer
 
 
-def call(intake, method, path, *, body=None, host="h:80", headers=None, manifest=True):
+def no_account(key, *, is_public):
+    return ""
+
+
+def call(
+    intake,
+    method,
+    path,
+    *,
+    body=None,
+    host="h:80",
+    headers=None,
+    manifest=True,
+    find_account=no_account,
+    is_public=False,
+):
     """Returns status, body and headers of one call."""
 
     def find(name, target):
         if not manifest:
             raise LookupError("no manifest yet")
-        found = queue()
+        found = queue(is_public=is_public)
         return found if name == found.host and target.startswith(found.prefix) else None
 
     data = body if isinstance(body, bytes) else json.dumps(body).encode() if body else b""
@@ -68,6 +83,7 @@
         app = CallerApp(
             intake=intake,
             find_queue=find,
+            find_account=find_account,
             is_draining=lambda: False,
             clock=ManualClock(start_s=50.0),
             metrics=metrics,
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -2,6 +2,7 @@
 
 import json
 
+import attrs
 import pytest
 import structlog
 
@@ -152,7 +153,13 @@
     ("services", 0, "name"),
     *(("routes", 0, name) for name in MANIFEST["routes"][0]),
     ("routes", 0, "advice"),
+    ("tenants",),
+    *(("tenants", 0, name) for name in ("name", "apiKeys", "weight", "cap")),
+    ("tenants", 0, "apiKeys", 0),
+    *(("tenants", 0, "cap", name) for name in ("cpu", "memMb", "gpu")),
 ]
+ACCOUNT = {"name": "t", "apiKeys": ["k"], "weight": 1, "cap": {"cpu": 1, "memMb": 1, "gpu": 1}}
+MANIFEST["tenants"] = [ACCOUNT]
 MANIFEST["routes"][0] = {**MANIFEST["routes"][0], "advice": {"decisionMs": 1, "periodMs": 1}}
 
 
@@ -185,3 +192,7 @@
             assert abs(number) < MAX_EXACT
     for pool in view.manifest.pools:
         pool.name.encode()
+    for account in view.manifest.accounts:
+        account.name.encode()
+        for number in (account.weight, *attrs.astuple(account.cap)):
+            assert 0 <= number < MAX_EXACT
