Accounts: caps are checked wherever attempts are planned

Cause: an account could have any amount running.

Running sums by account follow live attempts in every phase, and orphans: an attempt counts until its end is listed, or its leases have ended out of reach. That holds for tasks of cancelled and ended jobs, also after a takeover.

An account at its cap is left out before its steps are sorted. A cap that shrinks stops starts; moves, which would end running work, wait as well. The reason of the wait is "account at its cap".

--- a/fescuerudder/jobs/relocation.py
+++ b/fescuerudder/jobs/relocation.py
@@ -1,6 +1,6 @@
 """Choice of attempts to move away from slow or stalled workers, or because of a throttle."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import structlog
 
@@ -27,13 +27,20 @@
 _log = structlog.get_logger(__name__)
 
 
-def mark_evictions(record: WorkerRecord, health: HealthStatus, *, has_room_elsewhere: bool) -> None:
+def mark_evictions(
+    record: WorkerRecord,
+    health: HealthStatus,
+    *,
+    has_room_elsewhere: bool,
+    may_move: Callable[[Attempt], bool] = lambda attempt: True,
+) -> None:
     """Marks the attempts to evict from a worker; a speculative task may get a copy instead.
 
     Args:
         record: the worker.
         health: its health.
         has_room_elsewhere: another worker takes tasks.
+        may_move: returns whether the cap of its account lets the task of an attempt start again.
     """
     for attempt in record.attempts.values():
         if attempt.phase is not Phase.RUNNING or attempt.evicted or attempt.worker_in_doubt:
@@ -43,7 +50,7 @@
         spec = attempt.task.step.spec
         if spec.speculative and not spec.gang:
             attempt.worker_in_doubt = True
-        elif has_room_elsewhere and _is_worth_moving(attempt, health):
+        elif has_room_elsewhere and may_move(attempt) and _is_worth_moving(attempt, health):
             attempt.evicted = True
         else:
             continue
--- a/fescuerudder/jobs/reports.py
+++ b/fescuerudder/jobs/reports.py
@@ -67,11 +67,12 @@
         self._process_ends(record, report, now_s)
         if not is_newest:
             return
-        record.orphans = {
+        orphans = {
             (row.task, row.attempt)
             for row in report.running
             if not self._update_or_adopt(record, row, now_s)
         }
+        self._state.set_orphans(record, orphans)
         self._state.knowledge.headroom_model.update(record, now_s=now_s)
         if len(report.ended) < MAX_REPORT_ENDS:
             self._requeue_missing(record, order, report, sent_s)
@@ -96,6 +97,7 @@
             "worker born again", worker=record.id, born_ms=incarnation_ms, ran=len(record.attempts)
         )
         record_worker_end(self._state, record, open_starts_refused=False)
+        self._state.set_orphans(record, set())
         for attempt in record.begin_incarnation(info, now_s=now_s):
             if not attempt.reported and attempt.phase is not Phase.PLANNED:
                 # An answer of the last incarnation says nothing about this one.
--- a/fescuerudder/jobs/rosterkeeper.py
+++ b/fescuerudder/jobs/rosterkeeper.py
@@ -169,6 +169,9 @@
     ) -> None:
         """Restores an attempt as uncertain, unless its task no longer needs it."""
         if task.done or not task.step.job.is_live:
+            if number and task.step.job.job.account:
+                # It may still run, and counts for its account until a report or its lease tells.
+                self._state.set_orphans(record, record.orphans | {(task.id, number)})
             return
         attempt = Attempt(
             task=task,
--- a/fescuerudder/jobs/scheduler.py
+++ b/fescuerudder/jobs/scheduler.py
@@ -206,7 +206,7 @@
         _log.warning("worker gone", worker=worker, attempts=len(record.attempts))
         record.gone = record.resolved = True
         record.may_run_unknown = False
-        record.orphans = set()
+        self.state.set_orphans(record, set())
         record_worker_end(self.state, record, open_starts_refused=True)
         for attempt in list(record.attempts.values()):
             self.state.requeue(attempt, checkpoint=attempt.checkpoint, reason="worker gone")
@@ -414,7 +414,7 @@
             if not record.resolved:
                 _log.warning("worker not reached, its leases have ended", worker=record.id)
             record.resolved = True
-            record.orphans = set()
+            self.state.set_orphans(record, set())
             for attempt in list(record.attempts.values()):
                 if attempt.phase is Phase.STARTING:
                     continue
@@ -438,11 +438,17 @@
             if health is not HealthStatus.HEALTHY:
                 others = (other for other in self.state.workers.values() if other is not record)
                 has_room = any(self._planner.takes_work(other, now_s) for other in others)
-                mark_evictions(record, health, has_room_elsewhere=has_room)
+                mark_evictions(
+                    record,
+                    health,
+                    has_room_elsewhere=has_room,
+                    may_move=self.state.usage.may_move,
+                )
 
     def _mark_throttled_moves(self, now_s: float) -> None:
         """Marks the throttled attempts that can move away from the workers that reported."""
-        attempts = [a for record in self._reported_workers() for a in record.attempts.values()]
+        usage, reported = self.state.usage, self._reported_workers()
+        attempts = [a for r in reported for a in r.attempts.values() if usage.may_move(a)]
         if any(attempt.throttle != FULL_SPEED for attempt in attempts):
             self._moves.plan(attempts, self._planner.loads(now_s), now_s=now_s)
 
--- a/fescuerudder/jobs/schedulerstate.py
+++ b/fescuerudder/jobs/schedulerstate.py
@@ -7,6 +7,7 @@
 import structlog
 
 from fescuerudder.clock import Clock
+from fescuerudder.jobs.accountusage import AccountUsage
 from fescuerudder.jobs.advice import AdviceCache
 from fescuerudder.jobs.job import StepId, TaskId
 from fescuerudder.jobs.jobrun import Attempt, JobRun, JobState, Phase, StepRun, TaskRun
@@ -17,7 +18,7 @@
 from fescuerudder.jobs.startrecords import record_keys
 from fescuerudder.jobs.urgency import JobSizes
 from fescuerudder.jobs.workerhealth import WorkerHealth
-from fescuerudder.jobs.workerrecord import WorkerRecord
+from fescuerudder.jobs.workerrecord import AttemptKey, WorkerRecord
 
 TOKENS_PER_EPOCH = 1_000_000
 """Number of fencing tokens in one epoch; a leader raises a worker's token within this range."""
@@ -77,6 +78,7 @@
         advice: permits of the advice service.
         knowledge: what was learned about tasks.
         health: health of the workers.
+        usage: what each account has running.
         dirty_jobs: jobs whose progress has changed since it was last stored.
         raised_tokens: fencing tokens of removed workers that are above the first one of the term,
             by worker id.
@@ -115,6 +117,7 @@
     advice: AdviceCache = attrs.field(init=False)
     knowledge: Knowledge = attrs.Factory(Knowledge)
     health: WorkerHealth = attrs.field(init=False)
+    usage: AccountUsage = attrs.Factory(AccountUsage)
     _loads: dict[str, Load] = attrs.Factory(dict)
     _lost_contacts: list[tuple[float, str]] = attrs.Factory(list)
 
@@ -126,6 +129,17 @@
         """Applies a new revision of the configuration."""
         self.queues.update({queue.name: queue for queue in manifest.queues})
         self.pools = {pool.name: pool for pool in manifest.pools}
+        was_counted = self.usage.is_enforced
+        self.usage.set_accounts(manifest.accounts)
+        if self.usage.is_enforced and not was_counted:
+            self._count_all()
+
+    def _count_all(self) -> None:
+        """Counts what is live, as accounts have come into force."""
+        for record in self.workers.values():
+            for attempt in record.attempts.values():
+                self.usage.add(attempt, pool=self._pool_of(attempt.task))
+            self.set_orphans(record, record.orphans)
 
     def add_job(self, run: JobRun) -> None:
         """Adds a job that was not known."""
@@ -155,7 +169,9 @@
         """Adds a live attempt to its task and to its worker."""
         attempt.task.attempts.append(attempt)
         attempt.task.last_number = max(attempt.task.last_number, attempt.number)
-        self.workers[attempt.worker].attempts[(attempt.task.id, attempt.number)] = attempt
+        record = self.workers[attempt.worker]
+        record.attempts[(attempt.task.id, attempt.number)] = attempt
+        self.usage.add(attempt, pool=self._pool_of(attempt.task))
 
     def plan_start(self, attempt: Attempt) -> None:
         """Adds an attempt whose order is sent once the record of its step is stored."""
@@ -196,10 +212,26 @@
         """Drops the cached load of a worker."""
         self._loads.pop(worker, None)
 
+    def set_orphans(self, record: WorkerRecord, orphans: set[AttemptKey]) -> None:
+        """Replaces the attempts that run on a worker but should not."""
+        if orphans or record.orphans:
+            found = []
+            for task_id, _ in orphans:
+                task = self.find_task(task_id)
+                found.append((task_id, task, self._pool_of(task) if task is not None else ""))
+            self.usage.set_orphans(record.id, found)
+        record.orphans = orphans
+
+    def _pool_of(self, task: TaskRun) -> str:
+        """Returns the pool that a task runs in; that of a worker on the roster isn't known."""
+        queue = self.queues.get(task.step.job.job.queue)
+        return queue.pool if queue is not None else ""
+
     def drop_attempt(self, attempt: Attempt) -> None:
         """Removes an attempt that is known not to run and not to start later."""
         self.discard_load(attempt.worker)
         self.planned.pop(attempt, None)
+        self.usage.remove(attempt)
         if attempt in attempt.task.attempts:
             attempt.task.attempts.remove(attempt)
         attempt.task.last_end_s = self.last_end_s = self.clock.now_s()
@@ -263,6 +295,7 @@
         del self.workers[record.id]
         self.roster_changed = True
         self.discard_load(record.id)
+        self.set_orphans(record, set())
         if record.token > self.term.first_token:
             self.raised_tokens[record.id] = record.token
 
--- a/fescuerudder/jobs/starts.py
+++ b/fescuerudder/jobs/starts.py
@@ -106,6 +106,8 @@
                 and (load := by_life.get((start.worker, start.incarnation_ms))) is not None
             ]
             for task in waiting[step] if recorded else ():
+                if not self._state.usage.may_start(step):
+                    break
                 covering = [
                     load
                     for start, load in recorded
@@ -139,7 +141,10 @@
                 continue
             demand = self._demand(step, len(ended), queue, now_s)
             eligible = self._eligible_with_permit(step, queue, loads)
-            for avoided, group in _group_by_avoided(ended):
+            for avoided, members in _group_by_avoided(ended):
+                group = self._state.usage.limit(step, members)
+                if not group:
+                    break
                 usable = [
                     load
                     for load in eligible
@@ -155,9 +160,11 @@
             self._starter.plan(task, load.record, now_s)
 
     def _waiting_tasks(self) -> dict[StepRun, list[TaskRun]]:
-        """Returns the tasks that may be started, by step."""
-        waiting = {}
+        """Returns the tasks that may be started, by step, of accounts that are below their cap."""
+        waiting, usage = {}, self._state.usage
         for step in self._state.open_steps:
+            if not step.spec.gang and not usage.may_start(step):
+                continue
             tasks = self.startable_tasks(step)
             if tasks:
                 waiting[step] = tasks
@@ -253,9 +260,10 @@
         now_s: float,
     ) -> None:
         queue = self._queue(step)
-        if not tasks or queue is None:
+        count = len(tasks if step.spec.gang else self._state.usage.limit(step, tasks))
+        if not count or queue is None:
             return
-        demand = self._demand(step, len(tasks), queue, now_s)
+        demand = self._demand(step, count, queue, now_s)
         demand = attrs.evolve(demand, room_is_scarce=saturation.is_scarce(queue.pool))
         if saturation.covers(queue.pool, demand):
             return
@@ -265,7 +273,10 @@
         if step.spec.gang:
             self._start_gang(step, tasks, eligible, demand, now_s)
             return
-        for avoided, group in _group_by_avoided(tasks):
+        for avoided, members in _group_by_avoided(tasks):
+            group = self._state.usage.limit(step, members)
+            if not group:
+                break
             # A task that failed everywhere may try again anywhere.
             loads = [load for load in eligible if load.record.id not in avoided] or eligible
             loads = [load for load in loads if may_start_beside(group[0], load.record, now_s)]
@@ -314,6 +325,7 @@
             for task in self.startable_tasks(step)
             if now_s - max(opened_s, task.last_end_s) >= FALLBACK_WAIT_S
         ]
+        tasks = self._state.usage.limit(step, tasks)
         queue = self._queue(step)
         if not tasks or queue is None or step.spec.gang:
             return
@@ -344,7 +356,7 @@
             queue = self._queue(step)
             if queue is None or queue.pool not in idle or step.spec.gang or step.spec.long_running:
                 continue
-            if stands_still(step.job, now_s):
+            if stands_still(step.job, now_s) and self._state.usage.may_start(step):
                 task = min(tasks, key=lambda t: len(t.failed_attempts))
                 self._start_anywhere(task, queue, loads, now_s)
 
@@ -399,6 +411,8 @@
             live = [a.number for task in step.tasks for a in task.attempts]
             step.broken_attempt = max(step.broken_attempt, *live, 0)
             return
+        if not self._state.usage.may_start(step):
+            return
         avoided = frozenset().union(*(task.avoided_workers for task in tasks))
         preferred = [load for load in eligible if load.record.id not in avoided]
         chosen = _choose_gang(demand, preferred) or _choose_gang(demand, eligible)
--- a/fescuerudder/jobs/takeover.py
+++ b/fescuerudder/jobs/takeover.py
@@ -51,6 +51,7 @@
         live: jobs that have not ended, with their progress.
         ended: final states of the other jobs, by id.
         cancels: ids of jobs whose cancellation was requested.
+        ended_jobs: the ended jobs that belong to an account.
         version: version from which to follow the feed of jobs.
         knowledge: what earlier leaders learned about tasks, serialized; None if not stored.
         roster: workers on which tasks of earlier leaders may run, with these tasks.
@@ -65,6 +66,7 @@
     cancels: list[str]
     version: int
     knowledge: bytes | None = None
+    ended_jobs: list[Job] = attrs.Factory(list)
     roster: list[RosterEntry] = attrs.Factory(list)
     starts: StoredStarts = attrs.Factory(StoredStarts)
     store_clock: StoreClock | None = None
@@ -199,19 +201,23 @@
     version: int,
 ) -> LoadedState:
     stored, cancels = split_job_rows(rows)
-    live, ended = [], {}
+    live, ended, ended_jobs = [], {}, []
     for item in sorted(stored, key=lambda item: item.version):
         data = progress.get(item.job.id)
         state = _parse(load_state, data) if data is not None else JobState.QUEUED
         if state is not None and state.is_final:
             ended[item.job.id] = state
+            if item.job.account:
+                ended_jobs.append(item.job)
             continue
         received_s = now_s - _age_s(item.job, wall_ms)
         run = JobRun.create(job=item.job, version=item.version, received_s=received_s)
         if data is not None:
             _parse(lambda raw, run=run: restore_progress(run, raw), data)
         live.append(run)
-    return LoadedState(live=live, ended=ended, cancels=cancels, version=version)
+    return LoadedState(
+        live=live, ended=ended, cancels=cancels, version=version, ended_jobs=ended_jobs
+    )
 
 
 def _age_s(job: Job, wall_ms: float) -> float:
@@ -249,6 +255,8 @@
     for run in loaded.live:
         scheduler.restore(run)
     scheduler.stored_states.update(loaded.ended)
+    for job in loaded.ended_jobs:
+        scheduler.state.usage.remember_ended(job)
     if loaded.knowledge is not None:
         try:
             scheduler.state.knowledge.restore(loaded.knowledge)
--- a/fescuerudder/jobs/waitreasons.py
+++ b/fescuerudder/jobs/waitreasons.py
@@ -3,6 +3,7 @@
 import enum
 import math
 from collections.abc import Iterable
+from typing import Any
 
 import attrs
 import structlog
@@ -40,6 +41,7 @@
     STORE_OUT = "store out"
     HELD_BACK = "starts were lost with their workers"
     UNCONFIRMED = "leadership unconfirmed"
+    AT_CAP = "account at its cap"
     NO_WORKER = "no usable worker"
     QUARANTINED = "room only on quarantined workers"
     NO_ROOM = "no room"
@@ -102,7 +104,14 @@
             if now_s - self._logged_s.get(reason, -math.inf) >= LOG_INTERVAL_S:
                 self._logged_s[reason] = now_s
                 self._shown.add(reason)
-                _log_waiting(reason, waiting)
+                figures = self._cap_figures(waiting) if reason is WaitReason.AT_CAP else {}
+                _log_waiting(reason, waiting, figures)
+
+    def _cap_figures(self, waiting: _WaitingSteps) -> dict[str, Any]:
+        """Returns what the account of the step that has waited longest has running, and its cap."""
+        assert waiting.example is not None
+        name = waiting.example.job.job.account
+        return {"account": name, **self._state.usage.figures(name)}
 
     def _collect(self, now_s: float) -> dict[WaitReason, _WaitingSteps]:
         found: dict[WaitReason, _WaitingSteps] = {}
@@ -129,6 +138,8 @@
             return WaitReason.STORE_OUT, []
         if not any(planner.is_restart_safe(task) for task in startable):
             return WaitReason.UNCONFIRMED, []
+        if not state.usage.may_start(step):
+            return WaitReason.AT_CAP, []
         usable = planner.usable_workers(step, now_s)
         if not usable:
             return WaitReason.NO_WORKER, []
@@ -176,7 +187,7 @@
     return [attempt for task in step.tasks for attempt in task.attempts]
 
 
-def _log_waiting(reason: WaitReason, waiting: _WaitingSteps) -> None:
+def _log_waiting(reason: WaitReason, waiting: _WaitingSteps, figures: dict[str, Any]) -> None:
     assert waiting.example is not None
     _log.warning(
         "steps wait",
@@ -187,4 +198,5 @@
         step=waiting.example.id[1:],
         workers=waiting.workers[:MAX_NAMED_WORKERS],
         worker_count=len(waiting.workers),
+        **figures,
     )
--- a/fescuerudder/jobs/workerrecord.py
+++ b/fescuerudder/jobs/workerrecord.py
@@ -218,7 +218,7 @@
 
     def is_forgettable(self) -> bool:
         """Returns whether nothing runs there and nothing is to be learned from its return."""
-        return not self.attempts and self.resolved and not self.lapsed
+        return not (self.attempts or self.orphans or self.lapsed) and self.resolved
 
     def add_lapsed(self, attempt: Attempt) -> None:
         """Adds an attempt whose lease ended while the worker was silent."""
