Give a new incarnation no tasks before the registry describes it

Cause: a report tells the leader of a new incarnation before the registry does, by up to a second. Until then the record kept labels and capacity of the last incarnation, and the worker got tasks that it may not run.

Change: such a worker takes no tasks until an entry of this incarnation is read. A start that is sent before the leader knows of the new incarnation at all is not prevented.

--- a/fescuerudder/jobs/starts.py
+++ b/fescuerudder/jobs/starts.py
@@ -264,6 +264,7 @@
         """Returns whether a worker could take tasks, apart from quarantine."""
         return (
             record.listed
+            and record.is_described
             and record.on_roster
             and not record.gone
             and record.resolved
--- a/fescuerudder/jobs/workerrecord.py
+++ b/fescuerudder/jobs/workerrecord.py
@@ -85,6 +85,7 @@
         unanswered_renewals: number of renewals without an answer since the last answer.
         is_restricted: the roster lists the only attempts that may run there; nothing is started
             there until the stored roster no longer says so.
+        is_described: the registry describes this incarnation, so its labels and capacity are known.
         capacity_ms: the worker's clock when it stated its capacity, None if that is not known.
         gone: another worker answers at its address, so this incarnation has ended.
         attempts: live attempts there.
@@ -124,6 +125,7 @@
     on_roster: bool = False
     unanswered_renewals: int = 0
     is_restricted: bool = False
+    is_described: bool = True
     capacity_ms: float | None = None
     gone: bool = False
     attempts: dict[AttemptKey, Attempt] = attrs.Factory(dict)
@@ -158,7 +160,7 @@
 
     def update_info(self, info: WorkerInfo) -> None:
         """Records what the worker said of itself in the registry."""
-        self.info = info
+        self.info, self.is_described = info, True
         self.capacity_ms = info.clock_ms
         self.listed = True
 
@@ -262,6 +264,6 @@
         self.unanswered_renewals = 0
         self.resolved = False
         self.on_roster = self.is_restricted = False
-        self.capacity_ms = None
+        self.is_described, self.capacity_ms = False, None
         self.gone = False
         return lost
