--- a/fescuerudder/jobs/workerrecord.py
+++ b/fescuerudder/jobs/workerrecord.py
@@ -85,11 +85,10 @@
         unanswered_renewals: number of renewals without an answer since the last answer.
         is_restricted: the roster lists the only attempts that may run there; nothing is started
             there until the stored roster no longer says so.
+        is_described: the registry describes this incarnation, so its labels and capacity are known.
         capacity_ms: the worker's clock when it stated its capacity, None if that is not known.
         gone: another worker answers at its address, so this incarnation has ended.
         attempts: live attempts there.
-        discarded_starts: starts without an answer that this incarnation can no longer carry out; a
-            later one, which has seen no token, still may.
         orphans: attempts that run there but should not.
         orphan_stop_sent_s: when stops for the orphans were last sent.
         lease_until_ms: latest end of a lease that was sent, on the worker's clock.
@@ -126,10 +125,10 @@
     on_roster: bool = False
     unanswered_renewals: int = 0
     is_restricted: bool = False
+    is_described: bool = True
     capacity_ms: float | None = None
     gone: bool = False
     attempts: dict[AttemptKey, Attempt] = attrs.Factory(dict)
-    discarded_starts: list[Attempt] = attrs.Factory(list)
     orphans: set[AttemptKey] = attrs.Factory(set)
     orphan_stop_sent_s: float = 0.0
     lease_until_ms: float = 0.0
@@ -161,7 +160,7 @@
 
     def update_info(self, info: WorkerInfo) -> None:
         """Records what the worker said of itself in the registry."""
-        self.info = info
+        self.info, self.is_described = info, True
         self.capacity_ms = info.clock_ms
         self.listed = True
 
@@ -265,6 +264,6 @@
         self.unanswered_renewals = 0
         self.resolved = False
         self.on_roster = self.is_restricted = False
-        self.capacity_ms = None
+        self.is_described, self.capacity_ms = False, None
         self.gone = False
         return lost
