Accounts: weighted shares where there is too little capacity for all

Cause: the account that sent most got most. In a pool that can't hold all that waits, the next task is that of the account with the lowest dominant share for its weight, within the priority of its queue; each account keeps today's order, and what it can't use goes to the others in the same plan. Jobs of no more use stay last. What callers send beyond `weight` jobs a second has the lowest priority that waits. Room is kept for a task that is due and too large for what is free.

The leader derives all of it from live work.

Cost: room is allotted by arithmetic, then the tasks of a step are placed together; steps that find no room are passed before their demand is made, and full workers are left out, which makes all plans faster.

--- a/fescuerudder/jobs/accountusage.py
+++ b/fescuerudder/jobs/accountusage.py
@@ -49,6 +49,7 @@
         self._orphans: dict[str, list[_Counted]] = {}
         self._totals: dict[str, Amounts] = {}
         self._by_pool: dict[tuple[str, str], Amounts] = {}
+        self._largest: dict[str, Amounts] = {}
         self._ended: dict[str, tuple[str, tuple[Amounts, ...]]] = {}
 
     @property
@@ -69,6 +70,28 @@
                 sums.clear()
         self._caps = {account.name: _limits(account.cap) for account in self.accounts.values()}
 
+    def observe(self, job: Job) -> None:
+        """Takes note of the sizes of the tasks of a new job."""
+        if job.account:
+            processors, memory_mb, accelerators = self._largest.get(job.account, NOTHING)
+            for step in job.steps:
+                amounts = amounts_of(step.size)
+                processors = max(processors, amounts[0])
+                memory_mb = max(memory_mb, amounts[1])
+                accelerators = max(accelerators, amounts[2])
+            self._largest[job.account] = (processors, memory_mb, accelerators)
+
+    def near_caps(self) -> set[str]:
+        """Returns the accounts under whose caps not every one of their tasks fits."""
+        return {
+            account
+            for account, limits in self._caps.items()
+            if any(
+                self.total(account)[number] + self._largest.get(account, NOTHING)[number] > limit
+                for number, limit in limits
+            )
+        }
+
     def add(self, attempt: Attempt, *, pool: str) -> None:
         """Adds a live attempt in a pool."""
         if attempt in self._attempts or not self.accounts:
@@ -114,6 +137,10 @@
         """Returns what an account has on the workers of a pool."""
         return self._by_pool.get((pool, account), NOTHING)
 
+    def accounts_in(self, pool: str) -> list[str]:
+        """Returns the accounts that have anything on the workers of a pool."""
+        return [account for name, account in self._by_pool if name == pool]
+
     def totals(self) -> Mapping[str, Amounts]:
         """Returns what each account has, for those that have anything."""
         return self._totals
@@ -140,6 +167,11 @@
                 room = min(room, max(0, (limit - used[number]) // amounts[number]))
         return room
 
+    def exceeds_cap(self, account: str, amounts: Amounts) -> bool:
+        """Returns whether amounts are above the cap of an account."""
+        limits = self._caps.get(account, ())
+        return any(amounts[number] > limit for number, limit in limits)
+
     def limit(self, step: StepRun, tasks: list[TaskRun]) -> list[TaskRun]:
         """Returns as many of the tasks of a step as fit under the cap of its account."""
         room = self.room(step.job.job.account, step.spec.size)
@@ -184,6 +216,15 @@
         sums[key] = changed
 
 
+def add(amounts: Amounts, size: Size, count: int) -> Amounts:
+    """Returns amounts with some tasks of a size added."""
+    return (
+        amounts[0] + count * round(size.processors * PARTS),
+        amounts[1] + count * size.memory_mb,
+        amounts[2] + count * size.accelerators,
+    )
+
+
 def amounts_of(size: Size) -> Amounts:
     """Returns a size as a tuple."""
     return (round(size.processors * PARTS), size.memory_mb, size.accelerators)
--- a/fescuerudder/jobs/jobrun.py
+++ b/fescuerudder/jobs/jobrun.py
@@ -327,6 +327,7 @@
             a record nor progress that is being stored says otherwise.
         earlier_starts: what the records of earlier leaders name.
         dirty: its progress has changed since it was last stored.
+        entitled_s: when the callers of its account are entitled to it; see `shares.Entitlements`.
     """
 
     job: Job
@@ -342,6 +343,7 @@
     recorded_starts: set[RecordedStart] = attrs.Factory(set)
     earlier_starts: set[RecordedStart] = attrs.Factory(set)
     dirty: bool = False
+    entitled_s: float = -math.inf
 
     @classmethod
     def create(cls, *, job: Job, version: int, received_s: float) -> "JobRun":
--- a/fescuerudder/jobs/saturation.py
+++ b/fescuerudder/jobs/saturation.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from fescuerudder.jobs.job import Step
 from fescuerudder.jobs.jobplacement import Demand
 from fescuerudder.jobs.load import Load
 
@@ -71,6 +72,19 @@
         bounds = self._bounds.get(_group(pool, demand), ())
         return any(bound.is_exceeded_by(demand) for bound in bounds)
 
+    def covers_step(self, pool: str, step: Step) -> bool:
+        """Returns whether a task of a step certainly finds no room, as far as its size tells."""
+        if step.best_effort:
+            return False
+        bounds = self._bounds.get((pool, step.required_label, None))
+        size = step.size
+        return bounds is not None and any(
+            size.processors >= bound.processors
+            and size.memory_mb >= bound.memory_mb
+            and size.accelerators >= bound.accelerators
+            for bound in bounds
+        )
+
     def add(self, pool: str, demand: Demand) -> None:
         """Records that no worker of a pool that the step may use has room for one more task."""
         size = demand.step.size
--- a/fescuerudder/jobs/schedulerstate.py
+++ b/fescuerudder/jobs/schedulerstate.py
@@ -15,6 +15,7 @@
 from fescuerudder.jobs.load import Load
 from fescuerudder.jobs.manifest import Manifest, Pool, Queue
 from fescuerudder.jobs.rows import RowKey
+from fescuerudder.jobs.shares import Entitlements, weight_of
 from fescuerudder.jobs.startrecords import record_keys
 from fescuerudder.jobs.urgency import JobSizes
 from fescuerudder.jobs.workerhealth import WorkerHealth
@@ -79,6 +80,7 @@
         knowledge: what was learned about tasks.
         health: health of the workers.
         usage: what each account has running.
+        entitlements: when callers are entitled to their jobs.
         dirty_jobs: jobs whose progress has changed since it was last stored.
         raised_tokens: fencing tokens of removed workers that are above the first one of the term,
             by worker id.
@@ -118,6 +120,7 @@
     knowledge: Knowledge = attrs.Factory(Knowledge)
     health: WorkerHealth = attrs.field(init=False)
     usage: AccountUsage = attrs.Factory(AccountUsage)
+    entitlements: Entitlements = attrs.Factory(Entitlements)
     _loads: dict[str, Load] = attrs.Factory(dict)
     _lost_contacts: list[tuple[float, str]] = attrs.Factory(list)
 
@@ -147,6 +150,10 @@
         if run.job.accepted_queue is not None:
             self.queues.setdefault(run.job.queue, run.job.accepted_queue)
         self.job_sizes.observe(run)
+        self.usage.observe(run.job)
+        if self.usage.is_enforced:
+            weight = weight_of(self.usage, run.job.account)
+            self.entitlements.observe(run, weight=weight)
         self.openable_jobs[run] = None
 
     def find_task(self, task_id: TaskId) -> TaskRun | None:
--- a/fescuerudder/jobs/starts.py
+++ b/fescuerudder/jobs/starts.py
@@ -1,11 +1,13 @@
 """Plans which tasks start on which workers."""
 
 from collections import Counter
+from operator import itemgetter
 
 import attrs
 import structlog
 
 from fescuerudder.jobs.attemptstarter import AttemptStarter
+from fescuerudder.jobs.candidates import Candidates, may_use
 from fescuerudder.jobs.crashes import is_on_probation, may_start_beside
 from fescuerudder.jobs.idleroom import ANY_HEADROOM, idle_pools, stands_still
 from fescuerudder.jobs.job import Step
@@ -22,6 +24,7 @@
 from fescuerudder.jobs.margins import MarginControl, Margins
 from fescuerudder.jobs.saturation import Saturation
 from fescuerudder.jobs.schedulerstate import SchedulerState
+from fescuerudder.jobs.shares import ShareControl
 from fescuerudder.jobs.urgency import objective_s, urgency_key
 from fescuerudder.jobs.workerrecord import WorkerRecord
 
@@ -48,6 +51,7 @@
         self._leases = leases
         self._starter = starter
         self._margin_control = MarginControl()
+        self._shares = ShareControl(usage=state.usage, queues=state.queues)
 
     @property
     def margins(self) -> Margins:
@@ -79,14 +83,15 @@
             if self._is_usable(record, now_s) and not self._passes_quarantine(record)
         ]
         self._restart_long_running(waiting, loads, now_s)
-        saturation = Saturation(loads=loads)
+        saturation, candidates = Saturation(loads=loads), Candidates(loads=loads, steps=waiting)
         demands = _image_demands(waiting)
-        for step in sorted(
-            waiting, key=lambda s: (*self._urgency(s, now_s), *_grouping_key(s, demands))
-        ):
-            tasks = [task for task in waiting[step] if not task.attempts or step.spec.speculative]
-            self._start_step(step, tasks, loads, saturation, now_s)
-            if step.spec.long_running:
+        keyed = [((*self._urgency(s, now_s), *_grouping_key(s, demands)), s) for s in waiting]
+        ordered = sorted(keyed, key=itemgetter(0))
+        for turn in self._shares.turns(ordered, waiting, loads, saturation, now_s):
+            step, planned = turn.step, len(state.planned)
+            self._start_step(step, turn.tasks, candidates, saturation, now_s)
+            turn.started = len(state.planned) - planned
+            if step.spec.long_running and turn.started < len(turn.tasks):
                 self._start_on_fallback_workers(step, loads, quarantined, now_s)
         self._start_beside_idle_room(waiting, [*loads, *quarantined], now_s)
 
@@ -162,8 +167,10 @@
     def _waiting_tasks(self) -> dict[StepRun, list[TaskRun]]:
         """Returns the tasks that may be started, by step, of accounts that are below their cap."""
         waiting, usage = {}, self._state.usage
+        near_caps = usage.near_caps()
         for step in self._state.open_steps:
-            if not step.spec.gang and not usage.may_start(step):
+            is_near = step.job.job.account in near_caps
+            if is_near and not step.spec.gang and not usage.may_start(step):
                 continue
             tasks = self.startable_tasks(step)
             if tasks:
@@ -224,7 +231,7 @@
             record
             for record in self._state.workers.values()
             if queue is not None
-            and _may_use(record, step.spec, queue)
+            and may_use(record, step.spec, queue)
             and self._is_usable(record, now_s)
         ]
 
@@ -255,19 +262,21 @@
         self,
         step: StepRun,
         tasks: list[TaskRun],
-        loads: list[Load],
+        candidates: Candidates,
         saturation: Saturation,
         now_s: float,
     ) -> None:
         queue = self._queue(step)
+        if not tasks or queue is None or saturation.covers_step(queue.pool, step.spec):
+            return
         count = len(tasks if step.spec.gang else self._state.usage.limit(step, tasks))
-        if not count or queue is None:
+        if not count:
             return
         demand = self._demand(step, count, queue, now_s)
         demand = attrs.evolve(demand, room_is_scarce=saturation.is_scarce(queue.pool))
         if saturation.covers(queue.pool, demand):
             return
-        eligible = [load for load in loads if _may_use(load.record, step.spec, queue)]
+        eligible = candidates.usable(step.spec, queue)
         if queue.advice is not None:
             eligible = self._filter_permitted(step, queue.advice, eligible, demand)
         if step.spec.gang:
@@ -277,12 +286,15 @@
             group = self._state.usage.limit(step, members)
             if not group:
                 break
-            # A task that failed everywhere may try again anywhere.
-            loads = [load for load in eligible if load.record.id not in avoided] or eligible
-            loads = [load for load in loads if may_start_beside(group[0], load.record, now_s)]
-            choice = choose_for_long_running if step.spec.long_running else choose_workers
-            chosen = choice(attrs.evolve(demand, count=len(group)), loads)
             may_use_all = not avoided and not is_on_probation(group[0])
+            if may_use_all and queue.advice is None:
+                usable = candidates.roomy(step.spec, queue)
+            else:
+                # A task that failed everywhere may try again anywhere.
+                others = [load for load in eligible if load.record.id not in avoided] or eligible
+                usable = [x for x in others if may_start_beside(group[0], x.record, now_s)]
+            choice = choose_for_long_running if step.spec.long_running else choose_workers
+            chosen = choice(attrs.evolve(demand, count=len(group)), usable)
             if len(chosen) < len(group) and may_use_all and _has_free_choice(step.spec, queue):
                 saturation.add(queue.pool, demand)
             self._plan_starts(group, chosen, now_s)
@@ -389,7 +401,7 @@
         return [
             load
             for load in loads
-            if _may_use(load.record, step.spec, queue)
+            if may_use(load.record, step.spec, queue)
             and (queue.advice is None or advice.permit(step.id, load.record))
         ]
 
@@ -464,14 +476,6 @@
     return not step.max_per_worker and not step.long_running and queue.advice is None
 
 
-def _may_use(record: WorkerRecord, step: Step, queue: Queue) -> bool:
-    """Returns whether pool and label of a worker are those that a step needs."""
-    info = record.info
-    return info.pool == queue.pool and (
-        not step.required_label or step.required_label in info.labels
-    )
-
-
 def _choose_gang(demand: Demand, eligible: list[Load]) -> list[Load]:
     """Returns workers for all members, in one rack if the step asks for it and a rack has room."""
     racks: dict[str, list[Load]] = {}
--- a/tests/jobs/test_account_caps.py
+++ b/tests/jobs/test_account_caps.py
@@ -273,3 +273,19 @@
     sim.send_job("a", step(5))
     sim.run(1)
     assert sim.running("a") == 6.0
+
+
+def test_starts_that_a_record_covers_keep_to_the_cap():
+    """Guards against starts above a cap in an outage of the store, beside the job's own tasks."""
+    sim = AccountSimulation(account("a", CAP), workers=4, capacity=6.0)
+    sim.plan = lambda task, attempt, worker: (ONE, 2.5, False)
+    sim.claim("l")
+    sim.run(0.2)
+    job = sim.send_job("a", step(3), step(3))
+    sim.run(0.6)
+    assert sim.starts(job) == 3
+    sim.store.faults.down = True
+    for _ in range(80):
+        sim.run(0.05)
+        assert sim.planned("a") <= CAP and sim.running("a") <= CAP
+    assert sim.starts(job) > 3
