Accounts: metrics, log lines and explain

Cause: operators could not see which account has, wants or is held back from what. Gauges of use, cap, share, weight and waiting tasks by account, and a counter of refused calls; at most 200 accounts have labels of their own. `account at its cap` is logged for ten accounts a second at most, each in 10 s; `explain` shows it for the jobs of the account, also if it is older than the job.

--- a/fescuerudder/explain.py
+++ b/fescuerudder/explain.py
@@ -25,6 +25,9 @@
 )
 """Events that belong to every job with an attempt on the worker."""
 
+ACCOUNT_EVENTS = frozenset({"account at its cap", "account below its cap"})
+"""Events that belong to every job of the account; that a cap was reached may be older than it."""
+
 ENDS = frozenset({"attempt ended", "attempt ended early"})
 START = "start ordered"
 WAITS = "older job waits"
@@ -71,6 +74,7 @@
     ordered = sorted(lines, key=lambda line: str(line.get("timestamp", "")))
     own = [line for line in ordered if _names(line, job)]
     workers = {line["worker"] for line in own if "worker" in line}
+    accounts = {line["account"] for line in own if "account" in line}
     workers |= {awaited["id"] for line in own for awaited in _awaited(line)}
     first, last = (own[0], own[-1]) if own else ({}, {})
     between = [
@@ -78,8 +82,9 @@
         for line in ordered
         if str(first.get("timestamp", "")) <= str(line.get("timestamp", ""))
         and str(line.get("timestamp", "")) <= str(last.get("timestamp", ""))
-        and _is_context(line, workers)
+        and _is_context(line, workers, accounts)
     ]
+    between += _last_caps(ordered, accounts, before=str(first.get("timestamp", "")))
     kept = {id(line) for line in (*own, *between)}
     told = [line for line in ordered if id(line) in kept] if own else []
     return Story(lines=told, missing=list(_missing(own, ordered)), waits=list(_waits(own)))
@@ -99,11 +104,27 @@
     return line.get("job") == job or path.endswith(f"/{job}") or row.partition(".")[0] == job
 
 
-def _is_context(line: Line, workers: set[str]) -> bool:
+def _is_context(line: Line, workers: set[str], accounts: set[str]) -> bool:
     event = line["event"]
+    if event in ACCOUNT_EVENTS:
+        return line.get("account") in accounts
     return event in TERM_EVENTS or (event in WORKER_EVENTS and line.get("worker") in workers)
 
 
+def _last_caps(lines: list[Line], accounts: set[str], *, before: str) -> Iterator[Line]:
+    """Yields the line that says that an account of a job was at its cap before the job came."""
+    for account in accounts:
+        earlier = [
+            line
+            for line in lines
+            if line["event"] in ACCOUNT_EVENTS
+            and line.get("account") == account
+            and str(line.get("timestamp", "")) < before
+        ]
+        if earlier and earlier[-1]["event"] == "account at its cap":
+            yield earlier[-1]
+
+
 def _awaited(line: Line) -> list[dict[str, Any]]:
     """Returns the workers that a waiting job names, with why and how long they are awaited."""
     workers = line.get("workers", []) if line["event"] == WAITS else []
--- a/fescuerudder/jobs/jobmetrics.py
+++ b/fescuerudder/jobs/jobmetrics.py
@@ -15,6 +15,7 @@
 
 from fescuerudder._meterprovider import create_provider
 from fescuerudder.clock import Clock, SystemClock
+from fescuerudder.jobs.accountmetrics import AccountGauges
 
 LATENCY_BOUNDS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0)
 
@@ -163,6 +164,7 @@
             callbacks=[self._observe_events],
             description="Log events by name and outcome.",
         )
+        self.accounts = AccountGauges(meter=meter)
         self._waits = WaitGauges(meter=meter, clock=clock or SystemClock())
         self._first_starts = meter.create_histogram(
             "fescuerudder_takeover_first_start",
--- a/fescuerudder/jobs/leader.py
+++ b/fescuerudder/jobs/leader.py
@@ -181,10 +181,12 @@
         for loop in (self._tick, self._write, self._read_registry):
             self._start_thread(loop)
         self._start_thread(lambda: self._follow_jobs(loaded.version))
+        self._metrics.accounts.watch(self._scheduler.account_figures)
         return self
 
     def __exit__(self, *exc_info: object) -> None:
         self._stopping.set()
+        self._metrics.accounts.unwatch(self._scheduler.account_figures)
         self._loop.call(self._cancel_orders)
         self._advice_calls.shutdown(wait=False, cancel_futures=True)
         if self._ref is not None:
--- a/fescuerudder/jobs/scheduler.py
+++ b/fescuerudder/jobs/scheduler.py
@@ -5,6 +5,8 @@
 import structlog
 
 from fescuerudder.clock import Clock
+from fescuerudder.jobs.accountmetrics import AccountFigures
+from fescuerudder.jobs.accountmonitor import AccountMonitor
 from fescuerudder.jobs.adviceport import Advice, AdviceQuery
 from fescuerudder.jobs.attemptstarter import AttemptStarter
 from fescuerudder.jobs.crashes import record_worker_end
@@ -88,6 +90,7 @@
         starter = AttemptStarter(state=self.state, leases=leases)
         self._planner = StartPlanner(state=self.state, leases=leases, starter=starter)
         self._releaser = StartReleaser(state=self.state, starter=starter, leases=leases)
+        self._accounts = AccountMonitor(state=self.state)
         self._waits = WaitMonitor(state=self.state, planner=self._planner)
         self.stored_states: dict[str, JobState] = {}
         self.is_superseded = False
@@ -142,7 +145,8 @@
                 run = JobRun.create(job=stored.job, version=stored.version, received_s=now_s)
                 self.state.add_job(run)
                 self.stored_states[stored.job.id] = JobState.QUEUED
-                _log.info("job known", job=stored.job.id, queue=stored.job.queue)
+                account = {"account": stored.job.account} if stored.job.account else {}
+                _log.info("job known", job=stored.job.id, queue=stored.job.queue, **account)
 
     def restore(self, run: JobRun) -> None:
         """Adds a job with the progress that an earlier leader stored."""
@@ -391,6 +395,7 @@
         self._planner.plan(now_s=now_s, wall_ms=self._wall_ms())
         orders += self.take_starts()
         self._waits.observe(now_s)
+        self._accounts.observe(now_s)
         orders += self.state.advice.take_queries()
         orders += self._renewals.plan(now_s)
         return orders
@@ -462,7 +467,11 @@
         self._reported.clear()
         return orders
 
-    # --- output to callers
+    # --- output to callers and operators
+
+    def account_figures(self) -> tuple[AccountFigures, ...]:
+        """Returns what each account has, as last counted; may be called by any thread."""
+        return self._accounts.figures
 
     def pending(self) -> dict[str, int]:
         """Returns the number of jobs of each queue that have no started task."""
--- a/fescuerudder/platform/callers.py
+++ b/fescuerudder/platform/callers.py
@@ -12,6 +12,7 @@
 from fescuerudder import checked
 from fescuerudder.clock import Clock
 from fescuerudder.httpserver import MAX_BODY_BYTES, close_after_answer
+from fescuerudder.jobs.accounts import NO_ACCOUNT
 from fescuerudder.jobs.intake import Refusal
 from fescuerudder.jobs.job import Job, Repetition, Step
 from fescuerudder.jobs.jobcheck import check_job
@@ -23,6 +24,9 @@
 DEFAULT_DEADLINE_S = 3.0
 MAX_DEADLINE_MS = 3_600_000
 _ID_PATTERN = re.compile(r"[0-9a-fA-F]{16}")
+_REFUSED = (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE)
+"""Answers that say that a call was not carried out."""
+
 _DEADLINE_HEADER = "HTTP_X_DEADLINE_MS"
 
 _log = structlog.get_logger(__name__)
@@ -133,7 +137,18 @@
             return 404, {}, {}
         account = self._find_account(_read_key(environ), is_public=queue.is_public)
         if account is None:
+            self._metrics.accounts.count_refused(NO_ACCOUNT, HTTPStatus.UNAUTHORIZED)
             return _refuse_key(queue, environ)
+        answer = self._answer_known(environ, queue, account, data, started_s)
+        if answer[0] in _REFUSED:
+            self._metrics.accounts.count_refused(account, answer[0])
+        return answer
+
+    def _answer_known(
+        self, environ: dict[str, Any], queue: Queue, account: str, data: bytes, started_s: float
+    ) -> Answer:
+        """Answers a request to a queue that the caller may use."""
+        path = environ.get("PATH_INFO", "")
         job_id = path[len(queue.prefix) :]
         method = environ["REQUEST_METHOD"]
         deadline_s = started_s + _deadline_s(environ)
