--- a/fescuerudder/jobs/accountusage.py
+++ b/fescuerudder/jobs/accountusage.py
@@ -5,8 +5,8 @@
 """
 
 import math
-from collections.abc import Iterable, Mapping
-from typing import Any, NamedTuple
+from collections.abc import Iterable
+from typing import NamedTuple
 
 from fescuerudder.document import Size
 from fescuerudder.jobs.accounts import Account
@@ -47,8 +47,8 @@
         self._caps: dict[str, tuple[tuple[int, int], ...]] = {}
         self._attempts: dict[Attempt, _Counted] = {}
         self._orphans: dict[str, list[_Counted]] = {}
-        self._totals: dict[str, Amounts] = {}
-        self._by_pool: dict[tuple[str, str], Amounts] = {}
+        self._sums: dict[str, dict[str, list[int]]] = {}
+        self._largest: dict[str, Amounts] = {}
         self._ended: dict[str, tuple[str, tuple[Amounts, ...]]] = {}
 
     @property
@@ -65,10 +65,32 @@
         changed = {account.name: account for account in accounts}
         self.accounts = self.accounts | changed if changed else {}
         if not changed:
-            for sums in (self._attempts, self._orphans, self._totals, self._by_pool):
+            for sums in (self._attempts, self._orphans, self._sums):
                 sums.clear()
         self._caps = {account.name: _limits(account.cap) for account in self.accounts.values()}
 
+    def observe(self, job: Job) -> None:
+        """Takes note of the sizes of the tasks of a new job."""
+        if job.account:
+            processors, memory_mb, accelerators = self._largest.get(job.account, NOTHING)
+            for step in job.steps:
+                amounts = amounts_of(step.size)
+                processors = max(processors, amounts[0])
+                memory_mb = max(memory_mb, amounts[1])
+                accelerators = max(accelerators, amounts[2])
+            self._largest[job.account] = (processors, memory_mb, accelerators)
+
+    def near_caps(self) -> set[str]:
+        """Returns the accounts under whose caps not every one of their tasks fits."""
+        return {
+            account
+            for account, limits in self._caps.items()
+            if any(
+                self.total(account)[number] + self._largest.get(account, NOTHING)[number] > limit
+                for number, limit in limits
+            )
+        }
+
     def add(self, attempt: Attempt, *, pool: str) -> None:
         """Adds a live attempt in a pool."""
         if attempt in self._attempts or not self.accounts:
@@ -108,15 +130,28 @@
 
     def total(self, account: str) -> Amounts:
         """Returns what an account has on all workers together."""
-        return self._totals.get(account, NOTHING)
+        pools = self._sums.get(account)
+        if pools is None:
+            return NOTHING
+        processors = memory_mb = accelerators = 0
+        for sums in pools.values():
+            processors += sums[0]
+            memory_mb += sums[1]
+            accelerators += sums[2]
+        return (processors, memory_mb, accelerators)
 
     def in_pool(self, pool: str, account: str) -> Amounts:
         """Returns what an account has on the workers of a pool."""
-        return self._by_pool.get((pool, account), NOTHING)
+        sums = self._sums.get(account, {}).get(pool)
+        return (sums[0], sums[1], sums[2]) if sums is not None else NOTHING
 
-    def totals(self) -> Mapping[str, Amounts]:
-        """Returns what each account has, for those that have anything."""
-        return self._totals
+    def accounts_in(self, pool: str) -> list[str]:
+        """Returns the accounts that have anything on the workers of a pool."""
+        return [account for account, pools in self._sums.items() if pool in pools]
+
+    def names(self) -> set[str]:
+        """Returns the accounts that have anything."""
+        return set(self._sums)
 
     def figures(self, account: str) -> dict[str, list[float]]:
         """Returns what an account has and its cap, for the log: cores, memory, accelerators."""
@@ -133,13 +168,18 @@
         limits = self._caps.get(account)
         if not limits:
             return math.inf
-        used, amounts = self._totals.get(account, NOTHING), amounts_of(size)
+        used, amounts = self.total(account), amounts_of(size)
         room = math.inf
         for number, limit in limits:
             if amounts[number] > 0:
                 room = min(room, max(0, (limit - used[number]) // amounts[number]))
         return room
 
+    def exceeds_cap(self, account: str, amounts: Amounts) -> bool:
+        """Returns whether amounts are above the cap of an account."""
+        limits = self._caps.get(account, ())
+        return any(amounts[number] > limit for number, limit in limits)
+
     def limit(self, step: StepRun, tasks: list[TaskRun]) -> list[TaskRun]:
         """Returns as many of the tasks of a step as fit under the cap of its account."""
         room = self.room(step.job.job.account, step.spec.size)
@@ -156,7 +196,7 @@
         Above a cap that has shrunk, a move would end running work.
         """
         account = attempt.task.step.job.job.account
-        used = self._totals.get(account, NOTHING)
+        used = self.total(account)
         return all(used[number] <= limit for number, limit in self._caps.get(account, ()))
 
     def _describe(self, task_id: TaskId, task: TaskRun | None) -> tuple[str, Amounts]:
@@ -166,22 +206,29 @@
         return account, sizes[task_id.step] if 0 <= task_id.step < len(sizes) else NOTHING
 
     def _change(self, counted: _Counted, sign: int) -> None:
-        account, pool, amounts = counted
-        _add_to(self._totals, account, amounts, sign)
-        _add_to(self._by_pool, (pool, account), amounts, sign)
-
-
-def _add_to(sums: dict[Any, Amounts], key: Any, amounts: Amounts, sign: int) -> None:
-    processors, memory_mb, accelerators = sums.get(key, NOTHING)
-    changed = (
-        processors + sign * amounts[0],
-        memory_mb + sign * amounts[1],
-        accelerators + sign * amounts[2],
+        account, pool, (processors, memory_mb, accelerators) = counted
+        pools = self._sums.get(account)
+        if pools is None:
+            pools = self._sums[account] = {}
+        sums = pools.get(pool)
+        if sums is None:
+            sums = pools[pool] = [0, 0, 0]
+        sums[0] += sign * processors
+        sums[1] += sign * memory_mb
+        sums[2] += sign * accelerators
+        if sign < 0 and not any(sums):
+            del pools[pool]
+            if not pools:
+                del self._sums[account]
+
+
+def add(amounts: Amounts, size: Size, count: int) -> Amounts:
+    """Returns amounts with some tasks of a size added."""
+    return (
+        amounts[0] + count * round(size.processors * PARTS),
+        amounts[1] + count * size.memory_mb,
+        amounts[2] + count * size.accelerators,
     )
-    if changed == NOTHING:
-        sums.pop(key, None)
-    else:
-        sums[key] = changed
 
 
 def amounts_of(size: Size) -> Amounts:
