Overload: load patterns with baselines and a clairvoyant bound

Replays without one cause at a time show what costs the jobs of the highest priority their value. The planner takes the sort key as an argument, so the product holds no switch for baselines.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -340,6 +340,22 @@
     return EXIT_DONE
 
 
+def overload(name: str = "") -> int:
+    """Replays loads with too little capacity in each order of the waiting steps.
+
+    Args:
+        name: one pattern; all if left out, which also writes bench/results/overload-order.jsonl
+            and bench/results/overload-causes.jsonl.
+    """
+    from bench.overload import PATTERN_NAMES, run_and_print
+
+    if name and name not in PATTERN_NAMES:
+        raise UsageError(f"no pattern {name!r}; there are {', '.join(PATTERN_NAMES)}")
+    context = {"command": "python -m bench overload", "commit": commit_id()}
+    run_and_print([name] if name else [], context=context)
+    return EXIT_DONE
+
+
 def starts(*, seed: str = "1") -> int:
     """Measures what the candidate records of starts cost; writes bench/results/starts.jsonl.
 
@@ -389,6 +405,7 @@
     "slopes": slopes,
     "capacity": capacity,
     "patterns": patterns,
+    "overload": overload,
     "starts": starts,
     "soak": soak,
 }
--- a/bench/_jobsimulation.py
+++ b/bench/_jobsimulation.py
@@ -33,6 +33,7 @@
     progress_key,
 )
 from fescuerudder.jobs.takeover import load_stored_state, restore_scheduler, split_job_rows
+from fescuerudder.jobs.urgency import urgency_key
 from fescuerudder.jobs.workerport import (
     OrderAnswer,
     OrderResult,
@@ -105,6 +106,7 @@
             clock=sim.clock,
             wall_ms=lambda: sim.clock.now_s() * 1000,
             leases=self.leases,
+            urgency=sim.urgency,
         )
         loaded = load_stored_state(
             store=sim.store,
@@ -234,6 +236,7 @@
         self.leaders: list[Leader] = []
         self._pending_calls: list = []
         self._order = itertools.count()
+        self.urgency = urgency_key
         self.order_loss_rate = 0.0
         self.lost_order_delay_s = (0.5, 6.0)
         self.delay_s = (0.001, 0.03)
--- /dev/null
+++ b/bench/_overloadorders.py
@@ -0,0 +1,141 @@
+"""Orders of waiting steps to which the order of the product is compared.
+
+Each is a sort key with the signature of `urgency_key`; long-running tasks are where it has them.
+"""
+
+from collections.abc import Callable
+
+import attrs
+
+from fescuerudder.jobs.jobrun import StepRun
+from fescuerudder.jobs.manifest import Queue
+from fescuerudder.jobs.urgency import EXPIRY_FACTOR, JobSizes, UrgencyKey, objective_s, urgency_key
+
+Key = tuple[float, ...]
+
+
+def _for_jobs_that_end(key: UrgencyKey) -> UrgencyKey:
+    """Returns an order that is the value density for long-running tasks."""
+
+    def chosen(step: StepRun, queue: Queue | None, sizes: JobSizes, now_s: float) -> Key:
+        if queue is None or step.spec.long_running:
+            return urgency_key(step, queue, sizes, now_s)
+        return key(step, queue, sizes, now_s)
+
+    return chosen
+
+
+@_for_jobs_that_end
+def earliest_deadline(step: StepRun, queue: Queue, sizes: JobSizes, now_s: float) -> Key:
+    """Orders by priority, then by deadline."""
+    return (queue.priority, step.job.received_s + objective_s(step.job, queue), step.number)
+
+
+@_for_jobs_that_end
+def smallest_first(step: StepRun, queue: Queue, sizes: JobSizes, now_s: float) -> Key:
+    """Orders by priority, then by the work that the job still needs."""
+    run = step.job
+    return (queue.priority, run.work - run.done_work, run.received_s, step.number)
+
+
+@_for_jobs_that_end
+def least_slack(step: StepRun, queue: Queue, sizes: JobSizes, now_s: float) -> Key:
+    """Orders by priority, then by the time that is left beside the remaining steps."""
+    return (queue.priority, _slack_s(step, queue, now_s), step.number)
+
+
+@_for_jobs_that_end
+def late_last_in_priority(step: StepRun, queue: Queue, sizes: JobSizes, now_s: float) -> Key:
+    """Orders by priority, then in time before late before useless, then by value density."""
+    _, *rest = urgency_key(step, queue, sizes, now_s)
+    return (queue.priority, _lateness(step, queue, now_s), *rest)
+
+
+@_for_jobs_that_end
+def late_last(step: StepRun, queue: Queue, sizes: JobSizes, now_s: float) -> Key:
+    """Orders in time before late before useless, then by priority, then by value density."""
+    lateness = _lateness(step, queue, now_s)
+    _, *rest = urgency_key(step, queue, sizes, now_s)
+    return (queue.priority + 100 * lateness, *rest)
+
+
+@_for_jobs_that_end
+def useless_last(step: StepRun, queue: Queue, sizes: JobSizes, now_s: float) -> Key:
+    """Orders useless jobs of all priorities last, the others as by value density."""
+    key = urgency_key(step, queue, sizes, now_s)
+    return (queue.priority + 100 * (_lateness(step, queue, now_s) > 1), *key[1:])
+
+
+def _slack_s(step: StepRun, queue: Queue, now_s: float) -> float:
+    run = step.job
+    left_s = run.received_s + objective_s(run, queue) - now_s
+    return left_s - run.remaining_path_ms(step.number) / 1000
+
+
+def _lateness(step: StepRun, queue: Queue, now_s: float) -> int:
+    """Returns 0 for a job that can be in time, 1 for a late one and 2 for a useless one."""
+    slack_s = _slack_s(step, queue, now_s)
+    limit_s = objective_s(step.job, queue)
+    return (slack_s < 0.0) + (slack_s < -(EXPIRY_FACTOR - 1) * limit_s)
+
+
+@attrs.define(kw_only=True)
+class MooreHodgson:
+    """Weighted form of the Moore-Hodgson rule, by priority.
+
+    In the order of deadlines, the work of the waiting jobs is added up. Where a job would miss its
+    deadline, the job with the lowest value density among those so far is put last. The choice is
+    made from the jobs that waited at the last plan.
+
+    Args:
+        processors: processors that work on them.
+    """
+
+    processors: float
+    _at_s: float = -1.0
+    _seen: dict[StepRun, tuple[float, Queue]] = attrs.Factory(dict)
+    _dropped: set[StepRun] = attrs.Factory(set)
+
+    def __call__(self, step: StepRun, queue: Queue | None, sizes: JobSizes, now_s: float) -> Key:
+        """Returns the sort key of a step."""
+        key = urgency_key(step, queue, sizes, now_s)
+        if queue is None or step.spec.long_running:
+            return key
+        if now_s != self._at_s:
+            self._choose(now_s)
+            self._at_s, self._seen = now_s, {}
+        self._seen[step] = (key[1], queue)
+        deadline_s = step.job.received_s + objective_s(step.job, queue)
+        return (queue.priority, step in self._dropped, deadline_s, step.number)
+
+    def _choose(self, now_s: float) -> None:
+        self._dropped.clear()
+        kept: list[tuple[float, float, StepRun]] = []
+        ready_s = now_s
+        for step, (density_class, queue) in sorted(self._seen.items(), key=self._by_deadline):
+            work_s = max(0.0, step.job.work - step.job.done_work) / self.processors
+            kept.append((density_class, work_s, step))
+            ready_s += work_s
+            while kept and ready_s > step.job.received_s + objective_s(step.job, queue):
+                worst = max(range(len(kept)), key=lambda k: kept[k][:2])
+                _, dropped_s, dropped = kept.pop(worst)
+                ready_s -= dropped_s
+                self._dropped.add(dropped)
+
+    @staticmethod
+    def _by_deadline(item: tuple[StepRun, tuple[float, Queue]]) -> tuple[float, float]:
+        step, (_, queue) = item
+        return (queue.priority, step.job.received_s + objective_s(step.job, queue))
+
+
+ORDERS: dict[str, Callable[[float], UrgencyKey]] = {
+    "value density": lambda processors: urgency_key,
+    "earliest deadline": lambda processors: earliest_deadline,
+    "smallest first": lambda processors: smallest_first,
+    "least slack": lambda processors: least_slack,
+    "late last in priority": lambda processors: late_last_in_priority,
+    "late last": lambda processors: late_last,
+    "useless last": lambda processors: useless_last,
+    "Moore-Hodgson": lambda processors: MooreHodgson(processors=processors),
+}
+"""Orders by name, each made for a number of processors that jobs may use."""
--- a/fescuerudder/jobs/scheduler.py
+++ b/fescuerudder/jobs/scheduler.py
@@ -26,6 +26,7 @@
 from fescuerudder.jobs.stops import StopPlanner
 from fescuerudder.jobs.storage import progress_key
 from fescuerudder.jobs.throttling import plan_throttles
+from fescuerudder.jobs.urgency import UrgencyKey, urgency_key
 from fescuerudder.jobs.waitreasons import WaitMonitor
 from fescuerudder.jobs.workerhealth import HealthStatus
 from fescuerudder.jobs.workerport import (
@@ -69,6 +70,7 @@
         clock: source of time.
         wall_ms: returns Unix time in milliseconds.
         leases: length of the leases.
+        urgency: sort key of waiting steps.
     """
 
     def __init__(
@@ -78,6 +80,7 @@
         clock: Clock,
         wall_ms: Callable[[], float],
         leases: LeasePolicy,
+        urgency: UrgencyKey = urgency_key,
     ) -> None:
         self.state = SchedulerState(term=term, clock=clock)
         self._clock = clock
@@ -86,7 +89,9 @@
         self._reconciler = ReportReconciler(state=self.state)
         self._roster = RosterKeeper(state=self.state, reconciler=self._reconciler)
         starter = AttemptStarter(state=self.state, leases=leases)
-        self._planner = StartPlanner(state=self.state, leases=leases, starter=starter)
+        self._planner = StartPlanner(
+            state=self.state, leases=leases, starter=starter, urgency=urgency
+        )
         self._releaser = StartReleaser(state=self.state, starter=starter, leases=leases)
         self._waits = WaitMonitor(state=self.state, planner=self._planner)
         self.stored_states: dict[str, JobState] = {}
--- a/fescuerudder/jobs/starts.py
+++ b/fescuerudder/jobs/starts.py
@@ -22,7 +22,7 @@
 from fescuerudder.jobs.margins import MarginControl, Margins
 from fescuerudder.jobs.saturation import Saturation
 from fescuerudder.jobs.schedulerstate import SchedulerState
-from fescuerudder.jobs.urgency import objective_s, urgency_key
+from fescuerudder.jobs.urgency import UrgencyKey, objective_s, urgency_key
 from fescuerudder.jobs.workerrecord import WorkerRecord
 
 FALLBACK_WAIT_S = 2.0
@@ -39,14 +39,21 @@
         state: state of the term.
         leases: length of the leases.
         starter: adds the attempts.
+        urgency: sort key of waiting steps.
     """
 
     def __init__(
-        self, *, state: SchedulerState, leases: LeasePolicy, starter: AttemptStarter
+        self,
+        *,
+        state: SchedulerState,
+        leases: LeasePolicy,
+        starter: AttemptStarter,
+        urgency: UrgencyKey = urgency_key,
     ) -> None:
         self._state = state
         self._leases = leases
         self._starter = starter
+        self._urgency_key = urgency
         self._margin_control = MarginControl()
 
     @property
@@ -242,7 +249,7 @@
         return self._state.queues.get(step.job.job.queue)
 
     def _urgency(self, step: StepRun, now_s: float) -> tuple[float, ...]:
-        return urgency_key(step, self._queue(step), self._state.job_sizes, now_s)
+        return self._urgency_key(step, self._queue(step), self._state.job_sizes, now_s)
 
     def _start_step(
         self,
--- a/fescuerudder/jobs/urgency.py
+++ b/fescuerudder/jobs/urgency.py
@@ -12,6 +12,7 @@
 """
 
 import math
+from collections.abc import Callable
 
 from fescuerudder.jobs.jobrun import JobRun, StepRun
 from fescuerudder.jobs.manifest import Queue
@@ -59,6 +60,10 @@
         return run.work / mean if mean > 0.0 else 1.0
 
 
+UrgencyKey = Callable[[StepRun, Queue | None, JobSizes, float], tuple[float, ...]]
+"""Sort key of a step, from the step, its queue, average sizes of jobs and the time."""
+
+
 def urgency_key(
     step: StepRun, queue: Queue | None, sizes: JobSizes, now_s: float
 ) -> tuple[float, ...]:
