Order under overload: work in time first, by value for each core second

Cause: where capacity is short, late jobs that were small or almost done went before jobs that could still be in time, and the work of a job counted relative to the mean of its own queue, so a large job of one queue tied with a small one of another queue of the same priority.

Change: in a pool in which work waits for capacity (more is needed than is free, or the last plan had no room for a task), jobs of one priority go in time before late before useless, then by value for each core second that they still need.

--- a/bench/_overloadorders.py
+++ b/bench/_overloadorders.py
@@ -9,61 +9,72 @@
 
 from fescuerudder.jobs.jobrun import StepRun
 from fescuerudder.jobs.manifest import Queue
-from fescuerudder.jobs.urgency import EXPIRY_FACTOR, JobSizes, UrgencyKey, objective_s, urgency_key
+from fescuerudder.jobs.urgency import (
+    EXPIRY_FACTOR,
+    OrderInputs,
+    UrgencyKey,
+    objective_s,
+    urgency_key,
+)
 
 Key = tuple[float, ...]
 
 
+def value_density(step: StepRun, queue: Queue | None, inputs: OrderInputs) -> Key:
+    """Orders as the product does where no work waits for capacity."""
+    return urgency_key(step, queue, attrs.evolve(inputs, short_pools=frozenset()))
+
+
 def _for_jobs_that_end(key: UrgencyKey) -> UrgencyKey:
-    """Returns an order that is the value density for long-running tasks."""
+    """Returns an order that of the product for long-running tasks."""
 
-    def chosen(step: StepRun, queue: Queue | None, sizes: JobSizes, now_s: float) -> Key:
+    def chosen(step: StepRun, queue: Queue | None, inputs: OrderInputs) -> Key:
         if queue is None or step.spec.long_running:
-            return urgency_key(step, queue, sizes, now_s)
-        return key(step, queue, sizes, now_s)
+            return value_density(step, queue, inputs)
+        return key(step, queue, inputs)
 
     return chosen
 
 
 @_for_jobs_that_end
-def earliest_deadline(step: StepRun, queue: Queue, sizes: JobSizes, now_s: float) -> Key:
+def earliest_deadline(step: StepRun, queue: Queue, inputs: OrderInputs) -> Key:
     """Orders by priority, then by deadline."""
     return (queue.priority, step.job.received_s + objective_s(step.job, queue), step.number)
 
 
 @_for_jobs_that_end
-def smallest_first(step: StepRun, queue: Queue, sizes: JobSizes, now_s: float) -> Key:
+def smallest_first(step: StepRun, queue: Queue, inputs: OrderInputs) -> Key:
     """Orders by priority, then by the work that the job still needs."""
     run = step.job
     return (queue.priority, run.work - run.done_work, run.received_s, step.number)
 
 
 @_for_jobs_that_end
-def least_slack(step: StepRun, queue: Queue, sizes: JobSizes, now_s: float) -> Key:
+def least_slack(step: StepRun, queue: Queue, inputs: OrderInputs) -> Key:
     """Orders by priority, then by the time that is left beside the remaining steps."""
-    return (queue.priority, _slack_s(step, queue, now_s), step.number)
+    return (queue.priority, _slack_s(step, queue, inputs.now_s), step.number)
 
 
 @_for_jobs_that_end
-def late_last_in_priority(step: StepRun, queue: Queue, sizes: JobSizes, now_s: float) -> Key:
+def late_last_in_priority(step: StepRun, queue: Queue, inputs: OrderInputs) -> Key:
     """Orders by priority, then in time before late before useless, then by value density."""
-    _, *rest = urgency_key(step, queue, sizes, now_s)
-    return (queue.priority, _lateness(step, queue, now_s), *rest)
+    _, *rest = value_density(step, queue, inputs)
+    return (queue.priority, _lateness(step, queue, inputs.now_s), *rest)
 
 
 @_for_jobs_that_end
-def late_last(step: StepRun, queue: Queue, sizes: JobSizes, now_s: float) -> Key:
+def late_last(step: StepRun, queue: Queue, inputs: OrderInputs) -> Key:
     """Orders in time before late before useless, then by priority, then by value density."""
-    lateness = _lateness(step, queue, now_s)
-    _, *rest = urgency_key(step, queue, sizes, now_s)
+    lateness = _lateness(step, queue, inputs.now_s)
+    _, *rest = value_density(step, queue, inputs)
     return (queue.priority + 100 * lateness, *rest)
 
 
 @_for_jobs_that_end
-def useless_last(step: StepRun, queue: Queue, sizes: JobSizes, now_s: float) -> Key:
+def useless_last(step: StepRun, queue: Queue, inputs: OrderInputs) -> Key:
     """Orders useless jobs of all priorities last, the others as by value density."""
-    key = urgency_key(step, queue, sizes, now_s)
-    return (queue.priority + 100 * (_lateness(step, queue, now_s) > 1), *key[1:])
+    key = value_density(step, queue, inputs)
+    return (queue.priority + 100 * (_lateness(step, queue, inputs.now_s) > 1), *key[1:])
 
 
 def _slack_s(step: StepRun, queue: Queue, now_s: float) -> float:
@@ -96,15 +107,15 @@
     _seen: dict[StepRun, tuple[float, Queue]] = attrs.Factory(dict)
     _dropped: set[StepRun] = attrs.Factory(set)
 
-    def __call__(self, step: StepRun, queue: Queue | None, sizes: JobSizes, now_s: float) -> Key:
+    def __call__(self, step: StepRun, queue: Queue | None, inputs: OrderInputs) -> Key:
         """Returns the sort key of a step."""
-        key = urgency_key(step, queue, sizes, now_s)
+        key = value_density(step, queue, inputs)
         if queue is None or step.spec.long_running:
             return key
-        if now_s != self._at_s:
-            self._choose(now_s)
-            self._at_s, self._seen = now_s, {}
-        self._seen[step] = (key[1], queue)
+        if inputs.now_s != self._at_s:
+            self._choose(inputs.now_s)
+            self._at_s, self._seen = inputs.now_s, {}
+        self._seen[step] = (key[2], queue)
         deadline_s = step.job.received_s + objective_s(step.job, queue)
         return (queue.priority, step in self._dropped, deadline_s, step.number)
 
@@ -129,7 +140,8 @@
 
 
 ORDERS: dict[str, Callable[[float], UrgencyKey]] = {
-    "value density": lambda processors: urgency_key,
+    "value density": lambda processors: value_density,
+    "chosen": lambda processors: urgency_key,
     "earliest deadline": lambda processors: earliest_deadline,
     "smallest first": lambda processors: smallest_first,
     "least slack": lambda processors: least_slack,
--- a/bench/_overloadreplay.py
+++ b/bench/_overloadreplay.py
@@ -189,7 +189,7 @@
         self.sim.submit(STANDING_JOB, steps=steps, queue_name="standing")
 
     def _outcome(self) -> Outcome:
-        ends = self._ends()
+        ends = self.ends()
         took = {
             job.arrival.job_id: ends.get(job.arrival.job_id, float("inf"))
             - self.submitted_s[job.arrival.job_id]
@@ -210,7 +210,7 @@
             work=sum(job.arrival.work for job in self.jobs),
         )
 
-    def _ends(self) -> dict[str, float]:
+    def ends(self) -> dict[str, float]:
         """Returns when the last task of each complete job ended."""
         ended: dict[str, dict] = {}
         for at_s, _, task, _, event in self.sim.events:
--- a/fescuerudder/jobs/saturation.py
+++ b/fescuerudder/jobs/saturation.py
@@ -71,6 +71,10 @@
         bounds = self._bounds.get(_group(pool, demand), ())
         return any(bound.is_exceeded_by(demand) for bound in bounds)
 
+    def pools_without_room(self) -> set[str]:
+        """Returns the pools in which a task that must end found no room."""
+        return {pool for pool, _, image in self._bounds if image is None}
+
     def add(self, pool: str, demand: Demand) -> None:
         """Records that no worker of a pool that the step may use has room for one more task."""
         size = demand.step.size
--- a/fescuerudder/jobs/starts.py
+++ b/fescuerudder/jobs/starts.py
@@ -22,7 +22,8 @@
 from fescuerudder.jobs.margins import MarginControl, Margins
 from fescuerudder.jobs.saturation import Saturation
 from fescuerudder.jobs.schedulerstate import SchedulerState
-from fescuerudder.jobs.urgency import UrgencyKey, objective_s, urgency_key
+from fescuerudder.jobs.shortage import ShortageMonitor, WaitingTasks
+from fescuerudder.jobs.urgency import OrderInputs, UrgencyKey, objective_s, urgency_key
 from fescuerudder.jobs.workerrecord import WorkerRecord
 
 FALLBACK_WAIT_S = 2.0
@@ -54,6 +55,7 @@
         self._leases = leases
         self._starter = starter
         self._urgency_key = urgency
+        self._shortage = ShortageMonitor()
         self._margin_control = MarginControl()
 
     @property
@@ -87,22 +89,37 @@
         ]
         self._restart_long_running(waiting, loads, now_s)
         saturation = Saturation(loads=loads)
+        inputs = self._order_inputs(waiting, loads, now_s)
         demands = _image_demands(waiting)
         for step in sorted(
-            waiting, key=lambda s: (*self._urgency(s, now_s), *_grouping_key(s, demands))
+            waiting, key=lambda s: (*self._urgency(s, inputs), *_grouping_key(s, demands))
         ):
             tasks = [task for task in waiting[step] if not task.attempts or step.spec.speculative]
             self._start_step(step, tasks, loads, saturation, now_s)
             if step.spec.long_running:
                 self._start_on_fallback_workers(step, loads, quarantined, now_s)
+        self._shortage.record_unplaced(saturation.pools_without_room())
         self._start_beside_idle_room(waiting, [*loads, *quarantined], now_s)
 
+    def _order_inputs(
+        self, waiting: dict[StepRun, list[TaskRun]], loads: list[Load], now_s: float
+    ) -> OrderInputs:
+        """Returns what the order of the waiting steps depends on."""
+        tasks = [
+            WaitingTasks(pool=queue.pool, step=step.spec, count=len(tasks))
+            for step, tasks in waiting.items()
+            if (queue := self._queue(step)) is not None
+        ]
+        short_pools = self._shortage.short_pools(tasks, loads)
+        return OrderInputs(sizes=self._state.job_sizes, now_s=now_s, short_pools=short_pools)
+
     def _start_on_recorded_workers(
         self, waiting: dict[StepRun, list[TaskRun]], loads: list[Load], now_s: float
     ) -> None:
         """Starts tasks where a stored record covers them, as no other can be stored now."""
         by_life = {(load.record.id, load.record.info.incarnation_ms): load for load in loads}
-        for step in sorted(waiting, key=lambda s: self._urgency(s, now_s)):
+        inputs = OrderInputs(sizes=self._state.job_sizes, now_s=now_s)
+        for step in sorted(waiting, key=lambda s: self._urgency(s, inputs)):
             queue = self._queue(step)
             if queue is None or step.spec.gang:
                 continue
@@ -248,8 +265,8 @@
     def _queue(self, step: StepRun) -> Queue | None:
         return self._state.queues.get(step.job.job.queue)
 
-    def _urgency(self, step: StepRun, now_s: float) -> tuple[float, ...]:
-        return self._urgency_key(step, self._queue(step), self._state.job_sizes, now_s)
+    def _urgency(self, step: StepRun, inputs: OrderInputs) -> tuple[float, ...]:
+        return self._urgency_key(step, self._queue(step), inputs)
 
     def _start_step(
         self,
--- a/fescuerudder/jobs/urgency.py
+++ b/fescuerudder/jobs/urgency.py
@@ -14,6 +14,8 @@
 import math
 from collections.abc import Callable
 
+import attrs
+
 from fescuerudder.jobs.jobrun import JobRun, StepRun
 from fescuerudder.jobs.manifest import Queue
 
@@ -37,7 +39,14 @@
 """Ratio of two value densities from which they differ; closer ones are ordered by deadline."""
 
 LONG_RUNNING_CLASS = 1_000_000
-"""Density class of long-running tasks: after all jobs of use, before those that are too late."""
+"""Density class of long-running tasks: after all jobs that end in time."""
+
+MIN_WORK = 0.01
+"""Lower bound of the work that a job still needs, in core seconds, so that its value
+density is finite."""
+
+IN_TIME, LATE, EXPIRED = range(3)
+"""How late a job will be at best: in time, late, or so late that it is of no use."""
 
 MEAN_SIZE_WEIGHT = 0.05
 """Weight of a new job in the moving average of the sizes of its queue's jobs."""
@@ -60,37 +69,82 @@
         return run.work / mean if mean > 0.0 else 1.0
 
 
-UrgencyKey = Callable[[StepRun, Queue | None, JobSizes, float], tuple[float, ...]]
-"""Sort key of a step, from the step, its queue, average sizes of jobs and the time."""
+@attrs.frozen(kw_only=True)
+class OrderInputs:
+    """What the order of one plan depends on beside the steps.
+
+    Args:
+        sizes: average sizes of jobs.
+        now_s: the time.
+        short_pools: names of the pools in which work waits for capacity.
+    """
+
+    sizes: JobSizes
+    now_s: float
+    short_pools: frozenset[str] = frozenset()
+
+
+UrgencyKey = Callable[[StepRun, Queue | None, OrderInputs], tuple[float, ...]]
+"""Sort key of a step, from the step, its queue and the inputs of the plan."""
 
 
-def urgency_key(
-    step: StepRun, queue: Queue | None, sizes: JobSizes, now_s: float
-) -> tuple[float, ...]:
+def urgency_key(step: StepRun, queue: Queue | None, inputs: OrderInputs) -> tuple[float, ...]:
     """Returns the sort key of a step; the step with the lowest key starts first.
 
     Args:
         step: a step with tasks to start.
         queue: the queue of its job, None if no known manifest has it.
-        sizes: average sizes of jobs.
-        now_s: the time.
+        inputs: what the order depends on beside the step.
     """
     if queue is None or step.spec.long_running:
         priority = queue.priority if queue is not None else 0
-        return (priority, LONG_RUNNING_CLASS, 0.0, step.number)
+        return (priority, LATE, LONG_RUNNING_CLASS, 0.0, step.number)
+    lateness, deadline_s = _lateness(step, queue, inputs.now_s)
+    if lateness == EXPIRED:
+        return (queue.priority, EXPIRED, math.inf, deadline_s, step.number)
+    if queue.pool in inputs.short_pools:
+        rank = _density_class(_value_per_core_second(step.job, lateness, inputs.sizes))
+        return (queue.priority, lateness, rank, deadline_s, step.number)
+    rank = _density_class(_value_density(step.job, lateness, inputs.sizes))
+    return (queue.priority, IN_TIME, rank, deadline_s, step.number)
+
+
+def _lateness(step: StepRun, queue: Queue, now_s: float) -> tuple[int, float]:
+    """Returns how late the job of a step will be at best, and its deadline."""
     run = step.job
     limit_s = objective_s(run, queue)
     done_s = now_s + run.remaining_path_ms(step.number) / 1000 - run.received_s
-    deadline_s = run.received_s + limit_s
-    if done_s > EXPIRY_FACTOR * limit_s:
-        return (queue.priority, math.inf, deadline_s, step.number)
-    size = sizes.relative_size(run)
-    value = min(MAX_VALUE, BASE_VALUE + (1 - BASE_VALUE) * size)
-    if done_s > limit_s:
-        value *= LATE_VALUE_FACTOR
-    left = max(MIN_REMAINING_SHARE, 1 - run.done_work / run.work) if run.work > 0.0 else 1.0
-    density = value / (max(size, MIN_REMAINING_SHARE) * left)
-    return (queue.priority, -round(math.log(density, DENSITY_CLASS_RATIO)), deadline_s, step.number)
+    lateness = (done_s > limit_s) + (done_s > EXPIRY_FACTOR * limit_s)
+    return lateness, run.received_s + limit_s
+
+
+def _value(run: JobRun, lateness: int, sizes: JobSizes) -> float:
+    """Returns the value of a job as a multiple of that of a job of the usual size."""
+    value = min(MAX_VALUE, BASE_VALUE + (1 - BASE_VALUE) * sizes.relative_size(run))
+    return value if lateness == IN_TIME else value * LATE_VALUE_FACTOR
+
+
+def _left_share(run: JobRun) -> float:
+    """Returns the share of its work that a job still needs."""
+    left = 1 - run.done_work / run.work if run.work > 0.0 else 1.0
+    return max(MIN_REMAINING_SHARE, left)
+
+
+def _value_density(run: JobRun, lateness: int, sizes: JobSizes) -> float:
+    """Returns the value of a job for the work that it needs, relative to its queue's jobs."""
+    size = max(sizes.relative_size(run), MIN_REMAINING_SHARE)
+    return _value(run, lateness, sizes) / (size * _left_share(run))
+
+
+def _value_per_core_second(run: JobRun, lateness: int, sizes: JobSizes) -> float:
+    """Returns the value of a job for each core second that it still needs."""
+    left = max(MIN_WORK, run.work * _left_share(run))
+    return _value(run, lateness, sizes) / left
+
+
+def _density_class(density: float) -> int:
+    """Returns a number that is lower for a higher density, and the same for close ones."""
+    return -round(math.log(density, DENSITY_CLASS_RATIO))
 
 
 def objective_s(run: JobRun, queue: Queue) -> float:
--- a/tests/jobs/test_urgency.py
+++ b/tests/jobs/test_urgency.py
@@ -8,7 +8,7 @@
 from fescuerudder.document import Size
 from fescuerudder.jobs.job import Job, Step
 from fescuerudder.jobs.jobrun import JobRun
-from fescuerudder.jobs.urgency import MAX_VALUE, JobSizes, objective_s, urgency_key
+from fescuerudder.jobs.urgency import MAX_VALUE, JobSizes, OrderInputs, objective_s, urgency_key
 
 NOW_S = 1000.0
 QUEUE = queue(stretch=2.0, allowance_ms=1000, priority=2)
@@ -24,8 +24,9 @@
     return run
 
 
-def key(run, sizes=None, of=QUEUE):
-    return urgency_key(run.steps[(0, 0)], of, sizes or JobSizes(), NOW_S)
+def key(run, sizes=None, of=QUEUE, short_pools=()):
+    inputs = OrderInputs(sizes=sizes or JobSizes(), now_s=NOW_S, short_pools=frozenset(short_pools))
+    return urgency_key(run.steps[(0, 0)], of, inputs)
 
 
 @pytest.mark.parametrize(
@@ -51,6 +52,41 @@
     assert key(make_run(**first), sizes) < key(make_run(**second), sizes)
 
 
+@pytest.mark.parametrize(
+    ("first", "second"),
+    [
+        pytest.param({"age_s": 2.0}, {"age_s": 8.0, "done": 9}, id="in time before almost done"),
+        pytest.param({"tasks": 3}, {"tasks": 10}, id="small"),
+        pytest.param({"age_s": 8.0}, {"age_s": 30.0}, id="late before useless"),
+        pytest.param({"age_s": 8.0}, {"long_running": True}, id="late before long-running"),
+    ],
+)
+def test_late_work_goes_after_work_in_time_where_capacity_is_short(first, second):
+    """Guards against late jobs that keep others from being in time until demand falls."""
+    sizes = JobSizes()
+    sizes.observe(make_run())
+    first_key, second_key = (
+        key(make_run(**fields), sizes, short_pools={QUEUE.pool}) for fields in (first, second)
+    )
+    assert first_key < second_key
+
+
+def test_jobs_of_several_queues_go_by_value_per_core_second_where_capacity_is_short():
+    """Guards against a queue of large jobs that holds the capacity of many small ones.
+
+    Each job is of the usual size of its queue, so the earlier deadline decides while capacity is
+    free.
+    """
+    sizes = JobSizes()
+    small = make_run(tasks=5, age_s=1.0)
+    large = make_run(tasks=50, age_s=2.0, queue_name="large")
+    for run in (small, large):
+        sizes.observe(run)
+    assert key(large, sizes) < key(small, sizes)
+    short_pools = {QUEUE.pool}
+    assert key(small, sizes, short_pools=short_pools) < key(large, sizes, short_pools=short_pools)
+
+
 def test_priority_goes_before_all_else():
     """Guards against a queue of high priority that waits for almost done jobs of another one."""
     high = key(make_run(age_s=8.0), of=queue(priority=0))
