Learned run times, used by the order under overload

Change: run times are learned by queue, shape of step and worker from observed ends. The order uses them in pools in which work waits; elsewhere the submitted estimates count, as before.

--- a/bench/_overloadorders.py
+++ b/bench/_overloadorders.py
@@ -9,6 +9,7 @@
 
 from fescuerudder.jobs.jobrun import StepRun
 from fescuerudder.jobs.manifest import Queue
+from fescuerudder.jobs.runtimes import RunTimes
 from fescuerudder.jobs.urgency import (
     EXPIRY_FACTOR,
     OrderInputs,
@@ -18,6 +19,7 @@
 )
 
 Key = tuple[float, ...]
+NOTHING_LEARNED = RunTimes()
 
 
 def value_density(step: StepRun, queue: Queue | None, inputs: OrderInputs) -> Key:
@@ -36,6 +38,11 @@
     return chosen
 
 
+def chosen_with_estimates(step: StepRun, queue: Queue | None, inputs: OrderInputs) -> Key:
+    """Orders as the product does before it has learned any run time."""
+    return urgency_key(step, queue, attrs.evolve(inputs, run_times=NOTHING_LEARNED))
+
+
 @_for_jobs_that_end
 def earliest_deadline(step: StepRun, queue: Queue, inputs: OrderInputs) -> Key:
     """Orders by priority, then by deadline."""
@@ -142,6 +149,7 @@
 ORDERS: dict[str, Callable[[float], UrgencyKey]] = {
     "value density": lambda processors: value_density,
     "chosen": lambda processors: urgency_key,
+    "chosen, submitted times": lambda processors: chosen_with_estimates,
     "earliest deadline": lambda processors: earliest_deadline,
     "smallest first": lambda processors: smallest_first,
     "least slack": lambda processors: least_slack,
--- a/fescuerudder/jobs/jobrun.py
+++ b/fescuerudder/jobs/jobrun.py
@@ -2,7 +2,7 @@
 
 import enum
 import math
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import attrs
 
@@ -308,6 +308,10 @@
         return is_same_index and task.id.occurrence == own.occurrence
 
 
+def _estimated_ms(step: Step) -> float:
+    return step.estimated_ms
+
+
 @attrs.define(eq=False, kw_only=True)
 class JobRun:
     """A job and its progress.
@@ -381,16 +385,23 @@
         step = self.steps.get((task_id.occurrence, task_id.step))
         return step.task(task_id.index) if step is not None else None
 
-    def remaining_path_ms(self, number: int) -> int:
-        """Returns the estimated run time of the longest chain of steps that begins with a step."""
+    def remaining_path_ms(
+        self, number: int, run_ms: Callable[[Step], float] = _estimated_ms
+    ) -> float:
+        """Returns the run time of the longest chain of steps that begins with a step.
+
+        Args:
+            number: number of the step.
+            run_ms: returns the run time of a task of a step, the submitted estimate by default.
+        """
         steps = self.job.steps
         # Longest chain that begins with a step that depends on the given one.
-        chains = [0] * len(steps)
+        chains = [0.0] * len(steps)
         for k in range(len(steps) - 1, number, -1):
-            path_ms = steps[k].estimated_ms + chains[k]
+            path_ms = run_ms(steps[k]) + chains[k]
             for earlier in steps[k].after:
                 chains[earlier] = max(chains[earlier], path_ms)
-        return steps[number].estimated_ms + chains[number]
+        return run_ms(steps[number]) + chains[number]
 
     def may_open(self, step: StepRun) -> bool:
         """Returns whether all steps that `step` depends on are done."""
--- a/fescuerudder/jobs/reports.py
+++ b/fescuerudder/jobs/reports.py
@@ -178,6 +178,10 @@
         if end is AttemptEnd.DONE and attempt.confirmed_s is not None and not task.checkpoint:
             run_s = max(MIN_RUN_S, now_s - attempt.confirmed_s)
             task.rate, task.done_by = 100 / run_s, attempt.worker
+            if not attempt.adopted and attempt.throttle == FULL_SPEED:
+                self._state.run_times.observe(
+                    task.step.job.job.queue, task.step.spec, worker=attempt.worker, run_s=run_s
+                )
 
     def _record_done(self, task: TaskRun) -> None:
         run = task.step.job
--- a/fescuerudder/jobs/schedulerstate.py
+++ b/fescuerudder/jobs/schedulerstate.py
@@ -14,6 +14,7 @@
 from fescuerudder.jobs.load import Load
 from fescuerudder.jobs.manifest import Manifest, Pool, Queue
 from fescuerudder.jobs.rows import RowKey
+from fescuerudder.jobs.runtimes import RunTimes
 from fescuerudder.jobs.startrecords import record_keys
 from fescuerudder.jobs.urgency import JobSizes
 from fescuerudder.jobs.workerhealth import WorkerHealth
@@ -74,6 +75,7 @@
             order in which they opened.
         openable_jobs: jobs that may have steps to open.
         job_sizes: typical work of the jobs of each queue.
+        run_times: learned run times of tasks.
         advice: permits of the advice service.
         knowledge: what was learned about tasks.
         health: health of the workers.
@@ -112,6 +114,7 @@
     unreadable_records: dict[RowKey, None] = attrs.Factory(dict)
     starts_recorded: bool = False
     job_sizes: JobSizes = attrs.Factory(JobSizes)
+    run_times: RunTimes = attrs.Factory(RunTimes)
     advice: AdviceCache = attrs.field(init=False)
     knowledge: Knowledge = attrs.Factory(Knowledge)
     health: WorkerHealth = attrs.field(init=False)
--- a/fescuerudder/jobs/starts.py
+++ b/fescuerudder/jobs/starts.py
@@ -89,7 +89,7 @@
         ]
         self._restart_long_running(waiting, loads, now_s)
         saturation = Saturation(loads=loads)
-        inputs = self._order_inputs(waiting, loads, now_s)
+        inputs = self._order_inputs(now_s, self._short_pools(waiting, loads))
         demands = _image_demands(waiting)
         for step in sorted(
             waiting, key=lambda s: (*self._urgency(s, inputs), *_grouping_key(s, demands))
@@ -101,24 +101,22 @@
         self._shortage.record_unplaced(saturation.pools_without_room())
         self._start_beside_idle_room(waiting, [*loads, *quarantined], now_s)
 
-    def _order_inputs(
-        self, waiting: dict[StepRun, list[TaskRun]], loads: list[Load], now_s: float
-    ) -> OrderInputs:
-        """Returns what the order of the waiting steps depends on."""
+    def _short_pools(
+        self, waiting: dict[StepRun, list[TaskRun]], loads: list[Load]
+    ) -> frozenset[str]:
         tasks = [
             WaitingTasks(pool=queue.pool, step=step.spec, count=len(tasks))
             for step, tasks in waiting.items()
             if (queue := self._queue(step)) is not None
         ]
-        short_pools = self._shortage.short_pools(tasks, loads)
-        return OrderInputs(sizes=self._state.job_sizes, now_s=now_s, short_pools=short_pools)
+        return self._shortage.short_pools(tasks, loads)
 
     def _start_on_recorded_workers(
         self, waiting: dict[StepRun, list[TaskRun]], loads: list[Load], now_s: float
     ) -> None:
         """Starts tasks where a stored record covers them, as no other can be stored now."""
         by_life = {(load.record.id, load.record.info.incarnation_ms): load for load in loads}
-        inputs = OrderInputs(sizes=self._state.job_sizes, now_s=now_s)
+        inputs = self._order_inputs(now_s)
         for step in sorted(waiting, key=lambda s: self._urgency(s, inputs)):
             queue = self._queue(step)
             if queue is None or step.spec.gang:
@@ -265,6 +263,10 @@
     def _queue(self, step: StepRun) -> Queue | None:
         return self._state.queues.get(step.job.job.queue)
 
+    def _order_inputs(self, now_s: float, short_pools: frozenset[str] = frozenset()) -> OrderInputs:
+        sizes, run_times = self._state.job_sizes, self._state.run_times
+        return OrderInputs(sizes=sizes, run_times=run_times, now_s=now_s, short_pools=short_pools)
+
     def _urgency(self, step: StepRun, inputs: OrderInputs) -> tuple[float, ...]:
         return self._urgency_key(step, self._queue(step), inputs)
 
--- a/fescuerudder/jobs/urgency.py
+++ b/fescuerudder/jobs/urgency.py
@@ -16,8 +16,10 @@
 
 import attrs
 
+from fescuerudder.jobs.job import Step
 from fescuerudder.jobs.jobrun import JobRun, StepRun
 from fescuerudder.jobs.manifest import Queue
+from fescuerudder.jobs.runtimes import RunTimes
 
 LATE_VALUE_FACTOR = 0.25
 """Value of a job that is late, as a share of its value in time."""
@@ -75,11 +77,13 @@
 
     Args:
         sizes: average sizes of jobs.
+        run_times: learned run times of tasks.
         now_s: the time.
         short_pools: names of the pools in which work waits for capacity.
     """
 
     sizes: JobSizes
+    run_times: RunTimes
     now_s: float
     short_pools: frozenset[str] = frozenset()
 
@@ -99,23 +103,39 @@
     if queue is None or step.spec.long_running:
         priority = queue.priority if queue is not None else 0
         return (priority, LATE, LONG_RUNNING_CLASS, 0.0, step.number)
-    lateness, deadline_s = _lateness(step, queue, inputs.now_s)
+    if queue.pool in inputs.short_pools:
+        return _key_where_short(step, queue, inputs)
+    run, limit_s = step.job, objective_s(step.job, queue)
+    deadline_s = run.received_s + limit_s
+    lateness = _lateness(inputs.now_s + run.remaining_path_ms(step.number) / 1000, run, limit_s)
     if lateness == EXPIRED:
         return (queue.priority, EXPIRED, math.inf, deadline_s, step.number)
-    if queue.pool in inputs.short_pools:
-        rank = _density_class(_value_per_core_second(step.job, lateness, inputs.sizes))
-        return (queue.priority, lateness, rank, deadline_s, step.number)
-    rank = _density_class(_value_density(step.job, lateness, inputs.sizes))
+    rank = _density_class(_value_density(run, lateness, inputs.sizes))
     return (queue.priority, IN_TIME, rank, deadline_s, step.number)
 
 
-def _lateness(step: StepRun, queue: Queue, now_s: float) -> tuple[int, float]:
-    """Returns how late the job of a step will be at best, and its deadline."""
-    run = step.job
-    limit_s = objective_s(run, queue)
-    done_s = now_s + run.remaining_path_ms(step.number) / 1000 - run.received_s
-    lateness = (done_s > limit_s) + (done_s > EXPIRY_FACTOR * limit_s)
-    return lateness, run.received_s + limit_s
+def _key_where_short(step: StepRun, queue: Queue, inputs: OrderInputs) -> tuple[float, ...]:
+    """Returns the sort key of a step of a job that ends, in a pool in which work waits."""
+
+    def run_ms(spec: Step) -> float:
+        return 1000 * inputs.run_times.expected_s(queue.name, spec)
+
+    run, limit_s = step.job, objective_s(step.job, queue)
+    deadline_s = run.received_s + limit_s
+    done_s = inputs.now_s + run.remaining_path_ms(step.number, run_ms) / 1000
+    lateness = _lateness(done_s, run, limit_s)
+    if lateness == EXPIRED:
+        return (queue.priority, EXPIRED, math.inf, deadline_s, step.number)
+    work = sum(s.count * s.size.processors * run_ms(s) / 1000 for s in run.job.steps)
+    left = max(MIN_WORK, work * _left_share(run))
+    rank = _density_class(_value(run, lateness, inputs.sizes) / left)
+    return (queue.priority, lateness, rank, deadline_s, step.number)
+
+
+def _lateness(done_s: float, run: JobRun, limit_s: float) -> int:
+    """Returns how late a job is that ends at a time, at best."""
+    took_s = done_s - run.received_s
+    return (took_s > limit_s) + (took_s > EXPIRY_FACTOR * limit_s)
 
 
 def _value(run: JobRun, lateness: int, sizes: JobSizes) -> float:
@@ -136,12 +156,6 @@
     return _value(run, lateness, sizes) / (size * _left_share(run))
 
 
-def _value_per_core_second(run: JobRun, lateness: int, sizes: JobSizes) -> float:
-    """Returns the value of a job for each core second that it still needs."""
-    left = max(MIN_WORK, run.work * _left_share(run))
-    return _value(run, lateness, sizes) / left
-
-
 def _density_class(density: float) -> int:
     """Returns a number that is lower for a higher density, and the same for close ones."""
     return -round(math.log(density, DENSITY_CLASS_RATIO))
