--- a/fescuerudder/jobs/runtimes.py
+++ b/fescuerudder/jobs/runtimes.py
@@ -27,8 +27,8 @@
 """Weight of a new run time in the factor of its worker."""
 
 MIN_SLOW_FACTOR = 0.4
-"""Logarithm of the factor from which a worker counts as slow. Below it, the factor is mostly chance,
-and taking it into account would let the estimates drift."""
+"""Logarithm of the factor from which a worker counts as slow. Below it, the factor is mostly
+chance, and taking it into account would let the estimates drift."""
 
 MIN_VARIANCE = 0.01
 """Lower bound of a variance, on the logarithmic scale."""
--- a/fescuerudder/jobs/shortage.py
+++ b/fescuerudder/jobs/shortage.py
@@ -7,10 +7,16 @@
 from collections.abc import Iterable
 
 import attrs
+import structlog
 
 from fescuerudder.jobs.job import Step
 from fescuerudder.jobs.load import ROUNDING_TOLERANCE, Load
 
+LOG_AFTER_S = 1.0
+"""Time for which a pool must be short, or not be short any more, before that is logged."""
+
+_log = structlog.get_logger(__name__)
+
 
 @attrs.frozen(kw_only=True)
 class WaitingTasks:
@@ -55,6 +61,37 @@
         return tolerated and self.memory_mb <= 0 and self.accelerators <= 0
 
 
+@attrs.define(kw_only=True)
+class _Spell:
+    """Time in which a pool is short, with interruptions of less than LOG_AFTER_S."""
+
+    since_s: float
+    last_s: float
+    is_logged: bool = False
+
+
+class ShortageLog:
+    """Logs when pools become short of capacity and when they are no longer."""
+
+    def __init__(self) -> None:
+        self._spells: dict[str, _Spell] = {}
+
+    def update(self, short_pools: Iterable[str], *, now_s: float) -> None:
+        """Takes up the pools that are short now."""
+        for pool in short_pools:
+            spell = self._spells.setdefault(pool, _Spell(since_s=now_s, last_s=now_s))
+            spell.last_s = now_s
+            if not spell.is_logged and now_s - spell.since_s >= LOG_AFTER_S:
+                spell.is_logged = True
+                _log.warning("capacity short", pool=pool)
+        for pool, spell in list(self._spells.items()):
+            if now_s - spell.last_s >= LOG_AFTER_S:
+                del self._spells[pool]
+                if spell.is_logged:
+                    short_s = round(spell.last_s - spell.since_s, 1)
+                    _log.info("capacity no longer short", pool=pool, short_s=short_s)
+
+
 class ShortageMonitor:
     """Tells in which pools work waits for capacity.
 
@@ -65,8 +102,11 @@
 
     def __init__(self) -> None:
         self._unplaced: frozenset[str] = frozenset()
+        self._shortage_log = ShortageLog()
 
-    def short_pools(self, waiting: Iterable[WaitingTasks], loads: Iterable[Load]) -> frozenset[str]:
+    def short_pools(
+        self, waiting: Iterable[WaitingTasks], loads: Iterable[Load], *, now_s: float
+    ) -> frozenset[str]:
         """Returns the names of the pools in which work waits for capacity."""
         missing = _needs(waiting)
         unplaced = frozenset(pool for pool in missing if pool in self._unplaced)
@@ -79,7 +119,9 @@
                 del missing[load.record.info.pool]
                 if not missing:
                     break
-        return unplaced | missing.keys()
+        short_pools = unplaced | missing.keys()
+        self._shortage_log.update(short_pools, now_s=now_s)
+        return short_pools
 
     def record_unplaced(self, pools: Iterable[str]) -> None:
         """Records the pools in which the plan had no room for a task."""
--- a/fescuerudder/jobs/starts.py
+++ b/fescuerudder/jobs/starts.py
@@ -89,7 +89,7 @@
         ]
         self._restart_long_running(waiting, loads, now_s)
         saturation = Saturation(loads=loads)
-        inputs = self._order_inputs(now_s, self._short_pools(waiting, loads))
+        inputs = self._order_inputs(now_s, self._short_pools(waiting, loads, now_s))
         demands = _image_demands(waiting)
         for step in sorted(
             waiting, key=lambda s: (*self._urgency(s, inputs), *_grouping_key(s, demands))
@@ -102,14 +102,14 @@
         self._start_beside_idle_room(waiting, [*loads, *quarantined], now_s)
 
     def _short_pools(
-        self, waiting: dict[StepRun, list[TaskRun]], loads: list[Load]
+        self, waiting: dict[StepRun, list[TaskRun]], loads: list[Load], now_s: float
     ) -> frozenset[str]:
         tasks = [
             WaitingTasks(pool=queue.pool, step=step.spec, count=len(tasks))
             for step, tasks in waiting.items()
             if (queue := self._queue(step)) is not None
         ]
-        return self._shortage.short_pools(tasks, loads)
+        return self._shortage.short_pools(tasks, loads, now_s=now_s)
 
     def _start_on_recorded_workers(
         self, waiting: dict[StepRun, list[TaskRun]], loads: list[Load], now_s: float
--- a/tests/jobs/test_shortage.py
+++ b/tests/jobs/test_shortage.py
@@ -3,10 +3,11 @@
 from types import SimpleNamespace
 
 import pytest
+from structlog.testing import capture_logs
 
 from fescuerudder.document import Size
 from fescuerudder.jobs.job import Step
-from fescuerudder.jobs.shortage import ShortageMonitor, WaitingTasks
+from fescuerudder.jobs.shortage import LOG_AFTER_S, ShortageLog, ShortageMonitor, WaitingTasks
 
 
 def load(*, pool="a", processors=4.0, memory_mb=100):
@@ -36,13 +37,24 @@
 )
 def test_a_pool_is_short_while_tasks_need_more_than_is_free(waiting, short_pools):
     """Guards against an order for overload that is used on a quiet day, or not used in a burst."""
-    assert ShortageMonitor().short_pools(waiting, [load(), load()]) == short_pools
+    assert ShortageMonitor().short_pools(waiting, [load(), load()], now_s=0.0) == short_pools
 
 
 def test_a_pool_is_short_while_free_capacity_is_in_fragments():
     """Guards against a burst that is not noticed as no worker has room although much is free."""
     monitor = ShortageMonitor()
     monitor.record_unplaced({"a"})
-    assert monitor.short_pools([tasks()], [load(processors=1.0)] * 8) == {"a"}
+    assert monitor.short_pools([tasks()], [load(processors=1.0)] * 8, now_s=0.0) == {"a"}
     monitor.record_unplaced(set())
-    assert monitor.short_pools([tasks()], [load(processors=1.0)] * 8) == set()
+    assert monitor.short_pools([tasks()], [load(processors=1.0)] * 8, now_s=0.0) == set()
+
+
+def test_a_shortage_is_logged_once_with_its_length():
+    """Guards against a log line for each plan, and against a shortage that operators never see."""
+    log = ShortageLog()
+    with capture_logs() as lines:
+        for tick in range(100):
+            is_short = 10 <= tick < 60 and tick % 10
+            log.update({"a"} if is_short else set(), now_s=tick * LOG_AFTER_S / 10)
+    assert [line["event"] for line in lines] == ["capacity short", "capacity no longer short"]
+    assert lines[1]["short_s"] == pytest.approx(4.8 * LOG_AFTER_S)
