Learned run times decide lateness, not the value for each core second

Cause: with learned work, jobs whose estimates are too high went first, as their value counts the submitted work; their deadlines are lax for the same reason.

Change: the work that a job still needs is the submitted estimate again; learned run times decide whether it can be in time.

--- a/fescuerudder/jobs/urgency.py
+++ b/fescuerudder/jobs/urgency.py
@@ -126,8 +126,8 @@
     lateness = _lateness(done_s, run, limit_s)
     if lateness == EXPIRED:
         return (queue.priority, EXPIRED, math.inf, deadline_s, step.number)
-    work = sum(s.count * s.size.processors * run_ms(s) / 1000 for s in run.job.steps)
-    left = max(MIN_WORK, work * _left_share(run))
+    # The value follows from the submitted work, so its density does too.
+    left = max(MIN_WORK, run.work * _left_share(run))
     rank = _density_class(_value(run, lateness, inputs.sizes) / left)
     return (queue.priority, lateness, rank, deadline_s, step.number)
 
