Test of lateness by learned run times; design note, first part

Cause: the note and a test of the learned run times in the order were missing.

Change: the test, the first part of the note, and what the order does where capacity is short in the module's comment.

--- a/fescuerudder/jobs/urgency.py
+++ b/fescuerudder/jobs/urgency.py
@@ -5,6 +5,11 @@
 value of their job for each core second that the job still needs (its value density), so jobs that
 are almost done go before those that have just begun.
 
+In pools in which work waits for capacity, late jobs go after all of their priority that can still be
+in time, and the value density counts core seconds, so that a job of a queue of large jobs doesn't go
+before several small ones of another queue. Whether a job can be in time follows from learned run times
+there.
+
 Among equal priorities, jobs that end go before long-running tasks. A long-running task keeps its
 room, so a short job that comes after it waits until another one is cancelled, whereas a task that
 comes second waits for less than the run time of a short job. In the other order, where all room is
@@ -41,7 +46,7 @@
 """Ratio of two value densities from which they differ; closer ones are ordered by deadline."""
 
 LONG_RUNNING_CLASS = 1_000_000
-"""Density class of long-running tasks: after all jobs that end in time."""
+"""Density class of long-running tasks: after all late jobs of their priority that are of use."""
 
 MIN_WORK = 0.01
 """Lower bound of the work that a job still needs, in core seconds, so that its value
--- a/tests/jobs/test_urgency.py
+++ b/tests/jobs/test_urgency.py
@@ -8,7 +8,7 @@
 from fescuerudder.document import Size
 from fescuerudder.jobs.job import Job, Step
 from fescuerudder.jobs.jobrun import JobRun
-from fescuerudder.jobs.runtimes import RunTimes
+from fescuerudder.jobs.runtimes import MIN_ENDS, RunTimes
 from fescuerudder.jobs.urgency import MAX_VALUE, JobSizes, OrderInputs, objective_s, urgency_key
 
 NOW_S = 1000.0
@@ -25,10 +25,10 @@
     return run
 
 
-def key(run, sizes=None, of=QUEUE, short_pools=()):
+def key(run, sizes=None, of=QUEUE, short_pools=(), run_times=None):
     inputs = OrderInputs(
         sizes=sizes or JobSizes(),
-        run_times=RunTimes(),
+        run_times=run_times or RunTimes(),
         now_s=NOW_S,
         short_pools=frozenset(short_pools),
     )
@@ -93,6 +93,17 @@
     assert key(small, sizes, short_pools=short_pools) < key(large, sizes, short_pools=short_pools)
 
 
+def test_learned_run_times_tell_late_jobs_where_capacity_is_short():
+    """Guards against jobs that seem in time by their estimates until they are of no use."""
+    sizes, run_times = JobSizes(), RunTimes()
+    unknown, known = make_run(age_s=1.0), make_run(age_s=2.0, image="slow")
+    for _ in range(MIN_ENDS):
+        run_times.observe("q", known.job.steps[0], worker="w", run_s=8.0)
+    assert key(known, sizes, run_times=run_times) < key(unknown, sizes, run_times=run_times)
+    inputs = {"short_pools": {QUEUE.pool}, "run_times": run_times}
+    assert key(unknown, sizes, **inputs) < key(known, sizes, **inputs)
+
+
 def test_priority_goes_before_all_else():
     """Guards against a queue of high priority that waits for almost done jobs of another one."""
     high = key(make_run(age_s=8.0), of=queue(priority=0))
