--- a/bench/_overloadreplay.py
+++ b/bench/_overloadreplay.py
@@ -1,7 +1,8 @@
 """Replay of a load through the real decisions, and what its callers got."""
 
+import contextlib
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 import attrs
 import structlog
@@ -116,6 +117,17 @@
     ]
 
 
+@contextlib.contextmanager
+def _without_logs() -> Iterator[None]:
+    """Leaves out log lines; the decisions log each start, which takes longer than the replay."""
+    before = structlog.get_config()
+    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL))
+    try:
+        yield
+    finally:
+        structlog.configure(**before)
+
+
 class OverloadReplay:
     """One replay of a pattern.
 
@@ -157,8 +169,10 @@
 
     def play(self) -> Outcome:
         """Replays the load; returns what its callers got."""
-        # The decisions log each start, which takes longer than the replay itself.
-        structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL))
+        with _without_logs():
+            return self._play()
+
+    def _play(self) -> Outcome:
         sim = self.sim
         sim.claim("a")
         if self._pattern.long_running_share:
--- a/fescuerudder/jobs/urgency.py
+++ b/fescuerudder/jobs/urgency.py
@@ -6,9 +6,9 @@
 are almost done go before those that have just begun.
 
 In pools in which work waits for capacity, late jobs go after all of their priority that can still
-be in time, and the value density counts core seconds, so that a job of a queue of large jobs doesn't
-go before several small ones of another queue. Whether a job can be in time follows from learned run
-times there.
+be in time, and the value density counts core seconds, so that a job of a queue of large jobs
+doesn't go before several small ones of another queue. Whether a job can be in time follows from
+learned run times there.
 
 Among equal priorities, jobs that end go before long-running tasks. A long-running task keeps its
 room, so a short job that comes after it waits until another one is cancelled, whereas a task that
