--- a/fescuerudder/jobs/schedulerstate.py
+++ b/fescuerudder/jobs/schedulerstate.py
@@ -16,6 +16,7 @@
 from fescuerudder.jobs.load import Load
 from fescuerudder.jobs.manifest import Manifest, Pool, Queue
 from fescuerudder.jobs.rows import RowKey
+from fescuerudder.jobs.runtimes import RunTimes
 from fescuerudder.jobs.shares import Entitlements, weight_of
 from fescuerudder.jobs.startrecords import record_keys
 from fescuerudder.jobs.urgency import JobSizes
@@ -77,6 +78,7 @@
             order in which they opened.
         openable_jobs: jobs that may have steps to open.
         job_sizes: typical work of the jobs of each queue.
+        run_times: learned run times of tasks.
         advice: permits of the advice service.
         knowledge: what was learned about tasks.
         health: health of the workers.
@@ -121,6 +123,7 @@
     max_lease_s: float = 0.0
     late_starts: LateStarts = attrs.Factory(LateStarts)
     job_sizes: JobSizes = attrs.Factory(JobSizes)
+    run_times: RunTimes = attrs.Factory(RunTimes)
     advice: AdviceCache = attrs.field(init=False)
     knowledge: Knowledge = attrs.Factory(Knowledge)
     health: WorkerHealth = attrs.field(init=False)
--- a/fescuerudder/jobs/shares.py
+++ b/fescuerudder/jobs/shares.py
@@ -181,7 +181,7 @@
             pool = self._pool_of(job.queue)
             if pool is None:
                 continue
-            segment = (self._priority(key[0], step.job, pool), key[1] == math.inf)
+            segment = (self._priority(key[0], step.job, pool), key[2] == math.inf)
             lanes = segments.setdefault(segment, {})
             lane = lanes.get((pool.name, job.account))
             if lane is None:
--- a/fescuerudder/jobs/starts.py
+++ b/fescuerudder/jobs/starts.py
@@ -27,7 +27,8 @@
 from fescuerudder.jobs.saturation import Saturation
 from fescuerudder.jobs.schedulerstate import SchedulerState
 from fescuerudder.jobs.shares import ShareControl
-from fescuerudder.jobs.urgency import objective_s, urgency_key
+from fescuerudder.jobs.shortage import ShortageMonitor, WaitingTasks
+from fescuerudder.jobs.urgency import OrderInputs, UrgencyKey, objective_s, urgency_key
 from fescuerudder.jobs.workerrecord import WorkerRecord
 
 FALLBACK_WAIT_S = 2.0
@@ -44,14 +45,22 @@
         state: state of the term.
         leases: length of the leases.
         starter: adds the attempts.
+        urgency: sort key of waiting steps.
     """
 
     def __init__(
-        self, *, state: SchedulerState, leases: LeasePolicy, starter: AttemptStarter
+        self,
+        *,
+        state: SchedulerState,
+        leases: LeasePolicy,
+        starter: AttemptStarter,
+        urgency: UrgencyKey = urgency_key,
     ) -> None:
         self._state = state
         self._leases = leases
         self._starter = starter
+        self._urgency_key = urgency
+        self._shortage = ShortageMonitor()
         self._margin_control = MarginControl()
         self._shares = ShareControl(usage=state.usage, queues=state.queues)
 
@@ -87,8 +96,9 @@
         waiting = self._restart_bound(waiting, loads, now_s)
         self._restart_long_running(waiting, loads, now_s)
         saturation, candidates = Saturation(loads=loads), Candidates(loads=loads, steps=waiting)
+        inputs = self._order_inputs(now_s, self._short_pools(waiting, loads, now_s))
         demands = _image_demands(waiting)
-        keyed = [((*self._urgency(s, now_s), *_grouping_key(s, demands)), s) for s in waiting]
+        keyed = [((*self._urgency(s, inputs), *_grouping_key(s, demands)), s) for s in waiting]
         ordered = sorted(keyed, key=itemgetter(0))
         for turn in self._shares.turns(ordered, waiting, loads, saturation, now_s):
             step, planned = turn.step, len(state.planned)
@@ -96,14 +106,26 @@
             turn.started = len(state.planned) - planned
             if step.spec.long_running and turn.started < len(turn.tasks):
                 self._start_on_fallback_workers(step, loads, quarantined, now_s)
+        self._shortage.record_unplaced(saturation.pools_without_room())
         self._start_beside_idle_room(waiting, [*loads, *quarantined], now_s)
 
+    def _short_pools(
+        self, waiting: dict[StepRun, list[TaskRun]], loads: list[Load], now_s: float
+    ) -> frozenset[str]:
+        tasks = [
+            WaitingTasks(pool=queue.pool, step=step.spec, count=len(tasks))
+            for step, tasks in waiting.items()
+            if (queue := self._queue(step)) is not None
+        ]
+        return self._shortage.short_pools(tasks, loads, now_s=now_s)
+
     def _start_on_recorded_workers(
         self, waiting: dict[StepRun, list[TaskRun]], loads: list[Load], now_s: float
     ) -> None:
         """Starts tasks where a stored record covers them, as no other can be stored now."""
         by_life = {(load.record.id, load.record.info.incarnation_ms): load for load in loads}
-        for step in sorted(waiting, key=lambda s: self._urgency(s, now_s)):
+        inputs = self._order_inputs(now_s)
+        for step in sorted(waiting, key=lambda s: self._urgency(s, inputs)):
             queue = self._queue(step)
             if queue is None or step.spec.gang:
                 continue
@@ -293,8 +315,12 @@
     def _queue(self, step: StepRun) -> Queue | None:
         return self._state.queues.get(step.job.job.queue)
 
-    def _urgency(self, step: StepRun, now_s: float) -> tuple[float, ...]:
-        return urgency_key(step, self._queue(step), self._state.job_sizes, now_s)
+    def _order_inputs(self, now_s: float, short_pools: frozenset[str] = frozenset()) -> OrderInputs:
+        sizes, run_times = self._state.job_sizes, self._state.run_times
+        return OrderInputs(sizes=sizes, run_times=run_times, now_s=now_s, short_pools=short_pools)
+
+    def _urgency(self, step: StepRun, inputs: OrderInputs) -> tuple[float, ...]:
+        return self._urgency_key(step, self._queue(step), inputs)
 
     def _start_step(
         self,
