Load generator: set the start once all senders are ready

Cause: arrivals began 1.5 s after the senders were started, and a sender took 4.3 to 4.9 s to import its modules on a core shared with 16 busy processes. Each arrival was then late, and test_latency_counts_from_the_planned_time (lag under 400 ms) failed.

Change: a sender reports that it is ready, and gets the start then.

The test and its bound are unchanged.

--- a/bench/_load.py
+++ b/bench/_load.py
@@ -4,12 +4,13 @@
 same arrivals, instances and service times. Latency counts from the planned time.
 """
 
+import contextlib
 import json
 import random
 import subprocess
 import sys
 import time
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
@@ -19,8 +20,11 @@
 
 SENDERS = 2
 THREADS = 256
-START_DELAY_S = 1.5
-"""Time for the sender processes to import their modules and start their threads."""
+START_DELAY_S = 0.5
+"""Time from the readiness of all sender processes to the offset 0 of the arrivals."""
+
+READY = "ready"
+"""Line that a sender process writes once it can send."""
 
 TIMEOUT_S = 20.0
 NO_DEADLINE_MS = 0
@@ -59,9 +63,8 @@
 
 @attrs.frozen(kw_only=True)
 class _Share:
-    """Work of one sender process; `start_s` is on CLOCK_MONOTONIC."""
+    """Work of one sender process."""
 
-    start_s: float
     addresses: list[str]
     path: str
     deadline_ms: int
@@ -97,10 +100,8 @@
     Raises:
         RuntimeError: a sender process failed.
     """
-    start_s = time.monotonic() + START_DELAY_S
     shares = [
         _Share(
-            start_s=start_s,
             addresses=list(addresses),
             path=path,
             deadline_ms=deadline_ms,
@@ -108,21 +109,60 @@
         )
         for number in range(senders)
     ]
-    with ThreadPoolExecutor(senders) as pool:
-        parts = list(pool.map(_run_sender, shares))
+    with contextlib.ExitStack() as stack, ThreadPoolExecutor(senders) as pool:
+        processes = [stack.enter_context(_open_sender(share)) for share in shares]
+        for process in processes:
+            _await_ready(process)
+        # Beside other load a process needs seconds to import its modules.
+        start_s = time.monotonic() + START_DELAY_S
+        parts = list(pool.map(lambda process: _run_sender(process, start_s), processes))
     return sorted((sent for part in parts for sent in part), key=lambda sent: sent.at_s)
 
 
-def _run_sender(share: _Share) -> list[Sent]:
-    done = subprocess.run(
+@contextlib.contextmanager
+def _open_sender(share: _Share) -> Iterator[subprocess.Popen[str]]:
+    """Starts a sender process with its share, and ends it on leaving."""
+    process = subprocess.Popen(
         [sys.executable, "-m", "bench._load"],
-        input=json.dumps(attrs.asdict(share)),
-        capture_output=True,
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
         text=True,
     )
-    if done.returncode:
-        raise RuntimeError(f"a sender failed: {done.stderr[-500:]}")
-    return cattrs.structure(json.loads(done.stdout), list[Sent])
+    with process:
+        try:
+            with contextlib.suppress(BrokenPipeError):
+                print(json.dumps(attrs.asdict(share)), file=process.stdin, flush=True)
+            yield process
+        finally:
+            process.kill()
+
+
+def _await_ready(process: subprocess.Popen[str]) -> None:
+    """Waits until a sender process can send.
+
+    Raises:
+        RuntimeError: it failed.
+    """
+    assert process.stdout is not None
+    if process.stdout.readline().strip() != READY:
+        raise _failure(process.communicate()[1])
+
+
+def _run_sender(process: subprocess.Popen[str], start_s: float) -> list[Sent]:
+    """Lets a sender process begin at a time on CLOCK_MONOTONIC; returns what it sent.
+
+    Raises:
+        RuntimeError: it failed.
+    """
+    output, errors = process.communicate(f"{start_s!r}\n")
+    if process.returncode:
+        raise _failure(errors)
+    return cattrs.structure(json.loads(output), list[Sent])
+
+
+def _failure(errors: str) -> RuntimeError:
+    return RuntimeError(f"a sender failed: {errors[-500:]}")
 
 
 class _Sender:
@@ -130,6 +170,7 @@
 
     def __init__(self, *, share: _Share) -> None:
         self._share = share
+        self._start_s = 0.0
         self._pools = [
             urllib3.HTTPConnectionPool(
                 *_host_port(address), maxsize=THREADS, retries=False, timeout=TIMEOUT_S
@@ -137,16 +178,18 @@
             for address in share.addresses
         ]
 
-    def run(self) -> list[Sent]:
+    def run(self, start_s: float) -> list[Sent]:
+        """Sends the share; `start_s` is its offset 0 on CLOCK_MONOTONIC."""
+        self._start_s = start_s
         with ThreadPoolExecutor(THREADS) as pool:
             futures = []
             for arrival in self._share.arrivals:
-                time.sleep(max(0.0, self._share.start_s + arrival.at_s - time.monotonic()))
+                time.sleep(max(0.0, self._start_s + arrival.at_s - time.monotonic()))
                 futures.append(pool.submit(self._send, arrival))
             return [fut.result() for fut in futures]
 
     def _send(self, arrival: Arrival) -> Sent:
-        intended_s = self._share.start_s + arrival.at_s
+        intended_s = self._start_s + arrival.at_s
         sent_s = time.monotonic()
         headers = {"Work-Ms": f"{arrival.work_ms:.3f}"}
         if self._share.deadline_ms != NO_DEADLINE_MS:
@@ -175,9 +218,11 @@
 
 
 def main() -> None:
-    """Reads a share from standard input and writes what became of it to standard output."""
-    share = cattrs.structure(json.load(sys.stdin), _Share)
-    results: list[dict[str, Any]] = [attrs.asdict(sent) for sent in _Sender(share=share).run()]
+    """Reads a share and its start from standard input, and writes what became of it to output."""
+    sender = _Sender(share=cattrs.structure(json.loads(sys.stdin.readline()), _Share))
+    print(READY, flush=True)
+    start_s = float(sys.stdin.readline())
+    results: list[dict[str, Any]] = [attrs.asdict(sent) for sent in sender.run(start_s)]
     json.dump(results, sys.stdout)
 
 
