--- a/fescuerudder/jobs/latestarts.py
+++ b/fescuerudder/jobs/latestarts.py
@@ -84,11 +84,11 @@
         if attempt is not None:
             self.drop(attempt, result="settled")
 
-    def take_worker(self, worker: str) -> list[Attempt]:
-        """Returns and drops the late starts on a worker whose incarnation has ended."""
+    def take_worker(self, worker: str, *, result: str) -> list[Attempt]:
+        """Returns and drops the late starts on a worker, for the reason `result`."""
         attempts = list(self._by_worker.get(worker, {}).values())
         for attempt in attempts:
-            self.drop(attempt, result="worker gone")
+            self.drop(attempt, result=result)
         return attempts
 
     def has_worker(self, worker: str) -> bool:
--- a/fescuerudder/jobs/reports.py
+++ b/fescuerudder/jobs/reports.py
@@ -113,7 +113,7 @@
 
         The last incarnation could no longer carry them out.
         """
-        for attempt in self._state.late_starts.take_worker(record.id):
+        for attempt in self._state.late_starts.take_worker(record.id, result="uncertain again"):
             task = attempt.task
             runs_elsewhere = any(a.worker != record.id for a in task.attempts)
             if runs_elsewhere or task.done or not task.step.job.is_live:
--- a/fescuerudder/jobs/scheduler.py
+++ b/fescuerudder/jobs/scheduler.py
@@ -214,7 +214,7 @@
         record.gone = record.resolved = True
         record.may_run_unknown = False
         record.orphans = set()
-        self.state.late_starts.take_worker(worker)
+        self.state.late_starts.take_worker(worker, result="worker gone")
         record_worker_end(self.state, record, open_starts_refused=True)
         for attempt in list(record.attempts.values()):
             self.state.requeue(attempt, checkpoint=attempt.checkpoint, reason="worker gone")
@@ -435,7 +435,7 @@
                     continue
                 if attempt.phase is not Phase.PLANNED:
                     record.add_lapsed(attempt)
-                # Whether the order of an earlier leader was answered is not known.
+                # A start of an earlier leader counts as answered unless the store says otherwise.
                 attempt.is_answered |= attempt.restored and attempt.late_until_s is None
                 self.state.requeue(
                     attempt, checkpoint=attempt.checkpoint, reason="lease ended unseen"
