Count one possible crash for each task that a worker's end concerns

Cause: starts without an answer add up on the worker to which their task is bound.

Change: of several starts of a task one counts, as at most one has caused the crash.

--- a/fescuerudder/jobs/crashes.py
+++ b/fescuerudder/jobs/crashes.py
@@ -69,7 +69,7 @@
 def _record_crash(
     state: SchedulerState, worker: str, attempts: Iterable[Attempt], *, lost_contact_s: float
 ) -> None:
-    suspects = find_suspects(attempts, lost_contact_s=lost_contact_s)
+    suspects = _one_of_each_task(find_suspects(attempts, lost_contact_s=lost_contact_s))
     is_alone = len(suspects) == 1 and not state.lost_contact_with_others(
         worker, at_s=lost_contact_s, within_s=CORRELATED_S
     )
@@ -92,6 +92,17 @@
             _record_possible_crash(attempt)
 
 
+def _one_of_each_task(suspects: Iterable[Attempt]) -> list[Attempt]:
+    """Returns one suspect of each task, as at most one of its starts has caused the crash.
+
+    Starts without an answer add up on a worker while their task may start nowhere else.
+    """
+    found: dict[TaskRun, Attempt] = {}
+    for attempt in sorted(suspects, key=lambda a: (has_begun(a), a.number)):
+        found[attempt.task] = attempt
+    return list(found.values())
+
+
 def has_begun(attempt: Attempt) -> bool:
     """Returns whether the worker has said that an attempt began there, by report or answer."""
     return attempt.reported or attempt.confirmed_s is not None
--- a/tests/jobs/test_latestarts.py
+++ b/tests/jobs/test_latestarts.py
@@ -7,7 +7,7 @@
 from bench.lostorders import DAYS, WORKERS, Play
 from fescuerudder.errors import PlatformError
 from fescuerudder.jobs.job import TaskId
-from fescuerudder.jobs.jobrun import MAX_ORDER_DELAY_S, JobState
+from fescuerudder.jobs.jobrun import MAX_ORDER_DELAY_S, MAX_POSSIBLE_CRASHES, JobState
 from fescuerudder.jobs.latestarts import StoredLateStart, dump_late_starts, load_late_starts
 from fescuerudder.jobs.leases import LEASE_HORIZON_S
 from fescuerudder.jobs.rows import StoreClock
@@ -148,6 +148,20 @@
     assert play.second_runs() == (0, 0)
 
 
+def test_one_crash_counts_once_for_a_task_with_several_late_starts():
+    """Guards against a task that is held back for ever after one crash (random world 723)."""
+    sim = JobSimulation(workers=2)
+    leader = sim.claim("a")
+    sim.run(1.0)
+    worker = lose_start(sim)
+    (attempt,) = leader.scheduler.state.jobs[JOB].attempts()
+    for number in range(2, MAX_POSSIBLE_CRASHES + 1):
+        leader.scheduler.state.add_attempt(attrs.evolve(attempt, number=number))
+    sim.restart_worker(worker, registry_lag_s=0.0)
+    sim.run(0.2)
+    assert attempt.task.crash_count == 1
+
+
 def test_no_row_is_written_while_every_start_is_answered():
     """Guards against writes on a quiet day for what happens while orders are lost."""
     sim = JobSimulation(workers=3)
--- a/tests/jobs/test_random_worlds.py
+++ b/tests/jobs/test_random_worlds.py
@@ -103,6 +103,7 @@
 SEEDS = [
     *(pytest.param(seed, marks=LATE_START) if seed == 40 else seed for seed in range(200)),
     278,
+    723,
     978,
 ]
 
