A row that the store rejects stops nothing else

Cause: a 4xx of the store counted as an outage.

Change: the adapter raises StoreRejectedError for a refusal of the request itself. The writer stores the heartbeat alone and then halves the transaction until it has found the rejected rows, by job. These are isolated: the job's state isn't shown, none of its tasks start, its ends aren't acknowledged, and its rows are tried again each 5 s. A log line once a job and fescuerudder_isolated_rows_total tell of it. What is stored next moved from the scheduler to progressoutput.py, the feed of jobs from the leader to jobfeed.py; test_odd_data's fake writer returns the new, empty result.

--- a/bench/_jobsimulation.py
+++ b/bench/_jobsimulation.py
@@ -168,7 +168,7 @@
                 if now_s < self.next_heartbeat_s and not self.scheduler.needs_write:
                     return
                 self.batch = self.scheduler.take_progress()
-            self.writer.write(
+            rejected = self.writer.write(
                 self.batch.rows,
                 pending=self.batch.pending,
                 deletes=self.batch.deletes,
@@ -183,7 +183,7 @@
             return
         except StoreUnavailableError:
             return
-        self.scheduler.on_stored(self.batch)
+        self.scheduler.on_stored(self.batch, rejected={group.name for group in rejected})
         if self.leases.length_s(now_s) > 0:
             for order in self.scheduler.take_starts():
                 self.sim.send(self, order)
--- a/fescuerudder/errors.py
+++ b/fescuerudder/errors.py
@@ -29,6 +29,10 @@
     """The store did not receive the operation; it certainly had no effect."""
 
 
+class StoreRejectedError(StoreUnavailableError):
+    """The store answered that it never applies this request, as with a row that is too large."""
+
+
 class StoreOutcomeUnknownError(PlatformError):
     """The store may or may not have applied a write; its answer was lost."""
 
--- a/fescuerudder/jobs/jobmetrics.py
+++ b/fescuerudder/jobs/jobmetrics.py
@@ -170,6 +170,10 @@
             description="Time from a claim to the first start of each older job that ran nowhere.",
             explicit_bucket_boundaries_advisory=FIRST_START_BOUNDS_S,
         )
+        self._isolated_rows = meter.create_counter(
+            "fescuerudder_isolated_rows",
+            description="Rows that the store rejected, counted with each try.",
+        )
         self._latencies = CallLatencies()
         self._registry.register(self._latencies)
 
@@ -194,6 +198,10 @@
         """Records a call to a peer, with its outcome and duration."""
         self._latencies.record((operation, outcome, peer), seconds)
 
+    def record_isolated(self, *, rows: int) -> None:
+        """Records rows that the store rejected."""
+        self._isolated_rows.add(rows)
+
     def render(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
         return generate_latest(self._registry)
--- a/fescuerudder/jobs/jobrun.py
+++ b/fescuerudder/jobs/jobrun.py
@@ -217,7 +217,7 @@
         A copy of a speculative task may also run beside an attempt whose worker is in doubt, unless
         the task is suspected to crash its workers.
         """
-        if self.done or self.is_held_back:
+        if self.done or self.is_held_back or self.step.job.is_isolated:
             return False
         if not self.attempts:
             return True
@@ -327,6 +327,7 @@
             a record nor progress that is being stored says otherwise.
         earlier_starts: what the records of earlier leaders name.
         dirty: its progress has changed since it was last stored.
+        is_isolated: the store rejects its rows, so none of its tasks are started.
     """
 
     job: Job
@@ -342,6 +343,7 @@
     recorded_starts: set[RecordedStart] = attrs.Factory(set)
     earlier_starts: set[RecordedStart] = attrs.Factory(set)
     dirty: bool = False
+    is_isolated: bool = False
 
     @classmethod
     def create(cls, *, job: Job, version: int, received_s: float) -> "JobRun":
--- a/fescuerudder/jobs/leader.py
+++ b/fescuerudder/jobs/leader.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import threading
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 from concurrent.futures import Executor, ThreadPoolExecutor
 from typing import Any
 
@@ -21,27 +21,27 @@
 from fescuerudder.jobs.answertimes import AnswerTimes
 from fescuerudder.jobs.claim import Claim
 from fescuerudder.jobs.configview import ConfigView
+from fescuerudder.jobs.jobfeed import JobFeed
 from fescuerudder.jobs.jobmetrics import JobMetrics
 from fescuerudder.jobs.jobrun import JobState
 from fescuerudder.jobs.leaderwriter import (
     STORE_RETRY_S,
     LeadershipLostError,
     LeaderWriter,
+    RowGroup,
     resolve_pause_s,
 )
 from fescuerudder.jobs.leases import LeasePolicy
 from fescuerudder.jobs.progress import StoredJob
 from fescuerudder.jobs.progressbatch import ProgressBatch
-from fescuerudder.jobs.rows import HistoryLostError, RowStore
+from fescuerudder.jobs.rows import RowStore
 from fescuerudder.jobs.scheduler import Order, Scheduler
 from fescuerudder.jobs.scheduleractor import SchedulerActor
 from fescuerudder.jobs.schedulerstate import Term
-from fescuerudder.jobs.storage import CLAIM_KEY, JOBS_TABLE
 from fescuerudder.jobs.takeover import (
     LoadedState,
     load_stored_state,
     restore_scheduler,
-    split_job_rows,
 )
 from fescuerudder.jobs.termevents import (
     Advised,
@@ -80,7 +80,6 @@
 """The pause while starts wait for their records."""
 
 TICK_INTERVAL_S = 0.1
-FEED_WAIT_S = 1.0
 REGISTRY_READ_INTERVAL_S = 1.0
 
 LOAD_THREADS = 8
@@ -209,8 +208,7 @@
         self._post_event(Configured(view=view))
 
     def _load(self) -> LoadedState:
-        with ThreadPoolExecutor(LOAD_THREADS, thread_name_prefix="load") as pool:
-            loaded = self._read_jobs(pool)
+        loaded = self._read_all_jobs()
         scheduler = self._scheduler
         view = self._view()
         if view.manifest is not None:
@@ -371,48 +369,28 @@
                 _log.exception("registry not taken")
 
     def _follow_jobs(self, version: int) -> None:
-        while not self._stopping.is_set():
-            try:
-                version = self._take_changes(version)
-                continue
-            except StoreUnavailableError as exc:
-                _log.warning("feed of jobs not read", reason=str(exc))
-            except Exception:
-                _log.exception("feed of jobs not taken", version=version)
-            self._clock.wait_s(self._stopping, STORE_RETRY_S)
+        feed = JobFeed(
+            store=self._store,
+            clock=self._clock,
+            stopping=self._stopping,
+            claim_version=self._claim_version,
+            read_all=self._read_all_jobs,
+            on_jobs=self._take_jobs,
+            on_reloaded=self._post_jobs,
+            on_claimed=lambda: self._end_term("another instance has claimed"),
+        )
+        feed.run(version)
 
-    def _take_changes(self, version: int) -> int:
-        """Takes the jobs stored after a version; returns the version to go on from.
+    def _take_jobs(self, jobs: list[StoredJob], cancels: list[str]) -> None:
+        self._post_jobs(jobs, cancels)
+        self._publish({stored.job.id: JobState.QUEUED for stored in jobs}, None)
 
-        Raises:
-            StoreUnavailableError: the feed can't be read.
-        """
-        try:
-            changes = self._store.changes(table=JOBS_TABLE, after=version, wait_s=FEED_WAIT_S)
-        except HistoryLostError:
-            _log.warning("feed of jobs lost its history", version=version)
-            return self._reload()
-        if any(row.key == CLAIM_KEY and row.version > self._claim_version for row in changes.rows):
-            # Jobs stored after another instance's claim belong to the next leader.
-            self._end_term("another instance has claimed")
-            return changes.version
-        jobs, cancels = split_job_rows(list(changes.rows))
-        if jobs or cancels:
-            self._post_event(Submitted(jobs=jobs, cancels=cancels))
-            self._publish({stored.job.id: JobState.QUEUED for stored in jobs}, None)
-        return changes.version
-
-    def _reload(self) -> int:
-        """Reads all jobs again; returns the version from which to follow the feed."""
+    def _post_jobs(self, jobs: list[StoredJob], cancels: list[str]) -> None:
+        self._post_event(Submitted(jobs=jobs, cancels=cancels))
+
+    def _read_all_jobs(self) -> LoadedState:
         with ThreadPoolExecutor(LOAD_THREADS, thread_name_prefix="load") as pool:
-            try:
-                loaded = self._read_jobs(pool)
-            except StoreUnavailableError as exc:
-                _log.warning("jobs not read", reason=str(exc))
-                return 0
-        jobs = [StoredJob(job=run.job, version=run.version) for run in loaded.live]
-        self._post_event(Submitted(jobs=jobs, cancels=loaded.cancels))
-        return loaded.version
+            return self._read_jobs(pool)
 
     def _write(self) -> None:
         batch: ProgressBatch | None = None
@@ -425,7 +403,7 @@
                     is_resolved, unanswered = True, 0
                 if batch is None:
                     batch = self._next_batch()
-                self._writer.write(
+                rejected = self._writer.write(
                     batch.rows,
                     pending=batch.pending,
                     deletes=batch.deletes,
@@ -457,11 +435,18 @@
                 is_resolved = False
                 self._clock.wait_s(self._stopping, STORE_RETRY_S)
                 continue
-            self._post_event(Stored(batch=batch))
-            self._publish(batch.states, batch.pending)
+            self._finish_batch(batch, rejected)
             batch = None
             self._wait_for_progress()
 
+    def _finish_batch(self, batch: ProgressBatch, rejected: Collection[RowGroup]) -> None:
+        """Lets a stored batch take effect, but for the rows that the store rejected."""
+        for group in rejected:
+            self._metrics.record_isolated(rows=group.entries)
+        names = frozenset(group.name for group in rejected)
+        self._post_event(Stored(batch=batch, rejected=names))
+        self._publish(batch.without(names).states, batch.pending)
+
     def _next_batch(self) -> ProgressBatch:
         assert self._ref is not None
         return self._ref.ask(Scheduler.take_progress, timeout=PROGRESS_REQUEST_TIMEOUT_S)
--- a/fescuerudder/jobs/leaderwriter.py
+++ b/fescuerudder/jobs/leaderwriter.py
@@ -1,14 +1,16 @@
 """Writer of the leader's rows: a chain of transactions that fails once another instance claims."""
 
 import math
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 
+import attrs
 import structlog
 
 from fescuerudder.clock import Clock
 from fescuerudder.errors import (
     PlatformError,
     StoreOutcomeUnknownError,
+    StoreRejectedError,
     StoreUnavailableError,
 )
 from fescuerudder.jobs.claim import Claim, Heartbeat, LeaseBound, dump_row
@@ -23,7 +25,14 @@
     RowTransaction,
     StoreClock,
 )
-from fescuerudder.jobs.storage import CLAIM_KEY, HEARTBEAT_KEY, LEASES_KEY, job_of
+from fescuerudder.jobs.storage import (
+    CLAIM_KEY,
+    DEADLINES_KEY,
+    HEARTBEAT_KEY,
+    LEASES_KEY,
+    ROSTER_KEY,
+    job_of,
+)
 
 WRITE_TIMEOUT_S = 1.5
 """Timeout of one attempt to write; a slow store needs most of a second."""
@@ -32,6 +41,9 @@
 """Rows of jobs that one transaction writes or deletes; the other seven entries are reserved for the
 leader's own rows."""
 
+MAX_PART_BYTES = 500_000
+"""Size of the values that one transaction writes; the store takes 1 MB, encoded in base64."""
+
 STORE_RETRY_S = 0.2
 MIN_RESOLVE_PAUSE_S = 0.025
 """Pause after the second write without an answer in a row; it doubles with each further one. A
@@ -47,6 +59,31 @@
     """Nothing was written because another instance has claimed the leadership."""
 
 
+@attrs.frozen(kw_only=True)
+class RowGroup:
+    """Rows that are written together, or are isolated together if the store rejects them.
+
+    Args:
+        name: the job's id; for the leader's own rows the key of the first one.
+        puts: rows to write.
+        deletes: rows to delete.
+    """
+
+    name: str
+    puts: tuple[tuple[RowKey, bytes], ...] = ()
+    deletes: tuple[RowKey, ...] = ()
+
+    @property
+    def entries(self) -> int:
+        """Number of its entries in a transaction."""
+        return len(self.puts) + len(self.deletes)
+
+    @property
+    def size(self) -> int:
+        """Size of its values in bytes."""
+        return sum(len(value) for _, value in self.puts)
+
+
 class LeaderWriter:
     """Stores progress and heartbeats, one transaction after another.
 
@@ -99,13 +136,13 @@
         deletes: Sequence[RowKey] = (),
         leader_rows: dict[RowKey, bytes] | None = None,
         starts_recorded: bool = False,
-    ) -> None:
-        """Stores rows and a heartbeat, and deletes rows.
+    ) -> frozenset[RowGroup]:
+        """Stores rows and a heartbeat, and deletes rows; returns the groups that were rejected.
 
         What doesn't fit into one transaction is stored in this order: `rows`, `deletes`, and with
         the last transaction `leader_rows`, of which at most three fit. The rows of a job are stored
         together, unless they alone don't fit. The heartbeats that follow say of the records of
-        starts what `starts_recorded` does.
+        starts what `starts_recorded` does, unless rows were rejected.
         After a StoreOutcomeUnknownError call `resolve` until it returns. The rows of the
         unresolved transaction are stored then; later rows of the call are not.
 
@@ -114,31 +151,64 @@
             StoreUnavailableError: nothing of the current transaction was stored.
             StoreOutcomeUnknownError: a transaction may have been, or may still be, applied.
         """
-        parts = _split(rows, deletes)
-        for part in parts:
-            is_last = part is parts[-1]
-            self._count += 1
-            heartbeat = Heartbeat(
-                epoch=self._claim.epoch,
-                count=self._count,
-                pending=pending,
-                starts_recorded=self.starts_recorded,
-            )
-            self._unresolved = RowTransaction(
-                expects=(
-                    (CLAIM_KEY, self._claim_version),
-                    (HEARTBEAT_KEY, self._heartbeat_version),
-                ),
-                puts=(
-                    (HEARTBEAT_KEY, dump_row(heartbeat)),
-                    *self._bound_rows(),
-                    *((key, rows[key]) for key in part if key in rows),
-                    *((leader_rows or {}).items() if is_last else ()),
-                ),
-                deletes=tuple(key for key in part if key not in rows),
-            )
-            self.resolve()
-        self.starts_recorded = starts_recorded
+        rejected: list[RowGroup] = []
+        for part in _split(rows, deletes, leader_rows or {}):
+            rejected += self._write_part(part, pending)
+        if not rejected:
+            self.starts_recorded = starts_recorded
+        return frozenset(rejected)
+
+    def _write_part(self, part: Sequence[RowGroup], pending: dict[str, int]) -> list[RowGroup]:
+        """Stores the groups of one transaction; returns those that the store rejects."""
+        try:
+            self._write_groups(part, pending)
+        except StoreRejectedError as exc:
+            if not part:
+                # Not even the heartbeat is taken, so no row is the cause.
+                raise StoreUnavailableError(str(exc)) from exc
+            # Keeps the leadership meanwhile, and tells one rejected row from a store that rejects
+            # everything.
+            self._write_part((), pending)
+            return self._find_rejected(part, pending)
+        return []
+
+    def _find_rejected(self, part: Sequence[RowGroup], pending: dict[str, int]) -> list[RowGroup]:
+        """Stores the groups of a rejected transaction by halves; returns those that are rejected.
+
+        One rejected group among n costs 2 x log2(n) transactions.
+        """
+        if len(part) == 1:
+            return list(part)
+        rejected: list[RowGroup] = []
+        middle = len(part) // 2
+        for half in (part[:middle], part[middle:]):
+            try:
+                self._write_groups(half, pending)
+            except StoreRejectedError:
+                rejected += self._find_rejected(half, pending)
+        return rejected
+
+    def _write_groups(self, groups: Sequence[RowGroup], pending: dict[str, int]) -> None:
+        self._count += 1
+        heartbeat = Heartbeat(
+            epoch=self._claim.epoch,
+            count=self._count,
+            pending=pending,
+            starts_recorded=self.starts_recorded,
+        )
+        self._unresolved = RowTransaction(
+            expects=(
+                (CLAIM_KEY, self._claim_version),
+                (HEARTBEAT_KEY, self._heartbeat_version),
+            ),
+            puts=(
+                (HEARTBEAT_KEY, dump_row(heartbeat)),
+                *self._bound_rows(),
+                *(put for group in groups for put in group.puts),
+            ),
+            deletes=tuple(key for group in groups for key in group.deletes),
+        )
+        self.resolve()
 
     def _bound_rows(self) -> list[tuple[RowKey, bytes]]:
         """Returns the row with a new bound on leases if one is due."""
@@ -163,6 +233,9 @@
             version = self._store.write(txn, timeout_s=WRITE_TIMEOUT_S)
         except RowConflictError as exc:
             version = self._find_applied(txn, exc.rows)
+        except StoreRejectedError:
+            self._unresolved = None
+            raise
         except StoreUnavailableError:
             raise
         except StoreOutcomeUnknownError as exc:
@@ -203,17 +276,55 @@
     return min(STORE_RETRY_S, MIN_RESOLVE_PAUSE_S * 2 ** (unanswered - 1)) if unanswered else 0.0
 
 
-def _split(rows: Iterable[RowKey], deletes: Iterable[RowKey]) -> list[list[RowKey]]:
-    """Returns the keys of each transaction: `rows`, those of a job together, then `deletes`."""
-    by_job: dict[str, list[RowKey]] = {}
-    for key in rows:
-        by_job.setdefault(job_of(key), []).append(key)
-    parts: list[list[RowKey]] = [[]]
-    for group in [*by_job.values(), *([key] for key in deletes)]:
-        if len(parts[-1]) + len(group) > ENTRIES_PER_TXN and parts[-1]:
+def _split(
+    rows: Mapping[RowKey, bytes], deletes: Iterable[RowKey], leader_rows: Mapping[RowKey, bytes]
+) -> list[list[RowGroup]]:
+    """Returns the groups of each transaction; the leader's own rows are in the last one."""
+    parts: list[list[RowGroup]] = [[]]
+    for group in (*_job_groups(rows), *(_delete_group(key) for key in deletes)):
+        if not _has_space(parts[-1], group):
             parts.append([])
-        for first in range(0, len(group), ENTRIES_PER_TXN):
-            if first:
-                parts.append([])
-            parts[-1] += group[first : first + ENTRIES_PER_TXN]
+        parts[-1].append(group)
+    own = _leader_groups(leader_rows)
+    if sum(group.size for group in (*parts[-1], *own)) > MAX_PART_BYTES:
+        parts.append([])
+    parts[-1] += own
     return parts
+
+
+def _has_space(part: Sequence[RowGroup], group: RowGroup) -> bool:
+    entries = sum(other.entries for other in part) + group.entries
+    size = sum(other.size for other in part) + group.size
+    return not part or (entries <= ENTRIES_PER_TXN and size <= MAX_PART_BYTES)
+
+
+def _job_groups(rows: Mapping[RowKey, bytes]) -> list[RowGroup]:
+    """Returns the rows by job, those of a job together as far as they fit."""
+    by_job: dict[str, list[tuple[RowKey, bytes]]] = {}
+    for key, value in rows.items():
+        by_job.setdefault(job_of(key), []).append((key, value))
+    groups = []
+    for job, puts in by_job.items():
+        first, size = 0, 0
+        for number, (_, value) in enumerate(puts):
+            is_full = number - first == ENTRIES_PER_TXN or size + len(value) > MAX_PART_BYTES
+            if is_full and number > first:
+                groups.append(RowGroup(name=job, puts=tuple(puts[first:number])))
+                first, size = number, 0
+            size += len(value)
+        groups.append(RowGroup(name=job, puts=tuple(puts[first:])))
+    return groups
+
+
+def _delete_group(key: RowKey) -> RowGroup:
+    return RowGroup(name=job_of(key), deletes=(key,))
+
+
+def _leader_groups(rows: Mapping[RowKey, bytes]) -> list[RowGroup]:
+    """Returns the leader's own rows; the roster is valid only with its deadlines."""
+    roster = {key: value for key, value in rows.items() if key in (ROSTER_KEY, DEADLINES_KEY)}
+    others = [(key, value) for key, value in rows.items() if key not in roster]
+    groups = [RowGroup(name=key.key, puts=((key, value),)) for key, value in others]
+    if roster:
+        groups.append(RowGroup(name=ROSTER_KEY.key, puts=tuple(roster.items())))
+    return groups
--- a/fescuerudder/jobs/monitoredstore.py
+++ b/fescuerudder/jobs/monitoredstore.py
@@ -4,7 +4,7 @@
 from contextlib import contextmanager
 
 from fescuerudder.clock import Clock
-from fescuerudder.errors import PlatformError
+from fescuerudder.errors import PlatformError, StoreRejectedError
 from fescuerudder.jobs.jobmetrics import JobMetrics
 from fescuerudder.jobs.rows import (
     Changes,
@@ -18,6 +18,9 @@
 DOWN_AFTER_S = 0.2
 """Time without a successful call, after one that failed, until the store counts as down."""
 
+_ANSWERS = (RowConflictError, HistoryLostError, StoreRejectedError)
+"""Errors that a store raises only while it is up."""
+
 
 class MonitoredStore:
     """Passes all calls on to a store and records their outcomes.
@@ -79,7 +82,7 @@
             yield
         except PlatformError as exc:
             outcome = type(exc).__name__
-            answered = isinstance(exc, RowConflictError | HistoryLostError)
+            answered = isinstance(exc, _ANSWERS)
             raise
         finally:
             now_s = self._clock.now_s()
--- a/fescuerudder/jobs/progressbatch.py
+++ b/fescuerudder/jobs/progressbatch.py
@@ -1,5 +1,7 @@
 """Progress that the leader stores at a time, and what takes effect once it is stored."""
 
+from collections.abc import Collection
+
 import attrs
 
 from fescuerudder.jobs.jobrun import JobState, RecordedStart, StepRun
@@ -20,6 +22,8 @@
             stored.
         serials: incarnation of each worker and serial of its latest end that the rows include, by
             worker id.
+        ends: first serial of each job among the ends since the last batch, by worker id and
+            incarnation.
         pending: number of jobs of each queue of which no task has started.
         knowledge: serialized knowledge about tasks, None if it was stored recently.
         roster: the serialized roster, None if the stored one is up to date.
@@ -34,12 +38,25 @@
     starts_recorded: bool
     states: dict[str, JobState]
     serials: dict[str, tuple[int, int]]
+    ends: dict[tuple[str, int], dict[str, int]]
     pending: dict[str, int]
     knowledge: bytes | None
     roster: bytes | None
     deadlines: bytes | None
     roster_incarnations: dict[str, int]
 
+    def without(self, names: Collection[str]) -> "ProgressBatch":
+        """Returns what takes effect if the groups of rows with these names were rejected."""
+        if not names:
+            return self
+        has_roster = ROSTER_KEY.key not in names
+        return attrs.evolve(
+            self,
+            recorded={s: starts for s, starts in self.recorded.items() if s.id.job not in names},
+            states={job: state for job, state in self.states.items() if job not in names},
+            roster_incarnations=self.roster_incarnations if has_roster else {},
+        )
+
     def leader_rows(self) -> dict[RowKey, bytes]:
         """Returns the rows of the batch that don't belong to a job."""
         rows = {
--- /dev/null
+++ b/fescuerudder/jobs/progressoutput.py
@@ -0,0 +1,174 @@
+"""What the leader stores next, and what takes effect once it is stored."""
+
+from collections.abc import Collection, Iterable
+
+from fescuerudder.jobs.isolation import RowIsolation
+from fescuerudder.jobs.progress import dump_progress
+from fescuerudder.jobs.progressbatch import ProgressBatch
+from fescuerudder.jobs.rosterkeeper import RosterKeeper
+from fescuerudder.jobs.rows import RowKey
+from fescuerudder.jobs.schedulerstate import SchedulerState
+from fescuerudder.jobs.startrelease import StartReleaser
+from fescuerudder.jobs.storage import ROSTER_KEY, job_of, progress_key
+
+
+class ProgressOutput:
+    """Collects changed progress into batches, without the rows that the store rejects.
+
+    Args:
+        state: state of the term.
+        roster: returns the changed roster.
+        releaser: returns the records of starts.
+    """
+
+    def __init__(
+        self, *, state: SchedulerState, roster: RosterKeeper, releaser: StartReleaser
+    ) -> None:
+        self._state = state
+        self._roster = roster
+        self._releaser = releaser
+        self._isolation = RowIsolation()
+        self._recorded = False
+
+    @property
+    def has_rows(self) -> bool:
+        """Whether there are rows to store."""
+        state = self._state
+        if state.roster_changed or self._releaser.has_records:
+            return True
+        return self._isolation.has_storable(state.dirty_jobs, state.clock.now_s())
+
+    def take(self, *, pending: dict[str, int], knowledge: bytes | None) -> ProgressBatch:
+        """Returns the progress to store, and marks it as clean.
+
+        Args:
+            pending: number of jobs of each queue of which no task has started.
+            knowledge: serialized knowledge about tasks, None if it was stored recently.
+        """
+        now_s = self._state.clock.now_s()
+        self._retry_isolated(now_s)
+        stored = self._roster.take_changed()
+        if not self._state.unresolved_workers():
+            # Attempts that this leader has learned of are recorded with this batch at the latest.
+            self._state.starts_recorded = True
+        dirty = self._state.dirty_jobs
+        runs = [run for run in dirty if not self._isolation.is_held(run.job.id, now_s)]
+        for run in runs:
+            del dirty[run]
+        starts = self._releaser.take_pending(runs)
+        for run in runs:
+            run.dirty = False
+        return ProgressBatch(
+            rows={progress_key(run.job.id): dump_progress(run) for run in runs} | starts.rows,
+            deletes=self._take_deletes(starts.deletes),
+            recorded=starts.recorded,
+            starts_recorded=self._may_claim_recorded(),
+            states={run.job.id: run.state for run in runs},
+            serials={
+                record.id: (record.info.incarnation_ms, record.seen_serial)
+                for record in self._state.workers.values()
+                if record.seen_serial > record.stored_serial
+            },
+            ends=self._take_new_ends(),
+            pending=pending,
+            knowledge=knowledge,
+            roster=stored.data if stored is not None else None,
+            deadlines=stored.deadlines if stored is not None else None,
+            roster_incarnations=stored.incarnations if stored is not None else {},
+        )
+
+    def _retry_isolated(self, now_s: float) -> None:
+        """Marks the rows that the store rejected some time ago as to be stored."""
+        for name, group in self._isolation.due(now_s).items():
+            self._state.obsolete_records.update(dict.fromkeys(group.deletes))
+            run = self._state.jobs.get(name)
+            if run is not None:
+                self._state.mark_dirty(run)
+                self._state.unrecorded_steps.update(dict.fromkeys(group.steps))
+            elif name == ROSTER_KEY.key:
+                self._state.roster_changed = True
+
+    def _may_claim_recorded(self) -> bool:
+        """Returns whether the heartbeats may say that all starts are recorded.
+
+        Within a term they never take it back: no start is ordered whose record was rejected, so
+        only what was found running before they said so counts.
+        """
+        self._recorded = self._recorded or (
+            self._state.starts_recorded and not self._isolation.hides_attempts()
+        )
+        return self._recorded
+
+    def _take_deletes(self, keys: Iterable[RowKey]) -> tuple[RowKey, ...]:
+        """Returns the records to delete; those of an isolated job stay as long as it is."""
+        held = dict.fromkeys(key for key in keys if self._is_isolated(job_of(key)))
+        self._state.obsolete_records.update(held)
+        return tuple(key for key in keys if key not in held)
+
+    def _is_isolated(self, job_id: str) -> bool:
+        return job_id in self._state.jobs and self._isolation.is_isolated(job_id)
+
+    def _take_new_ends(self) -> dict[tuple[str, int], dict[str, int]]:
+        """Returns the first new end of each job, by worker and incarnation; marks them as taken."""
+        taken = {}
+        for record in self._state.workers.values():
+            if record.new_ends:
+                taken[(record.id, record.info.incarnation_ms)], record.new_ends = (
+                    record.new_ends,
+                    {},
+                )
+        return taken
+
+    def on_stored(self, batch: ProgressBatch, rejected: Collection[str]) -> None:
+        """Records that a batch is stored, so that the ends in it may be acknowledged.
+
+        Args:
+            batch: the batch.
+            rejected: names of the groups of rows in it that the store rejected.
+        """
+        self._isolate(batch, rejected)
+        self._hold_ends(batch, rejected)
+        batch = batch.without(rejected)
+        for worker, (incarnation_ms, serial) in batch.serials.items():
+            record = self._state.workers.get(worker)
+            if record is not None and record.info.incarnation_ms == incarnation_ms:
+                acknowledgeable = min((serial, *(first - 1 for first in record.held_ends.values())))
+                record.stored_serial = max(record.stored_serial, acknowledgeable)
+        self._roster.mark_stored(batch.roster_incarnations)
+        self._releaser.on_stored(batch.recorded)
+
+    def _isolate(self, batch: ProgressBatch, rejected: Collection[str]) -> None:
+        """Isolates the groups of rows that were rejected, and ends the isolation of the others."""
+        now_s = self._state.clock.now_s()
+        for name in rejected:
+            steps = [step for step in batch.recorded if step.id.job == name]
+            deletes = [key for key in batch.deletes if job_of(key) == name]
+            self._isolation.hold(name, steps=steps, deletes=deletes, now_s=now_s)
+            run = self._state.jobs.get(name)
+            if run is not None:
+                run.is_isolated = run.dirty = True
+        own = (key.key for key in batch.leader_rows())
+        unknown = (job for job in map(job_of, batch.deletes) if job not in self._state.jobs)
+        for name in {*batch.states, *own, *unknown} - set(rejected):
+            if self._isolation.is_isolated(name):
+                self._isolation.release(name)
+                self._end_isolation(name)
+
+    def _end_isolation(self, job_id: str) -> None:
+        run = self._state.jobs.get(job_id)
+        if run is not None and run.is_isolated:
+            run.is_isolated = False
+            self._state.openable_jobs[run] = None
+
+    def _hold_ends(self, batch: ProgressBatch, rejected: Collection[str]) -> None:
+        """Withholds the acknowledgement of ends whose progress isn't stored."""
+        for (worker, incarnation_ms), ends in batch.ends.items() if self._isolation.names else ():
+            record = self._state.workers.get(worker)
+            if record is None or record.info.incarnation_ms != incarnation_ms:
+                continue
+            for job_id in set(ends) & self._isolation.names:
+                record.held_ends.setdefault(job_id, ends[job_id])
+        for record in self._state.workers.values():
+            released = [job for job in record.held_ends if not self._isolation.is_isolated(job)]
+            for job_id in released:
+                del record.held_ends[job_id]
--- a/fescuerudder/jobs/reports.py
+++ b/fescuerudder/jobs/reports.py
@@ -136,6 +136,7 @@
         for end in report.ended:
             if end.serial > record.seen_serial:
                 record.seen_serial = end.serial
+                record.new_ends.setdefault(end.task.job, end.serial)
                 self._process_end(record, end, now_s)
 
     def _process_end(self, record: WorkerRecord, end: EndedAttempt, now_s: float) -> None:
--- a/fescuerudder/jobs/scheduler.py
+++ b/fescuerudder/jobs/scheduler.py
@@ -1,6 +1,6 @@
 """Scheduling of one term: events go in, orders come out. Runs no threads and does no I/O."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 import structlog
 
@@ -11,8 +11,9 @@
 from fescuerudder.jobs.jobrun import FULL_SPEED, JobRun, JobState, Phase
 from fescuerudder.jobs.leases import LeasePolicy
 from fescuerudder.jobs.manifest import Manifest
-from fescuerudder.jobs.progress import StoredJob, dump_progress
+from fescuerudder.jobs.progress import StoredJob
 from fescuerudder.jobs.progressbatch import ProgressBatch
+from fescuerudder.jobs.progressoutput import ProgressOutput
 from fescuerudder.jobs.relocation import ThrottledMoves, mark_evictions
 from fescuerudder.jobs.renewalplanner import RenewalPlanner
 from fescuerudder.jobs.reports import ReportReconciler
@@ -24,7 +25,6 @@
 from fescuerudder.jobs.startrelease import StartReleaser
 from fescuerudder.jobs.starts import StartPlanner
 from fescuerudder.jobs.stops import StopPlanner
-from fescuerudder.jobs.storage import progress_key
 from fescuerudder.jobs.throttling import plan_throttles
 from fescuerudder.jobs.waitreasons import WaitMonitor
 from fescuerudder.jobs.workerhealth import HealthStatus
@@ -91,6 +91,9 @@
         self._waits = WaitMonitor(state=self.state, planner=self._planner)
         self.stored_states: dict[str, JobState] = {}
         self.is_superseded = False
+        self._output = ProgressOutput(
+            state=self.state, roster=self._roster, releaser=self._releaser
+        )
         self._stops = StopPlanner(state=self.state)
         self._moves = ThrottledMoves()
         self._renewals = RenewalPlanner(state=self.state, leases=leases)
@@ -301,9 +304,7 @@
     @property
     def needs_write(self) -> bool:
         """Whether there is progress to store, or a task's restart needs a confirmed heartbeat."""
-        is_unconfirmed = self.state.last_end_s > self._leases.confirmed_s()
-        has_rows = self.state.dirty_jobs or self.state.roster_changed or self._releaser.has_records
-        return bool(has_rows) or is_unconfirmed
+        return self._output.has_rows or self.state.last_end_s > self._leases.confirmed_s()
 
     @property
     def has_unrecorded_starts(self) -> bool:
@@ -312,32 +313,7 @@
 
     def take_progress(self) -> ProgressBatch:
         """Returns the progress to store, and marks it as clean."""
-        stored = self._roster.take_changed()
-        if not self.state.unresolved_workers():
-            # Attempts that this leader has learned of are recorded with this batch at the latest.
-            self.state.starts_recorded = True
-        runs = list(self.state.dirty_jobs)
-        self.state.dirty_jobs.clear()
-        starts = self._releaser.take_pending(runs)
-        for run in runs:
-            run.dirty = False
-        return ProgressBatch(
-            rows={progress_key(run.job.id): dump_progress(run) for run in runs} | starts.rows,
-            deletes=starts.deletes,
-            recorded=starts.recorded,
-            starts_recorded=self.state.starts_recorded,
-            states={run.job.id: run.state for run in runs},
-            serials={
-                record.id: (record.info.incarnation_ms, record.seen_serial)
-                for record in self.state.workers.values()
-                if record.seen_serial > record.stored_serial
-            },
-            pending=self.pending(),
-            knowledge=self._dump_knowledge(),
-            roster=stored.data if stored is not None else None,
-            deadlines=stored.deadlines if stored is not None else None,
-            roster_incarnations=stored.incarnations if stored is not None else {},
-        )
+        return self._output.take(pending=self.pending(), knowledge=self._dump_knowledge())
 
     def _dump_knowledge(self) -> bytes | None:
         now_s = self._clock.now_s()
@@ -356,15 +332,15 @@
             self._reconciler.forget_discarded_starts(record, self._clock.now_s())
         self.state.advice.retain_steps(step.id for step in self.state.open_steps)
 
-    def on_stored(self, batch: ProgressBatch) -> None:
-        """Records that a batch is stored, so that the ends in it may be acknowledged."""
-        for worker, (incarnation_ms, serial) in batch.serials.items():
-            record = self.state.workers.get(worker)
-            if record is not None and record.info.incarnation_ms == incarnation_ms:
-                record.stored_serial = max(record.stored_serial, serial)
-        self._roster.mark_stored(batch.roster_incarnations)
-        self._releaser.on_stored(batch.recorded)
-        self.stored_states.update(batch.states)
+    def on_stored(self, batch: ProgressBatch, *, rejected: Collection[str] = ()) -> None:
+        """Records that a batch is stored, so that the ends in it may be acknowledged.
+
+        Args:
+            batch: the batch.
+            rejected: names of the groups of rows in it that the store rejected.
+        """
+        self._output.on_stored(batch, rejected)
+        self.stored_states.update(batch.without(rejected).states)
 
     # --- output to the workers
 
--- a/fescuerudder/jobs/scheduleractor.py
+++ b/fescuerudder/jobs/scheduleractor.py
@@ -166,7 +166,7 @@
 
     @_handle.register
     def _(self, message: Stored) -> None:
-        self._scheduler.on_stored(message.batch)
+        self._scheduler.on_stored(message.batch, rejected=message.rejected)
         starts = self._scheduler.take_starts() if self._may_order() else []
         if starts:
             self._send_orders(starts)
--- a/fescuerudder/jobs/termevents.py
+++ b/fescuerudder/jobs/termevents.py
@@ -1,6 +1,6 @@
 """Events that the scheduler handles during a term."""
 
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from functools import singledispatch
 from typing import Any
 
@@ -105,9 +105,15 @@
 
 @attrs.frozen(kw_only=True)
 class Stored:
-    """A batch of progress was stored."""
+    """A batch of progress was stored.
+
+    Args:
+        batch: the batch.
+        rejected: names of the groups of rows in it that the store rejected.
+    """
 
     batch: ProgressBatch
+    rejected: Collection[str] = ()
 
 
 @singledispatch
--- a/fescuerudder/jobs/workerrecord.py
+++ b/fescuerudder/jobs/workerrecord.py
@@ -96,6 +96,8 @@
         seen_serial: serial of the latest end that was processed.
         stored_serial: serial up to which all ends are stored; renewals acknowledge it.
         acknowledged_serial: highest serial that was acknowledged.
+        new_ends: first serial of each job among the ends whose progress is not being stored yet.
+        held_ends: first serial of each isolated job; it and later ones are not acknowledged.
         silent_since_s: when the first of the latest unanswered renewals was sent, None if the
             last renewal was answered.
         lost_contact_s: when the first of the latest unanswered renewals ended without an answer,
@@ -136,6 +138,8 @@
     seen_serial: int = 0
     stored_serial: int = 0
     acknowledged_serial: int = 0
+    new_ends: dict[str, int] = attrs.Factory(dict)
+    held_ends: dict[str, int] = attrs.Factory(dict)
     silent_since_s: float | None = None
     lost_contact_s: float | None = None
     lapsed: list[Attempt] = attrs.Factory(list)
@@ -259,6 +263,8 @@
         self.orphans = set()
         self.lease_until_ms = 0.0
         self.seen_serial = self.stored_serial = self.acknowledged_serial = 0
+        self.new_ends.clear()
+        self.held_ends.clear()
         self.report_clock_ms = -1.0
         self.report_s = None
         self.silent_since_s = self.lost_contact_s = None
--- a/fescuerudder/platform/store.py
+++ b/fescuerudder/platform/store.py
@@ -10,6 +10,7 @@
 from fescuerudder.errors import (
     PlatformError,
     StoreOutcomeUnknownError,
+    StoreRejectedError,
     StoreUnavailableError,
 )
 from fescuerudder.jobs.rows import (
@@ -26,6 +27,9 @@
 FEED_MARGIN_S = 1.0
 """Time allowed for the answer of a feed beyond the time that the store waits for changes."""
 
+_TRANSIENT_STATUSES = frozenset({408, 409, 412, 425, 429})
+"""Client errors that say nothing against the request itself: timeouts, conflicts, rate limits."""
+
 MAX_REPORTED_ROWS = 1000
 """Number of rows without a readable value that are remembered as logged."""
 
@@ -73,7 +77,9 @@
                 answer, lambda raw: self._parse_rows(raw["rows"]), StoreOutcomeUnknownError
             )
             raise RowConflictError(rows=rows)
-        # 429 and 503 mean that nothing was written; other statuses reject the request itself.
+        if 400 <= answer.status < 500 and answer.status not in _TRANSIENT_STATUSES:
+            raise StoreRejectedError(f"store answered {answer.status}")
+        # Nothing was written; the same request may be applied later.
         raise StoreUnavailableError(f"store answered {answer.status}")
 
     def read(
--- a/standins/rows.py
+++ b/standins/rows.py
@@ -5,7 +5,11 @@
 
 import attrs
 
-from fescuerudder.errors import StoreOutcomeUnknownError, StoreUnavailableError
+from fescuerudder.errors import (
+    StoreOutcomeUnknownError,
+    StoreRejectedError,
+    StoreUnavailableError,
+)
 from fescuerudder.jobs.rows import (
     ABSENT,
     Changes,
@@ -29,12 +33,14 @@
         lose_answers: number of next writes that apply but whose answers are lost.
         lose_writes: number of next writes that are delayed and fail with an unknown outcome.
         delayed: delayed writes, which `apply_delayed` applies.
+        rejects: returns whether the store rejects a write because of the key and value of a row.
     """
 
     down: bool = False
     lose_answers: int = 0
     lose_writes: int = 0
     delayed: list[RowTransaction] = attrs.Factory(list)
+    rejects: Callable[[RowKey, bytes], bool] = lambda key, value: False
 
 
 class MemoryRowStore:
@@ -60,6 +66,7 @@
         with self._changed:
             self._check_available()
             self.writes += 1
+            self._check_accepted(txn)
             if self.faults.lose_writes > 0:
                 self.faults.lose_writes -= 1
                 self.faults.delayed.append(txn)
@@ -139,6 +146,10 @@
         if self.faults.down:
             raise StoreUnavailableError("the store is down")
 
+    def _check_accepted(self, txn: RowTransaction) -> None:
+        if any(self.faults.rejects(key, value) for key, value in txn.puts):
+            raise StoreRejectedError("a row is not acceptable")
+
     def _apply(self, txn: RowTransaction) -> int:
         current = {key: self._rows.get(key) for key, _ in txn.expects}
         if any(
--- a/standins/storehandler.py
+++ b/standins/storehandler.py
@@ -4,7 +4,11 @@
 import contextlib
 from typing import Any
 
-from fescuerudder.errors import StoreOutcomeUnknownError, StoreUnavailableError
+from fescuerudder.errors import (
+    StoreOutcomeUnknownError,
+    StoreRejectedError,
+    StoreUnavailableError,
+)
 from fescuerudder.jobs.rows import HistoryLostError, Row, RowConflictError, RowKey, RowTransaction
 from standins._http import Answer, Request
 from standins.rows import MemoryRowStore
@@ -23,6 +27,8 @@
             return Answer(status=404, body={"error": "no such call"})
         try:
             return call(rows, req)
+        except StoreRejectedError:
+            return Answer(status=400, body={"error": "rejected"})
         except StoreUnavailableError:
             return Answer(status=503, body={"error": "down"})
         except StoreOutcomeUnknownError:
--- a/tests/jobs/test_leader.py
+++ b/tests/jobs/test_leader.py
@@ -35,6 +35,7 @@
     starts_recorded=False,
     states={},
     serials={},
+    ends={},
     pending={},
     knowledge=None,
     roster=None,
--- a/tests/jobs/test_odd_data.py
+++ b/tests/jobs/test_odd_data.py
@@ -67,7 +67,7 @@
 LOOPS = {
     "registry": ("_registry", [], lambda term: term._read_registry()),
     "jobs": ("_store", Changes(rows=(), removed=(), version=3), lambda t: t._follow_jobs(2)),
-    "progress": ("_writer", None, lambda term: term._write()),
+    "progress": ("_writer", frozenset(), lambda term: term._write()),
 }
 
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from fescuerudder.errors import StoreOutcomeUnknownError, StoreUnavailableError
+from fescuerudder.errors import StoreOutcomeUnknownError, StoreRejectedError, StoreUnavailableError
 from fescuerudder.jobs.rows import HistoryLostError, RowConflictError, RowKey, RowTransaction
 from fescuerudder.platform.http import NoAnswerError, NotSentError
 from fescuerudder.platform.store import PlatformStore
@@ -52,6 +52,18 @@
         store.write(TXN, timeout_s=1.0)
 
 
+@pytest.mark.parametrize(
+    ("status", "is_rejected"),
+    [(400, True), (403, True), (413, True), (408, False), (409, False), (429, False), (503, False)],
+)
+def test_a_rejected_request_is_told_from_an_outage(status, is_rejected):
+    """Guards against a request that is sent again without end, though the store never takes it."""
+    store, _ = make_store((status, None))
+    with pytest.raises(StoreUnavailableError) as caught:
+        store.write(TXN, timeout_s=1.0)
+    assert isinstance(caught.value, StoreRejectedError) is is_rejected
+
+
 def test_conflict_carries_the_current_rows():
     """Guards against a leader that can't tell its own write from that of another."""
     row = {"table": "t", "part": "p", "key": "k", "value": VALUE, "rowVersion": 4}
