Ended jobs leave the rows that a claimant reads

Cause: rows of jobs and their progress stayed for good, and a claimant read all of them before it led; the leader kept all jobs in memory.

Change: once nothing of an ended job runs or is recorded, one transaction moves it to a row of the table "ended", which holds its final state for 300 s; its progress is deleted in spare entries of the leader's writes. Queries read that table last; an id in it isn't created again. Instances drop live states that may be out of date with each connection to a leader, and final ones after 120 s.

--- a/fescuerudder/jobs/followerlink.py
+++ b/fescuerudder/jobs/followerlink.py
@@ -178,6 +178,8 @@
             ping_interval=None,
         ) as conn:
             self._conn, self.refused = conn, False
+            # States that were sent meanwhile may concern jobs of which the leader no longer knows.
+            self._states.drop_live()
             report_task = asyncio.create_task(self._report(conn))
             try:
                 await conn.send(_encode(UNANSWERED, self._hello()))
@@ -197,6 +199,7 @@
         return Follow(
             instance=self._instance,
             takes_patches=True,
+            reads_ended=True,
             config_revision=manifest.revision if manifest is not None else 0,
         )
 
--- a/fescuerudder/jobs/intake.py
+++ b/fescuerudder/jobs/intake.py
@@ -12,6 +12,7 @@
 from fescuerudder.clock import Clock
 from fescuerudder.errors import StoreOutcomeUnknownError, StoreUnavailableError
 from fescuerudder.jobs.claim import load_heartbeat
+from fescuerudder.jobs.endedjobs import load_ended
 from fescuerudder.jobs.job import Job
 from fescuerudder.jobs.jobrun import JobState
 from fescuerudder.jobs.jobstates import JobStates
@@ -29,7 +30,7 @@
     CANCEL_SUFFIX,
     HEARTBEAT_KEY,
     JOBS_TABLE,
-    PROGRESS_TABLE,
+    ended_key,
     job_key,
     partition_of,
     progress_key,
@@ -65,6 +66,9 @@
 RELAY_TIMEOUT_S = 1.0
 
 STORED = "stored"
+EXISTED = "existed"
+"""Outcome of creating a row that is there already; only this instance knows it."""
+
 REFUSED = "refused"
 UNKNOWN = "unknown"
 
@@ -145,12 +149,16 @@
             job: the job.
             deadline_s: the caller's deadline, on this instance's clock.
         """
+        known = self._states.get(job.id)
+        if known is not None and known.is_final:
+            return Ok(None)
         timed = attrs.evolve(job, submitted_ms=int(self._wall_ms()))
         row = StoreJob(key=job.id, value=dump_job(timed), creates=True)
         stored = self._write(row, job_id=job.id, deadline_s=deadline_s)
-        if stored.is_ok():
+        if stored.ok() == STORED:
+            # What was there already may have ended.
             self._states.update(job.id, JobState.QUEUED)
-        return stored
+        return stored.map(lambda _: None)
 
     def cancel(self, job_id: str, *, deadline_s: float) -> Result[bool, Refusal]:
         """Stores the request to cancel a job; Ok(False) means that there is no such job."""
@@ -162,15 +170,18 @@
         row = StoreJob(key=job_id + CANCEL_SUFFIX, value=b"{}", creates=False)
         return self._write(row, job_id=job_id, deadline_s=deadline_s).map(lambda _: True)
 
-    def _write(self, row: StoreJob, *, job_id: str, deadline_s: float) -> Result[None, Refusal]:
-        """Tries to write a row until it is stored or the time for attempts ends."""
+    def _write(self, row: StoreJob, *, job_id: str, deadline_s: float) -> Result[str, Refusal]:
+        """Tries to write a row until it is stored or the time for attempts ends.
+
+        Ok is STORED or EXISTED.
+        """
         started_s = self._clock.now_s()
         outcomes: set[str] = set()
         left_s = min(deadline_s - started_s, MAX_WRITE_S)
         while left_s > 0.0:
             outcomes |= self._try_write(row, timeout_s=min(WRITE_TIMEOUT_S, left_s))
-            if STORED in outcomes:
-                return Ok(None)
+            if outcomes & {STORED, EXISTED}:
+                return Ok(STORED if STORED in outcomes else EXISTED)
             _log.warning("not stored yet", job=job_id, row=row.key, outcomes=sorted(outcomes))
             until_s = min(deadline_s, self._retry_until_s(started_s, outcomes))
             left_s = until_s - self._clock.now_s() - WRITE_RETRY_S
@@ -217,7 +228,7 @@
         outcomes = set()
         if not self._store_down_s():
             outcomes.add(store_row(self._store, row, timeout_s=timeout_s))
-        if STORED not in outcomes and self._leader.can_relay:
+        if not outcomes & {STORED, EXISTED} and self._leader.can_relay:
             outcomes.add(self._leader.store(row, timeout_s=timeout_s))
         if not outcomes:
             self._probe()
@@ -227,7 +238,8 @@
         """Stores a row for an instance that can't reach the store; see `StoreOutcome`."""
         if self._store_down_s():
             return REFUSED
-        return store_row(self._store, row, timeout_s=RELAY_TIMEOUT_S)
+        outcome = store_row(self._store, row, timeout_s=RELAY_TIMEOUT_S)
+        return STORED if outcome == EXISTED else outcome
 
     def _probe(self) -> None:
         """Reads a row to find out whether the store answers again; one caller at a time."""
@@ -250,15 +262,25 @@
         except (StoreUnavailableError, StoredFormError) as exc:
             _log.warning("state of a job not known", job=job_id, reason=str(exc))
             return Ok(known) if known is not None else Err(Refusal(reason=str(exc)))
-        if state is not None:
+        if state is not None and not state.is_final:
+            # A final state may be about to be removed, and is not to be shown after that.
             self._states.update(job_id, state)
         return Ok(state)
 
     def _read_state(self, job_id: str) -> JobState | None:
-        for key in (progress_key(job_id), job_key(job_id)):
+        """Returns the stored state of a job, None if there is none.
+
+        In this order each row is read before the leader may have removed it: it moves an ended
+        job's row, and only then deletes its progress.
+        """
+        for key, load in (
+            (progress_key(job_id), load_state),
+            (job_key(job_id), lambda data: JobState.QUEUED),
+            (ended_key(job_id), lambda data: load_ended(data).state),
+        ):
             row = read_row(self._store, key, timeout_s=READ_TIMEOUT_S)
             if row is not None:
-                return load_state(row.value) if key.table == PROGRESS_TABLE else JobState.QUEUED
+                return load(row.value)
         return None
 
     def pending(self, queue: str) -> Result[int, Refusal]:
@@ -278,14 +300,15 @@
 
 
 def store_row(store: RowStore, row: StoreJob, *, timeout_s: float) -> str:
-    """Stores a row of the table of jobs; returns an outcome as in `StoreOutcome`."""
+    """Stores a row of the table of jobs; returns an outcome as in `StoreOutcome`, or EXISTED."""
     key = RowKey(JOBS_TABLE, partition_of(row.key.removesuffix(CANCEL_SUFFIX)), row.key)
-    expects = ((key, ABSENT),) if row.creates else ()
+    # An ended job has left the table of jobs, and is not to be created again.
+    expects = ((key, ABSENT), (ended_key(row.key), ABSENT)) if row.creates else ()
     try:
         store.write(RowTransaction(expects=expects, puts=((key, row.value),)), timeout_s=timeout_s)
     except RowConflictError:
         # The job was stored by an earlier attempt of its caller.
-        return STORED
+        return EXISTED
     except StoreUnavailableError as exc:
         _log.info("store did not take a row", row=row.key, reason=str(exc))
         return REFUSED
--- a/fescuerudder/jobs/jobrun.py
+++ b/fescuerudder/jobs/jobrun.py
@@ -328,6 +328,8 @@
         earlier_starts: what the records of earlier leaders name.
         dirty: its progress has changed since it was last stored.
         is_isolated: the store rejects its rows, so none of its tasks are started.
+        in_history: its final state is stored, so it is to leave the rows that a claimant reads.
+        is_moved: it has left them, so its progress is not written any more.
     """
 
     job: Job
@@ -344,6 +346,8 @@
     earlier_starts: set[RecordedStart] = attrs.Factory(set)
     dirty: bool = False
     is_isolated: bool = False
+    in_history: bool = False
+    is_moved: bool = False
 
     @classmethod
     def create(cls, *, job: Job, version: int, received_s: float) -> "JobRun":
--- a/fescuerudder/jobs/leader.py
+++ b/fescuerudder/jobs/leader.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 import threading
 from collections.abc import Callable, Collection, Sequence
 from concurrent.futures import Executor, ThreadPoolExecutor
@@ -21,6 +22,8 @@
 from fescuerudder.jobs.answertimes import AnswerTimes
 from fescuerudder.jobs.claim import Claim
 from fescuerudder.jobs.configview import ConfigView
+from fescuerudder.jobs.endedjobs import STATUS_S
+from fescuerudder.jobs.historymover import MAX_MOVE_UNCONFIRMED_S, HistoryMover
 from fescuerudder.jobs.jobfeed import JobFeed
 from fescuerudder.jobs.jobmetrics import JobMetrics
 from fescuerudder.jobs.jobrun import JobState
@@ -49,13 +52,16 @@
     Batch,
     Configured,
     Fenced,
+    Kept,
     Listed,
+    Moved,
     Replaced,
     Reported,
     Silent,
     Stored,
     Submitted,
     Tick,
+    outcome_label,
     unanswered,
 )
 from fescuerudder.jobs.workerport import (
@@ -110,6 +116,8 @@
         publish: called with job states that have been stored, and with the number of waiting jobs
             of each queue, None if unchanged.
         metrics: metrics of this instance.
+        earlier_version_age_s: returns the time since a follower was connected that can't find jobs
+            that have left the table of jobs, infinite if none was.
     """
 
     def __init__(
@@ -128,7 +136,9 @@
         view: Callable[[], ConfigView],
         publish: Callable[[dict[str, JobState], dict[str, int] | None], None],
         metrics: JobMetrics,
+        earlier_version_age_s: Callable[[], float] = lambda: math.inf,
     ) -> None:
+        self._earlier_version_age_s = earlier_version_age_s
         self._store = store
         self._metrics = metrics
         self._publish = publish
@@ -139,7 +149,7 @@
         self._clock = clock
         self._wall_ms = wall_ms
         self._view = view
-        self._claim_version = claim_version
+        self._epoch, self._claim_version = claim.epoch, claim_version
         self.lost = threading.Event()
         self._stopping = threading.Event()
         self._starts_planned = threading.Event()
@@ -180,6 +190,7 @@
         for loop in (self._tick, self._write, self._read_registry):
             self._start_thread(loop)
         self._start_thread(lambda: self._follow_jobs(loaded.version))
+        self._start_thread(self._mover().run)
         return self
 
     def __exit__(self, *exc_info: object) -> None:
@@ -274,7 +285,7 @@
         started_s = self._clock.now_s()
         try:
             event = await self._call_peer(order, planned_s, started_s)
-            outcome = _outcome_label(event)
+            outcome = outcome_label(event)
         except Exception as exc:
             # Without an event, the scheduler would wait for the outcome for good.
             _log.exception("order failed", order=type(order).__name__)
@@ -381,6 +392,25 @@
         )
         feed.run(version)
 
+    def _mover(self) -> HistoryMover:
+        assert self._ref is not None
+        ref = self._ref
+        return HistoryMover(
+            store=self._store,
+            clock=self._clock,
+            stopping=self._stopping,
+            epoch=self._epoch,
+            may_move=self._may_move_history,
+            take=lambda: ref.ask(Scheduler.take_moves, timeout=PROGRESS_REQUEST_TIMEOUT_S),
+            on_moved=lambda batch: self._post_event(Moved(batch=batch)),
+            on_kept=lambda batch: self._post_event(Kept(batch=batch)),
+        )
+
+    def _may_move_history(self) -> bool:
+        """Returns whether every instance finds moved jobs, and the store takes running work."""
+        is_store_slow = self.unconfirmed_s > MAX_MOVE_UNCONFIRMED_S
+        return self._earlier_version_age_s() >= STATUS_S and not is_store_slow
+
     def _take_jobs(self, jobs: list[StoredJob], cancels: list[str]) -> None:
         self._post_jobs(jobs, cancels)
         self._publish({stored.job.id: JobState.QUEUED for stored in jobs}, None)
@@ -469,10 +499,3 @@
         _log.warning("leadership lost", reason=reason)
         self._stopping.set()
         self.lost.set()
-
-
-def _outcome_label(event: Any) -> str:
-    """Returns the outcome of an order as a label of the metrics."""
-    if isinstance(event, Answered):
-        return event.answer.result.value
-    return type(event).__name__.lstrip("_").lower()
--- a/fescuerudder/jobs/leaderlink.py
+++ b/fescuerudder/jobs/leaderlink.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import hmac
+import math
 from collections.abc import Awaitable, Callable, Collection
 from http import HTTPStatus
 from typing import Any, Protocol
@@ -116,6 +117,7 @@
         self._followers: dict[ServerConnection, _Follower] = {}
         self._unsent_states: dict[str, str] = {}
         self._pending: dict[str, int] = {}
+        self._earlier_version_s = -math.inf
         self._pulse_task: asyncio.Task | None = None
         self._config_task: asyncio.Task | None = None
         self._sent_config = ConfigView()
@@ -146,6 +148,13 @@
         values = {job_id: state.value for job_id, state in states.items()}
         self._loop.call(self._add_states, values, pending)
 
+    @property
+    def earlier_version_age_s(self) -> float:
+        """Time since a follower was connected that can't find moved jobs; infinite if none was."""
+        if any(not follower.hello.reads_ended for follower in list(self._followers.values())):
+            return 0.0
+        return self._clock.now_s() - self._earlier_version_s
+
     def find_successor(self, *, asked: Collection[str] = ()) -> str | None:
         """Returns the id of the eligible follower with the lowest rank, or None if there is none.
 
@@ -234,6 +243,8 @@
             _log.debug("connection of a follower ended", reason=str(exc))
         finally:
             gone = self._followers.pop(conn, None)
+            if gone is not None and not gone.hello.reads_ended:
+                self._earlier_version_s = self._clock.now_s()
             if gone is not None:
                 _log.info("follower gone", follower=gone.instance)
 
--- a/fescuerudder/jobs/linkmessages.py
+++ b/fescuerudder/jobs/linkmessages.py
@@ -11,11 +11,14 @@
         instance: its id.
         takes_patches: it can apply `ConfigChanged`; instances of earlier versions can't.
         config_revision: revision of the manifest that it has, 0 if it has none.
+        reads_ended: it finds jobs that have left the tables of jobs and progress; instances of
+            earlier versions don't.
     """
 
     instance: str
     takes_patches: bool = False
     config_revision: int = 0
+    reads_ended: bool = False
 
 
 @attrs.frozen(kw_only=True)
--- a/fescuerudder/jobs/node.py
+++ b/fescuerudder/jobs/node.py
@@ -137,7 +137,7 @@
         self._ports = ports
         self._clock = clock
         self._kernel = Kernel()
-        self._states = JobStates()
+        self._states = JobStates(clock=clock)
         self._store = MonitoredStore(store=ports.store, clock=clock, metrics=metrics)
         self.config = ConfigWatch(
             source=ports.config, clock=clock, on_change=self._on_config_change
@@ -244,6 +244,8 @@
 
     def _make_term(self, claim: Claim, version: int) -> LeaderTerm:
         ports = self._ports
+        # What the last leader did not tell any more may concern jobs that have been moved.
+        self._states.drop_live()
         return LeaderTerm(
             store=self._store,
             loop=self._loop,
@@ -258,6 +260,7 @@
             view=lambda: self.config.view,
             publish=self._publish,
             metrics=self._metrics,
+            earlier_version_age_s=lambda: self._leader_link.earlier_version_age_s,
         )
 
     def _publish(self, states: dict[str, JobState], pending: dict[str, int] | None) -> None:
--- a/fescuerudder/jobs/progressbatch.py
+++ b/fescuerudder/jobs/progressbatch.py
@@ -15,7 +15,7 @@
 
     Args:
         rows: rows to write: the progress of jobs, and the records of starts.
-        deletes: rows to delete: records of starts that are no longer needed.
+        deletes: rows to delete: records of starts and progress that are no longer needed.
         recorded: the starts that each record in the batch names, by step.
         starts_recorded: with this batch, every attempt that may run is in a record of starts.
         states: state of each job whose progress is in the batch, shown to callers once it is
--- a/fescuerudder/jobs/progressoutput.py
+++ b/fescuerudder/jobs/progressoutput.py
@@ -3,14 +3,22 @@
 from collections.abc import Collection, Iterable
 
 from fescuerudder.jobs.isolation import RowIsolation
+from fescuerudder.jobs.jobhistory import JobHistory
 from fescuerudder.jobs.progress import dump_progress
 from fescuerudder.jobs.progressbatch import ProgressBatch
 from fescuerudder.jobs.rosterkeeper import RosterKeeper
-from fescuerudder.jobs.rows import RowKey
+from fescuerudder.jobs.rows import MAX_TXN_ROWS, RowKey
 from fescuerudder.jobs.schedulerstate import SchedulerState
 from fescuerudder.jobs.startrelease import StartReleaser
 from fescuerudder.jobs.storage import ROSTER_KEY, job_of, progress_key
 
+MAX_HISTORY_ENTRIES = MAX_TXN_ROWS - 20
+"""Number of entries up to which a transaction is filled with deletions of ended jobs' rows, so that
+these never make it two."""
+
+MIN_HISTORY_DELETES = 5
+"""Deletions in each batch, so that they go on while many jobs end."""
+
 
 class ProgressOutput:
     """Collects changed progress into batches, without the rows that the store rejects.
@@ -19,14 +27,21 @@
         state: state of the term.
         roster: returns the changed roster.
         releaser: returns the records of starts.
+        history: returns the ended jobs whose progress is to be deleted.
     """
 
     def __init__(
-        self, *, state: SchedulerState, roster: RosterKeeper, releaser: StartReleaser
+        self,
+        *,
+        state: SchedulerState,
+        roster: RosterKeeper,
+        releaser: StartReleaser,
+        history: JobHistory,
     ) -> None:
         self._state = state
         self._roster = roster
         self._releaser = releaser
+        self._history = history
         self._isolation = RowIsolation()
         self._recorded = False
 
@@ -55,12 +70,15 @@
         runs = [run for run in dirty if not self._isolation.is_held(run.job.id, now_s)]
         for run in runs:
             del dirty[run]
+        runs = [run for run in runs if not run.is_moved]
         starts = self._releaser.take_pending(runs)
         for run in runs:
             run.dirty = False
+        rows = {progress_key(run.job.id): dump_progress(run) for run in runs} | starts.rows
+        deletes = self._take_deletes(starts.deletes)
         return ProgressBatch(
-            rows={progress_key(run.job.id): dump_progress(run) for run in runs} | starts.rows,
-            deletes=self._take_deletes(starts.deletes),
+            rows=rows,
+            deletes=(*deletes, *self._take_history(entries=len(rows) + len(deletes))),
             recorded=starts.recorded,
             starts_recorded=self._may_claim_recorded(),
             states={run.job.id: run.state for run in runs},
@@ -105,6 +123,15 @@
         self._state.obsolete_records.update(held)
         return tuple(key for key in keys if key not in held)
 
+    def _take_history(self, *, entries: int) -> list[RowKey]:
+        """Returns rows of ended jobs to delete, as many as a transaction has space for.
+
+        Args:
+            entries: number of its other entries.
+        """
+        limit = max(MIN_HISTORY_DELETES, MAX_HISTORY_ENTRIES - entries)
+        return [progress_key(job_id) for job_id in self._history.take_progress(limit)]
+
     def _is_isolated(self, job_id: str) -> bool:
         return job_id in self._state.jobs and self._isolation.is_isolated(job_id)
 
--- a/fescuerudder/jobs/scheduler.py
+++ b/fescuerudder/jobs/scheduler.py
@@ -8,6 +8,8 @@
 from fescuerudder.jobs.adviceport import Advice, AdviceQuery
 from fescuerudder.jobs.attemptstarter import AttemptStarter
 from fescuerudder.jobs.crashes import record_worker_end
+from fescuerudder.jobs.endedjobs import EndedJob
+from fescuerudder.jobs.jobhistory import JobHistory, MoveBatch, ended_jobs
 from fescuerudder.jobs.jobrun import FULL_SPEED, JobRun, JobState, Phase
 from fescuerudder.jobs.leases import LeasePolicy
 from fescuerudder.jobs.manifest import Manifest
@@ -91,8 +93,12 @@
         self._waits = WaitMonitor(state=self.state, planner=self._planner)
         self.stored_states: dict[str, JobState] = {}
         self.is_superseded = False
+        self.history = JobHistory(state=self.state)
         self._output = ProgressOutput(
-            state=self.state, roster=self._roster, releaser=self._releaser
+            state=self.state,
+            roster=self._roster,
+            releaser=self._releaser,
+            history=self.history,
         )
         self._stops = StopPlanner(state=self.state)
         self._moves = ThrottledMoves()
@@ -141,7 +147,11 @@
         """Adds submitted jobs; ignores those that are known already."""
         now_s = self._clock.now_s()
         for stored in jobs:
-            if stored.job.id not in self.state.jobs:
+            run, known = self.state.jobs.get(stored.job.id), self.stored_states.get(stored.job.id)
+            if (run is None or run.is_moved) and known is not None and known.is_final:
+                # An instance of an earlier version has created the moved row anew.
+                self.history.add([EndedJob(id=stored.job.id, version=stored.version, state=known)])
+            elif run is None:
                 run = JobRun.create(job=stored.job, version=stored.version, received_s=now_s)
                 self.state.add_job(run)
                 self.stored_states[stored.job.id] = JobState.QUEUED
@@ -152,10 +162,24 @@
         self.state.add_job(run)
         self.stored_states[run.job.id] = run.state
 
+    def restore_ended(self, jobs: Iterable[EndedJob], *, moved: Iterable[str]) -> None:
+        """Adds the jobs whose final states an earlier leader stored.
+
+        Args:
+            jobs: those that are to be moved.
+            moved: ids of those that were moved and whose progress is still stored.
+        """
+        ended = list(jobs)
+        self.stored_states.update({job.id: job.state for job in ended})
+        self.history.add(ended)
+        self.history.add_progress(moved)
+
     def cancel(self, job_ids: Iterable[str]) -> None:
         """Cancels jobs at the request of callers."""
         for job_id in job_ids:
             run = self.state.jobs.get(job_id)
+            if run.is_moved if run is not None else job_id not in self.stored_states:
+                self.history.add_cancel(job_id)
             if run is None or run.cancel_requested or run.state.is_final:
                 continue
             run.cancel()
@@ -330,6 +354,8 @@
         self._moves.forget_ended()
         for record in self.state.workers.values():
             self._reconciler.forget_discarded_starts(record, self._clock.now_s())
+        for job_id in self.history.forget():
+            self.stored_states.pop(job_id, None)
         self.state.advice.retain_steps(step.id for step in self.state.open_steps)
 
     def on_stored(self, batch: ProgressBatch, *, rejected: Collection[str] = ()) -> None:
@@ -340,7 +366,13 @@
             rejected: names of the groups of rows in it that the store rejected.
         """
         self._output.on_stored(batch, rejected)
-        self.stored_states.update(batch.without(rejected).states)
+        states = batch.without(rejected).states
+        self.stored_states.update(states)
+        self.history.add(ended_jobs(self.state.jobs, states))
+
+    def take_moves(self) -> MoveBatch:
+        """Returns the ended jobs to move next; see `JobHistory`."""
+        return self.history.take_moves()
 
     # --- output to the workers
 
--- a/fescuerudder/jobs/scheduleractor.py
+++ b/fescuerudder/jobs/scheduleractor.py
@@ -17,7 +17,9 @@
     Batch,
     Configured,
     Fenced,
+    Kept,
     Listed,
+    Moved,
     Replaced,
     Reported,
     Silent,
@@ -164,6 +166,14 @@
     def _(self, message: Advised) -> None:
         self._scheduler.on_advice(message.query, message.advice, sent_s=message.sent_s)
 
+    @_handle.register
+    def _(self, message: Moved) -> None:
+        self._scheduler.history.on_moved(message.batch)
+
+    @_handle.register
+    def _(self, message: Kept) -> None:
+        self._scheduler.history.on_kept(message.batch)
+
     @_handle.register
     def _(self, message: Stored) -> None:
         self._scheduler.on_stored(message.batch, rejected=message.rejected)
--- a/fescuerudder/jobs/storage.py
+++ b/fescuerudder/jobs/storage.py
@@ -14,6 +14,10 @@
 STARTS_TABLE = "starts"
 """Table of the records of starts, one row for each step that has live attempts."""
 
+ENDED_TABLE = "ended"
+"""Table of the final states of jobs that have left the other tables. A row is in the partition of
+its job, so that one transaction moves the job, and so that it can't be created again meanwhile."""
+
 LEADER_TABLE = "leader"
 """Table of the leader's heartbeat, of what it learned about tasks and of its roster."""
 
@@ -64,6 +68,11 @@
     return RowKey(PROGRESS_TABLE, LEADER_PARTITION, job_id)
 
 
+def ended_key(job_id: str) -> RowKey:
+    """Returns the key of the row of a job's final state."""
+    return RowKey(ENDED_TABLE, partition_of(job_id), job_id)
+
+
 def starts_key(step: StepId, row: int = 0) -> RowKey:
     """Returns the key of a row that records starts of a step; wide steps have several rows."""
     name = f"{step.job}.{step.occurrence}.{step.step}"
--- a/fescuerudder/jobs/takeover.py
+++ b/fescuerudder/jobs/takeover.py
@@ -8,6 +8,7 @@
 
 from fescuerudder.clock import Clock
 from fescuerudder.jobs.claim import load_heartbeat, load_lease_bound
+from fescuerudder.jobs.endedjobs import EndedJob
 from fescuerudder.jobs.job import Job
 from fescuerudder.jobs.jobrun import JobRun, JobState
 from fescuerudder.jobs.leases import PREDECESSOR_LEASES_S
@@ -49,7 +50,8 @@
 
     Args:
         live: jobs that have not ended, with their progress.
-        ended: final states of the other jobs, by id.
+        ended: the other jobs, which are to be moved.
+        moved: ids of jobs that were moved and whose progress is still stored.
         cancels: ids of jobs whose cancellation was requested.
         version: version from which to follow the feed of jobs.
         knowledge: what earlier leaders learned about tasks, serialized; None if not stored.
@@ -61,9 +63,10 @@
     """
 
     live: list[JobRun]
-    ended: dict[str, JobState]
+    ended: list[EndedJob]
     cancels: list[str]
     version: int
+    moved: list[str] = attrs.Factory(list)
     knowledge: bytes | None = None
     roster: list[RosterEntry] = attrs.Factory(list)
     starts: StoredStarts = attrs.Factory(StoredStarts)
@@ -117,13 +120,15 @@
         wall_ms=wall_ms(),
         version=head.version,
     )
+    # Records of any other job are left over. A job whose row can't be read may not have ended.
+    unfinished = {row.key.key for rows in jobs for row in rows} - {job.id for job in loaded.ended}
     stored = {row.key: row for row in leader_rows}
     knowledge = stored.get(KNOWLEDGE_KEY)
     return attrs.evolve(
         loaded,
         knowledge=knowledge.value if knowledge is not None else None,
         roster=_read_roster(stored),
-        starts=_read_starts(starts, stored.get(HEARTBEAT_KEY), loaded.ended),
+        starts=_read_starts(starts, stored.get(HEARTBEAT_KEY), unfinished),
         store_clock=store_clock if head.store_ms else None,
         leases_until_ms=_read_lease_bound(stored),
     )
@@ -143,8 +148,16 @@
     return bound.until_ms
 
 
-def _read_starts(rows: list[Row], heartbeat: Row | None, ended: Collection[str]) -> StoredStarts:
-    """Returns the records of starts; they are complete only if all of them can be read."""
+def _read_starts(
+    rows: list[Row], heartbeat: Row | None, unfinished: Collection[str]
+) -> StoredStarts:
+    """Returns the records of starts; they are complete only if all of them can be read.
+
+    Args:
+        rows: the rows of the records.
+        heartbeat: the heartbeat row, None if there is none.
+        unfinished: ids of the jobs that have not ended.
+    """
     records, unreadable = [], []
     for row in rows:
         record = _parse(lambda data, row=row: load_starts(row.key.key, data), row.value)
@@ -153,8 +166,8 @@
         else:
             records.append(record)
     return StoredStarts(
-        steps=tuple(record for record in records if record.step.job not in ended),
-        obsolete=tuple(record.step for record in records if record.step.job in ended),
+        steps=tuple(record for record in records if record.step.job in unfinished),
+        obsolete=tuple(record.step for record in records if record.step.job not in unfinished),
         unreadable=tuple(unreadable),
         is_complete=not unreadable and _were_recorded(heartbeat),
     )
@@ -199,19 +212,27 @@
     version: int,
 ) -> LoadedState:
     stored, cancels = split_job_rows(rows)
-    live, ended = [], {}
+    live: list[JobRun] = []
+    ended: list[EndedJob] = []
     for item in sorted(stored, key=lambda item: item.version):
         data = progress.get(item.job.id)
         state = _parse(load_state, data) if data is not None else JobState.QUEUED
         if state is not None and state.is_final:
-            ended[item.job.id] = state
+            ended.append(EndedJob(id=item.job.id, version=item.version, state=state))
             continue
         received_s = now_s - _age_s(item.job, wall_ms)
         run = JobRun.create(job=item.job, version=item.version, received_s=received_s)
         if data is not None:
             _parse(lambda raw, run=run: restore_progress(run, raw), data)
         live.append(run)
-    return LoadedState(live=live, ended=ended, cancels=cancels, version=version)
+    known = {row.key.key for row in rows}
+    moved = [job_id for job_id in progress if job_id not in known and _is_final(progress[job_id])]
+    return LoadedState(live=live, ended=ended, cancels=cancels, version=version, moved=moved)
+
+
+def _is_final(data: bytes) -> bool:
+    state = _parse(load_state, data)
+    return state is not None and state.is_final
 
 
 def _age_s(job: Job, wall_ms: float) -> float:
@@ -248,7 +269,7 @@
     """Passes the stored state to the scheduler of a new term, which must know the configuration."""
     for run in loaded.live:
         scheduler.restore(run)
-    scheduler.stored_states.update(loaded.ended)
+    scheduler.restore_ended(loaded.ended, moved=loaded.moved)
     if loaded.knowledge is not None:
         try:
             scheduler.state.knowledge.restore(loaded.knowledge)
--- a/fescuerudder/jobs/termevents.py
+++ b/fescuerudder/jobs/termevents.py
@@ -8,6 +8,7 @@
 
 from fescuerudder.jobs.adviceport import Advice, AdviceQuery
 from fescuerudder.jobs.configview import ConfigView
+from fescuerudder.jobs.jobhistory import MoveBatch
 from fescuerudder.jobs.progress import StoredJob
 from fescuerudder.jobs.progressbatch import ProgressBatch
 from fescuerudder.jobs.scheduler import Order
@@ -116,6 +117,20 @@
     rejected: Collection[str] = ()
 
 
+@attrs.frozen(kw_only=True)
+class Moved:
+    """Ended jobs have left the rows that a claimant reads."""
+
+    batch: MoveBatch
+
+
+@attrs.frozen(kw_only=True)
+class Kept:
+    """Ended jobs that were taken to be moved have stayed where they were."""
+
+    batch: MoveBatch
+
+
 @singledispatch
 def unanswered(order: Order, *, sent_s: float, reason: str) -> Any:
     """Returns the event of an order whose outcome is unknown.
@@ -136,3 +151,10 @@
 @unanswered.register
 def _(order: AdviceQuery, *, sent_s: float, reason: str) -> Advised:
     return Advised(query=order, advice=None, sent_s=sent_s)
+
+
+def outcome_label(event: Any) -> str:
+    """Returns the outcome of an order as a label of the metrics."""
+    if isinstance(event, Answered):
+        return event.answer.result.value
+    return type(event).__name__.lstrip("_").lower()
