A long load never costs the leadership

Cause: a claimant wrote no heartbeat, sent no pulse and refused its followers' links before it had loaded everything, so a load of about a second ended in another claim, whose load took as long.

Change: the link serves followers from the claim on. While the load makes progress, heartbeats are stored and pulses sent; without progress for 4 s both stop, so another instance claims. A load ends once another instance has claimed. Pulses say that the leader loads. Many states at once are sent in several pulses, as followers are connected when the load ends.

--- a/fescuerudder/jobs/followerlink.py
+++ b/fescuerudder/jobs/followerlink.py
@@ -90,6 +90,7 @@
         self.pending: dict[str, int] | None = None
         self.last_pulse_s: float | None = None
         self.refused = False
+        self._is_loading = False
         self._malformed = 0
         self._next_malformed_log_s = -math.inf
 
@@ -214,6 +215,7 @@
         message = envelope.message
         if isinstance(message, Pulse) and message.epoch == claim.epoch:
             self.last_pulse_s = self._clock.now_s()
+            self._observe_loading(claim, message.loading)
             if message.pending is not None:
                 self.pending = message.pending
             self._update_states(claim, message.states)
@@ -232,6 +234,12 @@
                 fut.set_result(message)
         return True
 
+    def _observe_loading(self, claim: Claim, is_loading: bool) -> None:
+        if is_loading != self._is_loading:
+            text = "leader loads" if is_loading else "leader has loaded"
+            _log.info(text, leader=claim.instance, epoch=claim.epoch)
+        self._is_loading = is_loading
+
     def _update_states(self, claim: Claim, states: dict[str, str]) -> None:
         for job_id, value in states.items():
             try:
--- a/fescuerudder/jobs/leader.py
+++ b/fescuerudder/jobs/leader.py
@@ -8,7 +8,7 @@
 import math
 import threading
 from collections.abc import Callable, Collection, Sequence
-from concurrent.futures import Executor, ThreadPoolExecutor
+from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
 import pykka
@@ -41,11 +41,7 @@
 from fescuerudder.jobs.scheduler import Order, Scheduler
 from fescuerudder.jobs.scheduleractor import SchedulerActor
 from fescuerudder.jobs.schedulerstate import Term
-from fescuerudder.jobs.takeover import (
-    LoadedState,
-    load_stored_state,
-    restore_scheduler,
-)
+from fescuerudder.jobs.takeover import LoadedState
 from fescuerudder.jobs.termevents import (
     Advised,
     Answered,
@@ -64,6 +60,7 @@
     outcome_label,
     unanswered,
 )
+from fescuerudder.jobs.termloading import TermLoader, read_jobs
 from fescuerudder.jobs.workerport import (
     OrderAnswer,
     OrderResult,
@@ -88,7 +85,6 @@
 TICK_INTERVAL_S = 0.1
 REGISTRY_READ_INTERVAL_S = 1.0
 
-LOAD_THREADS = 8
 ADVICE_THREADS = 2
 MAX_ORDER_QUEUE_S = 0.4
 """Time after which an order that the event loop has not begun to send is dropped as outdated."""
@@ -173,6 +169,7 @@
         self._advice_calls = ThreadPoolExecutor(ADVICE_THREADS, thread_name_prefix="advice")
         self._order_tasks: set[asyncio.Task[None]] = set()
         self._answer_times = AnswerTimes()
+        self._loader = TermLoader(store=store, clock=clock, wall_ms=wall_ms, writer=self._writer)
         self._unsent_events: list[Any] = []
         self._threads: list[threading.Thread] = []
         self._ref: pykka.ActorRef[SchedulerActor] | None = None
@@ -210,6 +207,16 @@
         """Whether the store has records of all attempts that may run."""
         return self._writer.starts_recorded
 
+    @property
+    def is_loading(self) -> bool:
+        """Whether the stored state is still being loaded."""
+        return self._loader.is_loading
+
+    @property
+    def is_stalled(self) -> bool:
+        """Whether the load makes no progress, so that another instance should claim."""
+        return self._loader.is_stalled
+
     def states(self) -> dict[str, JobState]:
         """Returns the stored states of all jobs."""
         return self._scheduler.stored_states.copy()
@@ -219,19 +226,11 @@
         self._post_event(Configured(view=view))
 
     def _load(self) -> LoadedState:
-        loaded = self._read_all_jobs()
         scheduler = self._scheduler
-        view = self._view()
-        if view.manifest is not None:
-            scheduler.set_manifest(view.manifest)
-        scheduler.set_zones_out(view.zones_out)
-        restore_scheduler(scheduler, loaded)
-        self._writer.store_clock = loaded.store_clock
-        self._writer.inherited_until_ms = loaded.inherited_until_ms(
-            claimed_s=self._writer.bounded_s
-        )
-        self._writer.starts_recorded = scheduler.state.starts_recorded
-        scheduler.set_workers(self._registry.read())
+        with self._loader:
+            loaded = self._loader.load(scheduler, self._view())
+            scheduler.set_workers(self._registry.read())
+        self._loader.prepare_writer(loaded, scheduler)
         self._publish(scheduler.stored_states.copy(), scheduler.pending())
         _log.info(
             "jobs loaded",
@@ -243,11 +242,6 @@
         )
         return loaded
 
-    def _read_jobs(self, pool: Executor) -> LoadedState:
-        return load_stored_state(
-            store=self._store, clock=self._clock, wall_ms=self._wall_ms, pool=pool
-        )
-
     def _start_thread(self, target: Callable[[], None]) -> None:
         thread = threading.Thread(target=target, daemon=True)
         self._threads.append(thread)
@@ -419,12 +413,12 @@
         self._post_event(Submitted(jobs=jobs, cancels=cancels))
 
     def _read_all_jobs(self) -> LoadedState:
-        with ThreadPoolExecutor(LOAD_THREADS, thread_name_prefix="load") as pool:
-            return self._read_jobs(pool)
+        return read_jobs(store=self._store, clock=self._clock, wall_ms=self._wall_ms)
 
     def _write(self) -> None:
         batch: ProgressBatch | None = None
-        is_resolved = True
+        # A heartbeat that was stored while the state was loaded may have got no answer.
+        is_resolved = False
         unanswered = 0
         while not self._stopping.is_set():
             try:
--- a/fescuerudder/jobs/leaderlink.py
+++ b/fescuerudder/jobs/leaderlink.py
@@ -90,12 +90,16 @@
         states: returns the states of all jobs.
         store: stores a row of a follower; returns an outcome as in `StoreOutcome`.
         config: the configuration.
+        is_loading: returns whether the leader still loads the stored state.
+        is_stalled: returns whether that load makes no progress.
     """
 
     claim: Claim
     states: Callable[[], dict[str, JobState]]
     store: Callable[[StoreJob], str]
     config: ConfigProvider
+    is_loading: Callable[[], bool] = lambda: False
+    is_stalled: Callable[[], bool] = lambda: False
 
 
 class LeaderLink:
@@ -116,7 +120,7 @@
         self._source: LinkSource | None = None
         self._followers: dict[ServerConnection, _Follower] = {}
         self._unsent_states: dict[str, str] = {}
-        self._pending: dict[str, int] = {}
+        self._pending: dict[str, int] | None = None
         self._earlier_version_s = -math.inf
         self._pulse_task: asyncio.Task | None = None
         self._config_task: asyncio.Task | None = None
@@ -208,6 +212,7 @@
     def _set_source(self, source: LinkSource | None) -> None:
         self._source = source
         self._unsent_states.clear()
+        self._pending = None
         self._sent_config, self._whole_config = ConfigView(), None
         for conn in list(self._followers):
             conn.transport.abort()
@@ -282,17 +287,20 @@
                 _log.exception("message to followers failed", step=step.__name__)
 
     async def _broadcast_pulse(self) -> None:
-        if self._source is None:
+        source = self._source
+        if source is None or source.is_stalled():
             return
-        states, self._unsent_states = self._unsent_states, {}
-        pulse = Pulse(
-            epoch=self._source.claim.epoch,
-            states=states,
-            pending=self._pending,
-            config_version=self._sent_config.version,
-            config_age_s=self._config_age_s(self._source.config),
-        )
-        broadcast(list(self._followers), _encode(pulse))
+        unsent, self._unsent_states = list(self._unsent_states.items()), {}
+        for first in range(0, max(1, len(unsent)), STATES_PER_PULSE):
+            pulse = Pulse(
+                epoch=source.claim.epoch,
+                states=dict(unsent[first : first + STATES_PER_PULSE]),
+                pending=self._pending,
+                config_version=self._sent_config.version,
+                config_age_s=self._config_age_s(source.config),
+                loading=source.is_loading(),
+            )
+            broadcast(list(self._followers), _encode(pulse))
 
     def _config_age_s(self, config: ConfigProvider) -> float | None:
         """Returns the age of the configuration that was sent, None if there is a newer one."""
--- a/fescuerudder/jobs/leadership.py
+++ b/fescuerudder/jobs/leadership.py
@@ -314,18 +314,21 @@
     def _lead(self, claim: Claim, version: int) -> None:
         self._follower_link.follow(None)
         term = self._make_term(claim, version)
+        source = LinkSource(
+            claim=claim,
+            states=term.states,
+            store=self._store_for_follower,
+            config=self._config,
+            is_loading=lambda: term.is_loading,
+            is_stalled=lambda: term.is_stalled,
+        )
         try:
+            # Followers connect while the term loads, so a long load is not taken for a lost leader.
+            self._leader_link.activate(source)
             with term:
                 self.term = term
                 # Changes that came while the term was loading were not passed to it.
                 term.configure(self._config.view)
-                source = LinkSource(
-                    claim=claim,
-                    states=term.states,
-                    store=self._store_for_follower,
-                    config=self._config,
-                )
-                self._leader_link.activate(source)
                 self._await_term_end(claim, term)
                 if self._stopping.is_set() and not term.lost.is_set():
                     self._hand_over(claim, term)
--- a/fescuerudder/jobs/leaderwriter.py
+++ b/fescuerudder/jobs/leaderwriter.py
@@ -132,7 +132,7 @@
         self,
         rows: dict[RowKey, bytes],
         *,
-        pending: dict[str, int],
+        pending: dict[str, int] | None,
         deletes: Sequence[RowKey] = (),
         leader_rows: dict[RowKey, bytes] | None = None,
         starts_recorded: bool = False,
@@ -158,7 +158,9 @@
             self.starts_recorded = starts_recorded
         return frozenset(rejected)
 
-    def _write_part(self, part: Sequence[RowGroup], pending: dict[str, int]) -> list[RowGroup]:
+    def _write_part(
+        self, part: Sequence[RowGroup], pending: dict[str, int] | None
+    ) -> list[RowGroup]:
         """Stores the groups of one transaction; returns those that the store rejects."""
         try:
             self._write_groups(part, pending)
@@ -172,7 +174,9 @@
             return self._find_rejected(part, pending)
         return []
 
-    def _find_rejected(self, part: Sequence[RowGroup], pending: dict[str, int]) -> list[RowGroup]:
+    def _find_rejected(
+        self, part: Sequence[RowGroup], pending: dict[str, int] | None
+    ) -> list[RowGroup]:
         """Stores the groups of a rejected transaction by halves; returns those that are rejected.
 
         One rejected group among n costs 2 x log2(n) transactions.
@@ -188,7 +192,7 @@
                 rejected += self._find_rejected(half, pending)
         return rejected
 
-    def _write_groups(self, groups: Sequence[RowGroup], pending: dict[str, int]) -> None:
+    def _write_groups(self, groups: Sequence[RowGroup], pending: dict[str, int] | None) -> None:
         self._count += 1
         heartbeat = Heartbeat(
             epoch=self._claim.epoch,
--- a/fescuerudder/jobs/linkmessages.py
+++ b/fescuerudder/jobs/linkmessages.py
@@ -48,6 +48,7 @@
         config_version: version of the configuration that followers were sent.
         config_age_s: time since the leader found that configuration to be the store's, in
             seconds; None if it never did or has a newer one.
+        loading: the leader still loads the stored state.
     """
 
     epoch: int
@@ -55,6 +56,7 @@
     pending: dict[str, int] | None = None
     config_version: int = 0
     config_age_s: float | None = None
+    loading: bool = False
 
 
 @attrs.frozen(kw_only=True)
--- a/fescuerudder/jobs/takeover.py
+++ b/fescuerudder/jobs/takeover.py
@@ -84,7 +84,12 @@
 
 
 def load_stored_state(
-    *, store: RowStore, clock: Clock, wall_ms: Callable[[], float], pool: Executor
+    *,
+    store: RowStore,
+    clock: Clock,
+    wall_ms: Callable[[], float],
+    pool: Executor,
+    on_progress: Callable[[], None] = lambda: None,
 ) -> LoadedState:
     """Reads jobs, their progress and the leader's own rows from the store.
 
@@ -93,6 +98,7 @@
         clock: source of time.
         wall_ms: returns Unix time in milliseconds.
         pool: runs the reads of several partitions at a time.
+        on_progress: called with each job.
 
     Raises:
         StoreUnavailableError: a partition could not be read.
@@ -119,6 +125,7 @@
         now_s=clock.now_s(),
         wall_ms=wall_ms(),
         version=head.version,
+        on_progress=on_progress,
     )
     # Records of any other job are left over. A job whose row can't be read may not have ended.
     unfinished = {row.key.key for rows in jobs for row in rows} - {job.id for job in loaded.ended}
@@ -210,11 +217,13 @@
     now_s: float,
     wall_ms: float,
     version: int,
+    on_progress: Callable[[], None],
 ) -> LoadedState:
     stored, cancels = split_job_rows(rows)
     live: list[JobRun] = []
     ended: list[EndedJob] = []
     for item in sorted(stored, key=lambda item: item.version):
+        on_progress()
         data = progress.get(item.job.id)
         state = _parse(load_state, data) if data is not None else JobState.QUEUED
         if state is not None and state.is_final:
@@ -265,9 +274,18 @@
         return None
 
 
-def restore_scheduler(scheduler: Scheduler, loaded: LoadedState) -> None:
-    """Passes the stored state to the scheduler of a new term, which must know the configuration."""
+def restore_scheduler(
+    scheduler: Scheduler, loaded: LoadedState, *, on_progress: Callable[[], None] = lambda: None
+) -> None:
+    """Passes the stored state to the scheduler of a new term, which must know the configuration.
+
+    Args:
+        scheduler: the scheduler.
+        loaded: the stored state.
+        on_progress: called with each job.
+    """
     for run in loaded.live:
+        on_progress()
         scheduler.restore(run)
     scheduler.restore_ended(loaded.ended, moved=loaded.moved)
     if loaded.knowledge is not None:
--- a/tests/jobs/test_leadership.py
+++ b/tests/jobs/test_leadership.py
@@ -71,6 +71,7 @@
         self.lost = threading.Event()
         self.unconfirmed_s = 0.0
         self.starts_recorded = False
+        self.is_loading = self.is_stalled = False
         self.while_loading = lambda: None
         self.views = []
 
