No row of the leader outgrows the store's limit

The knowledge had an entry for each image ever seen, the roster one for each attempt on a silent worker.

Change: ended occurrences are stored as ranges, and the rest is spread over rows that are written together, at most 12. The compact form is used once no instance of an earlier version is likely to lead, and where the other form doesn't fit; progress is written anew in the old form as soon as such an instance connects. Knowledge is bounded and evicts the least recently used entries first; a roster that doesn't fit names no attempts.

Not done: a roster of more than about 1,200 workers.

--- a/fescuerudder/jobs/estimates.py
+++ b/fescuerudder/jobs/estimates.py
@@ -1,5 +1,8 @@
 """Processor use of tasks, estimated from reports."""
 
+import itertools
+from typing import Any
+
 from fescuerudder import checked
 from fescuerudder.jobs.job import Step
 from fescuerudder.jobs.jobrun import Attempt
@@ -11,15 +14,31 @@
 """Headroom at which a latency-critical task is assumed to have no load. Its processor use is
 derived from its headroom, since reports don't state it."""
 
+MAX_IMAGES = 1000
+"""Number of images of which the share is remembered."""
+
 MIN_LATENCY_CRITICAL_SHARE = 0.2
 MIN_USED_SHARE = 0.3
 
 
+def evict_oldest(entries: dict[Any, Any], most: int) -> int:
+    """Drops the first entries of a map until it has at most `most`; returns how many."""
+    excess = max(0, len(entries) - most)
+    for key in list(itertools.islice(entries, excess)):
+        del entries[key]
+    return excess
+
+
 class UsageEstimates:
-    """Share of the declared processors that the tasks of each image use."""
+    """Share of the declared processors that the tasks of each image use.
+
+    Attributes:
+        evicted: number of shares that were dropped, the least recently used first.
+    """
 
     def __init__(self) -> None:
         self._shares: dict[str, float] = {}
+        self.evicted = 0
 
     def dump(self) -> dict[str, float]:
         """Returns the learned shares, to be stored."""
@@ -43,7 +62,10 @@
             return
         share = max(MIN_USED_SHARE, min(1.0, attempt.processors / spec.size.processors))
         average = self._shares.get(spec.image, 1.0)
+        # The least recently used entry stays the first.
+        self._shares.pop(spec.image, None)
         self._shares[spec.image] = average + READING_WEIGHT * (share - average)
+        self.evicted += evict_oldest(self._shares, MAX_IMAGES)
 
     def expected_processors(self, spec: Step) -> float:
         """Returns the processors that a task without a latency target uses if they are free."""
--- a/fescuerudder/jobs/headroom.py
+++ b/fescuerudder/jobs/headroom.py
@@ -17,6 +17,7 @@
 import attrs
 
 from fescuerudder import checked
+from fescuerudder.jobs.estimates import evict_oldest
 from fescuerudder.jobs.job import Step
 from fescuerudder.jobs.jobrun import Attempt, StepRun
 from fescuerudder.jobs.workerrecord import WorkerRecord
@@ -30,6 +31,9 @@
 """Lower bound of the variance of an effect, so that its estimate can follow a change."""
 
 MAX_EFFECT = 80.0
+MAX_EFFECTS = 2000
+"""Number of pairs of images of which the effect is remembered."""
+
 MIN_EFFECT_SHRINKAGE = 0.05
 """Smallest factor by which one report multiplies the variance of an effect."""
 
@@ -166,6 +170,7 @@
 
     def __init__(self) -> None:
         self._effects: dict[tuple[str, str], _Effect] = {}
+        self.evicted = 0
         self._jobs: dict[StepRun, _Baseline] = {}
         self._measured: dict[Attempt, Measurement] = {}
         self._residuals: dict[Attempt, float] = {}
@@ -302,4 +307,8 @@
         self._measured[attempt] = Measurement(headroom=headroom, missed_since_s=missed_since_s)
 
     def _effect(self, best_effort: Step, latency_critical: Step) -> _Effect:
-        return self._effects.setdefault((best_effort.image, latency_critical.image), _Effect())
+        key = (best_effort.image, latency_critical.image)
+        # The least recently used entry stays the first.
+        effect = self._effects[key] = self._effects.pop(key, None) or _Effect()
+        self.evicted += evict_oldest(self._effects, MAX_EFFECTS)
+        return effect
--- a/fescuerudder/jobs/jobrun.py
+++ b/fescuerudder/jobs/jobrun.py
@@ -330,6 +330,8 @@
         is_isolated: the store rejects its rows, so none of its tasks are started.
         in_history: its final state is stored, so it is to leave the rows that a claimant reads.
         is_moved: it has left them, so its progress is not written any more.
+        parts: number of the rows that the store may hold of its progress beside the first one.
+        is_compact: its progress was last written in a form that 122f4c3 doesn't read.
     """
 
     job: Job
@@ -348,6 +350,8 @@
     is_isolated: bool = False
     in_history: bool = False
     is_moved: bool = False
+    parts: int = 0
+    is_compact: bool = False
 
     @classmethod
     def create(cls, *, job: Job, version: int, received_s: float) -> "JobRun":
--- a/fescuerudder/jobs/leader.py
+++ b/fescuerudder/jobs/leader.py
@@ -9,6 +9,7 @@
 import threading
 from collections.abc import Callable, Collection, Sequence
 from concurrent.futures import ThreadPoolExecutor
+from functools import partial
 from typing import Any
 
 import pykka
@@ -23,7 +24,7 @@
 from fescuerudder.jobs.claim import Claim
 from fescuerudder.jobs.configview import ConfigView
 from fescuerudder.jobs.endedjobs import STATUS_S
-from fescuerudder.jobs.historymover import MAX_MOVE_UNCONFIRMED_S, HistoryMover
+from fescuerudder.jobs.historymover import MAX_MOVE_UNCONFIRMED_S, MIN_TERM_AGE_S, HistoryMover
 from fescuerudder.jobs.jobfeed import JobFeed
 from fescuerudder.jobs.jobmetrics import JobMetrics
 from fescuerudder.jobs.jobrun import JobState
@@ -169,6 +170,7 @@
         self._advice_calls = ThreadPoolExecutor(ADVICE_THREADS, thread_name_prefix="advice")
         self._order_tasks: set[asyncio.Task[None]] = set()
         self._answer_times = AnswerTimes()
+        self._began_s = clock.now_s()
         self._loader = TermLoader(store=store, clock=clock, wall_ms=wall_ms, writer=self._writer)
         self._unsent_events: list[Any] = []
         self._threads: list[threading.Thread] = []
@@ -379,7 +381,7 @@
             clock=self._clock,
             stopping=self._stopping,
             claim_version=self._claim_version,
-            read_all=self._read_all_jobs,
+            read_all=lambda: read_jobs(store=self._store, clock=self._clock, wall_ms=self._wall_ms),
             on_jobs=self._take_jobs,
             on_reloaded=self._post_jobs,
             on_claimed=lambda: self._end_term("another instance has claimed"),
@@ -402,8 +404,12 @@
 
     def _may_move_history(self) -> bool:
         """Returns whether every instance finds moved jobs, and the store takes running work."""
-        is_store_slow = self.unconfirmed_s > MAX_MOVE_UNCONFIRMED_S
-        return self._earlier_version_age_s() >= STATUS_S and not is_store_slow
+        return self._reads_new_rows() and self.unconfirmed_s <= MAX_MOVE_UNCONFIRMED_S
+
+    def _reads_new_rows(self) -> bool:
+        """Returns whether no instance of an earlier version is likely to read rows."""
+        is_new = self._clock.now_s() - self._began_s < MIN_TERM_AGE_S
+        return self._earlier_version_age_s() >= STATUS_S and not is_new
 
     def _take_jobs(self, jobs: list[StoredJob], cancels: list[str]) -> None:
         self._post_jobs(jobs, cancels)
@@ -412,9 +418,6 @@
     def _post_jobs(self, jobs: list[StoredJob], cancels: list[str]) -> None:
         self._post_event(Submitted(jobs=jobs, cancels=cancels))
 
-    def _read_all_jobs(self) -> LoadedState:
-        return read_jobs(store=self._store, clock=self._clock, wall_ms=self._wall_ms)
-
     def _write(self) -> None:
         batch: ProgressBatch | None = None
         # A heartbeat that was stored while the state was loaded may have got no answer.
@@ -473,7 +476,8 @@
 
     def _next_batch(self) -> ProgressBatch:
         assert self._ref is not None
-        return self._ref.ask(Scheduler.take_progress, timeout=PROGRESS_REQUEST_TIMEOUT_S)
+        take = partial(Scheduler.take_progress, compact=self._reads_new_rows())
+        return self._ref.ask(take, timeout=PROGRESS_REQUEST_TIMEOUT_S)
 
     def _wait_for_progress(self) -> None:
         """Waits until there is progress to store or a heartbeat is due."""
--- a/fescuerudder/jobs/progress.py
+++ b/fescuerudder/jobs/progress.py
@@ -67,16 +67,40 @@
         StoredFormError: the data is malformed or does not fit the job.
     """
     try:
-        raw = json.loads(data)
-        run.state = JobState(raw["state"])
-        run.begun = bool(raw.get("begun", False))
-        for name, step in raw.get("steps", {}).items():
-            occurrence, _, number = name.partition(".")
-            _restore_step(run.steps[(int(occurrence), int(number))], step)
+        restore_steps(run, json.loads(data))
     except Exception as exc:
         raise StoredFormError(f"malformed progress: {type(exc).__name__}") from exc
 
 
+def restore_steps(run: JobRun, raw: dict[str, Any], *, ended: Sequence[Sequence[int]] = ()) -> None:
+    """Restores progress into a newly created job.
+
+    Args:
+        run: the job.
+        raw: the progress.
+        ended: ranges of the occurrences whose tasks are all done, each with its first occurrence
+            and the one after its last.
+
+    Raises:
+        KeyError, ValueError, TypeError, AttributeError: the progress doesn't fit the job.
+    """
+    run.state = JobState(raw["state"])
+    run.begun = bool(raw.get("begun", False))
+    for name, step in raw.get("steps", {}).items():
+        occurrence, _, number = name.partition(".")
+        _restore_step(run.steps[(int(occurrence), int(number))], step)
+    for first, end in ended:
+        for occurrence in range(first, end):
+            for number in range(len(run.job.steps)):
+                _mark_done(run.steps[(occurrence, number)])
+
+
+def _mark_done(step: StepRun) -> None:
+    for task in step.tasks:
+        step.job.done_work += 0.0 if task.done else step.spec.work
+        task.done = True
+
+
 def _dump_step(step: StepRun) -> dict[str, Any]:
     done = sum(1 << task.id.index for task in step.tasks if task.done)
     failed = {
--- a/fescuerudder/jobs/progressoutput.py
+++ b/fescuerudder/jobs/progressoutput.py
@@ -4,8 +4,9 @@
 
 from fescuerudder.jobs.isolation import RowIsolation
 from fescuerudder.jobs.jobhistory import JobHistory
-from fescuerudder.jobs.progress import dump_progress
+from fescuerudder.jobs.jobrun import JobRun
 from fescuerudder.jobs.progressbatch import ProgressBatch
+from fescuerudder.jobs.progressrows import dump_rows, part_key
 from fescuerudder.jobs.rosterkeeper import RosterKeeper
 from fescuerudder.jobs.rows import MAX_TXN_ROWS, RowKey
 from fescuerudder.jobs.schedulerstate import SchedulerState
@@ -44,6 +45,7 @@
         self._history = history
         self._isolation = RowIsolation()
         self._recorded = False
+        self._compacted = False
 
     @property
     def has_rows(self) -> bool:
@@ -53,13 +55,17 @@
             return True
         return self._isolation.has_storable(state.dirty_jobs, state.clock.now_s())
 
-    def take(self, *, pending: dict[str, int], knowledge: bytes | None) -> ProgressBatch:
+    def take(
+        self, *, pending: dict[str, int], knowledge: bytes | None, compact: bool = False
+    ) -> ProgressBatch:
         """Returns the progress to store, and marks it as clean.
 
         Args:
             pending: number of jobs of each queue of which no task has started.
             knowledge: serialized knowledge about tasks, None if it was stored recently.
+            compact: whether every instance reads the compact form of progress.
         """
+        self._expand(compact)
         now_s = self._state.clock.now_s()
         self._retry_isolated(now_s)
         stored = self._roster.take_changed()
@@ -74,8 +80,10 @@
         starts = self._releaser.take_pending(runs)
         for run in runs:
             run.dirty = False
-        rows = {progress_key(run.job.id): dump_progress(run) for run in runs} | starts.rows
-        deletes = self._take_deletes(starts.deletes)
+        rows, unused = self._dump_progress(runs, compact)
+        rows |= starts.rows
+        self._state.obsolete_records.update(dict.fromkeys(unused))
+        deletes = tuple(key for key in self._take_deletes(starts.deletes) if key not in rows)
         return ProgressBatch(
             rows=rows,
             deletes=(*deletes, *self._take_history(entries=len(rows) + len(deletes))),
@@ -95,6 +103,30 @@
             roster_incarnations=stored.incarnations if stored is not None else {},
         )
 
+    def _expand(self, compact: bool) -> None:
+        """Has jobs written anew of which instances of an earlier version can't read the progress.
+
+        They do so as soon as one has connected, since it may lead next.
+        """
+        if self._compacted and not compact:
+            for run in self._state.jobs.values():
+                if run.is_compact and not run.state.is_final:
+                    self._state.mark_dirty(run)
+        self._compacted = compact
+
+    def _dump_progress(
+        self, runs: Iterable[JobRun], compact: bool
+    ) -> tuple[dict[RowKey, bytes], list[RowKey]]:
+        """Returns the rows of progress, and the keys of those that are no longer used."""
+        rows: dict[RowKey, bytes] = {}
+        unused: list[RowKey] = []
+        for run in runs:
+            found = dump_rows(run, compact=compact)
+            rows |= found
+            unused += [part_key(run.job.id, n) for n in range(len(found), run.parts + 1)]
+            run.parts, run.is_compact = len(found) - 1, compact or len(found) > 1
+        return rows, unused
+
     def _retry_isolated(self, now_s: float) -> None:
         """Marks the rows that the store rejected some time ago as to be stored."""
         for name, group in self._isolation.due(now_s).items():
--- a/fescuerudder/jobs/roster.py
+++ b/fescuerudder/jobs/roster.py
@@ -24,6 +24,13 @@
 
 _log = structlog.get_logger(__name__)
 
+MAX_ROSTER_BYTES = 60_000
+"""Size up to which the roster tells what may run on silent workers; the store's limit is 65,536
+bytes. Without it a successor waits for the leases of all tasks that records name there."""
+
+ENTRY_FIELDS = 3
+"""Fields of an entry that are always stored."""
+
 AttemptRef = tuple[TaskId, int]
 """Task and number of an attempt."""
 
@@ -47,7 +54,11 @@
 def dump_roster(entries: Iterable[RosterEntry]) -> bytes:
     """Returns the serialized roster: id, incarnation, address and attempts of each worker."""
     rows = sorted((_dump_entry(entry) for entry in entries), key=lambda row: row[0])
-    return json.dumps(rows, separators=(",", ":")).encode()
+    data = json.dumps(rows, separators=(",", ":")).encode()
+    if len(data) <= MAX_ROSTER_BYTES:
+        return data
+    _log.warning("attempts on silent workers left out of the roster", bytes=len(data))
+    return json.dumps([row[:ENTRY_FIELDS] for row in rows], separators=(",", ":")).encode()
 
 
 def load_roster(data: bytes) -> list[RosterEntry]:
--- a/fescuerudder/jobs/scheduler.py
+++ b/fescuerudder/jobs/scheduler.py
@@ -335,9 +335,15 @@
         """Whether starts wait for records that are not being stored yet."""
         return bool(self.state.planned) and self._releaser.has_records
 
-    def take_progress(self) -> ProgressBatch:
-        """Returns the progress to store, and marks it as clean."""
-        return self._output.take(pending=self.pending(), knowledge=self._dump_knowledge())
+    def take_progress(self, *, compact: bool = False) -> ProgressBatch:
+        """Returns the progress to store, and marks it as clean.
+
+        Args:
+            compact: whether every instance reads the compact form of progress.
+        """
+        return self._output.take(
+            pending=self.pending(), knowledge=self._dump_knowledge(), compact=compact
+        )
 
     def _dump_knowledge(self) -> bytes | None:
         now_s = self._clock.now_s()
--- a/fescuerudder/jobs/takeover.py
+++ b/fescuerudder/jobs/takeover.py
@@ -10,15 +10,15 @@
 from fescuerudder.jobs.claim import load_heartbeat, load_lease_bound
 from fescuerudder.jobs.endedjobs import EndedJob
 from fescuerudder.jobs.job import Job
-from fescuerudder.jobs.jobrun import JobRun, JobState
+from fescuerudder.jobs.jobrun import JobRun
 from fescuerudder.jobs.leases import PREDECESSOR_LEASES_S
 from fescuerudder.jobs.progress import (
     StoredFormError,
     StoredJob,
     load_job,
     load_state,
-    restore_progress,
 )
+from fescuerudder.jobs.progressrows import PART_SEPARATOR, load_rows, part_key
 from fescuerudder.jobs.roster import RosterEntry, add_deadlines, load_roster, recover_roster
 from fescuerudder.jobs.rows import Row, RowKey, RowStore, StoreClock, read_partition
 from fescuerudder.jobs.scheduler import Scheduler
@@ -37,6 +37,8 @@
     PROGRESS_TABLE,
     ROSTER_KEY,
     STARTS_TABLE,
+    job_of,
+    progress_key,
 )
 
 LOAD_TIMEOUT_S = 3.0
@@ -51,6 +53,7 @@
     Args:
         live: jobs that have not ended, with their progress.
         ended: the other jobs, which are to be moved.
+        unused: rows of progress that belong to ended jobs and to nothing that is loaded.
         moved: ids of jobs that were moved and whose progress is still stored.
         cancels: ids of jobs whose cancellation was requested.
         version: version from which to follow the feed of jobs.
@@ -67,6 +70,7 @@
     cancels: list[str]
     version: int
     moved: list[str] = attrs.Factory(list)
+    unused: list[RowKey] = attrs.Factory(list)
     knowledge: bytes | None = None
     roster: list[RosterEntry] = attrs.Factory(list)
     starts: StoredStarts = attrs.Factory(StoredStarts)
@@ -219,7 +223,8 @@
     version: int,
     on_progress: Callable[[], None],
 ) -> LoadedState:
-    states = {job_id: _parse(load_state, data) for job_id, data in progress.items()}
+    heads = {key: data for key, data in progress.items() if PART_SEPARATOR not in key}
+    states = {job_id: _parse(load_state, data) for job_id, data in heads.items()}
     final = {job_id: state for job_id, state in states.items() if state and state.is_final}
     ended = [
         EndedJob(id=row.key.key, version=row.version, state=final[row.key.key])
@@ -235,11 +240,20 @@
         received_s = now_s - _age_s(item.job, wall_ms)
         run = JobRun.create(job=item.job, version=item.version, received_s=received_s)
         if data is not None:
-            _parse(lambda raw, run=run: restore_progress(run, raw), data)
+            run.parts = _parse(lambda _, run=run: load_rows(run, progress), data) or 0
         live.append(run)
     known = {row.key.key for row in rows}
     moved = [job_id for job_id in final if job_id not in known]
-    return LoadedState(live=live, ended=ended, cancels=cancels, version=version, moved=moved)
+    used = {part_key(r.job.id, n).key for r in live for n in range(1, r.parts + 1)}
+    unused = [key for key in progress.keys() - heads.keys() if job_of(progress_key(key)) in final]
+    return LoadedState(
+        live=live,
+        ended=ended,
+        cancels=cancels,
+        version=version,
+        moved=moved,
+        unused=[progress_key(key) for key in unused if key not in used],
+    )
 
 
 def _age_s(job: Job, wall_ms: float) -> float:
@@ -285,6 +299,7 @@
     for run in loaded.live:
         on_progress()
         scheduler.restore(run)
+    scheduler.state.obsolete_records.update(dict.fromkeys(loaded.unused))
     scheduler.restore_ended(loaded.ended, moved=loaded.moved)
     if loaded.knowledge is not None:
         try:
