A job that no row can hold is refused for good

Cause: a job whose row exceeds the store's limit was offered to the store again and again, and its caller got 503 with a time to return.

Change: it gets 413 with the reason before anything is stored.

--- a/fescuerudder/jobs/intake.py
+++ b/fescuerudder/jobs/intake.py
@@ -20,6 +20,7 @@
 from fescuerudder.jobs.progress import StoredFormError, dump_job, load_state
 from fescuerudder.jobs.rows import (
     ABSENT,
+    MAX_ROW_BYTES,
     RowConflictError,
     RowKey,
     RowStore,
@@ -83,11 +84,13 @@
         reason: for the log and the caller.
         ran: None if it is unknown whether the request took effect, otherwise False.
         retry_after_s: time after which the caller may retry.
+        is_final: the request is never served, however often it is repeated.
     """
 
     reason: str
     ran: bool | None = False
     retry_after_s: float = RETRY_AFTER_S
+    is_final: bool = False
 
 
 class LeaderPort(Protocol):
@@ -154,6 +157,8 @@
             return Ok(None)
         timed = attrs.evolve(job, submitted_ms=int(self._wall_ms()))
         row = StoreJob(key=job.id, value=dump_job(timed), creates=True)
+        if len(row.value) > MAX_ROW_BYTES:
+            return Err(Refusal(reason=f"the job exceeds {MAX_ROW_BYTES} bytes", is_final=True))
         stored = self._write(row, job_id=job.id, deadline_s=deadline_s)
         if stored.ok() == STORED:
             # What was there already may have ended.
--- a/fescuerudder/jobs/rows.py
+++ b/fescuerudder/jobs/rows.py
@@ -13,6 +13,9 @@
 MAX_TXN_ROWS = 100
 """Maximum number of rows that one transaction may check, write and delete in total."""
 
+MAX_ROW_BYTES = 65_536
+"""Largest value of a row that a store takes."""
+
 
 class RowKey(NamedTuple):
     """Key of a row. All rows of a transaction are in one partition."""
--- a/fescuerudder/platform/callers.py
+++ b/fescuerudder/platform/callers.py
@@ -179,6 +179,8 @@
 
 
 def _refusal_answer(refusal: Refusal) -> Answer:
+    if refusal.is_final:
+        return 413, {"error": refusal.reason}, {}
     if refusal.ran is None:
         return 504, {}, {}
     headers = {"Retry-After": str(max(1, round(refusal.retry_after_s)))}
--- a/tests/jobs/test_intake.py
+++ b/tests/jobs/test_intake.py
@@ -257,3 +257,16 @@
         intake.cancel(JOB.id, deadline_s=3.0),
     ):
         assert answer.is_err() and answer.err().ran is False
+
+
+@pytest.mark.parametrize(("size", "is_stored"), [(60_000, True), (70_000, False)])
+def test_a_job_that_no_row_can_hold_is_refused_for_good(size, is_stored):
+    """Guards against a caller that repeats a job that the store never takes."""
+    rows = MemoryRowStore()
+    rows.faults.rejects = lambda key, value: len(value) > 65_536
+    job = attrs.evolve(JOB, payload="x" * size)
+    answer = make_intake(rows).submit(job, deadline_s=3.0)
+    assert answer.is_ok() is is_stored
+    assert (rows.get(job_key(JOB.id)) is not None) is is_stored
+    if not is_stored:
+        assert answer.err_value.is_final and answer.err_value.ran is False and rows.writes == 0
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -96,6 +96,14 @@
     assert found[:2] == (status, body)
 
 
+def test_a_job_that_is_never_stored_is_refused_with_its_reason():
+    """Guards against a caller that comes back with a job that no row can hold."""
+    refusal = Err(Refusal(reason="too large", is_final=True))
+    answer = call(FakeIntake(refusal), "POST", f"/q/{ID}", body=JOB)
+    assert answer[0] == 413 and answer[1] == {"error": "too large"}
+    assert "Retry-After" not in answer[2]
+
+
 @pytest.mark.parametrize(("ran", "status"), [(False, 503), (None, 504)])
 def test_refusal_separates_not_run_from_unknown(ran, status):
     """Guards against "not run" for a job that may run, and against a refusal without retry time."""
