Compact progress of an earlier leader is written anew too

Cause: a successor did not know that progress was stored in the compact form.

Change: the load notes the form, and progress is written anew when a follower of an earlier version is first seen in a term.

Result: test_progressrows.py::test_progress_is_written_anew_for_an_earlier_ version, with and without a takeover.

--- a/fescuerudder/jobs/leader.py
+++ b/fescuerudder/jobs/leader.py
@@ -383,7 +383,9 @@
             claim_version=self._claim_version,
             read_all=lambda: read_jobs(store=self._store, clock=self._clock, wall_ms=self._wall_ms),
             on_jobs=self._take_jobs,
-            on_reloaded=self._post_jobs,
+            on_reloaded=lambda jobs, cancels: self._post_event(
+                Submitted(jobs=jobs, cancels=cancels)
+            ),
             on_claimed=lambda: self._end_term("another instance has claimed"),
         )
         feed.run(version)
@@ -412,11 +414,8 @@
         return self._earlier_version_age_s() >= STATUS_S and not is_new
 
     def _take_jobs(self, jobs: list[StoredJob], cancels: list[str]) -> None:
-        self._post_jobs(jobs, cancels)
-        self._publish({stored.job.id: JobState.QUEUED for stored in jobs}, None)
-
-    def _post_jobs(self, jobs: list[StoredJob], cancels: list[str]) -> None:
         self._post_event(Submitted(jobs=jobs, cancels=cancels))
+        self._publish({stored.job.id: JobState.QUEUED for stored in jobs}, None)
 
     def _write(self) -> None:
         batch: ProgressBatch | None = None
@@ -476,7 +475,10 @@
 
     def _next_batch(self) -> ProgressBatch:
         assert self._ref is not None
-        take = partial(Scheduler.take_progress, compact=self._reads_new_rows())
+        is_earlier = self._earlier_version_age_s() < STATUS_S
+        take = partial(
+            Scheduler.take_progress, compact=self._reads_new_rows(), earlier_version=is_earlier
+        )
         return self._ref.ask(take, timeout=PROGRESS_REQUEST_TIMEOUT_S)
 
     def _wait_for_progress(self) -> None:
--- a/fescuerudder/jobs/progressoutput.py
+++ b/fescuerudder/jobs/progressoutput.py
@@ -45,7 +45,7 @@
         self._history = history
         self._isolation = RowIsolation()
         self._recorded = False
-        self._compacted = False
+        self._has_earlier_version = False
 
     @property
     def has_rows(self) -> bool:
@@ -56,7 +56,12 @@
         return self._isolation.has_storable(state.dirty_jobs, state.clock.now_s())
 
     def take(
-        self, *, pending: dict[str, int], knowledge: bytes | None, compact: bool = False
+        self,
+        *,
+        pending: dict[str, int],
+        knowledge: bytes | None,
+        compact: bool,
+        earlier_version: bool,
     ) -> ProgressBatch:
         """Returns the progress to store, and marks it as clean.
 
@@ -64,8 +69,9 @@
             pending: number of jobs of each queue of which no task has started.
             knowledge: serialized knowledge about tasks, None if it was stored recently.
             compact: whether every instance reads the compact form of progress.
+            earlier_version: whether a follower is connected that doesn't.
         """
-        self._expand(compact)
+        self._expand(earlier_version)
         now_s = self._state.clock.now_s()
         self._retry_isolated(now_s)
         stored = self._roster.take_changed()
@@ -103,16 +109,16 @@
             roster_incarnations=stored.incarnations if stored is not None else {},
         )
 
-    def _expand(self, compact: bool) -> None:
-        """Has jobs written anew of which instances of an earlier version can't read the progress.
+    def _expand(self, earlier_version: bool) -> None:
+        """Has progress written anew that a follower of an earlier version can't read.
 
-        They do so as soon as one has connected, since it may lead next.
+        It may lead next, and an earlier leader may have written the progress.
         """
-        if self._compacted and not compact:
+        if earlier_version and not self._has_earlier_version:
             for run in self._state.jobs.values():
                 if run.is_compact and not run.state.is_final:
                     self._state.mark_dirty(run)
-        self._compacted = compact
+        self._has_earlier_version = earlier_version
 
     def _dump_progress(
         self, runs: Iterable[JobRun], compact: bool
@@ -124,7 +130,10 @@
             found = dump_rows(run, compact=compact)
             rows |= found
             unused += [part_key(run.job.id, n) for n in range(len(found), run.parts + 1)]
-            run.parts, run.is_compact = len(found) - 1, compact or len(found) > 1
+            run.parts, run.is_compact = (
+                len(found) - 1,
+                b'"ended":' in found[progress_key(run.job.id)],
+            )
         return rows, unused
 
     def _retry_isolated(self, now_s: float) -> None:
--- a/fescuerudder/jobs/progressrows.py
+++ b/fescuerudder/jobs/progressrows.py
@@ -124,6 +124,7 @@
         raise
     except Exception as exc:
         raise StoredFormError(f"malformed progress: {type(exc).__name__}") from exc
+    run.is_compact = "ended" in raw
     return parts
 
 
--- a/fescuerudder/jobs/scheduler.py
+++ b/fescuerudder/jobs/scheduler.py
@@ -335,14 +335,20 @@
         """Whether starts wait for records that are not being stored yet."""
         return bool(self.state.planned) and self._releaser.has_records
 
-    def take_progress(self, *, compact: bool = False) -> ProgressBatch:
+    def take_progress(
+        self, *, compact: bool = False, earlier_version: bool = False
+    ) -> ProgressBatch:
         """Returns the progress to store, and marks it as clean.
 
         Args:
             compact: whether every instance reads the compact form of progress.
+            earlier_version: whether a follower is connected that doesn't.
         """
         return self._output.take(
-            pending=self.pending(), knowledge=self._dump_knowledge(), compact=compact
+            pending=self.pending(),
+            knowledge=self._dump_knowledge(),
+            compact=compact,
+            earlier_version=earlier_version,
         )
 
     def _dump_knowledge(self) -> bytes | None:
--- a/tests/jobs/test_progressrows.py
+++ b/tests/jobs/test_progressrows.py
@@ -140,7 +140,7 @@
         self.sim.store.faults.rejects = lambda key, value: (
             key.table == PROGRESS_TABLE and len(value) > 400
         )
-        self.compact = compact
+        self.compact, self.earlier_version = compact, False
         first_ms = int(self.sim.clock.now_s() * 1000)
         self.sim.submit(
             ID,
@@ -152,7 +152,9 @@
         leader = self.sim.claim(name)
         scheduler = leader.scheduler
         take = scheduler.take_progress
-        scheduler.take_progress = lambda: take(compact=self.compact)
+        scheduler.take_progress = lambda: take(
+            compact=self.compact, earlier_version=self.earlier_version
+        )
         return leader
 
     def progress_rows(self):
@@ -175,16 +177,21 @@
     assert world.progress_rows() == [ID]
 
 
-def test_progress_is_written_anew_for_an_instance_of_an_earlier_version(monkeypatch):
+@pytest.mark.parametrize("by_successor", [False, True])
+def test_progress_is_written_anew_for_an_earlier_version(monkeypatch, by_successor):
     """Guards against a leader of 122f4c3 that takes compacted occurrences for not begun."""
     world = Repeated(monkeypatch, compact=True)
-    world.claim("a")
+    leader = world.claim("a")
     world.sim.run(3.0)
     assert "ended" in json.loads(world.sim.store.get(progress_key(ID)).value)
     monkeypatch.setattr(progressrows, "MAX_VALUE_BYTES", 60_000)
     world.sim.store.faults.rejects = lambda key, value: False
-    world.compact = False
-    world.sim.run(1.0)
+    world.compact, world.earlier_version = False, True
+    if by_successor:
+        leader.alive = False
+        world.sim.run_s = 60.0
+        world.claim("b")
+    world.sim.run(0.3)
     raw = json.loads(world.sim.store.get(progress_key(ID)).value)
     assert "ended" not in raw and raw["steps"]["0.0"] == {"done": "1"}
 
