Test of compact progress of an earlier leader: the job changes no more

The test of passed without the change that it guards, as an end came after the takeover and had the progress written anyway. Now no attempt ends then; without the change its case with a takeover fails.

--- a/tests/jobs/test_progressrows.py
+++ b/tests/jobs/test_progressrows.py
@@ -183,13 +183,15 @@
     world = Repeated(monkeypatch, compact=True)
     leader = world.claim("a")
     world.sim.run(3.0)
+    # What starts from now on doesn't end, so the progress changes no more.
+    world.sim.run_s = 60.0
+    world.sim.run(2.0)
     assert "ended" in json.loads(world.sim.store.get(progress_key(ID)).value)
     monkeypatch.setattr(progressrows, "MAX_VALUE_BYTES", 60_000)
     world.sim.store.faults.rejects = lambda key, value: False
     world.compact, world.earlier_version = False, True
     if by_successor:
         leader.alive = False
-        world.sim.run_s = 60.0
         world.claim("b")
     world.sim.run(0.3)
     raw = json.loads(world.sim.store.get(progress_key(ID)).value)
