--- a/bench/_jobsimulation.py
+++ b/bench/_jobsimulation.py
@@ -174,7 +174,7 @@
                 self.batch, self.batch_sent_s = self.scheduler.take_progress(), now_s
             if now_s < self.batch_sent_s + self.sim.store_write_s:
                 return
-            self.writer.write(
+            rejected = self.writer.write(
                 self.batch.rows,
                 pending=self.batch.pending,
                 deletes=self.batch.deletes,
@@ -191,7 +191,7 @@
             return
         if self.sim.store_write_s:
             self.writer.confirmed_s = self.batch_sent_s
-        self.scheduler.on_stored(self.batch)
+        self.scheduler.on_stored(self.batch, rejected={group.name for group in rejected})
         if self.leases.length_s(now_s) > 0:
             for order in self.scheduler.take_starts():
                 self.sim.send(self, order)
--- a/fescuerudder/jobs/followerlink.py
+++ b/fescuerudder/jobs/followerlink.py
@@ -90,6 +90,7 @@
         self.pending: dict[str, int] | None = None
         self.last_pulse_s: float | None = None
         self.refused = False
+        self._is_loading = False
         self._malformed = 0
         self._next_malformed_log_s = -math.inf
 
@@ -178,6 +179,8 @@
             ping_interval=None,
         ) as conn:
             self._conn, self.refused = conn, False
+            # States that were sent meanwhile may concern jobs of which the leader no longer knows.
+            self._states.drop_live()
             report_task = asyncio.create_task(self._report(conn))
             try:
                 await conn.send(_encode(UNANSWERED, self._hello()))
@@ -197,6 +200,7 @@
         return Follow(
             instance=self._instance,
             takes_patches=True,
+            reads_ended=True,
             config_revision=manifest.revision if manifest is not None else 0,
         )
 
@@ -211,6 +215,7 @@
         message = envelope.message
         if isinstance(message, Pulse) and message.epoch == claim.epoch:
             self.last_pulse_s = self._clock.now_s()
+            self._observe_loading(claim, message.loading)
             if message.pending is not None:
                 self.pending = message.pending
             self._update_states(claim, message.states)
@@ -233,6 +238,12 @@
                 fut.set_result(message)
         return True
 
+    def _observe_loading(self, claim: Claim, is_loading: bool) -> None:
+        if is_loading != self._is_loading:
+            text = "leader loads" if is_loading else "leader has loaded"
+            _log.info(text, leader=claim.instance, epoch=claim.epoch)
+        self._is_loading = is_loading
+
     def _update_states(self, claim: Claim, states: dict[str, str]) -> None:
         for job_id, value in states.items():
             try:
--- a/fescuerudder/jobs/jobrun.py
+++ b/fescuerudder/jobs/jobrun.py
@@ -236,7 +236,7 @@
         A copy of a speculative task may also run beside an attempt whose worker is in doubt, unless
         the task is suspected to crash its workers.
         """
-        if self.done or self.is_held_back:
+        if self.done or self.is_held_back or self.step.job.is_isolated:
             return False
         if not self.attempts:
             return True
@@ -355,6 +355,11 @@
         earlier_starts: what the records of earlier leaders name.
         dirty: its progress has changed since it was last stored.
         entitled_s: when the callers of its account are entitled to it; see `shares.Entitlements`.
+        is_isolated: the store rejects its rows, so none of its tasks are started.
+        in_history: its final state is stored, so it is to leave the rows that a claimant reads.
+        is_moved: it has left them, so its progress is not written any more.
+        parts: number of the rows that the store may hold of its progress beside the first one.
+        is_compact: its progress was last written in a form that 122f4c3 doesn't read.
     """
 
     job: Job
@@ -371,6 +376,11 @@
     earlier_starts: set[RecordedStart] = attrs.Factory(set)
     dirty: bool = False
     entitled_s: float = -math.inf
+    is_isolated: bool = False
+    in_history: bool = False
+    is_moved: bool = False
+    parts: int = 0
+    is_compact: bool = False
 
     @classmethod
     def create(cls, *, job: Job, version: int, received_s: float) -> "JobRun":
--- a/fescuerudder/jobs/leader.py
+++ b/fescuerudder/jobs/leader.py
@@ -5,9 +5,11 @@
 """
 
 import asyncio
+import math
 import threading
-from collections.abc import Callable, Sequence
-from concurrent.futures import Executor, ThreadPoolExecutor
+from collections.abc import Callable, Collection, Sequence
+from concurrent.futures import ThreadPoolExecutor
+from functools import partial
 from typing import Any
 
 import pykka
@@ -21,43 +23,45 @@
 from fescuerudder.jobs.answertimes import AnswerTimes
 from fescuerudder.jobs.claim import Claim
 from fescuerudder.jobs.configview import ConfigView
+from fescuerudder.jobs.endedjobs import STATUS_S
+from fescuerudder.jobs.historymover import MAX_MOVE_UNCONFIRMED_S, MIN_TERM_AGE_S, HistoryMover
+from fescuerudder.jobs.jobfeed import JobFeed
 from fescuerudder.jobs.jobmetrics import JobMetrics
 from fescuerudder.jobs.jobrun import JobState
 from fescuerudder.jobs.leaderwriter import (
     STORE_RETRY_S,
     LeadershipLostError,
     LeaderWriter,
+    RowGroup,
     resolve_pause_s,
 )
 from fescuerudder.jobs.leases import LEASE_HORIZON_S, LeasePolicy
 from fescuerudder.jobs.progress import StoredJob
 from fescuerudder.jobs.progressbatch import ProgressBatch
-from fescuerudder.jobs.rows import HistoryLostError, RowStore
+from fescuerudder.jobs.rows import RowStore
 from fescuerudder.jobs.scheduler import Order, Scheduler
 from fescuerudder.jobs.scheduleractor import SchedulerActor
 from fescuerudder.jobs.schedulerstate import Term
-from fescuerudder.jobs.storage import CLAIM_KEY, JOBS_TABLE
-from fescuerudder.jobs.takeover import (
-    LoadedState,
-    load_stored_state,
-    restore_scheduler,
-    split_job_rows,
-)
+from fescuerudder.jobs.takeover import LoadedState
 from fescuerudder.jobs.termevents import (
     Advised,
     Answered,
     Batch,
     Configured,
     Fenced,
+    Kept,
     Listed,
+    Moved,
     Replaced,
     Reported,
     Silent,
     Stored,
     Submitted,
     Tick,
+    outcome_label,
     unanswered,
 )
+from fescuerudder.jobs.termloading import TermLoader, read_jobs
 from fescuerudder.jobs.workerport import (
     OrderAnswer,
     OrderResult,
@@ -80,10 +84,8 @@
 """The pause while starts wait for their records."""
 
 TICK_INTERVAL_S = 0.1
-FEED_WAIT_S = 1.0
 REGISTRY_READ_INTERVAL_S = 1.0
 
-LOAD_THREADS = 8
 ADVICE_THREADS = 2
 MAX_ORDER_QUEUE_S = 0.4
 """Time after which an order that the event loop has not begun to send is dropped as outdated."""
@@ -112,6 +114,8 @@
         publish: called with job states that have been stored, and with the number of waiting jobs
             of each queue, None if unchanged.
         metrics: metrics of this instance.
+        earlier_version_age_s: returns the time since a follower was connected that can't find jobs
+            that have left the table of jobs, infinite if none was.
     """
 
     def __init__(
@@ -131,7 +135,9 @@
         view: Callable[[], ConfigView],
         publish: Callable[[dict[str, JobState], dict[str, int] | None], None],
         metrics: JobMetrics,
+        earlier_version_age_s: Callable[[], float] = lambda: math.inf,
     ) -> None:
+        self._earlier_version_age_s = earlier_version_age_s
         self._store = store
         self._metrics = metrics
         self._publish = publish
@@ -142,7 +148,7 @@
         self._clock = clock
         self._wall_ms = wall_ms
         self._view = view
-        self._claim_version = claim_version
+        self._epoch, self._claim_version = claim.epoch, claim_version
         self.lost = threading.Event()
         self._stopping = threading.Event()
         self._starts_planned = threading.Event()
@@ -168,6 +174,8 @@
         self._advice_calls = ThreadPoolExecutor(ADVICE_THREADS, thread_name_prefix="advice")
         self._order_tasks: set[asyncio.Task[None]] = set()
         self._answer_times = AnswerTimes()
+        self._began_s = clock.now_s()
+        self._loader = TermLoader(store=store, clock=clock, wall_ms=wall_ms, writer=self._writer)
         self._unsent_events: list[Any] = []
         self._threads: list[threading.Thread] = []
         self._ref: pykka.ActorRef[SchedulerActor] | None = None
@@ -186,6 +194,7 @@
             self._start_thread(loop)
         self._start_thread(lambda: self._follow_jobs(loaded.version))
         self._metrics.accounts.watch(self._scheduler.account_figures)
+        self._start_thread(self._mover().run)
         return self
 
     def __exit__(self, *exc_info: object) -> None:
@@ -206,6 +215,16 @@
         """Whether the store has records of all attempts that may run."""
         return self._writer.starts_recorded
 
+    @property
+    def is_loading(self) -> bool:
+        """Whether the stored state is still being loaded."""
+        return self._loader.is_loading
+
+    @property
+    def is_stalled(self) -> bool:
+        """Whether the load makes no progress, so that another instance should claim."""
+        return self._loader.is_stalled
+
     def states(self) -> dict[str, JobState]:
         """Returns the stored states of all jobs."""
         return self._scheduler.stored_states.copy()
@@ -215,20 +234,11 @@
         self._post_event(Configured(view=view))
 
     def _load(self) -> LoadedState:
-        with ThreadPoolExecutor(LOAD_THREADS, thread_name_prefix="load") as pool:
-            loaded = self._read_jobs(pool)
         scheduler = self._scheduler
-        view = self._view()
-        if view.manifest is not None:
-            scheduler.set_manifest(view.manifest)
-        scheduler.set_zones_out(view.zones_out)
-        restore_scheduler(scheduler, loaded)
-        self._writer.store_clock = loaded.store_clock
-        self._writer.inherited_until_ms = loaded.inherited_until_ms(
-            claimed_s=self._writer.bounded_s
-        )
-        self._writer.starts_recorded = scheduler.state.starts_recorded
-        scheduler.set_workers(self._registry.read())
+        with self._loader:
+            loaded = self._loader.load(scheduler, self._view())
+            scheduler.set_workers(self._registry.read())
+        self._loader.prepare_writer(loaded, scheduler)
         self._publish(scheduler.stored_states.copy(), scheduler.pending())
         _log.info(
             "jobs loaded",
@@ -240,11 +250,6 @@
         )
         return loaded
 
-    def _read_jobs(self, pool: Executor) -> LoadedState:
-        return load_stored_state(
-            store=self._store, clock=self._clock, wall_ms=self._wall_ms, pool=pool
-        )
-
     def _start_thread(self, target: Callable[[], None]) -> None:
         thread = threading.Thread(target=target, daemon=True)
         self._threads.append(thread)
@@ -282,7 +287,7 @@
         started_s = self._clock.now_s()
         try:
             event = await self._call_peer(order, planned_s, started_s)
-            outcome = _outcome_label(event)
+            outcome = outcome_label(event)
         except Exception as exc:
             # Without an event, the scheduler would wait for the outcome for good.
             _log.exception("order failed", order=type(order).__name__)
@@ -377,52 +382,50 @@
                 _log.exception("registry not taken")
 
     def _follow_jobs(self, version: int) -> None:
-        while not self._stopping.is_set():
-            try:
-                version = self._take_changes(version)
-                continue
-            except StoreUnavailableError as exc:
-                _log.warning("feed of jobs not read", reason=str(exc))
-            except Exception:
-                _log.exception("feed of jobs not taken", version=version)
-            self._clock.wait_s(self._stopping, STORE_RETRY_S)
+        feed = JobFeed(
+            store=self._store,
+            clock=self._clock,
+            stopping=self._stopping,
+            claim_version=self._claim_version,
+            read_all=lambda: read_jobs(store=self._store, clock=self._clock, wall_ms=self._wall_ms),
+            on_jobs=self._take_jobs,
+            on_reloaded=lambda jobs, cancels: self._post_event(
+                Submitted(jobs=jobs, cancels=cancels)
+            ),
+            on_claimed=lambda: self._end_term("another instance has claimed"),
+        )
+        feed.run(version)
 
-    def _take_changes(self, version: int) -> int:
-        """Takes the jobs stored after a version; returns the version to go on from.
+    def _mover(self) -> HistoryMover:
+        ref: Any = self._ref
+        return HistoryMover(
+            store=self._store,
+            clock=self._clock,
+            stopping=self._stopping,
+            epoch=self._epoch,
+            may_move=self._may_move_history,
+            take=lambda: ref.ask(Scheduler.take_moves, timeout=PROGRESS_REQUEST_TIMEOUT_S),
+            on_moved=lambda batch: self._post_event(Moved(batch=batch)),
+            on_kept=lambda batch: self._post_event(Kept(batch=batch)),
+        )
 
-        Raises:
-            StoreUnavailableError: the feed can't be read.
-        """
-        try:
-            changes = self._store.changes(table=JOBS_TABLE, after=version, wait_s=FEED_WAIT_S)
-        except HistoryLostError:
-            _log.warning("feed of jobs lost its history", version=version)
-            return self._reload()
-        if any(row.key == CLAIM_KEY and row.version > self._claim_version for row in changes.rows):
-            # Jobs stored after another instance's claim belong to the next leader.
-            self._end_term("another instance has claimed")
-            return changes.version
-        jobs, cancels = split_job_rows(list(changes.rows))
-        if jobs or cancels:
-            self._post_event(Submitted(jobs=jobs, cancels=cancels))
-            self._publish({stored.job.id: JobState.QUEUED for stored in jobs}, None)
-        return changes.version
-
-    def _reload(self) -> int:
-        """Reads all jobs again; returns the version from which to follow the feed."""
-        with ThreadPoolExecutor(LOAD_THREADS, thread_name_prefix="load") as pool:
-            try:
-                loaded = self._read_jobs(pool)
-            except StoreUnavailableError as exc:
-                _log.warning("jobs not read", reason=str(exc))
-                return 0
-        jobs = [StoredJob(job=run.job, version=run.version) for run in loaded.live]
-        self._post_event(Submitted(jobs=jobs, cancels=loaded.cancels))
-        return loaded.version
+    def _may_move_history(self) -> bool:
+        """Returns whether every instance finds moved jobs, and the store takes running work."""
+        return self._reads_new_rows() and self.unconfirmed_s <= MAX_MOVE_UNCONFIRMED_S
+
+    def _reads_new_rows(self) -> bool:
+        """Returns whether no instance of an earlier version is likely to read rows."""
+        is_new = self._clock.now_s() - self._began_s < MIN_TERM_AGE_S
+        return self._earlier_version_age_s() >= STATUS_S and not is_new
+
+    def _take_jobs(self, jobs: list[StoredJob], cancels: list[str]) -> None:
+        self._post_event(Submitted(jobs=jobs, cancels=cancels))
+        self._publish({stored.job.id: JobState.QUEUED for stored in jobs}, None)
 
     def _write(self) -> None:
         batch: ProgressBatch | None = None
-        is_resolved = True
+        # A heartbeat that was stored while the state was loaded may have got no answer.
+        is_resolved = False
         unanswered = 0
         while not self._stopping.is_set():
             try:
@@ -431,7 +434,7 @@
                     is_resolved, unanswered = True, 0
                 if batch is None:
                     batch = self._next_batch()
-                self._writer.write(
+                rejected = self._writer.write(
                     batch.rows,
                     pending=batch.pending,
                     deletes=batch.deletes,
@@ -463,14 +466,25 @@
                 is_resolved = False
                 self._clock.wait_s(self._stopping, STORE_RETRY_S)
                 continue
-            self._post_event(Stored(batch=batch))
-            self._publish(batch.states, batch.pending)
+            self._finish_batch(batch, rejected)
             batch = None
             self._wait_for_progress()
 
+    def _finish_batch(self, batch: ProgressBatch, rejected: Collection[RowGroup]) -> None:
+        """Lets a stored batch take effect, but for the rows that the store rejected."""
+        for group in rejected:
+            self._metrics.record_isolated(rows=group.entries)
+        names = frozenset(group.name for group in rejected)
+        self._post_event(Stored(batch=batch, rejected=names))
+        self._publish(batch.without(names).states, batch.pending)
+
     def _next_batch(self) -> ProgressBatch:
         assert self._ref is not None
-        return self._ref.ask(Scheduler.take_progress, timeout=PROGRESS_REQUEST_TIMEOUT_S)
+        is_earlier = self._earlier_version_age_s() < STATUS_S
+        take = partial(
+            Scheduler.take_progress, compact=self._reads_new_rows(), earlier_version=is_earlier
+        )
+        return self._ref.ask(take, timeout=PROGRESS_REQUEST_TIMEOUT_S)
 
     def _wait_for_progress(self) -> None:
         """Waits until there is progress to store or a heartbeat is due."""
@@ -490,10 +504,3 @@
         _log.warning("leadership lost", reason=reason)
         self._stopping.set()
         self.lost.set()
-
-
-def _outcome_label(event: Any) -> str:
-    """Returns the outcome of an order as a label of the metrics."""
-    if isinstance(event, Answered):
-        return event.answer.result.value
-    return type(event).__name__.lstrip("_").lower()
--- a/fescuerudder/jobs/linkmessages.py
+++ b/fescuerudder/jobs/linkmessages.py
@@ -11,11 +11,14 @@
         instance: its id.
         takes_patches: it can apply `ConfigChanged`; instances of earlier versions can't.
         config_revision: revision of the manifest that it has, 0 if it has none.
+        reads_ended: it finds jobs that have left the tables of jobs and progress; instances of
+            earlier versions don't.
     """
 
     instance: str
     takes_patches: bool = False
     config_revision: int = 0
+    reads_ended: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -45,6 +48,7 @@
         config_version: version of the configuration that followers were sent.
         config_age_s: time since the leader found that configuration to be the store's, in
             seconds; None if it never did or has a newer one.
+        loading: the leader still loads the stored state.
     """
 
     epoch: int
@@ -52,6 +56,7 @@
     pending: dict[str, int] | None = None
     config_version: int = 0
     config_age_s: float | None = None
+    loading: bool = False
 
 
 @attrs.frozen(kw_only=True)
--- a/fescuerudder/jobs/progressbatch.py
+++ b/fescuerudder/jobs/progressbatch.py
@@ -1,5 +1,7 @@
 """Progress that the leader stores at a time, and what takes effect once it is stored."""
 
+from collections.abc import Collection
+
 import attrs
 
 from fescuerudder.jobs.jobrun import JobState, RecordedStart, StepRun
@@ -18,13 +20,15 @@
 
     Args:
         rows: rows to write: the progress of jobs, and the records of starts.
-        deletes: rows to delete: records of starts that are no longer needed.
+        deletes: rows to delete: records of starts and progress that are no longer needed.
         recorded: the starts that each record in the batch names, by step.
         starts_recorded: with this batch, every attempt that may run is in a record of starts.
         states: state of each job whose progress is in the batch, shown to callers once it is
             stored.
         serials: incarnation of each worker and serial of its latest end that the rows include, by
             worker id.
+        ends: first serial of each job among the ends since the last batch, by worker id and
+            incarnation.
         pending: number of jobs of each queue of which no task has started.
         knowledge: serialized knowledge about tasks, None if it was stored recently.
         roster: the serialized roster, None if the stored one is up to date.
@@ -40,6 +44,7 @@
     starts_recorded: bool
     states: dict[str, JobState]
     serials: dict[str, tuple[int, int]]
+    ends: dict[tuple[str, int], dict[str, int]]
     pending: dict[str, int]
     knowledge: bytes | None
     roster: bytes | None
@@ -47,6 +52,18 @@
     late_starts: bytes | None
     roster_incarnations: dict[str, int]
 
+    def without(self, names: Collection[str]) -> "ProgressBatch":
+        """Returns what takes effect if the groups of rows with these names were rejected."""
+        if not names:
+            return self
+        has_roster = ROSTER_KEY.key not in names
+        return attrs.evolve(
+            self,
+            recorded={s: starts for s, starts in self.recorded.items() if s.id.job not in names},
+            states={job: state for job, state in self.states.items() if job not in names},
+            roster_incarnations=self.roster_incarnations if has_roster else {},
+        )
+
     def leader_rows(self) -> dict[RowKey, bytes]:
         """Returns the rows of the batch that don't belong to a job."""
         rows = {
--- a/fescuerudder/jobs/scheduler.py
+++ b/fescuerudder/jobs/scheduler.py
@@ -1,6 +1,6 @@
 """Scheduling of one term: events go in, orders come out. Runs no threads and does no I/O."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 import structlog
 
@@ -10,12 +10,15 @@
 from fescuerudder.jobs.adviceport import Advice, AdviceQuery
 from fescuerudder.jobs.attemptstarter import AttemptStarter
 from fescuerudder.jobs.crashes import record_worker_end
+from fescuerudder.jobs.endedjobs import EndedJob
+from fescuerudder.jobs.jobhistory import JobHistory, MoveBatch, ended_jobs
 from fescuerudder.jobs.jobrun import FULL_SPEED, JobRun, JobState, Phase
 from fescuerudder.jobs.latestarts import StoredLateStart
 from fescuerudder.jobs.leases import LeasePolicy
 from fescuerudder.jobs.manifest import Manifest
-from fescuerudder.jobs.progress import StoredJob, dump_progress
+from fescuerudder.jobs.progress import StoredJob
 from fescuerudder.jobs.progressbatch import ProgressBatch
+from fescuerudder.jobs.progressoutput import ProgressOutput
 from fescuerudder.jobs.relocation import ThrottledMoves, mark_evictions
 from fescuerudder.jobs.renewalplanner import RenewalPlanner
 from fescuerudder.jobs.reports import ReportReconciler
@@ -27,7 +30,6 @@
 from fescuerudder.jobs.startrelease import StartReleaser
 from fescuerudder.jobs.starts import StartPlanner
 from fescuerudder.jobs.stops import StopPlanner
-from fescuerudder.jobs.storage import progress_key
 from fescuerudder.jobs.throttling import plan_throttles
 from fescuerudder.jobs.urgency import UrgencyKey, urgency_key
 from fescuerudder.jobs.waitreasons import WaitMonitor
@@ -100,6 +102,13 @@
         self._waits = WaitMonitor(state=self.state, planner=self._planner)
         self.stored_states: dict[str, JobState] = {}
         self.is_superseded = False
+        self.history = JobHistory(state=self.state)
+        self._output = ProgressOutput(
+            state=self.state,
+            roster=self._roster,
+            releaser=self._releaser,
+            history=self.history,
+        )
         self._stops = StopPlanner(state=self.state)
         self._moves = ThrottledMoves()
         self._renewals = RenewalPlanner(state=self.state, leases=leases)
@@ -153,7 +162,11 @@
         """Adds submitted jobs; ignores those that are known already."""
         now_s = self._clock.now_s()
         for stored in jobs:
-            if stored.job.id not in self.state.jobs:
+            run, known = self.state.jobs.get(stored.job.id), self.stored_states.get(stored.job.id)
+            if (run is None or run.is_moved) and known is not None and known.is_final:
+                # An instance of an earlier version has created the moved row anew.
+                self.history.add([EndedJob(id=stored.job.id, version=stored.version, state=known)])
+            elif run is None:
                 run = JobRun.create(job=stored.job, version=stored.version, received_s=now_s)
                 self.state.add_job(run)
                 self.stored_states[stored.job.id] = JobState.QUEUED
@@ -165,10 +178,24 @@
         self.state.add_job(run)
         self.stored_states[run.job.id] = run.state
 
+    def restore_ended(self, jobs: Iterable[EndedJob], *, moved: Iterable[str]) -> None:
+        """Adds the jobs whose final states an earlier leader stored.
+
+        Args:
+            jobs: those that are to be moved.
+            moved: ids of those that were moved and whose progress is still stored.
+        """
+        ended = list(jobs)
+        self.stored_states.update({job.id: job.state for job in ended})
+        self.history.add(ended)
+        self.history.add_progress(moved)
+
     def cancel(self, job_ids: Iterable[str]) -> None:
         """Cancels jobs at the request of callers."""
         for job_id in job_ids:
             run = self.state.jobs.get(job_id)
+            if run.is_moved if run is not None else job_id not in self.stored_states:
+                self.history.add_cancel(job_id)
             if run is None or run.cancel_requested or run.state.is_final:
                 continue
             run.cancel()
@@ -321,44 +348,27 @@
     @property
     def needs_write(self) -> bool:
         """Whether there is progress to store, or a task's restart needs a confirmed heartbeat."""
-        is_unconfirmed = self.state.last_end_s > self._leases.confirmed_s()
-        state = self.state
-        has_rows = state.dirty_jobs or state.roster_changed or state.late_starts.must_store
-        return bool(has_rows) or self._releaser.has_records or is_unconfirmed
+        return self._output.has_rows or self.state.last_end_s > self._leases.confirmed_s()
 
     @property
     def has_unrecorded_starts(self) -> bool:
         """Whether starts wait for records that are not being stored yet."""
         return bool(self.state.planned) and self._releaser.has_records
 
-    def take_progress(self) -> ProgressBatch:
-        """Returns the progress to store, and marks it as clean."""
-        stored = self._roster.take_changed()
-        if not self.state.unresolved_workers():
-            # Attempts that this leader has learned of are recorded with this batch at the latest.
-            self.state.starts_recorded = True
-        runs = list(self.state.dirty_jobs)
-        self.state.dirty_jobs.clear()
-        starts = self._releaser.take_pending(runs)
-        for run in runs:
-            run.dirty = False
-        return ProgressBatch(
-            rows={progress_key(run.job.id): dump_progress(run) for run in runs} | starts.rows,
-            deletes=starts.deletes,
-            recorded=starts.recorded,
-            starts_recorded=self.state.starts_recorded,
-            states={run.job.id: run.state for run in runs},
-            serials={
-                record.id: (record.info.incarnation_ms, record.seen_serial)
-                for record in self.state.workers.values()
-                if record.seen_serial > record.stored_serial
-            },
+    def take_progress(
+        self, *, compact: bool = False, earlier_version: bool = False
+    ) -> ProgressBatch:
+        """Returns the progress to store, and marks it as clean.
+
+        Args:
+            compact: whether every instance reads the compact form of progress.
+            earlier_version: whether a follower is connected that doesn't.
+        """
+        return self._output.take(
             pending=self.pending(),
             knowledge=self._dump_knowledge(),
-            roster=stored.data if stored is not None else None,
-            deadlines=stored.deadlines if stored is not None else None,
-            late_starts=self._roster.take_late_starts(),
-            roster_incarnations=stored.incarnations if stored is not None else {},
+            compact=compact,
+            earlier_version=earlier_version,
         )
 
     def _dump_knowledge(self) -> bytes | None:
@@ -374,17 +384,25 @@
         self.state.knowledge.headroom_model.forget_ended()
         self.state.health.forget_ended()
         self._moves.forget_ended()
+        for job_id in self.history.forget():
+            self.stored_states.pop(job_id, None)
         self.state.advice.retain_steps(step.id for step in self.state.open_steps)
 
-    def on_stored(self, batch: ProgressBatch) -> None:
-        """Records that a batch is stored, so that the ends in it may be acknowledged."""
-        for worker, (incarnation_ms, serial) in batch.serials.items():
-            record = self.state.workers.get(worker)
-            if record is not None and record.info.incarnation_ms == incarnation_ms:
-                record.stored_serial = max(record.stored_serial, serial)
-        self._roster.mark_stored(batch.roster_incarnations)
-        self._releaser.on_stored(batch.recorded)
-        self.stored_states.update(batch.states)
+    def on_stored(self, batch: ProgressBatch, *, rejected: Collection[str] = ()) -> None:
+        """Records that a batch is stored, so that the ends in it may be acknowledged.
+
+        Args:
+            batch: the batch.
+            rejected: names of the groups of rows in it that the store rejected.
+        """
+        self._output.on_stored(batch, rejected)
+        states = batch.without(rejected).states
+        self.stored_states.update(states)
+        self.history.add(ended_jobs(self.state.jobs, states))
+
+    def take_moves(self) -> MoveBatch:
+        """Returns the ended jobs to move next; see `JobHistory`."""
+        return self.history.take_moves()
 
     # --- output to the workers
 
--- a/fescuerudder/jobs/takeover.py
+++ b/fescuerudder/jobs/takeover.py
@@ -8,8 +8,9 @@
 
 from fescuerudder.clock import Clock
 from fescuerudder.jobs.claim import load_heartbeat, load_lease_bound
+from fescuerudder.jobs.endedjobs import EndedJob
 from fescuerudder.jobs.job import Job
-from fescuerudder.jobs.jobrun import JobRun, JobState
+from fescuerudder.jobs.jobrun import JobRun
 from fescuerudder.jobs.latestarts import StoredLateStart, load_late_starts
 from fescuerudder.jobs.leases import PREDECESSOR_LEASES_S
 from fescuerudder.jobs.progress import (
@@ -17,8 +18,8 @@
     StoredJob,
     load_job,
     load_state,
-    restore_progress,
 )
+from fescuerudder.jobs.progressrows import PART_SEPARATOR, load_rows, part_key
 from fescuerudder.jobs.roster import RosterEntry, add_deadlines, load_roster, recover_roster
 from fescuerudder.jobs.rows import Row, RowKey, RowStore, StoreClock, read_partition
 from fescuerudder.jobs.scheduler import Scheduler
@@ -38,10 +39,15 @@
     PROGRESS_TABLE,
     ROSTER_KEY,
     STARTS_TABLE,
+    job_of,
+    progress_key,
 )
 
 LOAD_TIMEOUT_S = 3.0
 
+ACCOUNT_FIELD = b'"account":'
+"""What the row of a job has if it belongs to an account; rows without it need not be parsed."""
+
 _log = structlog.get_logger(__name__)
 
 
@@ -51,7 +57,9 @@
 
     Args:
         live: jobs that have not ended, with their progress.
-        ended: final states of the other jobs, by id.
+        ended: the other jobs, which are to be moved.
+        unused: rows of progress that belong to ended jobs and to nothing that is loaded.
+        moved: ids of jobs that were moved and whose progress is still stored.
         cancels: ids of jobs whose cancellation was requested.
         ended_jobs: the ended jobs that belong to an account.
         version: version from which to follow the feed of jobs.
@@ -65,9 +73,11 @@
     """
 
     live: list[JobRun]
-    ended: dict[str, JobState]
+    ended: list[EndedJob]
     cancels: list[str]
     version: int
+    moved: list[str] = attrs.Factory(list)
+    unused: list[RowKey] = attrs.Factory(list)
     knowledge: bytes | None = None
     ended_jobs: list[Job] = attrs.Factory(list)
     roster: list[RosterEntry] = attrs.Factory(list)
@@ -87,7 +97,12 @@
 
 
 def load_stored_state(
-    *, store: RowStore, clock: Clock, wall_ms: Callable[[], float], pool: Executor
+    *,
+    store: RowStore,
+    clock: Clock,
+    wall_ms: Callable[[], float],
+    pool: Executor,
+    on_progress: Callable[[], None] = lambda: None,
 ) -> LoadedState:
     """Reads jobs, their progress and the leader's own rows from the store.
 
@@ -96,6 +111,7 @@
         clock: source of time.
         wall_ms: returns Unix time in milliseconds.
         pool: runs the reads of several partitions at a time.
+        on_progress: called with each job.
 
     Raises:
         StoreUnavailableError: a partition could not be read.
@@ -122,14 +138,17 @@
         now_s=clock.now_s(),
         wall_ms=wall_ms(),
         version=head.version,
+        on_progress=on_progress,
     )
+    # Records of any other job are left over. A job whose row can't be read may not have ended.
+    unfinished = {row.key.key for rows in jobs for row in rows} - {job.id for job in loaded.ended}
     stored = {row.key: row for row in leader_rows}
     knowledge, late = stored.get(KNOWLEDGE_KEY), stored.get(LATE_STARTS_KEY)
     return attrs.evolve(
         loaded,
         knowledge=knowledge.value if knowledge is not None else None,
         roster=_read_roster(stored),
-        starts=_read_starts(starts, stored.get(HEARTBEAT_KEY), loaded.ended),
+        starts=_read_starts(starts, stored.get(HEARTBEAT_KEY), unfinished),
         late_starts=(_parse(load_late_starts, late.value) or []) if late is not None else [],
         store_clock=store_clock if head.store_ms else None,
         leases_until_ms=_read_lease_bound(stored),
@@ -150,8 +169,16 @@
     return bound.until_ms
 
 
-def _read_starts(rows: list[Row], heartbeat: Row | None, ended: Collection[str]) -> StoredStarts:
-    """Returns the records of starts; they are complete only if all of them can be read."""
+def _read_starts(
+    rows: list[Row], heartbeat: Row | None, unfinished: Collection[str]
+) -> StoredStarts:
+    """Returns the records of starts; they are complete only if all of them can be read.
+
+    Args:
+        rows: the rows of the records.
+        heartbeat: the heartbeat row, None if there is none.
+        unfinished: ids of the jobs that have not ended.
+    """
     records, unreadable = [], []
     for row in rows:
         record = _parse(lambda data, row=row: load_starts(row.key.key, data), row.value)
@@ -160,8 +187,8 @@
         else:
             records.append(record)
     return StoredStarts(
-        steps=tuple(record for record in records if record.step.job not in ended),
-        obsolete=tuple(record.step for record in records if record.step.job in ended),
+        steps=tuple(record for record in records if record.step.job in unfinished),
+        obsolete=tuple(record.step for record in records if record.step.job not in unfinished),
         unreadable=tuple(unreadable),
         is_complete=not unreadable and _were_recorded(heartbeat),
     )
@@ -204,27 +231,49 @@
     now_s: float,
     wall_ms: float,
     version: int,
+    on_progress: Callable[[], None],
 ) -> LoadedState:
-    stored, cancels = split_job_rows(rows)
-    live, ended, ended_jobs = [], {}, []
+    heads = {key: data for key, data in progress.items() if PART_SEPARATOR not in key}
+    states = {job_id: _parse(load_state, data) for job_id, data in heads.items()}
+    final = {job_id: state for job_id, state in states.items() if state and state.is_final}
+    ended = [
+        EndedJob(id=row.key.key, version=row.version, state=final[row.key.key])
+        for row in rows
+        if row.key.key in final
+    ]
+    # Most rows of ended jobs are not parsed: it takes most of the time of a load.
+    stored, cancels = split_job_rows([row for row in rows if row.key.key not in final])
+    live: list[JobRun] = []
     for item in sorted(stored, key=lambda item: item.version):
+        on_progress()
         data = progress.get(item.job.id)
-        state = _parse(load_state, data) if data is not None else JobState.QUEUED
-        if state is not None and state.is_final:
-            ended[item.job.id] = state
-            if item.job.account:
-                ended_jobs.append(item.job)
-            continue
         received_s = now_s - _age_s(item.job, wall_ms)
         run = JobRun.create(job=item.job, version=item.version, received_s=received_s)
         if data is not None:
-            _parse(lambda raw, run=run: restore_progress(run, raw), data)
+            run.parts = _parse(lambda _, run=run: load_rows(run, progress), data) or 0
         live.append(run)
+    known = {row.key.key for row in rows}
+    moved = [job_id for job_id in final if job_id not in known]
+    used = {part_key(r.job.id, n).key for r in live for n in range(1, r.parts + 1)}
+    unused = [key for key in progress.keys() - heads.keys() if job_of(progress_key(key)) in final]
     return LoadedState(
-        live=live, ended=ended, cancels=cancels, version=version, ended_jobs=ended_jobs
+        live=live,
+        ended=ended,
+        cancels=cancels,
+        version=version,
+        moved=moved,
+        unused=[progress_key(key) for key in unused if key not in used],
+        ended_jobs=_ended_jobs_of_accounts(rows, final),
     )
 
 
+def _ended_jobs_of_accounts(rows: list[Row], ended: Collection[str]) -> list[Job]:
+    """Returns the ended jobs that belong to an account, as their tasks may still run."""
+    owned = [row for row in rows if row.key.key in ended and ACCOUNT_FIELD in row.value]
+    stored, _ = split_job_rows(owned)
+    return [item.job for item in stored if item.job.account]
+
+
 def _age_s(job: Job, wall_ms: float) -> float:
     """Returns the time since a job was accepted, as far as the clocks of two instances agree."""
     return max(0.0, wall_ms - job.submitted_ms) / 1000 if job.submitted_ms else 0.0
@@ -255,13 +304,23 @@
         return None
 
 
-def restore_scheduler(scheduler: Scheduler, loaded: LoadedState) -> None:
-    """Passes the stored state to the scheduler of a new term, which must know the configuration."""
+def restore_scheduler(
+    scheduler: Scheduler, loaded: LoadedState, *, on_progress: Callable[[], None] = lambda: None
+) -> None:
+    """Passes the stored state to the scheduler of a new term, which must know the configuration.
+
+    Args:
+        scheduler: the scheduler.
+        loaded: the stored state.
+        on_progress: called with each job.
+    """
     for run in loaded.live:
+        on_progress()
         scheduler.restore(run)
-    scheduler.stored_states.update(loaded.ended)
     for job in loaded.ended_jobs:
         scheduler.state.usage.remember_ended(job)
+    scheduler.state.obsolete_records.update(dict.fromkeys(loaded.unused))
+    scheduler.restore_ended(loaded.ended, moved=loaded.moved)
     if loaded.knowledge is not None:
         try:
             scheduler.state.knowledge.restore(loaded.knowledge)
--- a/fescuerudder/jobs/termevents.py
+++ b/fescuerudder/jobs/termevents.py
@@ -1,6 +1,6 @@
 """Events that the scheduler handles during a term."""
 
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from functools import singledispatch
 from typing import Any
 
@@ -8,6 +8,7 @@
 
 from fescuerudder.jobs.adviceport import Advice, AdviceQuery
 from fescuerudder.jobs.configview import ConfigView
+from fescuerudder.jobs.jobhistory import MoveBatch
 from fescuerudder.jobs.progress import StoredJob
 from fescuerudder.jobs.progressbatch import ProgressBatch
 from fescuerudder.jobs.scheduler import Order
@@ -105,9 +106,29 @@
 
 @attrs.frozen(kw_only=True)
 class Stored:
-    """A batch of progress was stored."""
+    """A batch of progress was stored.
+
+    Args:
+        batch: the batch.
+        rejected: names of the groups of rows in it that the store rejected.
+    """
 
     batch: ProgressBatch
+    rejected: Collection[str] = ()
+
+
+@attrs.frozen(kw_only=True)
+class Moved:
+    """Ended jobs have left the rows that a claimant reads."""
+
+    batch: MoveBatch
+
+
+@attrs.frozen(kw_only=True)
+class Kept:
+    """Ended jobs that were taken to be moved have stayed where they were."""
+
+    batch: MoveBatch
 
 
 @singledispatch
@@ -130,3 +151,10 @@
 @unanswered.register
 def _(order: AdviceQuery, *, sent_s: float, reason: str) -> Advised:
     return Advised(query=order, advice=None, sent_s=sent_s)
+
+
+def outcome_label(event: Any) -> str:
+    """Returns the outcome of an order as a label of the metrics."""
+    if isinstance(event, Answered):
+        return event.answer.result.value
+    return type(event).__name__.lstrip("_").lower()
