--- a/fescuerudder/jobs/reports.py
+++ b/fescuerudder/jobs/reports.py
@@ -178,6 +178,7 @@
         if end is AttemptEnd.DONE and attempt.confirmed_s is not None and not task.checkpoint:
             run_s = max(MIN_RUN_S, now_s - attempt.confirmed_s)
             task.rate, task.done_by = 100 / run_s, attempt.worker
+            self._state.record_run_time(attempt, run_s)
 
     def _record_done(self, task: TaskRun) -> None:
         run = task.step.job
--- a/fescuerudder/jobs/scheduler.py
+++ b/fescuerudder/jobs/scheduler.py
@@ -10,6 +10,9 @@
 from fescuerudder.jobs.crashes import record_worker_end
 from fescuerudder.jobs.jobrun import FULL_SPEED, JobRun, JobState, Phase
 from fescuerudder.jobs.leases import LeasePolicy
+from fescuerudder.jobs.load import Load
+from fescuerudder.jobs.loadsummarizer import LoadSummarizer
+from fescuerudder.jobs.loadsummary import LoadSummary
 from fescuerudder.jobs.manifest import Manifest
 from fescuerudder.jobs.progress import StoredJob, dump_progress
 from fescuerudder.jobs.progressbatch import ProgressBatch
@@ -95,6 +98,8 @@
         self._moves = ThrottledMoves()
         self._renewals = RenewalPlanner(state=self.state, leases=leases)
         self._reported: dict[str, None] = {}
+        self._summarizer = LoadSummarizer(state=self.state)
+        self.load_summary: tuple[float, LoadSummary | None] = (clock.now_s(), None)
         self._next_knowledge_s = clock.now_s() + KNOWLEDGE_WRITE_INTERVAL_S
 
     # --- input from the store
@@ -390,6 +395,7 @@
         orders += self._plan_throttles(now_s)
         self._planner.plan(now_s=now_s, wall_ms=self._wall_ms())
         orders += self.take_starts()
+        self._summarize_load(now_s)
         self._waits.observe(now_s)
         orders += self.state.advice.take_queries()
         orders += self._renewals.plan(now_s)
@@ -456,8 +462,18 @@
         self._reported.clear()
         return orders
 
+    def usable_loads(self, now_s: float) -> list[Load]:
+        """Returns the loads of the workers that may get tasks now."""
+        return self._planner.loads(now_s)
+
     # --- output to callers
 
+    def _summarize_load(self, now_s: float) -> None:
+        """Updates `load_summary`, the time of the latest summary and the summary."""
+        if self._summarizer.is_due(now_s):
+            summary = self._summarizer.summarize(self.usable_loads(now_s), now_s)
+            self.load_summary = (now_s, summary)
+
     def pending(self) -> dict[str, int]:
         """Returns the number of jobs of each queue that have no started task."""
         counts: dict[str, int] = {}
--- a/fescuerudder/jobs/schedulerstate.py
+++ b/fescuerudder/jobs/schedulerstate.py
@@ -12,6 +12,7 @@
 from fescuerudder.jobs.jobrun import Attempt, JobRun, JobState, Phase, StepRun, TaskRun
 from fescuerudder.jobs.knowledge import Knowledge
 from fescuerudder.jobs.load import Load
+from fescuerudder.jobs.loadsamples import LoadSamples
 from fescuerudder.jobs.manifest import Manifest, Pool, Queue
 from fescuerudder.jobs.rows import RowKey
 from fescuerudder.jobs.startrecords import record_keys
@@ -74,6 +75,7 @@
             order in which they opened.
         openable_jobs: jobs that may have steps to open.
         job_sizes: typical work of the jobs of each queue.
+        load_samples: run times and waits that were observed lately.
         advice: permits of the advice service.
         knowledge: what was learned about tasks.
         health: health of the workers.
@@ -112,6 +114,7 @@
     unreadable_records: dict[RowKey, None] = attrs.Factory(dict)
     starts_recorded: bool = False
     job_sizes: JobSizes = attrs.Factory(JobSizes)
+    load_samples: LoadSamples = attrs.Factory(LoadSamples)
     advice: AdviceCache = attrs.field(init=False)
     knowledge: Knowledge = attrs.Factory(Knowledge)
     health: WorkerHealth = attrs.field(init=False)
@@ -168,10 +171,25 @@
         if run.begun:
             return
         run.begun = True
+        self.load_samples.record_first_start(
+            run.job.queue, waited_s=self.clock.now_s() - run.received_s
+        )
         if run.state is JobState.QUEUED:
             run.state = JobState.RUNNING
         self.mark_dirty(run)
 
+    def record_run_time(self, attempt: Attempt, run_s: float) -> None:
+        """Records how long a task that is done ran, from its first to its last second."""
+        spec, record = attempt.task.step.spec, self.workers.get(attempt.worker)
+        if record is None or attempt.adopted or spec.best_effort:
+            return
+        self.load_samples.record_end(
+            record.info.pool,
+            estimated=spec.work,
+            real=spec.size.processors * run_s,
+            now_s=self.clock.now_s(),
+        )
+
     def load_of(self, record: WorkerRecord, *, now_s: float) -> Load:
         """Returns the load of a worker; a plan that adds an attempt also adds its step to it."""
         load = self._loads.get(record.id)
--- a/fescuerudder/jobs/urgency.py
+++ b/fescuerudder/jobs/urgency.py
@@ -53,6 +53,10 @@
         mean = self._means.get(run.job.queue, run.work)
         self._means[run.job.queue] = mean + MEAN_SIZE_WEIGHT * (run.work - mean)
 
+    def mean(self, queue: str) -> float:
+        """Returns the average work of the jobs of a queue, 0 if it had none."""
+        return self._means.get(queue, 0.0)
+
     def relative_size(self, run: JobRun) -> float:
         """Returns the work of a job as a multiple of the average of its queue."""
         mean = self._means.get(run.job.queue, 0.0)
