Links: the leader sends its load summary to followers that take it

LoadReport goes out beside the pulse, only to followers whose Follow says takes_load, as instances of the previous version can't decode it. JobsRefused tells the other instances of refused jobs; a follower sends it only to a leader that has sent it a LoadReport.

--- a/fescuerudder/jobs/followerlink.py
+++ b/fescuerudder/jobs/followerlink.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from concurrent.futures import Future
 from concurrent.futures import TimeoutError as FutureTimeoutError
+from typing import Any
 
 import structlog
 from websockets.asyncio.client import ClientConnection, connect
@@ -31,10 +32,13 @@
     ConfigRequest,
     Follow,
     FollowerStatus,
+    JobsRefused,
+    LoadReport,
     Pulse,
     StoreJob,
     StoreOutcome,
 )
+from fescuerudder.jobs.loadsummary import KnownLoad, load_summary
 
 CONNECT_TIMEOUT_S = 0.8
 RECONNECT_S = 0.2
@@ -62,6 +66,7 @@
         config: receives the configuration.
         status: returns the status that is reported to the leader.
         on_claim_now: called with the epoch of a leader that asks this instance to claim.
+        on_refused: called with jobs that other instances refused because of load.
     """
 
     def __init__(
@@ -74,6 +79,7 @@
         config: ConfigWatch,
         status: Callable[[], FollowerStatus],
         on_claim_now: Callable[[int], None],
+        on_refused: Callable[[JobsRefused], None] = lambda message: None,
     ) -> None:
         self._instance = instance
         self._loop = loop
@@ -82,12 +88,14 @@
         self._config = config
         self._status = status
         self._on_claim_now = on_claim_now
+        self._on_refused = on_refused
         self._claim: Claim | None = None
         self._conn: ClientConnection | None = None
         self._task: asyncio.Task | None = None
         self._numbers = itertools.count(UNANSWERED + 1)
         self._open_requests: dict[int, Future] = {}
         self.pending: dict[str, int] | None = None
+        self.load: KnownLoad | None = None
         self.last_pulse_s: float | None = None
         self.refused = False
         self._malformed = 0
@@ -118,6 +126,11 @@
         """Connects to the leader that `claim` names; None ends the connection."""
         self._loop.call(self._follow, claim)
 
+    def share_refusals(self, message: JobsRefused) -> None:
+        """Tells the leader of jobs that were refused; only one that sends load can read it."""
+        if self.load is not None:
+            self._loop.call(self._send_refusals, message)
+
     def store(self, message: StoreJob, *, timeout_s: float) -> str:
         """Asks the leader to store a row; returns an outcome as in `StoreOutcome`."""
         fut: Future = Future()
@@ -144,7 +157,7 @@
             return
         self._stop()
         self._claim = claim
-        self.last_pulse_s = None
+        self.last_pulse_s = self.load = None
         self.refused = False
         if claim is not None:
             self._task = asyncio.get_running_loop().create_task(self._run(claim))
@@ -197,6 +210,7 @@
         return Follow(
             instance=self._instance,
             takes_patches=True,
+            takes_load=True,
             config_revision=manifest.revision if manifest is not None else 0,
         )
 
@@ -221,6 +235,11 @@
             self._config.receive(unpack(message.form, ConfigView))
         elif isinstance(message, ConfigChanged) and message.epoch == claim.epoch:
             return self._config.receive_patch(unpack(message.form, ConfigPatch))
+        elif isinstance(message, LoadReport) and message.epoch == claim.epoch:
+            made_s = self._clock.now_s() - message.age_s
+            self.load = KnownLoad(summary=load_summary(message.form), made_s=made_s)
+        elif isinstance(message, JobsRefused):
+            self._on_refused(message)
         elif isinstance(message, ClaimNow):
             self._on_claim_now(message.epoch)
         elif isinstance(message, StoreOutcome):
@@ -260,6 +279,12 @@
         send_task = asyncio.get_running_loop().create_task(conn.send(_encode(number, message)))
         send_task.add_done_callback(log_failure("row not sent to the leader"))
 
+    def _send_refusals(self, message: JobsRefused) -> None:
+        conn = self._conn
+        if conn is not None and self.load is not None:
+            task = asyncio.get_running_loop().create_task(conn.send(_encode(UNANSWERED, message)))
+            task.add_done_callback(log_failure("refusals not sent to the leader"))
+
     def _fail_open_requests(self) -> None:
         """Answers open requests with an unknown outcome."""
         for number in list(self._open_requests):
@@ -269,5 +294,5 @@
                 fut.set_result(StoreOutcome(outcome="unknown"))
 
 
-def _encode(number: int, message: Follow | FollowerStatus | ConfigRequest | StoreJob) -> bytes:
+def _encode(number: int, message: Any) -> bytes:
     return CODEC.encode(Envelope(number=number, answer=False, message=message))
--- a/fescuerudder/jobs/leader.py
+++ b/fescuerudder/jobs/leader.py
@@ -30,6 +30,7 @@
     resolve_pause_s,
 )
 from fescuerudder.jobs.leases import LeasePolicy
+from fescuerudder.jobs.loadsummary import LoadSummary
 from fescuerudder.jobs.progress import StoredJob
 from fescuerudder.jobs.progressbatch import ProgressBatch
 from fescuerudder.jobs.rows import HistoryLostError, RowStore
@@ -204,6 +205,10 @@
         """Returns the stored states of all jobs."""
         return self._scheduler.stored_states.copy()
 
+    def load_summary(self) -> tuple[float, LoadSummary | None]:
+        """Returns when the load was last summarized, and the summary; None if there is none."""
+        return self._scheduler.load_summary
+
     def configure(self, view: ConfigView) -> None:
         """Passes a new configuration to the scheduler."""
         self._post_event(Configured(view=view))
--- a/fescuerudder/jobs/leaderlink.py
+++ b/fescuerudder/jobs/leaderlink.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import hmac
+import math
 from collections.abc import Awaitable, Callable, Collection
 from http import HTTPStatus
 from typing import Any, Protocol
@@ -29,10 +30,13 @@
     ConfigRequest,
     Follow,
     FollowerStatus,
+    JobsRefused,
+    LoadReport,
     Pulse,
     StoreJob,
     StoreOutcome,
 )
+from fescuerudder.jobs.loadsummary import LoadSummary, dump_summary
 
 PULSE_INTERVAL_S = 0.25
 CONFIG_CHECK_INTERVAL_S = 0.1
@@ -89,12 +93,16 @@
         states: returns the states of all jobs.
         store: stores a row of a follower; returns an outcome as in `StoreOutcome`.
         config: the configuration.
+        load: returns the time of the latest load summary and the summary, None if there is none.
+        on_refused: called with jobs that a follower refused because of load.
     """
 
     claim: Claim
     states: Callable[[], dict[str, JobState]]
     store: Callable[[StoreJob], str]
     config: ConfigProvider
+    load: Callable[[], tuple[float, LoadSummary | None]] = lambda: (0.0, None)
+    on_refused: Callable[[JobsRefused], None] = lambda message: None
 
 
 class LeaderLink:
@@ -116,6 +124,7 @@
         self._followers: dict[ServerConnection, _Follower] = {}
         self._unsent_states: dict[str, str] = {}
         self._pending: dict[str, int] = {}
+        self._sent_load_s = -math.inf
         self._pulse_task: asyncio.Task | None = None
         self._config_task: asyncio.Task | None = None
         self._sent_config = ConfigView()
@@ -146,6 +155,10 @@
         values = {job_id: state.value for job_id, state in states.items()}
         self._loop.call(self._add_states, values, pending)
 
+    def share_refusals(self, message: JobsRefused) -> None:
+        """Tells the followers of jobs that were refused because of load."""
+        self._loop.call(self._pass_on_refusals, message, None)
+
     def find_successor(self, *, asked: Collection[str] = ()) -> str | None:
         """Returns the id of the eligible follower with the lowest rank, or None if there is none.
 
@@ -200,6 +213,7 @@
         self._source = source
         self._unsent_states.clear()
         self._sent_config, self._whole_config = ConfigView(), None
+        self._sent_load_s = -math.inf
         for conn in list(self._followers):
             conn.transport.abort()
 
@@ -249,6 +263,9 @@
             follower.status, follower.status_s = message, self._clock.now_s()
         elif isinstance(message, ConfigRequest):
             await self._send_whole_config(follower)
+        elif isinstance(message, JobsRefused) and self._source is not None:
+            self._source.on_refused(message)
+            self._pass_on_refusals(message, follower)
         elif isinstance(message, StoreJob) and self._source is not None:
             task = asyncio.create_task(self._store(follower, envelope.number, message))
             task.add_done_callback(log_failure("row of a follower not answered"))
@@ -282,6 +299,25 @@
             config_age_s=self._config_age_s(self._source.config),
         )
         broadcast(list(self._followers), _encode(pulse))
+        self._broadcast_load(self._source)
+
+    def _broadcast_load(self, source: LinkSource) -> None:
+        """Sends the load summary to the followers that take it, unless it was sent before."""
+        made_s, summary = source.load()
+        takers = self._load_takers()
+        if summary is None or made_s <= self._sent_load_s or not takers:
+            return
+        self._sent_load_s = made_s
+        age_s = self._clock.now_s() - made_s
+        report = LoadReport(epoch=source.claim.epoch, form=dump_summary(summary), age_s=age_s)
+        broadcast(takers, _encode(report))
+
+    def _load_takers(self, *, but: _Follower | None = None) -> list[ServerConnection]:
+        followers = self._followers.values()
+        return [f.conn for f in followers if f.hello.takes_load and f is not but]
+
+    def _pass_on_refusals(self, message: JobsRefused, sender: _Follower | None) -> None:
+        broadcast(self._load_takers(but=sender), _encode(message))
 
     def _config_age_s(self, config: ConfigProvider) -> float | None:
         """Returns the age of the configuration that was sent, None if there is a newer one."""
--- a/fescuerudder/jobs/leadership.py
+++ b/fescuerudder/jobs/leadership.py
@@ -14,7 +14,7 @@
 from fescuerudder.jobs.followerlink import FollowerLink
 from fescuerudder.jobs.leader import LeaderTerm
 from fescuerudder.jobs.leaderlink import ConfigProvider, LeaderLink, LinkSource
-from fescuerudder.jobs.linkmessages import StoreJob
+from fescuerudder.jobs.linkmessages import JobsRefused, StoreJob
 from fescuerudder.jobs.progress import StoredFormError
 from fescuerudder.jobs.rows import (
     ABSENT,
@@ -121,6 +121,7 @@
         store_age_s: returns the time since the store last answered, in seconds.
         config: the configuration that followers are sent.
         slow_machine_delay_s: extra delay of claims because this machine is slow, in seconds.
+        on_refused: called with jobs that a follower refused because of load.
     """
 
     def __init__(
@@ -138,6 +139,7 @@
         store_age_s: Callable[[], float],
         config: ConfigProvider,
         slow_machine_delay_s: float = 0.0,
+        on_refused: Callable[[JobsRefused], None] = lambda message: None,
     ) -> None:
         self._instance = instance
         self._address = address
@@ -151,6 +153,7 @@
         self._store_age_s = store_age_s
         self._config = config
         self._slow_machine_delay_s = slow_machine_delay_s
+        self._on_refused = on_refused
         self._observed = _ObservedLeader()
         self._store_latency_s: float | None = None
         self._heartbeat_read_s = -HEARTBEAT_READ_INTERVAL_S
@@ -324,6 +327,8 @@
                     states=term.states,
                     store=self._store_for_follower,
                     config=self._config,
+                    load=lambda: term.load_summary(),
+                    on_refused=self._on_refused,
                 )
                 self._leader_link.activate(source)
                 self._await_term_end(claim, term)
--- a/fescuerudder/jobs/linkmessages.py
+++ b/fescuerudder/jobs/linkmessages.py
@@ -11,11 +11,13 @@
         instance: its id.
         takes_patches: it can apply `ConfigChanged`; instances of earlier versions can't.
         config_revision: revision of the manifest that it has, 0 if it has none.
+        takes_load: it can read `LoadReport` and `JobsRefused`; instances of earlier versions can't.
     """
 
     instance: str
     takes_patches: bool = False
     config_revision: int = 0
+    takes_load: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -122,6 +124,57 @@
     outcome: str
 
 
+@attrs.frozen(kw_only=True)
+class LoadReport:
+    """Sends followers the load of the workers.
+
+    Args:
+        epoch: number of the leader's term.
+        form: the `LoadSummary`, as serialized by `loadsummary.dump_summary`.
+        age_s: age of the summary when it was sent, in seconds.
+    """
+
+    epoch: int
+    form: bytes
+    age_s: float
+
+
+@attrs.frozen(kw_only=True)
+class RefusedEntry:
+    """A job that an instance refused because of load; see `refusals.RefusedJob`.
+
+    Args:
+        job: its id.
+        pool: pool of its queue.
+        priority: priority of its queue.
+        density_class: its class of value density.
+        work: its core seconds, GB seconds and accelerator seconds.
+        expected_in_s: time until its caller has returned or given up, in seconds.
+        tries: how often it was refused.
+    """
+
+    job: str
+    pool: str
+    priority: int
+    density_class: int
+    work: tuple[float, float, float]
+    expected_in_s: float
+    tries: int
+
+
+@attrs.frozen(kw_only=True)
+class JobsRefused:
+    """Tells other instances of refused jobs.
+
+    A follower sends it to a leader that has sent it a `LoadReport`; the leader passes it on.
+
+    Args:
+        jobs: the jobs.
+    """
+
+    jobs: tuple[RefusedEntry, ...]
+
+
 LINK_TYPES = (
     Follow,
     FollowerStatus,
@@ -132,5 +185,7 @@
     ClaimNow,
     StoreJob,
     StoreOutcome,
+    LoadReport,
+    JobsRefused,
 )
 """All message types, for the codec."""
