Intake: refuses jobs because of load with 429, before anything is stored

An ID that is known, may be stored by this instance, or is found in the store is never refused; a look-up without an answer within 40 ms accepts the job.

--- a/fescuerudder/jobs/intake.py
+++ b/fescuerudder/jobs/intake.py
@@ -2,6 +2,7 @@
 
 import random
 import threading
+from collections import OrderedDict
 from collections.abc import Callable
 from typing import Protocol
 
@@ -11,6 +12,7 @@
 
 from fescuerudder.clock import Clock
 from fescuerudder.errors import StoreOutcomeUnknownError, StoreUnavailableError
+from fescuerudder.jobs.admission import Refused
 from fescuerudder.jobs.claim import load_heartbeat
 from fescuerudder.jobs.job import Job
 from fescuerudder.jobs.jobrun import JobState
@@ -63,6 +65,11 @@
 
 PROBE_TIMEOUT_S = 0.3
 RELAY_TIMEOUT_S = 1.0
+LOOKUP_TIMEOUT_S = 0.04
+"""Time to look up a job before it is refused; without an answer it is accepted."""
+
+MAX_UNCERTAIN = 1000
+"""Number of jobs of which it is kept that they may be stored, after a write without an answer."""
 
 STORED = "stored"
 REFUSED = "refused"
@@ -79,11 +86,13 @@
         reason: for the log and the caller.
         ran: None if it is unknown whether the request took effect, otherwise False.
         retry_after_s: time after which the caller may retry.
+        is_overload: it was refused because of load, whatever the state of the store.
     """
 
     reason: str
     ran: bool | None = False
     retry_after_s: float = RETRY_AFTER_S
+    is_overload: bool = False
 
 
 class LeaderPort(Protocol):
@@ -105,6 +114,16 @@
         """Asks the leader to store a row; returns an outcome as in `StoreOutcome`."""
 
 
+class JobGate(Protocol):
+    """Decides whether jobs are refused because of load; see `admissiongate.AdmissionGate`."""
+
+    def check(self, job: Job, *, patience_s: float) -> Refused | None:
+        """Returns the refusal of a job that isn't known to be stored, None to accept it."""
+
+    def record_refused(self, job: Job, refused: Refused) -> None:
+        """Records that a job was refused."""
+
+
 class JobIntake:
     """Stores jobs and cancellations and answers queries about jobs.
 
@@ -116,6 +135,8 @@
         leader: access to the leader.
         store_down_s: returns for how long all calls of the store have failed, 0 if they haven't.
         rng: source of randomness.
+        gate: refuses jobs because of load, None to accept all.
+        lookup: the store, for reads that are cut short without meaning an outage; `store` if None.
     """
 
     def __init__(
@@ -128,6 +149,8 @@
         leader: LeaderPort,
         store_down_s: Callable[[], float],
         rng: random.Random,
+        gate: JobGate | None = None,
+        lookup: RowStore | None = None,
     ) -> None:
         self._store = store
         self._clock = clock
@@ -136,6 +159,9 @@
         self._leader = leader
         self._store_down_s = store_down_s
         self._rng = rng
+        self._gate = gate
+        self._lookup = lookup or store
+        self._uncertain: OrderedDict[str, None] = OrderedDict()
         self._probe_lock = threading.Lock()
 
     def submit(self, job: Job, *, deadline_s: float) -> Result[None, Refusal]:
@@ -145,13 +171,48 @@
             job: the job.
             deadline_s: the caller's deadline, on this instance's clock.
         """
+        refusal = self._refuse_for_load(job, deadline_s)
+        if refusal is not None:
+            return Err(refusal)
         timed = attrs.evolve(job, submitted_ms=int(self._wall_ms()))
         row = StoreJob(key=job.id, value=dump_job(timed), creates=True)
         stored = self._write(row, job_id=job.id, deadline_s=deadline_s)
         if stored.is_ok():
             self._states.update(job.id, JobState.QUEUED)
+        elif stored.err_value.ran is None:
+            self._uncertain[job.id] = None
+            if len(self._uncertain) > MAX_UNCERTAIN:
+                self._uncertain.popitem(last=False)
         return stored
 
+    def _refuse_for_load(self, job: Job, deadline_s: float) -> Refusal | None:
+        """Returns the refusal of a job because of load, None to go on.
+
+        A job that is stored, or may be, is not refused. While the store is down that isn't known.
+        """
+        if self._gate is None or self._store_down_s() or job.id in self._uncertain:
+            return None
+        if self._states.get(job.id) is not None:
+            return None
+        refused = self._gate.check(job, patience_s=deadline_s - self._clock.now_s())
+        if refused is None or self._may_be_stored(job.id):
+            return None
+        self._gate.record_refused(job, refused)
+        return Refusal(
+            reason=f"not enough capacity: {refused.reason.value}",
+            retry_after_s=refused.retry_after_s,
+            is_overload=True,
+        )
+
+    def _may_be_stored(self, job_id: str) -> bool:
+        """Returns whether a job is in the store, or the store doesn't tell in time."""
+        try:
+            row = read_row(self._lookup, job_key(job_id), timeout_s=LOOKUP_TIMEOUT_S)
+        except StoreUnavailableError as exc:
+            _log.debug("job not looked up", job=job_id, reason=str(exc))
+            return True
+        return row is not None
+
     def cancel(self, job_id: str, *, deadline_s: float) -> Result[bool, Refusal]:
         """Stores the request to cancel a job; Ok(False) means that there is no such job."""
         known = self.state(job_id)
--- a/fescuerudder/jobs/jobmetrics.py
+++ b/fescuerudder/jobs/jobmetrics.py
@@ -3,7 +3,7 @@
 import bisect
 import threading
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Any
 
 import attrs
@@ -25,6 +25,11 @@
 
 FIRST_START_BOUNDS_S = (0.1, 0.25, 0.5, 1.0, 2.0, 3.0, 5.0, 7.5, 10.0, 20.0, 60.0)
 
+MAX_QUEUE_LABELS = 100
+"""Number of queues with labels of their own in the metrics of refusals; others share one."""
+
+OTHER_QUEUES = "other"
+
 WAITS_KEPT_S = 12.0
 """Time for which the waits of the latest log line are shown; such a line comes each 5 to 6 s."""
 
@@ -145,6 +150,58 @@
         ]
 
 
+class RefusalMetrics:
+    """Refusals because of load by queue and reason, predicted waits, and the age of the summary.
+
+    Args:
+        meter: creates the metrics.
+    """
+
+    def __init__(self, *, meter: Meter) -> None:
+        self._counts: Counter[tuple[str, str]] = Counter()
+        self._waits_s: dict[str, float] = {}
+        self.load_age_s: Callable[[], float | None] = lambda: None
+        meter.create_observable_counter(
+            "fescuerudder_jobs_refused",
+            callbacks=[self._observe_counts],
+            description="Jobs refused because of load, by queue and reason.",
+        )
+        meter.create_observable_gauge(
+            "fescuerudder_predicted_wait",
+            callbacks=[self._observe_waits],
+            unit="s",
+            description="Predicted wait of the job that was refused last, by queue.",
+        )
+        meter.create_observable_gauge(
+            "fescuerudder_load_summary_age",
+            callbacks=[self._observe_age],
+            unit="s",
+            description="Age of the load summary that admission uses.",
+        )
+
+    def record(self, *, queue: str, reason: str, wait_s: float) -> None:
+        """Records a refusal with the predicted wait."""
+        known = queue in self._waits_s or len(self._waits_s) < MAX_QUEUE_LABELS
+        label = queue if known else OTHER_QUEUES
+        self._counts[label, reason] += 1
+        self._waits_s[label] = wait_s
+
+    def _observe_counts(self, _: CallbackOptions) -> list[Observation]:
+        return [
+            Observation(count, {"queue": queue, "reason": reason})
+            for (queue, reason), count in self._counts.copy().items()
+        ]
+
+    def _observe_waits(self, _: CallbackOptions) -> list[Observation]:
+        return [
+            Observation(wait_s, {"queue": queue}) for queue, wait_s in self._waits_s.copy().items()
+        ]
+
+    def _observe_age(self, _: CallbackOptions) -> list[Observation]:
+        age_s = self.load_age_s()
+        return [] if age_s is None else [Observation(age_s)]
+
+
 class JobMetrics:
     """Counters, gauges and latency histograms; a context manager.
 
@@ -170,6 +227,7 @@
             description="Time from a claim to the first start of each older job that ran nowhere.",
             explicit_bucket_boundaries_advisory=FIRST_START_BOUNDS_S,
         )
+        self._refusals = RefusalMetrics(meter=meter)
         self._latencies = CallLatencies()
         self._registry.register(self._latencies)
 
@@ -194,6 +252,14 @@
         """Records a call to a peer, with its outcome and duration."""
         self._latencies.record((operation, outcome, peer), seconds)
 
+    def record_refusal(self, *, queue: str, reason: str, wait_s: float) -> None:
+        """Records a job that was refused because of load, with its predicted wait."""
+        self._refusals.record(queue=queue, reason=reason, wait_s=wait_s)
+
+    def observe_load_age(self, load_age_s: Callable[[], float | None]) -> None:
+        """Sets what returns the age of the load summary, None if there is none."""
+        self._refusals.load_age_s = load_age_s
+
     def render(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
         return generate_latest(self._registry)
--- a/fescuerudder/jobs/jobstates.py
+++ b/fescuerudder/jobs/jobstates.py
@@ -2,6 +2,7 @@
 
 import threading
 from collections import OrderedDict
+from collections.abc import Callable
 
 from fescuerudder.jobs.jobrun import JobState
 
@@ -9,9 +10,14 @@
 
 
 class JobStates:
-    """Thread-safe, bounded map from job ids to states; the oldest entries are evicted first."""
+    """Thread-safe, bounded map from job ids to states; the oldest entries are evicted first.
 
-    def __init__(self) -> None:
+    Args:
+        on_known: called with the id of each job that was not known before.
+    """
+
+    def __init__(self, *, on_known: Callable[[str], None] = lambda job_id: None) -> None:
+        self._on_known = on_known
         self._states: OrderedDict[str, JobState] = OrderedDict()
         self._lock = threading.Lock()
 
@@ -24,6 +30,8 @@
             self._states[job_id] = state
             while len(self._states) > MAX_KNOWN_STATES:
                 self._states.popitem(last=False)
+        if known is None:
+            self._on_known(job_id)
 
     def get(self, job_id: str) -> JobState | None:
         """Returns the last recorded state, None if the job is not known."""
--- a/fescuerudder/jobs/node.py
+++ b/fescuerudder/jobs/node.py
@@ -13,6 +13,7 @@
 from fescuerudder.clock import Clock
 from fescuerudder.httpserver import HttpServer
 from fescuerudder.jobs._loopthread import LoopThread
+from fescuerudder.jobs.admissiongate import AdmissionGate
 from fescuerudder.jobs.adviceport import AdvicePort
 from fescuerudder.jobs.claim import Claim
 from fescuerudder.jobs.configview import ConfigSource, ConfigView
@@ -25,7 +26,13 @@
 from fescuerudder.jobs.leader import LeaderTerm
 from fescuerudder.jobs.leaderlink import LeaderLink
 from fescuerudder.jobs.leadership import Leadership
-from fescuerudder.jobs.linkmessages import FollowerStatus, StoreJob
+from fescuerudder.jobs.linkmessages import (
+    FollowerStatus,
+    JobsRefused,
+    RefusedEntry,
+    StoreJob,
+)
+from fescuerudder.jobs.loadsummary import KnownLoad
 from fescuerudder.jobs.monitoredstore import MonitoredStore
 from fescuerudder.jobs.nodesettings import NodeSettings
 from fescuerudder.jobs.rows import RowStore
@@ -87,14 +94,39 @@
 
     Args:
         link: link to another leader.
-        is_leading: whether this instance leads.
+        own_link: link to the followers.
+        term: returns the term of this instance, None if it doesn't lead.
     """
 
-    def __init__(self, *, link: FollowerLink, is_leading: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        *,
+        link: FollowerLink,
+        own_link: LeaderLink,
+        term: Callable[[], LeaderTerm | None],
+    ) -> None:
         self._link = link
-        self._is_leading = is_leading
+        self._own_link = own_link
+        self._term = term
         self._pending: dict[str, int] | None = None
 
+    def _is_leading(self) -> bool:
+        return self._term() is not None
+
+    @property
+    def load(self) -> KnownLoad | None:
+        """The latest load summary, None if there is none."""
+        term = self._term()
+        if term is None:
+            return self._link.load
+        made_s, summary = term.load_summary()
+        return None if summary is None else KnownLoad(summary=summary, made_s=made_s)
+
+    def share_refusals(self, entries: tuple[RefusedEntry, ...]) -> None:
+        """Tells the other instances of refused jobs."""
+        link = self._own_link if self._is_leading() else self._link
+        link.share_refusals(JobsRefused(jobs=entries))
+
     @property
     def is_connected(self) -> bool:
         """Whether this instance leads or is connected to the leader."""
@@ -137,12 +169,18 @@
         self._ports = ports
         self._clock = clock
         self._kernel = Kernel()
-        self._states = JobStates()
+        self._states = JobStates(on_known=lambda job_id: self._gate.forget(job_id))
         self._store = MonitoredStore(store=ports.store, clock=clock, metrics=metrics)
         self.config = ConfigWatch(
             source=ports.config, clock=clock, on_change=self._on_config_change
         )
         self._build_leadership()
+        self._gate = AdmissionGate(
+            port=self._leader,
+            clock=clock,
+            rng=random.Random(uuid.uuid4().int),
+            metrics=metrics,
+        )
         self.intake = JobIntake(
             store=self._store,
             clock=clock,
@@ -151,6 +189,8 @@
             leader=self._leader,
             store_down_s=lambda: self._store.down_s,
             rng=random.Random(uuid.uuid4().int),
+            gate=self._gate,
+            lookup=ports.store,
         )
         self._metrics_server = HttpServer(
             address=f"{cfg.ip}:{cfg.metrics_port}",
@@ -216,6 +256,7 @@
             config=self.config,
             status=self._follower_status,
             on_claim_now=lambda epoch: self._leadership.claim_now(epoch),
+            on_refused=self._learn_refusals,
         )
         self._leadership = Leadership(
             instance=cfg.instance,
@@ -230,11 +271,17 @@
             store_age_s=lambda: self._store.answer_age_s,
             config=self.config,
             slow_machine_delay_s=max(0.0, min(MAX_SLOW_MACHINE_DELAY_S, slowness)),
+            on_refused=self._learn_refusals,
         )
         self._leader = LeaderProxy(
-            link=self._follower_link, is_leading=lambda: self._leadership.term is not None
+            link=self._follower_link,
+            own_link=self._leader_link,
+            term=lambda: self._leadership.term,
         )
 
+    def _learn_refusals(self, message: JobsRefused) -> None:
+        self._gate.learn(message.jobs)
+
     def _follower_status(self) -> FollowerStatus:
         return FollowerStatus(
             store_age_s=self._store.answer_age_s,
--- a/fescuerudder/platform/callers.py
+++ b/fescuerudder/platform/callers.py
@@ -1,6 +1,7 @@
 """The platform's HTTP interface for callers: each queue has a host and a path prefix."""
 
 import json
+import math
 import re
 from collections.abc import Callable, Iterable
 from http import HTTPStatus
@@ -181,6 +182,10 @@
 def _refusal_answer(refusal: Refusal) -> Answer:
     if refusal.ran is None:
         return 504, {}, {}
+    if refusal.is_overload:
+        headers = {"Retry-After": str(max(1, math.ceil(refusal.retry_after_s)))}
+        body = {"retryAfterMs": int(refusal.retry_after_s * 1000), "error": refusal.reason}
+        return 429, body, headers
     headers = {"Retry-After": str(max(1, round(refusal.retry_after_s)))}
     return 503, {"retryAfterMs": int(refusal.retry_after_s * 1000)}, headers
 
