--- a/tests/jobs/test_intake.py
+++ b/tests/jobs/test_intake.py
@@ -8,6 +8,7 @@
 
 from fescuerudder.clock import ManualClock
 from fescuerudder.document import Size
+from fescuerudder.jobs.admission import RefusalReason
 from fescuerudder.jobs.claim import Heartbeat, dump_row
 from fescuerudder.jobs.intake import (
     MAX_OUTAGE_RETRY_S,
@@ -50,7 +51,7 @@
         return REFUSED if self.rows is None else store_row(self.rows, message, timeout_s=timeout_s)
 
 
-def make_intake(rows, leader=None, *, clock=None, store_down_s=lambda: 0.0):
+def make_intake(rows, leader=None, *, clock=None, store_down_s=lambda: 0.0, **fields):
     return JobIntake(
         store=rows,
         clock=clock or ManualClock(),
@@ -59,6 +60,7 @@
         leader=leader or FakeLeader(),
         store_down_s=store_down_s,
         rng=random.Random(1),
+        **fields,
     )
 
 
@@ -257,3 +259,62 @@
         intake.cancel(JOB.id, deadline_s=3.0),
     ):
         assert answer.is_err() and answer.err().ran is False
+
+
+@attrs.define
+class FakeGate:
+    """Refuses every job while it is closed."""
+
+    is_closed: bool = True
+    refused: list = attrs.Factory(list)
+
+    def check(self, job, *, patience_s):
+        return FakeRefused() if self.is_closed else None
+
+    def record_refused(self, job, refused):
+        self.refused.append(job.id)
+
+
+@attrs.frozen
+class FakeRefused:
+    """A refusal because of load."""
+
+    reason: RefusalReason = RefusalReason.LATE
+    retry_after_s: float = 2.5
+
+
+def test_a_job_that_is_refused_because_of_load_is_not_stored():
+    """Guards against a job that runs although its caller was told that it doesn't."""
+    rows, gate = MemoryRowStore(), FakeGate()
+    refusal = make_intake(rows, gate=gate).submit(JOB, deadline_s=3.0).err_value
+    assert (refusal.ran, refusal.is_overload, refusal.retry_after_s) == (False, True, 2.5)
+    assert rows.get(job_key(JOB.id)) is None and gate.refused == [JOB.id]
+
+
+@pytest.mark.parametrize("known_by", ["this instance", "another one", "a write without an answer"])
+def test_a_job_that_may_be_stored_is_not_refused_because_of_load(known_by):
+    """Guards against "not run" for a job that runs, as when its caller repeats it after a 504."""
+    rows, gate = MemoryRowStore(), FakeGate(is_closed=False)
+    intake = make_intake(rows, gate=gate)
+    if known_by == "a write without an answer":
+        rows.faults.lose_writes = 99
+        assert intake.submit(JOB, deadline_s=3.0).err_value.ran is None
+        rows.faults.lose_writes = 0
+    else:
+        first = intake if known_by == "this instance" else make_intake(rows)
+        assert first.submit(JOB, deadline_s=3.0) == Ok(None)
+    gate.is_closed = True
+    assert intake.submit(JOB, deadline_s=3.0) == Ok(None)
+
+
+@pytest.mark.parametrize("is_known_down", [False, True])
+def test_no_job_is_refused_because_of_load_while_the_store_does_not_answer(is_known_down):
+    """Guards against a refusal of an ID that may be stored, and a slow store taken for load."""
+    lookup, rows, gate = MemoryRowStore(), MemoryRowStore(), FakeGate()
+    lookup.faults.down = True
+    intake = make_intake(
+        rows, gate=gate, lookup=lookup, store_down_s=lambda: 1.0 if is_known_down else 0.0
+    )
+    answer = intake.submit(JOB, deadline_s=3.0)
+    assert answer.is_ok() is not is_known_down
+    assert not gate.refused and (is_known_down or rows.get(job_key(JOB.id)) is not None)
--- a/tests/jobs/test_links.py
+++ b/tests/jobs/test_links.py
@@ -18,8 +18,16 @@
 from fescuerudder.jobs.configwatch import MAX_CONFIRMATION_AGE_S
 from fescuerudder.jobs.followerlink import MAX_PULSE_AGE_S, RECONNECT_S
 from fescuerudder.jobs.jobrun import JobState
-from fescuerudder.jobs.leaderlink import PULSE_INTERVAL_S, _encode
-from fescuerudder.jobs.linkmessages import Pulse, StoreJob
+from fescuerudder.jobs.leaderlink import CODEC, PULSE_INTERVAL_S, _encode
+from fescuerudder.jobs.linkmessages import (
+    Follow,
+    JobsRefused,
+    LoadReport,
+    Pulse,
+    RefusedEntry,
+    StoreJob,
+)
+from fescuerudder.jobs.loadsummary import LoadSummary, QueueLoad
 from fescuerudder.jobs.manifest import Manifest
 from tests.jobs.link_simulation import JOB, LIMIT_S, wait_until
 
@@ -217,3 +225,71 @@
     """Guards against memory that one message fills, and errors that end a link."""
     with pytest.raises(PeerError):
         unpack(data, ConfigView)
+
+
+LOAD = LoadSummary(
+    queues={"q": QueueLoad(name="q", mean_work=1.5, first_start_s=None, oldest_s=2.0)}
+)
+REFUSED = JobsRefused(
+    jobs=(
+        RefusedEntry(
+            job=JOB,
+            pool="pool",
+            priority=1,
+            density_class=0,
+            work=(2.0, 1.0, 0.0),
+            expected_in_s=3.0,
+            tries=1,
+        ),
+    )
+)
+
+
+def with_load(links, refused):
+    """Returns the source of a leader whose summary is half a second old."""
+    return attrs.evolve(
+        links.source,
+        load=lambda: (links.clock.now_s() - 0.5, LOAD),
+        on_refused=refused.append,
+    )
+
+
+def test_followers_receive_the_load_with_its_age_and_share_refusals(links):
+    """Guards against refusals by an old load, and returning jobs that are taken for new ones."""
+    at_leader, at_other = [], []
+    links.leader.activate(with_load(links, at_leader))
+    link, other = links.follow("f"), links.follow("other")
+    other._on_refused = at_other.append
+    wait_until(lambda: link.load is not None and other.load is not None)
+    assert link.load.summary == LOAD
+    assert 0.5 <= links.clock.now_s() - link.load.made_s < 0.5 + LIMIT_S
+    link.share_refusals(REFUSED)
+    wait_until(lambda: at_leader == [REFUSED] and at_other == [REFUSED])
+    links.leader.share_refusals(REFUSED)
+    wait_until(lambda: at_other == [REFUSED, REFUSED])
+
+
+def test_instances_of_the_previous_version_get_no_message_that_they_cannot_read(links, monkeypatch):
+    """Guards against links that end during a rolling restart, on either side."""
+    links.leader.activate(with_load(links, []))
+    old = links.follow("old")
+    received = []
+    handle = old._handle
+    monkeypatch.setattr(old, "_hello", lambda: Follow(instance="old", takes_patches=True))
+    monkeypatch.setattr(
+        old,
+        "_handle",
+        lambda claim, data: (
+            received.append(type(CODEC.decode(data).message)) or handle(claim, data)
+        ),
+    )
+    new = links.follow("new")
+    wait_until(lambda: new.load is not None)
+    links.leader.share_refusals(REFUSED)
+    wait_until(lambda: received.count(Pulse) >= 3)
+    assert not {LoadReport, JobsRefused} & set(received) and old.load is None
+    # A leader of the previous version sends no load, so a follower sends it no refusals.
+    sent = []
+    monkeypatch.setattr(old._loop, "call", lambda *call: sent.append(call))
+    old.share_refusals(REFUSED)
+    assert sent == []
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -129,3 +129,12 @@
     intake = FakeIntake()
     assert call(intake, "POST", f"/q/{ID}", body=body)[0] == 400
     assert not intake.jobs
+
+
+@pytest.mark.parametrize(("wait_s", "seconds"), [(0.4, "1"), (1.0, "1"), (2.3, "3")])
+def test_a_refusal_because_of_load_names_whole_seconds(wait_s, seconds):
+    """Guards against callers that return before capacity is likely, or don't know why."""
+    refusal = Err(Refusal(reason="not enough", retry_after_s=wait_s, is_overload=True))
+    status, body, fields = call(FakeIntake(refusal), "POST", f"/q/{ID}", body=JOB)
+    assert (status, fields["Retry-After"]) == (429, seconds)
+    assert body == {"retryAfterMs": int(wait_s * 1000), "error": "not enough"}
