Admission: callers that can't wait are not refused for being late

Retry-After is now when the job would be in time; where half the caller's deadline is shorter, a late job is accepted.

--- a/fescuerudder/jobs/admission.py
+++ b/fescuerudder/jobs/admission.py
@@ -44,6 +44,10 @@
 LATE_FACTOR = 1.25
 """Multiple of its objective that a job may be predicted to take."""
 
+RETRY_FACTOR = 1.0
+"""Multiple of its objective that a job should take once its caller returns. It is lower than
+LATE_FACTOR: a job that is delayed and late all the same would have done better at once."""
+
 RETURN_BONUS = 0.5
 """Further multiple for each earlier refusal, so that no job is refused again and again."""
 
@@ -60,7 +64,8 @@
 this share, so that callers don't return together."""
 
 PATIENCE_SHARE = 0.5
-"""Share of the caller's deadline after which it is asked to return at the latest."""
+"""Share of the caller's deadline after which it is asked to return at the latest. If that is too
+early for a late job to be in time, it is accepted, as its caller would give up."""
 
 
 class RefusalReason(enum.Enum):
@@ -170,9 +175,13 @@
         reason = _reason(prediction, limit, has_live_jobs=queue.name in summary.queues)
         if reason is None:
             return None
+        expected_s = _expected_s(prediction, reason, limit)
+        if reason is RefusalReason.LATE and expected_s > PATIENCE_SHARE * patience_s:
+            # Its caller would give up before there is capacity, which costs more than being late.
+            return None
         return Refused(
             reason=reason,
-            retry_after_s=self._retry_after_s(prediction, reason, limit, patience_s),
+            retry_after_s=self._retry_after_s(expected_s, patience_s),
             tries=tries + 1,
             prediction=prediction,
             summary_age_s=age_s,
@@ -224,12 +233,8 @@
             wait_s=_wait_s(ahead, need, pool),
         )
 
-    def _retry_after_s(
-        self, prediction: Prediction, reason: RefusalReason, limit: float, patience_s: float
-    ) -> float:
-        """Returns the time until the wait has fallen to what is admitted, spread."""
-        factor = limit if reason is RefusalReason.LATE else EXPIRY_FACTOR
-        expected_s = prediction.end_s - factor * prediction.limit_s
+    def _retry_after_s(self, expected_s: float, patience_s: float) -> float:
+        """Returns the time until the wait has fallen to what is admitted, bounded and spread."""
         expected_s = min(expected_s, MAX_RETRY_S, PATIENCE_SHARE * patience_s)
         spread = self._rng.uniform(1 - RETRY_SPREAD, 1 + RETRY_SPREAD)
         return max(MIN_RETRY_S, expected_s) * spread
@@ -267,6 +272,12 @@
     return None
 
 
+def _expected_s(prediction: Prediction, reason: RefusalReason, late_limit: float) -> float:
+    """Returns the time until the wait has fallen to what is admitted, in seconds."""
+    factor = RETRY_FACTOR if reason is RefusalReason.LATE else EXPIRY_FACTOR
+    return max(0.0, prediction.end_s - factor * prediction.limit_s)
+
+
 def _share_ahead(row: WaitingWork, place: tuple[int, int], limit_s: float) -> float:
     """Returns the share of waiting work that goes before a new job.
 
