Admission: the time to return counts urgent arrivals, capacity counts quarantined workers

Callers returned while more urgent work still took the capacity, and a quarantine for slow tasks made 72 of 96 cores of it, so that jobs were refused that ended in time.

--- a/fescuerudder/jobs/admission.py
+++ b/fescuerudder/jobs/admission.py
@@ -175,7 +175,7 @@
         reason = _reason(prediction, limit, has_live_jobs=queue.name in summary.queues)
         if reason is None:
             return None
-        expected_s = _expected_s(prediction, reason, limit)
+        expected_s = _expected_s(prediction, reason)
         if reason is RefusalReason.LATE and expected_s > PATIENCE_SHARE * patience_s:
             # Its caller would give up before there is capacity, which costs more than being late.
             return None
@@ -272,10 +272,19 @@
     return None
 
 
-def _expected_s(prediction: Prediction, reason: RefusalReason, late_limit: float) -> float:
-    """Returns the time until the wait has fallen to what is admitted, in seconds."""
+def _expected_s(prediction: Prediction, reason: RefusalReason) -> float:
+    """Returns the time until the wait has fallen to what is admitted, in seconds.
+
+    More urgent jobs keep arriving meanwhile; where they take everything, the time is infinite.
+    """
     factor = RETRY_FACTOR if reason is RefusalReason.LATE else EXPIRY_FACTOR
-    return max(0.0, prediction.end_s - factor * prediction.limit_s)
+    excess_s = max(0.0, prediction.end_s - factor * prediction.limit_s)
+    pool, (priority, _) = prediction.pool, prediction.place
+    done = pool.capacity.processors * pool.speed
+    urgent = sum(rate for other, rate in pool.arriving.items() if other < priority)
+    if prediction.need.processors <= 0.0 or done <= 0.0:
+        return excess_s
+    return excess_s * done / (done - urgent) if urgent < done else math.inf
 
 
 def _share_ahead(row: WaitingWork, place: tuple[int, int], limit_s: float) -> float:
--- a/fescuerudder/jobs/loadsamples.py
+++ b/fescuerudder/jobs/loadsamples.py
@@ -46,10 +46,29 @@
         self.updated_s = now_s
 
 
+@attrs.define(kw_only=True)
+class _Arrivals:
+    """Decaying sum of the work that arrived.
+
+    Args:
+        work: core seconds.
+        updated_s: when the sum last decayed.
+    """
+
+    work: float = 0.0
+    updated_s: float = 0.0
+
+    def decay(self, now_s: float) -> None:
+        """Reduces the weight of earlier arrivals."""
+        self.work *= 0.5 ** ((now_s - self.updated_s) / HALF_LIFE_S)
+        self.updated_s = now_s
+
+
 class LoadSamples:
-    """Run times by pool and waits up to the first start by queue, within one term."""
+    """Run times and arrivals by pool, waits up to the first start by queue, within one term."""
 
     def __init__(self) -> None:
+        self._arrivals: dict[tuple[str, int], _Arrivals] = {}
         self._ends: dict[str, _Ends] = {}
         self._first_starts: dict[str, float] = {}
         self.first_end_s = math.inf
@@ -82,6 +101,21 @@
             return 1.0
         return max(MIN_SPEED, min(MAX_SPEED, ends.estimated / ends.real))
 
+    def record_arrival(self, pool: str, priority: int, *, work: float, now_s: float) -> None:
+        """Records the estimated work of a new job, in core seconds."""
+        arrivals = self._arrivals.setdefault((pool, priority), _Arrivals(updated_s=now_s))
+        arrivals.decay(now_s)
+        arrivals.work += work
+
+    def arriving(self, pool: str, now_s: float) -> dict[int, float]:
+        """Returns the core seconds a second that arrived in a pool lately, by priority."""
+        rates = {}
+        for (name, priority), arrivals in self._arrivals.items():
+            if name == pool:
+                arrivals.decay(now_s)
+                rates[priority] = arrivals.work * math.log(2) / HALF_LIFE_S
+        return rates
+
     def record_first_start(self, queue: str, waited_s: float) -> None:
         """Records how long a job waited from its acceptance until its first task ran."""
         mean_s = self._first_starts.pop(queue, waited_s)
--- a/fescuerudder/jobs/loadsummarizer.py
+++ b/fescuerudder/jobs/loadsummarizer.py
@@ -39,8 +39,8 @@
     """Figures of one pool while a summary is made.
 
     Args:
-        capacity: capacity of its usable workers, less what long-running tasks hold.
-        total: capacity of its usable workers.
+        capacity: capacity of its workers in service, less what long-running tasks hold.
+        total: capacity of the workers that may get tasks.
         unused: what is not reserved there.
         free: for each resource, the most that is free on one worker.
         waiting: work and work times time left, by priority and class of density.
@@ -105,18 +105,34 @@
             self._scarce_since_s.clear()
             self._works.clear()
             return LoadSummary()
-        self._subtract_long_running(pools, {load.record.id for load in loads})
+        serving = self._add_capacities(pools)
+        self._subtract_long_running(pools, serving)
         queues = self._add_waiting(pools, now_s)
         return LoadSummary(pools=self._short_pools(pools, now_s), queues=queues)
 
-    def _subtract_long_running(self, pools: dict[str, _PoolState], usable: set[str]) -> None:
-        """Subtracts what long-running tasks hold on usable workers from the capacities."""
+    def _add_capacities(self, pools: dict[str, _PoolState]) -> set[str]:
+        """Adds the capacities of all workers in service; returns their ids.
+
+        A worker in quarantine counts: its tasks run on, and it is tried again within seconds.
+        """
+        serving = set()
+        for record in self._state.workers.values():
+            info, pool = record.info, pools.get(record.info.pool)
+            is_away = record.gone or record.is_silent or not record.listed or info.draining
+            if pool is None or is_away or info.zone in self._state.zones_out:
+                continue
+            pool.capacity = pool.capacity.plus(amount_of(info.capacity))
+            serving.add(record.id)
+        return serving
+
+    def _subtract_long_running(self, pools: dict[str, _PoolState], serving: set[str]) -> None:
+        """Subtracts what long-running tasks hold on workers in service from the capacities."""
         for step in self._state.open_steps:
             queue = self._state.queues.get(step.job.job.queue)
             pool = pools.get(queue.pool) if queue is not None else None
             if pool is None or not step.spec.long_running or step.spec.best_effort:
                 continue
-            held = sum(1 for attempt in step.live_attempts() if attempt.worker in usable)
+            held = sum(1 for attempt in step.live_attempts() if attempt.worker in serving)
             pool.capacity = pool.capacity.plus(amount_of(step.spec.size), -held)
 
     def _add_waiting(self, pools: dict[str, _PoolState], now_s: float) -> dict[str, QueueLoad]:
@@ -188,6 +204,7 @@
                 free=pool.free,
                 speed=self._state.load_samples.speed(name, now_s),
                 waiting=rows,
+                arriving=self._state.load_samples.arriving(name, now_s),
             )
         return loads
 
@@ -206,7 +223,6 @@
         pool.total = pool.total.plus(capacity)
         pool.unused = pool.unused.plus(free)
         pool.free = Amount(*map(max, pool.free, free))
-        pool.capacity = pool.total
     return pools
 
 
--- a/fescuerudder/jobs/loadsummary.py
+++ b/fescuerudder/jobs/loadsummary.py
@@ -86,10 +86,11 @@
     Args:
         name: name of the pool.
         scarce_s: time for which it has been short of capacity.
-        capacity: what jobs that end may use on all usable workers together.
+        capacity: what jobs that end may use on all workers in service together.
         free: for each resource, the most that is free on one worker.
         speed: ratio of the estimated to the real run time of tasks that ended lately.
         waiting: work that is not done.
+        arriving: core seconds a second of new jobs, by priority.
     """
 
     name: str
@@ -98,6 +99,7 @@
     free: Amount
     speed: float = 1.0
     waiting: tuple[WaitingWork, ...] = ()
+    arriving: dict[int, float] = attrs.Factory(dict)
 
 
 @attrs.frozen(kw_only=True)
@@ -187,11 +189,12 @@
     ]
     speed = round(pool.speed * SPEED_UNIT)
     amounts = [_dump_amount(pool.capacity), _dump_amount(pool.free)]
-    return [pool.name, _tenths(pool.scarce_s), *amounts, speed, rows]
+    arriving = [[priority, _tenths(rate)] for priority, rate in pool.arriving.items()]
+    return [pool.name, _tenths(pool.scarce_s), *amounts, speed, rows, arriving]
 
 
 def _load_pool(raw: Any) -> PoolLoad:
-    name, scarce, capacity, free, speed, rows = checked.items(raw)[:6]
+    name, scarce, capacity, free, speed, rows, arriving = checked.items(raw)[:7]
     return PoolLoad(
         name=checked.name(name),
         scarce_s=_value(scarce),
@@ -199,6 +202,7 @@
         free=_load_amount(free),
         speed=checked.whole(speed, least=1) / SPEED_UNIT,
         waiting=tuple(_load_row(row) for row in checked.items(rows)),
+        arriving={priority: _value(rate) for priority, rate in checked.items(arriving)},
     )
 
 
--- a/fescuerudder/jobs/scheduler.py
+++ b/fescuerudder/jobs/scheduler.py
@@ -146,6 +146,7 @@
             if stored.job.id not in self.state.jobs:
                 run = JobRun.create(job=stored.job, version=stored.version, received_s=now_s)
                 self.state.add_job(run)
+                self.state.record_arrival(run)
                 self.stored_states[stored.job.id] = JobState.QUEUED
                 _log.info("job known", job=stored.job.id, queue=stored.job.queue)
 
--- a/fescuerudder/jobs/schedulerstate.py
+++ b/fescuerudder/jobs/schedulerstate.py
@@ -178,6 +178,15 @@
             run.state = JobState.RUNNING
         self.mark_dirty(run)
 
+    def record_arrival(self, run: JobRun) -> None:
+        """Records the work of a new job, unless it doesn't end or runs repeatedly."""
+        queue = self.queues.get(run.job.queue)
+        keeps_capacity = any(step.long_running for step in run.job.steps)
+        if queue is not None and not keeps_capacity and run.job.repetition is None:
+            self.load_samples.record_arrival(
+                queue.pool, queue.priority, work=run.work, now_s=self.clock.now_s()
+            )
+
     def record_run_time(self, attempt: Attempt, run_s: float) -> None:
         """Records how long a task that is done ran, from its first to its last second."""
         spec, record = attempt.task.step.spec, self.workers.get(attempt.worker)
--- a/tests/jobs/test_admission.py
+++ b/tests/jobs/test_admission.py
@@ -152,6 +152,19 @@
     assert (refused is not None) is is_refused
 
 
+@pytest.mark.parametrize(
+    ("arriving", "factor"), [({}, 1.0), ({0: 50.0}, 2.0), ({1: 50.0, 2: 50.0}, 1.0)]
+)
+def test_callers_return_later_while_urgent_work_arrives(arriving, factor):
+    """Guards against callers that return before the work that goes before them has been done."""
+    later = [
+        decide(admission(), load(LATE_S + 2.0, arriving=rates)).retry_after_s
+        for rates in ({}, arriving)
+    ]
+    assert later[1] == pytest.approx(factor * later[0])
+    assert decide(admission(), load(LATE_S, arriving={0: 200.0})) is None
+
+
 def test_admission_does_not_flap():
     """Guards against a caller that is refused while a later one of its queue is admitted."""
     gate, edge = admission(), load(0.9 * LATE_S - 1.0)
--- a/tests/jobs/test_loadsummary.py
+++ b/tests/jobs/test_loadsummary.py
@@ -29,6 +29,7 @@
             capacity=Amount(1000.5 + n, 2000.5 + 3 * n, 8.0 * n),
             free=Amount(0.5 * n, 3.5, 0.0),
             speed=0.75,
+            arriving={0: 17.5 + n, 2: 3.5},
             waiting=tuple(
                 WaitingWork(n % 3, cls, Amount(997.5 * n + cls, 71.5 * n, 5.5), 2.5 + cls)
                 for cls in range(4)
@@ -94,6 +95,7 @@
     assert pool.free.processors < 1.0
     # Each task takes a second and was estimated to take two; the rest is what is not done.
     assert 1.5 <= pool.speed <= 2.0
+    assert 0.0 < pool.arriving[0] < 200.0 * 0.7 / 5.0
     done = sum(event[4] == "done" for event in sim.events)
     assert sum(row.work.processors for row in pool.waiting) == pytest.approx(
         2.0 * (100 - done), abs=20
