--- a/fescuerudder/jobs/admission.py
+++ b/fescuerudder/jobs/admission.py
@@ -41,7 +41,7 @@
 CERTAIN_PATH_SHARE = 0.1
 """Share of a job's own chain of steps that is certain, as estimates are off by up to 0.9."""
 
-LATE_FACTOR = 1.25
+LATE_FACTOR = 1.35
 """Multiple of its objective that a job may be predicted to take."""
 
 RETRY_FACTOR = 1.0
