Links: refusals go out with the pulses

A message for each refusal to each follower would grow with the number of instances squared in an overload. The leader collects them and sends at most 500 with a pulse; instances leave out jobs that they know as stored.

--- a/fescuerudder/jobs/leaderlink.py
+++ b/fescuerudder/jobs/leaderlink.py
@@ -33,6 +33,7 @@
     JobsRefused,
     LoadReport,
     Pulse,
+    RefusedEntry,
     StoreJob,
     StoreOutcome,
 )
@@ -43,6 +44,7 @@
 """Time between two checks for a changed configuration, which is then sent to followers."""
 
 STATES_PER_PULSE = 2000
+MAX_REFUSALS_PER_PULSE = 500
 MAX_MESSAGE_BYTES = 1024 * 1024
 OPEN_TIMEOUT_S = 2.0
 CLOSE_TIMEOUT_S = 0.2
@@ -125,6 +127,7 @@
         self._unsent_states: dict[str, str] = {}
         self._pending: dict[str, int] = {}
         self._sent_load_s = -math.inf
+        self._unsent_refusals: list[RefusedEntry] = []
         self._pulse_task: asyncio.Task | None = None
         self._config_task: asyncio.Task | None = None
         self._sent_config = ConfigView()
@@ -157,7 +160,7 @@
 
     def share_refusals(self, message: JobsRefused) -> None:
         """Tells the followers of jobs that were refused because of load."""
-        self._loop.call(self._pass_on_refusals, message, None)
+        self._loop.call(self._add_refusals, message)
 
     def find_successor(self, *, asked: Collection[str] = ()) -> str | None:
         """Returns the id of the eligible follower with the lowest rank, or None if there is none.
@@ -212,6 +215,7 @@
     def _set_source(self, source: LinkSource | None) -> None:
         self._source = source
         self._unsent_states.clear()
+        self._unsent_refusals.clear()
         self._sent_config, self._whole_config = ConfigView(), None
         self._sent_load_s = -math.inf
         for conn in list(self._followers):
@@ -265,7 +269,7 @@
             await self._send_whole_config(follower)
         elif isinstance(message, JobsRefused) and self._source is not None:
             self._source.on_refused(message)
-            self._pass_on_refusals(message, follower)
+            self._add_refusals(message)
         elif isinstance(message, StoreJob) and self._source is not None:
             task = asyncio.create_task(self._store(follower, envelope.number, message))
             task.add_done_callback(log_failure("row of a follower not answered"))
@@ -300,6 +304,7 @@
         )
         broadcast(list(self._followers), _encode(pulse))
         self._broadcast_load(self._source)
+        self._broadcast_refusals()
 
     def _broadcast_load(self, source: LinkSource) -> None:
         """Sends the load summary to the followers that take it, unless it was sent before."""
@@ -312,12 +317,18 @@
         report = LoadReport(epoch=source.claim.epoch, form=dump_summary(summary), age_s=age_s)
         broadcast(takers, _encode(report))
 
-    def _load_takers(self, *, but: _Follower | None = None) -> list[ServerConnection]:
-        followers = self._followers.values()
-        return [f.conn for f in followers if f.hello.takes_load and f is not but]
+    def _load_takers(self) -> list[ServerConnection]:
+        return [f.conn for f in self._followers.values() if f.hello.takes_load]
 
-    def _pass_on_refusals(self, message: JobsRefused, sender: _Follower | None) -> None:
-        broadcast(self._load_takers(but=sender), _encode(message))
+    def _add_refusals(self, message: JobsRefused) -> None:
+        self._unsent_refusals += message.jobs
+
+    def _broadcast_refusals(self) -> None:
+        """Sends the refusals since the last pulse; beyond a limit only the latest ones."""
+        entries, self._unsent_refusals = self._unsent_refusals, []
+        if entries:
+            message = JobsRefused(jobs=tuple(entries[-MAX_REFUSALS_PER_PULSE:]))
+            broadcast(self._load_takers(), _encode(message))
 
     def _config_age_s(self, config: ConfigProvider) -> float | None:
         """Returns the age of the configuration that was sent, None if there is a newer one."""
--- a/fescuerudder/jobs/node.py
+++ b/fescuerudder/jobs/node.py
@@ -280,7 +280,9 @@
         )
 
     def _learn_refusals(self, message: JobsRefused) -> None:
-        self._gate.learn(message.jobs)
+        # A job may be stored by now.
+        unknown = [entry for entry in message.jobs if self._states.get(entry.job) is None]
+        self._gate.learn(unknown)
 
     def _follower_status(self) -> FollowerStatus:
         return FollowerStatus(
