Admission: certain means that no job ahead may drop behind

Jobs of the same priority that turn late go after a new one, and refused jobs may not return, so neither makes it certain that a job comes too late. Such a job was refused as of no use although it might have ended in time.

--- a/fescuerudder/jobs/admission.py
+++ b/fescuerudder/jobs/admission.py
@@ -36,7 +36,7 @@
 """Time for which a pool must have been short of capacity before anything is refused."""
 
 CERTAIN_SHARE = 0.6
-"""Share of the predicted wait that is certain, as many tasks are added up in it."""
+"""Share of the wait for what stays ahead that is certain, as many tasks are added up in it."""
 
 CERTAIN_PATH_SHARE = 0.1
 """Share of a job's own chain of steps that is certain, as estimates are off by up to 0.9."""
@@ -88,6 +88,8 @@
         ahead: resources times seconds that go before it.
         reserved: the part of `ahead` that belongs to jobs that were refused.
         wait_s: time until the work ahead is done.
+        sure_wait_s: the same for what stays ahead: jobs of the same priority that turn late drop
+            behind it, and refused ones may not return.
     """
 
     pool: PoolLoad
@@ -98,6 +100,7 @@
     ahead: Amount
     reserved: Amount
     wait_s: float
+    sure_wait_s: float
 
     @property
     def end_s(self) -> float:
@@ -107,7 +110,7 @@
     @property
     def certain_s(self) -> float:
         """Time before which the job certainly doesn't end."""
-        return CERTAIN_SHARE * self.wait_s + CERTAIN_PATH_SHARE * self.path_s
+        return CERTAIN_SHARE * self.sure_wait_s + CERTAIN_PATH_SHARE * self.path_s
 
 
 @attrs.frozen(kw_only=True)
@@ -219,9 +222,14 @@
         density_class = new_job_class(need.processors / mean if mean > 0.0 else 1.0)
         place = (queue.priority, density_class)
         reserved = self.refused.reserved(queue.pool, *place) if is_new else Amount()
-        ahead = reserved
+        ahead, sure = reserved, Amount()
         for row in pool.waiting:
-            ahead = ahead.plus(row.work, _share_ahead(row, place, limit_s))
+            share = _share_ahead(row, place, limit_s)
+            if share <= 0.0:
+                continue
+            work = Amount().plus(row.work, share)
+            ahead = ahead.plus(work)
+            sure = sure.plus(work if row.priority < place[0] else _done_in_time(work, row, pool))
         return Prediction(
             pool=pool,
             place=place,
@@ -231,6 +239,7 @@
             ahead=ahead,
             reserved=reserved,
             wait_s=_wait_s(ahead, need, pool),
+            sure_wait_s=_wait_s(sure, need, pool),
         )
 
     def _retry_after_s(self, expected_s: float, patience_s: float) -> float:
@@ -299,6 +308,12 @@
     return min(1.0, limit_s / (2 * row.left_s)) if row.left_s > 0.0 else 1.0
 
 
+def _done_in_time(work: Amount, row: WaitingWork, pool: PoolLoad) -> Amount:
+    """Returns as much of some work as can be done before the latest deadline of its jobs."""
+    seconds = 2 * row.left_s * pool.speed
+    return Amount(*(min(w, seconds * c) for w, c in zip(work, pool.capacity, strict=True)))
+
+
 def _wait_s(ahead: Amount, need: Amount, pool: PoolLoad) -> float:
     """Returns the time until the work ahead is done, by the resource that takes longest.
 
--- a/fescuerudder/jobs/admissiongate.py
+++ b/fescuerudder/jobs/admissiongate.py
@@ -129,6 +129,7 @@
         priority=prediction.place[0],
         density_class=prediction.place[1],
         wait_s=round(prediction.wait_s, 2),
+        sure_wait_s=round(prediction.sure_wait_s, 2),
         path_s=round(prediction.path_s, 2),
         objective_s=round(prediction.limit_s, 2),
         ahead=[round(value, 1) for value in prediction.ahead],
