--- a/tests/jobs/test_admission.py
+++ b/tests/jobs/test_admission.py
@@ -212,7 +212,7 @@
 
 
 def test_a_decision_takes_less_than_50_microseconds():
-    """Guards against admission as a cost of its own, with 24 rows of work and 2,000 refused jobs."""
+    """Guards against admission as a cost of its own, with 24 rows and 2,000 refused jobs."""
     gate = admission()
     rows = tuple(WaitingWork(n % 3, n // 3, Amount(10.0, 10.0), 5.0) for n in range(24))
     summary = load(LONG_S, waiting=rows)
