Split planner, scheduler, leader and job progress into smaller modules

Change: grouping of steps, opening of steps, expiry of leases, run times of chains and calls for advice get modules of their own. No decision changes.

--- a/fescuerudder/jobs/jobrun.py
+++ b/fescuerudder/jobs/jobrun.py
@@ -6,6 +6,11 @@
 
 import attrs
 
+from fescuerudder.jobs.criticalpath import (
+    critical_path_ms,
+    estimated_run_ms,
+    remaining_path_ms,
+)
 from fescuerudder.jobs.job import Job, Step, StepId, TaskId
 
 FULL_SPEED = 100
@@ -331,10 +336,6 @@
         return is_same_index and task.id.occurrence == own.occurrence
 
 
-def _estimated_ms(step: Step) -> float:
-    return step.estimated_ms
-
-
 @attrs.define(eq=False, kw_only=True)
 class JobRun:
     """A job and its progress.
@@ -385,10 +386,8 @@
     @classmethod
     def create(cls, *, job: Job, version: int, received_s: float) -> "JobRun":
         """Returns a job of which no task has started."""
-        critical_path_ms = _critical_path_ms(job)
-        run = cls(
-            job=job, version=version, received_s=received_s, critical_path_ms=critical_path_ms
-        )
+        path_ms = critical_path_ms(job)
+        run = cls(job=job, version=version, received_s=received_s, critical_path_ms=path_ms)
         for occurrence in range(job.occurrences):
             for number, spec in enumerate(job.steps):
                 step = StepRun(job=run, occurrence=occurrence, number=number, spec=spec)
@@ -421,7 +420,7 @@
         return step.task(task_id.index) if step is not None else None
 
     def remaining_path_ms(
-        self, number: int, run_ms: Callable[[Step], float] = _estimated_ms
+        self, number: int, run_ms: Callable[[Step], float] = estimated_run_ms
     ) -> float:
         """Returns the run time of the longest chain of steps that begins with a step.
 
@@ -429,14 +428,7 @@
             number: number of the step.
             run_ms: returns the run time of a task of a step, the submitted estimate by default.
         """
-        steps = self.job.steps
-        # Longest chain that begins with a step that depends on the given one.
-        chains = [0.0] * len(steps)
-        for k in range(len(steps) - 1, number, -1):
-            path_ms = run_ms(steps[k]) + chains[k]
-            for earlier in steps[k].after:
-                chains[earlier] = max(chains[earlier], path_ms)
-        return run_ms(steps[number]) + chains[number]
+        return remaining_path_ms(self.job.steps, number, run_ms)
 
     def may_open(self, step: StepRun) -> bool:
         """Returns whether all steps that `step` depends on are done."""
@@ -495,15 +487,3 @@
         self.cancel_requested = True
         self.state = JobState.CANCELLED
         self.dirty = True
-
-
-def _critical_path_ms(job: Job) -> int:
-    """Returns the estimated run time of the longest chain of steps, in milliseconds.
-
-    A step depends only on steps before it.
-    """
-    ends: list[int] = []
-    for step in job.steps:
-        begins = max((ends[number] for number in step.after if number < len(ends)), default=0)
-        ends.append(begins + step.estimated_ms)
-    return max(ends, default=0)
--- a/fescuerudder/jobs/leader.py
+++ b/fescuerudder/jobs/leader.py
@@ -19,7 +19,8 @@
 from fescuerudder.clock import Clock
 from fescuerudder.errors import StoreOutcomeUnknownError, StoreUnavailableError
 from fescuerudder.jobs._loopthread import LoopThread
-from fescuerudder.jobs.adviceport import AdvicePort, AdviceQuery, AdviceUnavailableError
+from fescuerudder.jobs.advicecall import ask_advice
+from fescuerudder.jobs.adviceport import AdvicePort, AdviceQuery
 from fescuerudder.jobs.answertimes import AnswerTimes
 from fescuerudder.jobs.claim import Claim
 from fescuerudder.jobs.configview import ConfigView
@@ -44,7 +45,6 @@
 from fescuerudder.jobs.schedulerstate import Term
 from fescuerudder.jobs.takeover import LoadedState
 from fescuerudder.jobs.termevents import (
-    Advised,
     Answered,
     Batch,
     Configured,
@@ -308,7 +308,9 @@
         if isinstance(order, RenewOrder):
             return await self._renew(order)
         if isinstance(order, AdviceQuery):
-            return await asyncio.wrap_future(self._advice_calls.submit(self._ask_advice, order))
+            return await asyncio.wrap_future(
+                self._advice_calls.submit(ask_advice, self._advice, order, clock=self._clock)
+            )
         if started_s - planned_s > MAX_ORDER_QUEUE_S:
             _log.warning(
                 "order dropped", order=type(order).__name__, queued_s=started_s - planned_s
@@ -355,16 +357,6 @@
             return Silent(order=order, sent_s=sent_s, reason=str(exc))
         return Reported(order=order, report=report, sent_s=sent_s)
 
-    def _ask_advice(self, query: AdviceQuery) -> Advised:
-        sent_s, advice = self._clock.now_s(), None
-        try:
-            if self._advice is None:
-                raise AdviceUnavailableError("the settings name no advice service")
-            advice = self._advice.ask(query)
-        except AdviceUnavailableError as exc:
-            _log.warning("no advice", job=query.step.job, step=query.step[1:], reason=str(exc))
-        return Advised(query=query, advice=advice, sent_s=sent_s)
-
     # --- loops
 
     def _tick(self) -> None:
--- a/fescuerudder/jobs/scheduler.py
+++ b/fescuerudder/jobs/scheduler.py
@@ -14,6 +14,7 @@
 from fescuerudder.jobs.jobhistory import JobHistory, MoveBatch, ended_jobs
 from fescuerudder.jobs.jobrun import FULL_SPEED, JobRun, JobState, Phase
 from fescuerudder.jobs.latestarts import StoredLateStart
+from fescuerudder.jobs.leaseexpiry import expire_leases
 from fescuerudder.jobs.leases import LeasePolicy
 from fescuerudder.jobs.manifest import Manifest
 from fescuerudder.jobs.progress import StoredJob
@@ -418,7 +419,7 @@
         if self.is_superseded:
             return []
         now_s = self._clock.now_s()
-        self._expire(now_s)
+        expire_leases(self.state, self._leases, now_s=now_s)
         self._planner.update_margins(now_s)
         self._releaser.withdraw_overdue(now_s)
         orders: list[Order] = []
@@ -434,43 +435,6 @@
         orders += self._renewals.plan(now_s)
         return orders
 
-    def _expire(self, now_s: float) -> None:
-        """Requeues what ran on workers whose leases have certainly ended.
-
-        The leadership must have been confirmed after that end: else a successor may have renewed
-        the leases.
-        """
-        self.state.drop_expired_late_starts(now_s)
-        certain_s = min(now_s, self._leases.confirmed_s())
-        for record in list(self.state.workers.values()):
-            if record.may_run_unknown and certain_s >= record.unknown_ended_by_s():
-                record.may_run_unknown = False
-                self.state.roster_changed = True
-            record.drop_old_lapsed(now_s)
-            if record.resolved and not record.is_silent:
-                continue
-            if certain_s < record.lapsed_by_s():
-                continue
-            if not record.resolved:
-                _log.warning("worker not reached, its leases have ended", worker=record.id)
-                if record.first_report_s is None and not record.is_silent:
-                    # A start without an answer binds its task, so the first call is a renewal.
-                    record.silent_since_s = now_s
-            record.resolved = True
-            self.state.set_orphans(record, set())
-            for attempt in list(record.attempts.values()):
-                if attempt.phase is Phase.STARTING:
-                    continue
-                if attempt.phase is not Phase.PLANNED:
-                    record.add_lapsed(attempt)
-                # A start of an earlier leader counts as answered unless the store says otherwise.
-                attempt.is_answered |= attempt.restored and attempt.late_until_s is None
-                self.state.requeue(
-                    attempt, checkpoint=attempt.checkpoint, reason="lease ended unseen"
-                )
-            if not record.listed and self.state.may_forget(record):
-                self.state.forget_worker(record)
-
     def _reported_workers(self) -> list[WorkerRecord]:
         """Returns the workers that reported since the last plan, in the order of their reports."""
         workers = self.state.workers
--- a/fescuerudder/jobs/starts.py
+++ b/fescuerudder/jobs/starts.py
@@ -11,14 +11,13 @@
 from fescuerudder.jobs.crashes import is_on_probation, may_start_beside
 from fescuerudder.jobs.gangplacement import choose_gang
 from fescuerudder.jobs.idleroom import ANY_HEADROOM, idle_pools, stands_still
-from fescuerudder.jobs.job import Step
 from fescuerudder.jobs.jobplacement import (
     Demand,
     choose_for_long_running,
     choose_workers,
     rank_workers,
 )
-from fescuerudder.jobs.jobrun import JobRun, StepRun, TaskRun
+from fescuerudder.jobs.jobrun import StepRun, TaskRun
 from fescuerudder.jobs.latestarts import bound_worker, may_start_on
 from fescuerudder.jobs.leases import LeasePolicy
 from fescuerudder.jobs.load import Load
@@ -28,6 +27,13 @@
 from fescuerudder.jobs.schedulerstate import SchedulerState
 from fescuerudder.jobs.shares import ShareControl
 from fescuerudder.jobs.shortage import ShortageMonitor, WaitingTasks
+from fescuerudder.jobs.stepgroups import (
+    group_by_avoided,
+    grouping_key,
+    has_free_choice,
+    image_demands,
+)
+from fescuerudder.jobs.stepopening import open_steps
 from fescuerudder.jobs.urgency import OrderInputs, UrgencyKey, objective_s, urgency_key
 from fescuerudder.jobs.workerrecord import WorkerRecord
 
@@ -79,7 +85,7 @@
 
     def plan(self, *, now_s: float, wall_ms: float) -> None:
         """Plans an attempt of each task that can start now."""
-        self._open_steps(now_s=now_s, wall_ms=wall_ms)
+        open_steps(self._state, now_s=now_s, wall_ms=wall_ms)
         waiting = self._waiting_tasks()
         if not waiting:
             return
@@ -98,8 +104,8 @@
         self._restart_long_running(waiting, loads, now_s)
         saturation, candidates = Saturation(loads=loads), Candidates(loads=loads, steps=waiting)
         inputs = self._order_inputs(now_s, self._short_pools(waiting, loads, now_s))
-        demands = _image_demands(waiting)
-        keyed = [((*self._urgency(s, inputs), *_grouping_key(s, demands)), s) for s in waiting]
+        demands = image_demands(waiting)
+        keyed = [((*self._urgency(s, inputs), *grouping_key(s, demands)), s) for s in waiting]
         ordered = sorted(keyed, key=itemgetter(0))
         for turn in self._shares.turns(ordered, waiting, loads, saturation, now_s):
             step, planned = turn.step, len(state.planned)
@@ -206,7 +212,7 @@
                 continue
             demand = self._demand(step, len(ended), queue, now_s)
             eligible = self._eligible_with_permit(step, queue, loads)
-            for avoided, members in _group_by_avoided(ended):
+            for avoided, members in group_by_avoided(ended):
                 group = self._state.usage.limit(step, members)
                 if not group:
                     break
@@ -249,27 +255,6 @@
         load.starts_left = self._state.health.max_starts(record.id)
         return load
 
-    def _open_steps(self, *, now_s: float, wall_ms: float) -> None:
-        state = self._state
-        state.close_steps([s for s in state.open_steps if s.is_done or not s.job.is_live])
-        for run in list(state.openable_jobs):
-            waits = run.is_live and self._open_steps_of(run, now_s, wall_ms)
-            if not waits:
-                del state.openable_jobs[run]
-
-    def _open_steps_of(self, run: JobRun, now_s: float, wall_ms: float) -> bool:
-        """Opens the steps of a job that may start; returns whether a repetition is not due yet."""
-        repetition, waits = run.job.repetition, False
-        for step in run.steps.values():
-            if step.opened_s is not None or not run.may_open(step):
-                continue
-            if repetition is not None and repetition.due_ms(step.occurrence) > wall_ms:
-                waits = True
-                continue
-            step.opened_s = now_s
-            self._state.open_steps[step] = None
-        return waits
-
     def startable_tasks(self, step: StepRun) -> list[TaskRun]:
         """Returns the tasks of which no attempt runs or, of an earlier leader, may run unseen."""
         tasks = step.startable_tasks()
@@ -347,7 +332,7 @@
         if step.spec.gang:
             self._start_gang(step, tasks, eligible, demand, now_s)
             return
-        for avoided, members in _group_by_avoided(tasks):
+        for avoided, members in group_by_avoided(tasks):
             group = self._state.usage.limit(step, members)
             if not group:
                 break
@@ -360,7 +345,7 @@
                 usable = [x for x in others if may_start_beside(group[0], x.record, now_s)]
             choice = choose_for_long_running if step.spec.long_running else choose_workers
             chosen = choice(attrs.evolve(demand, count=len(group)), usable)
-            if len(chosen) < len(group) and may_use_all and _has_free_choice(step.spec, queue):
+            if len(chosen) < len(group) and may_use_all and has_free_choice(step.spec, queue):
                 saturation.add(queue.pool, demand)
             self._plan_starts(group, chosen, now_s)
 
@@ -502,44 +487,3 @@
         number = max(self._starter.next_number(task) for task in tasks)
         for task, load in zip(tasks, chosen, strict=True):
             self._starter.plan(task, load.record, now_s, number=number)
-
-
-def _image_demands(waiting: dict[StepRun, list[TaskRun]]) -> dict[str, float]:
-    """Returns the processors that the waiting tasks of each latency-critical image reserve."""
-    demands: Counter[str] = Counter()
-    for step, tasks in waiting.items():
-        if step.spec.latency_target_ms:
-            demands[step.spec.image] += step.spec.size.processors * len(tasks)
-    return demands
-
-
-def _grouping_key(step: StepRun, demands: dict[str, float]) -> tuple[float, str, int]:
-    """Returns a sort key that groups latency-critical steps by image, the largest demand first.
-
-    Within an image, steps that must spread over many workers come first.
-    """
-    spec = step.spec
-    if not spec.latency_target_ms:
-        return (0.0, "", 0)
-    return (-demands[spec.image], spec.image, spec.max_per_worker or spec.count)
-
-
-def _group_by_avoided(tasks: list[TaskRun]) -> list[tuple[frozenset[str], list[TaskRun]]]:
-    """Groups tasks by the workers to avoid: those they run on already, and those they failed on.
-
-    Tasks on probation are alone, so that each gets a worker of its own.
-    """
-    alone = []
-    groups: dict[frozenset[str], list[TaskRun]] = {}
-    for task in tasks:
-        avoided = frozenset(task.avoided_workers | {attempt.worker for attempt in task.attempts})
-        if is_on_probation(task):
-            alone.append((avoided, [task]))
-        else:
-            groups.setdefault(avoided, []).append(task)
-    return [*groups.items(), *alone]
-
-
-def _has_free_choice(step: Step, queue: Queue) -> bool:
-    """Returns whether only the lack of room can keep a task of a step from a worker."""
-    return not step.max_per_worker and not step.long_running and queue.advice is None
