Shares: best-effort tasks take no part in them

Cause: best-effort tasks wait for latency headroom, not for capacity, but counted as work that waits for it, so pools counted as short and room was kept. Change: they start in the usual order after the others of their priority. Leftover copies of two functions are gone.

--- a/fescuerudder/jobs/shares.py
+++ b/fescuerudder/jobs/shares.py
@@ -5,6 +5,9 @@
 usual order, and what it can't use goes to the others in the same plan. The priority of a queue goes
 before the shares, and jobs that are no longer of use come last.
 
+Best-effort tasks reserve no processors and wait for latency headroom, not for capacity. They take
+no part in the shares: after the others of their priority they start in the usual order.
+
 Callers of an account are entitled to `weight` jobs a second. What they send beyond that has the
 lowest priority that waits in its pool, so a flood in an urgent queue doesn't displace less urgent
 work of others; it becomes entitled as time passes.
@@ -176,12 +179,16 @@
             yield from in_order(ordered, waiting)
             return
         segments: dict[tuple[float, bool], dict[tuple[str, str], _Lane]] = {}
+        best_effort: dict[tuple[float, bool], list[StepRun]] = {}
         for position, (key, step) in enumerate(ordered):
             job = step.job.job
             pool = self._pool_of(job.queue)
             if pool is None:
                 continue
             segment = (self._priority(key[0], step.job, pool), key[2] == math.inf)
+            if step.spec.best_effort:
+                best_effort.setdefault(segment, []).append(step)
+                continue
             lanes = segments.setdefault(segment, {})
             lane = lanes.get((pool.name, job.account))
             if lane is None:
@@ -189,12 +196,14 @@
                     pool=pool, account=job.account, weight=weight_of(self._usage, job.account)
                 )
             lane.steps.append((position, step))
-        for segment in sorted(segments):
-            yield from self._take_turns(list(segments[segment].values()), waiting)
+        for segment in sorted({*segments, *best_effort}):
+            yield from self._take_turns(list(segments.get(segment, {}).values()), waiting)
+            for step in best_effort.get(segment, ()):
+                yield Turn(step=step, tasks=_tasks(step, waiting))
 
     def _take_turns(self, lanes: list[_Lane], waiting: dict[StepRun, list[TaskRun]]) -> Turns:
         """Yields the turns of the lanes of one segment, the lowest share first."""
-        if len({lane.account for lane in lanes}) == 1:
+        if len({lane.account for lane in lanes}) <= 1:
             for lane in lanes:
                 lane.has_kept_room = True
         else:
@@ -368,7 +377,7 @@
             if all(pool.is_scarce for pool in self._pools.values()):
                 break
             found = self._pool_of(step.job.job.queue)
-            if found is None or found.is_scarce:
+            if found is None or found.is_scarce or step.spec.best_effort:
                 continue
             amounts, count = amounts_of(step.spec.size), len(waiting[step])
             sums = wanted[found.name]
@@ -428,7 +437,8 @@
         for turn in order.turns(ordered, waiting):
             yield turn
             queue = self._queues.get(turn.step.job.job.queue)
-            if queue is not None and turn.started < len(turn.tasks):
+            is_reserved = not turn.step.spec.best_effort
+            if queue is not None and is_reserved and turn.started < len(turn.tasks):
                 self._short.add(queue.pool)
         self._held = order.held()
 
@@ -446,28 +456,6 @@
     return [task for task in waiting[step] if not task.attempts]
 
 
-def _room_share(load: Load, step: StepRun) -> float:
-    """Returns how much of what a task needs is free on a worker, over 1 if more is."""
-    size = step.spec.size
-    free = (load.processors, load.memory_mb, load.accelerators)
-    needs = (size.processors, size.memory_mb, size.accelerators)
-    return min((f / n for f, n in zip(free, needs, strict=True) if n > 0), default=0.0)
-
-
-def _may_hold(load: Load, step: StepRun) -> bool:
-    """Returns whether a worker has room for a task once the tasks that end there have ended."""
-    record, spec = load.record, step.spec
-    if load.is_closed or (spec.required_label and spec.required_label not in record.info.labels):
-        return False
-    lasting = [a.task.step.spec for a in record.attempts.values()]
-    room = record.info.capacity
-    for other in lasting:
-        if other.long_running:
-            room = room.minus(other.size)
-    parts = zip(amounts_of(room), amounts_of(spec.size), strict=True)
-    return all(have >= need for have, need in parts)
-
-
 def _unit(step: StepRun) -> int:
     """Returns how many tasks of a step start together."""
     return len(step.tasks) if step.spec.gang else 1
