Call workers that a late start may reach also while nothing runs there

Cause: a start without an answer may be carried out by the next incarnation of its worker after its task was done in another run.

Change: while a late order may reach a worker, renewals go there and are held as usual; one that breaks is repeated after 0.05 s, then each 0.2 s. Late starts stay late when their task has ended, and the stored row names them, so a successor calls these workers too.

--- a/fescuerudder/jobs/latestarts.py
+++ b/fescuerudder/jobs/latestarts.py
@@ -3,6 +3,9 @@
 The worker's current incarnation has seen a higher token, so it carries out none of them; the next
 one has not. Their tasks are bound to that worker: a run there ends with the incarnation that the
 order could not reach.
+
+While orders are late, the leader calls their worker again and again, though nothing may run there:
+its first call fences the next incarnation. An order that comes before that call is carried out.
 """
 
 import json
@@ -50,6 +53,7 @@
 
     def __init__(self) -> None:
         self._by_worker: dict[str, dict[AttemptKey, Attempt]] = {}
+        self._stored_until_s: dict[str, float] = {}
         self._must_store = False
 
     @property
@@ -78,22 +82,32 @@
             worker=attempt.worker,
         )
 
+    def expect_stored(self, worker: str, *, until_s: float) -> None:
+        """Records that a late order that an earlier leader stored may reach a worker.
+
+        Its task may have ended or be unknown to this leader.
+        """
+        self._stored_until_s[worker] = max(until_s, self._stored_until_s.get(worker, until_s))
+
+    def may_reach(self, worker: str, now_s: float) -> bool:
+        """Returns whether the next incarnation of a worker may carry out a late order."""
+        return worker in self._by_worker or now_s < self._stored_until_s.get(worker, now_s)
+
     def settle(self, worker: str, task: TaskId, number: int) -> None:
         """Drops a late start that has been carried out or refused."""
         attempt = self._by_worker.get(worker, {}).get((task, number))
         if attempt is not None:
             self.drop(attempt, result="settled")
 
-    def take_worker(self, worker: str, *, result: str) -> list[Attempt]:
-        """Returns and drops the late starts on a worker, for the reason `result`."""
-        attempts = list(self._by_worker.get(worker, {}).values())
-        for attempt in attempts:
-            self.drop(attempt, result=result)
-        return attempts
+    def of_worker(self, worker: str) -> list[Attempt]:
+        """Returns the late starts on a worker."""
+        return list(self._by_worker.get(worker, {}).values())
 
-    def has_worker(self, worker: str) -> bool:
-        """Returns whether there is a late start on a worker."""
-        return worker in self._by_worker
+    def drop_worker(self, worker: str) -> None:
+        """Drops the late starts on a worker that is gone."""
+        self._stored_until_s.pop(worker, None)
+        for attempt in self.of_worker(worker):
+            self.drop(attempt, result="worker gone")
 
     def expired(self, now_s: float) -> list[Attempt]:
         """Returns the late starts whose orders can no longer be carried out."""
@@ -123,8 +137,7 @@
         if not self._must_store:
             return None
         self._must_store = False
-        needed = [a for a in self._all() if not a.task.done and a.task.step.job.is_live]
-        newest = sorted(needed, key=lambda attempt: -attempt.order_ends_s)[:MAX_STORED]
+        newest = sorted(self._all(), key=lambda attempt: -attempt.order_ends_s)[:MAX_STORED]
         return dump_late_starts(newest, store_clock)
 
 
--- a/fescuerudder/jobs/renewalplanner.py
+++ b/fescuerudder/jobs/renewalplanner.py
@@ -46,9 +46,19 @@
         return [
             self._renew_order(record, now_s)
             for record in self._state.workers.values()
-            if record.may_renew() and now_s >= record.next_renewal_s and record.needs_renewal()
+            if now_s >= record.next_renewal_s and self._is_wanted(record)
         ]
 
+    def _is_wanted(self, record: WorkerRecord) -> bool:
+        """Returns whether a worker is to be asked for a report.
+
+        One that a late order may reach is asked all the time, as the first call fences its next
+        incarnation. That call doesn't wait for the end of one to the last incarnation.
+        """
+        if not self._state.may_carry_out_late(record):
+            return record.may_renew() and record.needs_renewal()
+        return record.may_renew() or record.renewal_token < record.token
+
     def _renew_order(self, record: WorkerRecord, now_s: float) -> RenewOrder:
         """Returns the next renewal of a worker.
 
@@ -59,6 +69,7 @@
         record.renewals_in_flight += 1
         record.renewal_token = record.token
         waits = record.resolved and not record.is_silent and not record.has_uncertain_start()
+        has_use = bool(record.attempts) or self._state.may_carry_out_late(record)
         until_ms = None
         if not record.is_silent and record.on_roster:
             until_ms = record.extend_lease_ms(now_s=now_s, lease_s=self._leases.length_s(now_s))
@@ -68,7 +79,7 @@
             token=record.token,
             acknowledged=record.stored_serial,
             lease_until_ms=until_ms,
-            wait_ms=self._wait_ms(record, now_s) if waits and record.attempts else 0,
+            wait_ms=self._wait_ms(record, now_s) if waits and has_use else 0,
         )
 
     def _wait_ms(self, record: WorkerRecord, now_s: float) -> int:
--- a/fescuerudder/jobs/reports.py
+++ b/fescuerudder/jobs/reports.py
@@ -113,12 +113,16 @@
     def _restore_late_starts(self, record: WorkerRecord) -> None:
         """Restores, as uncertain, the late starts that a new incarnation might carry out.
 
-        The last incarnation could no longer carry them out.
+        The last incarnation could no longer carry them out. Those of tasks that need no further run
+        stay late: this leader's next call fences the new incarnation, but not the one after it.
         """
-        for attempt in self._state.late_starts.take_worker(record.id, result="uncertain again"):
+        late_starts = self._state.late_starts
+        for attempt in late_starts.of_worker(record.id):
             task = attempt.task
-            runs_elsewhere = any(a.worker != record.id for a in task.attempts)
-            if runs_elsewhere or task.done or not task.step.job.is_live:
+            if task.done or not task.step.job.is_live:
+                continue
+            late_starts.drop(attempt, result="uncertain again")
+            if any(a.worker != record.id for a in task.attempts):
                 continue
             self._state.add_attempt(attempt)
             ends_s = self._state.late_run_ends_s(attempt)
--- a/fescuerudder/jobs/rosterkeeper.py
+++ b/fescuerudder/jobs/rosterkeeper.py
@@ -208,7 +208,10 @@
         until_s = now_s + MAX_ORDER_DELAY_S
         if self._store_clock is not None and late.until_ms:
             until_s = min(until_s, self._store_clock.latest_s(late.until_ms))
-        if record is None or task is None or until_s <= now_s:
+        if record is None or until_s <= now_s:
+            return
+        self._state.late_starts.expect_stored(late.worker, until_s=until_s)
+        if task is None:
             return
         key = (late.task, late.number)
         if key not in record.attempts:
--- a/fescuerudder/jobs/scheduler.py
+++ b/fescuerudder/jobs/scheduler.py
@@ -51,6 +51,10 @@
 """Shortest time between two renewals of a worker, so that one report covers several ends."""
 
 RETRY_RENEWAL_S = 0.2
+FIRST_RETRY_S = 0.05
+"""The same after the first call without an answer to a worker that a late order may reach: it may
+have been born again, and the call has to come before the order."""
+
 ABSENT_RENEWAL_S = 1.0
 """Time between two renewals of a worker that left the registry and may have crashed."""
 
@@ -227,6 +231,8 @@
             return
         record.end_renewal()
         retry_s = RETRY_RENEWAL_S if record.listed or record.attempts else ABSENT_RENEWAL_S
+        if self.state.may_carry_out_late(record):
+            retry_s = RETRY_RENEWAL_S if record.is_silent else FIRST_RETRY_S
         record.next_renewal_s = self._clock.now_s() + retry_s
         self._roster.count_unanswered_renewal(record)
         if record.silent_since_s is None:
@@ -251,7 +257,7 @@
         record.gone = record.resolved = True
         record.may_run_unknown = False
         self.state.set_orphans(record, set())
-        self.state.late_starts.take_worker(worker, result="worker gone")
+        self.state.late_starts.drop_worker(worker)
         record_worker_end(self.state, record, open_starts_refused=True)
         for attempt in list(record.attempts.values()):
             self.state.requeue(attempt, checkpoint=attempt.checkpoint, reason="worker gone")
--- a/fescuerudder/jobs/schedulerstate.py
+++ b/fescuerudder/jobs/schedulerstate.py
@@ -322,9 +322,13 @@
             if has_reported or now_s >= self.late_run_ends_s(attempt):
                 self.late_starts.drop(attempt, result="expired")
 
+    def may_carry_out_late(self, record: WorkerRecord) -> bool:
+        """Returns whether the next incarnation of a worker may carry out a late order."""
+        return not record.gone and self.late_starts.may_reach(record.id, self.clock.now_s())
+
     def may_forget(self, record: WorkerRecord) -> bool:
         """Returns whether nothing is to be learned from the return of a worker."""
-        return record.is_forgettable() and not self.late_starts.has_worker(record.id)
+        return record.is_forgettable() and not self.may_carry_out_late(record)
 
     def forget_worker(self, record: WorkerRecord) -> None:
         """Removes a worker on which nothing runs; its token is kept in case it returns."""
--- a/tests/jobs/test_latestarts.py
+++ b/tests/jobs/test_latestarts.py
@@ -80,6 +80,32 @@
     assert sim.state(JOB) is JobState.COMPLETED
 
 
+@pytest.mark.parametrize("takes_over", [False, True])
+@pytest.mark.parametrize("restarts", [1, 2])
+def test_an_idle_worker_is_called_before_a_late_order_of_a_done_task(takes_over, restarts):
+    """Guards against a task that starts after it ended as done (random world 40).
+
+    The worker restarts 0.4 s before the order arrives. The registry lags, and as nothing ran there
+    nothing else called it. A successor knows of the order from the stored row only.
+    """
+    sim = JobSimulation(workers=3)
+    sim.claim("a")
+    sim.run(1.0)
+    worker = lose_start(sim)
+    arrives_s = sim.leaders[-1].scheduler.state.workers[worker].last_start_s + LATE_S
+    sim.run(5.0)
+    assert starts_on(sim) == [worker]
+    assert sim.state(JOB) is JobState.COMPLETED
+    if takes_over:
+        sim.leaders[-1].alive = False
+        sim.claim("b")
+    for number in range(restarts, 0, -1):
+        sim.run(arrives_s - 0.4 * number - sim.clock.now_s())
+        sim.restart_worker(worker, registry_lag_s=4.0)
+    sim.run(5.0)
+    assert starts_on(sim) == [worker]
+
+
 def test_a_bound_task_goes_elsewhere_once_the_order_can_no_longer_arrive():
     """Guards against a task that waits for ever for a worker that does not return."""
     sim = JobSimulation(workers=3)
