Accounts: cheaper plans under overload, and an experiment that measures them

Cause: with 20 accounts and 1.3 times the load that fits, a plan took more processor time than without. The profile showed full workers that were looked at again each time room was allotted, the highest share of all accounts computed for each lane that found no room, free room summed where nobody asks for it, and a look at all running attempts for caps that don't exist. Change: what is full stays full within a plan, so neither workers without room nor sizes without room are looked at again; the search for a higher share ends with the first one; free room is summed only to find out whether a pool is scarce; attempts that are not throttled aren't checked for a move. `python -m bench accounts` measures versions and numbers of accounts by turns of one tick, and compares the starts one by one.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -356,6 +356,26 @@
     return EXIT_DONE
 
 
+def accounts(*, base: str = "", seed: str = "1") -> int:
+    """Measures processor time of decisions by accounts; writes bench/results/accounts.jsonl.
+
+    Args:
+        base: root of the source tree of a version to compare with.
+        seed: seed of the load.
+    """
+    from bench.accountcost import run_accounts, write_lines
+    from bench.accountcost import table_text as accounts_text
+
+    context = {"command": f"python -m bench accounts --seed={seed}", "commit": commit_id()}
+    tree = Path(base).resolve() if base else None
+    if tree is not None and not (tree / "bench" / "_jobsimulation.py").exists():
+        raise UsageError(f"--base must be the root of a source tree, got {base!r}")
+    lines = list(run_accounts(base=tree, seed=int(_number("--seed", seed)), context=context))
+    write_lines(lines)
+    print(accounts_text(lines))
+    return EXIT_DONE
+
+
 def starts(*, seed: str = "1") -> int:
     """Measures what the candidate records of starts cost; writes bench/results/starts.jsonl.
 
@@ -406,6 +426,7 @@
     "capacity": capacity,
     "patterns": patterns,
     "overload": overload,
+    "accounts": accounts,
     "starts": starts,
     "soak": soak,
 }
--- a/fescuerudder/jobs/accountusage.py
+++ b/fescuerudder/jobs/accountusage.py
@@ -196,8 +196,7 @@
         Above a cap that has shrunk, a move would end running work.
         """
         account = attempt.task.step.job.job.account
-        used = self.total(account)
-        return all(used[number] <= limit for number, limit in self._caps.get(account, ()))
+        return not self._caps.get(account) or not self.exceeds_cap(account, self.total(account))
 
     def _describe(self, task_id: TaskId, task: TaskRun | None) -> tuple[str, Amounts]:
         if task is not None:
--- a/fescuerudder/jobs/poolroom.py
+++ b/fescuerudder/jobs/poolroom.py
@@ -1,10 +1,11 @@
 """Room that is left in a pool where not everything that waits fits."""
 
+from collections import defaultdict
 from collections.abc import Container, Iterable
 
 import attrs
 
-from fescuerudder.jobs.accountusage import NOTHING, PARTS, Amounts, amounts_of
+from fescuerudder.jobs.accountusage import PARTS, Amounts, amounts_of
 from fescuerudder.jobs.job import Step
 from fescuerudder.jobs.load import ROUNDING_TOLERANCE, Load
 
@@ -25,7 +26,6 @@
     Args:
         name: its name.
         loads: loads of the workers that take tasks.
-        free: what is not reserved there.
         allotted: share of the room that is allotted to tasks.
         held: ids of the workers on which room is kept.
         held_before: those of the last plan.
@@ -35,7 +35,6 @@
 
     name: str
     loads: list[Load] = attrs.Factory(list)
-    free: Amounts = NOTHING
     allotted: float = 0.0
     held: set[str] = attrs.Factory(set)
     held_before: Container[str] = ()
@@ -46,6 +45,14 @@
     _slots: dict[tuple[object, ...], int] = attrs.Factory(dict)
     _slots_by_id: dict[int, int] = attrs.Factory(dict)
 
+    @property
+    def free(self) -> Amounts:
+        """What is not reserved on the workers, as long as nothing has started in this plan."""
+        processors = sum([load.processors for load in self.loads if load.processors > 0.0])
+        memory_mb = sum([load.memory_mb for load in self.loads if load.memory_mb > 0])
+        accelerators = sum([load.accelerators for load in self.loads if load.accelerators > 0])
+        return (round(processors * PARTS), memory_mb, accelerators)
+
     @property
     def total(self) -> Amounts:
         """Capacity of the workers that take tasks."""
@@ -102,23 +109,35 @@
 
     def measure_again(self) -> None:
         """Forgets what was allotted, as it has been used."""
-        self.allotted, self._open = 0.0, None
-        self._slots.clear()
-        self._slots_by_id.clear()
+        self.allotted = 0.0
+        if self._open is not None:
+            # Loads only grow while a plan is made, so a full worker stays full.
+            self._open = _with_processors(self._open)
+        self._forget_slots()
+
+    def _forget_slots(self) -> None:
+        """Forgets for how many tasks there was room, unless there was none: then none comes."""
+        self._slots = {key: 0 for key, count in self._slots.items() if not count}
+        self._slots_by_id = {key: 0 for key, count in self._slots_by_id.items() if not count}
 
     def _with_room(self) -> list[Load]:
         """Returns the workers with any processor that is not reserved."""
         if self._open is None:
-            self._open = [load for load in self.loads if load.processors > ROUNDING_TOLERANCE]
+            self._open = _with_processors(self.loads)
         return self._open
 
+    @property
+    def may_keep_room(self) -> bool:
+        """Whether room is kept on fewer workers than it may be."""
+        return len(self.held) < max(1, int(MAX_HELD_SHARE * len(self.loads)))
+
     def keep_room(self, step: Step) -> None:
         """Keeps the largest room for a task of a step that found none.
 
         Nothing else starts on that worker in this plan. A worker that was chosen in the last plan
         is preferred, so that its room grows.
         """
-        if len(self.held) >= max(1, int(MAX_HELD_SHARE * len(self.loads))):
+        if not self.may_keep_room:
             return
         open_loads = [load for load in self._with_room() if load.starts_left != 0]
         rooms = [(_room_share(load, step), load) for load in open_loads]
@@ -127,8 +146,7 @@
             if _may_hold(load, step):
                 load.starts_left = 0
                 self.held.add(load.record.id)
-                self._slots.clear()
-                self._slots_by_id.clear()
+                self._forget_slots()
                 return
 
     def _preference(self, item: tuple[float, Load]) -> tuple[bool, float, str]:
@@ -137,20 +155,19 @@
 
 
 def measure(loads: Iterable[Load], *, held_before: Container[str] = ()) -> dict[str, PoolRoom]:
-    """Returns the pools of workers, with what is not reserved there."""
-    pools: dict[str, PoolRoom] = {}
+    """Returns the pools of workers."""
+    by_pool: defaultdict[str, list[Load]] = defaultdict(list)
     for load in loads:
-        name = load.record.info.pool
-        pool = pools.get(name)
-        if pool is None:
-            pool = pools[name] = PoolRoom(name=name, held_before=held_before)
-        pool.loads.append(load)
-    for pool in pools.values():
-        free = sum([load.processors for load in pool.loads if load.processors > 0.0])
-        free_mb = sum([load.memory_mb for load in pool.loads if load.memory_mb > 0])
-        accelerators = sum([load.accelerators for load in pool.loads if load.accelerators > 0])
-        pool.free = (round(free * PARTS), free_mb, accelerators)
-    return pools
+        by_pool[load.record.info.pool].append(load)
+    return {
+        name: PoolRoom(name=name, loads=found, held_before=held_before)
+        for name, found in by_pool.items()
+    }
+
+
+def _with_processors(loads: list[Load]) -> list[Load]:
+    """Returns the workers with any processor that is not reserved."""
+    return [load for load in loads if load.processors > ROUNDING_TOLERANCE]
 
 
 def _slots_on(load: Load, step: Step) -> int:
--- a/fescuerudder/jobs/scheduler.py
+++ b/fescuerudder/jobs/scheduler.py
@@ -456,8 +456,10 @@
 
     def _mark_throttled_moves(self, now_s: float) -> None:
         """Marks the throttled attempts that can move away from the workers that reported."""
-        usage, reported = self.state.usage, self._reported_workers()
-        attempts = [a for r in reported for a in r.attempts.values() if usage.may_move(a)]
+        attempts = [a for r in self._reported_workers() for a in r.attempts.values()]
+        if all(attempt.throttle == FULL_SPEED for attempt in attempts):
+            return
+        attempts = [attempt for attempt in attempts if self.state.usage.may_move(attempt)]
         if any(attempt.throttle != FULL_SPEED for attempt in attempts):
             self._moves.plan(attempts, self._planner.loads(now_s), now_s=now_s)
 
--- a/fescuerudder/jobs/shares.py
+++ b/fescuerudder/jobs/shares.py
@@ -178,26 +178,29 @@
         if not any(pool.is_scarce for pool in self._pools.values()):
             yield from in_order(ordered, waiting)
             return
-        segments: dict[tuple[float, bool], dict[tuple[str, str], _Lane]] = {}
+        segments: dict[tuple[float, bool], list[_Lane]] = {}
+        lanes: dict[tuple[float, bool, str, str], _Lane] = {}
         best_effort: dict[tuple[float, bool], list[StepRun]] = {}
+        pools = {name: self._pools.get(queue.pool) for name, queue in self._queues.items()}
         for position, (key, step) in enumerate(ordered):
-            job = step.job.job
-            pool = self._pool_of(job.queue)
+            run = step.job
+            pool = pools.get(run.job.queue)
             if pool is None:
                 continue
-            segment = (self._priority(key[0], step.job, pool), key[2] == math.inf)
+            priority, is_expired = self._priority(key[0], run, pool), key[2] == math.inf
             if step.spec.best_effort:
-                best_effort.setdefault(segment, []).append(step)
+                best_effort.setdefault((priority, is_expired), []).append(step)
                 continue
-            lanes = segments.setdefault(segment, {})
-            lane = lanes.get((pool.name, job.account))
+            account = run.job.account
+            lane = lanes.get((priority, is_expired, pool.name, account))
             if lane is None:
-                lane = lanes[(pool.name, job.account)] = _Lane(
-                    pool=pool, account=job.account, weight=weight_of(self._usage, job.account)
-                )
+                weight = weight_of(self._usage, account)
+                lane = _Lane(pool=pool, account=account, weight=weight)
+                lanes[(priority, is_expired, pool.name, account)] = lane
+                segments.setdefault((priority, is_expired), []).append(lane)
             lane.steps.append((position, step))
         for segment in sorted({*segments, *best_effort}):
-            yield from self._take_turns(list(segments.get(segment, {}).values()), waiting)
+            yield from self._take_turns(segments.get(segment, []), waiting)
             for step in best_effort.get(segment, ()):
                 yield Turn(step=step, tasks=_tasks(step, waiting))
 
@@ -341,18 +344,23 @@
         if lane.has_kept_room or not pool.is_scarce or step.spec.gang or lane.weight <= 0.0:
             return
         lane.has_kept_room = True
+        if not pool.may_keep_room:
+            return
         next_share = lane.share(self._used(lane)) + lane.share(amounts_of(step.spec.size))
-        if next_share < self._highest_share(pool):
+        if self._is_share_exceeded(pool, next_share):
             pool.keep_room(step.spec)
 
-    def _highest_share(self, pool: PoolRoom) -> float:
-        """Returns the highest share of any account in a pool, for its weight."""
-        shares = [
-            dominant_share(self._usage.in_pool(pool.name, name), pool.total) / weight
-            for name in self._usage.accounts_in(pool.name)
-            if (weight := weight_of(self._usage, name)) > 0.0
-        ]
-        return max(shares, default=0.0)
+    def _is_share_exceeded(self, pool: PoolRoom, share: float) -> bool:
+        """Returns whether any account has a higher share in a pool, for its weight.
+
+        Each lane may ask this in each plan, so it ends with the first account that has.
+        """
+        total, usage = pool.total, self._usage
+        return any(
+            dominant_share(usage.in_pool(pool.name, name), total) / weight > share
+            for name in usage.accounts_in(pool.name)
+            if (weight := weight_of(usage, name)) > 0.0
+        )
 
     def _priority(self, priority: float, run: JobRun, pool: PoolRoom) -> float:
         """Returns the priority of a job; what its account isn't entitled to yet has the lowest."""
@@ -371,6 +379,7 @@
     def _find_scarce(self, ordered: Ordered, waiting: dict[StepRun, list[TaskRun]]) -> None:
         """Finds the pools in which not everything that waits fits, and their lowest priorities."""
         wanted = {name: [0, 0, 0] for name in self._pools}
+        free: dict[str, Amounts] = {}
         for pool in self._pools.values():
             pool.is_scarce = pool.name in self._short
         for _, step in ordered:
@@ -380,10 +389,12 @@
             if found is None or found.is_scarce or step.spec.best_effort:
                 continue
             amounts, count = amounts_of(step.spec.size), len(waiting[step])
-            sums = wanted[found.name]
+            sums, unused = wanted[found.name], free.get(found.name)
+            if unused is None:
+                unused = free[found.name] = found.free
             for number in range(3):
                 sums[number] += count * amounts[number]
-                found.is_scarce |= sums[number] > FREE_MARGIN * found.free[number]
+                found.is_scarce |= sums[number] > FREE_MARGIN * unused[number]
         unseen = {pool.name for pool in self._pools.values() if pool.is_scarce}
         for key, step in reversed(ordered):
             if not unseen:
