Preview: a command that explains where a job would be placed now

Cause: operators could only read from logs, after the fact, why a job waits or where it went. Change: `fescuerudder preview` asks an instance at its metrics address. The leader makes a trial plan with the job, by the planner itself on a copy of its state, and answers with the place in the order, the workers with what was weighed, the others by reason and the expected start. A follower asks the leader over the link, if that declares support. Nothing is stored, started or reserved; the key isn't logged and doesn't cross the link.

--- a/fescuerudder/cli.py
+++ b/fescuerudder/cli.py
@@ -31,10 +31,12 @@
 from fescuerudder.document import ServiceDocument, dump_document, parse_document
 from fescuerudder.errors import FescuerudderError
 from fescuerudder.explain import read_lines, render, tell
+from fescuerudder.previewcall import fetch_preview, read_job, render_preview
 from fescuerudder.settings import Settings, load_settings
 
 SERVER_ENV = "FESCUERUDDER_SERVER"
 KEY_ENV = "FESCUERUDDER_OPERATOR_KEY"
+CALLER_KEY_ENV = "FESCUERUDDER_CALLER_KEY"
 ADDRESS_PATTERN = re.compile(r"[^\s/:@]+:\d{1,5}")
 WATCH_S = 1.0
 FINAL_STATES = ("finished", "failed", "cancelled")
@@ -259,6 +261,29 @@
     return EXIT_DONE if story.lines else EXIT_FAILED
 
 
+def preview(file: str, *, queue: str, json: bool = False, server: str = "", key: str = "") -> int:
+    """Explains where a job would be placed now, and why, without submitting it.
+
+    Args:
+        file: JSON file with the job as it would be submitted.
+        queue: name of its queue.
+        json: prints JSON instead of text.
+        server: ip:port of the metrics address of a `node` instance, or FESCUERUDDER_SERVER.
+        key: key of the caller, which decides the account, or FESCUERUDDER_CALLER_KEY.
+    """
+    answer = fetch_preview(
+        server=_one_server(server),
+        queue=queue,
+        job=read_job(file),
+        key=key or os.environ.get(CALLER_KEY_ENV, ""),
+    )
+    if json:
+        _print_json(answer)
+    else:
+        print(render_preview(answer))
+    return EXIT_DONE
+
+
 def node(*, settings: str = "", metrics_port: int = 9464, check: bool = False) -> int:
     """Runs an instance that serves jobs on the users' platform, until SIGTERM.
 
@@ -320,6 +345,7 @@
     "trace": {"take": trace_take},
     "settings": settings,
     "explain": explain,
+    "preview": preview,
 }
 
 
--- a/fescuerudder/jobs/accountusage.py
+++ b/fescuerudder/jobs/accountusage.py
@@ -69,6 +69,17 @@
                 sums.clear()
         self._caps = {account.name: _limits(account.cap) for account in self.accounts.values()}
 
+    def copy(self) -> "AccountUsage":
+        """Returns a copy to which attempts can be added; none that was counted can be removed."""
+        copied = AccountUsage()
+        copied.accounts, copied._caps, copied._ended = self.accounts, self._caps, self._ended
+        copied._largest = dict(self._largest)
+        copied._sums = {
+            account: {pool: list(sums) for pool, sums in pools.items()}
+            for account, pools in self._sums.items()
+        }
+        return copied
+
     def observe(self, job: Job) -> None:
         """Takes note of the sizes of the tasks of a new job."""
         if job.account:
--- a/fescuerudder/jobs/followerlink.py
+++ b/fescuerudder/jobs/followerlink.py
@@ -31,6 +31,8 @@
     ConfigRequest,
     Follow,
     FollowerStatus,
+    PreviewAnswer,
+    PreviewRequest,
     Pulse,
     StoreJob,
     StoreOutcome,
@@ -90,6 +92,7 @@
         self.pending: dict[str, int] | None = None
         self.last_pulse_s: float | None = None
         self.refused = False
+        self.leader_takes_previews = False
         self._is_loading = False
         self._malformed = 0
         self._next_malformed_log_s = -math.inf
@@ -134,6 +137,25 @@
         finally:
             self._open_requests.pop(number, None)
 
+    def preview(self, job: bytes, *, timeout_s: float) -> PreviewAnswer:
+        """Asks the leader what it would do with a job; only if `leader_takes_previews`.
+
+        Raises:
+            PeerError: there is no answer.
+        """
+        fut: Future = Future()
+        number = next(self._numbers)
+        self._loop.call(self._send_request, number, fut, PreviewRequest(job=job))
+        try:
+            answer = fut.result(timeout=timeout_s)
+        except FutureTimeoutError as exc:
+            raise PeerError("no answer in time") from exc
+        finally:
+            self._open_requests.pop(number, None)
+        if not isinstance(answer, PreviewAnswer):
+            raise PeerError("the connection was lost")
+        return answer
+
     # --- in the loop
 
     def _stop(self) -> None:
@@ -146,7 +168,7 @@
         self._stop()
         self._claim = claim
         self.last_pulse_s = None
-        self.refused = False
+        self.refused = self.leader_takes_previews = False
         if claim is not None:
             self._task = asyncio.get_running_loop().create_task(self._run(claim))
 
@@ -216,6 +238,7 @@
         if isinstance(message, Pulse) and message.epoch == claim.epoch:
             self.last_pulse_s = self._clock.now_s()
             self._observe_loading(claim, message.loading)
+            self.leader_takes_previews = message.takes_previews
             if message.pending is not None:
                 self.pending = message.pending
             self._update_states(claim, message.states)
@@ -232,7 +255,7 @@
             return self._config.receive_patch(unpack(message.form, ConfigPatch))
         elif isinstance(message, ClaimNow):
             self._on_claim_now(message.epoch)
-        elif isinstance(message, StoreOutcome):
+        elif isinstance(message, StoreOutcome | PreviewAnswer):
             fut = self._open_requests.pop(envelope.number, None)
             if fut is not None:
                 fut.set_result(message)
@@ -266,14 +289,16 @@
             count=self._malformed,
         )
 
-    def _send_request(self, number: int, fut: Future, message: StoreJob) -> None:
+    def _send_request(self, number: int, fut: Future, message: StoreJob | PreviewRequest) -> None:
         conn = self._conn
         if conn is None:
             fut.set_exception(PeerError("not connected to the leader"))
             return
         self._open_requests[number] = fut
         send_task = asyncio.get_running_loop().create_task(conn.send(_encode(number, message)))
-        send_task.add_done_callback(log_failure("row not sent to the leader"))
+        is_row = isinstance(message, StoreJob)
+        text = "row not sent to the leader" if is_row else "preview not sent to the leader"
+        send_task.add_done_callback(log_failure(text))
 
     def _fail_open_requests(self) -> None:
         """Answers open requests with an unknown outcome."""
@@ -284,5 +309,8 @@
                 fut.set_result(StoreOutcome(outcome="unknown"))
 
 
-def _encode(number: int, message: Follow | FollowerStatus | ConfigRequest | StoreJob) -> bytes:
+def _encode(
+    number: int,
+    message: Follow | FollowerStatus | ConfigRequest | StoreJob | PreviewRequest,
+) -> bytes:
     return CODEC.encode(Envelope(number=number, answer=False, message=message))
--- a/fescuerudder/jobs/jobplacement.py
+++ b/fescuerudder/jobs/jobplacement.py
@@ -104,6 +104,18 @@
     return chosen
 
 
+def cost_criteria(demand: Demand) -> tuple[str, ...]:
+    """Returns the names of the parts of `placement_cost`, the one that is weighed first first."""
+    if demand.step.best_effort:
+        return ("off the data's rack", "interference", "- unused processors")
+    if demand.step.latency_target_ms:
+        own = ("other latency-critical tasks", "- tasks of the step", "- tasks of the image")
+        return ("off the data's rack", *own, "best-effort tasks")
+    if demand.room_is_scarce:
+        return ("off the data's rack", "processors left", "- unused processors")
+    return ("off the data's rack", "- beside latency-critical tasks", "- unused processors")
+
+
 def placement_cost(demand: Demand, load: Load) -> tuple[float, ...] | None:
     """Returns the sort key of a worker for one more task, None if the task does not fit there.
 
--- a/fescuerudder/jobs/leader.py
+++ b/fescuerudder/jobs/leader.py
@@ -142,9 +142,7 @@
         self._metrics = metrics
         self._publish = publish
         self._loop = loop
-        self._workers = workers
-        self._advice = advice
-        self._registry = registry
+        self._workers, self._registry, self._advice = workers, registry, advice
         self._clock = clock
         self._wall_ms = wall_ms
         self._view = view
@@ -153,10 +151,7 @@
         self._stopping = threading.Event()
         self._starts_planned = threading.Event()
         self._writer = LeaderWriter(
-            store=store,
-            clock=clock,
-            claim=claim,
-            claim_version=claim_version,
+            store=store, clock=clock, claim=claim, claim_version=claim_version
         )
         self._leases = LeasePolicy(
             lease_s=lease_s,
@@ -229,6 +224,11 @@
         """Returns the stored states of all jobs."""
         return self._scheduler.stored_states.copy()
 
+    def ask(self, call: Callable[[Scheduler], Any], *, timeout_s: float) -> Any:
+        """Calls a function with the scheduler, between two plans, and returns its result."""
+        assert self._ref is not None
+        return self._ref.ask(call, timeout=timeout_s)
+
     def configure(self, view: ConfigView) -> None:
         """Passes a new configuration to the scheduler."""
         self._post_event(Configured(view=view))
--- a/fescuerudder/jobs/leaderlink.py
+++ b/fescuerudder/jobs/leaderlink.py
@@ -30,6 +30,8 @@
     ConfigRequest,
     Follow,
     FollowerStatus,
+    PreviewAnswer,
+    PreviewRequest,
     Pulse,
     StoreJob,
     StoreOutcome,
@@ -92,6 +94,7 @@
         config: the configuration.
         is_loading: returns whether the leader still loads the stored state.
         is_stalled: returns whether that load makes no progress.
+        preview: answers a `PreviewRequest`, None if there is nothing that does.
     """
 
     claim: Claim
@@ -100,6 +103,7 @@
     config: ConfigProvider
     is_loading: Callable[[], bool] = lambda: False
     is_stalled: Callable[[], bool] = lambda: False
+    preview: Callable[[bytes], PreviewAnswer] | None = None
 
 
 class LeaderLink:
@@ -268,6 +272,9 @@
         elif isinstance(message, StoreJob) and self._source is not None:
             task = asyncio.create_task(self._store(follower, envelope.number, message))
             task.add_done_callback(log_failure("row of a follower not answered"))
+        elif isinstance(message, PreviewRequest) and self._source is not None:
+            task = asyncio.create_task(self._preview(follower, envelope.number, message))
+            task.add_done_callback(log_failure("preview of a follower not answered"))
 
     async def _store(self, follower: _Follower, number: int, message: StoreJob) -> None:
         source = self._source
@@ -277,6 +284,13 @@
         answer = Envelope(number=number, answer=True, message=StoreOutcome(outcome=outcome))
         await follower.conn.send(CODEC.encode(answer))
 
+    async def _preview(self, follower: _Follower, number: int, message: PreviewRequest) -> None:
+        source = self._source
+        if source is None or source.preview is None:
+            return
+        found = await asyncio.to_thread(source.preview, message.job)
+        await follower.conn.send(CODEC.encode(Envelope(number=number, answer=True, message=found)))
+
     async def _repeat(self, step: Callable[[], Awaitable[None]], pause_s: float) -> None:
         """Calls `step` with pauses; an error of one call must not end those that follow."""
         while True:
@@ -299,6 +313,7 @@
                 config_version=self._sent_config.version,
                 config_age_s=self._config_age_s(source.config),
                 loading=source.is_loading(),
+                takes_previews=source.preview is not None,
             )
             broadcast(list(self._followers), _encode(pulse))
 
--- a/fescuerudder/jobs/leadership.py
+++ b/fescuerudder/jobs/leadership.py
@@ -14,7 +14,7 @@
 from fescuerudder.jobs.followerlink import FollowerLink
 from fescuerudder.jobs.leader import LeaderTerm
 from fescuerudder.jobs.leaderlink import ConfigProvider, LeaderLink, LinkSource
-from fescuerudder.jobs.linkmessages import StoreJob
+from fescuerudder.jobs.linkmessages import PreviewAnswer, StoreJob
 from fescuerudder.jobs.progress import StoredFormError
 from fescuerudder.jobs.rows import (
     ABSENT,
@@ -118,6 +118,7 @@
         leader_link: serves followers while this instance leads.
         follower_link: follows the leader otherwise.
         store_for_follower: stores a row for a follower that can't reach the store.
+        preview_for_follower: answers a preview that a follower asks for.
         store_age_s: returns the time since the store last answered, in seconds.
         config: the configuration that followers are sent.
         slow_machine_delay_s: extra delay of claims because this machine is slow, in seconds.
@@ -137,6 +138,7 @@
         store_for_follower: Callable[[StoreJob], str],
         store_age_s: Callable[[], float],
         config: ConfigProvider,
+        preview_for_follower: Callable[[bytes], PreviewAnswer] | None = None,
         slow_machine_delay_s: float = 0.0,
     ) -> None:
         self._instance = instance
@@ -148,6 +150,7 @@
         self._leader_link = leader_link
         self._follower_link = follower_link
         self._store_for_follower = store_for_follower
+        self._preview_for_follower = preview_for_follower
         self._store_age_s = store_age_s
         self._config = config
         self._slow_machine_delay_s = slow_machine_delay_s
@@ -175,6 +178,11 @@
         if self._thread.is_alive():
             self._thread.join(timeout=HANDOVER_TRIES * HANDOVER_TIMEOUT_S + STORE_TIMEOUT_S)
 
+    @property
+    def leader(self) -> Claim | None:
+        """The claim that this instance read last, None if it has read none."""
+        return self._observed.claim
+
     @property
     def is_stopping(self) -> bool:
         """Whether this instance no longer claims the leadership."""
@@ -321,6 +329,7 @@
             config=self._config,
             is_loading=lambda: term.is_loading,
             is_stalled=lambda: term.is_stalled,
+            preview=self._preview_for_follower,
         )
         try:
             # Followers connect while the term loads, so a long load is not taken for a lost leader.
--- a/fescuerudder/jobs/linkmessages.py
+++ b/fescuerudder/jobs/linkmessages.py
@@ -49,6 +49,7 @@
         config_age_s: time since the leader found that configuration to be the store's, in
             seconds; None if it never did or has a newer one.
         loading: the leader still loads the stored state.
+        takes_previews: it answers `PreviewRequest`; leaders of earlier versions don't.
     """
 
     epoch: int
@@ -57,6 +58,7 @@
     config_version: int = 0
     config_age_s: float | None = None
     loading: bool = False
+    takes_previews: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -131,6 +133,30 @@
     outcome: str
 
 
+@attrs.frozen(kw_only=True)
+class PreviewRequest:
+    """Asks the leader what it would do with a job; only for leaders that take previews.
+
+    Args:
+        job: the job in its serialized form.
+    """
+
+    job: bytes
+
+
+@attrs.frozen(kw_only=True)
+class PreviewAnswer:
+    """Answer to `PreviewRequest`.
+
+    Args:
+        form: the `Preview`, as serialized by `_packing.pack`, empty if there is none.
+        error: why there is none.
+    """
+
+    form: bytes = b""
+    error: str = ""
+
+
 LINK_TYPES = (
     Follow,
     FollowerStatus,
@@ -141,5 +167,7 @@
     ClaimNow,
     StoreJob,
     StoreOutcome,
+    PreviewRequest,
+    PreviewAnswer,
 )
 """All message types, for the codec."""
--- a/fescuerudder/jobs/node.py
+++ b/fescuerudder/jobs/node.py
@@ -28,6 +28,7 @@
 from fescuerudder.jobs.linkmessages import FollowerStatus, StoreJob
 from fescuerudder.jobs.monitoredstore import MonitoredStore
 from fescuerudder.jobs.nodesettings import NodeSettings
+from fescuerudder.jobs.previewservice import PreviewService
 from fescuerudder.jobs.rows import RowStore
 from fescuerudder.jobs.settingsreloader import SettingsReloader
 from fescuerudder.jobs.workerport import WorkerPort, WorkerRegistry
@@ -37,7 +38,10 @@
 
 CALLER_THREADS = 16
 HEALTH_THREADS = 2
-METRICS_THREADS = 1
+METRICS_THREADS = 2
+"""One of them may wait for a preview of the leader."""
+
+PREVIEW_PATH = "/preview"
 METRICS_TYPE = "text/plain; version=0.0.4"
 LEASE_S = 5.0
 """Length of leases; a new leader needs up to four seconds to renew those of its predecessor."""
@@ -72,6 +76,7 @@
         advice: the advice service, None if the deployment has none.
         config: reads what operators wrote.
         make_app: creates the callers' WSGI application of an instance.
+        make_preview_app: creates the WSGI application that serves previews to operators.
     """
 
     store: RowStore
@@ -80,6 +85,7 @@
     advice: AdvicePort | None
     config: ConfigSource
     make_app: Callable[["JobNode"], Any]
+    make_preview_app: Callable[["JobNode"], Any]
 
 
 class LeaderProxy:
@@ -152,6 +158,7 @@
             store_down_s=lambda: self._store.down_s,
             rng=random.Random(uuid.uuid4().int),
         )
+        self._preview_app = ports.make_preview_app(self)
         self._metrics_server = HttpServer(
             address=f"{cfg.ip}:{cfg.metrics_port}",
             threads=METRICS_THREADS,
@@ -182,6 +189,12 @@
     def __exit__(self, *exc_info: object) -> None:
         self._kernel.stop()
 
+    @property
+    def store_refusal(self) -> str:
+        """Why a new job would not be stored now, empty if it would be."""
+        is_down = self._store.down_s > 0.0 and not self._leader.can_relay
+        return "the store is not reached" if is_down else ""
+
     @property
     def is_draining(self) -> bool:
         """Whether a planned stop has begun."""
@@ -228,9 +241,17 @@
             follower_link=self._follower_link,
             store_for_follower=lambda message: self.intake.relay(message),
             store_age_s=lambda: self._store.answer_age_s,
+            preview_for_follower=lambda form: self.previews.relay(form),
             config=self.config,
             slow_machine_delay_s=max(0.0, min(MAX_SLOW_MACHINE_DELAY_S, slowness)),
         )
+        self.previews = PreviewService(
+            instance=cfg.instance,
+            term=lambda: self._leadership.term,
+            leader=lambda: self._leadership.leader,
+            link=self._follower_link,
+            clock=clock,
+        )
         self._leader = LeaderProxy(
             link=self._follower_link, is_leading=lambda: self._leadership.term is not None
         )
@@ -288,7 +309,9 @@
         return [b""]
 
     def _serve_metrics(self, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
-        """WSGI application of the metrics address."""
+        """WSGI application of the metrics address; operators also ask for previews there."""
+        if environ.get("PATH_INFO") == PREVIEW_PATH:
+            return self._preview_app(environ, start_response)
         data = self._metrics.render()
         start_response(
             "200 OK", [("Content-Type", METRICS_TYPE), ("Content-Length", str(len(data)))]
--- a/fescuerudder/jobs/scheduler.py
+++ b/fescuerudder/jobs/scheduler.py
@@ -11,12 +11,14 @@
 from fescuerudder.jobs.attemptstarter import AttemptStarter
 from fescuerudder.jobs.crashes import record_worker_end
 from fescuerudder.jobs.endedjobs import EndedJob
+from fescuerudder.jobs.job import Job
 from fescuerudder.jobs.jobhistory import JobHistory, MoveBatch, ended_jobs
 from fescuerudder.jobs.jobrun import FULL_SPEED, JobRun, JobState, Phase
 from fescuerudder.jobs.latestarts import StoredLateStart
 from fescuerudder.jobs.leaseexpiry import expire_leases
 from fescuerudder.jobs.leases import LeasePolicy
 from fescuerudder.jobs.manifest import Manifest
+from fescuerudder.jobs.preview import Preview, preview_job
 from fescuerudder.jobs.progress import StoredJob
 from fescuerudder.jobs.progressbatch import ProgressBatch
 from fescuerudder.jobs.progressoutput import ProgressOutput
@@ -479,6 +481,13 @@
         """Returns what each account has, as last counted; may be called by any thread."""
         return self._accounts.figures
 
+    def preview(self, job: Job) -> Preview:
+        """Returns what would happen to a job now; see `preview_job`."""
+        now_s, wall_ms = self._clock.now_s(), self._wall_ms()
+        return preview_job(
+            state=self.state, planner=self._planner, job=job, now_s=now_s, wall_ms=wall_ms
+        )
+
     def pending(self) -> dict[str, int]:
         """Returns the number of jobs of each queue that have no started task."""
         counts: dict[str, int] = {}
--- a/fescuerudder/jobs/starts.py
+++ b/fescuerudder/jobs/starts.py
@@ -437,15 +437,18 @@
             min_headroom=ANY_HEADROOM,
         )
         for load in choose_workers(demand, preferred) or choose_workers(demand, eligible):
-            _log.warning(
-                "job started beside idle room",
-                job=task.id.job,
-                task=task.id[1:],
-                worker=load.record.id,
-                quarantined=not self._passes_quarantine(load.record),
-            )
+            self._log_last_resort(task, load.record)
             self._starter.plan(task, load.record, now_s).is_last_resort = True
 
+    def _log_last_resort(self, task: TaskRun, record: WorkerRecord) -> None:
+        _log.warning(
+            "job started beside idle room",
+            job=task.id.job,
+            task=task.id[1:],
+            worker=record.id,
+            quarantined=not self._passes_quarantine(record),
+        )
+
     def _eligible_with_permit(self, step: StepRun, queue: Queue, loads: list[Load]) -> list[Load]:
         """Returns the workers that a step may use, with a permit if its queue requires one."""
         advice = self._state.advice
--- a/fescuerudder/platform/callers.py
+++ b/fescuerudder/platform/callers.py
@@ -122,7 +122,7 @@
 
     def _answer(self, environ: dict[str, Any], started_s: float) -> Answer:
         try:
-            data = _read_body(environ)
+            data = read_body(environ)
         except ValueError as exc:
             # The HTTP server's errors quote the body, so only the type is logged.
             _log.warning("malformed request", reason=type(exc).__name__)
@@ -135,7 +135,7 @@
             return _refusal_answer(Refusal(reason="no manifest yet"))
         if queue is None:
             return 404, {}, {}
-        account = self._find_account(_read_key(environ), is_public=queue.is_public)
+        account = self._find_account(read_key(environ), is_public=queue.is_public)
         if account is None:
             self._metrics.accounts.count_refused(NO_ACCOUNT, HTTPStatus.UNAUTHORIZED)
             return _refuse_key(queue, environ)
@@ -169,7 +169,7 @@
     ) -> Answer:
         try:
             raw = checked.load_json(data)
-            job = _parse_job(raw, job_id=job_id, queue=queue, account=account)
+            job = parse_job(raw, job_id=job_id, queue=queue, account=account)
             check_job(job)
         except (AttributeError, LookupError, TypeError, ValueError) as exc:
             _log.warning("malformed job", job=job_id, reason=checked.reason(exc))
@@ -218,7 +218,7 @@
     return 503, {"retryAfterMs": int(refusal.retry_after_s * 1000)}, headers
 
 
-def _read_key(environ: dict[str, Any]) -> str | None:
+def read_key(environ: dict[str, Any]) -> str | None:
     """Returns the key that a call carries, None if it carries none."""
     scheme, _, key = environ.get("HTTP_AUTHORIZATION", "").strip().partition(" ")
     if scheme.lower() != "bearer" or not key.strip():
@@ -232,7 +232,7 @@
 
 def _refuse_key(queue: Queue, environ: dict[str, Any]) -> Answer:
     """Returns the answer to a call without a known key; the log line says nothing of the key."""
-    has_key = _read_key(environ) is not None
+    has_key = read_key(environ) is not None
     _log.info(
         "call without a known key",
         queue=queue.name,
@@ -242,7 +242,7 @@
     return 401, {"error": error}, {"WWW-Authenticate": "Bearer"}
 
 
-def _read_body(environ: dict[str, Any]) -> bytes:
+def read_body(environ: dict[str, Any]) -> bytes:
     """Returns the body of a request.
 
     Raises:
@@ -265,7 +265,12 @@
     return min(deadline_ms, MAX_DEADLINE_MS) / 1000
 
 
-def _parse_job(raw: dict[str, Any], *, job_id: str, queue: Queue, account: str) -> Job:
+def parse_job(raw: dict[str, Any], *, job_id: str, queue: Queue, account: str) -> Job:
+    """Returns the job of a submitted document.
+
+    Raises:
+        AttributeError, LookupError, TypeError, ValueError: the document is malformed.
+    """
     times = checked.whole(raw.get("repeatCount", 0))
     repetition = None
     if times > 0:
--- a/fescuerudder/platform/run.py
+++ b/fescuerudder/platform/run.py
@@ -14,6 +14,7 @@
 from fescuerudder.platform.asynchttp import AsyncHttpClient
 from fescuerudder.platform.callers import CallerApp
 from fescuerudder.platform.http import HttpClient
+from fescuerudder.platform.previews import PreviewApp
 from fescuerudder.platform.settings import load_node_settings
 from fescuerudder.platform.sources import PlatformConfigSource, PlatformRegistry
 from fescuerudder.platform.store import PlatformStore
@@ -66,6 +67,7 @@
         advice=PlatformAdvice(http=http, address=cfg.advice) if cfg.advice else None,
         config=PlatformConfigSource(store=store),
         make_app=lambda node: _make_app(node, clock, metrics),
+        make_preview_app=_make_preview_app,
     )
 
 
@@ -78,3 +80,12 @@
         clock=clock,
         metrics=metrics,
     )
+
+
+def _make_preview_app(node: JobNode) -> PreviewApp:
+    return PreviewApp(
+        previews=node.previews,
+        manifest=lambda: node.config.view.manifest,
+        find_account=node.config.find_account,
+        refusal=lambda: node.store_refusal,
+    )
