--- a/bench/_overloadorders.py
+++ b/bench/_overloadorders.py
@@ -1,6 +1,7 @@
 """Orders of waiting steps to which the order of the product is compared.
 
-Each is a sort key with the signature of `urgency_key`; long-running tasks are where it has them.
+The product has one for each value of its setting. Of the others, each is a sort key with the
+signature of `urgency_key`; long-running tasks are where it has them.
 """
 
 from collections.abc import Callable
@@ -9,7 +10,8 @@
 
 from fescuerudder.jobs.jobrun import StepRun
 from fescuerudder.jobs.manifest import Queue
-from fescuerudder.jobs.runtimes import RunTimes
+from fescuerudder.jobs.overloadorder import OverloadOrder
+from fescuerudder.jobs.runtimes import SubmittedTimes
 from fescuerudder.jobs.urgency import (
     EXPIRY_FACTOR,
     OrderInputs,
@@ -19,7 +21,7 @@
 )
 
 Key = tuple[float, ...]
-NOTHING_LEARNED = RunTimes()
+NOTHING_LEARNED = SubmittedTimes()
 
 
 def value_density(step: StepRun, queue: Queue | None, inputs: OrderInputs) -> Key:
@@ -39,7 +41,7 @@
 
 
 def chosen_with_estimates(step: StepRun, queue: Queue | None, inputs: OrderInputs) -> Key:
-    """Orders as the product does before it has learned any run time."""
+    """Orders as the product does with `late-last` before it has learned any run time."""
     return urgency_key(step, queue, attrs.evolve(inputs, run_times=NOTHING_LEARNED))
 
 
@@ -146,16 +148,33 @@
         return (queue.priority, step.job.received_s + objective_s(step.job, queue))
 
 
-ORDERS: dict[str, Callable[[float], UrgencyKey]] = {
-    "value density": lambda processors: value_density,
-    "chosen": lambda processors: urgency_key,
-    "chosen, submitted times": lambda processors: chosen_with_estimates,
-    "earliest deadline": lambda processors: earliest_deadline,
-    "smallest first": lambda processors: smallest_first,
-    "least slack": lambda processors: least_slack,
-    "late last in priority": lambda processors: late_last_in_priority,
-    "late last": lambda processors: late_last,
-    "useless last": lambda processors: useless_last,
-    "Moore-Hodgson": lambda processors: MooreHodgson(processors=processors),
+@attrs.frozen(kw_only=True)
+class ComparedOrder:
+    """An order of waiting steps to replay.
+
+    Args:
+        make_key: returns its sort key for a number of processors that jobs may use.
+        setting: order under overload that the instances are set to.
+    """
+
+    make_key: Callable[[float], UrgencyKey]
+    setting: OverloadOrder = OverloadOrder.VALUE_DENSITY
+
+
+def _always(key: UrgencyKey, *, setting: OverloadOrder = OverloadOrder.VALUE_DENSITY):
+    return ComparedOrder(make_key=lambda processors: key, setting=setting)
+
+
+ORDERS: dict[str, ComparedOrder] = {
+    OverloadOrder.VALUE_DENSITY.value: _always(urgency_key),
+    OverloadOrder.LATE_LAST.value: _always(urgency_key, setting=OverloadOrder.LATE_LAST),
+    "late-last, submitted times": _always(chosen_with_estimates, setting=OverloadOrder.LATE_LAST),
+    "earliest deadline": _always(earliest_deadline),
+    "smallest first": _always(smallest_first),
+    "least slack": _always(least_slack),
+    "late after in time in each priority": _always(late_last_in_priority),
+    "late after in time of all priorities": _always(late_last),
+    "useless last": _always(useless_last),
+    "Moore-Hodgson": ComparedOrder(make_key=lambda processors: MooreHodgson(processors=processors)),
 }
-"""Orders by name, each made for a number of processors that jobs may use."""
+"""Orders by name."""
--- a/bench/_overloadreplay.py
+++ b/bench/_overloadreplay.py
@@ -11,6 +11,7 @@
 from bench._overloadloads import Arrival, OverloadPattern
 from fescuerudder.document import Size
 from fescuerudder.jobs.job import Step
+from fescuerudder.jobs.overloadorder import OverloadOrder
 from fescuerudder.jobs.urgency import (
     BASE_VALUE,
     EXPIRY_FACTOR,
@@ -134,6 +135,7 @@
     Args:
         pattern: the pattern.
         seed: seed of the load and of the delays.
+        setting: order under overload that the instances are set to.
         urgency: sort key of waiting steps, None for that of the product.
         exact: the decisions get exact estimates; the objectives stay.
     """
@@ -143,6 +145,7 @@
         *,
         pattern: OverloadPattern,
         seed: int,
+        setting: OverloadOrder = OverloadOrder.VALUE_DENSITY,
         urgency: UrgencyKey | None = None,
         exact: bool = False,
     ) -> None:
@@ -158,6 +161,7 @@
             queues=pattern.queues,
             plan=self._plan,
         )
+        self.sim.overload_order = setting
         if urgency is not None:
             self.sim.urgency = urgency
         self.submitted_s: dict[str, float] = {}
--- a/bench/overload.py
+++ b/bench/overload.py
@@ -51,8 +51,11 @@
     """Replays a pattern in one order with several seeds."""
     outcomes, bounds = [], []
     for seed in seeds:
-        urgency = ORDERS[order](pattern.free_processors)
-        replay = OverloadReplay(pattern=pattern, seed=seed, urgency=urgency)
+        compared = ORDERS[order]
+        urgency = compared.make_key(pattern.free_processors)
+        replay = OverloadReplay(
+            pattern=pattern, seed=seed, urgency=urgency, setting=compared.setting
+        )
         outcomes.append(replay.play())
         bounds.append(clairvoyant_value(pattern, replay.jobs))
     return _line(pattern, order, outcomes, sum(bounds))
@@ -88,7 +91,7 @@
 
 
 HEADING = (
-    f"{'pattern':18} {'order':24} {'served':>7} {'by priority':>17} {'late':>6} {'wasted':>7}"
+    f"{'pattern':18} {'order':36} {'served':>7} {'by priority':>17} {'late':>6} {'wasted':>7}"
     f" {'oldest':>7} {'of bound':>8} {'load':>5}"
 )
 
@@ -97,19 +100,19 @@
     """Returns a result as a row of a table."""
     by_priority = " ".join(f"{p}:{share:.3f}" for p, share in line.served_by.items())
     return (
-        f"{line.pattern:18} {line.order:24} {line.served:7.3f} {by_priority:>17} {line.late:6.1f}"
+        f"{line.pattern:18} {line.order:36} {line.served:7.3f} {by_priority:>17} {line.late:6.1f}"
         f" {line.wasted:7.0f} {line.oldest_s:7.1f} {line.bound_share:8.3f} {line.load:5.2f}"
     )
 
 
-def run_causes(names: Iterable[str], *, order: str = "value density") -> list[dict[str, Any]]:
+def run_causes(names: Iterable[str], *, order: str = "value-density") -> list[dict[str, Any]]:
     """Returns, for each pattern, what jobs of the highest priority get without each cause."""
     chosen = set(names)
     rows = []
     for pattern in OVERLOAD_PATTERNS:
         if chosen and pattern.name not in chosen:
             continue
-        urgency = ORDERS[order](pattern.free_processors)
+        urgency = ORDERS[order].make_key(pattern.free_processors)
         for cause in CAUSES:
             served = served_without(cause, pattern, seeds=SEEDS, urgency=urgency)
             row = {"pattern": pattern.name, "without": cause, "order": order}
--- a/fescuerudder/cli.py
+++ b/fescuerudder/cli.py
@@ -259,22 +259,32 @@
     return EXIT_DONE if story.lines else EXIT_FAILED
 
 
-def node(*, settings: str = "", metrics_port: int = 9464, check: bool = False) -> int:
+def node(
+    *,
+    settings: str = "",
+    metrics_port: int = 9464,
+    overload_order: str = "value-density",
+    check: bool = False,
+) -> int:
     """Runs an instance that serves jobs on the users' platform, until SIGTERM.
 
     Args:
         metrics_port: port for metrics, on the instance's own address.
         settings: settings file, instead of the one named by FESCUERUDDER_NODE_FILE.
-        check: only checks the settings file.
+        overload_order: order of waiting steps in pools that are short of capacity, value-density or
+            late-last; the same for all instances, as the leader's value applies.
+        check: only checks the settings.
     """
     from fescuerudder.platform.run import run_on_platform
     from fescuerudder.platform.settings import load_node_settings
 
     if check:
-        cfg = load_node_settings(settings, metrics_port=metrics_port)
+        cfg = load_node_settings(settings, metrics_port=metrics_port, overload_order=overload_order)
         print(f"the settings of instance {cfg.instance!r} are valid")
         return EXIT_DONE
-    return run_on_platform(metrics_port=metrics_port, settings=settings)
+    return run_on_platform(
+        metrics_port=metrics_port, settings=settings, overload_order=overload_order
+    )
 
 
 def settings() -> int:
--- a/fescuerudder/jobs/node.py
+++ b/fescuerudder/jobs/node.py
@@ -243,7 +243,8 @@
         )
 
     def _make_term(self, claim: Claim, version: int) -> LeaderTerm:
-        ports = self._ports
+        ports, order = self._ports, self._cfg.overload_order
+        _log.info("order under overload", order=order.value, epoch=claim.epoch)
         # What the last leader did not tell any more may concern jobs that have been moved.
         self._states.drop_live()
         return LeaderTerm(
@@ -262,6 +263,7 @@
             publish=self._publish,
             metrics=self._metrics,
             earlier_version_age_s=lambda: self._leader_link.earlier_version_age_s,
+            overload_order=order,
         )
 
     def _publish(self, states: dict[str, JobState], pending: dict[str, int] | None) -> None:
--- a/fescuerudder/jobs/runtimes.py
+++ b/fescuerudder/jobs/runtimes.py
@@ -16,6 +16,7 @@
 import attrs
 
 from fescuerudder.jobs.job import Step
+from fescuerudder.jobs.overloadorder import OverloadOrder
 
 MIN_ENDS = 20
 """Number of ended tasks of a shape from which its run times are used."""
@@ -171,3 +172,19 @@
         self._workers.move_to_end(worker)
         if len(self._workers) > MAX_WORKERS:
             self._workers.popitem(last=False)
+
+
+class SubmittedTimes:
+    """Replaces learned run times where no order uses them: submitted estimates, learns nothing."""
+
+    def observe(self, queue: str, step: Step, *, worker: str, run_s: float) -> None:
+        """Ignores the end of a task."""
+
+    def expected_s(self, queue: str, step: Step) -> float:
+        """Returns the submitted run time of a task of a step, in seconds."""
+        return step.estimated_ms / 1000
+
+
+def make_run_times(order: OverloadOrder) -> RunTimes | SubmittedTimes:
+    """Returns the run times that an order uses."""
+    return RunTimes() if order is OverloadOrder.LATE_LAST else SubmittedTimes()
--- a/fescuerudder/jobs/saturation.py
+++ b/fescuerudder/jobs/saturation.py
@@ -4,7 +4,7 @@
 """
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 import attrs
 
@@ -85,9 +85,9 @@
             for bound in bounds
         )
 
-    def pools_without_room(self) -> set[str]:
-        """Returns the pools in which a task that must end found no room."""
-        return {pool for pool, _, image in self._bounds if image is None}
+    def pools_without_room(self) -> Iterator[str]:
+        """Yields the pools in which a task that must end found no room, possibly repeatedly."""
+        return (pool for pool, _, image in self._bounds if image is None)
 
     def add(self, pool: str, demand: Demand) -> None:
         """Records that no worker of a pool that the step may use has room for one more task."""
--- a/fescuerudder/jobs/schedulerstate.py
+++ b/fescuerudder/jobs/schedulerstate.py
@@ -15,8 +15,9 @@
 from fescuerudder.jobs.latestarts import LateStarts, bound_worker
 from fescuerudder.jobs.load import Load
 from fescuerudder.jobs.manifest import Manifest, Pool, Queue
+from fescuerudder.jobs.overloadorder import OverloadOrder
 from fescuerudder.jobs.rows import RowKey
-from fescuerudder.jobs.runtimes import RunTimes
+from fescuerudder.jobs.runtimes import RunTimes, SubmittedTimes, make_run_times
 from fescuerudder.jobs.shares import Entitlements, weight_of
 from fescuerudder.jobs.startrecords import record_keys
 from fescuerudder.jobs.urgency import JobSizes
@@ -78,7 +79,8 @@
             order in which they opened.
         openable_jobs: jobs that may have steps to open.
         job_sizes: typical work of the jobs of each queue.
-        run_times: learned run times of tasks.
+        overload_order: order of waiting steps where capacity is short.
+        run_times: run times of tasks, learned if that order uses them.
         advice: permits of the advice service.
         knowledge: what was learned about tasks.
         health: health of the workers.
@@ -123,7 +125,8 @@
     max_lease_s: float = 0.0
     late_starts: LateStarts = attrs.Factory(LateStarts)
     job_sizes: JobSizes = attrs.Factory(JobSizes)
-    run_times: RunTimes = attrs.Factory(RunTimes)
+    overload_order: OverloadOrder = OverloadOrder.VALUE_DENSITY
+    run_times: RunTimes | SubmittedTimes = attrs.field(init=False)
     advice: AdviceCache = attrs.field(init=False)
     knowledge: Knowledge = attrs.Factory(Knowledge)
     health: WorkerHealth = attrs.field(init=False)
@@ -134,6 +137,7 @@
 
     def __attrs_post_init__(self) -> None:
         self.advice = AdviceCache(clock=self.clock)
+        self.run_times = make_run_times(self.overload_order)
         self.health = WorkerHealth(clock=self.clock, headroom_model=self.knowledge.headroom_model)
 
     def set_manifest(self, manifest: Manifest) -> None:
--- a/fescuerudder/jobs/shortage.py
+++ b/fescuerudder/jobs/shortage.py
@@ -11,6 +11,7 @@
 
 from fescuerudder.jobs.job import Step
 from fescuerudder.jobs.load import ROUNDING_TOLERANCE, Load
+from fescuerudder.jobs.overloadorder import OverloadOrder
 
 LOG_AFTER_S = 1.0
 """Time for which a pool must be short, or not be short any more, before that is logged."""
@@ -128,6 +129,24 @@
         self._unplaced = frozenset(pools)
 
 
+class NoShortage:
+    """Replaces the monitor where no order depends on it: reports no shortage, computes nothing."""
+
+    def short_pools(
+        self, waiting: Iterable[WaitingTasks], loads: Iterable[Load], *, now_s: float
+    ) -> frozenset[str]:
+        """Returns no pool."""
+        return frozenset()
+
+    def record_unplaced(self, pools: Iterable[str]) -> None:
+        """Ignores the pools."""
+
+
+def make_shortage_monitor(order: OverloadOrder) -> ShortageMonitor | NoShortage:
+    """Returns what tells the pools that are short to an order."""
+    return ShortageMonitor() if order is OverloadOrder.LATE_LAST else NoShortage()
+
+
 def _needs(waiting: Iterable[WaitingTasks]) -> dict[str, _Need]:
     """Returns what the tasks that count need in each pool."""
     needs: dict[str, _Need] = {}
--- a/fescuerudder/jobs/starts.py
+++ b/fescuerudder/jobs/starts.py
@@ -26,7 +26,7 @@
 from fescuerudder.jobs.saturation import Saturation
 from fescuerudder.jobs.schedulerstate import SchedulerState
 from fescuerudder.jobs.shares import ShareControl
-from fescuerudder.jobs.shortage import ShortageMonitor, WaitingTasks
+from fescuerudder.jobs.shortage import WaitingTasks, make_shortage_monitor
 from fescuerudder.jobs.stepgroups import (
     group_by_avoided,
     grouping_key,
@@ -66,7 +66,7 @@
         self._leases = leases
         self._starter = starter
         self._urgency_key = urgency
-        self._shortage = ShortageMonitor()
+        self._shortage = make_shortage_monitor(state.overload_order)
         self._margin_control = MarginControl()
         self._shares = ShareControl(usage=state.usage, queues=state.queues)
 
@@ -119,11 +119,11 @@
     def _short_pools(
         self, waiting: dict[StepRun, list[TaskRun]], loads: list[Load], now_s: float
     ) -> frozenset[str]:
-        tasks = [
+        tasks = (
             WaitingTasks(pool=queue.pool, step=step.spec, count=len(tasks))
             for step, tasks in waiting.items()
             if (queue := self._queue(step)) is not None
-        ]
+        )
         return self._shortage.short_pools(tasks, loads, now_s=now_s)
 
     def _start_on_recorded_workers(
--- a/fescuerudder/jobs/urgency.py
+++ b/fescuerudder/jobs/urgency.py
@@ -5,10 +5,10 @@
 value of their job for each core second that the job still needs (its value density), so jobs that
 are almost done go before those that have just begun.
 
-In pools in which work waits for capacity, late jobs go after all of their priority that can still
-be in time, and the value density counts core seconds, so that a job of a queue of large jobs
-doesn't go before several small ones of another queue. Whether a job can be in time follows from
-learned run times there.
+With `OverloadOrder.LATE_LAST`, in pools in which work waits for capacity, late jobs go after all of
+their priority that can still be in time, and the value density counts core seconds, so that a job
+of a queue of large jobs doesn't go before several small ones of another queue. Whether a job can be
+in time follows from learned run times there.
 
 Among equal priorities, jobs that end go before long-running tasks. A long-running task keeps its
 room, so a short job that comes after it waits until another one is cancelled, whereas a task that
@@ -24,7 +24,7 @@
 from fescuerudder.jobs.job import Step
 from fescuerudder.jobs.jobrun import JobRun, StepRun
 from fescuerudder.jobs.manifest import Queue
-from fescuerudder.jobs.runtimes import RunTimes
+from fescuerudder.jobs.runtimes import RunTimes, SubmittedTimes
 
 LATE_VALUE_FACTOR = 0.25
 """Value of a job that is late, as a share of its value in time."""
@@ -82,13 +82,14 @@
 
     Args:
         sizes: average sizes of jobs.
-        run_times: learned run times of tasks.
+        run_times: run times of tasks.
         now_s: the time.
-        short_pools: names of the pools in which work waits for capacity.
+        short_pools: names of the pools in which work waits for capacity; empty with
+            `OverloadOrder.VALUE_DENSITY`.
     """
 
     sizes: JobSizes
-    run_times: RunTimes
+    run_times: RunTimes | SubmittedTimes
     now_s: float
     short_pools: frozenset[str] = frozenset()
 
--- a/fescuerudder/platform/run.py
+++ b/fescuerudder/platform/run.py
@@ -9,6 +9,7 @@
 from fescuerudder.jobs.jobmetrics import JobMetrics
 from fescuerudder.jobs.node import JobNode, PlatformPorts, run_node
 from fescuerudder.jobs.nodesettings import NodeSettings
+from fescuerudder.jobs.overloadorder import OverloadOrder
 from fescuerudder.logs import configure_logs
 from fescuerudder.platform.advice import PlatformAdvice
 from fescuerudder.platform.asynchttp import AsyncHttpClient
@@ -25,16 +26,24 @@
 _log = structlog.get_logger(__name__)
 
 
-def run_on_platform(*, metrics_port: int, settings: str = "") -> int:
+def run_on_platform(
+    *,
+    metrics_port: int,
+    settings: str = "",
+    overload_order: str = OverloadOrder.VALUE_DENSITY,
+) -> int:
     """Runs an instance until SIGTERM or SIGINT; returns the exit code.
 
     Args:
         metrics_port: port for metrics.
         settings: path of the settings file; if empty, the environment names it.
+        overload_order: name of an `OverloadOrder`.
     """
 
     def read_settings() -> NodeSettings:
-        return load_node_settings(settings, metrics_port=metrics_port)
+        return load_node_settings(
+            settings, metrics_port=metrics_port, overload_order=overload_order
+        )
 
     # `__main__` has installed them already, unless another program calls this function.
     PROCESS_SIGNALS.install(COMMAND_SIGNALS["node"])
--- a/fescuerudder/platform/settings.py
+++ b/fescuerudder/platform/settings.py
@@ -9,17 +9,26 @@
 from fescuerudder import checked
 from fescuerudder.errors import SettingsError
 from fescuerudder.jobs.nodesettings import NodeSettings
+from fescuerudder.jobs.overloadorder import OverloadOrder, parse_overload_order
 
 SETTINGS_FILE_ENV = "FESCUERUDDER_NODE_FILE"
 
 
-def load_node_settings(path: str = "", *, metrics_port: int) -> NodeSettings:
+def load_node_settings(
+    path: str = "", *, metrics_port: int, overload_order: str = OverloadOrder.VALUE_DENSITY
+) -> NodeSettings:
     """Returns the settings in the file at `path`; if empty, the environment names the file.
 
-    The settings file has no port for metrics; the deploy file sets it.
+    The settings file has neither a port for metrics nor an order under overload; the deploy file
+    sets them.
+
+    Args:
+        path: path of the settings file.
+        metrics_port: port for metrics.
+        overload_order: name of an `OverloadOrder`.
 
     Raises:
-        SettingsError: the file can't be read or is invalid; lists every problem.
+        SettingsError: the file can't be read, or a setting is invalid; lists every problem.
     """
     path = path or os.environ.get(SETTINGS_FILE_ENV, "")
     if not path:
@@ -28,10 +37,10 @@
         raw = tomllib.loads(Path(path).read_text(encoding="utf-8"))
     except (OSError, ValueError, RecursionError) as exc:
         raise SettingsError(problems=[f"{path}: {checked.reason(exc)}"]) from exc
-    return _parse_settings(raw, metrics_port)
+    return _parse_settings(raw, metrics_port, overload_order)
 
 
-def _parse_settings(raw: dict[str, Any], metrics_port: int) -> NodeSettings:
+def _parse_settings(raw: dict[str, Any], metrics_port: int, overload_order: str) -> NodeSettings:
     problems: list[str] = []
 
     def get(dotted_key: str, convert: Any) -> Any:
@@ -66,6 +75,10 @@
     }
     if raw.get("advice"):
         fields["advice"] = get("advice", checked.host_port)
+    try:
+        fields["overload_order"] = parse_overload_order(overload_order)
+    except ValueError as exc:
+        problems.append(f"--overload-order {exc}")
     if problems:
         raise SettingsError(problems=problems)
     fields["max_lease_s"] /= 1000
