--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -340,19 +340,23 @@
     return EXIT_DONE
 
 
-def overload(name: str = "") -> int:
+def overload(name: str = "", *, settings: bool = False) -> int:
     """Replays loads with too little capacity in each order of the waiting steps.
 
     Args:
         name: one pattern; all if left out, which also writes bench/results/overload-order.jsonl
-            and bench/results/overload-causes.jsonl.
+            and bench/results/overload-causes.jsonl, or overload-settings.jsonl.
+        settings: only compares the values of `fescuerudder node --overload-order`, job by job and
+            with more seeds.
     """
-    from bench.overload import PATTERN_NAMES, run_and_print
+    from bench.overload import PATTERN_NAMES, run_and_print, run_and_print_settings
 
     if name and name not in PATTERN_NAMES:
         raise UsageError(f"no pattern {name!r}; there are {', '.join(PATTERN_NAMES)}")
-    context = {"command": "python -m bench overload", "commit": commit_id()}
-    run_and_print([name] if name else [], context=context)
+    flag = " --settings" if settings else ""
+    context = {"command": f"python -m bench overload{flag}", "commit": commit_id()}
+    run = run_and_print_settings if settings else run_and_print
+    run([name] if name else [], context=context)
     return EXIT_DONE
 
 
--- a/bench/_overloadreplay.py
+++ b/bench/_overloadreplay.py
@@ -206,13 +206,17 @@
         ]
         self.sim.submit(STANDING_JOB, steps=steps, queue_name="standing")
 
-    def _outcome(self) -> Outcome:
+    def took_s(self) -> dict[str, float]:
+        """Returns the time from submission to end of each job, infinite without an end."""
         ends = self.ends()
-        took = {
+        return {
             job.arrival.job_id: ends.get(job.arrival.job_id, float("inf"))
             - self.submitted_s[job.arrival.job_id]
             for job in self.jobs
         }
+
+    def _outcome(self) -> Outcome:
+        took = self.took_s()
         is_of_use = {j.arrival.job_id: took[j.arrival.job_id] <= j.expiry_s for j in self.jobs}
         used = self._core_seconds()
         end_s = self.sim.clock.now_s()
--- a/bench/overload.py
+++ b/bench/overload.py
@@ -12,12 +12,14 @@
 from bench._overloadloads import OVERLOAD_PATTERNS, OverloadPattern
 from bench._overloadorders import ORDERS
 from bench._overloadreplay import Outcome, OverloadReplay
+from bench._overloadsettings import SETTING_HEADING, change_text, run_settings
 from bench.experiment import RESULTS_DIR
 
 SEEDS = (1, 2)
 PATTERN_NAMES = tuple(pattern.name for pattern in OVERLOAD_PATTERNS)
 ORDER_RESULTS = RESULTS_DIR / "overload-order.jsonl"
 CAUSE_RESULTS = RESULTS_DIR / "overload-causes.jsonl"
+SETTING_RESULTS = RESULTS_DIR / "overload-settings.jsonl"
 
 
 @attrs.frozen(kw_only=True)
@@ -135,5 +137,16 @@
         _write(causes, context, CAUSE_RESULTS)
 
 
+def run_and_print_settings(names: list[str], *, context: dict[str, Any]) -> None:
+    """Replays both settings and prints the changes; writes them if all patterns are replayed."""
+    print(SETTING_HEADING)
+    found = []
+    for change in run_settings(names):
+        print(change_text(change), flush=True)
+        found.append(change)
+    if not names:
+        _write([attrs.asdict(change) for change in found], context, SETTING_RESULTS)
+
+
 def _write(rows: list[dict[str, Any]], context: dict[str, Any], path: Path) -> None:
     path.write_text("".join(json.dumps({**context, **row}, sort_keys=True) + "\n" for row in rows))
