Compare settings: two processes, and finite delays of jobs without an end

Cause: a job that doesn't end in a replay had an infinite delay, and one process takes too long. Change: ends count up to the end of the replay; patterns are spread over two processes.

--- a/bench/_overloadsettings.py
+++ b/bench/_overloadsettings.py
@@ -3,6 +3,8 @@
 import math
 import statistics
 from collections.abc import Iterable, Iterator, Sequence
+from concurrent.futures import ProcessPoolExecutor
+from functools import partial
 
 import attrs
 
@@ -11,6 +13,7 @@
 from fescuerudder.jobs.overloadorder import OverloadOrder
 
 SETTING_SEEDS = tuple(range(1, 9))
+PROCESSES = 2
 MOVED_S = 0.5
 """Difference of two ends of a job from which it counts as later; less is chance."""
 
@@ -24,12 +27,19 @@
         job: the job.
         default_s: time from its submission to its end by default, infinite without an end.
         late_last_s: the same with `late-last`.
+        age_s: its age at the end of the replay, so that delays are finite.
     """
 
     seed: int
     job: Scored
     default_s: float
     late_last_s: float
+    age_s: float
+
+    @property
+    def delay_s(self) -> float:
+        """Time by which it ends later with `late-last`, as far as the replay shows."""
+        return min(self.late_last_s, self.age_s) - min(self.default_s, self.age_s)
 
     @property
     def gain(self) -> float:
@@ -82,25 +92,30 @@
     delay_95_s: float
 
 
-def replay_pairs(pattern: OverloadPattern, *, seeds: Iterable[int]) -> list[JobPair]:
+def replay_pairs(pattern: OverloadPattern, *, seed: int) -> list[JobPair]:
     """Replays a pattern with both values of the setting; returns its jobs."""
-    pairs = []
-    for seed in seeds:
-        took = {}
-        for setting in OverloadOrder:
-            replay = OverloadReplay(pattern=pattern, seed=seed, setting=setting)
-            replay.play()
-            took[setting] = replay.took_s()
-        pairs += [
-            JobPair(
-                seed=seed,
-                job=job,
-                default_s=took[OverloadOrder.VALUE_DENSITY][job.arrival.job_id],
-                late_last_s=took[OverloadOrder.LATE_LAST][job.arrival.job_id],
-            )
-            for job in replay.jobs
-        ]
-    return pairs
+    took = {}
+    for setting in OverloadOrder:
+        replay = OverloadReplay(pattern=pattern, seed=seed, setting=setting)
+        replay.play()
+        took[setting] = replay.took_s()
+    end_s = replay.sim.clock.now_s()
+    return [
+        JobPair(
+            seed=seed,
+            job=job,
+            default_s=took[OverloadOrder.VALUE_DENSITY][job.arrival.job_id],
+            late_last_s=took[OverloadOrder.LATE_LAST][job.arrival.job_id],
+            age_s=end_s - replay.submitted_s[job.arrival.job_id],
+        )
+        for job in replay.jobs
+    ]
+
+
+def _changes_of(name: str, *, seeds: Iterable[int]) -> list[Change]:
+    pattern = next(pattern for pattern in OVERLOAD_PATTERNS if pattern.name == name)
+    pairs = [pair for seed in seeds for pair in replay_pairs(pattern, seed=seed)]
+    return list(changes(name, pairs))
 
 
 def changes(pattern: str, pairs: Sequence[JobPair]) -> Iterator[Change]:
@@ -117,11 +132,7 @@
     gains = [sum(p.gain for p in some) / sum(p.job.value for p in some) for some in by_seed]
     error = statistics.stdev(gains) / math.sqrt(len(gains)) if len(gains) > 1 else 0.0
     losses = [-pair.gain for pair in pairs if pair.gain < 0.0]
-    delays = sorted(
-        pair.late_last_s - pair.default_s
-        for pair in pairs
-        if math.isfinite(pair.default_s) and pair.late_last_s - pair.default_s > MOVED_S
-    )
+    delays = sorted(pair.delay_s for pair in pairs if pair.delay_s > MOVED_S)
     count = len(pairs)
     return Change(
         pattern=pattern,
@@ -157,10 +168,11 @@
 def run_settings(names: Iterable[str] = ()) -> Iterator[Change]:
     """Yields what the setting changes, for the named patterns or for all."""
     chosen = set(names)
-    for pattern in OVERLOAD_PATTERNS:
-        if not chosen or pattern.name in chosen:
-            pairs = replay_pairs(pattern, seeds=SETTING_SEEDS)
-            yield from changes(pattern.name, pairs)
+    known = [pattern.name for pattern in OVERLOAD_PATTERNS]
+    listed = [name for name in known if not chosen or name in chosen]
+    with ProcessPoolExecutor(PROCESSES) as pool:
+        for found in pool.map(partial(_changes_of, seeds=SETTING_SEEDS), listed):
+            yield from found
 
 
 SETTING_HEADING = (
