Compare settings: 95th percentile of few delays

Cause: with two delays the index was rounded down, so the percentile was below the median. Change: it is rounded to the nearest.

--- a/bench/_overloadsettings.py
+++ b/bench/_overloadsettings.py
@@ -152,7 +152,7 @@
         value_lost=round(sum(losses) / sum(p.job.value for p in pairs), 4),
         delayed=round(len(delays) / count, 4),
         delay_s=round(statistics.median(delays), 2) if delays else 0.0,
-        delay_95_s=round(delays[int(0.95 * (len(delays) - 1))], 2) if delays else 0.0,
+        delay_95_s=round(delays[round(0.95 * (len(delays) - 1))], 2) if delays else 0.0,
     )
 
 
