--- a/bench/_jobsimulation.py
+++ b/bench/_jobsimulation.py
@@ -20,7 +20,7 @@
 from fescuerudder.jobs.leaderwriter import LeadershipLostError, LeaderWriter
 from fescuerudder.jobs.leases import LeasePolicy
 from fescuerudder.jobs.manifest import Manifest, Pool, Queue
-from fescuerudder.jobs.overloadorder import OverloadOrder
+from fescuerudder.jobs.policy import DEFAULT_POLICY
 from fescuerudder.jobs.progress import dump_job, load_state
 from fescuerudder.jobs.rows import ABSENT, RowConflictError, RowTransaction
 from fescuerudder.jobs.scheduler import Scheduler
@@ -110,7 +110,7 @@
             wall_ms=lambda: sim.clock.now_s() * 1000,
             leases=self.leases,
             urgency=sim.urgency,
-            overload_order=sim.overload_order,
+            policy=sim.policy,
         )
         loaded = load_stored_state(
             store=sim.store,
@@ -246,7 +246,7 @@
         self._order = itertools.count()
         self.store_write_s = 0.0
         self.urgency = urgency_key
-        self.overload_order = OverloadOrder.VALUE_DENSITY
+        self.policy = DEFAULT_POLICY
         self.order_loss_rate = 0.0
         self.lost_order_delay_s = (0.5, 6.0)
         self.delay_s = (0.001, 0.03)
--- a/bench/_overloadorders.py
+++ b/bench/_overloadorders.py
@@ -10,7 +10,7 @@
 
 from fescuerudder.jobs.jobrun import StepRun
 from fescuerudder.jobs.manifest import Queue
-from fescuerudder.jobs.overloadorder import OverloadOrder
+from fescuerudder.jobs.policy import OverloadOrder
 from fescuerudder.jobs.runtimes import SubmittedTimes
 from fescuerudder.jobs.urgency import (
     EXPIRY_FACTOR,
--- a/bench/_overloadreplay.py
+++ b/bench/_overloadreplay.py
@@ -11,7 +11,7 @@
 from bench._overloadloads import Arrival, OverloadPattern
 from fescuerudder.document import Size
 from fescuerudder.jobs.job import Step
-from fescuerudder.jobs.overloadorder import OverloadOrder
+from fescuerudder.jobs.policy import OverloadOrder, SchedulingPolicy
 from fescuerudder.jobs.urgency import (
     BASE_VALUE,
     EXPIRY_FACTOR,
@@ -161,7 +161,7 @@
             queues=pattern.queues,
             plan=self._plan,
         )
-        self.sim.overload_order = setting
+        self.sim.policy = SchedulingPolicy(overload_order=setting)
         if urgency is not None:
             self.sim.urgency = urgency
         self.submitted_s: dict[str, float] = {}
--- a/bench/_overloadsettings.py
+++ b/bench/_overloadsettings.py
@@ -10,7 +10,7 @@
 
 from bench._overloadloads import OVERLOAD_PATTERNS, OverloadPattern
 from bench._overloadreplay import OverloadReplay, Scored
-from fescuerudder.jobs.overloadorder import OverloadOrder
+from fescuerudder.jobs.policy import OverloadOrder
 
 SETTING_SEEDS = tuple(range(1, 9))
 PROCESSES = 2
--- a/bench/loadpatterns.py
+++ b/bench/loadpatterns.py
@@ -21,7 +21,7 @@
 from bench.experiment import RESULTS_DIR
 from fescuerudder.document import Size
 from fescuerudder.jobs.job import Step
-from fescuerudder.jobs.margins import WIDE, Margins
+from fescuerudder.jobs.margins import AT_TARGET, WIDE, Margins
 
 STANDING = Step(
     count=2,
@@ -224,6 +224,7 @@
         baselines={
             "margins 1.2/1.5/1.9/1.4": lambda: fixed_margins(EARLIER_MARGINS),
             "wide margins": lambda: fixed_margins(WIDE),
+            "at-target": lambda: fixed_margins(AT_TARGET),
         },
     ),
     Pattern(
@@ -233,6 +234,7 @@
         baselines={
             "margins 1.2/1.5/1.9/1.4": lambda: fixed_margins(EARLIER_MARGINS),
             "wide margins": lambda: fixed_margins(WIDE),
+            "at-target": lambda: fixed_margins(AT_TARGET),
         },
     ),
 )
--- a/fescuerudder/cli.py
+++ b/fescuerudder/cli.py
@@ -264,6 +264,7 @@
     settings: str = "",
     metrics_port: int = 9464,
     overload_order: str = "value-density",
+    latency_margins: str = "adaptive",
     check: bool = False,
 ) -> int:
     """Runs an instance that serves jobs on the users' platform, until SIGTERM.
@@ -273,18 +274,19 @@
         settings: settings file, instead of the one named by FESCUERUDDER_NODE_FILE.
         overload_order: order of waiting steps in pools that are short of capacity, value-density or
             late-last; the same for all instances, as the leader's value applies.
+        latency_margins: headroom that latency-critical tasks keep from best-effort ones, adaptive
+            or at-target; the same for all instances, as the leader's value applies.
         check: only checks the settings.
     """
     from fescuerudder.platform.run import run_on_platform
     from fescuerudder.platform.settings import load_node_settings
 
+    choices = {"overload_order": overload_order, "latency_margins": latency_margins}
     if check:
-        cfg = load_node_settings(settings, metrics_port=metrics_port, overload_order=overload_order)
+        cfg = load_node_settings(settings, metrics_port=metrics_port, **choices)
         print(f"the settings of instance {cfg.instance!r} are valid")
         return EXIT_DONE
-    return run_on_platform(
-        metrics_port=metrics_port, settings=settings, overload_order=overload_order
-    )
+    return run_on_platform(metrics_port=metrics_port, settings=settings, **choices)
 
 
 def settings() -> int:
--- a/fescuerudder/jobs/leader.py
+++ b/fescuerudder/jobs/leader.py
@@ -37,7 +37,7 @@
     resolve_pause_s,
 )
 from fescuerudder.jobs.leases import LEASE_HORIZON_S, LeasePolicy
-from fescuerudder.jobs.overloadorder import OverloadOrder
+from fescuerudder.jobs.policy import DEFAULT_POLICY, SchedulingPolicy
 from fescuerudder.jobs.progress import StoredJob
 from fescuerudder.jobs.progressbatch import ProgressBatch
 from fescuerudder.jobs.rows import RowStore
@@ -117,7 +117,7 @@
         metrics: metrics of this instance.
         earlier_version_age_s: returns the time since a follower was connected that can't find jobs
             that have left the table of jobs, infinite if none was.
-        overload_order: order of waiting steps where capacity is short.
+        policy: choices of the operators.
     """
 
     def __init__(
@@ -138,7 +138,7 @@
         publish: Callable[[dict[str, JobState], dict[str, int] | None], None],
         metrics: JobMetrics,
         earlier_version_age_s: Callable[[], float] = lambda: math.inf,
-        overload_order: OverloadOrder = OverloadOrder.VALUE_DENSITY,
+        policy: SchedulingPolicy = DEFAULT_POLICY,
     ) -> None:
         self._earlier_version_age_s = earlier_version_age_s
         self._store = store
@@ -170,7 +170,7 @@
             clock=clock,
             wall_ms=wall_ms,
             leases=self._leases,
-            overload_order=overload_order,
+            policy=policy,
         )
         self._advice_calls = ThreadPoolExecutor(ADVICE_THREADS, thread_name_prefix="advice")
         self._order_tasks: set[asyncio.Task[None]] = set()
--- a/fescuerudder/jobs/margins.py
+++ b/fescuerudder/jobs/margins.py
@@ -12,6 +12,7 @@
 import structlog
 
 from fescuerudder.jobs.jobrun import FULL_SPEED, Attempt, StepRun
+from fescuerudder.jobs.policy import LatencyMargins
 
 
 @attrs.frozen(kw_only=True)
@@ -46,6 +47,10 @@
 WIDE = Margins(throttle=1.35, release=1.7, early=2.1, overdue=1.6)
 NARROW = Margins(throttle=1.1, release=1.3, early=1.5, overdue=1.2)
 
+AT_TARGET = Margins(throttle=1.0, release=1.15, early=1.3, overdue=1.05)
+"""Margins with `LatencyMargins.AT_TARGET`. Throttles are lifted a little above the target, so that
+they don't change with each report."""
+
 WIDE_UP_TO_STARVED_SHARE = 0.25
 NARROW_FROM_STARVED_SHARE = 0.5
 """Shares of the wanted best-effort processors that do not work between which the margins change."""
@@ -93,6 +98,20 @@
             )
 
 
+class FixedMargins:
+    """Margins that don't depend on how much best-effort work waits."""
+
+    margins = AT_TARGET
+
+    def update(self, open_steps: Iterable[StepRun], *, now_s: float) -> None:
+        """Ignores the steps."""
+
+
+def make_margin_control(choice: LatencyMargins) -> MarginControl | FixedMargins:
+    """Returns what sets the margins, by the choice of the operators."""
+    return FixedMargins() if choice is LatencyMargins.AT_TARGET else MarginControl()
+
+
 def margins_for(starved_share: float) -> Margins:
     """Returns the margins while a share of the best-effort work that is wanted does not run."""
     span = NARROW_FROM_STARVED_SHARE - WIDE_UP_TO_STARVED_SHARE
--- a/fescuerudder/jobs/node.py
+++ b/fescuerudder/jobs/node.py
@@ -243,8 +243,13 @@
         )
 
     def _make_term(self, claim: Claim, version: int) -> LeaderTerm:
-        ports, order = self._ports, self._cfg.overload_order
-        _log.info("order under overload", order=order.value, epoch=claim.epoch)
+        ports, policy = self._ports, self._cfg.policy
+        _log.info(
+            "scheduling policy",
+            overload_order=policy.overload_order.value,
+            latency_margins=policy.latency_margins.value,
+            epoch=claim.epoch,
+        )
         # What the last leader did not tell any more may concern jobs that have been moved.
         self._states.drop_live()
         return LeaderTerm(
@@ -263,7 +268,7 @@
             publish=self._publish,
             metrics=self._metrics,
             earlier_version_age_s=lambda: self._leader_link.earlier_version_age_s,
-            overload_order=order,
+            policy=policy,
         )
 
     def _publish(self, states: dict[str, JobState], pending: dict[str, int] | None) -> None:
--- a/fescuerudder/jobs/nodesettings.py
+++ b/fescuerudder/jobs/nodesettings.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from fescuerudder.jobs.overloadorder import OverloadOrder
+from fescuerudder.jobs.policy import DEFAULT_POLICY, SchedulingPolicy
 
 
 @attrs.frozen(kw_only=True)
@@ -20,7 +20,7 @@
         first_port: first of the ports reserved for messages between instances.
         store: `ip:port` of the row store.
         advice: `ip:port` of the advice service, empty if there is none.
-        overload_order: order of waiting steps where capacity is short, while this instance leads.
+        policy: choices of the operators that apply while this instance leads.
         cores: processor share, in cores.
         max_lease_s: longest lease that a worker grants, in seconds.
         grace_s: time between the order to stop and the kill, in seconds.
@@ -39,4 +39,4 @@
     max_lease_s: float
     grace_s: float
     advice: str = ""
-    overload_order: OverloadOrder = OverloadOrder.VALUE_DENSITY
+    policy: SchedulingPolicy = DEFAULT_POLICY
--- a/fescuerudder/jobs/runtimes.py
+++ b/fescuerudder/jobs/runtimes.py
@@ -16,7 +16,7 @@
 import attrs
 
 from fescuerudder.jobs.job import Step
-from fescuerudder.jobs.overloadorder import OverloadOrder
+from fescuerudder.jobs.policy import OverloadOrder
 
 MIN_ENDS = 20
 """Number of ended tasks of a shape from which its run times are used."""
--- a/fescuerudder/jobs/scheduler.py
+++ b/fescuerudder/jobs/scheduler.py
@@ -17,7 +17,7 @@
 from fescuerudder.jobs.leaseexpiry import expire_leases
 from fescuerudder.jobs.leases import LeasePolicy
 from fescuerudder.jobs.manifest import Manifest
-from fescuerudder.jobs.overloadorder import OverloadOrder
+from fescuerudder.jobs.policy import DEFAULT_POLICY, SchedulingPolicy
 from fescuerudder.jobs.progress import StoredJob
 from fescuerudder.jobs.progressbatch import ProgressBatch
 from fescuerudder.jobs.progressoutput import ProgressOutput
@@ -78,7 +78,7 @@
         wall_ms: returns Unix time in milliseconds.
         leases: length of the leases.
         urgency: sort key of waiting steps.
-        overload_order: which order it uses where capacity is short.
+        policy: choices of the operators.
     """
 
     def __init__(
@@ -89,10 +89,10 @@
         wall_ms: Callable[[], float],
         leases: LeasePolicy,
         urgency: UrgencyKey = urgency_key,
-        overload_order: OverloadOrder = OverloadOrder.VALUE_DENSITY,
+        policy: SchedulingPolicy = DEFAULT_POLICY,
     ) -> None:
         self.state = SchedulerState(
-            term=term, clock=clock, max_lease_s=leases.max_lease_s, overload_order=overload_order
+            term=term, clock=clock, max_lease_s=leases.max_lease_s, policy=policy
         )
         self._clock = clock
         self._wall_ms = wall_ms
--- a/fescuerudder/jobs/schedulerstate.py
+++ b/fescuerudder/jobs/schedulerstate.py
@@ -15,7 +15,7 @@
 from fescuerudder.jobs.latestarts import LateStarts, bound_worker
 from fescuerudder.jobs.load import Load
 from fescuerudder.jobs.manifest import Manifest, Pool, Queue
-from fescuerudder.jobs.overloadorder import OverloadOrder
+from fescuerudder.jobs.policy import DEFAULT_POLICY, SchedulingPolicy
 from fescuerudder.jobs.rows import RowKey
 from fescuerudder.jobs.runtimes import RunTimes, SubmittedTimes, make_run_times
 from fescuerudder.jobs.shares import Entitlements, weight_of
@@ -79,7 +79,7 @@
             order in which they opened.
         openable_jobs: jobs that may have steps to open.
         job_sizes: typical work of the jobs of each queue.
-        overload_order: order of waiting steps where capacity is short.
+        policy: choices of the operators.
         run_times: run times of tasks, learned if that order uses them.
         advice: permits of the advice service.
         knowledge: what was learned about tasks.
@@ -125,7 +125,7 @@
     max_lease_s: float = 0.0
     late_starts: LateStarts = attrs.Factory(LateStarts)
     job_sizes: JobSizes = attrs.Factory(JobSizes)
-    overload_order: OverloadOrder = OverloadOrder.VALUE_DENSITY
+    policy: SchedulingPolicy = DEFAULT_POLICY
     run_times: RunTimes | SubmittedTimes = attrs.field(init=False)
     advice: AdviceCache = attrs.field(init=False)
     knowledge: Knowledge = attrs.Factory(Knowledge)
@@ -137,7 +137,7 @@
 
     def __attrs_post_init__(self) -> None:
         self.advice = AdviceCache(clock=self.clock)
-        self.run_times = make_run_times(self.overload_order)
+        self.run_times = make_run_times(self.policy.overload_order)
         self.health = WorkerHealth(clock=self.clock, headroom_model=self.knowledge.headroom_model)
 
     def set_manifest(self, manifest: Manifest) -> None:
--- a/fescuerudder/jobs/shortage.py
+++ b/fescuerudder/jobs/shortage.py
@@ -11,7 +11,7 @@
 
 from fescuerudder.jobs.job import Step
 from fescuerudder.jobs.load import ROUNDING_TOLERANCE, Load
-from fescuerudder.jobs.overloadorder import OverloadOrder
+from fescuerudder.jobs.policy import OverloadOrder
 
 LOG_AFTER_S = 1.0
 """Time for which a pool must be short, or not be short any more, before that is logged."""
--- a/fescuerudder/jobs/starts.py
+++ b/fescuerudder/jobs/starts.py
@@ -22,7 +22,7 @@
 from fescuerudder.jobs.leases import LeasePolicy
 from fescuerudder.jobs.load import Load
 from fescuerudder.jobs.manifest import AdvicePolicy, Queue
-from fescuerudder.jobs.margins import MarginControl, Margins
+from fescuerudder.jobs.margins import Margins, make_margin_control
 from fescuerudder.jobs.saturation import Saturation
 from fescuerudder.jobs.schedulerstate import SchedulerState
 from fescuerudder.jobs.shares import ShareControl
@@ -66,8 +66,8 @@
         self._leases = leases
         self._starter = starter
         self._urgency_key = urgency
-        self._shortage = make_shortage_monitor(state.overload_order)
-        self._margin_control = MarginControl()
+        self._shortage = make_shortage_monitor(state.policy.overload_order)
+        self._margin_control = make_margin_control(state.policy.latency_margins)
         self._shares = ShareControl(usage=state.usage, queues=state.queues)
 
     @property
--- a/fescuerudder/platform/run.py
+++ b/fescuerudder/platform/run.py
@@ -9,7 +9,7 @@
 from fescuerudder.jobs.jobmetrics import JobMetrics
 from fescuerudder.jobs.node import JobNode, PlatformPorts, run_node
 from fescuerudder.jobs.nodesettings import NodeSettings
-from fescuerudder.jobs.overloadorder import OverloadOrder
+from fescuerudder.jobs.policy import LatencyMargins, OverloadOrder
 from fescuerudder.logs import configure_logs
 from fescuerudder.platform.advice import PlatformAdvice
 from fescuerudder.platform.asynchttp import AsyncHttpClient
@@ -31,6 +31,7 @@
     metrics_port: int,
     settings: str = "",
     overload_order: str = OverloadOrder.VALUE_DENSITY,
+    latency_margins: str = LatencyMargins.ADAPTIVE,
 ) -> int:
     """Runs an instance until SIGTERM or SIGINT; returns the exit code.
 
@@ -38,11 +39,15 @@
         metrics_port: port for metrics.
         settings: path of the settings file; if empty, the environment names it.
         overload_order: name of an `OverloadOrder`.
+        latency_margins: name of a `LatencyMargins`.
     """
 
     def read_settings() -> NodeSettings:
         return load_node_settings(
-            settings, metrics_port=metrics_port, overload_order=overload_order
+            settings,
+            metrics_port=metrics_port,
+            overload_order=overload_order,
+            latency_margins=latency_margins,
         )
 
     # `__main__` has installed them already, unless another program calls this function.
--- a/fescuerudder/platform/settings.py
+++ b/fescuerudder/platform/settings.py
@@ -9,23 +9,36 @@
 from fescuerudder import checked
 from fescuerudder.errors import SettingsError
 from fescuerudder.jobs.nodesettings import NodeSettings
-from fescuerudder.jobs.overloadorder import OverloadOrder, parse_overload_order
+from fescuerudder.jobs.policy import (
+    LatencyMargins,
+    OverloadOrder,
+    SchedulingPolicy,
+    parse_choice,
+)
 
 SETTINGS_FILE_ENV = "FESCUERUDDER_NODE_FILE"
 
+POLICY_CHOICES = {"overload_order": OverloadOrder, "latency_margins": LatencyMargins}
+"""Kinds of the choices in a `SchedulingPolicy`, by field."""
+
 
 def load_node_settings(
-    path: str = "", *, metrics_port: int, overload_order: str = OverloadOrder.VALUE_DENSITY
+    path: str = "",
+    *,
+    metrics_port: int,
+    overload_order: str = OverloadOrder.VALUE_DENSITY,
+    latency_margins: str = LatencyMargins.ADAPTIVE,
 ) -> NodeSettings:
     """Returns the settings in the file at `path`; if empty, the environment names the file.
 
-    The settings file has neither a port for metrics nor an order under overload; the deploy file
+    The settings file has neither a port for metrics nor choices of the operators; the deploy file
     sets them.
 
     Args:
         path: path of the settings file.
         metrics_port: port for metrics.
         overload_order: name of an `OverloadOrder`.
+        latency_margins: name of a `LatencyMargins`.
 
     Raises:
         SettingsError: the file can't be read, or a setting is invalid; lists every problem.
@@ -37,10 +50,11 @@
         raw = tomllib.loads(Path(path).read_text(encoding="utf-8"))
     except (OSError, ValueError, RecursionError) as exc:
         raise SettingsError(problems=[f"{path}: {checked.reason(exc)}"]) from exc
-    return _parse_settings(raw, metrics_port, overload_order)
+    chosen = {"overload_order": overload_order, "latency_margins": latency_margins}
+    return _parse_settings(raw, metrics_port, chosen)
 
 
-def _parse_settings(raw: dict[str, Any], metrics_port: int, overload_order: str) -> NodeSettings:
+def _parse_settings(raw: dict[str, Any], metrics_port: int, chosen: dict[str, str]) -> NodeSettings:
     problems: list[str] = []
 
     def get(dotted_key: str, convert: Any) -> Any:
@@ -75,14 +89,22 @@
     }
     if raw.get("advice"):
         fields["advice"] = get("advice", checked.host_port)
-    try:
-        fields["overload_order"] = parse_overload_order(overload_order)
-    except ValueError as exc:
-        problems.append(f"--overload-order {exc}")
+    policy = _parse_policy(chosen, problems)
     if problems:
         raise SettingsError(problems=problems)
     fields["max_lease_s"] /= 1000
-    return NodeSettings(**fields)
+    return NodeSettings(policy=policy, **fields)
+
+
+def _parse_policy(chosen: dict[str, str], problems: list[str]) -> SchedulingPolicy:
+    """Returns the choices of the operators; adds a problem for each name that is unknown."""
+    choices: dict[str, Any] = {}
+    for name, kind in POLICY_CHOICES.items():
+        try:
+            choices[name] = parse_choice(kind, chosen[name])
+        except ValueError as exc:
+            problems.append(f"--{name.replace('_', '-')} {exc}")
+    return SchedulingPolicy(**choices)
 
 
 def _first_port(ports: Any) -> int:
--- a/tests/jobs/test_colocation.py
+++ b/tests/jobs/test_colocation.py
@@ -2,7 +2,7 @@
 
 from bench._colocation import FILLER_INTERVAL_S
 from bench.loadpatterns import EARLIER_MARGINS, count_useful, fixed_margins, shared_workers
-from fescuerudder.jobs.margins import WIDE
+from fescuerudder.jobs.margins import AT_TARGET, WIDE
 
 
 def test_latency_critical_tasks_keep_their_targets_beside_best_effort_ones():
@@ -27,3 +27,17 @@
     useful = count_useful(shared_workers(**dense))
     with fixed_margins(WIDE):
         assert useful > 1.1 * count_useful(shared_workers(**dense))
+
+
+def test_margins_at_the_target_serve_more_best_effort_jobs_where_their_work_waits():
+    """Guards against `--latency-margins at-target` costing targets without serving more jobs.
+
+    Twice the best-effort work of the first test, as during a burst of large jobs. Work that has
+    piled up runs when the latency-critical tasks are busiest, so wider margins miss more there.
+    """
+    dense = {"filler_interval_s": FILLER_INTERVAL_S / 2}
+    adaptive = shared_workers(**dense)
+    with fixed_margins(AT_TARGET):
+        at_target = shared_workers(**dense)
+    assert count_useful(at_target) > count_useful(adaptive)
+    assert at_target.missed_share < adaptive.missed_share
--- a/tests/jobs/test_margins.py
+++ b/tests/jobs/test_margins.py
@@ -10,9 +10,12 @@
     NARROW,
     UPDATE_INTERVAL_S,
     WIDE,
+    FixedMargins,
     MarginControl,
+    make_margin_control,
     margins_for,
 )
+from fescuerudder.jobs.policy import LatencyMargins
 
 
 def open_step(*, throttles, waiting=0, done=0, best_effort=True, opened_s=0.0):
@@ -91,3 +94,12 @@
     for number in range(2, 12):
         control.update(starved, now_s=10.0 + number * UPDATE_INTERVAL_S)
     assert control.margins == NARROW
+
+
+@pytest.mark.parametrize(
+    ("choice", "control"),
+    [(LatencyMargins.ADAPTIVE, MarginControl), (LatencyMargins.AT_TARGET, FixedMargins)],
+)
+def test_the_policy_chooses_the_margins(choice, control):
+    """Guards against margins that change where operators have not chosen them."""
+    assert type(make_margin_control(choice)) is control
--- a/tests/jobs/test_overload_order.py
+++ b/tests/jobs/test_overload_order.py
@@ -14,7 +14,7 @@
 from fescuerudder.jobs import node
 from fescuerudder.jobs.claim import Claim
 from fescuerudder.jobs.jobmetrics import JobMetrics
-from fescuerudder.jobs.overloadorder import OverloadOrder
+from fescuerudder.jobs.policy import LatencyMargins, OverloadOrder, SchedulingPolicy
 from fescuerudder.jobs.runtimes import RunTimes
 from fescuerudder.jobs.shortage import ShortageMonitor, WaitingTasks
 from fescuerudder.jobs.urgency import urgency_key
@@ -81,18 +81,21 @@
 
 
 @pytest.mark.parametrize("order", OverloadOrder)
-def test_a_leader_uses_its_own_setting_and_logs_it_once_a_term(order):
-    """Guards against a term that ignores the setting, and against operators who can't see it."""
-    cfg, clock = attrs.evolve(CFG, overload_order=order), ManualClock()
+@pytest.mark.parametrize("margins", LatencyMargins)
+def test_a_leader_uses_its_own_policy_and_logs_it_once_a_term(order, margins):
+    """Guards against a term that ignores the settings, and against operators who can't see them."""
+    policy = SchedulingPolicy(overload_order=order, latency_margins=margins)
+    cfg, clock = attrs.evolve(CFG, policy=policy), ManualClock()
     ports = node.PlatformPorts(
         store=MemoryRowStore(), workers=None, registry=None, advice=None, config=None, make_app=id
     )
     with JobMetrics(instance="n") as metrics, capture_logs() as lines:
         leader = node.JobNode(cfg=cfg, ports=ports, clock=clock, metrics=metrics)
         term = leader._make_term(Claim(epoch=3, instance="n", address="", key=""), 1)
-    assert term._scheduler.state.overload_order is order
-    logged = [(x["order"], x["epoch"]) for x in lines if x["event"] == "order under overload"]
-    assert logged == [(order.value, 3)]
+    assert term._scheduler.state.policy == policy
+    [logged] = [line for line in lines if line["event"] == "scheduling policy"]
+    expected = {"overload_order": order.value, "latency_margins": margins.value, "epoch": 3}
+    assert expected.items() <= logged.items()
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -1,10 +1,11 @@
 """Decoding of the platform's settings file."""
 
+import attrs
 import pytest
 
 from fescuerudder.cli import run
 from fescuerudder.errors import SettingsError
-from fescuerudder.jobs.overloadorder import OverloadOrder
+from fescuerudder.jobs.policy import LatencyMargins, OverloadOrder, SchedulingPolicy
 from fescuerudder.platform import run as platform_run
 from fescuerudder.platform.settings import SETTINGS_FILE_ENV, load_node_settings
 from standins.nodesettings import write_settings
@@ -73,21 +74,37 @@
     assert ("zone is missing" in shown.err) is (code == 2)
 
 
-@pytest.mark.parametrize("order", OverloadOrder)
-def test_the_order_under_overload_comes_from_the_command_line(tmp_path, monkeypatch, order):
+@pytest.mark.parametrize(
+    ("field", "choice"),
+    [
+        *(("overload_order", order) for order in OverloadOrder),
+        *(("latency_margins", margins) for margins in LatencyMargins),
+    ],
+)
+def test_the_policy_comes_from_the_command_line(tmp_path, monkeypatch, field, choice):
     """Guards against a flag that doesn't reach the instance, and against another default."""
     started = []
     monkeypatch.setattr(platform_run, "run_node", lambda cfg, *_, **__: started.append(cfg) or 0)
     args = ["node", "--settings", write_settings(tmp_path / "s.toml")]
-    assert run([*args, "--overload-order", order.value]) == run(args) == 0
-    assert [cfg.overload_order for cfg in started] == [order, OverloadOrder.VALUE_DENSITY]
+    flag = f"--{field.replace('_', '-')}"
+    assert run([*args, flag, choice.value]) == run(args) == 0
+    default = SchedulingPolicy(
+        overload_order=OverloadOrder.VALUE_DENSITY, latency_margins=LatencyMargins.ADAPTIVE
+    )
+    assert [cfg.policy for cfg in started] == [attrs.evolve(default, **{field: choice}), default]
 
 
 @pytest.mark.parametrize("check", [["--check"], []])
-def test_an_unknown_order_under_overload_stops_the_start(tmp_path, capsys, monkeypatch, check):
-    """Guards against an instance that starts with another order than the operator wanted."""
+@pytest.mark.parametrize(
+    ("flag", "names"),
+    [
+        ("--overload-order", "value-density, late-last"),
+        ("--latency-margins", "adaptive, at-target"),
+    ],
+)
+def test_an_unknown_choice_stops_the_start(tmp_path, capsys, monkeypatch, check, flag, names):
+    """Guards against an instance that starts with another policy than the operator wanted."""
     monkeypatch.setattr(platform_run, "run_node", lambda *_, **__: pytest.fail("it has started"))
     settings = write_settings(tmp_path / "s.toml")
-    assert run(["node", "--settings", settings, "--overload-order", "late", *check]) == 2
-    problem = "--overload-order must be one of value-density, late-last, got 'late'"
-    assert problem in capsys.readouterr().err
+    assert run(["node", "--settings", settings, flag, "late", *check]) == 2
+    assert f"{flag} must be one of {names}, got 'late'" in capsys.readouterr().err
