--- a/bench/_overloadreplay.py
+++ b/bench/_overloadreplay.py
@@ -11,6 +11,7 @@
 from bench._overloadloads import Arrival, OverloadPattern
 from fescuerudder.document import Size
 from fescuerudder.jobs.job import Step
+from fescuerudder.jobs.policy import OverloadOrder, SchedulingPolicy
 from fescuerudder.jobs.urgency import (
     BASE_VALUE,
     EXPIRY_FACTOR,
@@ -134,6 +135,7 @@
     Args:
         pattern: the pattern.
         seed: seed of the load and of the delays.
+        setting: order under overload that the instances are set to.
         urgency: sort key of waiting steps, None for that of the product.
         exact: the decisions get exact estimates; the objectives stay.
     """
@@ -143,6 +145,7 @@
         *,
         pattern: OverloadPattern,
         seed: int,
+        setting: OverloadOrder = OverloadOrder.VALUE_DENSITY,
         urgency: UrgencyKey | None = None,
         exact: bool = False,
     ) -> None:
@@ -158,6 +161,7 @@
             queues=pattern.queues,
             plan=self._plan,
         )
+        self.sim.policy = SchedulingPolicy(overload_order=setting)
         if urgency is not None:
             self.sim.urgency = urgency
         self.submitted_s: dict[str, float] = {}
@@ -202,13 +206,17 @@
         ]
         self.sim.submit(STANDING_JOB, steps=steps, queue_name="standing")
 
-    def _outcome(self) -> Outcome:
+    def took_s(self) -> dict[str, float]:
+        """Returns the time from submission to end of each job, infinite without an end."""
         ends = self.ends()
-        took = {
+        return {
             job.arrival.job_id: ends.get(job.arrival.job_id, float("inf"))
             - self.submitted_s[job.arrival.job_id]
             for job in self.jobs
         }
+
+    def _outcome(self) -> Outcome:
+        took = self.took_s()
         is_of_use = {j.arrival.job_id: took[j.arrival.job_id] <= j.expiry_s for j in self.jobs}
         used = self._core_seconds()
         end_s = self.sim.clock.now_s()
--- a/fescuerudder/jobs/leader.py
+++ b/fescuerudder/jobs/leader.py
@@ -37,6 +37,7 @@
     resolve_pause_s,
 )
 from fescuerudder.jobs.leases import LEASE_HORIZON_S, LeasePolicy
+from fescuerudder.jobs.policy import DEFAULT_POLICY, SchedulingPolicy
 from fescuerudder.jobs.progress import StoredJob
 from fescuerudder.jobs.progressbatch import ProgressBatch
 from fescuerudder.jobs.rows import RowStore
@@ -116,6 +117,7 @@
         metrics: metrics of this instance.
         earlier_version_age_s: returns the time since a follower was connected that can't find jobs
             that have left the table of jobs, infinite if none was.
+        policy: choices of the operators.
     """
 
     def __init__(
@@ -136,6 +138,7 @@
         publish: Callable[[dict[str, JobState], dict[str, int] | None], None],
         metrics: JobMetrics,
         earlier_version_age_s: Callable[[], float] = lambda: math.inf,
+        policy: SchedulingPolicy = DEFAULT_POLICY,
     ) -> None:
         self._earlier_version_age_s = earlier_version_age_s
         self._store = store
@@ -165,6 +168,7 @@
             clock=clock,
             wall_ms=wall_ms,
             leases=self._leases,
+            policy=policy,
         )
         self._advice_calls = ThreadPoolExecutor(ADVICE_THREADS, thread_name_prefix="advice")
         self._order_tasks: set[asyncio.Task[None]] = set()
--- a/fescuerudder/jobs/scheduler.py
+++ b/fescuerudder/jobs/scheduler.py
@@ -18,6 +18,7 @@
 from fescuerudder.jobs.leaseexpiry import expire_leases
 from fescuerudder.jobs.leases import LeasePolicy
 from fescuerudder.jobs.manifest import Manifest
+from fescuerudder.jobs.policy import DEFAULT_POLICY, SchedulingPolicy
 from fescuerudder.jobs.preview import Preview, preview_job
 from fescuerudder.jobs.progress import StoredJob
 from fescuerudder.jobs.progressbatch import ProgressBatch
@@ -83,6 +84,7 @@
         wall_ms: returns Unix time in milliseconds.
         leases: length of the leases.
         urgency: sort key of waiting steps.
+        policy: choices of the operators.
     """
 
     def __init__(
@@ -93,8 +95,11 @@
         wall_ms: Callable[[], float],
         leases: LeasePolicy,
         urgency: UrgencyKey = urgency_key,
+        policy: SchedulingPolicy = DEFAULT_POLICY,
     ) -> None:
-        self.state = SchedulerState(term=term, clock=clock, max_lease_s=leases.max_lease_s)
+        self.state = SchedulerState(
+            term=term, clock=clock, max_lease_s=leases.max_lease_s, policy=policy
+        )
         self._clock = clock
         self._wall_ms = wall_ms
         self._leases = leases
--- a/fescuerudder/jobs/starts.py
+++ b/fescuerudder/jobs/starts.py
@@ -22,11 +22,11 @@
 from fescuerudder.jobs.leases import LeasePolicy
 from fescuerudder.jobs.load import Load
 from fescuerudder.jobs.manifest import AdvicePolicy, Queue
-from fescuerudder.jobs.margins import MarginControl, Margins
+from fescuerudder.jobs.margins import Margins, make_margin_control
 from fescuerudder.jobs.saturation import Saturation
 from fescuerudder.jobs.schedulerstate import SchedulerState
 from fescuerudder.jobs.shares import ShareControl
-from fescuerudder.jobs.shortage import ShortageMonitor, WaitingTasks
+from fescuerudder.jobs.shortage import WaitingTasks, make_shortage_monitor
 from fescuerudder.jobs.stepgroups import (
     group_by_avoided,
     grouping_key,
@@ -66,8 +66,8 @@
         self._leases = leases
         self._starter = starter
         self._urgency_key = urgency
-        self._shortage = ShortageMonitor()
-        self._margin_control = MarginControl()
+        self._shortage = make_shortage_monitor(state.policy.overload_order)
+        self._margin_control = make_margin_control(state.policy.latency_margins)
         self._shares = ShareControl(usage=state.usage, queues=state.queues)
 
     @property
@@ -119,11 +119,11 @@
     def _short_pools(
         self, waiting: dict[StepRun, list[TaskRun]], loads: list[Load], now_s: float
     ) -> frozenset[str]:
-        tasks = [
+        tasks = (
             WaitingTasks(pool=queue.pool, step=step.spec, count=len(tasks))
             for step, tasks in waiting.items()
             if (queue := self._queue(step)) is not None
-        ]
+        )
         return self._shortage.short_pools(tasks, loads, now_s=now_s)
 
     def _start_on_recorded_workers(
