A leader asks only followers that reach the store better to succeed it

Cause: while the store answers nobody for 0.9 s, the leader found a follower eligible whose last answer was up to 1.5 s old, thus possibly older than its own. The follower claimed as soon as the store was back, so the leader changed at the end of a stall that concerned every instance, and the load of the new term added to the work of a busy store.

Change: a successor asked because the store isn't reached must have had an answer at least 0.5 s after the last one of the leader. Planned stops ask as before. The fake link of the test gets the age of the followers' answers; its former rows stay as they are.

The new row of the test fails on the base.

--- a/fescuerudder/jobs/leaderlink.py
+++ b/fescuerudder/jobs/leaderlink.py
@@ -159,14 +159,21 @@
             return 0.0
         return self._clock.now_s() - self._earlier_version_s
 
-    def find_successor(self, *, asked: Collection[str] = ()) -> str | None:
+    def find_successor(
+        self,
+        *,
+        asked: Collection[str] = (),
+        max_store_age_s: float = MAX_SUCCESSOR_STORE_AGE_S,
+    ) -> str | None:
         """Returns the id of the eligible follower with the lowest rank, or None if there is none.
 
         Args:
             asked: ids of instances that were already asked to claim and are left out.
+            max_store_age_s: time within which the store has answered it, in seconds.
         """
-        followers = list(self._followers.values())
-        eligible = [f for f in followers if self._is_eligible(f) and f.instance not in asked]
+        max_age_s = min(max_store_age_s, MAX_SUCCESSOR_STORE_AGE_S)
+        followers = [f for f in list(self._followers.values()) if f.instance not in asked]
+        eligible = [f for f in followers if self._is_eligible(f, max_age_s)]
         best = min(eligible, key=lambda f: (f.status.rank_s, f.instance), default=None)
         return best.instance if best is not None else None
 
@@ -174,12 +181,12 @@
         """Asks a follower to claim the leadership at once."""
         self._loop.call(self._send_claim_now, instance, epoch)
 
-    def _is_eligible(self, follower: _Follower) -> bool:
+    def _is_eligible(self, follower: _Follower, max_age_s: float) -> bool:
         status = follower.status
         if status is None or status.stops:
             return False
         age_s = status.store_age_s + self._clock.now_s() - follower.status_s
-        return age_s < MAX_SUCCESSOR_STORE_AGE_S
+        return age_s < max_age_s
 
     # --- in the loop
 
--- a/fescuerudder/jobs/leadership.py
+++ b/fescuerudder/jobs/leadership.py
@@ -1,5 +1,6 @@
 """Leader election: watches the leader, claims the leadership, runs a term, hands it over."""
 
+import math
 import random
 import secrets
 import threading
@@ -54,6 +55,10 @@
 """Time without a stored heartbeat, and without any answer of the store, after which a leader asks a
 successor to claim."""
 
+MIN_STORE_LEAD_S = 0.5
+"""Time by which the store must have answered a successor later than this instance. A leader without
+work calls the store each 0.4 s, so in an outage its last answer may be that much older."""
+
 CLAIM_REQUEST_INTERVAL_S = 0.8
 CLAIM_REQUEST_VALID_S = 1.0
 """Time for which a follower tries to claim after the leader asked it to."""
@@ -344,6 +349,8 @@
         """Waits for the end of the term; asks for a successor if this instance loses the store.
 
         A slow store that still answers is no reason to ask: it would be as slow for a successor.
+        Nor is one that has answered no follower since: the leader would change at the end of an
+        outage that concerns every instance.
         """
         asked_s = 0.0
         while not term.lost.is_set() and not self._stopping.is_set():
@@ -351,7 +358,8 @@
             is_store_lost = min(term.unconfirmed_s, self._store_age_s()) > MAX_UNCONFIRMED_S
             if is_store_lost and now_s - asked_s > CLAIM_REQUEST_INTERVAL_S:
                 asked_s = now_s
-                self._ask_successor(claim, reason="store not reached")
+                lead_s = self._store_age_s() - MIN_STORE_LEAD_S
+                self._ask_successor(claim, reason="store not reached", max_store_age_s=lead_s)
             self._clock.wait_s(term.lost, TERM_POLL_S)
 
     def _hand_over(self, claim: Claim, term: LeaderTerm) -> None:
@@ -364,10 +372,15 @@
             asked.add(successor)
 
     def _ask_successor(
-        self, claim: Claim, *, reason: str, asked: Collection[str] = ()
+        self,
+        claim: Claim,
+        *,
+        reason: str,
+        asked: Collection[str] = (),
+        max_store_age_s: float = math.inf,
     ) -> str | None:
         """Asks the best eligible follower to claim; returns its id, or None if there is none."""
-        successor = self._leader_link.find_successor(asked=asked)
+        successor = self._leader_link.find_successor(asked=asked, max_store_age_s=max_store_age_s)
         if successor is None:
             _log.warning("no successor is fit", epoch=claim.epoch, reason=reason)
             return None
--- a/tests/jobs/test_leadership.py
+++ b/tests/jobs/test_leadership.py
@@ -46,6 +46,7 @@
     """Link to followers given by id; calls `on_claim_request` with each that is asked to claim."""
 
     followers: list = attrs.Factory(list)
+    store_age_s: float = 0.1
     on_claim_request: object = lambda name: None
     asked: list = attrs.Factory(list)
 
@@ -55,8 +56,9 @@
     def deactivate(self):
         pass
 
-    def find_successor(self, *, asked=()):
-        return next((name for name in self.followers if name not in asked), None)
+    def find_successor(self, *, asked=(), max_store_age_s=60.0):
+        found = self.followers if self.store_age_s < max_store_age_s else []
+        return next((name for name in found if name not in asked), None)
 
     def request_claim(self, name, *, epoch):
         self.asked.append(name)
@@ -172,14 +174,22 @@
 
 
 @pytest.mark.parametrize(
-    ("unconfirmed_s", "store_age_s", "is_asked"),
-    [(1.5, 1.5, True), (1.5, 0.4, False), (0.4, 1.5, False)],
+    ("unconfirmed_s", "store_age_s", "follower_age_s", "is_asked"),
+    [
+        (1.5, 1.5, 0.1, True),
+        (1.5, 0.4, 0.1, False),
+        (0.4, 1.5, 0.1, False),
+        (1.5, 1.5, 1.3, False),
+    ],
 )
 def test_a_leader_asks_a_successor_only_if_it_cannot_reach_the_store(
-    unconfirmed_s, store_age_s, is_asked
+    unconfirmed_s, store_age_s, follower_age_s, is_asked
 ):
-    """Guards against handovers back and forth while the store is slow for every instance."""
-    rows, terms, link = MemoryRowStore(), [], FakeLeaderLink(["a"])
+    """Guards against handovers back and forth while the store is slow for every instance.
+
+    A follower that the store answered last when it answered the leader reaches it no better.
+    """
+    rows, terms, link = MemoryRowStore(), [], FakeLeaderLink(["a"], store_age_s=follower_age_s)
     leadership = make_leadership(rows, leader_link=link, terms=terms, store_age_s=store_age_s)
     with leadership:
         wait_until(lambda: leadership.term is not None)
--- a/tests/jobs/test_links.py
+++ b/tests/jobs/test_links.py
@@ -55,6 +55,7 @@
         == len(followers)
     )
     assert links.leader.find_successor(asked=asked) == successor
+    assert links.leader.find_successor(asked=asked, max_store_age_s=0.05) is None
     if successor is not None:
         links.leader.request_claim(successor, epoch=3)
         wait_until(lambda: links.claim_requests == [(successor, 3)])
