The roster is spread over several rows if it doesn't fit into one

Cause: the roster was one row of at most 65,536 bytes. From about 1,200 workers on the store rejected it, and workers that were not on the stored roster got no tasks.

Change: beyond 60,000 bytes the row `workers` tells how many rows `workers-1`, `workers-2` ... have the entries, all written in one transaction with at most 12 rows. The writer opens a transaction for the leader's rows if they don't fit beside the others. Followers declare that they read this form (`Follow.reads_roster_rows`); while one doesn't, the roster is one row as long as it fits. An earlier instance takes the first of several rows for malformed and waits for all leases. Rows that are no longer used are deleted. A gauge and a log line tell of a roster that doesn't fit.

The fixture EMPTY_BATCH of test_leader loses the field `deadlines`, which is now part of the roster.

Ids and addresses of the platform's length give 53 bytes an entry, so 12 rows hold about 8,000 workers.

--- a/fescuerudder/jobs/followerlink.py
+++ b/fescuerudder/jobs/followerlink.py
@@ -201,6 +201,7 @@
             instance=self._instance,
             takes_patches=True,
             reads_ended=True,
+            reads_roster_rows=True,
             config_revision=manifest.revision if manifest is not None else 0,
         )
 
--- a/fescuerudder/jobs/jobmetrics.py
+++ b/fescuerudder/jobs/jobmetrics.py
@@ -16,6 +16,7 @@
 from fescuerudder._meterprovider import create_provider
 from fescuerudder.clock import Clock, SystemClock
 from fescuerudder.jobs.accountmetrics import AccountGauges
+from fescuerudder.jobs.rosterrows import SerializedRoster
 
 LATENCY_BOUNDS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0)
 
@@ -176,6 +177,10 @@
             "fescuerudder_isolated_rows",
             description="Rows that the store rejected, counted with each try.",
         )
+        self._roster_workers = meter.create_gauge(
+            "fescuerudder_roster_workers",
+            description="Workers of the last roster, by whether it fits into the store.",
+        )
         self._latencies = CallLatencies()
         self._registry.register(self._latencies)
 
@@ -204,6 +209,12 @@
         """Records rows that the store rejected."""
         self._isolated_rows.add(rows)
 
+    def record_roster(self, roster: SerializedRoster | None) -> None:
+        """Records the size of a roster, unless it is None."""
+        for fits in (True, False) if roster is not None else ():
+            count = roster.workers if roster.fits is fits else 0
+            self._roster_workers.set(count, {"fits": str(fits).lower()})
+
     def render(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
         return generate_latest(self._registry)
--- a/fescuerudder/jobs/leader.py
+++ b/fescuerudder/jobs/leader.py
@@ -116,6 +116,7 @@
         metrics: metrics of this instance.
         earlier_version_age_s: returns the time since a follower was connected that can't find jobs
             that have left the table of jobs, infinite if none was.
+        one_row_age_s: the same for a follower that reads only rosters of one row.
     """
 
     def __init__(
@@ -136,8 +137,10 @@
         publish: Callable[[dict[str, JobState], dict[str, int] | None], None],
         metrics: JobMetrics,
         earlier_version_age_s: Callable[[], float] = lambda: math.inf,
+        one_row_age_s: Callable[[], float] = lambda: math.inf,
     ) -> None:
         self._earlier_version_age_s = earlier_version_age_s
+        self._one_row_age_s = one_row_age_s
         self._store = store
         self._metrics = metrics
         self._publish = publish
@@ -153,10 +156,7 @@
         self._stopping = threading.Event()
         self._starts_planned = threading.Event()
         self._writer = LeaderWriter(
-            store=store,
-            clock=clock,
-            claim=claim,
-            claim_version=claim_version,
+            store=store, clock=clock, claim=claim, claim_version=claim_version
         )
         self._leases = LeasePolicy(
             lease_s=lease_s,
@@ -291,10 +291,8 @@
         except Exception as exc:
             # Without an event, the scheduler would wait for the outcome for good.
             _log.exception("order failed", order=type(order).__name__)
-            event, outcome = (
-                unanswered(order, sent_s=started_s, reason=checked.reason(exc)),
-                "failed",
-            )
+            event = unanswered(order, sent_s=started_s, reason=checked.reason(exc))
+            outcome = "failed"
         self._collect_event(event)
         self._metrics.record_call(
             peer="advice" if isinstance(order, AdviceQuery) else "worker",
@@ -403,12 +401,12 @@
 
     def _may_move_history(self) -> bool:
         """Returns whether every instance finds moved jobs, and the store takes running work."""
-        return self._reads_new_rows() and self.unconfirmed_s <= MAX_MOVE_UNCONFIRMED_S
+        is_past = self._is_past(self._earlier_version_age_s())
+        return is_past and self.unconfirmed_s <= MAX_MOVE_UNCONFIRMED_S
 
-    def _reads_new_rows(self) -> bool:
-        """Returns whether no instance of an earlier version is likely to read rows."""
-        is_new = self._clock.now_s() - self._began_s < MIN_TERM_AGE_S
-        return self._earlier_version_age_s() >= STATUS_S and not is_new
+    def _is_past(self, age_s: float) -> bool:
+        """Returns whether no instance of an earlier version, last seen so long ago, reads rows."""
+        return age_s >= STATUS_S and self._clock.now_s() - self._began_s >= MIN_TERM_AGE_S
 
     def _take_jobs(self, jobs: list[StoredJob], cancels: list[str]) -> None:
         self._post_event(Submitted(jobs=jobs, cancels=cancels))
@@ -466,15 +464,18 @@
         """Lets a stored batch take effect, but for the rows that the store rejected."""
         for group in rejected:
             self._metrics.record_isolated(rows=group.entries)
+        self._metrics.record_roster(batch.roster)
         names = frozenset(group.name for group in rejected)
         self._post_event(Stored(batch=batch, rejected=names))
         self._publish(batch.without(names).states, batch.pending)
 
     def _next_batch(self) -> ProgressBatch:
         assert self._ref is not None
-        is_earlier = self._earlier_version_age_s() < STATUS_S
         take = partial(
-            Scheduler.take_progress, compact=self._reads_new_rows(), earlier_version=is_earlier
+            Scheduler.take_progress,
+            compact=self._is_past(self._earlier_version_age_s()),
+            earlier_version=self._earlier_version_age_s() < STATUS_S,
+            roster_rows=self._is_past(self._one_row_age_s()),
         )
         return self._ref.ask(take, timeout=PROGRESS_REQUEST_TIMEOUT_S)
 
--- a/fescuerudder/jobs/leaderlink.py
+++ b/fescuerudder/jobs/leaderlink.py
@@ -121,7 +121,7 @@
         self._followers: dict[ServerConnection, _Follower] = {}
         self._unsent_states: dict[str, str] = {}
         self._pending: dict[str, int] | None = None
-        self._earlier_version_s = -math.inf
+        self._earlier_version_s = self._one_row_s = -math.inf
         self._pulse_task: asyncio.Task | None = None
         self._config_task: asyncio.Task | None = None
         self._sent_config = ConfigView()
@@ -159,6 +159,13 @@
             return 0.0
         return self._clock.now_s() - self._earlier_version_s
 
+    @property
+    def one_row_age_s(self) -> float:
+        """Time since a follower was connected that reads only rosters of one row, as above."""
+        if any(not follower.hello.reads_roster_rows for follower in list(self._followers.values())):
+            return 0.0
+        return self._clock.now_s() - self._one_row_s
+
     def find_successor(
         self,
         *,
@@ -257,6 +264,8 @@
             gone = self._followers.pop(conn, None)
             if gone is not None and not gone.hello.reads_ended:
                 self._earlier_version_s = self._clock.now_s()
+            if gone is not None and not gone.hello.reads_roster_rows:
+                self._one_row_s = self._clock.now_s()
             if gone is not None:
                 _log.info("follower gone", follower=gone.instance)
 
--- a/fescuerudder/jobs/leaderwriter.py
+++ b/fescuerudder/jobs/leaderwriter.py
@@ -32,6 +32,7 @@
     LEASES_KEY,
     ROSTER_KEY,
     job_of,
+    roster_row_number,
 )
 
 WRITE_TIMEOUT_S = 1.5
@@ -41,6 +42,9 @@
 """Rows of jobs that one transaction writes or deletes; the other eight entries are reserved for the
 leader's own rows."""
 
+OWN_ENTRIES = 4
+"""Entries of each transaction for the claim, the heartbeat, its version and the bound on leases."""
+
 MAX_PART_BYTES = 500_000
 """Size of the values that one transaction writes; the store takes 1 MB, encoded in base64."""
 
@@ -141,7 +145,7 @@
         """Stores rows and a heartbeat, and deletes rows; returns the groups that were rejected.
 
         What doesn't fit into one transaction is stored in this order: `rows`, `deletes`, and with
-        the last transaction `leader_rows`, of which at most four fit. The rows of a job are stored
+        the last transaction `leader_rows`, which must fit into one. The rows of a job are stored
         together, unless they alone don't fit. The heartbeats that follow say of the records of
         starts what `starts_recorded` does, unless rows were rejected.
         After a StoreOutcomeUnknownError call `resolve` until it returns. The rows of the
@@ -291,7 +295,9 @@
             parts.append([])
         parts[-1].append(group)
     own = _leader_groups(leader_rows)
-    if sum(group.size for group in (*parts[-1], *own)) > MAX_PART_BYTES:
+    last = (*parts[-1], *own)
+    is_too_large = sum(group.size for group in last) > MAX_PART_BYTES
+    if is_too_large or sum(group.entries for group in last) > MAX_TXN_ROWS - OWN_ENTRIES:
         parts.append([])
     parts[-1] += own
     return parts
@@ -326,8 +332,12 @@
 
 
 def _leader_groups(rows: Mapping[RowKey, bytes]) -> list[RowGroup]:
-    """Returns the leader's own rows; the roster is valid only with its deadlines."""
-    roster = {key: value for key, value in rows.items() if key in (ROSTER_KEY, DEADLINES_KEY)}
+    """Returns the leader's own rows; the roster is valid only as a whole, with its deadlines."""
+    roster = {
+        key: value
+        for key, value in rows.items()
+        if key in (ROSTER_KEY, DEADLINES_KEY) or roster_row_number(key)
+    }
     others = [(key, value) for key, value in rows.items() if key not in roster]
     groups = [RowGroup(name=key.key, puts=((key, value),)) for key, value in others]
     if roster:
--- a/fescuerudder/jobs/linkmessages.py
+++ b/fescuerudder/jobs/linkmessages.py
@@ -13,12 +13,14 @@
         config_revision: revision of the manifest that it has, 0 if it has none.
         reads_ended: it finds jobs that have left the tables of jobs and progress; instances of
             earlier versions don't.
+        reads_roster_rows: it reads a roster in several rows; instances of earlier versions don't.
     """
 
     instance: str
     takes_patches: bool = False
     config_revision: int = 0
     reads_ended: bool = False
+    reads_roster_rows: bool = False
 
 
 @attrs.frozen(kw_only=True)
--- a/fescuerudder/jobs/node.py
+++ b/fescuerudder/jobs/node.py
@@ -262,6 +262,7 @@
             publish=self._publish,
             metrics=self._metrics,
             earlier_version_age_s=lambda: self._leader_link.earlier_version_age_s,
+            one_row_age_s=lambda: self._leader_link.one_row_age_s,
         )
 
     def _publish(self, states: dict[str, JobState], pending: dict[str, int] | None) -> None:
--- a/fescuerudder/jobs/progressbatch.py
+++ b/fescuerudder/jobs/progressbatch.py
@@ -5,13 +5,9 @@
 import attrs
 
 from fescuerudder.jobs.jobrun import JobState, RecordedStart, StepRun
+from fescuerudder.jobs.rosterrows import SerializedRoster
 from fescuerudder.jobs.rows import RowKey
-from fescuerudder.jobs.storage import (
-    DEADLINES_KEY,
-    KNOWLEDGE_KEY,
-    LATE_STARTS_KEY,
-    ROSTER_KEY,
-)
+from fescuerudder.jobs.storage import KNOWLEDGE_KEY, LATE_STARTS_KEY, ROSTER_KEY
 
 
 @attrs.frozen(kw_only=True)
@@ -32,7 +28,6 @@
         pending: number of jobs of each queue of which no task has started.
         knowledge: serialized knowledge about tasks, None if it was stored recently.
         roster: the serialized roster, None if the stored one is up to date.
-        deadlines: serialized deadlines of the roster, None if the roster is.
         late_starts: the serialized late starts, None if the stored ones are up to date.
         roster_incarnations: incarnations of the workers that may get tasks once the roster is
             stored, by worker id.
@@ -47,8 +42,7 @@
     ends: dict[tuple[str, int], dict[str, int]]
     pending: dict[str, int]
     knowledge: bytes | None
-    roster: bytes | None
-    deadlines: bytes | None
+    roster: SerializedRoster | None
     late_starts: bytes | None
     roster_incarnations: dict[str, int]
 
@@ -61,6 +55,7 @@
             self,
             recorded={s: starts for s, starts in self.recorded.items() if s.id.job not in names},
             states={job: state for job, state in self.states.items() if job not in names},
+            roster=self.roster if has_roster else None,
             roster_incarnations=self.roster_incarnations if has_roster else {},
         )
 
@@ -68,8 +63,7 @@
         """Returns the rows of the batch that don't belong to a job."""
         rows = {
             KNOWLEDGE_KEY: self.knowledge,
-            ROSTER_KEY: self.roster,
-            DEADLINES_KEY: self.deadlines,
+            **(self.roster.rows if self.roster is not None else {}),
             LATE_STARTS_KEY: self.late_starts,
         }
         return {key: value for key, value in rows.items() if value is not None}
--- a/fescuerudder/jobs/progressoutput.py
+++ b/fescuerudder/jobs/progressoutput.py
@@ -62,6 +62,7 @@
         knowledge: bytes | None,
         compact: bool,
         earlier_version: bool,
+        roster_rows: bool,
     ) -> ProgressBatch:
         """Returns the progress to store, and marks it as clean.
 
@@ -70,11 +71,12 @@
             knowledge: serialized knowledge about tasks, None if it was stored recently.
             compact: whether every instance reads the compact form of progress.
             earlier_version: whether a follower is connected that doesn't.
+            roster_rows: whether every instance reads a roster in several rows.
         """
         self._expand(earlier_version)
         now_s = self._state.clock.now_s()
         self._retry_isolated(now_s)
-        stored = self._roster.take_changed()
+        stored = self._roster.take_changed(several_rows=roster_rows)
         if not self._state.unresolved_workers():
             # Attempts that this leader has learned of are recorded with this batch at the latest.
             self._state.starts_recorded = True
@@ -89,7 +91,8 @@
         rows, unused = self._dump_progress(runs, compact)
         rows |= starts.rows
         self._state.obsolete_records.update(dict.fromkeys(unused))
-        deletes = tuple(key for key in self._take_deletes(starts.deletes) if key not in rows)
+        written = rows.keys() | (stored.roster.rows.keys() if stored is not None else set())
+        deletes = tuple(key for key in self._take_deletes(starts.deletes) if key not in written)
         return ProgressBatch(
             rows=rows,
             deletes=(*deletes, *self._take_history(entries=len(rows) + len(deletes))),
@@ -104,8 +107,7 @@
             ends=self._take_new_ends(),
             pending=pending,
             knowledge=knowledge,
-            roster=stored.data if stored is not None else None,
-            deadlines=stored.deadlines if stored is not None else None,
+            roster=stored.roster if stored is not None else None,
             late_starts=self._roster.take_late_starts(),
             roster_incarnations=stored.incarnations if stored is not None else {},
         )
@@ -203,7 +205,8 @@
             if record is not None and record.info.incarnation_ms == incarnation_ms:
                 acknowledgeable = min((serial, *(first - 1 for first in record.held_ends.values())))
                 record.stored_serial = max(record.stored_serial, acknowledgeable)
-        self._roster.mark_stored(batch.roster_incarnations)
+        if batch.roster is not None:
+            self._roster.mark_stored(batch.roster, batch.roster_incarnations)
         self._releaser.on_stored(batch.recorded)
 
     def _isolate(self, batch: ProgressBatch, rejected: Collection[str]) -> None:
--- a/fescuerudder/jobs/roster.py
+++ b/fescuerudder/jobs/roster.py
@@ -51,13 +51,17 @@
     deadline_ms: int | None = None
 
 
-def dump_roster(entries: Iterable[RosterEntry]) -> bytes:
-    """Returns the serialized roster: id, incarnation, address and attempts of each worker."""
-    rows = sorted((_dump_entry(entry) for entry in entries), key=lambda row: row[0])
+def dump_roster(entries: Iterable[RosterEntry], *, keep_attempts: bool = False) -> bytes:
+    """Returns the roster serialized into one row: id, incarnation, address and attempts of each.
+
+    Args:
+        entries: the workers.
+        keep_attempts: whether the attempts are also kept if the row becomes too large.
+    """
+    rows = sorted((dump_entry(entry) for entry in entries), key=lambda row: row[0])
     data = json.dumps(rows, separators=(",", ":")).encode()
-    if len(data) <= MAX_ROSTER_BYTES:
+    if keep_attempts or len(data) <= MAX_ROSTER_BYTES:
         return data
-    _log.warning("attempts on silent workers left out of the roster", bytes=len(data))
     return json.dumps([row[:ENTRY_FIELDS] for row in rows], separators=(",", ":")).encode()
 
 
@@ -68,7 +72,7 @@
         StoredFormError: the data is malformed.
     """
     try:
-        return [_load_entry(*row) for row in checked.items(checked.load_json(data))]
+        return [load_entry(*row) for row in checked.items(checked.load_json(data))]
     except (ValueError, TypeError) as exc:
         raise StoredFormError(f"malformed roster: {checked.reason(exc)}") from exc
 
@@ -86,7 +90,7 @@
     found = []
     for row in rows:
         try:
-            found.append(_load_entry(*row))
+            found.append(load_entry(*row))
         except (ValueError, TypeError) as exc:
             _log.error("roster entry can't be read", reason=checked.reason(exc))
     return [*found, UNREADABLE]
@@ -124,7 +128,8 @@
     ]
 
 
-def _dump_entry(entry: RosterEntry) -> list[Any]:
+def dump_entry(entry: RosterEntry) -> list[Any]:
+    """Returns the fields of an entry as they are serialized, without its deadline."""
     info = entry.info
     fields = [info.id, info.incarnation_ms, info.address]
     return (
@@ -134,9 +139,15 @@
     )
 
 
-def _load_entry(
+def load_entry(
     name: str, incarnation_ms: int, address: str, only_attempts: list[list[Any]] | None = None
 ) -> RosterEntry:
+    """Returns the entry with these fields.
+
+    Raises:
+        ValueError: a field is out of range.
+        TypeError: a field has another type, or there are more of them.
+    """
     attempts = None
     if only_attempts is not None:
         attempts = tuple(_load_attempt(*attempt) for attempt in checked.items(only_attempts))
--- a/fescuerudder/jobs/rosterkeeper.py
+++ b/fescuerudder/jobs/rosterkeeper.py
@@ -19,13 +19,12 @@
     UNREADABLE,
     AttemptRef,
     RosterEntry,
-    dump_deadlines,
-    dump_roster,
 )
+from fescuerudder.jobs.rosterrows import SerializedRoster, dump_roster_rows
 from fescuerudder.jobs.rows import StoreClock
 from fescuerudder.jobs.schedulerstate import SchedulerState
 from fescuerudder.jobs.startrecords import StepStarts, StoredStarts
-from fescuerudder.jobs.storage import starts_key
+from fescuerudder.jobs.storage import roster_key, starts_key
 from fescuerudder.jobs.workerport import WorkerInfo
 from fescuerudder.jobs.workerrecord import WorkerClock, WorkerRecord
 
@@ -40,13 +39,11 @@
     """A changed roster that has to be stored.
 
     Args:
-        data: the serialized roster.
-        deadlines: the serialized deadlines of its entries.
+        roster: the serialized roster.
         incarnations: incarnations of the workers that may get tasks once it is stored, by id.
     """
 
-    data: bytes
-    deadlines: bytes
+    roster: SerializedRoster
     incarnations: dict[str, int]
 
 
@@ -65,6 +62,8 @@
         self._store_clock: StoreClock | None = None
         self._leases_until_ms: int | None = None
         self._is_roster_complete = True
+        self._stored_rows = 0
+        self._has_several_rows = False
 
     def set_workers(self, infos: Iterable[WorkerInfo]) -> None:
         """Updates the records from the complete registry of workers."""
@@ -81,6 +80,7 @@
         self,
         entries: Iterable[RosterEntry],
         *,
+        stored_rows: int = 0,
         store_clock: StoreClock | None,
         starts: StoredStarts,
         late_starts: Iterable[StoredLateStart] = (),
@@ -92,6 +92,7 @@
 
         Args:
             entries: the stored roster.
+            stored_rows: highest number of one of its further rows.
             store_clock: reading of the store's clock, None if the store told none.
             starts: the records of starts.
             late_starts: the late starts that the last leader knew.
@@ -100,6 +101,9 @@
         """
         now_s = self._state.clock.now_s()
         self._store_clock, self._leases_until_ms = store_clock, leases_until_ms
+        self._stored_rows = stored_rows
+        # Instances that read only one row may follow, and one may have led and left rows behind.
+        self._state.roster_changed = self._state.roster_changed or stored_rows > 0
         entries = list(entries)
         self._is_roster_complete = UNREADABLE not in entries
         self._state.starts_recorded = starts.is_complete and self._is_roster_complete
@@ -259,8 +263,15 @@
         if record.unanswered_renewals == _restrict_after(record):
             self._state.roster_changed = True
 
-    def take_changed(self) -> PendingRoster | None:
-        """Returns the roster if it has changed, and clears the mark that it has."""
+    def take_changed(self, *, several_rows: bool) -> PendingRoster | None:
+        """Returns the roster if it has changed, and clears the mark that it has.
+
+        Args:
+            several_rows: whether every instance reads a roster in several rows.
+        """
+        if self._stored_rows and not several_rows and self._has_several_rows:
+            self._state.roster_changed = True
+        self._has_several_rows = several_rows
         if not self._state.roster_changed:
             return None
         self._state.roster_changed = False
@@ -272,8 +283,7 @@
             if name not in restricted
         }
         return PendingRoster(
-            data=dump_roster(entries),
-            deadlines=dump_deadlines(entries),
+            roster=dump_roster_rows(entries, several=several_rows),
             incarnations=incarnations,
         )
 
@@ -294,8 +304,16 @@
             deadline_ms=clock.latest_ms(ended_by_s) if clock is not None else None,
         )
 
-    def mark_stored(self, incarnations: dict[str, int]) -> None:
-        """Marks workers as on the stored roster if they are still the given incarnations."""
+    def mark_stored(self, roster: SerializedRoster, incarnations: dict[str, int]) -> None:
+        """Marks workers as on the stored roster if they are still the given incarnations.
+
+        Args:
+            roster: the roster that was stored.
+            incarnations: the incarnations of its workers that may get tasks, by id.
+        """
+        unused = range(roster.further_rows + 1, self._stored_rows + 1)
+        self._state.obsolete_records.update(dict.fromkeys(map(roster_key, unused)))
+        self._stored_rows = roster.further_rows
         for worker, incarnation_ms in incarnations.items():
             record = self._state.workers.get(worker)
             if (
--- a/fescuerudder/jobs/scheduler.py
+++ b/fescuerudder/jobs/scheduler.py
@@ -134,6 +134,7 @@
         self,
         entries: Iterable[RosterEntry],
         *,
+        stored_rows: int = 0,
         store_clock: StoreClock | None,
         starts: StoredStarts,
         late_starts: Iterable[StoredLateStart] = (),
@@ -145,6 +146,7 @@
 
         Args:
             entries: the stored roster.
+            stored_rows: highest number of one of its further rows.
             store_clock: reading of the store's clock, None if the store told none.
             starts: the records of starts.
             late_starts: the late starts that the last leader knew.
@@ -153,6 +155,7 @@
         """
         self._roster.restore(
             entries,
+            stored_rows=stored_rows,
             store_clock=store_clock,
             starts=starts,
             late_starts=late_starts,
@@ -357,19 +360,21 @@
         return bool(self.state.planned) and self._releaser.has_records
 
     def take_progress(
-        self, *, compact: bool = False, earlier_version: bool = False
+        self, *, compact: bool = False, earlier_version: bool = False, roster_rows: bool = False
     ) -> ProgressBatch:
         """Returns the progress to store, and marks it as clean.
 
         Args:
             compact: whether every instance reads the compact form of progress.
             earlier_version: whether a follower is connected that doesn't.
+            roster_rows: whether every instance reads a roster in several rows.
         """
         return self._output.take(
             pending=self.pending(),
             knowledge=self._dump_knowledge(),
             compact=compact,
             earlier_version=earlier_version,
+            roster_rows=roster_rows,
         )
 
     def _dump_knowledge(self) -> bytes | None:
--- a/fescuerudder/jobs/storage.py
+++ b/fescuerudder/jobs/storage.py
@@ -43,6 +43,10 @@
 ROSTER_KEY = RowKey(LEADER_TABLE, LEADER_PARTITION, "workers")
 """The workers that may run tasks."""
 
+ROSTER_SEPARATOR = "-"
+"""Separates the key of the roster from the number of a further row. It is not that of jobs' rows,
+so that `job_of` tells the rows apart."""
+
 DEADLINES_KEY = RowKey(LEADER_TABLE, LEADER_PARTITION, "deadlines")
 """When the attempts on silent workers of the roster have ended; written together with it."""
 
@@ -76,6 +80,22 @@
     return RowKey(ENDED_TABLE, partition_of(job_id), job_id)
 
 
+def roster_key(number: int) -> RowKey:
+    """Returns the key of a row of the roster; 0 is the first one."""
+    return (
+        ROSTER_KEY._replace(key=f"{ROSTER_KEY.key}{ROSTER_SEPARATOR}{number}")
+        if number
+        else ROSTER_KEY
+    )
+
+
+def roster_row_number(key: RowKey) -> int:
+    """Returns the number of a further row of the roster, 0 for all other keys."""
+    name, _, number = key.key.partition(ROSTER_SEPARATOR)
+    is_further = key._replace(key=name) == ROSTER_KEY and number.isdecimal()
+    return int(number) if is_further else 0
+
+
 def starts_key(step: StepId, row: int = 0) -> RowKey:
     """Returns the key of a row that records starts of a step; wide steps have several rows."""
     name = f"{step.job}.{step.occurrence}.{step.step}"
--- a/fescuerudder/jobs/takeover.py
+++ b/fescuerudder/jobs/takeover.py
@@ -20,7 +20,8 @@
     load_state,
 )
 from fescuerudder.jobs.progressrows import PART_SEPARATOR, load_rows, part_key
-from fescuerudder.jobs.roster import RosterEntry, add_deadlines, load_roster, recover_roster
+from fescuerudder.jobs.roster import RosterEntry, add_deadlines
+from fescuerudder.jobs.rosterrows import load_roster_rows, recover_roster_rows
 from fescuerudder.jobs.rows import Row, RowKey, RowStore, StoreClock, read_partition
 from fescuerudder.jobs.scheduler import Scheduler
 from fescuerudder.jobs.startrecords import StoredStarts, load_starts
@@ -41,6 +42,7 @@
     STARTS_TABLE,
     job_of,
     progress_key,
+    roster_row_number,
 )
 
 LOAD_TIMEOUT_S = 3.0
@@ -65,6 +67,7 @@
         version: version from which to follow the feed of jobs.
         knowledge: what earlier leaders learned about tasks, serialized; None if not stored.
         roster: workers on which tasks of earlier leaders may run, with these tasks.
+        roster_rows: highest number of one of its further rows, also of those no longer used.
         starts: the records of starts.
         late_starts: the late starts that the last leader knew.
         store_clock: reading of the store's clock, None if the store told none.
@@ -81,6 +84,7 @@
     knowledge: bytes | None = None
     ended_jobs: list[Job] = attrs.Factory(list)
     roster: list[RosterEntry] = attrs.Factory(list)
+    roster_rows: int = 0
     starts: StoredStarts = attrs.Factory(StoredStarts)
     late_starts: list[StoredLateStart] = attrs.Factory(list)
     store_clock: StoreClock | None = None
@@ -148,6 +152,7 @@
         loaded,
         knowledge=knowledge.value if knowledge is not None else None,
         roster=_read_roster(stored),
+        roster_rows=max(map(roster_row_number, stored), default=0),
         starts=_read_starts(starts, stored.get(HEARTBEAT_KEY), unfinished),
         late_starts=(_parse(load_late_starts, late.value) or []) if late is not None else [],
         store_clock=store_clock if head.store_ms else None,
@@ -211,10 +216,10 @@
     if roster is None:
         return []
     try:
-        entries = load_roster(roster.value)
+        entries = load_roster_rows(stored)
     except StoredFormError as exc:
         _log.error("roster can't be read, older jobs wait for all leases", reason=str(exc))
-        return recover_roster(roster.value)
+        return recover_roster_rows(stored)
     if deadlines is None or deadlines.version != roster.version:
         return entries
     try:
@@ -329,6 +334,7 @@
     scheduler.cancel(loaded.cancels)
     scheduler.restore_roster(
         loaded.roster,
+        stored_rows=loaded.roster_rows,
         store_clock=loaded.store_clock,
         starts=loaded.starts,
         late_starts=loaded.late_starts,
--- a/tests/jobs/test_history.py
+++ b/tests/jobs/test_history.py
@@ -235,4 +235,4 @@
     links.leader.activate(links.source)
     follower = links.follow("a")
     wait_until(lambda: follower.is_connected and links.leader._followers)
-    assert links.leader.earlier_version_age_s == float("inf")
+    assert links.leader.earlier_version_age_s == links.leader.one_row_age_s == float("inf")
--- a/tests/jobs/test_leader.py
+++ b/tests/jobs/test_leader.py
@@ -39,7 +39,6 @@
     pending={},
     knowledge=None,
     roster=None,
-    deadlines=None,
     late_starts=None,
     roster_incarnations={},
 )
