--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -5,6 +5,8 @@
 import sys
 from pathlib import Path
 
+import attrs
+
 from bench._bed import Scale
 from bench.demo import hold_cluster, run_demo
 from bench.disruption import Timing, run_disruption
@@ -387,6 +389,23 @@
     return EXIT_DONE
 
 
+def history(*, base: str, small: str = "no", seed: str = "1", limit_s: str = "900") -> int:
+    """Measures what grows with ended jobs and repetitions, in a base version and in this one.
+
+    Args:
+        base: root of a source tree of the base version, 122f4c3 or later.
+        small: yes or no; a small version takes seconds and writes no results.
+        seed: seed of the simulations.
+        limit_s: longest time of one measurement, in seconds; a longer one has no result.
+    """
+    from bench.history import SMALL, HistoryPlan, run_and_print
+
+    plan = SMALL if small == "yes" else HistoryPlan()
+    fields = {"seed": int(_number("--seed", seed)), "timeout_s": _number("--limit-s", limit_s)}
+    run_and_print(base, plan=attrs.evolve(plan, **fields), write=plan is not SMALL)
+    return EXIT_DONE
+
+
 def _number(flag: str, text: str) -> float:
     try:
         return float(text)
@@ -407,6 +426,7 @@
     "patterns": patterns,
     "overload": overload,
     "starts": starts,
+    "history": history,
     "soak": soak,
 }
 
