--- a/fescuerudder/jobs/rosterkeeper.py
+++ b/fescuerudder/jobs/rosterkeeper.py
@@ -64,6 +64,7 @@
         self._is_roster_complete = True
         self._stored_rows = 0
         self._has_several_rows = False
+        self._is_whole = True
 
     def set_workers(self, infos: Iterable[WorkerInfo]) -> None:
         """Updates the records from the complete registry of workers."""
@@ -269,7 +270,7 @@
         Args:
             several_rows: whether every instance reads a roster in several rows.
         """
-        if self._stored_rows and not several_rows and self._has_several_rows:
+        if several_rows != self._has_several_rows and (self._stored_rows or not self._is_whole):
             self._state.roster_changed = True
         self._has_several_rows = several_rows
         if not self._state.roster_changed:
@@ -313,7 +314,7 @@
         """
         unused = range(roster.further_rows + 1, self._stored_rows + 1)
         self._state.obsolete_records.update(dict.fromkeys(map(roster_key, unused)))
-        self._stored_rows = roster.further_rows
+        self._stored_rows, self._is_whole = roster.further_rows, roster.is_whole
         for worker, incarnation_ms in incarnations.items():
             record = self._state.workers.get(worker)
             if (
--- a/fescuerudder/jobs/rosterrows.py
+++ b/fescuerudder/jobs/rosterrows.py
@@ -53,11 +53,13 @@
         workers: number of its workers.
         fits: whether the store takes it; otherwise its rows are rejected, and workers that are not
             on the stored roster get no tasks.
+        is_whole: whether no attempts were left out.
     """
 
     rows: dict[RowKey, bytes]
     workers: int
     fits: bool = True
+    is_whole: bool = True
 
     @property
     def further_rows(self) -> int:
@@ -81,7 +83,7 @@
         if single != whole:
             _log_left_out(entries)
         rows = {ROSTER_KEY: single, DEADLINES_KEY: dump_deadlines(entries)}
-        return SerializedRoster(rows=rows, workers=len(entries))
+        return SerializedRoster(rows=rows, workers=len(entries), is_whole=single == whole)
     parts = list(_spread(_dump_long(entry) for entry in entries))
     if len(parts) > MAX_FURTHER_ROWS:
         _log_left_out(entries)
--- a/tests/jobs/test_rosterrows.py
+++ b/tests/jobs/test_rosterrows.py
@@ -51,6 +51,7 @@
     """
     given = entries(workers, attempts=attempts)
     roster = dump_roster_rows(given, several=several)
+    assert several or roster.is_whole is keeps_attempts
     assert roster.fits and max(map(len, roster.rows.values())) <= MAX_ROW_BYTES
     assert sum(map(len, roster.rows.values())) <= MAX_PART_BYTES
     assert bool(roster.further_rows) is has_further
