--- a/fescuerudder/jobs/leader.py
+++ b/fescuerudder/jobs/leader.py
@@ -118,6 +118,7 @@
         earlier_version_age_s: returns the time since a follower was connected that can't find jobs
             that have left the table of jobs, infinite if none was.
         policy: choices of the operators.
+        one_row_age_s: the same for a follower that reads only rosters of one row.
     """
 
     def __init__(
@@ -139,8 +140,10 @@
         metrics: JobMetrics,
         earlier_version_age_s: Callable[[], float] = lambda: math.inf,
         policy: SchedulingPolicy = DEFAULT_POLICY,
+        one_row_age_s: Callable[[], float] = lambda: math.inf,
     ) -> None:
         self._earlier_version_age_s = earlier_version_age_s
+        self._one_row_age_s = one_row_age_s
         self._store = store
         self._metrics = metrics
         self._publish = publish
@@ -295,10 +298,8 @@
         except Exception as exc:
             # Without an event, the scheduler would wait for the outcome for good.
             _log.exception("order failed", order=type(order).__name__)
-            event, outcome = (
-                unanswered(order, sent_s=started_s, reason=checked.reason(exc)),
-                "failed",
-            )
+            event = unanswered(order, sent_s=started_s, reason=checked.reason(exc))
+            outcome = "failed"
         self._collect_event(event)
         self._metrics.record_call(
             peer="advice" if isinstance(order, AdviceQuery) else "worker",
@@ -407,12 +408,12 @@
 
     def _may_move_history(self) -> bool:
         """Returns whether every instance finds moved jobs, and the store takes running work."""
-        return self._reads_new_rows() and self.unconfirmed_s <= MAX_MOVE_UNCONFIRMED_S
+        is_past = self._is_past(self._earlier_version_age_s())
+        return is_past and self.unconfirmed_s <= MAX_MOVE_UNCONFIRMED_S
 
-    def _reads_new_rows(self) -> bool:
-        """Returns whether no instance of an earlier version is likely to read rows."""
-        is_new = self._clock.now_s() - self._began_s < MIN_TERM_AGE_S
-        return self._earlier_version_age_s() >= STATUS_S and not is_new
+    def _is_past(self, age_s: float) -> bool:
+        """Returns whether no instance of an earlier version, last seen so long ago, reads rows."""
+        return age_s >= STATUS_S and self._clock.now_s() - self._began_s >= MIN_TERM_AGE_S
 
     def _take_jobs(self, jobs: list[StoredJob], cancels: list[str]) -> None:
         self._post_event(Submitted(jobs=jobs, cancels=cancels))
@@ -470,15 +471,18 @@
         """Lets a stored batch take effect, but for the rows that the store rejected."""
         for group in rejected:
             self._metrics.record_isolated(rows=group.entries)
+        self._metrics.record_roster(batch.roster)
         names = frozenset(group.name for group in rejected)
         self._post_event(Stored(batch=batch, rejected=names))
         self._publish(batch.without(names).states, batch.pending)
 
     def _next_batch(self) -> ProgressBatch:
         assert self._ref is not None
-        is_earlier = self._earlier_version_age_s() < STATUS_S
         take = partial(
-            Scheduler.take_progress, compact=self._reads_new_rows(), earlier_version=is_earlier
+            Scheduler.take_progress,
+            compact=self._is_past(self._earlier_version_age_s()),
+            earlier_version=self._earlier_version_age_s() < STATUS_S,
+            roster_rows=self._is_past(self._one_row_age_s()),
         )
         return self._ref.ask(take, timeout=PROGRESS_REQUEST_TIMEOUT_S)
 
--- a/fescuerudder/jobs/leaderlink.py
+++ b/fescuerudder/jobs/leaderlink.py
@@ -125,7 +125,7 @@
         self._followers: dict[ServerConnection, _Follower] = {}
         self._unsent_states: dict[str, str] = {}
         self._pending: dict[str, int] | None = None
-        self._earlier_version_s = -math.inf
+        self._earlier_version_s = self._one_row_s = -math.inf
         self._pulse_task: asyncio.Task | None = None
         self._config_task: asyncio.Task | None = None
         self._sent_config = ConfigView()
@@ -163,14 +163,28 @@
             return 0.0
         return self._clock.now_s() - self._earlier_version_s
 
-    def find_successor(self, *, asked: Collection[str] = ()) -> str | None:
+    @property
+    def one_row_age_s(self) -> float:
+        """Time since a follower was connected that reads only rosters of one row, as above."""
+        if any(not follower.hello.reads_roster_rows for follower in list(self._followers.values())):
+            return 0.0
+        return self._clock.now_s() - self._one_row_s
+
+    def find_successor(
+        self,
+        *,
+        asked: Collection[str] = (),
+        max_store_age_s: float = MAX_SUCCESSOR_STORE_AGE_S,
+    ) -> str | None:
         """Returns the id of the eligible follower with the lowest rank, or None if there is none.
 
         Args:
             asked: ids of instances that were already asked to claim and are left out.
+            max_store_age_s: time within which the store has answered it, in seconds.
         """
-        followers = list(self._followers.values())
-        eligible = [f for f in followers if self._is_eligible(f) and f.instance not in asked]
+        max_age_s = min(max_store_age_s, MAX_SUCCESSOR_STORE_AGE_S)
+        followers = [f for f in list(self._followers.values()) if f.instance not in asked]
+        eligible = [f for f in followers if self._is_eligible(f, max_age_s)]
         best = min(eligible, key=lambda f: (f.status.rank_s, f.instance), default=None)
         return best.instance if best is not None else None
 
@@ -178,12 +192,12 @@
         """Asks a follower to claim the leadership at once."""
         self._loop.call(self._send_claim_now, instance, epoch)
 
-    def _is_eligible(self, follower: _Follower) -> bool:
+    def _is_eligible(self, follower: _Follower, max_age_s: float) -> bool:
         status = follower.status
         if status is None or status.stops:
             return False
         age_s = status.store_age_s + self._clock.now_s() - follower.status_s
-        return age_s < MAX_SUCCESSOR_STORE_AGE_S
+        return age_s < max_age_s
 
     # --- in the loop
 
@@ -254,6 +268,8 @@
             gone = self._followers.pop(conn, None)
             if gone is not None and not gone.hello.reads_ended:
                 self._earlier_version_s = self._clock.now_s()
+            if gone is not None and not gone.hello.reads_roster_rows:
+                self._one_row_s = self._clock.now_s()
             if gone is not None:
                 _log.info("follower gone", follower=gone.instance)
 
