Leader: which rows all instances read is a class of its own

Change: `RowSupport` holds the versions of the followers and what follows for rows; the pause before a renewal is repeated belongs to `RenewalPlanner`. No change of behaviour.

--- a/fescuerudder/jobs/leader.py
+++ b/fescuerudder/jobs/leader.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import math
 import threading
 from collections.abc import Callable, Collection, Sequence
 from concurrent.futures import ThreadPoolExecutor
@@ -24,8 +23,7 @@
 from fescuerudder.jobs.answertimes import AnswerTimes
 from fescuerudder.jobs.claim import Claim
 from fescuerudder.jobs.configview import ConfigView
-from fescuerudder.jobs.endedjobs import STATUS_S
-from fescuerudder.jobs.historymover import MAX_MOVE_UNCONFIRMED_S, MIN_TERM_AGE_S, HistoryMover
+from fescuerudder.jobs.historymover import MAX_MOVE_UNCONFIRMED_S, HistoryMover
 from fescuerudder.jobs.jobfeed import JobFeed
 from fescuerudder.jobs.jobmetrics import JobMetrics
 from fescuerudder.jobs.jobrun import JobState
@@ -41,6 +39,7 @@
 from fescuerudder.jobs.progress import StoredJob
 from fescuerudder.jobs.progressbatch import ProgressBatch
 from fescuerudder.jobs.rows import RowStore
+from fescuerudder.jobs.rowsupport import RowSupport
 from fescuerudder.jobs.scheduler import Order, Scheduler
 from fescuerudder.jobs.scheduleractor import SchedulerActor
 from fescuerudder.jobs.schedulerstate import Term
@@ -115,10 +114,8 @@
         publish: called with job states that have been stored, and with the number of waiting jobs
             of each queue, None if unchanged.
         metrics: metrics of this instance.
-        earlier_version_age_s: returns the time since a follower was connected that can't find jobs
-            that have left the table of jobs, infinite if none was.
         policy: choices of the operators.
-        one_row_age_s: the same for a follower that reads only rosters of one row.
+        row_support: which rows all instances read; if None, all are of this version.
     """
 
     def __init__(
@@ -138,12 +135,10 @@
         view: Callable[[], ConfigView],
         publish: Callable[[dict[str, JobState], dict[str, int] | None], None],
         metrics: JobMetrics,
-        earlier_version_age_s: Callable[[], float] = lambda: math.inf,
         policy: SchedulingPolicy = DEFAULT_POLICY,
-        one_row_age_s: Callable[[], float] = lambda: math.inf,
+        row_support: RowSupport | None = None,
     ) -> None:
-        self._earlier_version_age_s = earlier_version_age_s
-        self._one_row_age_s = one_row_age_s
+        self._row_support = row_support or RowSupport(clock=clock)
         self._store = store
         self._metrics = metrics
         self._publish = publish
@@ -176,7 +171,6 @@
         self._advice_calls = ThreadPoolExecutor(ADVICE_THREADS, thread_name_prefix="advice")
         self._order_tasks: set[asyncio.Task[None]] = set()
         self._answer_times = AnswerTimes()
-        self._began_s = clock.now_s()
         self._loader = TermLoader(store=store, clock=clock, wall_ms=wall_ms, writer=self._writer)
         self._unsent_events: list[Any] = []
         self._threads: list[threading.Thread] = []
@@ -408,12 +402,7 @@
 
     def _may_move_history(self) -> bool:
         """Returns whether every instance finds moved jobs, and the store takes running work."""
-        is_past = self._is_past(self._earlier_version_age_s())
-        return is_past and self.unconfirmed_s <= MAX_MOVE_UNCONFIRMED_S
-
-    def _is_past(self, age_s: float) -> bool:
-        """Returns whether no instance of an earlier version, last seen so long ago, reads rows."""
-        return age_s >= STATUS_S and self._clock.now_s() - self._began_s >= MIN_TERM_AGE_S
+        return self._row_support.reads_ended and self.unconfirmed_s <= MAX_MOVE_UNCONFIRMED_S
 
     def _take_jobs(self, jobs: list[StoredJob], cancels: list[str]) -> None:
         self._post_event(Submitted(jobs=jobs, cancels=cancels))
@@ -480,9 +469,9 @@
         assert self._ref is not None
         take = partial(
             Scheduler.take_progress,
-            compact=self._is_past(self._earlier_version_age_s()),
-            earlier_version=self._earlier_version_age_s() < STATUS_S,
-            roster_rows=self._is_past(self._one_row_age_s()),
+            compact=self._row_support.reads_ended,
+            earlier_version=self._row_support.has_earlier_version,
+            roster_rows=self._row_support.reads_roster_rows,
         )
         return self._ref.ask(take, timeout=PROGRESS_REQUEST_TIMEOUT_S)
 
--- a/fescuerudder/jobs/node.py
+++ b/fescuerudder/jobs/node.py
@@ -30,6 +30,7 @@
 from fescuerudder.jobs.nodesettings import NodeSettings
 from fescuerudder.jobs.previewservice import PreviewService
 from fescuerudder.jobs.rows import RowStore
+from fescuerudder.jobs.rowsupport import RowSupport
 from fescuerudder.jobs.settingsreloader import SettingsReloader
 from fescuerudder.jobs.workerport import WorkerPort, WorkerRegistry
 from fescuerudder.kernel import Kernel
@@ -288,9 +289,12 @@
             view=lambda: self.config.view,
             publish=self._publish,
             metrics=self._metrics,
-            earlier_version_age_s=lambda: self._leader_link.earlier_version_age_s,
             policy=policy,
-            one_row_age_s=lambda: self._leader_link.one_row_age_s,
+            row_support=RowSupport(
+                clock=self._clock,
+                earlier_version_age_s=lambda: self._leader_link.earlier_version_age_s,
+                one_row_age_s=lambda: self._leader_link.one_row_age_s,
+            ),
         )
 
     def _publish(self, states: dict[str, JobState], pending: dict[str, int] | None) -> None:
--- a/fescuerudder/jobs/renewalplanner.py
+++ b/fescuerudder/jobs/renewalplanner.py
@@ -20,6 +20,17 @@
 """The wait while answers are lost now and then: a lost report hides ends for as long."""
 
 
+RETRY_RENEWAL_S = 0.2
+"""Time after which a renewal without an answer is repeated."""
+
+FIRST_RETRY_S = 0.05
+"""The same after the first one to a worker that a late order may reach: it may
+have been born again, and the call has to come before the order."""
+
+ABSENT_RENEWAL_S = 1.0
+"""Time between two renewals of a worker that left the registry and may have crashed."""
+
+
 class RenewalPlanner:
     """Plans the renewals of a term.
 
@@ -49,6 +60,12 @@
             if now_s >= record.next_renewal_s and self._is_wanted(record)
         ]
 
+    def retry_s(self, record: WorkerRecord) -> float:
+        """Returns the time after which a renewal is repeated that has got no answer."""
+        if self._state.may_carry_out_late(record):
+            return RETRY_RENEWAL_S if record.is_silent else FIRST_RETRY_S
+        return RETRY_RENEWAL_S if record.listed or record.attempts else ABSENT_RENEWAL_S
+
     def _is_wanted(self, record: WorkerRecord) -> bool:
         """Returns whether a worker is to be asked for a report.
 
--- a/fescuerudder/jobs/scheduler.py
+++ b/fescuerudder/jobs/scheduler.py
@@ -24,7 +24,7 @@
 from fescuerudder.jobs.progressbatch import ProgressBatch
 from fescuerudder.jobs.progressoutput import ProgressOutput
 from fescuerudder.jobs.relocation import ThrottledMoves, mark_evictions
-from fescuerudder.jobs.renewalplanner import RenewalPlanner
+from fescuerudder.jobs.renewalplanner import RETRY_RENEWAL_S, RenewalPlanner
 from fescuerudder.jobs.reports import ReportReconciler
 from fescuerudder.jobs.roster import RosterEntry
 from fescuerudder.jobs.rosterkeeper import RosterKeeper
@@ -53,19 +53,9 @@
 MIN_RENEWAL_INTERVAL_S = 0.1
 """Shortest time between two renewals of a worker, so that one report covers several ends."""
 
-RETRY_RENEWAL_S = 0.2
-FIRST_RETRY_S = 0.05
-"""The same after the first call without an answer to a worker that a late order may reach: it may
-have been born again, and the call has to come before the order."""
-
-ABSENT_RENEWAL_S = 1.0
-"""Time between two renewals of a worker that left the registry and may have crashed."""
-
-
 KNOWLEDGE_WRITE_INTERVAL_S = 2.0
 """Time between two writes of the knowledge about tasks."""
 
-
 REFUSED_START_PAUSE_S = 0.3
 """Time without further starts on a worker that had no room for one, was unhealthy or was not
 connected."""
@@ -116,10 +106,7 @@
         self.is_superseded = False
         self.history = JobHistory(state=self.state)
         self._output = ProgressOutput(
-            state=self.state,
-            roster=self._roster,
-            releaser=self._releaser,
-            history=self.history,
+            state=self.state, roster=self._roster, releaser=self._releaser, history=self.history
         )
         self._stops = StopPlanner(state=self.state)
         self._moves = ThrottledMoves()
@@ -240,10 +227,7 @@
         if record is None:
             return
         record.end_renewal()
-        retry_s = RETRY_RENEWAL_S if record.listed or record.attempts else ABSENT_RENEWAL_S
-        if self.state.may_carry_out_late(record):
-            retry_s = RETRY_RENEWAL_S if record.is_silent else FIRST_RETRY_S
-        record.next_renewal_s = self._clock.now_s() + retry_s
+        record.next_renewal_s = self._clock.now_s() + self._renewals.retry_s(record)
         self._roster.count_unanswered_renewal(record)
         if record.silent_since_s is None:
             record.silent_since_s = sent_s
