--- a/fescuerudder/jobs/runtimes.py
+++ b/fescuerudder/jobs/runtimes.py
@@ -142,21 +142,20 @@
             times.errors.add(times.errors.limited(error))
 
     def expected_s(self, queue: str, step: Step) -> float:
-        """Returns the run time that a task of a step probably has."""
-        return self._predicted_s(queue, step, deviations=0.0)
+        """Returns the run time that a task of a step probably has, in seconds."""
+        return self._predicted_s(queue, step, deviations=0.0, unknown_s=step.estimated_ms / 1000)
 
     def tail_s(self, queue: str, step: Step) -> float:
-        """Returns a run time that 95% of the tasks of a step stay below; see `TAIL_DEVIATIONS`."""
-        return self._predicted_s(queue, step, deviations=TAIL_DEVIATIONS)
+        """Returns a run time that 95% of the tasks of a step stay below; see `TAIL_DEVIATIONS`.
 
-    def worker_factor(self, worker: str) -> float:
-        """Returns by which factor tasks run longer on a worker than elsewhere."""
-        return math.exp(self._workers.get(worker, 0.0))
+        It is in seconds, and infinite until enough tasks of the shape have ended.
+        """
+        return self._predicted_s(queue, step, deviations=TAIL_DEVIATIONS, unknown_s=math.inf)
 
-    def _predicted_s(self, queue: str, step: Step, *, deviations: float) -> float:
+    def _predicted_s(self, queue: str, step: Step, *, deviations: float, unknown_s: float) -> float:
         times = self._shapes.get(_Shape.of(queue, step))
         if times is None or times.runs.count < MIN_ENDS:
-            return step.estimated_ms / 1000
+            return unknown_s
         mean, variance = times.predict(step.estimated_ms / 1000)
         return math.exp(mean + deviations * math.sqrt(variance))
 
--- a/fescuerudder/jobs/scheduler.py
+++ b/fescuerudder/jobs/scheduler.py
@@ -27,11 +27,13 @@
 from fescuerudder.jobs.roster import RosterEntry
 from fescuerudder.jobs.rosterkeeper import RosterKeeper
 from fescuerudder.jobs.rows import StoreClock
+from fescuerudder.jobs.runtimes import RunTimes
 from fescuerudder.jobs.schedulerstate import SchedulerState, Term
 from fescuerudder.jobs.startrecords import StoredStarts
 from fescuerudder.jobs.startrelease import StartReleaser
 from fescuerudder.jobs.starts import StartPlanner
 from fescuerudder.jobs.stops import StopPlanner
+from fescuerudder.jobs.stragglers import mark_stragglers
 from fescuerudder.jobs.throttling import plan_throttles
 from fescuerudder.jobs.urgency import UrgencyKey, urgency_key
 from fescuerudder.jobs.waitreasons import WaitMonitor
@@ -446,7 +448,7 @@
         return [workers[name] for name in self._reported if name in workers]
 
     def _mark_evictions(self, now_s: float) -> None:
-        """Marks attempts to evict from the slow and stalled workers among those that reported."""
+        """Marks attempts to evict: all from slow and stalled workers, and stragglers."""
         for record in self._reported_workers():
             health = self.state.health.evaluate(record)
             if health is not HealthStatus.HEALTHY:
@@ -458,6 +460,9 @@
                     has_room_elsewhere=has_room,
                     may_move=self.state.usage.may_move,
                 )
+            elif isinstance(run_times := self.state.run_times, RunTimes):
+                may_move = self.state.usage.may_move
+                mark_stragglers(record, run_times, now_s=now_s, may_move=may_move)
 
     def _mark_throttled_moves(self, now_s: float) -> None:
         """Marks the throttled attempts that can move away from the workers that reported."""
--- a/tests/jobs/test_runtimes.py
+++ b/tests/jobs/test_runtimes.py
@@ -1,5 +1,6 @@
 """Learned run times."""
 
+import math
 import random
 
 import attrs
@@ -68,14 +69,15 @@
         worker = f"w{number % 4}"
         times.observe("q", STEP, worker=worker, run_s=10.0 if worker == "w0" else 1.0)
     assert times.expected_s("q", STEP) == pytest.approx(1.0, rel=0.2)
-    assert times.worker_factor("w0") > 5.0
-    assert times.worker_factor("w1") == pytest.approx(1.0, rel=0.2)
+    assert math.exp(times._workers["w0"]) > 5.0
+    assert math.exp(times._workers["w1"]) == pytest.approx(1.0, rel=0.2)
 
 
 def test_the_tail_is_above_most_run_times():
     """Guards against predictions that take each task for a typical one."""
     times = learned(lambda rng: rng.lognormvariate(0.0, 0.5), count=500)
     assert 1.7 <= times.tail_s("q", STEP) <= 3.0
+    assert times.tail_s("other", STEP) == math.inf
 
 
 def test_memory_is_bounded(monkeypatch):
