Create occurrences of repeated jobs shortly before they are due

Change: occurrences.py decides which occurrences exist. Ended ones are ranges, those to come are a count; one is created 1 s before it is due, or when a record, a report or a row names it, and dropped once it has ended and nothing of it runs. Jobs without repetition have one occurrence that is never dropped. TaskRun, StepRun and Attempt move to taskrun.py, and jobrun.py still exports them. Tests that read steps of occurrences which don't exist yet now ask for them by find_step, and mark tasks as done by record_done; what they check is the same.

--- a/fescuerudder/jobs/idleroom.py
+++ b/fescuerudder/jobs/idleroom.py
@@ -29,7 +29,7 @@
 
 def stands_still(run: JobRun, now_s: float) -> bool:
     """Returns whether a job has had no live attempt for MAX_STANDSTILL_S."""
-    since_s = run.received_s
+    since_s = max(run.received_s, run.last_active_s)
     for step in run.steps.values():
         if step.opened_s is None:
             continue
--- a/fescuerudder/jobs/job.py
+++ b/fescuerudder/jobs/job.py
@@ -134,3 +134,11 @@
     def occurrences(self) -> int:
         """Number of times the steps run."""
         return self.repetition.times if self.repetition else 1
+
+    @property
+    def occurrence_work(self) -> float:
+        """Estimated work of all tasks of one occurrence, in core seconds."""
+        work = 0.0
+        for step in self.steps:
+            work += step.count * step.work
+        return work
--- a/fescuerudder/jobs/jobrun.py
+++ b/fescuerudder/jobs/jobrun.py
@@ -11,24 +11,35 @@
     estimated_run_ms,
     remaining_path_ms,
 )
-from fescuerudder.jobs.job import Job, Step, StepId, TaskId
-
-FULL_SPEED = 100
-"""Throttle, in percent, of an attempt that is not slowed down."""
-
-MAX_COPIES = 2
-"""Maximum number of live attempts of a speculative task."""
-
-MAX_POSSIBLE_CRASHES = 4
-"""Number of crashes, possible ones included, from which a task isn't started any more. The platform
-allows five starts that crash their workers, of which one may go unnoticed: a start that is not
-answered yet as another worker takes the address."""
-
-MAX_ORDER_DELAY_S = 20.0
-"""Time after which an unanswered order can't be carried out any more: it has been, or is lost."""
+from fescuerudder.jobs.job import Job, Step, TaskId
+from fescuerudder.jobs.occurrences import Occurrences
+from fescuerudder.jobs.taskrun import (
+    FULL_SPEED,
+    MAX_AVOIDED_WORKERS,
+    MAX_COPIES,
+    MAX_ORDER_DELAY_S,
+    MAX_POSSIBLE_CRASHES,
+    Attempt,
+    Phase,
+    RecordedStart,
+    StepRun,
+    TaskRun,
+)
 
-MAX_AVOIDED_WORKERS = 2
-"""Number of avoided workers from which the task itself counts as the cause."""
+__all__ = [
+    "FULL_SPEED",
+    "MAX_AVOIDED_WORKERS",
+    "MAX_COPIES",
+    "MAX_ORDER_DELAY_S",
+    "MAX_POSSIBLE_CRASHES",
+    "Attempt",
+    "JobRun",
+    "JobState",
+    "Phase",
+    "RecordedStart",
+    "StepRun",
+    "TaskRun",
+]
 
 
 class JobState(enum.Enum):
@@ -46,296 +57,6 @@
         return self not in (JobState.QUEUED, JobState.RUNNING)
 
 
-class Phase(enum.Enum):
-    """What is known about a live attempt."""
-
-    PLANNED = "planned"  # the start order waits until its record is stored
-    STARTING = "starting"  # the start order has not been answered yet
-    UNCERTAIN = "uncertain"  # the start order got no answer, so the attempt may run
-    RUNNING = "running"
-    STOPPING = "stopping"  # a stop was sent; no report has listed the end yet
-
-
-@attrs.define(eq=False, kw_only=True)
-class Attempt:
-    """A live attempt of a task on a worker. Times are on this instance's clock, in seconds.
-
-    Args:
-        task: the task.
-        worker: id of the worker.
-        incarnation_ms: start time of the worker's incarnation for which it was planned, or on which
-            a report listed it.
-        number: number of the attempt.
-        phase: what is known about it.
-        token: fencing token of its start order.
-        sent_s: when the start order was planned or, later, sent.
-        confirmed_s: when the worker confirmed that it runs, None before.
-        is_answered: the worker answered its start order or listed it, so the order can't be
-            carried out later.
-        late_until_s: when an order that an earlier leader knew to be late can no longer be carried
-            out, None for any other order.
-        reported: a report of the worker's current incarnation listed it.
-        listed_s: when a report last listed it, None before.
-        checkpoint: latest saved state that was reported.
-        percent: progress of its work; see `RunningAttempt`.
-        latency_ms: last reported tail latency, 0 if none.
-        processors: cores in use in the last report, 0 if unknown.
-        throttle: throttle that was ordered, in percent of its full speed; None if unknown, such as
-            for an attempt that an earlier leader started.
-        stop_sent_s: when a stop was last sent, None if none was.
-        evicted: it is to be stopped so that its task can start elsewhere.
-        evicted_for_throttle: it is evicted because it was throttled; its worker is healthy.
-        adopted: an earlier leader started it, so `sent_s` is not when it began.
-        restored: it was restored from what an earlier leader stored; no report to this leader has
-            listed it yet.
-        is_last_resort: it was started on a worker that its task would otherwise not use, so it is
-            not evicted from there.
-        worker_in_doubt: its worker is silent, slow or stalled, so a copy of a speculative task may
-            start.
-    """
-
-    task: "TaskRun"
-    worker: str
-    incarnation_ms: int = 0
-    number: int
-    phase: Phase
-    token: int
-    sent_s: float
-    confirmed_s: float | None = None
-    is_answered: bool = False
-    late_until_s: float | None = None
-    reported: bool = False
-    listed_s: float | None = None
-    checkpoint: str = ""
-    percent: int = 0
-    latency_ms: float = 0.0
-    processors: float = 0.0
-    throttle: int | None = FULL_SPEED
-    stop_sent_s: float | None = None
-    evicted: bool = False
-    evicted_for_throttle: bool = False
-    adopted: bool = False
-    restored: bool = False
-    is_last_resort: bool = False
-    worker_in_doubt: bool = False
-
-    @property
-    def order_ends_s(self) -> float:
-        """When its start order can no longer be carried out, if it got no answer."""
-        if self.late_until_s is not None:
-            return self.late_until_s
-        return self.sent_s + MAX_ORDER_DELAY_S
-
-    @property
-    def is_wanted(self) -> bool:
-        """Whether it may start or go on, as far as its task and its gang are concerned."""
-        step = self.task.step
-        is_broken = self.number <= step.broken_attempt
-        return not (self.evicted or is_broken or self.task.done) and step.job.is_live
-
-
-@attrs.define(eq=False, kw_only=True)
-class TaskRun:
-    """One task of a step.
-
-    Args:
-        id: identity.
-        step: the step it belongs to.
-        done: an attempt has completed the task.
-        failed_attempts: numbers of the attempts that failed. Each counts once, though a worker may
-            report an end twice.
-        crashed_attempts: numbers of the attempts that began on a worker and are suspected to have
-            crashed it.
-        possible_crashes: numbers of the other attempts that were lost with their worker, and that
-            are not known to have begun there.
-        lapsed_count: number of its attempts whose leases ended on workers that are still away, and
-            may have crashed.
-        own_checkpoint: state that it saved; not used for members of a gang.
-        last_number: highest attempt number used so far.
-        attempts: live attempts; more than one only for speculative steps.
-        late_starts: attempts of start orders that a later incarnation of their worker may carry
-            out; see `latestarts`.
-        avoided_workers: ids of the workers on which it failed or made no progress.
-        rate: progress, in percent per second, of the attempt that completed the task, None if
-            unknown.
-        done_by: id of the worker of that attempt, or empty.
-        quiet_wait_since_s: since when it has waited for a worker on which nothing has begun lately,
-            None if it does not.
-        last_end_s: when an attempt of it last ended, on this instance's clock.
-        last_worker: id of the worker of that attempt, or empty.
-        seen_running: a report to this leader listed an attempt, so the earlier leader had not found
-            it ended, and had not started another one.
-        done_in_term: an attempt completed the task of which no earlier leader can have learned.
-    """
-
-    id: TaskId
-    step: "StepRun"
-    done: bool = False
-    failed_attempts: list[int] = attrs.Factory(list)
-    crashed_attempts: list[int] = attrs.Factory(list)
-    possible_crashes: list[int] = attrs.Factory(list)
-    lapsed_count: int = 0
-    own_checkpoint: str = ""
-    last_number: int = 0
-    attempts: list[Attempt] = attrs.Factory(list)
-    late_starts: list[Attempt] = attrs.Factory(list)
-    avoided_workers: set[str] = attrs.Factory(set)
-    rate: float | None = None
-    done_by: str = ""
-    quiet_wait_since_s: float | None = None
-    last_end_s: float = -math.inf
-    last_worker: str = ""
-    seen_running: bool = False
-    done_in_term: bool = False
-
-    @property
-    def checkpoint(self) -> str:
-        """State to resume from, or empty; all members of a gang have the same."""
-        return self.step.gang_checkpoint if self.step.spec.gang else self.own_checkpoint
-
-    def save_checkpoint(self, checkpoint: str, *, attempt: int, has_ended: bool) -> None:
-        """Records a state that an attempt saved.
-
-        The state of any member is valid for its gang. The latest attempt counts, and in it a state
-        listed with an end goes before one that was listed while the member ran.
-
-        Args:
-            checkpoint: the state; if empty, the one known so far stays.
-            attempt: number of the attempt.
-            has_ended: it was listed with the end of the attempt.
-        """
-        step = self.step
-        if not checkpoint or self.done:
-            return
-        if not step.spec.gang:
-            self.own_checkpoint = checkpoint
-        elif attempt > step.checkpoint_attempt or (
-            has_ended and attempt == step.checkpoint_attempt
-        ):
-            step.gang_checkpoint, step.checkpoint_attempt = checkpoint, attempt
-
-    @property
-    def is_likely_faulty(self) -> bool:
-        """Whether it failed or made no progress on several workers, so they are not the cause."""
-        return len(self.avoided_workers) >= MAX_AVOIDED_WORKERS
-
-    @property
-    def crash_count(self) -> int:
-        """Number of crashes of workers that it may have caused."""
-        return len(self.crashed_attempts) + len(self.possible_crashes)
-
-    @property
-    def is_held_back(self) -> bool:
-        """Whether it isn't started any more, as it may have crashed too many workers.
-
-        A task without any other suspicion may start again however many workers are away, as these
-        are probably cut off.
-        """
-        possible = self.crash_count + self.lapsed_count
-        return self.crash_count > 0 and possible >= MAX_POSSIBLE_CRASHES
-
-    @property
-    def is_startable(self) -> bool:
-        """Whether an attempt may be started: the task is not done and has no live attempt.
-
-        A copy of a speculative task may also run beside an attempt whose worker is in doubt, unless
-        the task is suspected to crash its workers.
-        """
-        if self.done or self.is_held_back or self.step.job.is_isolated:
-            return False
-        if not self.attempts:
-            return True
-        is_copied = len(self.attempts) >= MAX_COPIES or self.step.spec.gang
-        return (
-            self.step.spec.speculative
-            and not is_copied
-            and not self.crash_count
-            and all(a.worker_in_doubt for a in self.attempts)
-        )
-
-
-@attrs.define(eq=False, kw_only=True)
-class StepRun:
-    """One step in one occurrence of a job.
-
-    Args:
-        job: the job.
-        occurrence: repetition, from 0.
-        number: number of the step, from 0.
-        spec: the step as submitted.
-        tasks: its tasks.
-        opened_s: when its tasks could first start, on this instance's clock, None before.
-        gang_checkpoint: state from which all members of a gang resume, or empty.
-        checkpoint_attempt: number of the attempt that saved it, 0 if unknown.
-        broken_attempt: highest number of an attempt of a gang of which a member doesn't run any
-            more, so the others can't work.
-    """
-
-    job: "JobRun"
-    occurrence: int
-    number: int
-    spec: Step
-    tasks: list[TaskRun] = attrs.Factory(list)
-    opened_s: float | None = None
-    gang_checkpoint: str = ""
-    checkpoint_attempt: int = 0
-    broken_attempt: int = 0
-
-    @property
-    def id(self) -> StepId:
-        """Its identity."""
-        return StepId(self.job.job.id, self.occurrence, self.number)
-
-    @property
-    def is_done(self) -> bool:
-        """Whether all tasks are done."""
-        return all(task.done for task in self.tasks)
-
-    def task(self, index: int) -> TaskRun | None:
-        """Returns a task by its index, if the step has it."""
-        return self.tasks[index] if 0 <= index < len(self.tasks) else None
-
-    def recorded_attempts(self) -> Iterator[Attempt]:
-        """Yields what a record of starts names of the tasks that are not done.
-
-        These are the live attempts and the late starts.
-        """
-        for task in self.tasks:
-            if not task.done:
-                yield from task.attempts
-                yield from task.late_starts
-
-    def startable_tasks(self) -> list[TaskRun]:
-        """Returns the tasks that may be started."""
-        return [task for task in self.tasks if task.is_startable]
-
-
-@attrs.frozen(kw_only=True)
-class RecordedStart:
-    """A live attempt that a stored record names.
-
-    Args:
-        task: its task.
-        worker: id of its worker.
-        incarnation_ms: start time of the worker's incarnation.
-    """
-
-    task: TaskRun
-    worker: str
-    incarnation_ms: int
-
-    def covers(self, task: TaskRun) -> bool:
-        """Returns whether a task of the same job may start on the worker without a record.
-
-        These are the same task and the one with the same index in any other step of the
-        occurrence, so the record also tells a successor of them. A step with more tasks begins
-        again with the first index.
-        """
-        own = self.task.id
-        is_same_index = task.id.index % len(self.task.step.tasks) == own.index
-        return is_same_index and task.id.occurrence == own.occurrence
-
-
 @attrs.define(eq=False, kw_only=True)
 class JobRun:
     """A job and its progress.
@@ -350,7 +71,8 @@
         critical_path_ms: estimated run time of the longest chain of steps, in milliseconds.
         work: estimated work of all tasks, in core seconds.
         done_work: estimated work of the tasks that are done, in core seconds.
-        steps: steps of all occurrences, by occurrence and number.
+        occurrences: which occurrences have ended and which are to come.
+        steps: steps of the occurrences that exist, by occurrence and number.
         recorded_starts: what the stored records name of tasks that are not done, as far as neither
             a record nor progress that is being stored says otherwise.
         earlier_starts: what the records of earlier leaders name.
@@ -361,6 +83,9 @@
         is_moved: it has left them, so its progress is not written any more.
         parts: number of the rows that the store may hold of its progress beside the first one.
         is_compact: its progress was last written in a form that 122f4c3 doesn't read.
+        last_active_s: when a step of a dropped occurrence last opened or had an attempt that ended,
+            on this instance's clock.
+        dropped_seen_running: a report to this leader listed an attempt of a dropped occurrence.
     """
 
     job: Job
@@ -372,6 +97,7 @@
     critical_path_ms: int = 0
     work: float = 0.0
     done_work: float = 0.0
+    occurrences: Occurrences = attrs.field(init=False)
     steps: dict[tuple[int, int], StepRun] = attrs.Factory(dict)
     recorded_starts: set[RecordedStart] = attrs.Factory(set)
     earlier_starts: set[RecordedStart] = attrs.Factory(set)
@@ -382,30 +108,72 @@
     is_moved: bool = False
     parts: int = 0
     is_compact: bool = False
+    last_active_s: float = -math.inf
+    dropped_seen_running: bool = False
+
+    def __attrs_post_init__(self) -> None:
+        self.occurrences = Occurrences(count=self.job.occurrences)
 
     @classmethod
     def create(cls, *, job: Job, version: int, received_s: float) -> "JobRun":
-        """Returns a job of which no task has started."""
+        """Returns a job of which no task has started; occurrences of repeated jobs come later."""
         path_ms = critical_path_ms(job)
         run = cls(job=job, version=version, received_s=received_s, critical_path_ms=path_ms)
-        for occurrence in range(job.occurrences):
-            for number, spec in enumerate(job.steps):
-                step = StepRun(job=run, occurrence=occurrence, number=number, spec=spec)
-                step.tasks = [
-                    TaskRun(id=TaskId(job.id, occurrence, number, index), step=step)
-                    for index in range(spec.count)
-                ]
-                run.steps[(occurrence, number)] = step
-                run.work += spec.count * spec.work
+        run.work = job.occurrences * job.occurrence_work
+        if job.repetition is None:
+            run.create_occurrence(0)
         return run
 
+    def create_occurrence(self, occurrence: int) -> None:
+        """Creates the steps and tasks of an occurrence; those of one that has ended are done."""
+        has_ended = self.occurrences.has_ended(occurrence)
+        for number, spec in enumerate(self.job.steps):
+            step = StepRun(job=self, occurrence=occurrence, number=number, spec=spec)
+            step.tasks = [
+                TaskRun(
+                    id=TaskId(self.job.id, occurrence, number, index), step=step, done=has_ended
+                )
+                for index in range(spec.count)
+            ]
+            self.steps[(occurrence, number)] = step
+        if has_ended:
+            self.occurrences.mark_existing(occurrence)
+
+    def steps_of(self, occurrence: int) -> list[StepRun]:
+        """Returns the steps of an occurrence that exists."""
+        return [self.steps[(occurrence, number)] for number in range(len(self.job.steps))]
+
+    def end_occurrence_if_done(self, occurrence: int) -> bool:
+        """Records the end of an occurrence if all its tasks are done; returns whether they are."""
+        if not self.occurrences.has_ended(occurrence):
+            if not all(step.is_done for step in self.steps_of(occurrence)):
+                return False
+            self.occurrences.add_ended(occurrence, occurrence + 1)
+            self.occurrences.mark_existing(occurrence)
+        return True
+
+    def drop_occurrence(self, occurrence: int) -> None:
+        """Drops the steps and tasks of an ended occurrence of which nothing runs any more."""
+        for step in self.steps_of(occurrence):
+            del self.steps[(occurrence, step.number)]
+            self.dropped_seen_running |= any(task.seen_running for task in step.tasks)
+            if step.opened_s is not None:
+                ends = (task.last_end_s for task in step.tasks)
+                self.last_active_s = max(self.last_active_s, step.opened_s, *ends)
+        self.occurrences.mark_dropped(occurrence)
+
+    @property
+    def was_seen_running(self) -> bool:
+        """Whether a report to this leader listed an attempt of the job."""
+        return self.dropped_seen_running or any(task.seen_running for task in self.tasks())
+
     @property
     def is_live(self) -> bool:
         """Whether tasks of the job may still be started."""
         return not self.state.is_final and not self.cancel_requested
 
     def tasks(self) -> Iterator[TaskRun]:
-        """Yields all tasks."""
+        """Yields the tasks of the occurrences that exist."""
         for step in self.steps.values():
             yield from step.tasks
 
@@ -415,10 +183,23 @@
             yield from task.attempts
 
     def task(self, task_id: TaskId) -> TaskRun | None:
-        """Returns a task by its id, if the job has it."""
-        step = self.steps.get((task_id.occurrence, task_id.step))
+        """Returns a task by its id, if the job has it; see `find_step`."""
+        step = self.find_step(task_id.occurrence, task_id.step)
         return step.task(task_id.index) if step is not None else None
 
+    def find_step(self, occurrence: int, number: int) -> StepRun | None:
+        """Returns a step, if the job has it; creates its occurrence if that doesn't exist.
+
+        A worker or an earlier leader may name an occurrence that is to come by the clock of this
+        instance, or one that has ended.
+        """
+        step = self.steps.get((occurrence, number))
+        is_known = 0 <= occurrence < self.job.occurrences and 0 <= number < len(self.job.steps)
+        if step is None and is_known:
+            self.create_occurrence(occurrence)
+            step = self.steps[(occurrence, number)]
+        return step
+
     def remaining_path_ms(
         self, number: int, run_ms: Callable[[Step], float] = estimated_run_ms
     ) -> float:
@@ -456,7 +237,9 @@
             member.own_checkpoint = ""
         task.step.gang_checkpoint = ""
         self.dirty = True
-        if not self.state.is_final and all(step.is_done for step in self.steps.values()):
+        if task.step.is_done:
+            self.end_occurrence_if_done(task.step.occurrence)
+        if not self.state.is_final and self.occurrences.have_all_ended:
             self.state = JobState.COMPLETED
 
     def record_failure(self, task: TaskRun, *, attempt: int, max_failures: int) -> None:
--- a/fescuerudder/jobs/progress.py
+++ b/fescuerudder/jobs/progress.py
@@ -42,12 +42,48 @@
     """Returns serialized progress: the state, and what is known of each step's tasks."""
     raw: dict[str, Any] = {"state": run.state.value}
     if not run.state.is_final:
-        steps = {f"{o}.{n}": _dump_step(step) for (o, n), step in run.steps.items()}
         raw["begun"] = run.begun
-        raw["steps"] = {name: step for name, step in steps.items() if step}
+        raw["steps"] = _dump_all_steps(run)
     return _dump(raw)
 
 
+def _dump_all_steps(run: JobRun) -> dict[str, Any]:
+    """Returns the entries of all steps of which anything is known."""
+    done = {
+        number: {"done": f"{(1 << spec.count) - 1:x}"}
+        for number, spec in enumerate(run.job.steps)
+        if spec.count
+    }
+    entries = {
+        (occurrence, number): entry
+        for first, end in run.occurrences.ended
+        for occurrence in range(first, end)
+        for number, entry in done.items()
+    }
+    entries |= _dump_unfinished(run)
+    return {f"{o}.{n}": entries[(o, n)] for o, n in sorted(entries)}
+
+
+def _dump_unfinished(run: JobRun) -> dict[tuple[int, int], dict[str, Any]]:
+    entries = {
+        key: _dump_step(run.steps[key])
+        for key in sorted(run.steps)
+        if not run.occurrences.has_ended(key[0])
+    }
+    return {key: entry for key, entry in entries.items() if entry}
+
+
+def dump_unfinished(run: JobRun) -> dict[str, dict[str, Any]]:
+    """Returns the entries of the steps of occurrences that have not ended, by name."""
+    return {f"{o}.{n}": entry for (o, n), entry in _dump_unfinished(run).items()}
+
+
+def least_bytes_of_ended(run: JobRun) -> int:
+    """Returns a lower bound on the bytes that ended occurrences take in `dump_progress`."""
+    steps = sum(1 for spec in run.job.steps if spec.count)
+    return run.occurrences.ended_count * steps * len('"0.0":{"done":"1"},')
+
+
 def load_state(data: bytes) -> JobState:
     """Returns the state in serialized progress.
 
@@ -86,19 +122,27 @@
     """
     run.state = JobState(raw["state"])
     run.begun = bool(raw.get("begun", False))
-    for name, step in raw.get("steps", {}).items():
-        occurrence, _, number = name.partition(".")
-        _restore_step(run.steps[(int(occurrence), int(number))], step)
     for first, end in ended:
-        for occurrence in range(first, end):
-            for number in range(len(run.job.steps)):
-                _mark_done(run.steps[(occurrence, number)])
-
-
-def _mark_done(step: StepRun) -> None:
-    for task in step.tasks:
-        step.job.done_work += 0.0 if task.done else step.spec.work
-        task.done = True
+        run.done_work += run.occurrences.add_ended(first, end) * run.job.occurrence_work
+    last = max((n for n, spec in enumerate(run.job.steps) if spec.count), default=0)
+    for name, entry in raw.get("steps", {}).items():
+        occurrence, number = (int(part) for part in name.split("."))
+        if run.occurrences.has_ended(occurrence):
+            continue
+        step = run.find_step(occurrence, number)
+        if step is None:
+            raise KeyError(name)
+        _restore_step(step, entry)
+        if number == last:
+            _drop_if_done(run, occurrence)
+    for occurrence in {occurrence for occurrence, _ in run.steps}:
+        _drop_if_done(run, occurrence)
+
+
+def _drop_if_done(run: JobRun, occurrence: int) -> None:
+    """Records the end of an occurrence whose tasks are all done; nothing of it is known to run."""
+    if run.end_occurrence_if_done(occurrence) and run.job.repetition is not None:
+        run.drop_occurrence(occurrence)
 
 
 def _dump_step(step: StepRun) -> dict[str, Any]:
--- a/fescuerudder/jobs/progressoutput.py
+++ b/fescuerudder/jobs/progressoutput.py
@@ -144,7 +144,9 @@
             run = self._state.jobs.get(name)
             if run is not None:
                 self._state.mark_dirty(run)
-                self._state.unrecorded_steps.update(dict.fromkeys(group.steps))
+                # A step that was dropped meanwhile has nothing to record.
+                held = (s for s in group.steps if run.steps.get((s.occurrence, s.number)) is s)
+                self._state.unrecorded_steps.update(dict.fromkeys(held))
             elif name == ROSTER_KEY.key:
                 self._state.roster_changed = True
 
--- a/fescuerudder/jobs/progressrows.py
+++ b/fescuerudder/jobs/progressrows.py
@@ -10,7 +10,13 @@
 
 from fescuerudder import checked
 from fescuerudder.jobs.jobrun import JobRun
-from fescuerudder.jobs.progress import StoredFormError, dump_progress, restore_steps
+from fescuerudder.jobs.progress import (
+    StoredFormError,
+    dump_progress,
+    dump_unfinished,
+    least_bytes_of_ended,
+    restore_steps,
+)
 from fescuerudder.jobs.rows import RowKey
 from fescuerudder.jobs.storage import progress_key
 
@@ -43,17 +49,12 @@
             other one doesn't fit.
     """
     key = progress_key(run.job.id)
-    whole = dump_progress(run)
-    if run.state.is_final or (not compact and len(whole) <= MAX_VALUE_BYTES):
-        return {key: whole}
-    raw = json.loads(whole)
-    ended = _ended_ranges(run)
-    steps = {
-        name: step
-        for name, step in raw["steps"].items()
-        if not _is_in(ended, int(name.partition(".")[0]))
-    }
-    head = {"state": raw["state"], "begun": raw["begun"], "ended": ended}
+    if run.state.is_final or (not compact and least_bytes_of_ended(run) <= MAX_VALUE_BYTES):
+        whole = dump_progress(run)
+        if run.state.is_final or len(whole) <= MAX_VALUE_BYTES:
+            return {key: whole}
+    steps = dump_unfinished(run)
+    head = {"state": run.state.value, "begun": run.begun, "ended": run.occurrences.ended}
     single = _dump({**head, "steps": steps})
     if len(single) <= MAX_VALUE_BYTES:
         return {key: single}
@@ -138,20 +139,6 @@
                 known[field] = value
 
 
-def _ended_ranges(run: JobRun) -> list[list[int]]:
-    """Returns the occurrences whose tasks are all done, as ranges without their ends."""
-    ranges: list[list[int]] = []
-    numbers = range(len(run.job.steps))
-    for occurrence in range(run.job.occurrences):
-        if not all(run.steps[(occurrence, number)].is_done for number in numbers):
-            continue
-        if ranges and ranges[-1][1] == occurrence:
-            ranges[-1][1] += 1
-        else:
-            ranges.append([occurrence, occurrence + 1])
-    return ranges
-
-
 def _load_ranges(raw: Mapping[str, Any], run: JobRun) -> list[list[int]]:
     most = run.job.occurrences
     return [
@@ -160,9 +147,5 @@
     ]
 
 
-def _is_in(ranges: Sequence[Sequence[int]], occurrence: int) -> bool:
-    return any(first <= occurrence < end for first, end in ranges)
-
-
 def _dump(raw: Any) -> bytes:
     return json.dumps(raw, separators=(",", ":")).encode()
--- a/fescuerudder/jobs/schedulerstate.py
+++ b/fescuerudder/jobs/schedulerstate.py
@@ -172,7 +172,7 @@
     def find_step(self, step_id: StepId) -> StepRun | None:
         """Returns a step by its id, None if its job is not known or doesn't have it."""
         run = self.jobs.get(step_id.job)
-        return run.steps.get((step_id.occurrence, step_id.step)) if run is not None else None
+        return run.find_step(step_id.occurrence, step_id.step) if run is not None else None
 
     def mark_dirty(self, run: JobRun) -> None:
         """Marks the progress of a job as not stored."""
--- a/fescuerudder/jobs/takeoverwaits.py
+++ b/fescuerudder/jobs/takeoverwaits.py
@@ -140,7 +140,7 @@
         if attempt.adopted or attempt.phase is Phase.PLANNED:
             return
         del self._pending[run]
-        if any(task.seen_running for task in run.tasks()):
+        if run.was_seen_running:
             # It has run all the while, so this start doesn't end a wait.
             return
         _log.info(
--- a/tests/jobs/test_odd_data.py
+++ b/tests/jobs/test_odd_data.py
@@ -225,6 +225,8 @@
     assert good.id in runs or good.id in loaded.ended
     assert len(loaded.live) + len(loaded.ended) == len({*runs, *loaded.ended}) <= 2
     for run in runs.values():
-        assert all(run.may_open(step) in (True, False) for step in run.steps.values())
+        numbers = range(len(run.job.steps))
+        steps = [run.find_step(o, n) for o in range(run.job.occurrences) for n in numbers]
+        assert all(run.may_open(step) in (True, False) for step in steps)
         assert math.isfinite(run.work) and math.isfinite(run.received_s)
         json.loads(dump_progress(run))
--- a/tests/jobs/test_progressrows.py
+++ b/tests/jobs/test_progressrows.py
@@ -31,15 +31,16 @@
         steps=tuple(Step(count=count, size=SIZE) for _ in range(steps)),
         repetition=Repetition(times=occurrences, first_ms=0, interval_ms=50),
     )
-    return JobRun.create(job=job, version=1, received_s=0.0)
+    run = JobRun.create(job=job, version=1, received_s=0.0)
+    run.create_occurrence(0)
+    return run
 
 
 def finish(run, occurrences, *, steps=None):
     for occurrence in occurrences:
         for number in steps or range(len(run.job.steps)):
-            for task in run.steps[(occurrence, number)].tasks:
-                task.done, task.own_checkpoint = True, ""
-                run.done_work += task.step.spec.work
+            for task in run.find_step(occurrence, number).tasks:
+                run.record_done(task)
 
 
 def repeated(times, done, part=()):
@@ -70,6 +71,13 @@
 
 
 def facts(run):
+    """Returns what is known of all tasks, also of those of occurrences that don't exist."""
+    for occurrence in range(run.job.occurrences):
+        run.find_step(occurrence, 0)
+    return facts_of_existing(run)
+
+
+def facts_of_existing(run):
     return {
         task.id: (
             task.done,
--- a/tests/jobs/test_random_worlds.py
+++ b/tests/jobs/test_random_worlds.py
@@ -6,6 +6,7 @@
 
 from bench._jobsimulation import JobSimulation
 from fescuerudder.errors import StoreOutcomeUnknownError
+from fescuerudder.jobs.job import Repetition
 from fescuerudder.jobs.jobrun import JobState
 from tests.jobs.test_scheduler import ONE, steps
 
@@ -100,7 +101,11 @@
 """A start without an answer is carried out by the next incarnation of its worker, after its task
 was done."""
 
+REPEATED_SEEDS = range(2000, 2040)
+"""Seeds of worlds in which every second job is repeated."""
+
 SEEDS = [
+    *REPEATED_SEEDS,
     *(pytest.param(seed, marks=LATE_START) if seed == 40 else seed for seed in range(200)),
     278,
     723,
@@ -108,6 +113,14 @@
 ]
 
 
+def repetition(sim, seed, number):
+    """Returns the schedule of a job by its number."""
+    if seed not in REPEATED_SEEDS or number % 2 == 0:
+        return None
+    first_ms = int(1000 * sim.clock.now_s()) - 500 + seed % 3 * 600
+    return Repetition(times=1 + (seed + number) % 8, first_ms=first_ms, interval_ms=seed % 4 * 400)
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_random_faults_break_no_promise(seed):
     """Guards against tasks that run twice or too early, and jobs that are lost or never end.
@@ -126,7 +139,8 @@
     ids = [f"{number:016x}" for number in range(8)]
     for number, job_id in enumerate(ids):
         if not sim.store.faults.down:
-            sim.submit(job_id, steps=steps(*(rng.randint(1, 4) for _ in range(1 + number % 3))))
+            counts = (rng.randint(1, 4) for _ in range(1 + number % 3))
+            sim.submit(job_id, steps=steps(*counts), repetition=repetition(sim, seed, number))
         for _ in range(rng.randint(0, 3)):
             rng.choice(FAULTS)(sim)
             sim.run(rng.uniform(0.1, 1.5))
--- a/tests/platform/test_odd_jobs.py
+++ b/tests/platform/test_odd_jobs.py
@@ -49,7 +49,9 @@
     for job, _ in intake.jobs:
         run = JobRun.create(job=load_job(dump_job(job)), version=1, received_s=0.0)
         assert run.job == job
-        assert all(run.may_open(step) in (True, False) for step in run.steps.values())
+        numbers = range(len(job.steps))
+        steps = [run.find_step(o, n) for o in range(job.occurrences) for n in numbers]
+        assert all(run.may_open(step) in (True, False) for step in steps)
         assert math.isfinite(run.work) and run.critical_path_ms < MAX_EXACT
 
 
