Planning of renewals: no look-up by worker while no start is late

Change: workers are looked at only while a late order may reach any; stored late orders are forgotten in time.

--- a/fescuerudder/jobs/latestarts.py
+++ b/fescuerudder/jobs/latestarts.py
@@ -89,6 +89,17 @@
         """
         self._stored_until_s[worker] = max(until_s, self._stored_until_s.get(worker, until_s))
 
+    @property
+    def may_reach_any(self) -> bool:
+        """Whether a late order may reach any worker."""
+        return bool(self._by_worker or self._stored_until_s)
+
+    def forget_stored(self, now_s: float) -> None:
+        """Forgets the stored late orders that can no longer be carried out."""
+        if self._stored_until_s:
+            until_s = self._stored_until_s.items()
+            self._stored_until_s = {worker: at_s for worker, at_s in until_s if now_s < at_s}
+
     def may_reach(self, worker: str, now_s: float) -> bool:
         """Returns whether the next incarnation of a worker may carry out a late order."""
         return worker in self._by_worker or now_s < self._stored_until_s.get(worker, now_s)
--- a/fescuerudder/jobs/renewalplanner.py
+++ b/fescuerudder/jobs/renewalplanner.py
@@ -43,20 +43,25 @@
 
     def plan(self, now_s: float) -> list[RenewOrder]:
         """Returns the renewals that are due."""
+        has_late_starts = self._state.late_starts.may_reach_any
         return [
             self._renew_order(record, now_s)
             for record in self._state.workers.values()
-            if now_s >= record.next_renewal_s and self._is_wanted(record)
+            if now_s >= record.next_renewal_s
+            and (
+                (record.may_renew() and record.needs_renewal())
+                or (has_late_starts and self._must_precede_late_start(record))
+            )
         ]
 
-    def _is_wanted(self, record: WorkerRecord) -> bool:
-        """Returns whether a worker is to be asked for a report.
+    def _must_precede_late_start(self, record: WorkerRecord) -> bool:
+        """Returns whether a call must reach a worker before a late order does.
 
-        One that a late order may reach is asked all the time, as the first call fences its next
-        incarnation. That call doesn't wait for the end of one to the last incarnation.
+        The first call fences the next incarnation, so it doesn't wait for the end of one to the
+        last incarnation.
         """
         if not self._state.may_carry_out_late(record):
-            return record.may_renew() and record.needs_renewal()
+            return False
         return record.may_renew() or record.renewal_token < record.token
 
     def _renew_order(self, record: WorkerRecord, now_s: float) -> RenewOrder:
--- a/fescuerudder/jobs/schedulerstate.py
+++ b/fescuerudder/jobs/schedulerstate.py
@@ -315,6 +315,7 @@
         One that was carried out at the last moment runs on for a lease at most, unless the worker
         has reported since.
         """
+        self.late_starts.forget_stored(now_s)
         for attempt in self.late_starts.expired(now_s):
             record = self.workers.get(attempt.worker)
             reported_s = record.report_s if record is not None else None
