--- a/fescuerudder/jobs/preview.py
+++ b/fescuerudder/jobs/preview.py
@@ -196,8 +196,9 @@
 
     def first_steps(self) -> list[StepRun]:
         """Returns the steps of the first occurrence without dependencies."""
-        steps = self._run.steps.values()
-        return [step for step in steps if not step.occurrence and not step.spec.after]
+        numbers = range(len(self._run.job.steps))
+        steps = (self._run.find_step(0, number) for number in numbers)
+        return [step for step in steps if step is not None and not step.spec.after]
 
     def describe(self, step: StepRun, wall_ms: float) -> StepPreview:
         """Returns what the plan did with a step."""
--- a/fescuerudder/jobs/scheduler.py
+++ b/fescuerudder/jobs/scheduler.py
@@ -446,19 +446,14 @@
 
     def _mark_evictions(self, now_s: float) -> None:
         """Marks attempts to evict: all from slow and stalled workers, and stragglers."""
+        run_times, may_move = self.state.run_times, self.state.usage.may_move
         for record in self._reported_workers():
             health = self.state.health.evaluate(record)
             if health is not HealthStatus.HEALTHY:
                 others = (other for other in self.state.workers.values() if other is not record)
                 has_room = any(self._planner.takes_work(other, now_s) for other in others)
-                mark_evictions(
-                    record,
-                    health,
-                    has_room_elsewhere=has_room,
-                    may_move=self.state.usage.may_move,
-                )
-            elif isinstance(run_times := self.state.run_times, RunTimes):
-                may_move = self.state.usage.may_move
+                mark_evictions(record, health, has_room_elsewhere=has_room, may_move=may_move)
+            elif isinstance(run_times, RunTimes):
                 mark_stragglers(record, run_times, now_s=now_s, may_move=may_move)
 
     def _mark_throttled_moves(self, now_s: float) -> None:
