--- a/fescuerudder/jobs/renewalplanner.py
+++ b/fescuerudder/jobs/renewalplanner.py
@@ -19,13 +19,12 @@
 LOST_ANSWERS_WAIT_MS = 300
 """The wait while answers are lost now and then: a lost report hides ends for as long."""
 
-
 RETRY_RENEWAL_S = 0.2
 """Time after which a renewal without an answer is repeated."""
 
 FIRST_RETRY_S = 0.05
-"""The same after the first one to a worker that a late order may reach: it may
-have been born again, and the call has to come before the order."""
+"""The same after the first one to a worker that a late order may reach: it may have restarted, and
+the call has to come before the order."""
 
 ABSENT_RENEWAL_S = 1.0
 """Time between two renewals of a worker that left the registry and may have crashed."""
