--- a/tests/jobs/test_overload_order.py
+++ b/tests/jobs/test_overload_order.py
@@ -87,7 +87,13 @@
     policy = SchedulingPolicy(overload_order=order, latency_margins=margins)
     cfg, clock = attrs.evolve(CFG, policy=policy), ManualClock()
     ports = node.PlatformPorts(
-        store=MemoryRowStore(), workers=None, registry=None, advice=None, config=None, make_app=id, make_preview_app=id
+        store=MemoryRowStore(),
+        workers=None,
+        registry=None,
+        advice=None,
+        config=None,
+        make_app=id,
+        make_preview_app=id,
     )
     with JobMetrics(instance="n") as metrics, capture_logs() as lines:
         leader = node.JobNode(cfg=cfg, ports=ports, clock=clock, metrics=metrics)
