--- a/bench/_jobsimulation.py
+++ b/bench/_jobsimulation.py
@@ -18,7 +18,7 @@
 from fescuerudder.jobs.job import Job, Step
 from fescuerudder.jobs.jobrun import JobState
 from fescuerudder.jobs.leaderwriter import LeadershipLostError, LeaderWriter
-from fescuerudder.jobs.leases import LeasePolicy
+from fescuerudder.jobs.leases import LEASE_HORIZON_S, LeasePolicy
 from fescuerudder.jobs.manifest import Manifest, Pool, Queue
 from fescuerudder.jobs.policy import DEFAULT_POLICY
 from fescuerudder.jobs.progress import dump_job, load_state
@@ -51,6 +51,7 @@
 
 TICK_S = 0.05
 LEASE_S = 4.0
+MAX_LEASE_S = 6.0
 CALL_TIMEOUT_S = 1.5
 HEARTBEAT_INTERVAL_S = 0.5
 REGISTRY_READ_INTERVAL_S = 1.0
@@ -103,6 +104,7 @@
             confirmed_s=lambda: self.writer.confirmed_s,
             answered_s=lambda: self.writer.answered_s,
             bounded_s=lambda: self.writer.bounded_s,
+            max_lease_s=sim.max_lease_s,
         )
         self.scheduler = Scheduler(
             term=Term(epoch=epoch, claim_version=version),
@@ -213,10 +215,23 @@
         capacity: processors of each worker.
         guards_capacity: workers refuse what exceeds their capacity. Otherwise they carry out each
             start, and the registry shows changes of a worker only with its next heartbeat.
+        max_lease_s: longest lease that a worker grants, in seconds.
+
+    Attributes:
+        late_by_s: returns after how many seconds an order is carried out without an answer, None
+            for an order that is delivered as usual.
     """
 
     def __init__(
-        self, *, seed=1, workers=3, plan=None, queues=None, capacity=4.0, guards_capacity=True
+        self,
+        *,
+        seed=1,
+        workers=3,
+        plan=None,
+        queues=None,
+        capacity=4.0,
+        guards_capacity=True,
+        max_lease_s=MAX_LEASE_S,
     ):
         self.clock = ManualClock(start_s=100.0)
         self.rng = random.Random(seed)
@@ -235,6 +250,8 @@
         self.unlisted: set[str] = set()
         self.errors: list[str] = []
         self.guards_capacity = guards_capacity
+        self._max_lease_s = max_lease_s
+        self.late_by_s = lambda order: None
         self.capacity_witness = CapacityWitness(specs=self.specs, errors=self.errors)
         self.lagging_registry: LaggingRegistry | None = None
         if not guards_capacity:
@@ -278,6 +295,7 @@
             events=self.events,
             plan=lambda task, attempt, name: self.plan(task, attempt, name),
             clock_rate=self.rng.choice((1.0, 0.985)),
+            max_lease_s=self._max_lease_s,
         )
         worker.guards_capacity = self.guards_capacity
         worker.gangs = self.gangs
@@ -293,6 +311,11 @@
         step = self.specs[task.job].steps[task.step]
         return step.count if step.gang else 0
 
+    @property
+    def max_lease_s(self) -> float:
+        """Longest lease that a worker grants as the settings of the leaders tell, in seconds."""
+        return max(LEASE_HORIZON_S, *(worker.max_lease_s for worker in self.workers.values()))
+
     def registry(self):
         if self.lagging_registry is not None:
             return self.lagging_registry.read()
@@ -390,9 +413,11 @@
             self.capacity_witness.record_sent(order, now_s=sent_s, incarnation_ms=known)
         is_lost = self.rng.random() < self.order_loss_rate
         delay_s = self.rng.uniform(*self.delay_s)
-        if is_lost:
+        late_by_s = self.late_by_s(order)
+        if is_lost or late_by_s is not None:
+            is_lost = True
             self._at(sent_s + CALL_TIMEOUT_S, lambda: self._no_answer(leader, order, sent_s))
-            delay_s = self.rng.uniform(*self.lost_order_delay_s)
+            delay_s = self.rng.uniform(*self.lost_order_delay_s) if late_by_s is None else late_by_s
         self._at(sent_s + delay_s, lambda: self._deliver(leader, order, sent_s, is_lost))
 
     def _deliver(self, leader, order, sent_s, is_lost) -> None:
--- a/standins/jobworker.py
+++ b/standins/jobworker.py
@@ -82,6 +82,11 @@
         self.gangs = Gangs(size_of=lambda task: 0)
         self._last_tick_s = now_s()
 
+    @property
+    def max_lease_s(self) -> float:
+        """Longest lease that it grants, in seconds."""
+        return self._max_lease_s
+
     def clock_ms(self) -> float:
         """Returns the reading of its steady clock, in milliseconds."""
         return (self._now_s() - self.started_s) * 1000 * self._clock_rate
