--- a/fescuerudder/explain.py
+++ b/fescuerudder/explain.py
@@ -21,6 +21,8 @@
         "worker resolved",
         "worker not reached, its leases have ended",
         "worker left the registry",
+        "leases ended unseen",
+        "renewal carried out by a later incarnation",
     }
 )
 """Events that belong to every job with an attempt on the worker."""
--- a/fescuerudder/jobs/leaseexpiry.py
+++ b/fescuerudder/jobs/leaseexpiry.py
@@ -30,9 +30,26 @@
         record.drop_old_lapsed(now_s)
         is_reached = record.resolved and not record.is_silent
         if not is_reached and certain_s >= record.lapsed_by_s():
+            _log_expiry(record, now_s)
             _expire_worker(state, record, now_s)
 
 
+def _log_expiry(record: WorkerRecord, now_s: float) -> None:
+    """Logs what the end of the leases was derived from, if anything ran there."""
+    if not record.attempts:
+        return
+    _log.info(
+        "leases ended unseen",
+        worker=record.id,
+        attempts=len(record.attempts),
+        born_ms=record.info.incarnation_ms,
+        lease_until_ms=int(record.lease_until_ms),
+        clock=int(record.clock.earliest_ms(now_s)),
+        ended_for_s=round(now_s - record.lapsed_by_s(), 3),
+        silent_s=round(now_s - record.silent_since_s, 3) if record.is_silent else None,
+    )
+
+
 def _expire_worker(state: SchedulerState, record: WorkerRecord, now_s: float) -> None:
     if not record.resolved:
         _log.warning("worker not reached, its leases have ended", worker=record.id)
--- a/fescuerudder/jobs/reports.py
+++ b/fescuerudder/jobs/reports.py
@@ -1,5 +1,7 @@
 """Reconciliation of the leader's state with the reports of workers."""
 
+from collections.abc import Iterable
+
 import attrs
 import structlog
 
@@ -52,11 +54,12 @@
         if report.incarnation_ms and report.incarnation_ms < record.info.incarnation_ms:
             return
         if report.incarnation_ms > record.info.incarnation_ms:
+            _log_carried_out_later(record, order, report)
             self.begin_incarnation(
                 record, incarnation_ms=report.incarnation_ms, clock_ms=report.clock_ms, now_s=now_s
             )
         is_newest = record.update_from_report(report, now_s=now_s)
-        record.take_lapsed()
+        _log_outlived_leases(record.take_lapsed(), report, record)
         if record.is_restricted:
             # It gets tasks once the stored roster no longer restricts it.
             record.is_restricted, self._state.roster_changed = False, True
@@ -91,7 +94,12 @@
         self._state.roster_changed = True
         info = attrs.evolve(record.info, incarnation_ms=incarnation_ms, clock_ms=clock_ms)
         _log.info(
-            "worker born again", worker=record.id, born_ms=incarnation_ms, ran=len(record.attempts)
+            "worker born again",
+            worker=record.id,
+            born_ms=incarnation_ms,
+            ran=len(record.attempts),
+            renewals_in_flight=record.renewals_in_flight,
+            unanswered_renewals=record.unanswered_renewals,
         )
         record_worker_end(self._state, record, open_starts_refused=False)
         self._state.set_orphans(record, set())
@@ -301,3 +309,36 @@
     if attempt.phase is Phase.UNCERTAIN:
         return order.token > attempt.token
     return attempt.confirmed_s is not None and sent_s >= attempt.confirmed_s
+
+
+def _log_carried_out_later(record: WorkerRecord, order: RenewOrder, report: Report) -> None:
+    """Logs that a renewal for one incarnation was carried out by a later one."""
+    _log.warning(
+        "renewal carried out by a later incarnation",
+        worker=record.id,
+        token=order.token,
+        lease_until_ms=order.lease_until_ms,
+        clock=report.clock_ms,
+        running=len(report.running),
+    )
+
+
+def _log_outlived_leases(lapsed: Iterable[Attempt], report: Report, record: WorkerRecord) -> None:
+    """Logs the attempts that run on though their leases were taken for ended.
+
+    Their tasks may have started elsewhere meanwhile.
+    """
+    running = {(row.task, row.attempt) for row in report.running}
+    for attempt in lapsed:
+        if (attempt.task.id, attempt.number) in running:
+            _log.error(
+                "attempt outlived its leases",
+                job=attempt.task.id.job,
+                task=attempt.task.id[1:],
+                attempt=attempt.number,
+                worker=record.id,
+                token=attempt.token,
+                born_ms=report.incarnation_ms,
+                clock=report.clock_ms,
+                lease_until_ms=int(record.lease_until_ms),
+            )
--- a/tests/jobs/test_former_orders.py
+++ b/tests/jobs/test_former_orders.py
@@ -1,6 +1,7 @@
 """Orders for the last incarnation of a worker that the next one carries out."""
 
 import pytest
+import structlog
 
 from bench._jobsimulation import JobSimulation
 from fescuerudder.jobs.job import Step
@@ -117,3 +118,17 @@
     assert sim.workers["w0"].runs
     cut_off(sim, leader, leader_lost=False)
     sim.run(16.0)
+
+
+def test_a_run_that_outlives_its_leases_is_reported():
+    """Guards against two runs of a task that leave no trace in the logs."""
+    sim, leader = make_busy_world(1)
+    sim.copies_allowed = True
+    with structlog.testing.capture_logs() as logs:
+        sim.cut.add((leader.name, "w0"))
+        sim.workers["w0"].lease_until_ms += 1000 * MAX_LEASE_S
+        sim.run(8.0)
+        sim.cut.clear()
+        sim.run(2.0)
+    events = [line["event"] for line in logs if line.get("worker") == "w0"]
+    assert events.index("leases ended unseen") < events.index("attempt outlived its leases")
