Remember a worker while its next incarnation may carry out late orders

Cause: an idle worker that leaves the registry is forgotten. If it returned under its id within 20 s, it was a new worker to the leader, which started tasks at once with the token of before, and a renewal without an answer could still give it the longest lease. When it is back, it is a new incarnation that has to be fenced first.

--- a/fescuerudder/jobs/schedulerstate.py
+++ b/fescuerudder/jobs/schedulerstate.py
@@ -332,7 +332,12 @@
         return not record.gone and self.late_starts.may_reach(record.id, self.clock.now_s())
 
     def may_forget(self, record: WorkerRecord) -> bool:
-        """Returns whether nothing is to be learned from the return of a worker."""
+        """Returns whether nothing is to be learned from the return of a worker.
+
+        Its next incarnation gets no tasks at once while it may carry out an order to this one.
+        """
+        if self.clock.now_s() < record.late_orders_until_s:
+            return False
         return record.is_forgettable() and not self.may_carry_out_late(record)
 
     def forget_worker(self, record: WorkerRecord) -> None:
--- a/fescuerudder/jobs/workerrecord.py
+++ b/fescuerudder/jobs/workerrecord.py
@@ -5,7 +5,7 @@
 import attrs
 
 from fescuerudder.jobs.job import TaskId
-from fescuerudder.jobs.jobrun import Attempt, Phase
+from fescuerudder.jobs.jobrun import MAX_ORDER_DELAY_S, Attempt, Phase
 from fescuerudder.jobs.workerport import Report, WorkerInfo
 
 CLOCK_DRIFT = 0.02
@@ -77,6 +77,8 @@
             earlier one. An incarnation that has seen it refuses all orders to earlier ones.
         longest_lease_until_s: when the leases have ended that an order to an earlier incarnation
             may have extended, on this instance's clock; 0 if there are none.
+        late_orders_until_s: until when an order without an answer may extend leases there, on this
+            instance's clock; a later incarnation may carry it out.
         is_fenced: a report has shown that this incarnation refuses the orders to earlier ones, so
             none of them extends its leases any more. Nothing is started there before.
         resolved: this leader knows what runs in this incarnation: it got a report, or all leases
@@ -128,6 +130,7 @@
     first_token: int = 0
     is_fenced: bool = True
     longest_lease_until_s: float = 0.0
+    late_orders_until_s: float = 0.0
     resolved: bool = False
     resolved_by_s: float = 0.0
     may_run_unknown: bool = False
@@ -203,6 +206,10 @@
         self.lease_until_ms = max(self.lease_until_ms, clock_ms + max_lease_s * 1000)
         self.longest_lease_until_s = self.lapsed_by_s()
 
+    def expect_late_order(self, sent_s: float) -> None:
+        """Records that an order that was sent then, with a deadline, may yet be carried out."""
+        self.late_orders_until_s = max(self.late_orders_until_s, sent_s + MAX_ORDER_DELAY_S)
+
     def expect_longest_lease(self, *, now_s: float, max_lease_s: float) -> None:
         """Records that a later incarnation may have begun a longest lease up to now."""
         self.longest_lease_until_s = now_s + max_lease_s / (1 - CLOCK_DRIFT)
--- a/tests/jobs/test_former_orders.py
+++ b/tests/jobs/test_former_orders.py
@@ -23,10 +23,10 @@
     return is_renewal(order) and order.lease_until_ms is not None
 
 
-def make_busy_world(seed):
-    """Returns a world with more long tasks than its three workers hold, and its leader."""
+def make_busy_world(seed, *, run_s=40.0):
+    """Returns a world in which three workers run long tasks, and its leader."""
     sim = JobSimulation(seed=seed, workers=3, capacity=6.0, max_lease_s=MAX_LEASE_S)
-    sim.run_s = 40.0
+    sim.run_s = run_s
     sim.submit(steps=[Step(count=15, size=ONE)])
     leader = sim.claim("a")
     sim.run(9.0)
@@ -128,3 +128,33 @@
         sim.run(2.0)
     events = [line["event"] for line in logs if line.get("worker") == "w0"]
     assert events.index("leases ended unseen") < events.index("attempt outlived its leases")
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+@pytest.mark.parametrize("takeover", [False, True])
+@pytest.mark.parametrize("arrives_s", [0.1, 0.5])
+def test_a_forgotten_worker_lets_no_task_run_twice(arrives_s, takeover, seed):
+    """Guards against late renewals of an idle worker that the leader has forgotten meanwhile.
+
+    The worker crashes after its tasks are done, the registry drops it, and it returns before the
+    renewal arrives.
+    """
+    away_s = 14.0
+    sim, leader = make_busy_world(seed, run_s=11.0)
+    delay_next(sim, is_lease, by_s=away_s + arrives_s)
+    sim.run(4.0)
+    worker = sim.workers["w0"]
+    assert not worker.runs
+    worker.crash()
+    sim.run(away_s - 6.0)
+    if takeover:
+        leader.alive = False
+        leader = sim.claim("c")
+    sim.run(1.8)
+    sim.run_s = 40.0
+    worker.restart()
+    sim.submit("00000000000000bb", steps=[Step(count=15, size=ONE)])
+    sim.run(1.0)
+    assert worker.runs
+    cut_off(sim, leader, leader_lost=False)
+    sim.run(16.0)
