Let the simulated worker fence throttles, as the protocol says

A worker does nothing for a lower fencing token, also for a change of speed. The model carried out each one, so no test could show a late throttle that replaces a newer one. test_throttling, test_relocation, test_margins and test_colocation pass.

--- a/standins/jobworker.py
+++ b/standins/jobworker.py
@@ -231,6 +231,9 @@
 
     def throttle(self, order: ThrottleOrder) -> OrderAnswer:
         """Limits the speed of an attempt."""
+        if order.token < self.highest_token:
+            return self._answer(OrderResult.FENCED)
+        self.highest_token = order.token
         run = self.runs.get((order.task, order.attempt))
         if run is not None:
             run.throttle = order.percent
