Reset the connection of a call that is given up

Cause: a call without an answer was given up with an ordinary close, after which the kernel goes on sending what it holds. A renewal for a worker that was cut off could so reach its next incarnation. Change: a call that is given up or cancelled resets its connection.

--- a/fescuerudder/platform/asynchttp.py
+++ b/fescuerudder/platform/asynchttp.py
@@ -1,8 +1,10 @@
 """HTTP client for the many calls to workers: one event loop in place of a thread for each call."""
 
 import asyncio
+import contextlib
 import json
 import socket
+import struct
 from typing import Any
 
 import attrs
@@ -30,6 +32,9 @@
 MAX_CONNECTION_WAIT_S = 0.4
 """Time after which a call that no connection was free for is given up without being sent."""
 
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""Value of SO_LINGER with which a connection is reset as it is closed."""
+
 
 class _Connection(asyncio.Protocol):
     """One connection with at most one call under way."""
@@ -53,6 +58,18 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def reset(self) -> None:
+        """Resets the connection, so that the kernel doesn't go on sending a call that is given up.
+
+        Bytes that a partition holds up would otherwise reach the peer, or its next incarnation,
+        when the partition ends.
+        """
+        if self._transport is not None:
+            sock = self._transport.get_extra_info("socket")
+            with contextlib.suppress(OSError):
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+        self.close()
+
     # --- called by the event loop
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -218,13 +235,13 @@
         async with asyncio.timeout(timeout_s):
             return await answer
     except asyncio.CancelledError:
-        conn.close()
+        conn.reset()
         raise
     except (OSError, MalformedResponseError) as exc:
         if answer.done() and not answer.cancelled() and answer.exception() is None:
             # The loop was busy, and found answer and timeout in the same round.
             return answer.result()
-        conn.close()
+        conn.reset()
         raise NoAnswerError(f"{address} did not answer: {type(exc).__name__}") from exc
 
 
--- a/tests/platform/test_asynchttp.py
+++ b/tests/platform/test_asynchttp.py
@@ -1,6 +1,7 @@
 """HTTP client within an event loop: reuse and limit of connections, timeouts, failures."""
 
 import asyncio
+import socket
 import time
 
 import pytest
@@ -94,6 +95,26 @@
         assert peer.requests == 1
 
 
+@pytest.mark.parametrize("is_cancelled", [False, True], ids=["timeout", "cancelled"])
+def test_a_call_that_is_given_up_resets_its_connection(is_cancelled):
+    """Guards against an order that a partition holds up and that is carried out after its end."""
+
+    async def run(address):
+        call = AsyncHttpClient().call("POST", address, "/", body={}, timeout_s=0.3)
+        with pytest.raises(TimeoutError if is_cancelled else NoAnswerError):
+            await (asyncio.wait_for(call, 0.1) if is_cancelled else call)
+        # The loop closes the connection in its next round.
+        await asyncio.sleep(0.05)
+
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        asyncio.run(run(f"127.0.0.1:{listener.getsockname()[1]}"))
+        conn, _ = listener.accept()
+        with conn, pytest.raises(ConnectionResetError):
+            conn.settimeout(STALL_S)
+            while conn.recv(4096):
+                pass
+
+
 def test_refused_connection_raises_not_sent():
     """Guards against an unknown outcome although nothing listens, so nothing was received."""
     with HttpPeer() as peer:
