Remember a worker from the last order with a deadline on

Cause: a worker was remembered once an order got no answer, so one that left the registry while a renewal was under way was forgotten first.

--- a/fescuerudder/jobs/rosterkeeper.py
+++ b/fescuerudder/jobs/rosterkeeper.py
@@ -114,7 +114,7 @@
         for entry in entries:
             record = self._new_record(entry.info, now_s)
             record.listed, record.on_roster = False, True
-            record.expect_late_order(self._claimed_s)
+            record.late_orders_until_s = self._claimed_s + MAX_ORDER_DELAY_S
             self._expect_earlier_attempts(record, until_s=self._ended_by_s(entry))
             self._state.workers[record.id] = record
             if entry.only_attempts is not None or entry.deadline_ms is not None:
--- a/fescuerudder/jobs/scheduler.py
+++ b/fescuerudder/jobs/scheduler.py
@@ -230,8 +230,6 @@
             return
         record.end_renewal()
         record.next_renewal_s = self._clock.now_s() + self._renewals.retry_s(record)
-        if order.lease_until_ms is not None:
-            record.expect_late_order(sent_s)
         self._roster.count_unanswered_renewal(record)
         if record.silent_since_s is None:
             record.silent_since_s = sent_s
@@ -306,7 +304,6 @@
             result=answer.result.value,
         )
         if answer.result is OrderResult.UNKNOWN:
-            record.expect_late_order(attempt.sent_s)
             self.state.fence_start(attempt)
             return
         if answer.result is OrderResult.OTHER_LIFE:
--- a/fescuerudder/jobs/workerrecord.py
+++ b/fescuerudder/jobs/workerrecord.py
@@ -77,8 +77,8 @@
             earlier one. An incarnation that has seen it refuses all orders to earlier ones.
         longest_lease_until_s: when the leases have ended that an order to an earlier incarnation
             may have extended, on this instance's clock; 0 if there are none.
-        late_orders_until_s: until when an order without an answer may extend leases there, on this
-            instance's clock; a later incarnation may carry it out.
+        late_orders_until_s: until when an order with a deadline may still be carried out, also by a
+            later incarnation, on this instance's clock.
         is_fenced: a report has shown that this incarnation refuses the orders to earlier ones, so
             none of them extends its leases any more. Nothing is started there before.
         resolved: this leader knows what runs in this incarnation: it got a report, or all leases
@@ -190,6 +190,7 @@
         """Records a lease that starts now; returns its end on the worker's clock."""
         until_ms = int(self.clock.earliest_ms(now_s) + lease_s * 1000)
         self.lease_until_ms = max(self.lease_until_ms, until_ms)
+        self.late_orders_until_s = now_s + MAX_ORDER_DELAY_S
         return until_ms
 
     def fence(self, *, clock_ms: float, max_lease_s: float) -> None:
@@ -206,10 +207,6 @@
         self.lease_until_ms = max(self.lease_until_ms, clock_ms + max_lease_s * 1000)
         self.longest_lease_until_s = self.lapsed_by_s()
 
-    def expect_late_order(self, sent_s: float) -> None:
-        """Records that an order that was sent then, with a deadline, may yet be carried out."""
-        self.late_orders_until_s = max(self.late_orders_until_s, sent_s + MAX_ORDER_DELAY_S)
-
     def expect_longest_lease(self, *, now_s: float, max_lease_s: float) -> None:
         """Records that a later incarnation may have begun a longest lease up to now."""
         self.longest_lease_until_s = now_s + max_lease_s / (1 - CLOCK_DRIFT)
