Call a new incarnation until it is fenced

Cause: a worker that restarted while idle has no lease to wait for, so it counted as resolved at the next plan and was not called. Without a report to its own token it takes no tasks. Result: the new test failed before (the job had not begun) and passes.

--- a/fescuerudder/jobs/workerrecord.py
+++ b/fescuerudder/jobs/workerrecord.py
@@ -252,6 +252,7 @@
             or (self.is_silent and self.listed and not self.gone)
             or self.stored_serial > self.acknowledged_serial
             or not self.resolved
+            or (not self.is_fenced and not self.gone)
             or (bool(self.lapsed) and not self.gone)
         )
 
--- a/tests/jobs/test_incarnations.py
+++ b/tests/jobs/test_incarnations.py
@@ -66,3 +66,17 @@
     sim.restart_worker("w0", registry_lag_s=LAG_S)
     sim.run(LAG_S + 3.0)
     assert sim.state(JOB) is JobState.COMPLETED
+
+
+def test_an_idle_worker_gets_tasks_after_a_restart():
+    """Guards against an incarnation that nobody calls, so that it is never fenced."""
+    sim = JobSimulation(workers=1)
+    sim.submit("00000000000000bb", steps=steps(2))
+    sim.claim("a")
+    sim.run(30.0)
+    assert sim.state("00000000000000bb") is JobState.COMPLETED
+    sim.restart_worker("w0", registry_lag_s=2.0)
+    sim.run(3.0)
+    sim.submit(JOB, steps=steps(2))
+    sim.run(4.0)
+    assert sim.state(JOB) is JobState.COMPLETED
