Compare starts with the first noted end of a task in the simulation

Cause: the check took the last noted end of each task, so a task that ran again after its end, and whose later end was noted too, passed.

--- a/bench/_jobsimulation.py
+++ b/bench/_jobsimulation.py
@@ -527,7 +527,9 @@
         An end counts if it was acknowledged before the worker's lease lapsed.
         """
         ends = {e[2:4]: e[0] for e in self.events if e[4] == "done"}
-        acknowledged_s = {e[2]: ends[e[2:4]] for e in self.events if e[4] == "noted done"}
+        noted = [e for e in self.events if e[4] == "noted done"]
+        # The first end counts: a task that ran again after it has a later one.
+        acknowledged_s = {e[2]: ends[e[2:4]] for e in reversed(noted)}
         done = set()
         for at_s, worker, task, _, event in self.events:
             if event == "start":
