--- a/fescuerudder/jobs/scheduler.py
+++ b/fescuerudder/jobs/scheduler.py
@@ -13,7 +13,7 @@
 from fescuerudder.jobs.endedjobs import EndedJob
 from fescuerudder.jobs.job import Job
 from fescuerudder.jobs.jobhistory import JobHistory, MoveBatch, ended_jobs
-from fescuerudder.jobs.jobrun import FULL_SPEED, JobRun, JobState, Phase
+from fescuerudder.jobs.jobrun import FULL_SPEED, JobRun, JobState
 from fescuerudder.jobs.latestarts import StoredLateStart
 from fescuerudder.jobs.leaseexpiry import expire_leases
 from fescuerudder.jobs.leases import LeasePolicy
@@ -31,6 +31,7 @@
 from fescuerudder.jobs.rows import StoreClock
 from fescuerudder.jobs.runtimes import RunTimes
 from fescuerudder.jobs.schedulerstate import SchedulerState, Term
+from fescuerudder.jobs.startanswers import apply_start_answer
 from fescuerudder.jobs.startrecords import StoredStarts
 from fescuerudder.jobs.startrelease import StartReleaser
 from fescuerudder.jobs.starts import StartPlanner
@@ -58,10 +59,6 @@
 KNOWLEDGE_WRITE_INTERVAL_S = 2.0
 """Time between two writes of the knowledge about tasks."""
 
-REFUSED_START_PAUSE_S = 0.3
-"""Time without further starts on a worker that had no room for one, was unhealthy or was not
-connected."""
-
 Order = StartOrder | StopOrder | ThrottleOrder | RenewOrder | AdviceQuery
 
 _log = structlog.get_logger(__name__)
@@ -279,46 +276,11 @@
             self.state.late_starts.settle(order.worker, order.task, order.attempt)
         if record is None or attempt is None:
             return
-        now_s = self._clock.now_s()
-        attempt.is_answered |= answer.result is not OrderResult.UNKNOWN
-        record.update_clock(answer.clock_ms, token=order.token, now_s=now_s)
-        is_of_later_life = answer.clock_ms is not None and not record.clock.may_have_shown(
-            answer.clock_ms, since_s=attempt.sent_s
-        )
-        if answer.result is OrderResult.DONE and is_of_later_life:
-            # A report of that incarnation shows that it has begun, and that the last one has ended.
-            # The deadline was on another clock, so its lease may be the longest.
-            _log.info("start answered by a later incarnation", worker=record.id)
-            self.state.fence_start(attempt)
-            record.expect_longest_lease(now_s=now_s, max_lease_s=self.state.max_lease_s)
-            self.state.roster_changed = True
-            return
-        if answer.result is OrderResult.DONE:
-            attempt.phase = Phase.RUNNING if attempt.phase is not Phase.STOPPING else attempt.phase
-            attempt.confirmed_s = now_s
-            self.state.mark_begun(attempt.task.step.job)
-            return
-        _log.info(
-            "start not confirmed",
-            job=order.task.job,
-            task=order.task[1:],
-            attempt=order.attempt,
-            worker=order.worker,
-            result=answer.result.value,
-        )
-        if answer.result is OrderResult.UNKNOWN:
-            self.state.fence_start(attempt)
-            return
+        apply_start_answer(self.state, record, attempt, order, answer)
         if answer.result is OrderResult.OTHER_LIFE:
             self.on_worker_gone(order.worker)
-            return
-        if answer.result is OrderResult.FENCED:
+        elif answer.result is OrderResult.FENCED:
             self._check_superseded(record, order.token)
-        elif answer.result is OrderResult.NO_PERMIT:
-            self.state.advice.drop_permit(attempt.task.step.id, order.worker)
-        elif answer.result in (OrderResult.NO_ROOM, OrderResult.UNHEALTHY, OrderResult.NOT_SENT):
-            record.no_starts_until_s = now_s + REFUSED_START_PAUSE_S
-        self.state.requeue(attempt, checkpoint="", reason=answer.result.value)
 
     def on_advice(self, query: AdviceQuery, advice: Advice | None, *, sent_s: float) -> None:
         """Handles the answer of the advice service to a query, None if there was none."""
--- a/tests/jobs/test_limit.py
+++ b/tests/jobs/test_limit.py
@@ -8,7 +8,7 @@
 from fescuerudder.document import Size
 from fescuerudder.jobs.job import Step
 from fescuerudder.jobs.jobrun import JobState
-from fescuerudder.jobs.scheduler import REFUSED_START_PAUSE_S
+from fescuerudder.jobs.startanswers import REFUSED_START_PAUSE_S
 from tests.jobs.test_scheduler import JOB, steps
 
 OTHER = "00000000000000bb"
