Restart workers of the simulation with any reading of their clock

The clock of a restarted worker always started at 0. `restart` and `restart_worker` now take its first reading.

--- a/bench/_jobsimulation.py
+++ b/bench/_jobsimulation.py
@@ -332,12 +332,15 @@
             entry if entry is not None and self.clock.now_s() < until_s else worker.registry_entry()
         )
 
-    def restart_worker(self, name: str, *, registry_lag_s: float) -> None:
-        """Restarts a worker; the registry shows its new incarnation only after a while."""
+    def restart_worker(self, name: str, *, registry_lag_s: float, clock_ms: float = 0.0) -> None:
+        """Restarts a worker; the registry shows its new incarnation only after a while.
+
+        The clock of the new incarnation shows `clock_ms` at first.
+        """
         worker = self.workers[name]
         self.stale_entries[name] = (worker.registry_entry(), self.clock.now_s() + registry_lag_s)
         worker.crash()
-        worker.restart()
+        worker.restart(clock_ms=clock_ms)
 
     def _crash_workers(self) -> None:
         """Crashes the workers on which a task has run for its crash delay; they restart later."""
--- a/standins/jobworker.py
+++ b/standins/jobworker.py
@@ -62,6 +62,7 @@
         self._max_lease_s = max_lease_s
         self._clock_rate = clock_rate
         self.started_s = now_s()
+        self._first_reading_ms = 0.0
         self.highest_token = 0
         self.lease_until_ms = 0.0
         self.runs: dict[tuple[TaskId, int], Run] = {}
@@ -89,7 +90,8 @@
 
     def clock_ms(self) -> float:
         """Returns the reading of its steady clock, in milliseconds."""
-        return (self._now_s() - self.started_s) * 1000 * self._clock_rate
+        elapsed_s = self._now_s() - self.started_s
+        return self._first_reading_ms + elapsed_s * 1000 * self._clock_rate
 
     def registry_entry(self) -> WorkerInfo:
         """Returns its registry entry."""
@@ -125,10 +127,14 @@
             self._record(*key, "lost")
         self.runs.clear()
 
-    def restart(self) -> None:
-        """Starts a new incarnation without the state of the last one."""
+    def restart(self, *, clock_ms: float = 0.0) -> None:
+        """Starts a new incarnation without the state of the last one.
+
+        Its clock shows `clock_ms` at first, which may be more or less than that of the last one.
+        """
         self.is_up = True
         self.started_s = self._now_s()
+        self._first_reading_ms = clock_ms
         self.info = attrs.evolve(self.info, incarnation_ms=self.info.incarnation_ms + 1)
         self._capacities.append((self.started_s, self.info))
         self.highest_token, self.lease_until_ms, self.last_serial = 0, 0.0, 0
