--- a/tests/jobs/test_random_restarts.py
+++ b/tests/jobs/test_random_restarts.py
@@ -97,4 +97,4 @@
     sim.run(5.0)
     sim.check_history()
     sim.check_failures()
-    assert not open_jobs
+    assert not open_jobs, f"not ended: {open_jobs}"
