Cancel the jobs of random worlds whose tasks are held back

In world 55 a task's worker crashed four times in 33 s with a start of the task under way. Such a task isn't started any more, and its job stays until it is cancelled (docs/platform.md), so the world now cancels it, and it must end then.

--- a/tests/jobs/test_random_restarts.py
+++ b/tests/jobs/test_random_restarts.py
@@ -93,6 +93,7 @@
     sim.store.apply_delayed()
     sim.run(1.0)
     ensure_leader(sim, "very last")
+    sim.cancel_held_back()
     open_jobs = sim.run_to_end(max_s=MAX_ENDING_S)
     sim.run(5.0)
     sim.check_history()
