--- a/tests/jobs/test_former_incarnation.py
+++ b/tests/jobs/test_former_incarnation.py
@@ -86,7 +86,6 @@
     return [e for e in sim.events if e[4] == "start" and noted.get(e[2], e[0]) < e[0]]
 
 
-@FORMER_INCARNATION
 @pytest.mark.parametrize("renewal_s", [NEXT_CALL_S, NEVER_S], ids=["late call", "next call"])
 def test_no_end_is_acknowledged_before_the_leader_has_seen_it(renewal_s):
     """Guards against a task that starts again after an end that was forgotten unseen (TWICE).
@@ -175,7 +174,6 @@
     sim.run(16.0)
 
 
-@FORMER_INCARNATION
 def test_the_clock_in_an_answer_of_the_last_incarnation_is_not_used():
     """Guards against leases with deadlines on the clock of the last incarnation.
 
@@ -222,7 +220,6 @@
     assert sim.state(OTHER_JOB) is JobState.COMPLETED
 
 
-@FORMER_INCARNATION
 @pytest.mark.parametrize("percents", [(0, 100), (100, 0)], ids=["paused", "at full speed"])
 def test_a_throttle_that_comes_late_doesnt_replace_a_newer_one(percents):
     """Guards against a task that stays paused or at full speed, unknown to the leader (HARM)."""
