--- a/tests/jobs/test_unfenced_incarnations.py
+++ b/tests/jobs/test_unfenced_incarnations.py
@@ -4,6 +4,7 @@
 
 from bench._jobsimulation import JobSimulation
 from fescuerudder.jobs.job import Step
+from fescuerudder.jobs.workerport import StartOrder
 from tests.jobs.test_former_orders import (
     MAX_LEASE_S,
     cut_off,
@@ -66,3 +67,41 @@
     sim.cut.add(("b", "w0"))
     sim.add_worker(3, 6.0)
     sim.run(16.0)
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+@pytest.mark.parametrize("claims_after_s", [6.0, 9.0])
+def test_a_run_that_a_successor_adopts_is_not_given_up_before_the_next_report(claims_after_s, seed):
+    """Guards against a second run of a task that the report of a new incarnation has just listed.
+
+    A start without an answer is carried out by the next incarnation of its worker, whose leases
+    the successor has never counted, as the report doesn't fence the incarnation yet.
+    """
+    sim = JobSimulation(seed=seed, workers=3, capacity=6.0, max_lease_s=MAX_LEASE_S)
+    sim.run_s = 40.0
+    earlier = sim.claim("a")
+    sim.run(3.0)
+    earlier.alive = False
+    leader = sim.claim("b")
+    sim.run(3.0)
+    starts = []
+
+    def late_by_s(order):
+        if starts or not isinstance(order, StartOrder):
+            return None
+        starts.append(order)
+        return claims_after_s - 0.1
+
+    sim.late_by_s = late_by_s
+    sim.submit(steps=[Step(count=1, size=ONE)])
+    sim.run(0.05)
+    worker = sim.workers[starts[0].worker]
+    worker.crash()
+    sim.run(4.5)
+    leader.alive = False
+    sim.run(claims_after_s - 4.7)
+    sim.restart_worker(worker.info.id, registry_lag_s=2.0)
+    sim.run(0.2)
+    assert worker.runs
+    sim.claim("c")
+    sim.run(16.0)
