Keep a run that an unfenced incarnation has listed

Cause: a successor adopts a run that the next incarnation of a worker began on a late start. That incarnation was not fenced yet, so it counted as not reached, and its leases, of which none was counted, as ended: the task started elsewhere at once. Change: while an incarnation is not fenced, what it lists may run for as long as an order can be late and the longest lease more.

--- a/fescuerudder/jobs/reports.py
+++ b/fescuerudder/jobs/reports.py
@@ -82,19 +82,21 @@
         if len(report.ended) < MAX_REPORT_ENDS:
             self._requeue_missing(record, order, report, sent_s)
         if not record.is_fenced:
-            self._fence(record, order, report)
+            self._fence(record, order, report, now_s)
         if record.is_fenced:
             record.may_run_unknown = False
         if record.is_fenced and not record.resolved:
             record.resolved = True
             _log.info("worker resolved", worker=record.id, token=order.token, clock=report.clock_ms)
 
-    def _fence(self, record: WorkerRecord, order: RenewOrder, report: Report) -> None:
+    def _fence(self, record: WorkerRecord, order: RenewOrder, report: Report, now_s: float) -> None:
         """Fences an incarnation if its report answers an order to it, not to an earlier one.
 
         A successor has to know of the leases that may last longer from then on.
         """
         if order.token < record.first_token:
+            if report.running:
+                record.expect_late_leases(now_s=now_s, max_lease_s=self._state.max_lease_s)
             return
         record.fence(clock_ms=report.clock_ms, max_lease_s=self._state.max_lease_s)
         self._state.roster_changed = True
--- a/fescuerudder/jobs/workerrecord.py
+++ b/fescuerudder/jobs/workerrecord.py
@@ -77,6 +77,8 @@
             earlier one. An incarnation that has seen it refuses all orders to earlier ones.
         longest_lease_until_s: when the leases have ended that an order to an earlier incarnation
             may have extended, on this instance's clock; 0 if there are none.
+        unfenced_leases_until_s: when the leases have ended of the runs that this incarnation listed
+            before it was fenced, if it is not fenced any more, on this instance's clock.
         late_orders_until_s: until when an order with a deadline may still be carried out, also by a
             later incarnation, on this instance's clock.
         is_fenced: a report has shown that this incarnation refuses the orders to earlier ones, so
@@ -130,6 +132,7 @@
     first_token: int = 0
     is_fenced: bool = True
     longest_lease_until_s: float = 0.0
+    unfenced_leases_until_s: float = 0.0
     late_orders_until_s: float = 0.0
     resolved: bool = False
     resolved_by_s: float = 0.0
@@ -218,6 +221,11 @@
         self.lease_until_ms = max(self.lease_until_ms, clock_ms + max_lease_s * 1000)
         self.longest_lease_until_s = self.lapsed_by_s()
 
+    def expect_late_leases(self, *, now_s: float, max_lease_s: float) -> None:
+        """Records that orders to earlier incarnations may go on extending the leases there."""
+        longest_s = max_lease_s / (1 - CLOCK_DRIFT)
+        self.unfenced_leases_until_s = now_s + MAX_ORDER_DELAY_S + longest_s
+
     def expect_longest_lease(self, *, now_s: float, max_lease_s: float) -> None:
         """Records that a later incarnation may have begun a longest lease up to now."""
         self.longest_lease_until_s = now_s + max_lease_s / (1 - CLOCK_DRIFT)
@@ -225,7 +233,8 @@
 
     def lapsed_by_s(self) -> float:
         """Returns when all leases there have expired if no more renewals arrive."""
-        return max(self.resolved_by_s, self.clock.reached_s(self.lease_until_ms))
+        until_s = max(self.resolved_by_s, self.clock.reached_s(self.lease_until_ms))
+        return until_s if self.is_fenced else max(until_s, self.unfenced_leases_until_s)
 
     def unknown_ended_by_s(self) -> float:
         """Returns when the unknown attempts of earlier leaders have ended at the latest.
@@ -305,6 +314,7 @@
         self.clock = WorkerClock(reading_ms=info.clock_ms, read_s=now_s)
         self.token += 1
         self.first_token, self.is_fenced = self.token, False
+        self.unfenced_leases_until_s = 0.0
         self.next_renewal_s = 0.0
         self.attempts.clear()
         self.orphans = set()
