Name only fenced incarnations in the stored roster

Cause: the leader learned of a restart from the registry, didn't reach the worker, and was lost. The roster named the new incarnation, so the successor took it for known, and a renewal for the one before could still extend leases that it didn't count. Change: the roster names the latest incarnation that was fenced. A successor sees a later one as born again and fences it first.

--- a/fescuerudder/jobs/rosterkeeper.py
+++ b/fescuerudder/jobs/rosterkeeper.py
@@ -307,14 +307,18 @@
         return self._state.late_starts.take_changed(self._store_clock)
 
     def _entry(self, record: WorkerRecord) -> RosterEntry:
-        """Returns the roster entry of a worker, and restricts the worker if it has been silent."""
+        """Returns the roster entry of a worker, and restricts the worker if it has been silent.
+
+        It names the latest fenced incarnation, so that a successor fences a later one anew.
+        """
+        info = attrs.evolve(record.info, incarnation_ms=record.fenced_incarnation_ms)
         record.is_restricted = record.unanswered_renewals >= _restrict_after(record)
         if not record.is_restricted:
-            return RosterEntry(info=record.info)
+            return RosterEntry(info=info)
         record.on_roster = False
         ended_by_s, clock = record.lapsed_by_s(), self._store_clock
         return RosterEntry(
-            info=record.info,
+            info=info,
             only_attempts=None if record.may_run_unknown else tuple(record.attempts),
             deadline_ms=clock.latest_ms(ended_by_s) if clock is not None else None,
         )
--- a/fescuerudder/jobs/workerrecord.py
+++ b/fescuerudder/jobs/workerrecord.py
@@ -75,6 +75,7 @@
         token: fencing token of the next orders.
         first_token: lowest token of the orders to this incarnation, 0 if the leader knows of no
             earlier one. An incarnation that has seen it refuses all orders to earlier ones.
+        fenced_incarnation_ms: start time of the latest incarnation that is fenced.
         longest_lease_until_s: when the leases have ended that an order to an earlier incarnation
             may have extended, on this instance's clock; 0 if there are none.
         unfenced_leases_until_s: when the leases have ended of the runs that this incarnation listed
@@ -131,6 +132,9 @@
     token: int
     first_token: int = 0
     is_fenced: bool = True
+    fenced_incarnation_ms: int = attrs.field(
+        default=attrs.Factory(lambda self: self.info.incarnation_ms, takes_self=True)
+    )
     longest_lease_until_s: float = 0.0
     unfenced_leases_until_s: float = 0.0
     late_orders_until_s: float = 0.0
@@ -218,6 +222,7 @@
             max_lease_s: longest lease that a worker grants, in seconds.
         """
         self.is_fenced = True
+        self.fenced_incarnation_ms = self.info.incarnation_ms
         self.lease_until_ms = max(self.lease_until_ms, clock_ms + max_lease_s * 1000)
         self.longest_lease_until_s = self.lapsed_by_s()
 
