Acknowledge ends before they fill a worker's reports

Cause: since no ends were acknowledged for 20 s after each start without an answer. With a few such starts the ends filled the 500 rows of a report, later ends stayed unseen, and the worker made no progress for good. Change: only a silent worker or a start that is still uncertain holds acknowledgements back, and not more than 100 ends.

--- a/fescuerudder/jobs/renewalplanner.py
+++ b/fescuerudder/jobs/renewalplanner.py
@@ -26,6 +26,9 @@
 """The same after the first one to a worker that a late order may reach: it may have restarted, and
 the call has to come before the order."""
 
+MAX_UNCONFIRMED_ENDS = 100
+"""Number of ends from which they are acknowledged in any case; a report lists 500 at most."""
+
 ABSENT_RENEWAL_S = 1.0
 """Time between two renewals of a worker that left the registry and may have crashed."""
 
@@ -107,12 +110,16 @@
         """Returns the serial up to which a renewal acknowledges ends, 0 if there are no new ones.
 
         A later incarnation that carries it out forgets its own ends up to there unseen. So there is
-        none while the worker may have restarted and carried out a start.
+        none while the worker may have restarted and carried out a start, unless so many have piled
+        up that its reports would soon have no space for further ends.
         """
-        is_confirmed = record.stored_serial <= record.acknowledged_serial
-        if is_confirmed or record.is_silent or record.has_uncertain_start():
+        unconfirmed = record.stored_serial - record.acknowledged_serial
+        if unconfirmed <= 0:
+            return 0
+        may_have_restarted = record.is_silent or record.has_uncertain_start()
+        if may_have_restarted and unconfirmed < MAX_UNCONFIRMED_ENDS:
             return 0
-        return 0 if self._state.may_carry_out_late(record) else record.stored_serial
+        return record.stored_serial
 
     def _wait_ms(self, record: WorkerRecord, now_s: float) -> int:
         if self.answer_loss.is_frequent(now_s):
--- /dev/null
+++ b/tests/jobs/test_restarted_workers.py
@@ -0,0 +1,68 @@
+"""Restarted workers: orders and starts of earlier incarnations, over takeovers and under load."""
+
+import attrs
+import pytest
+
+from bench._jobsimulation import JobSimulation
+from fescuerudder.jobs.job import Step
+from fescuerudder.jobs.reports import MAX_REPORT_ENDS
+from fescuerudder.jobs.workerport import RenewOrder
+from standins.jobworker import JobWorker
+from tests.jobs.test_former_orders import delay_next, is_lease, make_busy_world
+from tests.jobs.test_scheduler import ONE
+
+NEVER_S = 60.0
+
+
+def lose_all(sim):
+    """Loses all further orders to the first worker."""
+    sim.late_by_s = lambda order: NEVER_S if order.worker == "w0" else None
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize("cut_s", [0.4, 1.0])
+def test_a_successor_fences_an_incarnation_that_its_predecessor_had_not_fenced(cut_s, seed):
+    """Guards against a roster that names an incarnation as one like all others.
+
+    The predecessor stored the roster with the new incarnation, but was lost before it fenced it. A
+    renewal to the last incarnation arrives just before the successor's first call.
+    """
+    sim, leader = make_busy_world(seed)
+    delay_next(sim, is_lease, by_s=2.4)
+    lose_all(sim)
+    sim.restart_worker("w0", registry_lag_s=0.1)
+    sim.run(0.8)
+    assert leader.scheduler.state.workers["w0"].info.incarnation_ms == 1001
+    leader.alive = False
+    while sim.workers["w0"].lease_until_ms == 0.0:
+        sim.run(0.05)
+    sim.late_by_s = lambda order: None
+    successor = sim.claim("b")
+    sim.run(cut_s)
+    assert sim.workers["w0"].runs
+    sim.cut.add(("b", "w0"))
+    sim.add_worker(3, 6.0)
+    sim.run(16.0)
+    assert successor.alive
+
+
+def test_lost_starts_do_not_keep_a_worker_from_reporting_its_ends(monkeypatch):
+    """Guards against ends that are never acknowledged, so that a report has no space for new ones.
+
+    A worker lists 500 ends at most.
+    """
+    renew = JobWorker.renew
+
+    def renew_capped(self, order):
+        report = renew(self, order)
+        return attrs.evolve(report, ended=report.ended[:MAX_REPORT_ENDS])
+
+    monkeypatch.setattr(JobWorker, "renew", renew_capped)
+    sim = JobSimulation(seed=1, workers=3, capacity=12.0)
+    sim.run_s, sim.order_loss_rate = 0.3, 0.03
+    sim.submit(steps=[Step(count=5000, size=ONE)])
+    sim.claim("a")
+    sim.run(50.0)
+    done = sum(1 for e in sim.events if e[4] == "done")
+    sim.run(10.0)
+    assert sum(1 for e in sim.events if e[4] == "done") > done + 300
