Count the longest lease of a recorded start after a restart out of reach

Cause: the next incarnation carries out a start just as the leader is lost. The successor learns of the restart from the registry but can't reach the worker, and counted the bound of its predecessor, which doesn't cover that run. Change: recorded starts on a worker that has restarted hold their tasks for the longest lease from when the successor learned of the restart.

--- a/fescuerudder/jobs/leases.py
+++ b/fescuerudder/jobs/leases.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from fescuerudder.jobs.workerrecord import CLOCK_DRIFT
+from fescuerudder.jobs.workerrecord import CLOCK_DRIFT, longest_lease_s
 
 LEASE_HORIZON_S = 8.0
 """Time after the last stored bound at which the last lease ends at the latest. A task that lasts
@@ -78,4 +78,4 @@
     Args:
         max_lease_s: longest lease that a worker grants, in seconds.
     """
-    return max(PREDECESSOR_LEASES_S, max_lease_s / (1 - CLOCK_DRIFT) + TAKEOVER_MARGIN_S)
+    return max(PREDECESSOR_LEASES_S, longest_lease_s(max_lease_s) + TAKEOVER_MARGIN_S)
--- a/fescuerudder/jobs/reports.py
+++ b/fescuerudder/jobs/reports.py
@@ -17,7 +17,7 @@
     Report,
     RunningAttempt,
 )
-from fescuerudder.jobs.workerrecord import WorkerRecord
+from fescuerudder.jobs.workerrecord import WorkerRecord, longest_lease_s
 
 DEFAULT_MAX_FAILURES = 3
 """Limit on the failed attempts of a task whose queue is in no known manifest."""
@@ -128,15 +128,24 @@
                 # An answer of the last incarnation says nothing about this one.
                 attempt.phase, attempt.confirmed_s = Phase.UNCERTAIN, None
                 record.attempts[(attempt.task.id, attempt.number)] = attempt
-                if not attempt.restored:
-                    ends_s = self._state.late_run_ends_s(attempt)
-                    record.resolved_by_s = max(record.resolved_by_s, ends_s)
+                ends_s = self._run_ends_s(attempt, now_s)
+                record.resolved_by_s = max(record.resolved_by_s, ends_s)
             else:
                 self._state.requeue(
                     attempt, checkpoint=attempt.checkpoint, reason="worker born again"
                 )
         self._restore_late_starts(record)
 
+    def _run_ends_s(self, attempt: Attempt, now_s: float) -> float:
+        """Returns when a run has ended that the new incarnation may have begun.
+
+        A start of an earlier leader counts as carried out by now, else each worker that is lost
+        with its leader and restarts out of reach would hold its tasks back for 20 s.
+        """
+        if attempt.restored:
+            return now_s + longest_lease_s(self._state.max_lease_s)
+        return self._state.late_run_ends_s(attempt)
+
     def _restore_late_starts(self, record: WorkerRecord) -> None:
         """Restores, as uncertain, the late starts that a new incarnation might carry out.
 
--- a/fescuerudder/jobs/schedulerstate.py
+++ b/fescuerudder/jobs/schedulerstate.py
@@ -22,7 +22,7 @@
 from fescuerudder.jobs.startrecords import record_keys
 from fescuerudder.jobs.urgency import JobSizes
 from fescuerudder.jobs.workerhealth import WorkerHealth
-from fescuerudder.jobs.workerrecord import CLOCK_DRIFT, AttemptKey, WorkerRecord
+from fescuerudder.jobs.workerrecord import AttemptKey, WorkerRecord, longest_lease_s
 
 TOKENS_PER_EPOCH = 1_000_000
 """Number of fencing tokens in one epoch; a leader raises a worker's token within this range."""
@@ -311,7 +311,7 @@
 
     def late_run_ends_s(self, attempt: Attempt) -> float:
         """Returns when a run that a late order starts at an unreachable worker has ended."""
-        return attempt.order_ends_s + self.max_lease_s / (1 - CLOCK_DRIFT)
+        return attempt.order_ends_s + longest_lease_s(self.max_lease_s)
 
     def drop_expired_late_starts(self, now_s: float) -> None:
         """Drops the late starts that can no longer be carried out.
--- a/fescuerudder/jobs/workerrecord.py
+++ b/fescuerudder/jobs/workerrecord.py
@@ -25,6 +25,15 @@
 """Task and number of an attempt."""
 
 
+def longest_lease_s(max_lease_s: float) -> float:
+    """Returns how long the longest lease lasts at most, on a clock that may run slow, in seconds.
+
+    Args:
+        max_lease_s: its length on the worker's clock.
+    """
+    return max_lease_s / (1 - CLOCK_DRIFT)
+
+
 @attrs.define(kw_only=True)
 class WorkerClock:
     """Bounds on the monotonic clock of a worker, derived from its latest reading.
@@ -228,12 +237,11 @@
 
     def expect_late_leases(self, *, now_s: float, max_lease_s: float) -> None:
         """Records that orders to earlier incarnations may go on extending the leases there."""
-        longest_s = max_lease_s / (1 - CLOCK_DRIFT)
-        self.unfenced_leases_until_s = now_s + MAX_ORDER_DELAY_S + longest_s
+        self.unfenced_leases_until_s = now_s + MAX_ORDER_DELAY_S + longest_lease_s(max_lease_s)
 
     def expect_longest_lease(self, *, now_s: float, max_lease_s: float) -> None:
         """Records that a later incarnation may have begun a longest lease up to now."""
-        self.longest_lease_until_s = now_s + max_lease_s / (1 - CLOCK_DRIFT)
+        self.longest_lease_until_s = now_s + longest_lease_s(max_lease_s)
         self.resolved_by_s = max(self.resolved_by_s, self.longest_lease_until_s)
 
     def lapsed_by_s(self) -> float:
--- a/tests/jobs/test_restarted_workers.py
+++ b/tests/jobs/test_restarted_workers.py
@@ -46,6 +46,32 @@
     assert successor.alive
 
 
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize("leaderless_s", [0.0, 5.0, 6.5])
+@pytest.mark.parametrize("is_cut", [False, True])
+def test_a_successor_counts_the_longest_lease_of_a_recorded_start(is_cut, leaderless_s, seed):
+    """Guards against a start that the next incarnation carries out as the leader is lost.
+
+    The successor knows from the registry that the worker has restarted since the start.
+    """
+    sim, leader = make_busy_world(seed)
+    sim.run(0.1)
+    sim.late_by_s = lambda order: NEVER_S if isinstance(order, RenewOrder) else None
+    sim.run(0.1)
+    sim.restart_worker("w0", registry_lag_s=0.5)
+    sim.submit("00000000000000bb", steps=[Step(count=3, size=ONE)])
+    while not sim.workers["w0"].runs:
+        sim.run(0.05)
+    leader.alive = False
+    sim.late_by_s = lambda order: None
+    sim.run(1.0 + leaderless_s)
+    if is_cut:
+        sim.cut.add(("b", "w0"))
+    sim.claim("b")
+    sim.add_worker(3, 6.0)
+    sim.run(16.0)
+
+
 def test_lost_starts_do_not_keep_a_worker_from_reporting_its_ends(monkeypatch):
     """Guards against ends that are never acknowledged, so that a report has no space for new ones.
 
