Bind a task whose start a later incarnation has answered

Cause: after such an answer the longest lease counted from the answer, but the incarnation wasn't fenced, and a renewal to the last one could extend the run seconds later. The start counted as answered, so its task wasn't bound. Change: it counts as a start without an answer.

--- a/fescuerudder/jobs/startanswers.py
+++ b/fescuerudder/jobs/startanswers.py
@@ -58,8 +58,10 @@
         answer.clock_ms, since_s=attempt.sent_s
     ):
         # A report of that incarnation shows that it has begun, and that the last one has ended. The
-        # deadline was on another clock, so its lease may be the longest.
+        # deadline was on another clock, so its lease may be the longest, and late renewals may
+        # extend it: the task stays bound as after a start without an answer.
         _log.info("start answered by a later incarnation", worker=record.id)
+        attempt.is_answered = False
         state.fence_start(attempt)
         record.expect_longest_lease(now_s=now_s, max_lease_s=state.max_lease_s)
         state.roster_changed = True
--- a/tests/jobs/test_restarted_workers.py
+++ b/tests/jobs/test_restarted_workers.py
@@ -72,6 +72,22 @@
     sim.run(16.0)
 
 
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize("arrives_s", [3.0, 6.0])
+def test_a_late_renewal_may_follow_a_start_that_the_next_incarnation_answers(arrives_s, seed):
+    """Guards against a longest lease that is counted from the answer, not from the last order."""
+    sim, leader = make_busy_world(seed)
+    delay_next(sim, is_lease, by_s=arrives_s)
+    sim.late_by_s = lambda o: NEVER_S if isinstance(o, RenewOrder) and o.worker == "w0" else None
+    sim.restart_worker("w0", registry_lag_s=30.0)
+    sim.submit("00000000000000bb", steps=[Step(count=3, size=ONE)])
+    sim.run(0.3)
+    assert sim.workers["w0"].runs
+    lose_all(sim)
+    sim.add_worker(3, 6.0)
+    sim.run(18.0)
+
+
 def test_lost_starts_do_not_keep_a_worker_from_reporting_its_ends(monkeypatch):
     """Guards against ends that are never acknowledged, so that a report has no space for new ones.
 
