--- a/tests/jobs/test_restarted_workers.py
+++ b/tests/jobs/test_restarted_workers.py
@@ -108,3 +108,23 @@
     done = sum(1 for e in sim.events if e[4] == "done")
     sim.run(10.0)
     assert sum(1 for e in sim.events if e[4] == "done") > done + 300
+
+
+@pytest.mark.xfail(reason="KNOWN-RED.txt", strict=True, raises=AssertionError)
+def test_a_worker_whose_time_of_day_was_set_back_gets_tasks_again():
+    """Guards against a worker that stays silent to this leader and all that follow."""
+    sim = JobSimulation(seed=1, workers=2, capacity=4.0)
+    sim.run_s = 1.0
+    sim.submit(steps=[Step(count=2000, size=ONE)])
+    leader = sim.claim("a")
+    sim.run(5.0)
+    worker = sim.workers["w0"]
+    worker.crash()
+    worker.restart()
+    worker.info = attrs.evolve(worker.info, incarnation_ms=900)
+    sim.run(40.0)
+    leader.alive = False
+    sim.run(2.0)
+    sim.claim("b")
+    sim.run(20.0)
+    assert worker.runs
