--- a/tests/jobs/test_random_worlds.py
+++ b/tests/jobs/test_random_worlds.py
@@ -97,14 +97,10 @@
         sim.claim(name)
 
 
-LATE_START = pytest.mark.xfail(reason="KNOWN-RED.txt", strict=True, raises=AssertionError)
-"""A start without an answer reaches the next incarnation of its worker before any call of the
-leader does, after its task was done."""
-
 REPEATED_SEEDS = range(2000, 2040)
 """Seeds of worlds in which every second job is repeated."""
 
-SEEDS = [*range(200), *REPEATED_SEEDS, 278, pytest.param(723, marks=LATE_START), 978]
+SEEDS = [*range(200), *REPEATED_SEEDS, 278, 723, 978]
 
 
 def repetition(sim, seed, number):
