End the bounds of earlier orders when an incarnation is fenced

Cause: a start without an answer counted for the time of a late order and the longest lease, 30 s, also after the incarnation was fenced, when it can't be carried out there any more. If the worker was lost then, its tasks waited for that time, and the stored bound made a successor wait for all workers. Change: once fenced, all leases end with the longest one.

--- a/fescuerudder/jobs/workerrecord.py
+++ b/fescuerudder/jobs/workerrecord.py
@@ -224,7 +224,7 @@
         """Records that the worker refuses the orders to earlier incarnations from now on.
 
         One of them may have been carried out before. Its deadline is on another clock, so it counts
-        as the longest lease.
+        as the longest lease. None is carried out later, so no lease there ends after that.
 
         Args:
             clock_ms: the worker's clock in the report that shows it.
@@ -233,7 +233,8 @@
         self.is_fenced = True
         self.fenced_incarnation_ms = self.info.incarnation_ms
         self.lease_until_ms = max(self.lease_until_ms, clock_ms + max_lease_s * 1000)
-        self.longest_lease_until_s = self.lapsed_by_s()
+        self.longest_lease_until_s = self.clock.reached_s(self.lease_until_ms)
+        self.resolved_by_s = min(self.resolved_by_s, self.longest_lease_until_s)
 
     def expect_late_leases(self, *, now_s: float, max_lease_s: float) -> None:
         """Records that orders to earlier incarnations may go on extending the leases there."""
--- a/tests/jobs/test_restarted_workers.py
+++ b/tests/jobs/test_restarted_workers.py
@@ -6,9 +6,10 @@
 from bench._jobsimulation import JobSimulation
 from fescuerudder.jobs.job import Step
 from fescuerudder.jobs.reports import MAX_REPORT_ENDS
-from fescuerudder.jobs.workerport import RenewOrder
+from fescuerudder.jobs.workerport import RenewOrder, StartOrder
+from fescuerudder.jobs.workerrecord import longest_lease_s
 from standins.jobworker import JobWorker
-from tests.jobs.test_former_orders import delay_next, is_lease, make_busy_world
+from tests.jobs.test_former_orders import MAX_LEASE_S, delay_next, is_lease, make_busy_world
 from tests.jobs.test_scheduler import ONE
 
 NEVER_S = 60.0
@@ -128,3 +129,20 @@
     sim.claim("b")
     sim.run(20.0)
     assert worker.runs
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_fenced_incarnation_holds_tasks_back_for_the_longest_lease_only(seed):
+    """Guards against tasks that wait for the time of a late order, 30 s in all (LOST).
+
+    A start without an answer leaves a bound of that length, which the fence replaces.
+    """
+    sim, leader = make_busy_world(seed)
+    sim.late_by_s = lambda order: NEVER_S if isinstance(order, StartOrder) else None
+    sim.submit("00000000000000bb", steps=[Step(count=3, size=ONE)])
+    sim.run(1.8)
+    sim.restart_worker("w0", registry_lag_s=0.1)
+    sim.run(1.0)
+    record = leader.scheduler.state.workers["w0"]
+    assert record.first_token and record.is_fenced
+    assert record.lapsed_by_s() - sim.clock.now_s() <= longest_lease_s(MAX_LEASE_S)
