Fence in one place, log the end of leases once

No decision changes: reconcile asks once whether an incarnation is fenced, the end of leases is logged only if attempts end with it, and a renewal that a later incarnation carried out is no warning, as most restarts show themselves so.

--- a/fescuerudder/jobs/leaseexpiry.py
+++ b/fescuerudder/jobs/leaseexpiry.py
@@ -1,8 +1,10 @@
 """Ends what ran on workers that were not reached until their leases had certainly ended."""
 
+from collections.abc import Collection
+
 import structlog
 
-from fescuerudder.jobs.jobrun import Phase
+from fescuerudder.jobs.jobrun import Attempt, Phase
 from fescuerudder.jobs.leases import LeasePolicy
 from fescuerudder.jobs.schedulerstate import SchedulerState
 from fescuerudder.jobs.workerrecord import WorkerRecord
@@ -30,18 +32,15 @@
         record.drop_old_lapsed(now_s)
         is_reached = record.resolved and not record.is_silent
         if not is_reached and certain_s >= record.lapsed_by_s():
-            _log_expiry(record, now_s)
             _expire_worker(state, record, now_s)
 
 
-def _log_expiry(record: WorkerRecord, now_s: float) -> None:
-    """Logs what the end of the leases was derived from, if anything ran there."""
-    if not record.attempts:
-        return
+def _log_expiry(record: WorkerRecord, ended: Collection[Attempt], now_s: float) -> None:
+    """Logs what the end of the leases of attempts was derived from."""
     _log.info(
         "leases ended unseen",
         worker=record.id,
-        attempts=len(record.attempts),
+        attempts=len(ended),
         born_ms=record.info.incarnation_ms,
         lease_until_ms=int(record.lease_until_ms),
         clock=int(record.clock.earliest_ms(now_s)),
@@ -58,9 +57,10 @@
             record.silent_since_s = now_s
     record.resolved = True
     state.set_orphans(record, set())
-    for attempt in list(record.attempts.values()):
-        if attempt.phase is Phase.STARTING:
-            continue
+    ended = [a for a in record.attempts.values() if a.phase is not Phase.STARTING]
+    if ended:
+        _log_expiry(record, ended, now_s)
+    for attempt in ended:
         if attempt.phase is not Phase.PLANNED:
             record.add_lapsed(attempt)
         # A start of an earlier leader counts as answered unless the store says otherwise.
--- a/fescuerudder/jobs/reports.py
+++ b/fescuerudder/jobs/reports.py
@@ -81,15 +81,11 @@
         self._state.knowledge.headroom_model.update(record, now_s=now_s)
         if len(report.ended) < MAX_REPORT_ENDS:
             self._requeue_missing(record, order, report, sent_s)
-        if not record.is_fenced:
-            self._fence(record, order, report, now_s)
-        if record.is_fenced:
+        if record.is_fenced or self._fence(record, order, report, now_s):
             record.may_run_unknown = False
-        if record.is_fenced and not record.resolved:
-            record.resolved = True
-            _log.info("worker resolved", worker=record.id, token=order.token, clock=report.clock_ms)
+            _mark_resolved(record, order, report)
 
-    def _fence(self, record: WorkerRecord, order: RenewOrder, report: Report, now_s: float) -> None:
+    def _fence(self, record: WorkerRecord, order: RenewOrder, report: Report, now_s: float) -> bool:
         """Fences an incarnation if its report answers an order to it, not to an earlier one.
 
         A successor has to know of the leases that may last longer from then on.
@@ -97,9 +93,10 @@
         if order.token < record.first_token:
             if report.running:
                 record.expect_late_leases(now_s=now_s, max_lease_s=self._state.max_lease_s)
-            return
+            return False
         record.fence(clock_ms=report.clock_ms, max_lease_s=self._state.max_lease_s)
         self._state.roster_changed = True
+        return True
 
     def begin_incarnation(
         self, record: WorkerRecord, *, incarnation_ms: int, clock_ms: int, now_s: float
@@ -346,9 +343,15 @@
     return 0 < report.incarnation_ms < record.info.incarnation_ms
 
 
+def _mark_resolved(record: WorkerRecord, order: RenewOrder, report: Report) -> None:
+    if not record.resolved:
+        record.resolved = True
+        _log.info("worker resolved", worker=record.id, token=order.token, clock=report.clock_ms)
+
+
 def _log_carried_out_later(record: WorkerRecord, order: RenewOrder, report: Report) -> None:
     """Logs that a renewal for one incarnation was carried out by a later one."""
-    _log.warning(
+    _log.info(
         "renewal carried out by a later incarnation",
         worker=record.id,
         token=order.token,
--- a/fescuerudder/jobs/workerrecord.py
+++ b/fescuerudder/jobs/workerrecord.py
@@ -84,15 +84,15 @@
         token: fencing token of the next orders.
         first_token: lowest token of the orders to this incarnation, 0 if the leader knows of no
             earlier one. An incarnation that has seen it refuses all orders to earlier ones.
+        is_fenced: a report has shown that it does, so none of them extends its leases any more.
+            Only a fenced incarnation gets on the stored roster, and so gets tasks.
         fenced_incarnation_ms: start time of the latest incarnation that is fenced.
         longest_lease_until_s: when the leases have ended that an order to an earlier incarnation
             may have extended, on this instance's clock; 0 if there are none.
         unfenced_leases_until_s: when the leases have ended of the runs that this incarnation listed
-            before it was fenced, if it is not fenced any more, on this instance's clock.
+            before it was fenced, if it isn't yet, on this instance's clock.
         late_orders_until_s: until when an order with a deadline may still be carried out, also by a
             later incarnation, on this instance's clock.
-        is_fenced: a report has shown that this incarnation refuses the orders to earlier ones, so
-            none of them extends its leases any more. Nothing is started there before.
         resolved: this leader knows what runs in this incarnation: it got a report, or all leases
             have expired.
         resolved_by_s: when all leases of earlier leaders, and late orders, have expired at the
