Take a status of another worker at the address for no answer

Cause: the owner of a rack never compared the worker id in a status with the worker that it asked. When another worker took the address of a listed or a former one, its status counted as that worker after a restart: tasks that the cut-off worker still ran were queued again at once, and once the new worker was listed, the owner knew it twice, assigned its room twice, and stopped its tasks as unknown on the former worker. Change: such a status counts as no answer, and a change of the answering worker is logged. Tasks of the worker wait for the end of its lease. Measured: the three new cases of tests/test_rack.py fail without the change (two runs at once; 'w4 is over-committed') and pass with it.

--- a/fescuerudder/fleet.py
+++ b/fescuerudder/fleet.py
@@ -5,6 +5,7 @@
 from typing import Any, TypeAlias, TypeVar
 
 import attrs
+import structlog
 from result import Err, Ok, Result
 
 from fescuerudder.clock import Clock
@@ -21,6 +22,8 @@
 
 T = TypeVar("T")
 
+_log = structlog.get_logger(__name__)
+
 CommandError: TypeAlias = WorkerUnreachableError | WorkerRefusedError
 """Why a command got no answer that confirms it."""
 
@@ -33,7 +36,8 @@
         member: entry of the membership list.
         status: last status, if any.
         clock_reading: reading of the worker's clock in the last status.
-        is_reachable: whether the last request for a status was answered.
+        is_reachable: whether the worker answered the last request for a status.
+        answered_by: id of another worker that answered that request, or empty.
         is_fenced: whether the status shows that the worker refuses former owners.
         fenced_at_s: when the first such status arrived.
         last_sent_s: when the last renewal or start was sent.
@@ -45,6 +49,7 @@
     status: WorkerStatus | None = None
     clock_reading: ClockReading | None = None
     is_reachable: bool = False
+    answered_by: str = ""
     is_fenced: bool = False
     fenced_at_s: float | None = None
     last_sent_s: float | None = None
@@ -162,6 +167,9 @@
         except (WorkerUnreachableError, WorkerRefusedError):
             state.is_reachable = False
             return
+        if not self._is_of_worker(state, status):
+            state.is_reachable = False
+            return
         now_s = self._clock.now_s()
         state.status = status
         state.clock_reading = ClockReading(worker_s=status.clock_s, received_at_s=now_s)
@@ -172,6 +180,20 @@
         if state.is_fenced and state.fenced_at_s is None:
             state.fenced_at_s = now_s
 
+    def _is_of_worker(self, state: WorkerState, status: WorkerStatus) -> bool:
+        """Returns whether a status is that of the listed worker.
+
+        Another worker may have taken its address while it still runs its tasks, or is listed
+        under its own id as well.
+        """
+        other = "" if status.worker == state.member.id else status.worker
+        if other and other != state.answered_by:
+            _log.warning(
+                "another worker answers at the address", worker=state.member.id, answered_by=other
+            )
+        state.answered_by = other
+        return not other
+
     def _record_stop(
         self, state: WorkerState, task: str, attempt: int, outcome: StopOutcome
     ) -> None:
--- a/tests/fake_worker.py
+++ b/tests/fake_worker.py
@@ -232,3 +232,13 @@
             attempt, state=state, checkpoint=checkpoint, result=result
         )
         self._witness.ended(self, attempt.task, state, checkpoint)
+
+
+class WorkerAddress:
+    """Control address of a worker; commands reach the worker that listens on it now."""
+
+    def __init__(self, *, worker: FakeWorker) -> None:
+        self.worker = worker
+
+    def __getattr__(self, name: str):
+        return getattr(self.worker, name)
--- a/tests/rack_simulation.py
+++ b/tests/rack_simulation.py
@@ -18,7 +18,7 @@
 from fescuerudder.table import ABSENT, Check, Put, Transaction
 from fescuerudder.task import load_task
 from fescuerudder.transitions import rack_key
-from tests.fake_worker import FakeWorker, Witness
+from tests.fake_worker import FakeWorker, Witness, WorkerAddress
 from tests.fakes import FakeTable
 
 TICK_S = 0.5
@@ -112,7 +112,6 @@
 
     def take_rack(self, lease: RackLease) -> None:
         sim = self._sim
-        members = {w.name: RackWorker(id=w.name, control=w) for w in sim.racks[lease.rack]}
         self.controller = RackController(
             rack=lease.rack,
             zone=sim.racks[lease.rack][0].zone,
@@ -121,7 +120,7 @@
                 table=sim.table, on_applied=lambda: sim.check_write_epoch(lease)
             ),
             table=sim.table,
-            workers=lambda: members,
+            workers=lambda: sim.members(lease.rack),
             clock=sim.clock,
             view=self.view,
             session=self.session,
@@ -164,6 +163,7 @@
             "r2": [self._worker("w3", "b", 7.0)],
         }
         self.workers = {w.name: w for group in self.racks.values() for w in group}
+        self.addresses = {name: WorkerAddress(worker=w) for name, w in self.workers.items()}
         self.events: list[RackEvent] = []
         self.in_use: set[tuple[str, str]] = set()
         self._ids = 0
@@ -190,6 +190,27 @@
             name=name, clock=self.clock, witness=self.witness, zone=zone, offset_s=offset_s
         )
 
+    def members(self, rack: str) -> dict[str, RackWorker]:
+        """Returns the workers of a rack in the membership list."""
+        names = [w.name for w in self.racks[rack]]
+        return {name: RackWorker(id=name, control=self.addresses[name]) for name in names}
+
+    def take_address(self, name: str, *, former: str, is_listed: bool) -> None:
+        """Starts a worker on the address of a former one, which answers there no more.
+
+        Args:
+            name: id of the new worker.
+            former: id of the worker that had the address.
+            is_listed: whether the membership list shows the new worker in place of the former.
+        """
+        old = self.workers[former]
+        new = self.workers[name] = self._worker(name, old.zone, 20.0)
+        self.addresses[former].worker = new
+        if is_listed:
+            self.addresses[name] = self.addresses[former]
+            group = next(group for group in self.racks.values() if old in group)
+            group[group.index(old)] = new
+
     def new_id(self) -> str:
         self._ids += 1
         return f"txn-{self._ids}"
--- a/tests/test_rack.py
+++ b/tests/test_rack.py
@@ -181,6 +181,46 @@
     sim.check()
 
 
+def test_task_waits_for_its_lease_while_another_worker_has_the_address(sim):
+    """Guards against a second start because another worker answers in place of a cut-off one.
+
+    The membership list still shows the address of the worker that runs the task.
+    """
+    keep_on_r1(sim)
+    sim.submit("draw")
+    sim.advance(2)
+    sim.take_address("w4", former=placed(sim)[sim.task_ids[0]], is_listed=False)
+    sim.advance(10)
+    assert sim.witness.starts == 1
+    sim.advance(8)
+    assert sim.witness.starts == 2
+    sim.check()
+
+
+@pytest.mark.parametrize("is_former_gone", [True, False])
+def test_tasks_of_a_worker_are_kept_when_it_has_the_address_of_a_former_one(sim, is_former_gone):
+    """Guards against orders for a former worker that stop the tasks of the one at its address.
+
+    Its room must not be counted for both workers either.
+    """
+    keep_on_r1(sim)
+    sim.submit("draw")
+    sim.advance(2)
+    former = placed(sim)[sim.task_ids[0]]
+    if is_former_gone:
+        sim.workers[former].restart()
+    sim.take_address("w4", former=former, is_listed=True)
+    sim.advance(20)
+    for _ in range(6):
+        sim.submit("draw")
+    sim.advance(10)
+    sim.check()
+    starts, running = sim.witness.starts, placed(sim)
+    assert "w4" in running.values()
+    sim.advance(10)
+    assert (sim.witness.starts, placed(sim)) == (starts, running)
+
+
 def test_summary_survives_a_round_trip(sim):
     sim.submit("draw")
     sim.advance(2)
