Keep the control loop of a rack over a handover that is not written

Cause: an owner stops the loop of a rack before it writes the handover. If the store is down, or its answer is lost and the row turns out unchanged, the owner goes on under the same epoch, but with a new controller and a new granter. Rows and serials can't tell them from the ones before: the new controller takes tasks whose start was sent for unsent and queues them again at once when their worker is cut off, and the new granter grants slots that are in use, under serials that exist. Change: the stopped controller and granter are resumed while epoch and row version are the same. Cycles of one controller exclude each other, since a stop may give up waiting for the last cycle.

--- a/fescuerudder/ownership_types.py
+++ b/fescuerudder/ownership_types.py
@@ -28,6 +28,10 @@
     planned: bool
     continuous: bool = False
 
+    def is_same_ownership(self, other: "RackLease") -> bool:
+        """Returns whether nobody has owned the rack between the two acquisitions."""
+        return (self.rack, self.epoch, self.version) == (other.rack, other.epoch, other.version)
+
 
 @attrs.frozen(kw_only=True)
 class UpstreamState:
--- a/fescuerudder/rack.py
+++ b/fescuerudder/rack.py
@@ -1,5 +1,6 @@
 """Control loop of one rack, run by the instance that owns it."""
 
+import threading
 from collections import deque
 from collections.abc import Callable, Iterable
 from random import Random
@@ -39,8 +40,7 @@
 class RackController:
     """Schedules tasks on the workers of one rack while this instance owns it.
 
-    A controller belongs to one lease of the rack. `step` is called by one thread; `hint` and
-    `summary` may be called by any.
+    A controller belongs to one lease of the rack; its methods may be called by any thread.
 
     Args:
         rack: rack id.
@@ -89,6 +89,7 @@
         self.rack = rack
         self._hints: deque[str] = deque()
         self._is_stopped = False
+        self._stepping = threading.Lock()
         self._state = RackState(
             lease=lease,
             zone=zone,
@@ -126,8 +127,16 @@
         """Turns all later cycles into no-ops, before a handover or the end of control."""
         self._is_stopped = True
 
+    def resume(self) -> None:
+        """Ends the effect of `stop`, when the lease goes on after all."""
+        self._is_stopped = False
+
     def step(self) -> None:
         """Runs one control cycle."""
+        with self._stepping:
+            self._step()
+
+    def _step(self) -> None:
         state = self._state
         if not self._is_active():
             return
--- a/fescuerudder/racks.py
+++ b/fescuerudder/racks.py
@@ -59,6 +59,7 @@
         self._owned = owned
         self._make = make
         self._running: dict[str, OwnedRack] = {}
+        self._stopped: dict[str, OwnedRack] = {}
         self._lock = threading.RLock()
 
     def __enter__(self) -> "Racks":
@@ -113,7 +114,7 @@
         return {rack: running.lease for rack, running in list(self._running.items())}
 
     def _start_loop(self, lease: RackLease) -> None:
-        controller, granter = self._make(lease)
+        controller, granter = self._resume(lease) or self._make(lease)
         holder: list[OwnedRack] = []
         service = PeriodicService(
             name=f"rack {lease.rack}",
@@ -126,10 +127,23 @@
         service.start()
         _log.info("rack control started", rack=lease.rack, epoch=lease.epoch)
 
+    def _resume(self, lease: RackLease) -> tuple[RackController, PermitGranter] | None:
+        """Returns the parts that had the rack last, None if its ownership has changed since.
+
+        After a handover that was not written, only they know which starts were sent and which
+        permits granted under this epoch.
+        """
+        last = self._stopped.pop(lease.rack, None)
+        if last is None or not last.lease.is_same_ownership(lease):
+            return None
+        last.controller.resume()
+        return last.controller, last.granter
+
     def _stop_loop(self, rack: str) -> None:
         running = self._running.pop(rack, None)
         if running is None:
             return
+        self._stopped[rack] = running
         running.controller.stop()
         running.service.stop()
         _log.info("rack control ended", rack=rack, epoch=running.lease.epoch)
--- a/tests/rack_simulation.py
+++ b/tests/rack_simulation.py
@@ -111,8 +111,11 @@
         self.view = FakeView(clock=self._sim.clock, config=self._sim.config)
 
     def take_rack(self, lease: RackLease) -> None:
+        self.controller = self.make_controller(lease)
+
+    def make_controller(self, lease: RackLease) -> RackController:
         sim = self._sim
-        self.controller = RackController(
+        return RackController(
             rack=lease.rack,
             zone=sim.racks[lease.rack][0].zone,
             lease=lease,
