Disown a rack before its handover is prepared

Cause: the loop of the rack was stopped first and the lease dropped after it, and a step of the racks read the owned racks before it took its lock. A step in between started the loop again, which sent renewals and starts while the handover, which vouches that there are none, was written. Change: the lease is dropped before the loop is stopped, and is restored if the handover is certainly not written, as before; a step reads the owned racks under its lock. Measured: the new cases of tests/test_ownership.py and tests/test_racks.py fail without the change (the rack still owned; a loop left) and pass with it.

--- a/fescuerudder/ownership.py
+++ b/fescuerudder/ownership.py
@@ -411,8 +411,9 @@
 
     def _release(self, lease: RackLease, row: RackRow, successor: Session | None) -> bool:
         """Hands a rack over; returns whether it is given away or lost."""
-        self._before_release(lease)
+        # Dropped first, so that nothing starts the work for the rack again once it has ended.
         self._drop(lease.rack)
+        self._before_release(lease)
         next_row = attrs.evolve(
             row,
             owner=successor.instance if successor else "",
--- a/fescuerudder/racks.py
+++ b/fescuerudder/racks.py
@@ -72,8 +72,9 @@
 
     def step(self) -> None:
         """Starts the loops of gained racks and stops those of lost ones."""
-        owned = self._owned()
+        # A rack that is released meanwhile must not be started again, so the lock comes first.
         with self._lock:
+            owned = self._owned()
             for rack, running in list(self._running.items()):
                 if owned.get(rack) != running.lease:
                     self._stop_loop(rack)
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -158,6 +158,20 @@
     assert len(world.owners()) == 1 and (owner in world.owners().values()) == kept
 
 
+@pytest.mark.parametrize("fault", [None, "down"])
+def test_a_rack_is_not_owned_while_its_handover_is_prepared(fault):
+    """Guards against a control loop that starts again between its stop and the handover."""
+    world = make_world("z1", "z2", racks=["z1"])
+    world.run(3)
+    owner = world.instances[next(iter(world.owners().values()))]
+    owned = []
+    owner.ownership._before_release = lambda lease: owned.append(owner.leases())
+    world.table.faults.extend([fault] if fault else [])
+    assert owner.ownership.hand_over_all() == (fault is None)
+    assert owned == [{}]
+    assert len(owner.leases()) == (1 if fault else 0)
+
+
 def test_a_stop_without_a_successor_still_counts_as_planned():
     world = make_world("z1", racks=["z1"])
     world.run(3)
--- a/tests/test_racks.py
+++ b/tests/test_racks.py
@@ -1,5 +1,7 @@
 """The control loop and the granter of a rack outlive a handover that does not take place."""
 
+import threading
+
 import attrs
 import pytest
 
@@ -123,6 +125,24 @@
     assert owned.made == 2
 
 
+def test_a_handover_that_crosses_a_step_leaves_no_loop(owned):
+    """Guards against a loop that a step starts anew because it read the owned racks too early."""
+    racks = owned.racks
+    release = threading.Thread(target=lambda: racks.release(owned.lease))
+
+    def owned_before_release():
+        before = dict(owned.owned)
+        owned.owned.clear()
+        release.start()
+        release.join(0.2)
+        return before
+
+    racks._owned = owned_before_release
+    racks.step()
+    release.join()
+    assert racks.leases() == {}
+
+
 def slots_of(worker, slots):
     return [
         racks_module.WorkerSlots(
