Claim a rack again while its handover may still be applied

Cause: after a handover with an unknown outcome, an owner whose row was still unchanged went on with the rack. The handover could be applied later. Its row says that no start or renewal was sent after it was written, so the successor took leases to end 15 s after it gained the rack, while the owner had renewed them since. Change: such an owner claims the rack again under a new epoch before it goes on, so the late handover fails its check. A planned stop tries again until the outcome is known. Tests: the new case fails without the change (the rack went to the successor after its owner had gone on) and passes with it. test_a_changed_row_ends_ ownership used the late handover to change the row under an owner, which is not possible any more; it now writes the row itself and asks for a later epoch than that of the write.

--- a/fescuerudder/ownership.py
+++ b/fescuerudder/ownership.py
@@ -13,7 +13,7 @@
 from fescuerudder import rendezvous
 from fescuerudder.clock import Clock
 from fescuerudder.document import MAX_OUTAGE_RUN_S
-from fescuerudder.errors import StoreUnavailableError
+from fescuerudder.errors import StoreOutcomeUnknownError, StoreUnavailableError
 from fescuerudder.groupcommit import OVERWRITTEN, Outcome, Resolver
 from fescuerudder.members import Member
 from fescuerudder.messages import Handover, Message
@@ -171,6 +171,7 @@
         self._resolver = Resolver(table=table, clock=clock)
         self._lock = threading.RLock()
         self._leases: dict[str, RackLease] = {}
+        self._unresolved: dict[str, RackLease] = {}
         self._incarnation = keeper.incarnation
         self._unowned_since_s: dict[str, float] = {}
         self._rebalanced_at_s = float("-inf")
@@ -205,6 +206,8 @@
             except StoreUnavailableError as exc:
                 _log.warning("racks not read", reason=str(exc))
                 return False
+            if self._keeper.is_live():
+                self._reclaim(fleet)
             if self._keeper.is_live() and not self._keeper.draining:
                 self._claim(fleet)
                 self._rebalance(fleet)
@@ -219,13 +222,15 @@
             try:
                 fleet = self._read_fleet(())
             except StoreUnavailableError:
-                return not self.owned()
+                return self._has_given_all()
+            if self._keeper.is_live():
+                self._reclaim(fleet)
             for rack, lease in sorted(self.owned().items()):
                 row = fleet.racks[rack]
                 successor = fleet.successor(row, leaving=self._keeper.instance)
                 if self._release(lease, row, fleet.live.get(successor or "")):
                     fleet.owners[rack] = successor or ""
-            return not self.owned()
+            return self._has_given_all()
 
     def notice(self, handover: Handover) -> bool:
         """Handles the handover of a rack to this instance; returns whether its row confirms it."""
@@ -236,16 +241,20 @@
             except StoreUnavailableError:
                 return False
             row = parse_rack(rows[0]) if rows else None
-            if self._keeper.fenced or row is None or not self._is_ours(row):
+            if self._keeper.fenced or row is None or not self._is_adoptable(row):
                 return False
             self._adopt(row)
             return True
 
+    def _has_given_all(self) -> bool:
+        return not self.owned() and not self._unresolved
+
     def _forget_if_fenced(self) -> None:
         if self._keeper.fenced or self._keeper.incarnation != self._incarnation:
             if self._leases:
                 _log.warning("all racks lost", racks=sorted(self._leases))
             self._leases = {}
+            self._unresolved = {}
             self._incarnation = self._keeper.incarnation
 
     def _read_fleet(self, members: Iterable[Member]) -> _Fleet:
@@ -275,6 +284,14 @@
     def _is_ours(self, row: RackRow) -> bool:
         return row.owner == self._keeper.instance and row.incarnation == self._incarnation
 
+    def _is_adoptable(self, row: RackRow) -> bool:
+        """Returns whether this run owns a rack and no handover of it may still be applied."""
+        return self._is_ours(row) and not self._is_unresolved(row)
+
+    def _is_unresolved(self, row: RackRow) -> bool:
+        lease = self._unresolved.get(row.rack)
+        return lease is not None and lease.version == row.version
+
     def _note_unowned(self, racks: set[str]) -> None:
         now_s = self._clock.now_s()
         self._unowned_since_s = {rack: self._unowned_since_s.get(rack, now_s) for rack in racks}
@@ -285,8 +302,13 @@
             if rack not in racks or racks[rack].version != lease.version:
                 _log.warning("rack lost", rack=rack, epoch=lease.epoch)
                 self._drop(rack)
+        self._unresolved = {
+            rack: lease
+            for rack, lease in self._unresolved.items()
+            if rack not in racks or self._is_unresolved(racks[rack])
+        }
         for row in racks.values():
-            if self._is_ours(row) and row.rack not in self._leases:
+            if self._is_adoptable(row) and row.rack not in self._leases:
                 self._adopt(row)
 
     def _adopt(self, row: RackRow) -> None:
@@ -302,6 +324,7 @@
             continuous=row.epoch == 1,
         )
         self._leases = {**self._leases, row.rack: lease}
+        self._unresolved.pop(row.rack, None)
         _log.info("rack gained", rack=row.rack, epoch=row.epoch, planned=row.planned)
 
     def _drop(self, rack: str) -> None:
@@ -321,7 +344,18 @@
                 claims.append(fleet.racks[rack])
         for row in claims[:CLAIMS_PER_STEP]:
             if self._keeper.is_live() and self._fence_owner(row):
-                self._write_claim(row)
+                # A rack that was given up without a successor counts as handed over.
+                self._write_claim(row, planned=row.planned and not row.owner)
+
+    def _reclaim(self, fleet: _Fleet) -> None:
+        """Claims the racks again whose handover has an unknown outcome and is not applied yet.
+
+        The claim makes a handover that is still on its way fail. It would vouch for this instance
+        as of its sending.
+        """
+        for rack, lease in sorted(self._unresolved.items()):
+            if rack in fleet.racks:
+                self._write_claim(fleet.racks[rack], planned=self._may_vouch(lease))
 
     def _fence_owner(self, row: RackRow) -> bool:
         """Fences the expired session of a rack's owner; returns whether a claim may follow."""
@@ -343,14 +377,13 @@
         value = rows[0].value if rows else {}
         return value.get("state") == "fenced" or value.get("incarnation") != session.incarnation
 
-    def _write_claim(self, row: RackRow) -> None:
+    def _write_claim(self, row: RackRow, *, planned: bool) -> None:
         claim = attrs.evolve(
             row,
             owner=self._keeper.instance,
             incarnation=self._incarnation,
             epoch=row.epoch + 1,
-            # A rack that was given up without a successor counts as handed over.
-            planned=row.planned and not row.owner,
+            planned=planned,
         )
         outcome = self._write(claim)
         if outcome.is_err():
@@ -429,6 +462,8 @@
                 self._leases = {**self._leases, lease.rack: lease}
                 return False
             # After an unknown outcome the next reading shows whose rack it is.
+            if isinstance(outcome.err_value, StoreOutcomeUnknownError):
+                self._unresolved[lease.rack] = lease
             return True
         _log.info("rack handed over", rack=lease.rack, successor=next_row.owner)
         if successor is not None:
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -13,6 +13,7 @@
 from fescuerudder.messages import Handover
 from fescuerudder.ownership import LONG_WAIT_S, Ownership
 from fescuerudder.session import SessionKeeper, SessionObserver
+from fescuerudder.table import Check, Put, Transaction
 from tests.test_groupcommit import LateTable
 
 REGIONS = {"z1": "near", "z2": "near", "z3": "far"}
@@ -200,19 +201,43 @@
 
 
 def test_a_changed_row_ends_ownership():
-    """A handover that arrives late must not leave its sender believing in the rack."""
+    """Guards against an owner that believes in a rack whose row another writer has changed."""
     world = make_world("z1", racks=["z1"])
     world.run(2)
     one = world.instances["e0"]
-    world.table.faults.append("late")
-    world.table.faults.extend(["down"] * 2)
-    one.ownership.hand_over_all()
+    held = one.leases()["z1-rack0"]
+    [row] = world.table.read(keys=("rack/z1-rack0",))
+    given_away = {**row.value, "owner": "", "incarnation": "", "epoch": held.epoch + 1}
+    check = Check(key=row.key, version=row.version)
+    world.table.transact(Transaction(checks=(check,), puts=(Put(key=row.key, value=given_away),)))
     one.ownership.step(world.members)
+    assert one.leases()["z1-rack0"].epoch > held.epoch + 1
+
+
+@pytest.mark.parametrize("draining", [False, True])
+def test_a_late_handover_takes_no_rack_from_an_owner_that_went_on(draining):
+    """Guards against a handover that vouches for an owner that renews leases again.
+
+    Its successor would take them to end before they do.
+    """
+    world = make_world("z1", "z2", racks=["z1"])
+    world.run(3)
+    name = next(iter(world.owners().values()))
+    owner = world.instances[name]
+    if draining:
+        owner.keeper.start_draining()
+        owner.keeper.beat()
+    world.table.faults.extend(["late", "down", "down", "down"])
+    owner.ownership.hand_over_all()
+    assert not owner.leases()
     world.table.faults.clear()
-    held = one.leases()["z1-rack0"]
+    owner.tick(world.members)
+    went_on = owner.leases()
     world.table.deliver()
-    one.ownership.step(world.members)
-    assert one.leases()["z1-rack0"].epoch > held.epoch
+    world.run(2)
+    gained = [lease for i in world.instances.values() for lease in i.leases().values()]
+    assert len(gained) == 1
+    assert not went_on or owner.leases() == went_on
 
 
 def test_a_newcomer_gets_its_part_one_rack_at_a_time():
