Bind the work of a rack to the incarnation that owns it

Cause: the control loop and the granter of a rack asked the session of the instance whether they may start, renew and grant. After the instance was fenced and had rejoined, that was the session of the next incarnation. A cycle that still waited for slow workers (its stop is not awaited for more than 10 s), or an ask in progress, would go on with starts and permits under the ended ownership; a start that reaches a worker which the new owner can't reach has a lease that the new owner doesn't count. Change: both see the session of their own incarnation, which counts as fenced once the instance has rejoined. Measured: the new case of tests/test_racks.py fails without the change (the granter still answered as the owner) and passes with it. The start itself is not shown on processes.

--- a/fescuerudder/entry.py
+++ b/fescuerudder/entry.py
@@ -45,7 +45,12 @@
 from fescuerudder.routes import WorkerRoute, make_routes
 from fescuerudder.routing import Router, make_balancer
 from fescuerudder.service import OwnerService, PeriodicService
-from fescuerudder.session import SESSION_BEAT_S, SessionKeeper, SessionObserver
+from fescuerudder.session import (
+    SESSION_BEAT_S,
+    IncarnationSession,
+    SessionKeeper,
+    SessionObserver,
+)
 from fescuerudder.settings import Settings
 from fescuerudder.submission import Submission
 from fescuerudder.table import HttpTable, new_txn_id
@@ -301,11 +306,12 @@
             self._notifier.tell(owner, TaskHint(rack=rack, task=task_id))
 
     def _make_rack(self, lease: RackLease) -> tuple[RackController, PermitGranter]:
+        session = IncarnationSession(keeper=self._keeper)
         granter = PermitGranter(
             rack=lease.rack,
             epoch=lease.epoch,
             clock=self._clock,
-            is_owner=self._keeper.is_live,
+            is_owner=session.is_live,
             reaches_all=self._reaches_all,
             tell=self._notifier.tell_any,
         )
@@ -318,7 +324,7 @@
             workers=lambda: self._membership.workers_of(lease.rack),
             clock=self._clock,
             view=self._effective,
-            session=self._keeper,
+            session=session,
             rng=self._rng,
             summaries=self._membership.summaries,
             learned=self._learned,
--- a/fescuerudder/session.py
+++ b/fescuerudder/session.py
@@ -293,6 +293,44 @@
         return True
 
 
+class IncarnationSession:
+    """Session of the present incarnation only; it counts as fenced once the instance has rejoined.
+
+    For work that belongs to this incarnation and may outlast it, such as a slow control cycle.
+    Each method reads the session before it compares the incarnation, so it never returns a right
+    of the next one.
+
+    Args:
+        keeper: session of this instance.
+    """
+
+    def __init__(self, *, keeper: SessionKeeper) -> None:
+        self._keeper = keeper
+        self._incarnation = keeper.incarnation
+
+    @property
+    def fenced(self) -> bool:
+        """Whether this incarnation was ended."""
+        return self._keeper.fenced or not self._is_present()
+
+    def is_live(self) -> bool:
+        """Returns whether no observer can consider the session expired yet."""
+        return self._keeper.is_live() and self._is_present()
+
+    def last_live_s(self) -> float:
+        """Returns the sending time of the last successful heartbeat, -inf if there is none."""
+        last_s = self._keeper.last_live_s()
+        return float("-inf") if last_s is None or not self._is_present() else last_s
+
+    def last_beat_s(self) -> float | None:
+        """Returns the sending time of the last successful heartbeat, None if there is none."""
+        last_s = self._keeper.last_beat_s()
+        return last_s if self._is_present() else None
+
+    def _is_present(self) -> bool:
+        return self._keeper.incarnation == self._incarnation
+
+
 @attrs.frozen(kw_only=True)
 class _Observation:
     """When this observer first saw an incarnation and its present version, and when last."""
--- a/tests/test_racks.py
+++ b/tests/test_racks.py
@@ -6,10 +6,14 @@
 import pytest
 
 from fescuerudder import racks as racks_module
+from fescuerudder.clock import ManualClock
+from fescuerudder.entry import EntryInstance
 from fescuerudder.messages import PermitAsk
 from fescuerudder.ownership_types import RackLease
 from fescuerudder.permits import PermitGranter
 from fescuerudder.racks import Racks
+from fescuerudder.settings import Settings
+from tests.fakes import FakeTable
 from tests.rack_simulation import RackSimulation, batch
 
 
@@ -143,6 +147,41 @@
     assert racks.leases() == {}
 
 
+def test_a_rack_of_the_last_incarnation_gets_no_rights_of_the_next():
+    """Guards against a start or a permit of an ownership that ended before the instance rejoined.
+
+    A cycle that waits for slow workers, or an ask in progress, may go on in the next incarnation.
+    """
+    cfg = Settings(
+        zone="a",
+        region="r",
+        store="127.0.0.1:1",
+        members="127.0.0.1:2",
+        peer_key="p" * 16,
+        operator_key="o" * 16,
+        instance="A",
+    )
+    instance = EntryInstance(cfg=cfg, clock=ManualClock(start_s=1000.0))
+    keeper = instance._keeper
+    keeper._table = FakeTable()
+    assert keeper.beat()
+    lease = RackLease(rack="r1", epoch=1, version=1, gained_at_s=1000.0, planned=False)
+    controller, granter = instance._make_rack(lease)
+    granter.update_workers(slots_of("w1", 2))
+    ask = PermitAsk(rack="r1", service="draw", wanted=1)
+    assert granter.answer("B", ask).permits
+    keeper.mark_fenced(incarnation=keeper.incarnation)
+    keeper.rejoin()
+    assert keeper.beat() and keeper.is_live()
+    session = controller._state.session
+    assert (granter.answer("B", ask).is_owner, session.is_live(), session.fenced) == (
+        False,
+        False,
+        True,
+    )
+    assert session.last_live_s() < 1000.0
+
+
 def slots_of(worker, slots):
     return [
         racks_module.WorkerSlots(
