Fence only the owning incarnation in the rack simulation

Cause: a claim in the simulation fenced the present session of the owner that the row names, also when that instance had rejoined and owned nothing. An instance that claimed its own former rack fenced itself, rejoined and claimed again every 0.5 s, so no task of the rack started (epoch 485 after 240 s). Change: the session is fenced only while its incarnation has the rack, as Ownership does by comparing incarnations.

--- a/tests/rack_simulation.py
+++ b/tests/rack_simulation.py
@@ -269,9 +269,11 @@
             return
         if owner:
             session = self.instances[owner].session
-            if self.instances[owner].controller is not None and session.is_live():
-                return
-            session.is_fenced_in_store = True
+            # Without a controller the owning incarnation has ended; the next one owns nothing yet.
+            if self.instances[owner].controller is not None:
+                if session.is_live():
+                    return
+                session.is_fenced_in_store = True
         self._write_claim(name, rack, planned=False)
 
     def hand_over(self, owner: str, successor: str, rack: str) -> None:
