Carry out orders of the last incarnation in the random faults of a rack

The random faults restarted a worker with its clock unchanged and with no order under way, so they could not show an order that takes effect in the next incarnation. They now delay its orders, restart it with its clock set forward or back, carry the orders out before or after the owner's first call, and cut it off soon after. They also let another worker answer at the address of a cut-off one.

--- a/tests/fake_worker.py
+++ b/tests/fake_worker.py
@@ -1,5 +1,6 @@
 """In-memory worker that enforces the rules of workers, and a witness of violated guarantees."""
 
+import contextlib
 from collections.abc import Callable
 
 import attrs
@@ -64,6 +65,7 @@
         is_cut_off: whether no command and no answer passes.
         loses_answers: whether commands take effect, but their answers are lost.
         is_broken: whether every start is refused.
+        delays_orders: whether orders get no answer and wait until `carry_out_late`.
         enforced_rules: the checks that it makes of `epoch`, `start_by` and `incarnation`.
         before_start: called once before the next start arrives, to delay it.
     """
@@ -88,6 +90,8 @@
         self.throttles: list[tuple[str, float]] = []
         self.enforced_rules = {"epoch", "start_by", "incarnation"}
         self.before_start: Callable[[], None] | None = None
+        self.delays_orders = False
+        self._delayed: list[Callable[[], object]] = []
 
     def now_s(self) -> float:
         return self._clock.now_s() + self._offset_s
@@ -107,13 +111,27 @@
             if attempt.task == task:
                 self._end(attempt, state, result=f"result of {task}")
 
-    def restart(self) -> None:
-        """Simulates a crash: the worker restarts under a new incarnation without its tasks."""
+    def restart(self, *, clock_shift_s: float = 0.0) -> None:
+        """Simulates a crash: the worker restarts under a new incarnation without its tasks.
+
+        Args:
+            clock_shift_s: how far its clock is set forward.
+        """
         for attempt in self.running():
             self._end(attempt, "stopped")
         self._attempts.clear()
         self.incarnation += 1
         self.epoch = 0
+        self._offset_s += clock_shift_s
+
+    def carry_out_late(self) -> None:
+        """Carries out the delayed orders, as a worker does with calls that wait in its queue."""
+        delayed, self._delayed, self.delays_orders = self._delayed, [], False
+        was_cut_off, self.is_cut_off = self.is_cut_off, False
+        for order in delayed:
+            with contextlib.suppress(WorkerRefusedError, WorkerUnreachableError):
+                order()
+        self.is_cut_off = was_cut_off
 
     def status(self) -> WorkerStatus:
         self._accept_command()
@@ -132,6 +150,7 @@
         )
 
     def start(self, order: StartOrder) -> None:
+        self._delay(lambda: self.start(order))
         if self.before_start is not None:
             delay, self.before_start = self.before_start, None
             delay()
@@ -152,6 +171,7 @@
         self._reply()
 
     def renew(self, *, epoch: int, leases: dict[str, tuple[int, float]]) -> list[str]:
+        self._delay(lambda: self.renew(epoch=epoch, leases=leases))
         self._accept_command(epoch=epoch)
         self.expire()
         running = {(a.task, a.attempt): a for a in self.running()}
@@ -166,6 +186,8 @@
         return self._reply(unknown)
 
     def stop(self, *, task: str, attempt: int, epoch: int, checkpoint: bool) -> StopOutcome:
+        order = {"task": task, "attempt": attempt, "epoch": epoch, "checkpoint": checkpoint}
+        self._delay(lambda: self.stop(**order))
         self._accept_command(epoch=epoch)
         self.expire()
         old = self._attempts.get((task, attempt))
@@ -178,16 +200,23 @@
         return self._reply(StopOutcome(state=ended.state, checkpoint=ended.checkpoint))
 
     def throttle(self, *, task: str, attempt: int, epoch: int, share: float) -> None:
+        self._delay(lambda: self.throttle(task=task, attempt=attempt, epoch=epoch, share=share))
         self._accept_command(epoch=epoch)
         self.throttles.append((task, share))
 
     def acknowledge(self, *, epoch: int, ended: list[tuple[str, int]]) -> None:
+        self._delay(lambda: self.acknowledge(epoch=epoch, ended=ended))
         self._accept_command(epoch=epoch)
         for key in ended:
             if key in self._attempts and self._attempts[key].is_ended:
                 del self._attempts[key]
         self._reply()
 
+    def _delay(self, order: Callable[[], object]) -> None:
+        if self.delays_orders and not self.is_cut_off:
+            self._delayed.append(order)
+            raise WorkerUnreachableError("timeout")
+
     def _accept_command(self, *, epoch: int | None = None) -> None:
         if self.is_cut_off:
             raise WorkerUnreachableError("cut off")
--- a/tests/rack_simulation.py
+++ b/tests/rack_simulation.py
@@ -348,6 +348,9 @@
         for worker in self.workers.values():
             worker.is_cut_off = worker.loses_answers = worker.is_broken = False
             worker.before_start = None
+            worker.carry_out_late()
+        for name, address in self.addresses.items():
+            address.worker = self.workers[name]
         for instance in self.instances.values():
             instance.is_paused = instance.is_view_stalled = False
         for zone in self.config.zones:
--- a/tests/test_rack_faults.py
+++ b/tests/test_rack_faults.py
@@ -109,6 +109,44 @@
         self.sim.workers[worker].restart()
         self.sim.advance(then_s)
 
+    @rule(
+        worker=WORKERS,
+        lasting_s=st.sampled_from([0.5, 1, 2, 4, 8]),
+        clock_shift_s=st.sampled_from([-1000.0, -20.0, 0.0, 20.0, 1000.0]),
+        waits_s=st.sampled_from([0, 0, 0.5, 2]),
+        cut_off_s=st.sampled_from([0, 20, 40]),
+        then_s=THEN_S,
+    )
+    def restart_amid_late_orders(
+        self, worker, lasting_s, clock_shift_s, waits_s, cut_off_s, then_s
+    ):
+        """Restarts a worker, which then carries out the orders for its last incarnation.
+
+        It is cut off soon after, so that only its leases end what runs there.
+        """
+        target = self.sim.workers[worker]
+        target.delays_orders = True
+        self.submit(["draw", "plate"])
+        self.sim.advance(lasting_s)
+        target.restart(clock_shift_s=clock_shift_s)
+        self.sim.advance(waits_s)
+        target.carry_out_late()
+        self.sim.advance(2)
+        if cut_off_s:
+            self._fault(target, "is_cut_off", cut_off_s, then_s)
+
+    @rule(worker=WORKERS, lasting_s=LASTING_S, then_s=THEN_S)
+    def take_address(self, worker, lasting_s, then_s):
+        """Lets another worker answer at the address of one that is cut off."""
+        sim = self.sim
+        if sim.addresses[worker].worker is not sim.workers[worker]:
+            return
+        sim.take_address(f"stranger-{len(sim.workers)}", former=worker, is_listed=False)
+        sim.schedule(
+            lasting_s, lambda: setattr(sim.addresses[worker], "worker", sim.workers[worker])
+        )
+        sim.advance(then_s)
+
     @rule(n=st.integers(1, 3), field=st.sampled_from(["lose_answers", "drop_writes"]))
     def lose_store_answers(self, n, field):
         setattr(self.sim.table, field, n)
