Begin the remedies of a worker anew when it restarts

Cause: the time of the last remedy and those of the last moves are on the worker's clock and were kept for its next incarnation. With a clock that was set back, all reports counted as measured before the last remedy and all moves as recent, so no remedy came until the clock had caught up. Change: the state belongs to one incarnation. The limit of moves an hour begins anew too, as the former times can't be compared. Measured: the new cases of tests/test_interference.py fail without the change (no remedy after the restart) and pass with it.

--- a/fescuerudder/interference.py
+++ b/fescuerudder/interference.py
@@ -174,6 +174,7 @@
     """Remedies in force on one worker, and their damping. Times are on the worker's clock.
 
     Args:
+        incarnation: incarnation of the worker; the next one has another clock and other tasks.
         acted_at_s: time of the last remedy.
         shares: share of each throttled task; 1.0 if a former owner may have throttled it.
         good_reports: consecutive reports below `GOOD_REPORT_RATIO`.
@@ -183,6 +184,7 @@
         moved_at_s: times of the moves of the last hour.
     """
 
+    incarnation: str
     acted_at_s: float = -1.0
     shares: dict[str, float] = attrs.field(factory=dict)
     good_reports: int = 0
@@ -249,7 +251,7 @@
             adopted: those of the batch tasks that a former owner started.
             may_move: returns whether a task would probably do less harm elsewhere.
         """
-        state = self._workers.setdefault(status.worker, _WorkerRemedies())
+        state = self._state_of(status)
         # While its row is being written, a running task is missing from `batch`.
         state.keep_only([*batch, *(a.task for a in status.tasks if not a.is_ended)])
         state.adopt(adopted)
@@ -271,6 +273,14 @@
             state.acted_at_s = status.clock_s
         return remedy
 
+    def _state_of(self, status: WorkerStatus) -> _WorkerRemedies:
+        """Returns the state of the worker's present incarnation."""
+        state = self._workers.get(status.worker)
+        if state is None or state.incarnation != status.incarnation:
+            state = _WorkerRemedies(incarnation=status.incarnation)
+            self._workers[status.worker] = state
+        return state
+
     def _next_remedy(
         self,
         state: _WorkerRemedies,
--- a/tests/test_interference.py
+++ b/tests/test_interference.py
@@ -21,13 +21,18 @@
     )
 
 
-def status(clock_s, *usage, services=("entry", "noisy")):
+def status(clock_s, *usage, services=("entry", "noisy"), incarnation="1"):
     tasks = tuple(
         Attempt(task=s, attempt=1, service=s, size=Size(), state="running", lease_until_s=0)
         for s in services
     )
     return WorkerStatus(
-        worker="w", incarnation="1", clock_s=clock_s, capacity=CAPACITY, tasks=tasks, usage=usage
+        worker="w",
+        incarnation=incarnation,
+        clock_s=clock_s,
+        capacity=CAPACITY,
+        tasks=tasks,
+        usage=usage,
     )
 
 
@@ -61,6 +66,25 @@
     assert [decide(t, t, 90) for t in (20, 21, 22)] == [None, None, None]
 
 
+@pytest.mark.parametrize("before_s", [10, 10_000])
+def test_remedies_begin_anew_when_a_worker_restarts(before_s):
+    """Guards against remedies that wait until a clock that was set back has caught up."""
+    remedies = Remedies(slowdowns=Slowdowns(), steps=(), max_moves_per_hour=1)
+
+    def decide(clock_s, incarnation):
+        return remedies.decide(
+            status=status(clock_s, incarnation=incarnation),
+            new_usage=[report(clock_s, 200, "noisy")],
+            objectives_ms={"entry": 100},
+            batch={"n": "noisy"},
+        )
+
+    assert decide(before_s, "1") is not None
+    assert decide(before_s + 1, "1") is None
+    assert decide(20, "2") is not None
+    assert decide(21, "2") is None
+
+
 def test_learned_peak_is_committed_unless_no_worker_offers_it():
     sizes = PeakSizes()
     sizes.observe(report(1, 1, memory_mb=500))
