Revert "Let no incarnation of an owner shorten the deadline of the one before"

It isn't reviewed, and its cost after a restart isn't measured: the racks of an instance that restarts under its id would have no owner for longer. The fault that it names stays open: a former process that is paused or cut off from the store can take itself for live while another instance claims its racks.

--- a/fescuerudder/ownership.py
+++ b/fescuerudder/ownership.py
@@ -20,7 +20,6 @@
 from fescuerudder.ownership_types import RackLease
 from fescuerudder.session import (
     SESSION_PREFIX,
-    SESSION_TTL_S,
     Session,
     SessionKeeper,
     SessionObserver,
@@ -336,8 +335,7 @@
         if me not in fleet.live:
             return
         claims = []
-        unowned = (rack for rack in self._unowned_since_s if self._is_claimable(fleet.racks[rack]))
-        for rack in sorted(unowned):
+        for rack in sorted(self._unowned_since_s):
             far = self._clock.now_s() - self._unowned_since_s[rack] >= FAR_CLAIM_DELAY_S
             claimant = fleet.claimant(fleet.racks[rack], far=far)
             if claimant is not None:
@@ -349,17 +347,6 @@
                 # A rack that was given up without a successor counts as handed over.
                 self._write_claim(row, planned=row.planned and not row.owner)
 
-    def _is_claimable(self, row: RackRow) -> bool:
-        """Returns whether no earlier incarnation of the owner can take its session for live.
-
-        The next incarnation of an instance overwrites the session row at once, although the
-        former one may be paused, or cut off from the store.
-        """
-        session = self._observer.sessions().get(row.owner)
-        if session is None or session.incarnation == row.incarnation:
-            return True
-        return self._observer.age_s(row.owner) >= SESSION_TTL_S
-
     def _reclaim(self, fleet: _Fleet) -> None:
         """Claims the racks again whose handover has an unknown outcome and is not applied yet.
 
