Keep a rack whose work doesn't end in time for its handover

Cause: a rack is disowned before its loop is stopped, and the stop raises when a slow cycle isn't over in time. The lease was missing until the next reading of the store, so nobody ran the rack while the store was down. Change: the lease is restored if the preparation of the handover fails. Measured: the new case of tests/test_ownership.py fails without the change (no lease) and passes with it.

--- a/fescuerudder/ownership.py
+++ b/fescuerudder/ownership.py
@@ -330,6 +330,9 @@
     def _drop(self, rack: str) -> None:
         self._leases = {name: lease for name, lease in self._leases.items() if name != rack}
 
+    def _restore(self, lease: RackLease) -> None:
+        self._leases = {**self._leases, lease.rack: lease}
+
     def _claim(self, fleet: _Fleet) -> None:
         me = self._keeper.instance
         if me not in fleet.live:
@@ -446,7 +449,12 @@
         """Hands a rack over; returns whether it is given away or lost."""
         # Dropped first, so that nothing starts the work for the rack again once it has ended.
         self._drop(lease.rack)
-        self._before_release(lease)
+        try:
+            self._before_release(lease)
+        except Exception:
+            # Nothing is written, so the rack goes on here, also while the store can't be read.
+            self._restore(lease)
+            raise
         next_row = attrs.evolve(
             row,
             owner=successor.instance if successor else "",
@@ -459,7 +467,7 @@
         if outcome.is_err():
             _log.warning("handover failed", rack=lease.rack, reason=str(outcome.err_value))
             if isinstance(outcome.err_value, StoreUnavailableError):
-                self._leases = {**self._leases, lease.rack: lease}
+                self._restore(lease)
                 return False
             # After an unknown outcome the next reading shows whose rack it is.
             if isinstance(outcome.err_value, StoreOutcomeUnknownError):
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -3,6 +3,7 @@
 import itertools
 from collections import Counter
 
+import pykka
 import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -173,6 +174,22 @@
     assert len(owner.leases()) == (1 if fault else 0)
 
 
+def test_a_rack_whose_work_does_not_end_in_time_stays_owned():
+    """Guards against a rack that nobody runs until the store can be read again."""
+    world = make_world("z1", "z2", racks=["z1"])
+    world.run(3)
+    owner = world.instances[next(iter(world.owners().values()))]
+    held = owner.leases()
+
+    def time_out(_):
+        raise pykka.Timeout("cycle goes on")
+
+    owner.ownership._before_release = time_out
+    with pytest.raises(pykka.Timeout):
+        owner.ownership.hand_over_all()
+    assert owner.leases() == held
+
+
 def test_a_stop_without_a_successor_still_counts_as_planned():
     world = make_world("z1", racks=["z1"])
     world.run(3)
