Ask an owner with a late handover to go on and to claim truthfully

Cause: the test compared leases only if the owner went on, so it passed when the owner never claimed its rack again, and when it always claimed it as planned. Change: the owner must go on, also when the handover is never delivered, and the row must say planned only if the lease may vouch. This is stricter than before in each case.

--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -232,15 +232,25 @@
 
 
 @pytest.mark.parametrize("draining", [False, True])
-def test_a_late_handover_takes_no_rack_from_an_owner_that_went_on(draining):
+@pytest.mark.parametrize("delivered", [False, True])
+@pytest.mark.parametrize("vouches", [False, True])
+def test_a_late_handover_takes_no_rack_from_an_owner_that_went_on(draining, delivered, vouches):
     """Guards against a handover that vouches for an owner that renews leases again.
 
-    Its successor would take them to end before they do.
+    Its successor would take them to end before they do. Also guards against an owner that never
+    goes on, and against one whose own claim vouches for a lost predecessor.
     """
     world = make_world("z1", "z2", racks=["z1"])
     world.run(3)
     name = next(iter(world.owners().values()))
+    if not vouches:
+        del world.instances[name]
+        world.run(7)
+        world.start("e2", "z1")
+        world.run(2)
+        name = next(iter(world.owners().values()))
     owner = world.instances[name]
+    epoch = owner.leases()["z1-rack0"].epoch
     if draining:
         owner.keeper.start_draining()
         owner.keeper.beat()
@@ -250,11 +260,17 @@
     world.table.faults.clear()
     owner.tick(world.members)
     went_on = owner.leases()
-    world.table.deliver()
+    assert went_on
+    if delivered:
+        world.table.deliver()
     world.run(2)
-    gained = [lease for i in world.instances.values() for lease in i.leases().values()]
-    assert len(gained) == 1
-    assert not went_on or owner.leases() == went_on
+    assert owner.leases() == went_on
+    assert [lease for i in world.instances.values() for lease in i.leases().values()] == [
+        went_on["z1-rack0"]
+    ]
+    [row] = world.table.read(keys=("rack/z1-rack0",))
+    claim = {"owner": name, "epoch": epoch + 1, "planned": vouches}
+    assert claim.items() <= row.value.items()
 
 
 def test_a_newcomer_gets_its_part_one_rack_at_a_time():
