Say why a rack's session has the incarnation of its lease

Cause: _make_rack takes the keeper's present incarnation, and that it can't be a later one than that of the lease follows from other modules only. Change: a comment names the lock and the order that it rests on. No code changes.

--- a/fescuerudder/entry.py
+++ b/fescuerudder/entry.py
@@ -306,6 +306,8 @@
             self._notifier.tell(owner, TaskHint(rack=rack, task=task_id))
 
     def _make_rack(self, lease: RackLease) -> tuple[RackController, PermitGranter]:
+        # The keeper's incarnation is that of the lease, since Racks calls this under its lock after
+        # `owned`, and only Membership rejoins, after a `Racks.step` that takes the same lock.
         session = IncarnationSession(keeper=self._keeper)
         granter = PermitGranter(
             rack=lease.rack,
