--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -3,6 +3,7 @@
 import itertools
 from collections import Counter
 
+import pykka
 import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -12,7 +13,8 @@
 from fescuerudder.members import Member
 from fescuerudder.messages import Handover
 from fescuerudder.ownership import LONG_WAIT_S, Ownership
-from fescuerudder.session import SessionKeeper, SessionObserver
+from fescuerudder.session import SESSION_TTL_S, SessionKeeper, SessionObserver
+from fescuerudder.table import Check, Put, Transaction
 from tests.test_groupcommit import LateTable
 
 REGIONS = {"z1": "near", "z2": "near", "z3": "far"}
@@ -158,6 +160,36 @@
     assert len(world.owners()) == 1 and (owner in world.owners().values()) == kept
 
 
+@pytest.mark.parametrize("fault", [None, "down"])
+def test_a_rack_is_not_owned_while_its_handover_is_prepared(fault):
+    """Guards against a control loop that starts again between its stop and the handover."""
+    world = make_world("z1", "z2", racks=["z1"])
+    world.run(3)
+    owner = world.instances[next(iter(world.owners().values()))]
+    owned = []
+    owner.ownership._before_release = lambda lease: owned.append(owner.leases())
+    world.table.faults.extend([fault] if fault else [])
+    assert owner.ownership.hand_over_all() == (fault is None)
+    assert owned == [{}]
+    assert len(owner.leases()) == (1 if fault else 0)
+
+
+def test_a_rack_whose_work_does_not_end_in_time_stays_owned():
+    """Guards against a rack that nobody runs until the store can be read again."""
+    world = make_world("z1", "z2", racks=["z1"])
+    world.run(3)
+    owner = world.instances[next(iter(world.owners().values()))]
+    held = owner.leases()
+
+    def time_out(_):
+        raise pykka.Timeout("cycle goes on")
+
+    owner.ownership._before_release = time_out
+    with pytest.raises(pykka.Timeout):
+        owner.ownership.hand_over_all()
+    assert owner.leases() == held
+
+
 def test_a_stop_without_a_successor_still_counts_as_planned():
     world = make_world("z1", racks=["z1"])
     world.run(3)
@@ -186,19 +218,76 @@
 
 
 def test_a_changed_row_ends_ownership():
-    """A handover that arrives late must not leave its sender believing in the rack."""
+    """Guards against an owner that believes in a rack whose row another writer has changed."""
     world = make_world("z1", racks=["z1"])
     world.run(2)
     one = world.instances["e0"]
-    world.table.faults.append("late")
-    world.table.faults.extend(["down"] * 2)
-    one.ownership.hand_over_all()
-    one.ownership.step(world.members)
-    world.table.faults.clear()
     held = one.leases()["z1-rack0"]
-    world.table.deliver()
+    [row] = world.table.read(keys=("rack/z1-rack0",))
+    given_away = {**row.value, "owner": "", "incarnation": "", "epoch": held.epoch + 1}
+    check = Check(key=row.key, version=row.version)
+    world.table.transact(Transaction(checks=(check,), puts=(Put(key=row.key, value=given_away),)))
     one.ownership.step(world.members)
-    assert one.leases()["z1-rack0"].epoch > held.epoch
+    assert one.leases()["z1-rack0"].epoch > held.epoch + 1
+
+
+@pytest.mark.parametrize("draining", [False, True])
+@pytest.mark.parametrize("delivered", [False, True])
+@pytest.mark.parametrize("vouches", [False, True])
+def test_a_late_handover_takes_no_rack_from_an_owner_that_went_on(draining, delivered, vouches):
+    """Guards against a handover that vouches for an owner that renews leases again.
+
+    Its successor would take them to end before they do. Also guards against an owner that never
+    goes on, and against one whose own claim vouches for a lost predecessor.
+    """
+    world = make_world("z1", "z2", racks=["z1"])
+    world.run(3)
+    name = next(iter(world.owners().values()))
+    if not vouches:
+        del world.instances[name]
+        world.run(7)
+        world.start("e2", "z1")
+        world.run(2)
+        name = next(iter(world.owners().values()))
+    owner = world.instances[name]
+    epoch = owner.leases()["z1-rack0"].epoch
+    if draining:
+        owner.keeper.start_draining()
+        owner.keeper.beat()
+    world.table.faults.extend(["late", "down", "down", "down"])
+    owner.ownership.hand_over_all()
+    assert not owner.leases()
+    world.table.faults.clear()
+    owner.tick(world.members)
+    went_on = owner.leases()
+    assert went_on
+    if delivered:
+        world.table.deliver()
+    world.run(2)
+    assert owner.leases() == went_on
+    assert [lease for i in world.instances.values() for lease in i.leases().values()] == [
+        went_on["z1-rack0"]
+    ]
+    [row] = world.table.read(keys=("rack/z1-rack0",))
+    claim = {"owner": name, "epoch": epoch + 1, "planned": vouches}
+    assert claim.items() <= row.value.items()
+
+
+def test_a_session_that_lapses_meanwhile_claims_no_further_rack_again():
+    """Guards against claims by an owner that another instance may already count as lost."""
+    world = make_world("z1", "z2", racks=["z1", "z1", "z1", "z1"])
+    world.run(3)
+    owner = max(world.instances.values(), key=lambda one: len(one.leases()))
+    held = owner.leases()
+    assert len(held) >= 2
+    world.table.faults.extend(["late", "down", "down"] * len(held))
+    owner.ownership.hand_over_all()
+    assert not owner.leases()
+    world.table.before_transact = lambda _: owner.clock.advance(seconds=SESSION_TTL_S)
+    owner.ownership.step(world.members)
+    assert len(owner.leases()) == 1
+    owner.tick(world.members)
+    assert owner.leases().keys() == held.keys()
 
 
 def test_a_newcomer_gets_its_part_one_rack_at_a_time():
