--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -132,6 +132,22 @@
     assert dead.keeper.fenced and not dead.leases()
 
 
+@pytest.mark.xfail(reason="KNOWN-RED.txt", strict=True, raises=AssertionError)
+def test_the_next_incarnation_of_an_owner_does_not_shorten_its_deadline():
+    """Guards against two owners while a former process of an instance is paused, not gone."""
+    world = make_world("z1", "z1", racks=["z1"])
+    world.run(3)
+    name = next(iter(world.owners().values()))
+    paused = world.instances.pop(name)
+    assert paused.keeper.beat()
+    world.start(name, "z1")
+    for _ in range(7):
+        world.run(1)
+        paused.clock.advance(seconds=1.0)
+        assert not (paused.believed() and world.owners())
+    assert len(world.owners()) == 1
+
+
 def test_a_planned_stop_waits_for_nothing():
     world = make_world("z1", "z2", racks=["z1", "z2"])
     world.run(3)
