Hold calls to a worker stand-in over its restart

The stand-in answered each call at once or broke the connection. Change: calls can be held unread, as in the queue of a listening socket, and be carried out later without an answer. A restart can give any first reading of the clock, and settings any longest lease. A renewal that waits for an end applies its deadline and its acknowledgement once, not every 20 ms.

--- a/standins/jobworker.py
+++ b/standins/jobworker.py
@@ -125,12 +125,16 @@
             self._record(*key, "lost")
         self.runs.clear()
 
-    def restart(self) -> None:
-        """Starts a new incarnation without the state of the last one."""
+    def restart(self, *, clock_ms: float = 0.0) -> None:
+        """Starts a new incarnation without the state of the last one.
+
+        Args:
+            clock_ms: first reading of its clock, in milliseconds.
+        """
         self.is_up = True
-        self.started_s = self._now_s()
+        self.started_s = self._now_s() - clock_ms / 1000 / self._clock_rate
         self.info = attrs.evolve(self.info, incarnation_ms=self.info.incarnation_ms + 1)
-        self._capacities.append((self.started_s, self.info))
+        self._capacities.append((self._now_s(), self.info))
         self.highest_token, self.lease_until_ms, self.last_serial = 0, 0.0, 0
         self.unacknowledged.clear()
         self.highest_ended.clear()
--- a/standins/nodesettings.py
+++ b/standins/nodesettings.py
@@ -16,7 +16,7 @@
 cpuCores = 2
 [bounds]
 graceS = {grace_s}
-maxHoldMs = 6000
+maxHoldMs = {max_hold_ms}
 [platform]
 address = "127.0.0.1:{store_port}"
 """
@@ -31,6 +31,7 @@
         "ready_port": 3,
         "store_port": 4,
         "grace_s": 6,
+        "max_hold_ms": 6000,
     }
     path.write_text(SETTINGS.format(**{**fields, **changes}))
     return str(path)
--- a/standins/workerhandler.py
+++ b/standins/workerhandler.py
@@ -4,6 +4,8 @@
 import time
 from typing import Any
 
+import attrs
+
 from fescuerudder.jobs.job import TaskId
 from fescuerudder.jobs.workerport import (
     EndedAttempt,
@@ -17,6 +19,7 @@
     WorkerFencedError,
 )
 from standins._http import Answer, Request
+from standins.heldcalls import HeldCalls
 from standins.jobworker import JobWorker
 
 POLL_INTERVAL_S = 0.02
@@ -36,11 +39,15 @@
 
     Args:
         worker: model of the worker.
+
+    Attributes:
+        held_calls: calls that arrive while they are held are not carried out here.
     """
 
     def __init__(self, *, worker: JobWorker) -> None:
         self.worker = worker
         self.lock = threading.RLock()
+        self.held_calls = HeldCalls()
 
     def tick(self) -> None:
         """Ends all attempts that are due."""
@@ -64,6 +71,12 @@
         }
 
     def handle(self, req: Request) -> Answer:
+        """Answers one order; closes the connection without an answer if calls are held."""
+        if self.held_calls.hold(req):
+            return Answer(abort=True)
+        return self.carry_out(req)
+
+    def carry_out(self, req: Request) -> Answer:
         """Answers one order; closes the connection without an answer if the worker is down."""
         if not self.worker.is_up:
             return Answer(abort=True)
@@ -113,6 +126,8 @@
                     report = self.worker.renew(order)
                 except WorkerFencedError:
                     return _answer(OrderAnswer(OrderResult.FENCED, int(self.worker.clock_ms())))
+            # The deadline and the acknowledgement apply once, not for as long as the report waits.
+            order = attrs.evolve(order, acknowledged=0, lease_until_ms=None)
             if report.ended or time.monotonic() >= end_s:
                 break
             time.sleep(POLL_INTERVAL_S)
