Soak with workers that restart amid calls

One or two of ten workers hold calls, crash, return after 0.05 to 1 s with another reading of their clocks, carry the held calls out within 3 s, and are cut off for 5 to 9 s; tasks run for 8 s and leases for up to 10 s. One series in five loses the leader.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -25,7 +25,7 @@
 from bench.placement_experiment import COMPARISONS, run_comparison
 from bench.placement_experiment import table_text as comparison_text
 from bench.replay import DRAIN_S, Replayer
-from bench.soak import Soak
+from bench.soak import MIXED, RESTARTS, Soak
 from fescuerudder._usage import UsageError
 from fescuerudder.cli import KEY_ENV
 from fescuerudder.commandline import EXIT_DONE, EXIT_FAILED, run_command_line
@@ -88,7 +88,14 @@
     return EXIT_DONE
 
 
-def soak(*, seeds: str = "1", first: str = "0", seconds: str = "20", logs: str = "") -> int:
+def soak(
+    *,
+    seeds: str = "1",
+    first: str = "0",
+    seconds: str = "20",
+    logs: str = "",
+    restarts: bool = False,
+) -> int:
     """Runs nodes on stand-ins under random faults; exits with 0 only if no promise broke.
 
     Args:
@@ -96,10 +103,12 @@
         first: seed of the first run; each next one has the next seed.
         seconds: time with faults of each run.
         logs: directory for the nodes' logs of runs that broke a promise.
+        restarts: restarts workers under their ids amid calls and cuts them off, with long tasks.
     """
     broken = 0
+    kind = RESTARTS if restarts else MIXED
     for seed in range(int(first), int(first) + int(seeds)):
-        run = Soak(seed=seed, duration_s=_number("--seconds", seconds))
+        run = Soak(seed=seed, duration_s=_number("--seconds", seconds), kind=kind)
         verdict = run.run()
         broken += bool(verdict.problems)
         print(f"seed {seed}: {verdict.accepted} jobs, {verdict.starts} starts", flush=True)
--- a/bench/_soakworld.py
+++ b/bench/_soakworld.py
@@ -30,6 +30,7 @@
 HOST = "127.0.0.1"
 NODES = 3
 WORKERS = 4
+MAX_LEASE_S = 6.0
 CAPACITY = 4.0
 HEARTBEAT_S = 0.5
 TICK_S = 0.02
@@ -56,11 +57,13 @@
         name: its id.
         directory: where its settings and its log lie.
         store: `ip:port` at which it reaches the store, a relay's.
+        max_lease_s: longest lease that a worker grants, in seconds.
     """
 
     name: str
     directory: Path
     store: str
+    max_lease_s: float = MAX_LEASE_S
     callers: str = ""
     process: subprocess.Popen | None = None
 
@@ -100,6 +103,7 @@
             node=self.name,
             front_port=front_port,
             store_port=int(self.store.rpartition(":")[2]),
+            max_hold_ms=int(self.max_lease_s * 1000),
             **ports,
         )
 
@@ -110,15 +114,26 @@
     Args:
         rng: source of the workers' clock rates.
         plan: returns size, run time in seconds and whether it fails, for task, attempt, worker.
+        workers: number of workers.
+        max_lease_s: longest lease that they grant, in seconds.
     """
 
-    def __init__(self, *, rng: random.Random, plan: Any) -> None:
+    def __init__(
+        self,
+        *,
+        rng: random.Random,
+        plan: Any,
+        workers: int = WORKERS,
+        max_lease_s: float = MAX_LEASE_S,
+    ) -> None:
         self.rows = MemoryRowStore(now_ms=lambda: int(time.monotonic() * 1000))
         self.events: list[tuple[float, str, TaskId, int, str]] = []
         self.workers: dict[str, WorkerHandler] = {}
         self.nodes: list[Node] = []
         self._rng = rng
         self._plan = plan
+        self._number_of_workers = workers
+        self._max_lease_s = max_lease_s
         self._stack = contextlib.ExitStack()
         self._stopping = threading.Event()
 
@@ -130,7 +145,7 @@
             server = HttpServer(address=f"{HOST}:0", handler=handler, threads=STORE_THREADS)
             self._store = stack.enter_context(server).address
             self._write_manifest()
-            for number in range(WORKERS):
+            for number in range(self._number_of_workers):
                 self._add_worker(number, stack)
             stack.callback(self._stopping.set)
             threading.Thread(target=self._run_workers, daemon=True).start()
@@ -180,6 +195,7 @@
             now_s=time.monotonic,
             events=self.events,
             plan=self._plan,
+            max_lease_s=self._max_lease_s,
             clock_rate=self._rng.choice((1.0, 0.985)),
         )
         face = WorkerHandler(worker=model)
@@ -191,7 +207,7 @@
     def _add_node(self, number: int, stack: contextlib.ExitStack) -> None:
         name = f"n{number}"
         store = self._route(f"store-{name}", self._store)
-        node = Node(name=name, directory=self.directory, store=store)
+        node = Node(name=name, directory=self.directory, store=store, max_lease_s=self._max_lease_s)
         stack.callback(node.end)
         node.start()
         self.nodes.append(node)
@@ -226,6 +242,7 @@
     for name in world.relay.names():
         world.relay.heal(name)
     for face in world.workers.values():
+        face.held_calls.end()
         with face.lock:
             if not face.worker.is_up:
                 face.worker.restart()
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -11,14 +11,17 @@
 import time
 from collections import defaultdict
 from collections.abc import Callable
+from datetime import UTC, datetime
 from http import HTTPStatus
 
 import attrs
 import urllib3
 
-from bench._soakworld import QUEUE, SoakWorld, heal
+from bench._soakrestarts import Restarts
+from bench._soakworld import MAX_LEASE_S, QUEUE, WORKERS, SoakWorld, heal
 from fescuerudder.document import Size
 from fescuerudder.jobs.job import TaskId
+from fescuerudder.platform.workers import format_task
 
 PAUSE_S = (0.1, 0.4)
 """Time between two submissions."""
@@ -35,12 +38,49 @@
 """Time after the last fault within which every accepted job must have ended."""
 
 READY_S = 30.0
+LONG_RUN_S = 8.0
 POLL_S = 0.2
 ONE = Size(processors=1.0, memory_mb=10)
 UNCERTAIN = (HTTPStatus.BAD_GATEWAY, HTTPStatus.GATEWAY_TIMEOUT)
 FINAL = ("completed", "failed", "cancelled")
 
 
+@attrs.frozen(kw_only=True)
+class Kind:
+    """What tells kinds of soaks apart.
+
+    Args:
+        workers: number of workers.
+        max_lease_s: longest lease that they grant, in seconds.
+        pause_s: bounds of the time between two submissions, in seconds.
+        settle_s: time after the last fault within which every accepted job must have ended.
+        calm_s: time before the first fault, in seconds.
+        long_steps: whether the tasks of the first step of each job run long.
+        restarts: share of the faults that are workers which restart amid calls.
+    """
+
+    workers: int = WORKERS
+    max_lease_s: float = MAX_LEASE_S
+    pause_s: tuple[float, float] = PAUSE_S
+    settle_s: float = SETTLE_S
+    calm_s: float = 0.0
+    long_steps: bool = False
+    restarts: float = 0.0
+
+
+MIXED = Kind()
+RESTARTS = Kind(
+    workers=10,
+    max_lease_s=10.0,
+    pause_s=(0.4, 0.9),
+    settle_s=90.0,
+    calm_s=4.0,
+    long_steps=True,
+    restarts=0.85,
+)
+"""Long tasks with room elsewhere, and leases that last longer than those of the leader's orders."""
+
+
 @attrs.define(kw_only=True)
 class Submission:
     """A job and what its caller was told.
@@ -85,11 +125,13 @@
     Args:
         seed: seed of the jobs and the faults.
         duration_s: time with faults, in seconds.
+        kind: its kind.
     """
 
-    def __init__(self, *, seed: int, duration_s: float) -> None:
+    def __init__(self, *, seed: int, duration_s: float, kind: Kind = MIXED) -> None:
         self._seed = seed
         self._duration_s = duration_s
+        self._kind = kind
         self._rng = random.Random(seed)
         self._jobs: dict[str, Submission] = {}
         self._faults: list[str] = []
@@ -99,7 +141,13 @@
 
     def run(self) -> Verdict:
         """Runs processes, load and faults; returns what was seen."""
-        with SoakWorld(rng=random.Random(self._seed), plan=_plan) as world:
+        kind = self._kind
+        with SoakWorld(
+            rng=random.Random(self._seed),
+            plan=_plan_long if kind.long_steps else _plan,
+            workers=kind.workers,
+            max_lease_s=kind.max_lease_s,
+        ) as world:
             self._wait_ready(world)
             load = threading.Thread(target=self._load, args=(world,), daemon=True)
             load.start()
@@ -109,7 +157,7 @@
             heal(world)
             problems = self._wait_for_ends(world)
             problems += self._check(world)
-            self.logs = world.logs()
+            self.logs = world.logs() + _format_events(world.events)
             starts = sum(1 for event in world.events if event[4] == "start")
         accepted = sum(job.accepted for job in self._jobs.values())
         return Verdict(
@@ -124,7 +172,7 @@
 
     def _load(self, world: SoakWorld) -> None:
         rng = random.Random(self._seed + 1)
-        while not self._stopping.wait(rng.uniform(*PAUSE_S)):
+        while not self._stopping.wait(rng.uniform(*self._kind.pause_s)):
             job = f"{rng.getrandbits(64):016x}"
             steps = tuple(rng.randint(1, 3) for _ in range(rng.randint(1, 3)))
             submission = self._jobs[job] = Submission(job=job, steps=steps)
@@ -172,9 +220,15 @@
     # --- faults
 
     def _inject(self, world: SoakWorld) -> None:
+        time.sleep(self._kind.calm_s)
         end_s = time.monotonic() + self._duration_s
         timers = []
+        restarts = Restarts(world=world, rng=random.Random(self._seed + 2))
         while time.monotonic() < end_s:
+            if self._kind.restarts and self._rng.random() < self._kind.restarts:
+                self._faults += filter(None, [restarts.begin()])
+                time.sleep(self._rng.uniform(*FAULT_PAUSE_S))
+                continue
             name, begin, end = self._draw(world)
             self._faults.append(name)
             begin()
@@ -184,6 +238,7 @@
             time.sleep(self._rng.uniform(*FAULT_PAUSE_S))
         for timer in timers:
             timer.join()
+        restarts.join()
 
     def _draw(self, world: SoakWorld) -> tuple[str, Callable[[], None], Callable[[], None]]:
         """Returns the name of a fault, what begins it, and what ends it."""
@@ -248,7 +303,7 @@
 
     def _wait_for_ends(self, world: SoakWorld) -> list[str]:
         """Waits until all accepted jobs have ended; returns those that have not."""
-        end_s = time.monotonic() + SETTLE_S
+        end_s = time.monotonic() + self._kind.settle_s
         open_jobs = {job.job for job in self._jobs.values() if job.accepted}
         states: dict[str, str] = {}
         while open_jobs and time.monotonic() < end_s:
@@ -295,6 +350,12 @@
     return ONE, 0.2 + (task.index * 7 + task.step * 3) % 10 / 8, (task.index + attempt) % 13 == 0
 
 
+def _plan_long(task: TaskId, attempt: int, worker: str) -> tuple[Size, float, bool]:
+    """Returns the same for a soak in which the tasks of first steps run long."""
+    size, run_s, fails = _plan(task, attempt, worker)
+    return size, run_s if task.step else LONG_RUN_S + run_s, fails
+
+
 def _body(steps: tuple[int, ...]) -> bytes:
     rows = [
         (
@@ -307,6 +368,16 @@
     return json.dumps({"spec": "soak", "steps": rows}).encode()
 
 
+def _format_events(events: list) -> str:
+    """Returns what the workers noted, with the times of the nodes' logs."""
+    offset_s = time.time() - time.monotonic()
+    return "".join(
+        f"{datetime.fromtimestamp(at_s + offset_s, UTC).isoformat()} {worker} notes {event} "
+        f"{format_task(task)} attempt {attempt}\n"
+        for at_s, worker, task, attempt, event in events
+    )
+
+
 def _find_overlaps(events: list) -> list[str]:
     """Returns the tasks that ran in two places at a time."""
     problems, running = [], {}
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,9 +1,19 @@
 """A short seeded soak: nodes as processes, faults from outside them; and what its checks find."""
 
+import json
+import time
+from concurrent.futures import ThreadPoolExecutor
+
 import pytest
 
-from bench.soak import Soak, Submission, _find_late_starts, _find_overlaps
+from bench.soak import RESTARTS, Soak, Submission, _find_late_starts, _find_overlaps
+from fescuerudder.clock import ManualClock
+from fescuerudder.document import Size
 from fescuerudder.jobs.job import TaskId
+from fescuerudder.jobs.workerport import WorkerInfo
+from standins._http import Request
+from standins.jobworker import JobWorker
+from standins.workerhandler import WorkerHandler
 
 JOB = "00000000000000aa"
 FIRST, SECOND = TaskId(JOB, 0, 0, 0), TaskId(JOB, 0, 1, 0)
@@ -24,6 +34,64 @@
     assert verdict.starts > 0
 
 
+@pytest.mark.parametrize(
+    "seed",
+    [
+        # A renewal for the last incarnation gave the next one leases that the leader didn't count.
+        103,
+    ],
+)
+def test_no_promise_breaks_as_workers_restart_amid_calls(seed):
+    """Guards against orders to one incarnation of a worker that act on the next one."""
+    verdict = Soak(seed=seed, duration_s=5.0, kind=RESTARTS).run()
+    assert verdict.problems == [], verdict.faults
+    assert verdict.accepted > 0
+    assert any(fault.startswith("restart ") for fault in verdict.faults)
+
+
+@pytest.mark.parametrize("clock_ms", [0.0, 2_000.0, 50_000.0])
+def test_a_held_renewal_acts_on_the_next_incarnation(clock_ms):
+    """Guards against a soak whose held calls get lost, or still reach the last incarnation."""
+    clock = ManualClock()
+    info = WorkerInfo(
+        id="w0",
+        incarnation_ms=1000,
+        pool="pool",
+        address="",
+        zone="z0",
+        rack="r0",
+        labels=frozenset(),
+        capacity=Size(processors=4.0, memory_mb=100, accelerators=0),
+        draining=False,
+        clock_ms=0,
+    )
+    worker = JobWorker(info=info, now_s=clock.now_s, events=[], plan=None, max_lease_s=10.0)
+    face = WorkerHandler(worker=worker)
+    clock.advance(seconds=20.0)
+    body = {"fencingToken": 7, "ackSeq": 0, "deadlineMs": 25_000}
+    req = Request(
+        method="POST",
+        path="/hold",
+        query={},
+        headers={"x-target-instance": worker.info.id},
+        body=json.dumps(body).encode(),
+        target="/hold",
+    )
+    face.held_calls.begin()
+    with ThreadPoolExecutor(1) as pool:
+        answer = pool.submit(face.handle, req)
+        while not face.held_calls._calls:
+            time.sleep(0.01)
+        worker.crash()
+        worker.restart(clock_ms=clock_ms)
+        calls = face.held_calls.end()
+        assert answer.result().abort
+    assert worker.highest_token == 0
+    assert face.carry_out(*calls).status == 200
+    assert worker.highest_token == 7
+    assert worker.lease_until_ms == min(25_000.0, clock_ms + 10_000.0)
+
+
 @pytest.mark.parametrize(
     ("events", "found"),
     [
