--- a/bench/_jobsimulation.py
+++ b/bench/_jobsimulation.py
@@ -335,12 +335,15 @@
             entry if entry is not None and self.clock.now_s() < until_s else worker.registry_entry()
         )
 
-    def restart_worker(self, name: str, *, registry_lag_s: float) -> None:
-        """Restarts a worker; the registry shows its new incarnation only after a while."""
+    def restart_worker(self, name: str, *, registry_lag_s: float, clock_ms: float = 0.0) -> None:
+        """Restarts a worker; the registry shows its new incarnation only after a while.
+
+        The clock of the new incarnation shows `clock_ms` at first.
+        """
         worker = self.workers[name]
         self.stale_entries[name] = (worker.registry_entry(), self.clock.now_s() + registry_lag_s)
         worker.crash()
-        worker.restart()
+        worker.restart(clock_ms=clock_ms)
 
     def _crash_workers(self) -> None:
         """Crashes the workers on which a task has run for its crash delay; they restart later."""
@@ -527,7 +530,9 @@
         An end counts if it was acknowledged before the worker's lease lapsed.
         """
         ends = {e[2:4]: e[0] for e in self.events if e[4] == "done"}
-        acknowledged_s = {e[2]: ends[e[2:4]] for e in self.events if e[4] == "noted done"}
+        noted = [e for e in self.events if e[4] == "noted done"]
+        # The first end counts: a task that ran again after it has a later one.
+        acknowledged_s = {e[2]: ends[e[2:4]] for e in reversed(noted)}
         done = set()
         for at_s, worker, task, _, event in self.events:
             if event == "start":
--- a/fescuerudder/jobs/reports.py
+++ b/fescuerudder/jobs/reports.py
@@ -50,8 +50,11 @@
         sent_s: float,
         now_s: float,
     ) -> None:
-        """Applies the report that answers `order`, which was sent at `sent_s`."""
-        if report.incarnation_ms and report.incarnation_ms < record.info.incarnation_ms:
+        """Applies the report that answers `order`, which was sent at `sent_s`.
+
+        That of an earlier incarnation, which arrives late, is ignored.
+        """
+        if is_of_earlier_incarnation(record, report):
             return
         if report.incarnation_ms > record.info.incarnation_ms:
             _log_carried_out_later(record, order, report)
@@ -79,19 +82,21 @@
         if len(report.ended) < MAX_REPORT_ENDS:
             self._requeue_missing(record, order, report, sent_s)
         if not record.is_fenced:
-            self._fence(record, order, report)
+            self._fence(record, order, report, now_s)
         if record.is_fenced:
             record.may_run_unknown = False
         if record.is_fenced and not record.resolved:
             record.resolved = True
             _log.info("worker resolved", worker=record.id, token=order.token, clock=report.clock_ms)
 
-    def _fence(self, record: WorkerRecord, order: RenewOrder, report: Report) -> None:
+    def _fence(self, record: WorkerRecord, order: RenewOrder, report: Report, now_s: float) -> None:
         """Fences an incarnation if its report answers an order to it, not to an earlier one.
 
         A successor has to know of the leases that may last longer from then on.
         """
         if order.token < record.first_token:
+            if report.running:
+                record.expect_late_leases(now_s=now_s, max_lease_s=self._state.max_lease_s)
             return
         record.fence(clock_ms=report.clock_ms, max_lease_s=self._state.max_lease_s)
         self._state.roster_changed = True
@@ -327,6 +332,11 @@
     return attempt.confirmed_s is not None and sent_s >= attempt.confirmed_s
 
 
+def is_of_earlier_incarnation(record: WorkerRecord, report: Report) -> bool:
+    """Returns whether a report tells of an earlier start of its worker than the leader knows."""
+    return 0 < report.incarnation_ms < record.info.incarnation_ms
+
+
 def _log_carried_out_later(record: WorkerRecord, order: RenewOrder, report: Report) -> None:
     """Logs that a renewal for one incarnation was carried out by a later one."""
     _log.warning(
