--- /dev/null
+++ b/tests/jobs/test_restarted_workers.py
@@ -0,0 +1,130 @@
+"""Restarted workers: orders and starts of earlier incarnations, over takeovers and under load."""
+
+import attrs
+import pytest
+
+from bench._jobsimulation import JobSimulation
+from fescuerudder.jobs.job import Step
+from fescuerudder.jobs.reports import MAX_REPORT_ENDS
+from fescuerudder.jobs.workerport import RenewOrder
+from standins.jobworker import JobWorker
+from tests.jobs.test_former_orders import delay_next, is_lease, make_busy_world
+from tests.jobs.test_scheduler import ONE
+
+NEVER_S = 60.0
+
+
+def lose_all(sim):
+    """Loses all further orders to the first worker."""
+    sim.late_by_s = lambda order: NEVER_S if order.worker == "w0" else None
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize("cut_s", [0.4, 1.0])
+def test_a_successor_fences_an_incarnation_that_its_predecessor_had_not_fenced(cut_s, seed):
+    """Guards against a roster that names an incarnation as one like all others.
+
+    The predecessor stored the roster with the new incarnation, but was lost before it fenced it. A
+    renewal to the last incarnation arrives just before the successor's first call.
+    """
+    sim, leader = make_busy_world(seed)
+    delay_next(sim, is_lease, by_s=2.4)
+    lose_all(sim)
+    sim.restart_worker("w0", registry_lag_s=0.1)
+    sim.run(0.8)
+    assert leader.scheduler.state.workers["w0"].info.incarnation_ms == 1001
+    leader.alive = False
+    while sim.workers["w0"].lease_until_ms == 0.0:
+        sim.run(0.05)
+    sim.late_by_s = lambda order: None
+    successor = sim.claim("b")
+    sim.run(cut_s)
+    assert sim.workers["w0"].runs
+    sim.cut.add(("b", "w0"))
+    sim.add_worker(3, 6.0)
+    sim.run(16.0)
+    assert successor.alive
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize("leaderless_s", [0.0, 5.0, 6.5])
+@pytest.mark.parametrize("is_cut", [False, True])
+def test_a_successor_counts_the_longest_lease_of_a_recorded_start(is_cut, leaderless_s, seed):
+    """Guards against a start that the next incarnation carries out as the leader is lost.
+
+    The successor knows from the registry that the worker has restarted since the start.
+    """
+    sim, leader = make_busy_world(seed)
+    sim.run(0.1)
+    sim.late_by_s = lambda order: NEVER_S if isinstance(order, RenewOrder) else None
+    sim.run(0.1)
+    sim.restart_worker("w0", registry_lag_s=0.5)
+    sim.submit("00000000000000bb", steps=[Step(count=3, size=ONE)])
+    while not sim.workers["w0"].runs:
+        sim.run(0.05)
+    leader.alive = False
+    sim.late_by_s = lambda order: None
+    sim.run(1.0 + leaderless_s)
+    if is_cut:
+        sim.cut.add(("b", "w0"))
+    sim.claim("b")
+    sim.add_worker(3, 6.0)
+    sim.run(16.0)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize("arrives_s", [3.0, 6.0])
+def test_a_late_renewal_may_follow_a_start_that_the_next_incarnation_answers(arrives_s, seed):
+    """Guards against a longest lease that is counted from the answer, not from the last order."""
+    sim, leader = make_busy_world(seed)
+    delay_next(sim, is_lease, by_s=arrives_s)
+    sim.late_by_s = lambda o: NEVER_S if isinstance(o, RenewOrder) and o.worker == "w0" else None
+    sim.restart_worker("w0", registry_lag_s=30.0)
+    sim.submit("00000000000000bb", steps=[Step(count=3, size=ONE)])
+    sim.run(0.3)
+    assert sim.workers["w0"].runs
+    lose_all(sim)
+    sim.add_worker(3, 6.0)
+    sim.run(18.0)
+
+
+def test_lost_starts_do_not_keep_a_worker_from_reporting_its_ends(monkeypatch):
+    """Guards against ends that are never acknowledged, so that a report has no space for new ones.
+
+    A worker lists 500 ends at most.
+    """
+    renew = JobWorker.renew
+
+    def renew_capped(self, order):
+        report = renew(self, order)
+        return attrs.evolve(report, ended=report.ended[:MAX_REPORT_ENDS])
+
+    monkeypatch.setattr(JobWorker, "renew", renew_capped)
+    sim = JobSimulation(seed=1, workers=3, capacity=12.0)
+    sim.run_s, sim.order_loss_rate = 0.3, 0.03
+    sim.submit(steps=[Step(count=5000, size=ONE)])
+    sim.claim("a")
+    sim.run(50.0)
+    done = sum(1 for e in sim.events if e[4] == "done")
+    sim.run(10.0)
+    assert sum(1 for e in sim.events if e[4] == "done") > done + 300
+
+
+@pytest.mark.xfail(reason="KNOWN-RED.txt", strict=True, raises=AssertionError)
+def test_a_worker_whose_time_of_day_was_set_back_gets_tasks_again():
+    """Guards against a worker that stays silent to this leader and all that follow."""
+    sim = JobSimulation(seed=1, workers=2, capacity=4.0)
+    sim.run_s = 1.0
+    sim.submit(steps=[Step(count=2000, size=ONE)])
+    leader = sim.claim("a")
+    sim.run(5.0)
+    worker = sim.workers["w0"]
+    worker.crash()
+    worker.restart()
+    worker.info = attrs.evolve(worker.info, incarnation_ms=900)
+    sim.run(40.0)
+    leader.alive = False
+    sim.run(2.0)
+    sim.claim("b")
+    sim.run(20.0)
+    assert worker.runs
