--- a/bench/_jobsimulation.py
+++ b/bench/_jobsimulation.py
@@ -4,36 +4,31 @@
 import heapq
 import itertools
 import random
-from concurrent.futures import Executor, Future
 
 import attrs
 
 from bench._fakeadvice import FakeAdvice
 from bench._jobcapacity import CapacityWitness, LaggingRegistry
+from bench._simulatedleader import Leader
 from fescuerudder.clock import ManualClock
 from fescuerudder.document import Size
-from fescuerudder.errors import StoreOutcomeUnknownError, StoreUnavailableError
+from fescuerudder.errors import StoreOutcomeUnknownError
 from fescuerudder.jobs.adviceport import AdviceQuery
 from fescuerudder.jobs.claim import Claim, Heartbeat, dump_row, load_claim, load_heartbeat
 from fescuerudder.jobs.job import Job, Step
 from fescuerudder.jobs.jobrun import JobState
-from fescuerudder.jobs.leaderwriter import LeadershipLostError, LeaderWriter
-from fescuerudder.jobs.leases import LEASE_HORIZON_S, LeasePolicy
+from fescuerudder.jobs.leases import LEASE_HORIZON_S
 from fescuerudder.jobs.manifest import Manifest, Pool, Queue
 from fescuerudder.jobs.policy import DEFAULT_POLICY
 from fescuerudder.jobs.progress import dump_job, load_state
 from fescuerudder.jobs.rows import ABSENT, RowConflictError, RowTransaction
-from fescuerudder.jobs.scheduler import Scheduler
-from fescuerudder.jobs.schedulerstate import Term
 from fescuerudder.jobs.storage import (
     CLAIM_KEY,
     HEARTBEAT_KEY,
-    JOBS_TABLE,
     cancel_key,
     job_key,
     progress_key,
 )
-from fescuerudder.jobs.takeover import load_stored_state, restore_scheduler, split_job_rows
 from fescuerudder.jobs.urgency import urgency_key
 from fescuerudder.jobs.workerport import (
     OrderAnswer,
@@ -50,20 +45,8 @@
 from standins.rows import MemoryRowStore
 
 TICK_S = 0.05
-LEASE_S = 4.0
 MAX_LEASE_S = 6.0
 CALL_TIMEOUT_S = 1.5
-HEARTBEAT_INTERVAL_S = 0.5
-REGISTRY_READ_INTERVAL_S = 1.0
-
-
-class InlineExecutor(Executor):
-    """Runs each call immediately in the calling thread."""
-
-    def submit(self, fn, /, *args, **kwargs):
-        fut = Future()
-        fut.set_result(fn(*args, **kwargs))
-        return fut
 
 
 def queue(**changes) -> Queue:
@@ -80,132 +63,6 @@
     return Queue(**{**fields, **changes})
 
 
-class Leader:
-    """One instance during its term as the leader; the simulation drives it."""
-
-    def __init__(self, *, sim, name, epoch, version):
-        self.sim = sim
-        self.name = name
-        self.alive = True
-        self.paused_until_s = 0.0
-        self.reaches_store = True
-        self.batch = None
-        self.batch_sent_s = 0.0
-        self.is_resolved = True
-        self.feed = 0
-        self.next_heartbeat_s = 0.0
-        self.next_registry_read_s = sim.clock.now_s() + REGISTRY_READ_INTERVAL_S
-        claim = Claim(epoch=epoch, instance=name, address="", key="")
-        self.writer = LeaderWriter(
-            store=sim.store, clock=sim.clock, claim=claim, claim_version=version
-        )
-        self.leases = LeasePolicy(
-            lease_s=LEASE_S,
-            confirmed_s=lambda: self.writer.confirmed_s,
-            answered_s=lambda: self.writer.answered_s,
-            bounded_s=lambda: self.writer.bounded_s,
-            max_lease_s=sim.max_lease_s,
-        )
-        self.scheduler = Scheduler(
-            term=Term(epoch=epoch, claim_version=version),
-            clock=sim.clock,
-            wall_ms=lambda: sim.clock.now_s() * 1000,
-            leases=self.leases,
-            urgency=sim.urgency,
-            policy=sim.policy,
-        )
-        loaded = load_stored_state(
-            store=sim.store,
-            clock=sim.clock,
-            wall_ms=lambda: sim.clock.now_s() * 1000,
-            pool=InlineExecutor(),
-        )
-        self.scheduler.set_manifest(sim.manifest)
-        restore_scheduler(self.scheduler, loaded)
-        self.writer.store_clock = loaded.store_clock
-        self.writer.inherited_until_ms = loaded.inherited_until_ms(
-            claimed_s=sim.clock.now_s(), max_lease_s=sim.max_lease_s
-        )
-        self.writer.starts_recorded = self.scheduler.state.starts_recorded
-        self.scheduler.set_workers(sim.registry())
-        self.feed = loaded.version
-
-    @property
-    def may_act(self) -> bool:
-        return self.alive and self.sim.clock.now_s() >= self.paused_until_s
-
-    def tick(self) -> None:
-        if not self.may_act:
-            return
-        self._read_changes()
-        if not self.alive:
-            return
-        now_s = self.sim.clock.now_s()
-        if self.leases.length_s(now_s) > 0:
-            for order in self.scheduler.plan():
-                self.sim.send(self, order)
-        self._write()
-
-    def _read_changes(self) -> None:
-        if not self.reaches_store:
-            return
-        try:
-            changes = self.sim.store.changes(table=JOBS_TABLE, after=self.feed, wait_s=0)
-        except StoreUnavailableError:
-            return
-        claim_version = self.scheduler.state.term.claim_version
-        if any(row.key == CLAIM_KEY and row.version > claim_version for row in changes.rows):
-            self.alive = False
-            return
-        self.feed = changes.version
-        jobs, cancels = split_job_rows(list(changes.rows))
-        self.scheduler.add_jobs(jobs)
-        self.scheduler.cancel(cancels)
-        now_s = self.sim.clock.now_s()
-        if self.sim.lagging_registry is None or now_s >= self.next_registry_read_s:
-            self.next_registry_read_s = now_s + REGISTRY_READ_INTERVAL_S
-            self.scheduler.set_workers(self.sim.registry())
-
-    def _write(self) -> None:
-        if not self.reaches_store:
-            return
-        now_s = self.sim.clock.now_s()
-        try:
-            if not self.is_resolved:
-                self.writer.resolve()
-                self.is_resolved = True
-            if self.batch is None:
-                if now_s < self.next_heartbeat_s and not self.scheduler.needs_write:
-                    return
-                self.batch, self.batch_sent_s = self.scheduler.take_progress(), now_s
-            if now_s < self.batch_sent_s + self.sim.store_write_s:
-                return
-            rejected = self.writer.write(
-                self.batch.rows,
-                pending=self.batch.pending,
-                deletes=self.batch.deletes,
-                leader_rows=self.batch.leader_rows(),
-                starts_recorded=self.batch.starts_recorded,
-                leases_until_s=self.batch.leases_until_s,
-            )
-        except LeadershipLostError:
-            self.alive = False
-            return
-        except StoreOutcomeUnknownError:
-            self.is_resolved = False
-            return
-        except StoreUnavailableError:
-            return
-        if self.sim.store_write_s:
-            self.writer.confirmed_s = self.batch_sent_s
-        self.scheduler.on_stored(self.batch, rejected={group.name for group in rejected})
-        if self.leases.length_s(now_s) > 0:
-            for order in self.scheduler.take_starts():
-                self.sim.send(self, order)
-        self.batch = None
-        self.next_heartbeat_s = now_s + HEARTBEAT_INTERVAL_S
-
-
 class JobSimulation:
     """The deployment.
 
--- a/bench/_leaselengths.py
+++ b/bench/_leaselengths.py
@@ -6,8 +6,9 @@
 
 import attrs
 
-from bench import _jobsimulation
-from bench._jobsimulation import JobSimulation, Leader
+from bench import _simulatedleader
+from bench._jobsimulation import JobSimulation
+from bench._simulatedleader import Leader
 from bench.loadpatterns import replaced
 from fescuerudder.document import Size
 from fescuerudder.jobs.job import Step
@@ -77,7 +78,7 @@
         name = f"E {lengths.lease_s:g}/{lengths.horizon_s:g} s"
         context = {"candidate": name, "wait_s": round(lengths.wait_s, 2)}
         with (
-            mock.patch.object(_jobsimulation, "LEASE_S", lengths.lease_s),
+            mock.patch.object(_simulatedleader, "LEASE_S", lengths.lease_s),
             replaced(leases__LEASE_HORIZON_S=lengths.horizon_s),
         ):
             for outage_s in OUTAGES_S:
--- a/bench/laterestarts.py
+++ b/bench/laterestarts.py
@@ -13,7 +13,8 @@
 
 import structlog
 
-from bench._jobsimulation import JobSimulation, Leader
+from bench._jobsimulation import JobSimulation
+from bench._simulatedleader import Leader
 from fescuerudder.document import Size
 from fescuerudder.jobs.job import Step
 from fescuerudder.jobs.jobrun import JobState, Phase
--- a/bench/leasetrials.py
+++ b/bench/leasetrials.py
@@ -16,8 +16,9 @@
 import attrs
 import structlog
 
-from bench import _jobsimulation
-from bench._jobsimulation import JobSimulation, Leader
+from bench import _jobsimulation, _simulatedleader
+from bench._jobsimulation import JobSimulation
+from bench._simulatedleader import Leader
 from fescuerudder.document import Size
 from fescuerudder.jobs.claim import load_lease_bound
 from fescuerudder.jobs.job import Step
@@ -193,10 +194,10 @@
         self._claimant = name
         horizon = Horizon(rule=self.rule, short_s=self.short_s)
         with (
-            mock.patch.object(_jobsimulation, "LeaderWriter", TrialWriter),
-            mock.patch.object(_jobsimulation, "LeasePolicy", _make_policy),
-            mock.patch.object(_jobsimulation, "LEASE_S", LEASE_S),
-            mock.patch.object(_jobsimulation, "load_stored_state", self._load),
+            mock.patch.object(_simulatedleader, "LeaderWriter", TrialWriter),
+            mock.patch.object(_simulatedleader, "LeasePolicy", _make_policy),
+            mock.patch.object(_simulatedleader, "LEASE_S", LEASE_S),
+            mock.patch.object(_simulatedleader, "load_stored_state", self._load),
         ):
             leader = super().claim(name)
         object.__setattr__(leader.leases, "horizon", horizon)
--- a/tests/jobs/test_roster.py
+++ b/tests/jobs/test_roster.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from bench._jobsimulation import InlineExecutor, JobSimulation
+from bench._jobsimulation import JobSimulation
+from bench._simulatedleader import InlineExecutor
 from fescuerudder.document import Size
 from fescuerudder.jobs.job import Step, TaskId
 from fescuerudder.jobs.jobrun import JobState
