--- a/tests/jobs/test_restarted_workers.py
+++ b/tests/jobs/test_restarted_workers.py
@@ -146,3 +146,22 @@
     record = leader.scheduler.state.workers["w0"]
     assert record.first_token and record.is_fenced
     assert record.lapsed_by_s() - sim.clock.now_s() <= longest_lease_s(MAX_LEASE_S)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize("cut_s", [0.8, 2.0])
+def test_a_worker_that_restarts_in_an_outage_lets_no_task_run_twice(cut_s, seed):
+    """Guards against starts whose longer leases can't be stored while the store is out."""
+    sim, leader = make_busy_world(seed)
+    delay_next(sim, is_lease, by_s=0.4)
+    sim.store.faults.down = True
+    sim.restart_worker("w0", registry_lag_s=0.3)
+    sim.run(cut_s)
+    assert not sim.workers["w0"].runs
+    sim.cut |= {(leader.name, "w0"), ("b", "w0")}
+    sim.store.faults.down = False
+    leader.alive = False
+    sim.run(1.0)
+    sim.claim("b")
+    sim.add_worker(3, 6.0)
+    sim.run(16.0)
