--- /dev/null
+++ b/tests/jobs/test_outliving_orders.py
@@ -0,0 +1,175 @@
+"""Orders that outlive the incarnation they were meant for, the leader that sent them, or both."""
+
+import pytest
+
+from bench._jobsimulation import JobSimulation
+from fescuerudder.jobs.jobrun import MAX_ORDER_DELAY_S, Phase
+from fescuerudder.jobs.workerport import RenewOrder, StartOrder
+from tests.jobs.test_former_incarnation import NEVER_S, require, run_until
+from tests.jobs.test_scheduler import JOB, ONE, steps
+
+MAX_LEASE_S = 10.0
+"""Longest lease of the workers."""
+
+LONG_S = 60.0
+"""Run time of the tasks that may run twice."""
+
+OUTLIVES = pytest.mark.xfail(reason="KNOWN-RED.txt", strict=True, raises=AssertionError)
+
+
+UPTIME_S = 40.0
+"""Time for which the workers are up at first, so the deadlines of orders are far off on the clock of
+the next incarnation."""
+
+
+def make_world(*, workers=2, capacity=6.0):
+    """Returns an idle world and its leader."""
+    sim = JobSimulation(workers=workers, capacity=capacity, max_lease_s=MAX_LEASE_S)
+    leader = sim.claim("a")
+    sim.run(UPTIME_S)
+    return sim, leader
+
+
+def is_start(order, *, worker="w0"):
+    return isinstance(order, StartOrder) and order.worker == worker
+
+
+def hide(sim, leaders):
+    """Cuts the first worker off from leaders and takes it off the registry."""
+    sim.cut |= {(name, "w0") for name in leaders}
+    sim.unlisted.add("w0")
+
+
+def next_incarnation(sim):
+    """Restarts the first worker."""
+    sim.workers["w0"].crash()
+    sim.workers["w0"].restart()
+
+
+@OUTLIVES
+@pytest.mark.parametrize("arrives_s", [10.0, 14.0])
+def test_a_covered_start_without_an_answer_is_known_to_the_successor(arrives_s):
+    """Guards against a start that no row names, as it was sent while the store was out.
+
+    The record of the first step covers the second one. The next incarnation carries its start out
+    after the leader was lost, and the successor can't reach the worker.
+    """
+    sim, leader = make_world(workers=1)
+    sim.plan = lambda task, attempt, worker: (ONE, LONG_S if task.step else 2.0, False)
+    sim.submit(JOB, steps=steps(1, 1))
+    run_until(sim, lambda: sim.workers["w0"].runs)
+    sim.run(0.5)
+    sim.store.faults.down = True
+    late = []
+
+    def late_by_s(order):
+        if not is_start(order):
+            return None
+        late.append(order)
+        return arrives_s
+
+    sim.late_by_s = late_by_s
+    run_until(sim, lambda: late)
+    leader.alive = False
+    hide(sim, "b")
+    sim.store.faults.down = False
+    sim.add_worker(1, 6.0)
+    next_incarnation(sim)
+    sim.run(0.5)
+    sim.claim("b")
+    sim.run(arrives_s + 8.0)
+
+
+@OUTLIVES
+@pytest.mark.parametrize("paused_s", [3.0, 5.5])
+def test_an_order_of_a_paused_predecessor_is_late_from_when_it_can_have_been_sent(paused_s):
+    """Guards against 20 s that count from the claim, as the predecessor may send after it.
+
+    It stores the record and is paused. It resumes within the time of its last bound on leases, and
+    sends the start before it learns of the claim.
+    """
+    sim, leader = make_world(workers=1)
+    sim.run_s = LONG_S
+    stored = []
+    on_stored = leader.scheduler.on_stored
+
+    def store_and_pause(batch, *, rejected=()):
+        if not batch.recorded:
+            on_stored(batch, rejected=rejected)
+            return
+        stored.append(batch)
+        leader.paused_until_s = sim.clock.now_s() + LONG_S
+
+    leader.scheduler.on_stored = store_and_pause
+    sim.submit(JOB, steps=steps(1))
+    run_until(sim, lambda: stored)
+    sim.run(0.5)
+    hide(sim, "b")
+    sim.claim("b")
+    sim.add_worker(1, 6.0)
+    sim.run(paused_s)
+    on_stored(stored[0])
+    require(leader.leases.length_s(sim.clock.now_s()) > 0)
+    (order,) = leader.scheduler.take_starts()
+    sim.late_by_s = lambda sent: MAX_ORDER_DELAY_S if sent is order else None
+    sim.send(leader, order)
+    leader.alive = False
+    next_incarnation(sim)
+    sim.run(MAX_ORDER_DELAY_S + MAX_LEASE_S + 1.0)
+
+
+@OUTLIVES
+@pytest.mark.parametrize("arrives_s", [4.0, 7.0])
+def test_a_successor_knows_that_an_unfenced_incarnation_runs_a_task(arrives_s):
+    """Guards against a run whose leases an earlier order extends after the leader was lost.
+
+    The leader learns of the run by a report to the former token and waits for late orders. It is
+    lost before it reaches the worker again, and the successor takes the start for answered.
+    """
+    sim, leader = make_world(workers=1)
+    sim.run_s, sim.delay_s = LONG_S, (0.2, 0.2)
+    renewals = []
+
+    def late_by_s(order):
+        if is_start(order):
+            return arrives_s if order.task.index else 0.1
+        renewals.append(order)
+        return None if len(renewals) == 1 else NEVER_S
+
+    sim.submit(JOB, steps=steps(2))
+    sim.late_by_s = late_by_s
+    record = leader.scheduler.state.workers["w0"]
+    run_until(sim, lambda: renewals)
+    sim.restart_worker("w0", registry_lag_s=30.0)
+    sim.run(1.5)
+    require(not record.is_fenced and len(sim.workers["w0"].runs) == 1)
+    leader.alive = False
+    hide(sim, "b")
+    sim.add_worker(1, 6.0)
+    sim.run(0.5)
+    sim.late_by_s = lambda order: None
+    sim.claim("b")
+    sim.run(16.0)
+
+
+@OUTLIVES
+def test_a_late_start_is_expected_after_another_worker_had_the_address():
+    """Guards against a start that counts as refused once another worker answers at the address.
+
+    The first worker is back there before the order arrives.
+    """
+    sim, _ = make_world(workers=1)
+    sim.run_s = LONG_S
+    sim.late_by_s = lambda order: 8.0 if is_start(order) else None
+    sim.submit(JOB, steps=steps(1))
+    run_until(sim, lambda: sim.leaders[-1].scheduler.state.workers["w0"].attempts)
+    sim.run(0.5)
+    arrives_s = sim.clock.now_s() + 7.5
+    sim.workers["w0"].crash()
+    sim.replaced["w0"] = sim.add_worker(1, 6.0).info.id
+    run_until(sim, lambda: sim.workers["w1"].runs)
+    sim.run(arrives_s - 0.5 - sim.clock.now_s())
+    del sim.replaced["w0"]
+    sim.workers["w0"].restart()
+    sim.unlisted.add("w0")
+    sim.run(2.0)
