--- a/tests/jobs/test_outliving_orders.py
+++ b/tests/jobs/test_outliving_orders.py
@@ -3,8 +3,8 @@
 import pytest
 
 from bench._jobsimulation import JobSimulation
-from fescuerudder.jobs.jobrun import MAX_ORDER_DELAY_S, Phase
-from fescuerudder.jobs.workerport import RenewOrder, StartOrder
+from fescuerudder.jobs.jobrun import MAX_ORDER_DELAY_S
+from fescuerudder.jobs.workerport import StartOrder
 from tests.jobs.test_former_incarnation import NEVER_S, require, run_until
 from tests.jobs.test_scheduler import JOB, ONE, steps
 
@@ -18,8 +18,8 @@
 
 
 UPTIME_S = 40.0
-"""Time for which the workers are up at first, so the deadlines of orders are far off on the clock of
-the next incarnation."""
+"""Time for which the workers are up at first, so the deadlines of orders are far off on the clock
+of the next incarnation."""
 
 
 def make_world(*, workers=2, capacity=6.0):
