Ask for the attempts that an isolated job hides by their present name

Callers saw that no job went on: after a takeover from a leader whose records of starts were incomplete, one row that the store rejects stopped all writes of the new leader, as taking the progress failed with an AttributeError ('StepRun' object has no attribute 'live_attempts'), again after each further claim. Cause: renamed the method, isolation.py was missed. The new test failed before with that error.

--- a/fescuerudder/jobs/isolation.py
+++ b/fescuerudder/jobs/isolation.py
@@ -98,7 +98,7 @@
     def hides_attempts(self) -> bool:
         """Returns whether attempts that may run are in no stored record because of an isolation."""
         steps = (step for group in self._groups.values() for step in group.steps)
-        return any(_may_run(attempt) for step in steps for attempt in step.live_attempts())
+        return any(_may_run(attempt) for step in steps for attempt in step.recorded_attempts())
 
 
 def _may_run(attempt: Attempt) -> bool:
--- a/tests/jobs/test_isolation.py
+++ b/tests/jobs/test_isolation.py
@@ -22,6 +22,7 @@
 )
 from standins.rows import MemoryRowStore
 from tests.jobs.test_leader import EMPTY_BATCH, make_term
+from tests.jobs.test_startrecords import lasting_simulation, remove_records
 
 JOB, OTHERS = "00000000000000aa", [f"00000000000000b{number}" for number in range(4)]
 OWN_ROWS = {KNOWLEDGE_KEY: b"k", ROSTER_KEY: b"r", DEADLINES_KEY: b"d"}
@@ -130,3 +131,25 @@
         rejected = term._writer.write({progress_key(JOB): b"p"}, pending={})
         term._finish_batch(EMPTY_BATCH, rejected)
         assert b"fescuerudder_isolated_rows_total" in metrics.render()
+
+
+def test_a_leader_goes_on_that_adopts_attempts_of_an_isolated_job():
+    """Guards against a leader that stores nothing more, as it asks for a job's hidden attempts.
+
+    An earlier leader recorded no starts, one of its workers is out of reach, and the store rejects
+    the record of what runs on the other.
+    """
+    sim = lasting_simulation(max_per_worker=1)
+    sim.claim("a")
+    sim.run(1.0)
+    sim.leaders[-1].alive = False
+    remove_records(sim)
+    sim.store.faults.rejects = lambda key, value: job_of(key) == JOB
+    sim.cut.add(("b", next(name for name, worker in sim.workers.items() if worker.runs)))
+    leader = sim.claim("b")
+    sim.run(11.0)
+    assert leader.alive
+    assert not load_heartbeat(sim.store.get(HEARTBEAT_KEY).value).starts_recorded
+    sim.store.faults.rejects = lambda key, value: False
+    sim.run(12.0)
+    assert load_heartbeat(sim.store.get(HEARTBEAT_KEY).value).starts_recorded
