Check starts and workers over three leaders

A start without an answer must be known to the third leader, whatever the second one stored: all, nothing, a part of a batch, or all but the row of such starts. The worker of a late start must be called though its job is done.

--- a/tests/jobs/test_outliving_orders.py
+++ b/tests/jobs/test_outliving_orders.py
@@ -1,8 +1,10 @@
 """Orders that outlive the incarnation they were meant for, the leader that sent them, or both."""
 
+import attrs
 import pytest
 
 from bench._jobsimulation import JobSimulation
+from fescuerudder.errors import StoreUnavailableError
 from fescuerudder.jobs.jobrun import MAX_ORDER_DELAY_S
 from fescuerudder.jobs.workerport import StartOrder
 from tests.jobs.test_former_incarnation import NEVER_S, require, run_until
@@ -173,3 +175,107 @@
     sim.workers["w0"].restart()
     sim.unlisted.add("w0")
     sim.run(2.0)
+
+
+MIDDLE_LEADERS = ["stores all", "stores nothing", "part of a batch", "row rejected", "no row"]
+
+
+def make_middle_leader(sim, kind, monkeypatch):
+    """Makes an instance the leader between two others, which stores all, nothing or a part.
+
+    The last two kinds don't store the row of the starts without an answer; a leader of the previous
+    version doesn't know it.
+    """
+    monkeypatch.setattr("fescuerudder.jobs.leaderwriter.ENTRIES_PER_TXN", 1)
+    leader = sim.claim("b")
+    if kind == "stores nothing":
+        leader.reaches_store = False
+    elif kind == "part of a batch":
+        write = sim.store.write
+
+        def write_first_parts(txn, *, timeout_s):
+            if any(key.key == "unanswered" for key, _ in txn.puts):
+                raise StoreUnavailableError("the leader is lost")
+            return write(txn, timeout_s=timeout_s)
+
+        monkeypatch.setattr(sim.store, "write", write_first_parts)
+    elif kind == "row rejected":
+        sim.store.faults.rejects = lambda key, value: key.key == "unanswered"
+    elif kind == "no row":
+        roster = leader.scheduler._roster
+        monkeypatch.setattr(roster, "take_unanswered", lambda **_: None, raising=False)
+    return leader
+
+
+@pytest.mark.parametrize("kind", MIDDLE_LEADERS)
+@pytest.mark.parametrize("first_s", [0.3, 3.8])
+@pytest.mark.parametrize("middle_s", [0.2, 4.0])
+def test_the_last_of_three_leaders_knows_a_start_without_an_answer(
+    middle_s, first_s, kind, monkeypatch
+):
+    """Guards against a start that the first leader sent and the last one doesn't know.
+
+    No leader but the first reaches the worker. Its next incarnation carries the start out.
+    """
+    sim, leader = make_world(workers=1)
+    sim.run_s = LONG_S
+    sim.late_by_s = lambda order: 18.0 if is_start(order) and order.attempt == 1 else None
+    sim.submit(JOB, steps=steps(2))
+    run_until(sim, lambda: sim.leaders[-1].scheduler.state.workers["w0"].attempts)
+    sim.run(first_s)
+    arrives_s = sim.clock.now_s() - first_s + 18.0
+    leader.alive = False
+    sim.late_by_s = lambda order: None
+    hide(sim, "bc")
+    sim.add_worker(1, 6.0)
+    sim.run(1.0)
+    with monkeypatch.context() as context:
+        middle = make_middle_leader(sim, kind, context)
+        sim.run(middle_s)
+    middle.alive = False
+    sim.store.faults.rejects = lambda key, value: False
+    sim.run(0.5)
+    sim.claim("c")
+    sim.run(arrives_s - 0.3 - sim.clock.now_s())
+    next_incarnation(sim)
+    sim.run(14.0)
+    late = [event for event in sim.events if event[1:2] + event[3:] == ("w0", 1, "start")]
+    require(len(late) == 2)
+
+
+@pytest.mark.parametrize("has_others", [False, True])
+@pytest.mark.parametrize("leaders", [1, 2])
+def test_the_worker_of_a_late_start_is_called_after_takeovers(leaders, has_others):
+    """Guards against a start after the end of its task, which the last leader doesn't know of.
+
+    The job has left the rows, and the leaders between may store late starts of their own. The idle
+    worker restarts a moment before the order arrives.
+    """
+    sim, _ = make_world(workers=3)
+    sim.run_s = 0.5
+    lost = []
+
+    def late_by_s(order):
+        is_first = isinstance(order, StartOrder) and order.attempt % 10_000 == 1
+        if not is_first or (lost and not has_others):
+            return None
+        lost.append((order.worker, sim.clock.now_s() + 16.0))
+        return 16.0
+
+    sim.late_by_s = late_by_s
+    sim.submit(JOB, steps=steps(1))
+    run_until(sim, lambda: lost)
+    sim.run(5.0)
+    name, arrives_s = lost[0]
+    worker = sim.workers[name]
+    worker.info = attrs.evolve(worker.info, draining=True)
+    for number in range(leaders):
+        sim.leaders[-1].alive = False
+        sim.claim("bc"[number])
+        sim.submit(f"{number + 200:016x}", steps=steps(1))
+        sim.run(3.0)
+    sim.late_by_s = lambda order: None
+    sim.run(arrives_s - 0.4 - sim.clock.now_s())
+    sim.restart_worker(name, registry_lag_s=4.0)
+    sim.run(2.0)
+    assert len([e for e in sim.events if e[4] == "start" and e[2].job == JOB]) == 1
