Show two late starts on one worker and a late acknowledgement, known red; check the waits

Both were named open in docs/design/incarnations.md and had no test: a lost start and the restart that followed it are both carried out by the next incarnation, and an acknowledgement for the last incarnation forgets the end of a late start unseen, so its task starts again. Two more tests guard the waits after a takeover: a start that was lost long before a claim delays its task for 20 s from its sending, not from the claim, and a start without an answer delays no other task of its worker.

--- a/tests/jobs/test_outliving_orders.py
+++ b/tests/jobs/test_outliving_orders.py
@@ -5,9 +5,17 @@
 
 from bench._jobsimulation import JobSimulation
 from fescuerudder.errors import StoreUnavailableError
-from fescuerudder.jobs.jobrun import MAX_ORDER_DELAY_S
-from fescuerudder.jobs.workerport import StartOrder
-from tests.jobs.test_former_incarnation import NEVER_S, require, run_until
+from fescuerudder.jobs.job import Step
+from fescuerudder.jobs.jobrun import MAX_ORDER_DELAY_S, JobState
+from fescuerudder.jobs.workerport import RenewOrder, StartOrder
+from fescuerudder.jobs.workerrecord import longest_lease_s
+from tests.jobs.test_former_incarnation import (
+    LAST_JOB,
+    NEVER_S,
+    require,
+    run_until,
+    starts_after_noted_ends,
+)
 from tests.jobs.test_scheduler import JOB, ONE, steps
 
 MAX_LEASE_S = 10.0
@@ -279,3 +287,105 @@
     sim.restart_worker(name, registry_lag_s=4.0)
     sim.run(2.0)
     assert len([e for e in sim.events if e[4] == "start" and e[2].job == JOB]) == 1
+
+
+@OUTLIVES
+def test_two_late_starts_of_a_task_on_one_worker_do_not_both_run():
+    """Guards against a worker that carries out a lost start and the restart that followed it.
+
+    The restart has a higher number and token, so the worker refuses neither.
+    """
+    sim, _ = make_world(workers=1)
+    sim.run_s = LONG_S
+    sent = []
+
+    def late_by_s(order):
+        if not is_start(order):
+            return None
+        sent.append(sim.clock.now_s())
+        return sent[0] + 8.0 + len(sent) / 10 - sim.clock.now_s()
+
+    sim.late_by_s = late_by_s
+    sim.submit(JOB, steps=steps(1))
+    run_until(sim, lambda: len(sent) == 2)
+    sim.workers["w0"].crash()
+    sim.run(sent[0] + 7.95 - sim.clock.now_s())
+    sim.late_by_s = lambda order: NEVER_S
+    sim.workers["w0"].restart()
+    sim.run(2.0)
+
+
+@OUTLIVES
+@pytest.mark.parametrize("number", [1, 2])
+def test_a_late_acknowledgement_does_not_forget_the_end_of_a_late_start(number):
+    """Guards against a task that starts again after an end that was forgotten unseen.
+
+    A new acknowledgement of the ends of the last incarnation and a start are under way at the
+    restart, and the next incarnation carries both out.
+    """
+    sim, _ = make_world(workers=1)
+    sim.run_s = 0.3
+    sim.submit(LAST_JOB, steps=[Step(count=3, size=ONE)])
+    late = []
+
+    def late_by_s(order):
+        if isinstance(order, RenewOrder) and order.acknowledged:
+            late.append(order)
+            return 0.8
+        return 0.2 if late and is_start(order) else None
+
+    sim.late_by_s = late_by_s
+    run_until(sim, lambda: late)
+    sim.submit(JOB, steps=steps(number))
+    run_until(sim, lambda: sim.leaders[-1].scheduler.state.workers["w0"].attempts)
+    sim.restart_worker("w0", registry_lag_s=2.0)
+    sim.run(0.7)
+    sim.late_by_s = lambda order: None
+    sim.run(10.0)
+    require(sim.state(JOB) is JobState.COMPLETED)
+    assert not starts_after_noted_ends(sim)
+
+
+def test_a_successor_knows_until_when_an_order_can_be_carried_out():
+    """Guards against a task that waits 20 s from each claim for a start that was lost long before.
+
+    The worker doesn't return.
+    """
+    sim, leader = make_world(workers=1)
+    sim.run_s = LONG_S
+    sim.late_by_s = lambda order: MAX_ORDER_DELAY_S if is_start(order) else None
+    sim.submit(JOB, steps=steps(1))
+    run_until(sim, lambda: leader.scheduler.state.workers["w0"].attempts)
+    sent_s = sim.clock.now_s()
+    sim.run(0.6)
+    sim.workers["w0"].crash()
+    sim.add_worker(1, 6.0)
+    sim.run(12.0)
+    leader.alive = False
+    sim.claim("b")
+    ends_s = sent_s + MAX_ORDER_DELAY_S + longest_lease_s(MAX_LEASE_S)
+    sim.run(ends_s + 1.5 - sim.clock.now_s())
+    assert sim.workers["w1"].runs
+
+
+def test_a_start_without_an_answer_delays_no_other_task_of_its_worker():
+    """Guards against tasks that wait 30 s, as a start without an answer was lost on their worker.
+
+    The successor sees the restart in the registry and can't reach the worker.
+    """
+    sim, leader = make_world(workers=1)
+    sim.run_s = LONG_S
+    sim.submit(JOB, steps=steps(4))
+    sim.run(2.0)
+    sim.late_by_s = lambda order: MAX_ORDER_DELAY_S if is_start(order) else None
+    sim.submit(LAST_JOB, steps=steps(1))
+    run_until(sim, lambda: len(leader.scheduler.state.workers["w0"].attempts) == 5)
+    sim.run(0.3)
+    leader.alive = False
+    sim.cut.add(("b", "w0"))
+    next_incarnation(sim)
+    sim.add_worker(1, 6.0)
+    sim.run(0.7)
+    sim.claim("b")
+    sim.run(longest_lease_s(MAX_LEASE_S) + 2.0)
+    assert sum(task.job == JOB for task, _ in sim.workers["w1"].runs) == 4
