Store the starts without an answer with their records

Callers saw tasks that ran twice after a worker restarted under its id and its leader was lost. A start that had no answer yet was known to nobody but the leader that had sent it, until it gave the start up.

The leader now stores the row leader/leader/unanswered in the transaction of each record of starts (the last one, if a batch has several), and again with the next write once the set has changed. It names all live attempts that are not known to be answered, planned ones included, and all late starts, those of ended jobs too. A successor takes a recorded start for answered only if its record is not newer than that row and the row doesn't name it. So the rule holds over chains of takeovers, and beside leaders of the previous version, which write newer records and leave the row alone.

--- a/fescuerudder/jobs/latestarts.py
+++ b/fescuerudder/jobs/latestarts.py
@@ -16,7 +16,7 @@
 
 from fescuerudder import checked
 from fescuerudder.jobs.job import TaskId
-from fescuerudder.jobs.jobrun import Attempt, TaskRun
+from fescuerudder.jobs.jobrun import Attempt, Phase, TaskRun
 from fescuerudder.jobs.progress import StoredFormError
 from fescuerudder.jobs.rows import StoreClock
 
@@ -54,6 +54,7 @@
     def __init__(self) -> None:
         self._by_worker: dict[str, dict[AttemptKey, Attempt]] = {}
         self._stored_until_s: dict[str, float] = {}
+        self._stored_ended: dict[StoredLateStart, float] = {}
         self._must_store = False
 
     @property
@@ -82,12 +83,18 @@
             worker=attempt.worker,
         )
 
-    def expect_stored(self, worker: str, *, until_s: float) -> None:
-        """Records that a late order that an earlier leader stored may reach a worker.
+    def expect_stored(self, late: StoredLateStart, *, until_s: float, is_live: bool) -> None:
+        """Records that a late order that an earlier leader stored may reach its worker.
 
-        Its task may have ended or be unknown to this leader.
+        Args:
+            late: the order.
+            until_s: when it can no longer be carried out.
+            is_live: it has a live attempt. Else its task has ended or is unknown to this leader.
         """
+        worker = late.worker
         self._stored_until_s[worker] = max(until_s, self._stored_until_s.get(worker, until_s))
+        if not is_live:
+            self._stored_ended[late] = until_s
 
     @property
     def may_reach_any(self) -> bool:
@@ -99,6 +106,8 @@
         if self._stored_until_s:
             until_s = self._stored_until_s.items()
             self._stored_until_s = {worker: at_s for worker, at_s in until_s if now_s < at_s}
+            ended = self._stored_ended.items()
+            self._stored_ended = {late: at_s for late, at_s in ended if now_s < at_s}
 
     def may_reach(self, worker: str, now_s: float) -> bool:
         """Returns whether the next incarnation of a worker may carry out a late order."""
@@ -117,16 +126,32 @@
     def drop_worker(self, worker: str) -> None:
         """Drops the late starts on a worker that is gone."""
         self._stored_until_s.pop(worker, None)
+        for late in [late for late in self._stored_ended if late.worker == worker]:
+            del self._stored_ended[late]
         for attempt in self.of_worker(worker):
             self.drop(attempt, result="worker gone")
 
     def expired(self, now_s: float) -> list[Attempt]:
         """Returns the late starts whose orders can no longer be carried out."""
-        return [attempt for attempt in self._all() if now_s >= attempt.order_ends_s]
+        return [attempt for attempt in self.attempts() if now_s >= attempt.order_ends_s]
 
-    def _all(self) -> Iterable[Attempt]:
+    def attempts(self) -> Iterable[Attempt]:
+        """Yields the late starts."""
         return (a for attempts in self._by_worker.values() for a in attempts.values())
 
+    def ended(self, store_clock: StoreClock | None) -> list[StoredLateStart]:
+        """Returns the late starts of earlier leaders that have no attempt in this term.
+
+        Args:
+            store_clock: reading of the store's clock, None if the store told none.
+        """
+        if store_clock is None:
+            return list(self._stored_ended)
+        return [
+            attrs.evolve(late, until_ms=late.until_ms or store_clock.latest_ms(until_s))
+            for late, until_s in self._stored_ended.items()
+        ]
+
     def drop(self, attempt: Attempt, *, result: str) -> None:
         """Drops a late start, for the reason `result`."""
         task, attempts = attempt.task, self._by_worker[attempt.worker]
@@ -148,8 +173,8 @@
         if not self._must_store:
             return None
         self._must_store = False
-        newest = sorted(self._all(), key=lambda attempt: -attempt.order_ends_s)[:MAX_STORED]
-        return dump_late_starts(newest, store_clock)
+        newest = sorted(self.attempts(), key=lambda attempt: -attempt.order_ends_s)[:MAX_STORED]
+        return dump_late_starts(to_stored(attempt, store_clock) for attempt in newest)
 
 
 def bound_worker(task: TaskRun) -> str | None:
@@ -167,21 +192,35 @@
     return bound_worker(task) in (None, worker)
 
 
-def dump_late_starts(attempts: Iterable[Attempt], store_clock: StoreClock | None) -> bytes:
+def dump_late_starts(starts: Iterable[StoredLateStart]) -> bytes:
     """Returns the serialized late starts."""
-    rows = [
-        [
-            attempt.worker,
-            attempt.incarnation_ms,
-            list(attempt.task.id),
-            attempt.number,
-            store_clock.latest_ms(attempt.order_ends_s) if store_clock is not None else 0,
-        ]
-        for attempt in attempts
-    ]
+    rows = [[s.worker, s.incarnation_ms, list(s.task), s.number, s.until_ms] for s in starts]
     return json.dumps(rows, separators=(",", ":")).encode()
 
 
+def to_stored(attempt: Attempt, store_clock: StoreClock | None) -> StoredLateStart:
+    """Returns the form in which the start of an attempt is stored.
+
+    Args:
+        attempt: the attempt.
+        store_clock: reading of the store's clock, None if the store told none.
+    """
+    return StoredLateStart(
+        worker=attempt.worker,
+        incarnation_ms=attempt.incarnation_ms,
+        task=attempt.task.id,
+        number=attempt.number,
+        until_ms=_order_ends_ms(attempt, store_clock),
+    )
+
+
+def _order_ends_ms(attempt: Attempt, store_clock: StoreClock | None) -> int:
+    """Returns when an order can no longer be carried out, 0 if unknown or if it isn't sent yet."""
+    if store_clock is None or attempt.phase is Phase.PLANNED:
+        return 0
+    return store_clock.latest_ms(attempt.order_ends_s)
+
+
 def load_late_starts(data: bytes) -> list[StoredLateStart]:
     """Returns the deserialized late starts.
 
--- a/fescuerudder/jobs/leaseexpiry.py
+++ b/fescuerudder/jobs/leaseexpiry.py
@@ -63,8 +63,6 @@
     for attempt in ended:
         if attempt.phase is not Phase.PLANNED:
             record.add_lapsed(attempt)
-        # A start of an earlier leader counts as answered unless the store says otherwise.
-        attempt.is_answered |= attempt.restored and attempt.late_until_s is None
         state.requeue(attempt, checkpoint=attempt.checkpoint, reason="lease ended unseen")
     if not record.listed and state.may_forget(record):
         state.forget_worker(record)
--- a/fescuerudder/jobs/progressbatch.py
+++ b/fescuerudder/jobs/progressbatch.py
@@ -7,7 +7,12 @@
 from fescuerudder.jobs.jobrun import JobState, RecordedStart, StepRun
 from fescuerudder.jobs.rosterrows import SerializedRoster
 from fescuerudder.jobs.rows import RowKey
-from fescuerudder.jobs.storage import KNOWLEDGE_KEY, LATE_STARTS_KEY, ROSTER_KEY
+from fescuerudder.jobs.storage import (
+    KNOWLEDGE_KEY,
+    LATE_STARTS_KEY,
+    ROSTER_KEY,
+    UNANSWERED_KEY,
+)
 
 
 @attrs.frozen(kw_only=True)
@@ -29,6 +34,7 @@
         knowledge: serialized knowledge about tasks, None if it was stored recently.
         roster: the serialized roster, None if the stored one is up to date.
         late_starts: the serialized late starts, None if the stored ones are up to date.
+        unanswered: the serialized starts without an answer, None if the stored ones are up to date.
         roster_incarnations: incarnations of the workers that may get tasks once the roster is
             stored, by worker id.
         leases_until_s: time that the bound on leases must cover before the roster takes effect, on
@@ -48,6 +54,7 @@
     late_starts: bytes | None
     roster_incarnations: dict[str, int]
     leases_until_s: float = 0.0
+    unanswered: bytes | None = None
 
     def without(self, names: Collection[str]) -> "ProgressBatch":
         """Returns what takes effect if the groups of rows with these names were rejected."""
@@ -68,5 +75,6 @@
             KNOWLEDGE_KEY: self.knowledge,
             **(self.roster.rows if self.roster is not None else {}),
             LATE_STARTS_KEY: self.late_starts,
+            UNANSWERED_KEY: self.unanswered,
         }
         return {key: value for key, value in rows.items() if value is not None}
--- a/fescuerudder/jobs/progressoutput.py
+++ b/fescuerudder/jobs/progressoutput.py
@@ -11,7 +11,7 @@
 from fescuerudder.jobs.rows import MAX_TXN_ROWS, RowKey
 from fescuerudder.jobs.schedulerstate import SchedulerState
 from fescuerudder.jobs.startrelease import StartReleaser
-from fescuerudder.jobs.storage import ROSTER_KEY, job_of, progress_key
+from fescuerudder.jobs.storage import ROSTER_KEY, UNANSWERED_KEY, job_of, progress_key
 
 MAX_HISTORY_ENTRIES = MAX_TXN_ROWS - 20
 """Number of entries up to which a transaction is filled with deletions of ended jobs' rows, so that
@@ -109,6 +109,7 @@
             knowledge=knowledge,
             roster=stored.roster if stored is not None else None,
             late_starts=self._roster.take_late_starts(),
+            unanswered=self._roster.take_unanswered(has_records=bool(starts.recorded)),
             roster_incarnations=stored.incarnations if stored is not None else {},
             leases_until_s=stored.leases_until_s if stored is not None else 0.0,
         )
@@ -152,6 +153,8 @@
                 self._state.unrecorded_steps.update(dict.fromkeys(held))
             elif name == ROSTER_KEY.key:
                 self._state.roster_changed = True
+            elif name == UNANSWERED_KEY.key:
+                self._state.unanswered.reset_taken()
 
     def _may_claim_recorded(self) -> bool:
         """Returns whether the heartbeats may say that all starts are recorded.
--- a/fescuerudder/jobs/reports.py
+++ b/fescuerudder/jobs/reports.py
@@ -136,10 +136,9 @@
     def _run_ends_s(self, attempt: Attempt, now_s: float) -> float:
         """Returns when a run has ended that the new incarnation may have begun.
 
-        A start of an earlier leader counts as carried out by now, else each worker that is lost
-        with its leader and restarts out of reach would hold its tasks back for 20 s.
+        A start of an earlier leader that was answered has been carried out by now.
         """
-        if attempt.restored:
+        if attempt.restored and attempt.is_answered:
             return now_s + longest_lease_s(self._state.max_lease_s)
         return self._state.late_run_ends_s(attempt)
 
--- a/fescuerudder/jobs/rosterkeeper.py
+++ b/fescuerudder/jobs/rosterkeeper.py
@@ -99,7 +99,7 @@
             stored_rows: highest number of one of its further rows.
             store_clock: reading of the store's clock, None if the store told none.
             starts: the records of starts.
-            late_starts: the late starts that the last leader knew.
+            late_starts: the late starts, and those without an answer, that the last leader knew.
             leases_until_ms: when all leases of earlier leaders have expired, on the store's clock;
                 None if it tells no more than the claim.
         """
@@ -176,7 +176,14 @@
             record, task = self._state.workers.get(start.worker), step.task(start.index)
             if record is None or task is None or task.done:
                 continue
-            self._restore_attempt(record, task, start.number, start.incarnation_ms, now_s)
+            self._restore_attempt(
+                record,
+                task,
+                start.number,
+                start.incarnation_ms,
+                now_s,
+                is_answered=start.is_answered,
+            )
             recorded_start = RecordedStart(
                 task=task, worker=record.id, incarnation_ms=start.incarnation_ms
             )
@@ -190,8 +197,13 @@
         number: int,
         incarnation_ms: int,
         now_s: float,
+        *,
+        is_answered: bool = False,
     ) -> None:
-        """Restores an attempt as uncertain, unless its task no longer needs it."""
+        """Restores an attempt as uncertain, unless its task no longer needs it.
+
+        The order of one that wasn't answered may have been sent up to now.
+        """
         if task.done or not task.step.job.is_live:
             if number and task.step.job.job.account:
                 # It may still run, and counts for its account until a report or its lease tells.
@@ -208,30 +220,32 @@
             throttle=None,
             adopted=True,
             restored=True,
-            is_answered=number in task.failed_attempts,
+            is_answered=is_answered or number in task.failed_attempts,
         )
         self._state.add_attempt(attempt)
 
     def _restore_late_start(self, late: StoredLateStart, now_s: float) -> None:
         """Restores how long a late start may still be carried out, and the start if no record does.
 
-        Instances of the previous version don't update the row, so it may hold outdated ones.
+        Instances of the previous version don't update the row, so it may hold outdated ones. One
+        without an attempt, as its task has ended, is stored again for the next leader.
         """
         record, task = self._state.workers.get(late.worker), self._state.find_task(late.task)
+        if record is None:
+            return
         until_s = now_s + MAX_ORDER_DELAY_S
         if self._store_clock is not None and late.until_ms:
             until_s = min(until_s, self._store_clock.latest_s(late.until_ms))
-        if record is None or until_s <= now_s:
-            return
-        self._state.late_starts.expect_stored(late.worker, until_s=until_s)
-        if task is None:
-            return
         key = (late.task, late.number)
-        if key not in record.attempts:
+        if key not in record.attempts and task is not None and now_s < until_s:
             self._restore_attempt(record, task, late.number, late.incarnation_ms, now_s)
         attempt = record.attempts.get(key)
         if attempt is not None:
-            attempt.late_until_s = until_s
+            attempt.late_until_s = max(until_s, attempt.late_until_s or until_s)
+        if now_s < until_s:
+            self._state.late_starts.expect_stored(
+                late, until_s=until_s, is_live=attempt is not None
+            )
 
     def _update_listed(self, info: WorkerInfo, now_s: float) -> None:
         record = self._state.workers.get(info.id)
@@ -306,6 +320,17 @@
         """Returns the late starts if more have to be stored, and marks them as taken."""
         return self._state.late_starts.take_changed(self._store_clock)
 
+    def take_unanswered(self, *, has_records: bool) -> bytes | None:
+        """Returns the starts without an answer if they have to be stored; see `UnansweredStarts`.
+
+        Args:
+            has_records: records of starts are stored in the same batch.
+        """
+        state = self._state
+        return state.unanswered.take(
+            state.late_starts, has_records=has_records, store_clock=self._store_clock
+        )
+
     def _entry(self, record: WorkerRecord) -> RosterEntry:
         """Returns the roster entry of a worker, and restricts the worker if it has been silent.
 
--- a/fescuerudder/jobs/scheduler.py
+++ b/fescuerudder/jobs/scheduler.py
@@ -146,7 +146,7 @@
             stored_rows: highest number of one of its further rows.
             store_clock: reading of the store's clock, None if the store told none.
             starts: the records of starts.
-            late_starts: the late starts that the last leader knew.
+            late_starts: the late starts, and those without an answer, that the last leader knew.
             leases_until_ms: when all leases of earlier leaders have expired, on the store's clock;
                 None if it tells no more than the claim.
         """
--- a/fescuerudder/jobs/schedulerstate.py
+++ b/fescuerudder/jobs/schedulerstate.py
@@ -20,6 +20,7 @@
 from fescuerudder.jobs.runtimes import RunTimes, SubmittedTimes, make_run_times
 from fescuerudder.jobs.shares import Entitlements, weight_of
 from fescuerudder.jobs.startrecords import record_keys
+from fescuerudder.jobs.unansweredstarts import UnansweredStarts
 from fescuerudder.jobs.urgency import JobSizes
 from fescuerudder.jobs.workerhealth import WorkerHealth
 from fescuerudder.jobs.workerrecord import AttemptKey, WorkerRecord, longest_lease_s
@@ -87,6 +88,7 @@
         usage: what each account has running.
         max_lease_s: longest lease that a worker grants, in seconds.
         late_starts: start orders that later incarnations of their workers may carry out.
+        unanswered: live attempts that are not known to have been answered.
         entitlements: when callers are entitled to their jobs.
         dirty_jobs: jobs whose progress has changed since it was last stored.
         raised_tokens: fencing tokens of removed workers that are above the first one of the term,
@@ -124,6 +126,7 @@
     starts_recorded: bool = False
     max_lease_s: float = 0.0
     late_starts: LateStarts = attrs.Factory(LateStarts)
+    unanswered: UnansweredStarts = attrs.Factory(UnansweredStarts)
     job_sizes: JobSizes = attrs.Factory(JobSizes)
     policy: SchedulingPolicy = DEFAULT_POLICY
     run_times: RunTimes | SubmittedTimes = attrs.field(init=False)
@@ -190,6 +193,7 @@
         attempt.task.last_number = max(attempt.task.last_number, attempt.number)
         record = self.workers[attempt.worker]
         record.attempts[(attempt.task.id, attempt.number)] = attempt
+        self.unanswered.add(attempt)
         self.usage.add(attempt, pool=self._pool_of(attempt.task))
 
     def plan_start(self, attempt: Attempt) -> None:
@@ -250,6 +254,7 @@
         """Removes an attempt that is known not to run and not to start later."""
         self.discard_load(attempt.worker)
         self.planned.pop(attempt, None)
+        self.unanswered.discard(attempt)
         self.usage.remove(attempt)
         if attempt in attempt.task.attempts:
             attempt.task.attempts.remove(attempt)
--- a/fescuerudder/jobs/startrecords.py
+++ b/fescuerudder/jobs/startrecords.py
@@ -30,12 +30,14 @@
         incarnation_ms: start time of the worker's incarnation.
         index: index of the task in its step.
         number: number of the attempt, 0 if unknown.
+        is_answered: an earlier leader knew that its worker had answered the start or listed it.
     """
 
     worker: str
     incarnation_ms: int
     index: int
     number: int
+    is_answered: bool = False
 
 
 @attrs.frozen(kw_only=True)
--- a/fescuerudder/jobs/storage.py
+++ b/fescuerudder/jobs/storage.py
@@ -53,6 +53,9 @@
 LATE_STARTS_KEY = RowKey(LEADER_TABLE, LEADER_PARTITION, "late")
 """The start orders without an answer that later incarnations of their workers may carry out."""
 
+UNANSWERED_KEY = RowKey(LEADER_TABLE, LEADER_PARTITION, "unanswered")
+"""The recorded starts without an answer; written in the transaction of each record or after it."""
+
 
 def partition_of(job_id: str) -> str:
     """Returns the partition of a job."""
--- a/fescuerudder/jobs/takeover.py
+++ b/fescuerudder/jobs/takeover.py
@@ -40,10 +40,12 @@
     PROGRESS_TABLE,
     ROSTER_KEY,
     STARTS_TABLE,
+    UNANSWERED_KEY,
     job_of,
     progress_key,
     roster_row_number,
 )
+from fescuerudder.jobs.unansweredstarts import StoredUnanswered
 
 LOAD_TIMEOUT_S = 3.0
 
@@ -69,7 +71,7 @@
         roster: workers on which tasks of earlier leaders may run, with these tasks.
         roster_rows: highest number of one of its further rows, also of those no longer used.
         starts: the records of starts.
-        late_starts: the late starts that the last leader knew.
+        late_starts: the late starts, and those without an answer, that the last leader knew.
         store_clock: reading of the store's clock, None if the store told none.
         leases_until_ms: when all leases of earlier leaders have expired, on the store's clock; None
             if the last one stored no bound.
@@ -151,14 +153,14 @@
     # Records of any other job are left over. A job whose row can't be read may not have ended.
     unfinished = {row.key.key for rows in jobs for row in rows} - {job.id for job in loaded.ended}
     stored = {row.key: row for row in leader_rows}
-    knowledge, late = stored.get(KNOWLEDGE_KEY), stored.get(LATE_STARTS_KEY)
+    knowledge, unanswered = stored.get(KNOWLEDGE_KEY), _read_unanswered(stored)
     return attrs.evolve(
         loaded,
         knowledge=knowledge.value if knowledge is not None else None,
         roster=_read_roster(stored),
         roster_rows=max(map(roster_row_number, stored), default=0),
-        starts=_read_starts(starts, stored.get(HEARTBEAT_KEY), unfinished),
-        late_starts=(_parse(load_late_starts, late.value) or []) if late is not None else [],
+        starts=_read_starts(starts, stored.get(HEARTBEAT_KEY), unfinished, unanswered),
+        late_starts=[*_read_late_starts(stored, unanswered), *unanswered.starts],
         store_clock=store_clock if head.store_ms else None,
         leases_until_ms=_read_lease_bound(stored),
     )
@@ -178,8 +180,33 @@
     return bound.until_ms
 
 
+def _read_late_starts(
+    stored: dict[RowKey, Row], unanswered: StoredUnanswered
+) -> list[StoredLateStart]:
+    """Returns the late starts that a leader of the previous version stored.
+
+    Those of this version are among the starts without an answer.
+    """
+    row = stored.get(LATE_STARTS_KEY)
+    if row is None or row.version <= unanswered.version:
+        return []
+    return _parse(load_late_starts, row.value) or []
+
+
+def _read_unanswered(stored: dict[RowKey, Row]) -> StoredUnanswered:
+    """Returns the starts without an answer; if the row can't be read, all count as unanswered."""
+    row = stored.get(UNANSWERED_KEY)
+    starts = _parse(load_late_starts, row.value) if row is not None else None
+    if row is None or starts is None:
+        return StoredUnanswered()
+    return StoredUnanswered(starts=tuple(starts), version=row.version)
+
+
 def _read_starts(
-    rows: list[Row], heartbeat: Row | None, unfinished: Collection[str]
+    rows: list[Row],
+    heartbeat: Row | None,
+    unfinished: Collection[str],
+    unanswered: StoredUnanswered,
 ) -> StoredStarts:
     """Returns the records of starts; they are complete only if all of them can be read.
 
@@ -187,6 +214,7 @@
         rows: the rows of the records.
         heartbeat: the heartbeat row, None if there is none.
         unfinished: ids of the jobs that have not ended.
+        unanswered: the starts without an answer.
     """
     records, unreadable = [], []
     for row in rows:
@@ -194,7 +222,7 @@
         if record is None:
             unreadable.append(row.key)
         else:
-            records.append(record)
+            records.append(unanswered.mark_answered(record, version=row.version))
     return StoredStarts(
         steps=tuple(record for record in records if record.step.job in unfinished),
         obsolete=tuple(record.step for record in records if record.step.job not in unfinished),
--- a/tests/jobs/test_former_incarnation.py
+++ b/tests/jobs/test_former_incarnation.py
@@ -29,8 +29,6 @@
 NEXT_CALL_S = 0.8
 """Delay with which a renewal comes after the runs that it must not acknowledge have ended."""
 
-FORMER_INCARNATION = pytest.mark.xfail(reason="KNOWN-RED.txt", strict=True, raises=AssertionError)
-
 
 def make_world(*, tasks, workers=2):
     """Returns a world in which tasks have run on all workers, its leader and the first worker."""
@@ -148,7 +146,6 @@
     sim.run(16.0)
 
 
-@FORMER_INCARNATION
 def test_a_successor_binds_a_start_whose_answer_its_predecessor_still_missed():
     """Guards against a task that starts elsewhere while the next incarnation runs it.
 
--- a/tests/jobs/test_latestarts.py
+++ b/tests/jobs/test_latestarts.py
@@ -8,7 +8,12 @@
 from fescuerudder.errors import PlatformError
 from fescuerudder.jobs.job import TaskId
 from fescuerudder.jobs.jobrun import MAX_ORDER_DELAY_S, MAX_POSSIBLE_CRASHES, JobState
-from fescuerudder.jobs.latestarts import StoredLateStart, dump_late_starts, load_late_starts
+from fescuerudder.jobs.latestarts import (
+    StoredLateStart,
+    dump_late_starts,
+    load_late_starts,
+    to_stored,
+)
 from fescuerudder.jobs.leases import LEASE_HORIZON_S
 from fescuerudder.jobs.rows import StoreClock
 from fescuerudder.jobs.storage import LATE_STARTS_KEY
@@ -219,8 +224,8 @@
         number=1,
         until_ms=clock.latest_ms(attempt.sent_s + MAX_ORDER_DELAY_S),
     )
-    assert load_late_starts(dump_late_starts([attempt], clock)) == [expected]
-    untimed = load_late_starts(dump_late_starts([attempt], None))
+    assert load_late_starts(dump_late_starts([to_stored(attempt, clock)])) == [expected]
+    untimed = load_late_starts(dump_late_starts([to_stored(attempt, None)]))
     assert untimed == [attrs.evolve(expected, until_ms=0)]
 
 
--- a/tests/jobs/test_unanswered_starts.py
+++ b/tests/jobs/test_unanswered_starts.py
@@ -21,9 +21,6 @@
 )
 from tests.jobs.test_scheduler import ONE
 
-UNANSWERED = pytest.mark.xfail(reason="KNOWN-RED.txt", strict=True, raises=AssertionError)
-"""Known fault: no stored row names a start that has no answer and isn't given up yet."""
-
 TWO_LATE_STARTS = pytest.mark.xfail(reason="KNOWN-RED.txt", strict=True, raises=AssertionError)
 """Known fault: a task starts again on its worker while its first start may still be carried out."""
 
@@ -48,11 +45,6 @@
 """When the worker restarts and when it carries the starts out, in seconds after they were sent."""
 
 
-def red(*values):
-    """Returns the parameters of a case that fails because of a known fault."""
-    return pytest.param(*values, marks=UNANSWERED)
-
-
 def delay_starts(sim, arrives_s):
     """Lets starts to the first worker arrive late, and nothing else; returns these orders."""
     return delay(sim, lambda order: arrives_s if isinstance(order, StartOrder) else NEVER_S)
@@ -134,11 +126,11 @@
 @pytest.mark.parametrize(
     ("takeovers", "restart_s", "arrives_s"),
     [
-        red(1, *EARLY),
-        red(1, *LATER),
-        red(1, *LAST),
-        red(2, *LATER),
-        red(2, *LAST),
+        (1, *EARLY),
+        (1, *LATER),
+        (1, *LAST),
+        (2, *LATER),
+        (2, *LAST),
     ],
 )
 def test_a_start_to_an_unlisted_worker_outlasts_its_leader(takeovers, lost_s, restart_s, arrives_s):
@@ -152,7 +144,7 @@
     )
 
 
-@pytest.mark.parametrize("lost_s", [red(0.3), 1.0, red(3.8)])
+@pytest.mark.parametrize("lost_s", [0.3, 1.0, 3.8])
 def test_a_start_carried_out_early_outlasts_two_leaders(lost_s):
     """Guards against a second run elsewhere after a further takeover."""
     restart_s, arrives_s = EARLY
@@ -170,10 +162,10 @@
         (3.8, *EARLY),
         (0.3, *LATER),
         (1.0, *LATER),
-        red(3.8, *LATER),
-        red(0.3, *LAST),
-        red(1.0, *LAST),
-        red(3.8, *LAST),
+        (3.8, *LATER),
+        (0.3, *LAST),
+        (1.0, *LAST),
+        (3.8, *LAST),
     ],
 )
 def test_a_start_to_a_listed_worker_outlasts_its_leader(takeovers, lost_s, restart_s, arrives_s):
@@ -193,12 +185,12 @@
         (0.2, *EARLY),
         (2.0, *EARLY),
         (8.0, *EARLY),
-        red(0.2, *LATER),
-        red(2.0, *LATER),
+        (0.2, *LATER),
+        (2.0, *LATER),
         (8.0, *LATER),
-        red(0.2, *LAST),
-        red(2.0, *LAST),
-        red(8.0, *LAST),
+        (0.2, *LAST),
+        (2.0, *LAST),
+        (8.0, *LAST),
     ],
 )
 def test_a_leader_that_writes_nothing_loses_no_start(second_term_s, restart_s, arrives_s):
@@ -236,16 +228,16 @@
 @pytest.mark.parametrize(
     ("is_listed", "pause_s", "arrives_s"),
     [
-        red(False, 1.2, 0.0),
-        red(False, 3.0, 0.0),
-        red(False, 1.2, 6.0),
-        red(False, 3.0, 14.0),
-        red(False, 9.0, 8.0),
+        (False, 1.2, 0.0),
+        (False, 3.0, 0.0),
+        (False, 1.2, 6.0),
+        (False, 3.0, 14.0),
+        (False, 9.0, 8.0),
         (True, 1.2, 0.0),
         (True, 3.0, 0.0),
         (True, 1.2, 6.0),
-        red(True, 3.0, 14.0),
-        red(True, 9.0, 8.0),
+        (True, 3.0, 14.0),
+        (True, 9.0, 8.0),
     ],
 )
 def test_a_start_that_a_paused_leader_sends_after_the_next_claim_is_known(
@@ -317,7 +309,6 @@
     check_to_the_end(sim)
 
 
-@UNANSWERED
 @pytest.mark.parametrize("is_listed", [False, True])
 @pytest.mark.parametrize("lost_s", [0.3, 1.0, 3.8])
 @pytest.mark.parametrize("arrives_s", [14.0, 19.5])
