Send a late start again under its number

A task whose start got no answer is bound to its worker and starts there again.

The start is now sent again under its number. The platform answers a start of a run that is there with success and begins nothing, so several orders with one number begin one run at most. What the worker says of the number is of the later order; the earlier one stays late, without a number, until it can no longer be carried out. A number that failed, crashed a worker, or was refused as ended is not used again, and members of a gang, which share a number, get a new one as before. A repeated start counts as a possible crash of its own, so a task that crashes workers is still held back after the same number of starts.

--- a/fescuerudder/jobs/reports.py
+++ b/fescuerudder/jobs/reports.py
@@ -6,7 +6,7 @@
 import structlog
 
 from fescuerudder.jobs.crashes import exonerate, record_worker_end, withdraw_possible_crash
-from fescuerudder.jobs.jobrun import FULL_SPEED, Attempt, Phase, TaskRun
+from fescuerudder.jobs.jobrun import FULL_SPEED, UNKNOWN_NUMBER, Attempt, Phase, TaskRun
 from fescuerudder.jobs.schedulerstate import SchedulerState
 from fescuerudder.jobs.workerhealth import QUICK_FAILURE_S
 from fescuerudder.jobs.workerport import (
@@ -264,7 +264,9 @@
             return None
         if row.attempt < task.last_number:
             return None
-        for older in [a for a in task.attempts if a.restored and a.number < row.attempt]:
+        unnumbered = [a for a in task.attempts if a.number == UNKNOWN_NUMBER]
+        earlier = [a for a in task.attempts if a.restored and a.number < row.attempt]
+        for older in dict.fromkeys((*unnumbered, *earlier)):
             # The earlier leader started this one because it knew that the older one had ended, or
             # could be carried out by a later incarnation of this worker only.
             self._state.drop_attempt(older)
--- a/fescuerudder/jobs/unansweredstarts.py
+++ b/fescuerudder/jobs/unansweredstarts.py
@@ -10,7 +10,7 @@
 import structlog
 
 from fescuerudder.jobs.job import TaskId
-from fescuerudder.jobs.jobrun import Attempt
+from fescuerudder.jobs.jobrun import UNKNOWN_NUMBER, Attempt
 from fescuerudder.jobs.latestarts import (
     MAX_STORED,
     LateStarts,
@@ -53,8 +53,8 @@
         """
         self._live = {attempt: None for attempt in self._live if not attempt.is_answered}
         ended = late_starts.ended(store_clock)
-        attempts = frozenset((*self._live, *late_starts.attempts()))
-        current = attempts.union(ended)
+        attempts = dict.fromkeys((*self._live, *late_starts.attempts()))
+        current = frozenset((*attempts, *ended))
         if current == self._taken and not has_records:
             return None
         if len(current) > MAX_STORED:
@@ -97,7 +97,7 @@
         starts = (
             attrs.evolve(
                 start,
-                is_answered=start.number > 0
+                is_answered=start.number != UNKNOWN_NUMBER
                 and (start.worker, TaskId(*record.step, start.index), start.number) not in named,
             )
             for start in record.starts
