Store until when an order can be carried out once it is sent

The row of starts without an answer was written before their orders were sent, without an end, and not again while the same starts were open. A successor counted 20 s from its claim, so tasks on a worker that didn't return waited for up to 12 s longer than the order could last (test_a_successor_knows_until_when_an_order_can_be_carried_out failed, and passes). The row is written again with the next batch once the end of an order is known.

--- a/fescuerudder/jobs/unansweredstarts.py
+++ b/fescuerudder/jobs/unansweredstarts.py
@@ -29,7 +29,7 @@
 
     def __init__(self) -> None:
         self._live: dict[Attempt, None] = {}
-        self._taken: frozenset[Attempt | StoredLateStart] | None = None
+        self._taken: frozenset[StoredLateStart] | None = None
 
     def add(self, attempt: Attempt) -> None:
         """Adds a live attempt, unless it was answered."""
@@ -52,9 +52,10 @@
             store_clock: reading of the store's clock, None if the store told none.
         """
         self._live = {attempt: None for attempt in self._live if not attempt.is_answered}
-        ended = late_starts.ended(store_clock)
         attempts = dict.fromkeys((*self._live, *late_starts.attempts()))
-        current = frozenset((*attempts, *ended))
+        stored = [to_stored(attempt, store_clock) for attempt in attempts]
+        stored += late_starts.ended(store_clock)
+        current = frozenset(stored)
         if current == self._taken and not has_records:
             return None
         if len(current) > MAX_STORED:
@@ -63,7 +64,7 @@
             self._taken = None
             return None
         self._taken = current
-        return dump_late_starts([*(to_stored(a, store_clock) for a in attempts), *ended])
+        return dump_late_starts(stored)
 
     def reset_taken(self) -> None:
         """Has the row written anew, as the store rejected it."""
