Let no unanswered start delay the other tasks of a restarted worker

If a worker restarted out of reach, all its tasks waited until an unanswered start there could no longer run, 30 s in place of 10 s (test_a_start_without_an_answer_delays_no_other_task_of_its_worker failed, and passes). The leases count as for any restored start; the unanswered one is a late start afterwards, which binds its own task only.

--- a/fescuerudder/jobs/reports.py
+++ b/fescuerudder/jobs/reports.py
@@ -136,9 +136,10 @@
     def _run_ends_s(self, attempt: Attempt, now_s: float) -> float:
         """Returns when a run has ended that the new incarnation may have begun.
 
-        A start of an earlier leader that was answered has been carried out by now.
+        A start of an earlier leader counts as carried out by now. One without an answer becomes a
+        late start then; the other tasks on its worker don't wait for that.
         """
-        if attempt.restored and attempt.is_answered:
+        if attempt.restored:
             return now_s + longest_lease_s(self._state.max_lease_s)
         return self._state.late_run_ends_s(attempt)
 
