Show a start that only the record of a refused earlier one covers, known red

On a task runs twice: its first start was recorded and refused, the next one on the same worker is sent without a record of its own while the store is out, and the successor takes the record's start for answered.

--- a/tests/jobs/test_outliving_orders.py
+++ b/tests/jobs/test_outliving_orders.py
@@ -378,3 +378,37 @@
     sim.claim("b")
     sim.run(longest_lease_s(MAX_LEASE_S) + 2.0)
     assert sum(task.job == JOB for task, _ in sim.workers["w1"].runs) == 4
+
+
+def is_refused(leader):
+    """Returns whether the job's only task was started once and has no live attempt."""
+    run = leader.scheduler.state.jobs.get(JOB)
+    task = run.steps[(0, 0)].tasks[0] if run is not None else None
+    return task is not None and task.last_number == 1 and not task.attempts
+
+
+@OUTLIVES
+def test_a_start_that_the_record_of_a_refused_one_covers_is_known_to_the_successor():
+    """Guards against a start that no row names, as the record names an earlier start of its task.
+
+    The worker refused that one. The next one is sent without a record of its own while the store is
+    out, and the worker's next incarnation carries it out after the leader was lost.
+    """
+    sim, leader = make_world(workers=1)
+    sim.run_s = LONG_S
+    sim.workers["w0"].refuses_starts = True
+    sim.submit(JOB, steps=steps(1))
+    run_until(sim, lambda: is_refused(leader))
+    sim.run(0.15)
+    sim.store.faults.down = True
+    sim.workers["w0"].refuses_starts = False
+    sim.late_by_s = lambda order: 12.0 if is_start(order) else None
+    sim.run(4.0)
+    leader.alive = False
+    hide(sim, "b")
+    sim.store.faults.down = False
+    sim.add_worker(1, 6.0)
+    next_incarnation(sim)
+    sim.run(0.5)
+    sim.claim("b")
+    sim.run(18.0)
