--- a/fescuerudder/jobs/latestarts.py
+++ b/fescuerudder/jobs/latestarts.py
@@ -117,18 +117,10 @@
         """Returns whether the next incarnation of a worker may carry out a late order."""
         return worker in self._by_worker or now_s < self._stored_until_s.get(worker, now_s)
 
-    def settle(self, worker: str, task: TaskId, number: int, *, token: int | None = None) -> None:
-        """Drops a late start that has been carried out or refused.
-
-        Args:
-            worker: id of its worker.
-            task: its task.
-            number: its number.
-            token: fencing token of the order that the worker answered; None if a report told, which
-                doesn't tell orders with the same number apart.
-        """
+    def settle(self, worker: str, task: TaskId, number: int) -> None:
+        """Drops a late start that has been carried out or refused."""
         attempt = self._by_worker.get(worker, {}).get((task, number))
-        if attempt is not None and token in (None, attempt.token):
+        if attempt is not None:
             self.drop(attempt, result="settled")
 
     def supersede(self, late: Attempt) -> None:
--- a/fescuerudder/jobs/scheduler.py
+++ b/fescuerudder/jobs/scheduler.py
@@ -273,13 +273,9 @@
         record = self.state.workers.get(order.worker)
         attempt = record.attempts.get((order.task, order.attempt)) if record else None
         if answer.result is not OrderResult.UNKNOWN:
-            late_starts = self.state.late_starts
-            late_starts.settle(order.worker, order.task, order.attempt, token=order.token)
+            self.state.late_starts.settle(order.worker, order.task, order.attempt)
         if record is None or attempt is None:
             return
-        if attempt.is_repeated and order.token != attempt.token:
-            _log.info("answer to an earlier order of a start", worker=record.id, token=order.token)
-            return
         apply_start_answer(self.state, record, attempt, order, answer)
         if answer.result is OrderResult.OTHER_LIFE:
             self.on_worker_gone(order.worker)
