--- a/fescuerudder/jobs/attemptstarter.py
+++ b/fescuerudder/jobs/attemptstarter.py
@@ -4,7 +4,6 @@
 
 from fescuerudder.jobs.crashes import RECENT_START_S, is_on_probation
 from fescuerudder.jobs.jobrun import Attempt, Phase, TaskRun
-from fescuerudder.jobs.latestarts import repeatable_start
 from fescuerudder.jobs.leases import LeasePolicy
 from fescuerudder.jobs.schedulerstate import SchedulerState
 from fescuerudder.jobs.workerport import StartOrder
@@ -38,12 +37,8 @@
             task: the task.
             record: the worker.
             now_s: the time.
-            number: number of the attempt, 0 to repeat a late start there or take the next one.
+            number: number of the attempt, 0 for the next one.
         """
-        late = repeatable_start(task, record.id) if not number else None
-        if late is not None:
-            number = late.number
-            self._state.late_starts.supersede(late)
         attempt = Attempt(
             task=task,
             worker=record.id,
@@ -53,7 +48,6 @@
             token=record.token,
             sent_s=now_s,
             checkpoint=task.checkpoint,
-            is_repeated=late is not None,
         )
         self._state.plan_start(attempt)
         record.last_start_s, task.quiet_wait_since_s = now_s, None
--- a/fescuerudder/jobs/crashes.py
+++ b/fescuerudder/jobs/crashes.py
@@ -13,7 +13,7 @@
 
 import structlog
 
-from fescuerudder.jobs.jobrun import MAX_POSSIBLE_CRASHES, UNKNOWN_NUMBER, Attempt, Phase, TaskRun
+from fescuerudder.jobs.jobrun import MAX_POSSIBLE_CRASHES, Attempt, Phase, TaskRun
 from fescuerudder.jobs.schedulerstate import SchedulerState
 from fescuerudder.jobs.workerrecord import WorkerRecord
 
@@ -121,9 +121,7 @@
 
 def _record_possible_crash(attempt: Attempt) -> None:
     task = attempt.task
-    is_counted = attempt.number in task.possible_crashes and not attempt.is_repeated
-    if not (is_counted or attempt.is_suspected or attempt.number == UNKNOWN_NUMBER):
-        attempt.is_suspected = True
+    if attempt.number not in task.possible_crashes:
         task.possible_crashes.append(attempt.number)
         _check_limit(task)
 
--- a/fescuerudder/jobs/latestarts.py
+++ b/fescuerudder/jobs/latestarts.py
@@ -16,7 +16,7 @@
 
 from fescuerudder import checked
 from fescuerudder.jobs.job import TaskId
-from fescuerudder.jobs.jobrun import UNKNOWN_NUMBER, Attempt, Phase, TaskRun
+from fescuerudder.jobs.jobrun import Attempt, Phase, TaskRun
 from fescuerudder.jobs.progress import StoredFormError
 from fescuerudder.jobs.rows import StoreClock
 
@@ -72,10 +72,6 @@
         task = attempt.task
         if attempt.is_answered or attempt in task.late_starts:
             return
-        earlier = self._by_worker.get(attempt.worker, {}).get((task.id, attempt.number))
-        if earlier is not None:
-            attempt.late_until_s = max(attempt.order_ends_s, earlier.order_ends_s)
-            self.drop(earlier, result="sent again")
         self._by_worker.setdefault(attempt.worker, {})[(task.id, attempt.number)] = attempt
         task.late_starts.append(attempt)
         self._must_store = True
@@ -123,20 +119,6 @@
         if attempt is not None:
             self.drop(attempt, result="settled")
 
-    def supersede(self, late: Attempt) -> None:
-        """Records that a late start is sent again under its number.
-
-        What the worker says of that number is of the later order, so the earlier one is late until
-        it can no longer be carried out.
-        """
-        attempts = self._by_worker[late.worker]
-        earlier = attempts.get((late.task.id, UNKNOWN_NUMBER))
-        if earlier is not None and earlier is not late:
-            self.drop(earlier, result="sent again")
-        del attempts[(late.task.id, late.number)]
-        late.number = UNKNOWN_NUMBER
-        attempts[(late.task.id, UNKNOWN_NUMBER)] = late
-
     def of_worker(self, worker: str) -> list[Attempt]:
         """Returns the late starts on a worker."""
         return list(self._by_worker.get(worker, {}).values())
@@ -205,19 +187,6 @@
     return task.late_starts[-1].worker
 
 
-def repeatable_start(task: TaskRun, worker: str) -> Attempt | None:
-    """Returns the late start of a task that may be sent to its worker again under its number.
-
-    Orders with the same number begin one run at most, also in an incarnation that carries out
-    several of them. Members of a gang have a number in common, so none of them is repeated.
-    """
-    late = task.late_starts[-1] if bound_worker(task) == worker else None
-    if late is None or task.step.spec.gang or late.number in (UNKNOWN_NUMBER, task.refused_number):
-        return None
-    has_ended = late.number in (*task.failed_attempts, *task.crashed_attempts)
-    return None if has_ended or late.number != task.last_number else late
-
-
 def may_start_on(task: TaskRun, worker: str) -> bool:
     """Returns whether a task may start on a worker as far as its late starts are concerned."""
     return bound_worker(task) in (None, worker)
--- a/fescuerudder/jobs/reports.py
+++ b/fescuerudder/jobs/reports.py
@@ -9,7 +9,6 @@
 from fescuerudder.jobs.jobrun import (
     FULL_SPEED,
     MAX_ORDER_DELAY_S,
-    UNKNOWN_NUMBER,
     Attempt,
     Phase,
     TaskRun,
@@ -277,9 +276,7 @@
             return None
         if row.attempt < task.last_number:
             return None
-        unnumbered = [a for a in task.attempts if a.number == UNKNOWN_NUMBER]
-        earlier = [a for a in task.attempts if a.restored and a.number < row.attempt]
-        for older in dict.fromkeys((*unnumbered, *earlier)):
+        for older in [a for a in task.attempts if a.restored and a.number < row.attempt]:
             # The earlier leader started this one because it knew that the older one had ended, or
             # could be carried out by a later incarnation of this worker only.
             self._state.drop_attempt(older)
--- a/fescuerudder/jobs/startanswers.py
+++ b/fescuerudder/jobs/startanswers.py
@@ -82,8 +82,6 @@
     """Requeues an attempt that the worker refused, or that was not sent."""
     if answer.result is OrderResult.NO_PERMIT:
         state.advice.drop_permit(attempt.task.step.id, record.id)
-    elif answer.result is OrderResult.STALE:
-        attempt.task.refused_number = attempt.number
     elif answer.result in (OrderResult.NO_ROOM, OrderResult.UNHEALTHY, OrderResult.NOT_SENT):
         record.no_starts_until_s = now_s + REFUSED_START_PAUSE_S
     state.requeue(attempt, checkpoint="", reason=answer.result.value)
--- a/fescuerudder/jobs/taskrun.py
+++ b/fescuerudder/jobs/taskrun.py
@@ -53,7 +53,7 @@
         worker: id of the worker.
         incarnation_ms: start time of the worker's incarnation for which it was planned, or on which
             a report listed it.
-        number: number of the attempt, UNKNOWN_NUMBER if that isn't known.
+        number: number of the attempt.
         phase: what is known about it.
         token: fencing token of its start order.
         sent_s: when the start order was planned or, later, sent.
@@ -76,8 +76,6 @@
         adopted: an earlier leader started it, so `sent_s` is not when it began.
         restored: it was restored from what an earlier leader stored; no report to this leader has
             listed it yet.
-        is_repeated: its start order was sent before, under the same number.
-        is_suspected: its start is counted as a possible crash of its worker.
         is_last_resort: it was started on a worker that its task would otherwise not use, so it is
             not evicted from there.
         worker_in_doubt: its worker is silent, slow or stalled, so a copy of a speculative task may
@@ -106,8 +104,6 @@
     evicted_for_throttle: bool = False
     adopted: bool = False
     restored: bool = False
-    is_repeated: bool = False
-    is_suspected: bool = False
     is_last_resort: bool = False
     worker_in_doubt: bool = False
 
@@ -144,7 +140,6 @@
             may have crashed.
         own_checkpoint: state that it saved; not used for members of a gang.
         last_number: highest attempt number used so far.
-        refused_number: latest attempt number that a worker refused, as it had ended there.
         attempts: live attempts; more than one only for speculative steps.
         late_starts: attempts of start orders that a later incarnation of their worker may carry
             out; see `latestarts`.
@@ -170,7 +165,6 @@
     lapsed_count: int = 0
     own_checkpoint: str = ""
     last_number: int = 0
-    refused_number: int = UNKNOWN_NUMBER
     attempts: list[Attempt] = attrs.Factory(list)
     late_starts: list[Attempt] = attrs.Factory(list)
     avoided_workers: set[str] = attrs.Factory(set)
