--- a/tests/jobs/test_review_findings.py
+++ b/tests/jobs/test_review_findings.py
@@ -5,11 +5,19 @@
 
 import pytest
 
+from bench._jobsimulation import JobSimulation
 from fescuerudder.jobs.job import Step
+from fescuerudder.jobs.jobrun import JobState
 from fescuerudder.jobs.workerport import OrderAnswer, OrderResult, StartOrder
-from tests.jobs.test_former_incarnation import NEVER_S, OTHER_JOB, make_world, run_until
+from tests.jobs.test_former_incarnation import MAX_LEASE_S, NEVER_S, OTHER_JOB, make_world, run_until
 from tests.jobs.test_scheduler import ONE
-from tests.jobs.test_unanswered_starts import check_to_the_end, cut_off_from_successors, take_over
+from tests.jobs.test_unanswered_starts import (
+    check_to_the_end,
+    cut_off_from_successors,
+    restart,
+    send_covered_start,
+    take_over,
+)
 
 FOUND = pytest.mark.xfail(reason="KNOWN-RED.txt", strict=True, raises=AssertionError)
 
@@ -257,3 +265,155 @@
     (task,) = run.tasks()
     print("STARTS", takeovers, sent, task.possible_crashes, task.crashed_attempts)
     assert len(sent) <= 4
+
+
+def test_a_start_after_two_crashes_repeats_the_newest_number():
+    """Guards against a new number while a repeated start may still be carried out (TWICE)."""
+    world = LateWorld()
+    world.sim.submit(OTHER_JOB, steps=[Step(count=1, size=ONE)])
+    for count in (2, 3):
+        run_until(world.sim, lambda count=count: len(world.sent) == count)
+        world.sim.run(0.1)
+        world.sim.workers["w0"].crash()
+        world.sim.run(0.4)
+        world.sim.workers["w0"].restart()
+    world.sim.run(0.2)
+    print([(o.attempt, o.token) for o in world.sent])
+    world.restart_and_carry_out()
+
+
+def test_a_task_that_two_done_tasks_cover_starts_in_the_third_term():
+    """Guards against a task that waits for ever (LOST).
+
+    The second leader stores two entries without a number for it, on the same worker.
+    """
+    sim = JobSimulation(workers=1, capacity=6.0, max_lease_s=MAX_LEASE_S)
+    run_s = {0: 6.0, 1: 6.0, 2: 40.0, 3: 1.0}
+    sim.plan = lambda task, attempt, worker: (ONE, run_s[task.step], False)
+    sim.claim("a")
+    sim.run(3.0)
+    sim.submit(
+        OTHER_JOB,
+        steps=[
+            Step(count=1, size=ONE),
+            Step(count=1, size=ONE),
+            Step(count=1, size=ONE),
+            Step(count=1, size=ONE, after=(2,)),
+        ],
+    )
+    run_until(sim, lambda: len([e for e in sim.events if e[4] == "start"]) == 3)
+    sim.run(1.0)
+    sim.cut |= {(name, "w0") for name in "bcd"}
+    sim.unlisted.add("w0")
+    sim.add_worker(1, 6.0)
+    take_over(sim, "b")
+    sim.run(20.0)
+    from fescuerudder.jobs.storage import STARTS_TABLE, starts_key
+    from fescuerudder.jobs.job import StepId
+    for step in range(4):
+        row = sim.store.get(starts_key(StepId(OTHER_JOB, 0, step)))
+        print("RECORD", step, row and row.value)
+    take_over(sim, "c")
+    sim.run(90.0)
+    print("STATE", sim.state(OTHER_JOB), [e for e in sim.events if e[4] in ("start", "done")])
+    assert sim.state(OTHER_JOB) is JobState.COMPLETED
+
+
+@pytest.mark.parametrize("lost_s", [0.0, 0.1, 0.6])
+@pytest.mark.parametrize("max_lease_s", [6.0, 10.0])
+def test_a_start_that_is_lost_with_its_worker_waits_for_thirty_seconds(lost_s, max_lease_s):
+    """Guards against a longer wait than the design names (LOST)."""
+    sim = JobSimulation(workers=1, capacity=6.0, max_lease_s=max_lease_s)
+    sim.run_s = 30.0
+    sim.claim("a")
+    sim.run(6.0)
+    sent = []
+    def late_by_s(order):
+        if isinstance(order, StartOrder) and order.worker == "w0":
+            sent.append(sim.clock.now_s())
+            return NEVER_S
+        return None
+    sim.late_by_s = late_by_s
+    sim.submit(OTHER_JOB, steps=[Step(count=1, size=ONE)])
+    run_until(sim, lambda: sent)
+    sim.run(lost_s)
+    sim.leaders[-1].alive = False
+    sim.workers["w0"].crash()
+    lost = sim.clock.now_s()
+    sim.add_worker(1, 6.0)
+    sim.run(0.4)
+    sim.claim("b")
+    run_until(sim, lambda: any(e[4] == "start" for e in sim.events), limit_s=60.0)
+    waited = sim.clock.now_s() - lost
+    print("WAITED", lost_s, max_lease_s, round(waited, 2))
+    assert waited <= 20.0 + max_lease_s + 1.0
+
+
+@pytest.mark.parametrize("kind", ["beside", "after", "after one"])
+def test_covered_tasks_wait_no_longer(kind):
+    """Guards against tasks that wait for a worker that never returns (LOST)."""
+    sim = JobSimulation(workers=2, capacity=6.0, max_lease_s=10.0)
+    sim.plan = lambda task, attempt, worker: (ONE, 2.0 if task.index or task.step else 4.0, False)
+    sim.claim("a")
+    sim.run(6.0)
+    after = {"beside": (), "after": (0,), "after one": (0,)}[kind]
+    sim.submit(
+        OTHER_JOB, steps=[Step(count=12, size=ONE), Step(count=12, size=ONE, after=after)]
+    )
+    run_until(sim, lambda: len([e for e in sim.events if e[4] == "start"]) == 12)
+    sim.run(1.0 if kind != "after one" else 2.5)
+    sim.leaders[-1].alive = False
+    sim.workers["w0"].crash()
+    lost = sim.clock.now_s()
+    sim.add_worker(2, 6.0)
+    sim.run(0.4)
+    sim.claim("b")
+    run_until(sim, lambda: sim.state(OTHER_JOB) is JobState.COMPLETED, limit_s=90.0)
+    print("JOB TOOK", kind, round(sim.clock.now_s() - lost, 2))
+
+
+@pytest.mark.parametrize("term_s", [3.0, 6.0, 9.0])
+@pytest.mark.parametrize("arrives_s", [14.0, 18.0])
+@pytest.mark.parametrize("is_listed", [False, True])
+def test_a_covered_start_outlasts_two_leaders(term_s, arrives_s, is_listed):
+    """Guards against a third leader that knows less than the second one (TWICE).
+
+    The second leader's roster restricts the worker of the start to its recorded attempts.
+    """
+    sim = send_covered_start(arrives_s=arrives_s)
+    cut_off_from_successors(sim)
+    if not is_listed:
+        sim.unlisted.add("w0")
+    restart(sim, after_s=arrives_s - 0.1)
+    sim.add_worker(2, 6.0)
+    sim.run(0.3)
+    sim.leaders[-1].alive = False
+    sim.store.faults.down = False
+    take_over(sim, "b")
+    sim.run(term_s)
+    take_over(sim, "c")
+    sim.run(40.0)
+    print([e[:4] for e in sim.events if e[4] == "start"])
+
+
+@pytest.mark.parametrize("steps", [1, 2])
+def test_tasks_that_were_answered_wait_for_leases_only(steps):
+    """Guards against a wait for starts that were never lost (LOST).
+
+    The tasks have run for 4 s. Steps beside each other have records that cover each other's tasks.
+    """
+    sim = JobSimulation(workers=1, capacity=6.0, max_lease_s=MAX_LEASE_S)
+    sim.run_s = 30.0
+    sim.claim("a")
+    sim.run(6.0)
+    sim.submit(OTHER_JOB, steps=[Step(count=2, size=ONE)] * steps)
+    sim.run(4.0)
+    sim.leaders[-1].alive = False
+    sim.workers["w0"].crash()
+    lost_s = sim.clock.now_s()
+    sim.add_worker(1, 6.0)
+    sim.run(0.4)
+    sim.claim("b")
+    run_until(sim, lambda: any(e[1] == "w1" for e in sim.events), limit_s=60.0)
+    print("ANSWERED WAITED", steps, round(sim.clock.now_s() - lost_s, 2))
+    assert sim.clock.now_s() - lost_s <= 10.0
