--- a/tests/jobs/test_review_findings.py
+++ b/tests/jobs/test_review_findings.py
@@ -4,14 +4,25 @@
 """
 
 import json
+from types import SimpleNamespace
 
 import pytest
 
 from bench._jobsimulation import JobSimulation
-from fescuerudder.jobs.job import Step, StepId
-from fescuerudder.jobs.jobrun import MAX_ORDER_DELAY_S, MAX_POSSIBLE_CRASHES, JobState
+from fescuerudder.jobs.job import Step, StepId, TaskId
+from fescuerudder.jobs.jobrun import (
+    MAX_ORDER_DELAY_S,
+    MAX_POSSIBLE_CRASHES,
+    Attempt,
+    JobState,
+    Phase,
+)
+from fescuerudder.jobs.latestarts import MAX_STORED, LateStarts, load_late_starts
+from fescuerudder.jobs.progress import StoredFormError
 from fescuerudder.jobs.rows import RowTransaction
+from fescuerudder.jobs.startrecords import StepStarts, StoredStart
 from fescuerudder.jobs.storage import starts_key
+from fescuerudder.jobs.unansweredstarts import StoredUnanswered, UnansweredStarts
 from fescuerudder.jobs.workerport import OrderAnswer, OrderResult, StartOrder
 from tests.jobs.test_former_incarnation import (
     MAX_LEASE_S,
@@ -371,3 +382,79 @@
         sim.workers["w0"].restart()
         sim.run(0.1)
     assert len(sent) <= MAX_POSSIBLE_CRASHES
+
+
+@FOUND
+@pytest.mark.parametrize("loses_leader", [False, True])
+@pytest.mark.parametrize("gap_s", [4.0, 8.0])
+def test_a_run_that_the_first_order_began_leaves_the_second_one_late(gap_s, loses_leader):
+    """Guards against a report that settles an order with the same number (TWICE).
+
+    The next incarnation carries the first order out, and is listed; the second order reaches the
+    incarnation after it, which is out of reach.
+    """
+    sim, leader, _ = make_world(tasks=0, workers=1)
+    sim.run_s, sent_s, is_deaf = 30.0, [], []
+
+    def late_by_s(order):
+        if order.worker != "w0":
+            return None
+        if not isinstance(order, StartOrder):
+            return NEVER_S if is_deaf else None
+        sent_s.append(sim.clock.now_s())
+        return gap_s + 1.2 if len(sent_s) == 1 else 19.5
+
+    sim.late_by_s = late_by_s
+    sim.submit(OTHER_JOB, steps=[Step(count=1, size=ONE)])
+    run_until(sim, lambda: sent_s)
+    leader.scheduler.set_zones_out(frozenset({"z0"}))
+    sim.run(gap_s)
+    leader.scheduler.set_zones_out(frozenset())
+    run_until(sim, lambda: len(sent_s) == 2)
+    is_deaf.append(True)
+    sim.run(sent_s[0] + gap_s + 1.1 - sim.clock.now_s())
+    sim.restart_worker("w0", registry_lag_s=0.0)
+    run_until(sim, lambda: sim.events)
+    is_deaf.clear()
+    sim.run(3.0)
+    sim.workers["w0"].crash()
+    is_deaf.append(True)
+    cut_off_from_successors(sim)
+    sim.unlisted.add("w0")
+    sim.add_worker(1, 6.0)
+    if loses_leader:
+        take_over(sim, "b")
+    sim._at(sent_s[1] + 19.4, lambda: sim.restart_worker("w0", registry_lag_s=0.0))
+    sim.run(40.0)
+    require([event for event in sim.events if event[1] == "w0" and event[4] == "start"][1:])
+
+
+@FOUND
+def test_a_start_without_an_answer_again_is_known_though_there_are_too_many():
+    """Guards against an old row that takes a start for answered (TWICE).
+
+    A report of an incarnation that isn't fenced listed it, while more starts than a row may name
+    are open.
+    """
+
+    def attempt(index):
+        task = SimpleNamespace(id=TaskId(OTHER_JOB, 0, 0, index), late_starts=[])
+        return Attempt(task=task, worker="w0", number=1, phase=Phase.STARTING, token=1, sent_s=0.0)
+
+    unanswered, late_starts = UnansweredStarts(), LateStarts()
+    first = attempt(0)
+    first.is_answered = True
+    row = unanswered.take(late_starts, has_records=True, store_clock=None)
+    first.is_answered = False
+    unanswered.add(first)
+    for index in range(MAX_STORED):
+        unanswered.add(attempt(index + 1))
+    row = unanswered.take(late_starts, has_records=False, store_clock=None) or row
+    try:
+        starts = tuple(load_late_starts(row))
+    except StoredFormError:
+        return
+    stored = StoredUnanswered(starts=starts, version=2)
+    start = StoredStart(worker="w0", incarnation_ms=0, index=0, number=1)
+    record = StepStarts(step=StepId(OTHER_JOB, 0, 0), starts=(start,))
+    assert not stored.mark_answered(record, version=1).starts[0].is_answered
