--- a/tests/jobs/test_review_findings.py
+++ b/tests/jobs/test_review_findings.py
@@ -46,6 +46,8 @@
 LATE_S = 14.0
 """Time from the first start until it is carried out, in seconds."""
 
+ONE_TASK = Step(count=1, size=ONE)
+
 LEASES_S = 10.0
 """Time in which a successor restarts what its predecessor had seen running, in seconds."""
 
@@ -58,7 +60,7 @@
         refused: results with which starts are refused at once, by their position in `sent`.
     """
 
-    def __init__(self):
+    def __init__(self, *, step=ONE_TASK):
         self.sim, self.leader, _ = make_world(tasks=0, workers=1)
         self.sim.run_s = 30.0
         self.sent = []
@@ -68,7 +70,7 @@
         self._send = self.sim.send
         self.sim.send = self._send_or_refuse
         self.sim.late_by_s = self._late_by_s
-        self.sim.submit(OTHER_JOB, steps=[Step(count=1, size=ONE)])
+        self.sim.submit(OTHER_JOB, steps=[step])
 
     def _send_or_refuse(self, leader, order):
         result = self.refused.get(len(self.sent)) if isinstance(order, StartOrder) else None
@@ -171,6 +173,14 @@
     world.restart_and_carry_out()
 
 
+@FOUND
+def test_two_late_starts_of_a_gang_do_not_both_run():
+    """Guards against a gang that runs twice, as each of its starts has a new number (TWICE)."""
+    world = LateStartWorld(step=Step(count=2, size=ONE, gang=True))
+    world.run_until_sent(4)
+    world.restart_and_carry_out()
+
+
 # --- starts that go out before a row names them
 
 
