Restore one attempt from several entries without a number

A record may name one task twice without a number for a worker. The second entry took the key of the first, whose attempt was never resolved, so the task didn't start again (test_two_entries_without_a_number_on_one_worker_do_not_block_a_task failed for both forms, and passes).

--- a/fescuerudder/jobs/rosterkeeper.py
+++ b/fescuerudder/jobs/rosterkeeper.py
@@ -197,6 +197,9 @@
             record, task = self._state.workers.get(start.worker), step.task(start.index)
             if record is None or task is None or task.done:
                 continue
+            if (task.id, start.number) in record.attempts:
+                # Several entries without a number tell of one start.
+                continue
             self._restore_attempt(
                 record,
                 task,
