Store that there are too many unanswered starts to name

A row that names nothing is stored once instead; it can't be read, so all recorded starts count as unanswered.

--- a/fescuerudder/jobs/unansweredstarts.py
+++ b/fescuerudder/jobs/unansweredstarts.py
@@ -21,6 +21,10 @@
 from fescuerudder.jobs.rows import ABSENT, StoreClock
 from fescuerudder.jobs.startrecords import StepStarts
 
+TOO_MANY_ROW = b"null"
+"""Row in place of one with more than MAX_STORED starts. As it can't be read, a successor takes all
+recorded starts for unanswered."""
+
 _log = structlog.get_logger(__name__)
 
 
@@ -30,6 +34,7 @@
     def __init__(self) -> None:
         self._live: dict[Attempt, None] = {}
         self._taken: frozenset[StoredLateStart] | None = None
+        self._is_too_large = False
 
     def add(self, attempt: Attempt) -> None:
         """Adds a live attempt, unless it was answered."""
@@ -53,22 +58,27 @@
         """
         self._live = {attempt: None for attempt in self._live if not attempt.is_answered}
         attempts = dict.fromkeys((*self._live, *late_starts.attempts()))
-        stored = [to_stored(attempt, store_clock) for attempt in attempts]
-        stored += late_starts.ended(store_clock)
+        ended = late_starts.ended(store_clock)
+        if len(attempts) + len(ended) > MAX_STORED:
+            return self._take_too_many(len(attempts) + len(ended))
+        stored = [*(to_stored(attempt, store_clock) for attempt in attempts), *ended]
         current = frozenset(stored)
         if current == self._taken and not has_records:
             return None
-        if len(current) > MAX_STORED:
-            # Without a newer row, a successor takes all newer records for unanswered.
-            _log.warning("too many starts without an answer to store", starts=len(current))
-            self._taken = None
-            return None
-        self._taken = current
+        self._taken, self._is_too_large = current, False
         return dump_late_starts(stored)
 
+    def _take_too_many(self, count: int) -> bytes | None:
+        """Returns the row that names no starts, once until there are few enough again."""
+        if self._is_too_large:
+            return None
+        _log.warning("too many starts without an answer to store", starts=count)
+        self._taken, self._is_too_large = None, True
+        return TOO_MANY_ROW
+
     def reset_taken(self) -> None:
         """Has the row written anew, as the store rejected it."""
-        self._taken = None
+        self._taken, self._is_too_large = None, False
 
 
 @attrs.frozen(kw_only=True)
@@ -82,6 +92,13 @@
 
     starts: tuple[StoredLateStart, ...] = ()
     version: int = ABSENT
+    _named: frozenset[tuple[str, TaskId, int]] = attrs.field(
+        init=False,
+        default=attrs.Factory(
+            lambda self: frozenset((s.worker, s.task, s.number) for s in self.starts),
+            takes_self=True,
+        ),
+    )
 
     def mark_answered(self, record: StepStarts, *, version: int) -> StepStarts:
         """Returns a record of starts in which those are marked that were answered.
@@ -94,12 +111,12 @@
         """
         if version > self.version:
             return record
-        named = {(start.worker, start.task, start.number) for start in self.starts}
         starts = (
             attrs.evolve(
                 start,
                 is_answered=start.number != UNKNOWN_NUMBER
-                and (start.worker, TaskId(*record.step, start.index), start.number) not in named,
+                and (start.worker, TaskId(*record.step, start.index), start.number)
+                not in self._named,
             )
             for start in record.starts
         )
