Test answers that the row of unanswered starts misses, and a start sent after the claim

The row is stored again after the store rejected it, and with each record. A deposed leader may send a start up to MAX_ORDER_QUEUE_S after it stored the record, so later than the next claim; on the successor counts 20 s from its claim and the task runs twice (two cases, marked).

--- a/tests/jobs/test_unanswered_rows.py
+++ b/tests/jobs/test_unanswered_rows.py
@@ -7,6 +7,7 @@
 import pytest
 
 from fescuerudder.jobs import unansweredstarts
+from fescuerudder.jobs.isolation import ISOLATION_RETRY_S
 from fescuerudder.jobs.job import Step, StepId, TaskId
 from fescuerudder.jobs.jobrun import MAX_ORDER_DELAY_S, JobState
 from fescuerudder.jobs.latestarts import MAX_STORED, StoredLateStart, dump_late_starts
@@ -271,23 +272,51 @@
 
 
 def test_the_row_is_stored_again_after_it_was_rejected():
-    """Guards against records that are newer than the row until the next start."""
+    """Guards against answers that no row tells of until the next start, as the store rejected one.
+
+    The row that was stored with the record names all starts.
+    """
     sim, _, worker = make_world(tasks=0)
     sim.run_s = 60.0
     rejected = []
 
     def rejects(key, value):
-        is_first = key == UNANSWERED_KEY and not rejected
-        rejected.extend([value] if is_first and len(value) > len(b"[]") else [])
-        return key == UNANSWERED_KEY and value in rejected
+        if key != UNANSWERED_KEY or value != b"[]" or not worker.runs:
+            return False
+        rejected.append(sim.clock.now_s())
+        return rejected[-1] < rejected[0] + 0.3
 
     sim.store.faults.rejects = rejects
     sim.submit(OTHER_JOB, steps=[Step(count=4, size=ONE)])
+    run_until(sim, lambda: rejected)
+    lose_leader(sim, after_s=ISOLATION_RETRY_S + 2.0)
+    sim.run(CLAIM_S)
+    leader = sim.claim("b")
+    assert len(leader.scheduler.state.workers["w0"].attempts) == 2
+    assert unanswered_indexes(leader) == set()
+
+
+def test_a_record_of_answered_starts_does_not_make_them_unanswered():
+    """Guards against a record that is newer than the row though no start was added (LOST).
+
+    The first successor stores a record as it adopts runs that none named.
+    """
+    sim, _, worker = make_world(tasks=0)
+    sim.run_s = 60.0
+    sim.submit(OTHER_JOB, steps=[Step(count=4, size=ONE)])
     run_until(sim, lambda: worker.runs)
-    require(rejected)
-    lose_leader(sim, after_s=1.5)
+    sim.run(1.0)
+    sim.leaders[-1].alive = False
+    store(sim, record=None)
+    sim.run(CLAIM_S)
+    sim.claim("b")
+    sim.run(2.0)
+    require(sim.store.get(starts_key(STEP, 0)) is not None)
+    lose_leader(sim)
     sim.run(CLAIM_S)
-    assert unanswered_indexes(sim.claim("b")) == set()
+    leader = sim.claim("c")
+    assert len(leader.scheduler.state.workers["w0"].attempts) == 2
+    assert unanswered_indexes(leader) == set()
 
 
 @pytest.mark.parametrize(
--- a/tests/jobs/test_unanswered_starts.py
+++ b/tests/jobs/test_unanswered_starts.py
@@ -42,6 +42,10 @@
 MAX_JOB_S = 90.0
 """Time in which the job ends once its worker is in reach again."""
 
+SENT_AFTER_THE_CLAIM = pytest.mark.xfail(reason="KNOWN-RED.txt", strict=True, raises=AssertionError)
+"""Known fault: an order counts as sent by the next claim, though a deposed leader may send it up to
+`leader.MAX_ORDER_QUEUE_S` after it has stored the record."""
+
 SUCCESSORS = "bcde"
 
 EARLY, LATER, LAST = (0.6, 1.5), (8.0, 12.0), (17.0, 19.5)
@@ -246,6 +250,8 @@
         (True, 1.2, 6.0),
         red(True, 3.0, 14.0),
         red(True, 9.0, 8.0),
+        pytest.param(False, 1.4, 19.9, marks=SENT_AFTER_THE_CLAIM),
+        pytest.param(True, 1.4, 19.9, marks=SENT_AFTER_THE_CLAIM),
     ],
 )
 def test_a_start_that_a_paused_leader_sends_after_the_next_claim_is_known(
@@ -253,7 +259,7 @@
 ):
     """Guards against a second run: the leader is paused between its record and its order.
 
-    The successor claims meanwhile. The worker restarts 0.1 s before it carries the order out.
+    The successor claims in between. The worker restarts 0.1 s before it carries the order out.
     """
     sim, leader, _ = make_world(tasks=0)
     sim.run_s = 30.0
