Test a covered start whose leader is lost during the write of its record

The store answers here: the start goes out with the plan, its own record is stored with the next write, and the leader is lost in between. Red on and on (two cases, marked), as the covered starts in an outage are.

--- a/tests/jobs/test_unanswered_starts.py
+++ b/tests/jobs/test_unanswered_starts.py
@@ -342,15 +342,17 @@
     check_to_the_end(sim)
 
 
-def send_covered_start(*, arrives_s):
-    """Returns a world with the store out, and a covered start that has just been sent.
+def send_covered_start(*, arrives_s, store_write_s=0.0):
+    """Returns a world in which a covered start has just been sent, without a record of its own.
 
     The first step runs on the worker to which that start goes, and its record covers it.
 
     Args:
         arrives_s: time from the start until it is carried out, without an answer.
+        store_write_s: time that a write takes; if it is 0, the store is out.
     """
     sim = JobSimulation(workers=2, capacity=6.0, max_lease_s=MAX_LEASE_S)
+    sim.store_write_s = store_write_s
     run_s = {0: 60.0, 1: 1.2, 2: 30.0}
     sim.plan = lambda task, attempt, worker: (ONE, run_s[task.step], False)
     near, far = {"size": ONE, "required_label": "r0"}, {"size": ONE, "required_label": "r1"}
@@ -362,7 +364,7 @@
     )
     run_until(sim, lambda: len(sim.events) == 2)
     sim.run(0.3)
-    sim.store.faults.down = True
+    sim.store.faults.down = store_write_s == 0
     covered, held = TaskId(OTHER_JOB, 0, 2, 0), []
 
     def late_by_s(order):
@@ -396,3 +398,19 @@
     sim.store.faults.down = False
     take_over(sim, "b")
     check_to_the_end(sim)
+
+
+@COVERED_START
+@pytest.mark.parametrize("is_listed", [False, True])
+def test_a_covered_start_outlasts_a_leader_that_was_about_to_record_it(is_listed):
+    """Guards against a second run though the store answers: the leader is lost during its write."""
+    restart_s, arrives_s = LATER
+    sim = send_covered_start(arrives_s=arrives_s, store_write_s=0.4)
+    cut_off_from_successors(sim)
+    if not is_listed:
+        sim.unlisted.add("w0")
+    restart(sim, after_s=restart_s)
+    sim.add_worker(2, 6.0)
+    sim.run(0.1)
+    take_over(sim, "b")
+    check_to_the_end(sim)
