Keep the relay's half-closed connections from garbage collection

Most runs of the soak printed "Task was destroyed but it is pending!" and "cannot reuse already awaited coroutine", and callers lost the answer of a connection that they had half-closed. The event loop refers to a connection only while it waits for its data; after the end of a client's stream the transport, its tasks and the connection to the target refer only to each other, so a garbage collection destroyed them. The route now refers to the tasks of its connections.

The new test fails without the change with these messages and an empty answer, and passes with it.

--- a/standins/relay.py
+++ b/standins/relay.py
@@ -34,6 +34,8 @@
         connections: number of open connections.
         bytes_to_target: bytes forwarded from clients.
         bytes_from_target: bytes forwarded to clients.
+        tasks: tasks of the open connections. The loop refers to a connection only while it waits
+            for data of it, so without this reference a half-closed one is garbage.
     """
 
     name: str
@@ -45,6 +47,7 @@
     connections: int = 0
     bytes_to_target: int = 0
     bytes_from_target: int = 0
+    tasks: set[asyncio.Task[Any] | None] = attrs.field(factory=set)
 
     def describe(self) -> dict[str, Any]:
         """Returns the entry of `GET /routes`."""
@@ -73,11 +76,13 @@
 
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections += 1
+        self.tasks.add(asyncio.current_task())
         # The task is cancelled only when the relay stops.
         with contextlib.suppress(asyncio.CancelledError, OSError):
             await self.passing.wait()
             await self._connect(reader, writer)
         self.connections -= 1
+        self.tasks.discard(asyncio.current_task())
         writer.close()
 
     async def _connect(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
--- a/tests/test_standins_platform.py
+++ b/tests/test_standins_platform.py
@@ -1,6 +1,7 @@
 """Stand-ins for the table, the membership list and the relay; the launcher."""
 
 import contextlib
+import gc
 import json
 import socket
 
@@ -176,6 +177,28 @@
     assert urllib3.request("POST", url, body=b"4", retries=False).data == b"4"
 
 
+def test_relay_keeps_a_connection_that_is_half_closed():
+    """Guards against connections that a garbage collection ends while the target still answers."""
+    with (
+        socket.create_server(("127.0.0.1", 0)) as target,
+        Relay(listen="127.0.0.1:0") as relay,
+    ):
+        port = free_port("127.0.0.1")
+        relay.add(
+            name="r",
+            listen=f"127.0.0.1:{port}",
+            target=f"127.0.0.1:{target.getsockname()[1]}",
+        )
+        with socket.create_connection(("127.0.0.1", port), 2.0) as client:
+            client.shutdown(socket.SHUT_WR)
+            accepted, _ = target.accept()
+            with accepted:
+                assert accepted.recv(1) == b""
+                gc.collect()
+                accepted.sendall(b"answer")
+                assert client.recv(6) == b"answer"
+
+
 @pytest.mark.parametrize("body", [{"routes": ["none"]}, {"new": "maybe"}])
 def test_relay_rejects_an_invalid_command(relayed, body):
     """Guards against an experiment that runs without the cut it asked for."""
