Soak: chains of takeovers, and calls that outlive their leader

The soak with restarts lost at most one leader near a restart and let the next incarnation read a worker's held calls only while their sender mostly still led.

The verdict counts takeovers, chains and late calls, so a calm run is noticed.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -25,7 +25,7 @@
 from bench.placement_experiment import COMPARISONS, run_comparison
 from bench.placement_experiment import table_text as comparison_text
 from bench.replay import DRAIN_S, Replayer
-from bench.soak import MIXED, RESTARTS, Soak
+from bench.soak import MIXED, RESTARTS, TAKEOVERS, Soak
 from fescuerudder._usage import UsageError
 from fescuerudder.cli import KEY_ENV
 from fescuerudder.commandline import EXIT_DONE, EXIT_FAILED, run_command_line
@@ -95,6 +95,7 @@
     seconds: str = "20",
     logs: str = "",
     restarts: bool = False,
+    takeovers: bool = False,
 ) -> int:
     """Runs nodes on stand-ins under random faults; exits with 0 only if no promise broke.
 
@@ -104,14 +105,15 @@
         seconds: time with faults of each run.
         logs: directory for the nodes' logs of runs that broke a promise.
         restarts: restarts workers under their ids amid calls and cuts them off, with long tasks.
+        takeovers: the same, and two or three leaders are lost near some of these restarts.
     """
     broken = 0
-    kind = RESTARTS if restarts else MIXED
+    kind = TAKEOVERS if takeovers else RESTARTS if restarts else MIXED
     for seed in range(int(first), int(first) + int(seeds)):
         run = Soak(seed=seed, duration_s=_number("--seconds", seconds), kind=kind)
         verdict = run.run()
         broken += bool(verdict.problems)
-        print(f"seed {seed}: {verdict.accepted} jobs, {verdict.starts} starts", flush=True)
+        print(verdict, flush=True)
         for problem in verdict.problems:
             print(f"  {problem}", flush=True)
         if verdict.problems:
--- a/bench/_soakworld.py
+++ b/bench/_soakworld.py
@@ -66,11 +66,15 @@
     max_lease_s: float = MAX_LEASE_S
     callers: str = ""
     process: subprocess.Popen | None = None
+    _lock: threading.Lock = attrs.field(factory=threading.Lock, init=False, eq=False)
 
     def start(self) -> None:
         """Starts the process if it does not run."""
-        if self.process is not None and self.process.poll() is None:
-            return
+        with self._lock:
+            if self.process is None or self.process.poll() is not None:
+                self._start_process()
+
+    def _start_process(self) -> None:
         settings = self._write_settings()
         command = [sys.executable, "-m", "fescuerudder", "node", "--settings", settings]
         with (self.directory / f"{self.name}.log").open("ab") as log:
@@ -228,7 +232,7 @@
             value = json.dumps(face.registry_entry()).encode()
             change = (
                 RowTransaction(puts=((key, value),))
-                if face.worker.is_up
+                if face.worker.is_up and face.is_listed
                 else RowTransaction(deletes=(key,))
             )
             with contextlib.suppress(PlatformError):
@@ -243,6 +247,7 @@
         world.relay.heal(name)
     for face in world.workers.values():
         face.held_calls.end()
+        face.is_listed = True
         with face.lock:
             if not face.worker.is_up:
                 face.worker.restart()
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -17,7 +17,10 @@
 import attrs
 import urllib3
 
+from bench._soakclaims import ClaimWatch, LateCalls
+from bench._soakcontext import SeriesContext
 from bench._soakrestarts import Restarts
+from bench._soaktakeovers import Takeovers
 from bench._soakworld import MAX_LEASE_S, QUEUE, WORKERS, SoakWorld, heal
 from fescuerudder.document import Size
 from fescuerudder.jobs.job import TaskId
@@ -57,6 +60,7 @@
         calm_s: time before the first fault, in seconds.
         long_steps: whether the tasks of the first step of each job run long.
         restarts: share of the faults that are workers which restart amid calls.
+        chains: share of these amid which two or three leaders are lost.
     """
 
     workers: int = WORKERS
@@ -66,6 +70,7 @@
     calm_s: float = 0.0
     long_steps: bool = False
     restarts: float = 0.0
+    chains: float = 0.0
 
 
 MIXED = Kind()
@@ -80,6 +85,8 @@
 )
 """Long tasks with room elsewhere, and leases that last longer than those of the leader's orders."""
 
+TAKEOVERS = attrs.evolve(RESTARTS, chains=0.5)
+
 
 @attrs.define(kw_only=True)
 class Submission:
@@ -110,6 +117,9 @@
         accepted: accepted jobs.
         starts: attempts that workers began.
         problems: broken promises.
+        takeovers: leaders that replaced another one.
+        chains: series amid which at least two leaders were replaced.
+        late: calls that workers read late.
     """
 
     seed: int
@@ -117,6 +127,15 @@
     accepted: int
     starts: int
     problems: list[str]
+    takeovers: int
+    chains: int
+    late: LateCalls
+
+    def __str__(self) -> str:
+        return (
+            f"seed {self.seed}: {self.accepted} jobs, {self.starts} starts, {self.takeovers} "
+            f"takeovers, {self.chains} chains, {self.late}"
+        )
 
 
 class Soak:
@@ -142,16 +161,19 @@
     def run(self) -> Verdict:
         """Runs processes, load and faults; returns what was seen."""
         kind = self._kind
-        with SoakWorld(
-            rng=random.Random(self._seed),
-            plan=_plan_long if kind.long_steps else _plan,
-            workers=kind.workers,
-            max_lease_s=kind.max_lease_s,
-        ) as world:
+        with (
+            SoakWorld(
+                rng=random.Random(self._seed),
+                plan=_plan_long if kind.long_steps else _plan,
+                workers=kind.workers,
+                max_lease_s=kind.max_lease_s,
+            ) as world,
+            ClaimWatch(world=world) as watch,
+        ):
             self._wait_ready(world)
             load = threading.Thread(target=self._load, args=(world,), daemon=True)
             load.start()
-            self._inject(world)
+            chains = self._inject(world, watch)
             self._stopping.set()
             load.join()
             heal(world)
@@ -166,6 +188,9 @@
             accepted=accepted,
             starts=starts,
             problems=problems,
+            takeovers=watch.takeovers(),
+            chains=chains,
+            late=watch.late,
         )
 
     # --- load
@@ -173,13 +198,17 @@
     def _load(self, world: SoakWorld) -> None:
         rng = random.Random(self._seed + 1)
         while not self._stopping.wait(rng.uniform(*self._kind.pause_s)):
-            job = f"{rng.getrandbits(64):016x}"
-            steps = tuple(rng.randint(1, 3) for _ in range(rng.randint(1, 3)))
-            submission = self._jobs[job] = Submission(job=job, steps=steps)
-            self._submit(world, submission, rng)
-            if submission.accepted and rng.random() < 0.1:
-                submission.cancelled = True
-                self._call("DELETE", rng.choice(world.nodes).callers, job)
+            self._submit_job(world, rng)
+
+    def _submit_job(self, world: SoakWorld, rng: random.Random) -> None:
+        """Submits a random job, and cancels one of ten."""
+        job = f"{rng.getrandbits(64):016x}"
+        steps = tuple(rng.randint(1, 3) for _ in range(rng.randint(1, 3)))
+        submission = self._jobs[job] = Submission(job=job, steps=steps)
+        self._submit(world, submission, rng)
+        if submission.accepted and rng.random() < 0.1:
+            submission.cancelled = True
+            self._call("DELETE", rng.choice(world.nodes).callers, job)
 
     def _submit(self, world: SoakWorld, submission: Submission, rng: random.Random) -> None:
         """Submits as callers do: again, at another node, until the outcome is known."""
@@ -219,14 +248,25 @@
 
     # --- faults
 
-    def _inject(self, world: SoakWorld) -> None:
+    def _inject(self, world: SoakWorld, watch: ClaimWatch) -> int:
+        """Injects faults; returns the number of chains of takeovers."""
         time.sleep(self._kind.calm_s)
         end_s = time.monotonic() + self._duration_s
         timers = []
-        restarts = Restarts(world=world, rng=random.Random(self._seed + 2))
+        context = SeriesContext(world=world)
+        restarts = Restarts(context=context, rng=random.Random(self._seed + 2))
+        rng = random.Random(self._seed + 4)
+        takeovers = Takeovers(
+            context=context,
+            watch=watch,
+            submit=lambda: self._submit_job(world, rng),
+            rng=random.Random(self._seed + 3),
+        )
         while time.monotonic() < end_s:
             if self._kind.restarts and self._rng.random() < self._kind.restarts:
-                self._faults += filter(None, [restarts.begin()])
+                is_chain = self._kind.chains and self._rng.random() < self._kind.chains
+                begun = takeovers.begin() if is_chain else restarts.begin()
+                self._faults += filter(None, [begun])
                 time.sleep(self._rng.uniform(*FAULT_PAUSE_S))
                 continue
             name, begin, end = self._draw(world)
@@ -238,7 +278,8 @@
             time.sleep(self._rng.uniform(*FAULT_PAUSE_S))
         for timer in timers:
             timer.join()
-        restarts.join()
+        context.join()
+        return takeovers.chains
 
     def _draw(self, world: SoakWorld) -> tuple[str, Callable[[], None], Callable[[], None]]:
         """Returns the name of a fault, what begins it, and what ends it."""
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -1,11 +1,14 @@
 """TCP relay with routes that can be cut, healed and delayed.
 
 A cut route keeps its connections open but forwards neither data nor closes; data sent meanwhile
-is forwarded after the route heals, as TCP would retransmit it.
+is forwarded after the route heals, as TCP would retransmit it. The open connections of a route can
+be dropped, as when another machine or a fresh boot takes over the address.
 """
 
 import asyncio
 import contextlib
+import socket
+import struct
 import threading
 from collections.abc import Coroutine
 from typing import Any
@@ -18,6 +21,9 @@
 QUEUE_CHUNKS = 64
 CALL_TIMEOUT_S = 5.0
 NEW_CONNECTION_MODES = ("hang", "refuse")
+DROP_MODES = ("reset", "silent")
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""Value of SO_LINGER with which a connection is reset as it is closed."""
 
 
 @attrs.define(kw_only=True)
@@ -34,8 +40,10 @@
         connections: number of open connections.
         bytes_to_target: bytes forwarded from clients.
         bytes_from_target: bytes forwarded to clients.
-        tasks: tasks of the open connections. The loop refers to a connection only while it waits
-            for data of it, so without this reference a half-closed one is garbage.
+        writers: writers to the clients by the tasks of their connections. The loop refers to a
+            connection only while it waits for data of it, so without this reference to its task a
+            half-closed one is garbage.
+        silent: tasks of connections that were dropped without a reset.
     """
 
     name: str
@@ -47,7 +55,8 @@
     connections: int = 0
     bytes_to_target: int = 0
     bytes_from_target: int = 0
-    tasks: set[asyncio.Task[Any] | None] = attrs.field(factory=set)
+    writers: dict[asyncio.Task[Any] | None, asyncio.StreamWriter] = attrs.field(factory=dict)
+    silent: set[asyncio.Task[Any] | None] = attrs.field(factory=set)
 
     def describe(self) -> dict[str, Any]:
         """Returns the entry of `GET /routes`."""
@@ -74,16 +83,42 @@
             self.server.close()
             self.server = None
 
+    async def drop(self, how: str) -> None:
+        """Ends the open connections at the target's side.
+
+        Args:
+            how: `reset` resets them at the client's side too; `silent` leaves them open there,
+                where nothing is answered any more.
+        """
+        for task, writer in list(self.writers.items()):
+            assert task is not None
+            if how == "reset":
+                sock = writer.get_extra_info("socket")
+                with contextlib.suppress(OSError):
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+                writer.transport.abort()
+            elif task in self.silent:
+                continue
+            else:
+                self.silent.add(task)
+            task.cancel()
+
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
         self.connections += 1
-        self.tasks.add(asyncio.current_task())
-        # The task is cancelled only when the relay stops.
-        with contextlib.suppress(asyncio.CancelledError, OSError):
-            await self.passing.wait()
-            await self._connect(reader, writer)
-        self.connections -= 1
-        self.tasks.discard(asyncio.current_task())
-        writer.close()
+        self.writers[task] = writer
+        try:
+            # The task is cancelled only when the relay stops or drops the connection.
+            with contextlib.suppress(asyncio.CancelledError, OSError):
+                await self.passing.wait()
+                await self._connect(reader, writer)
+            if task in self.silent:
+                await _discard(reader)
+        finally:
+            self.connections -= 1
+            del self.writers[task]
+            self.silent.discard(task)
+            writer.close()
 
     async def _connect(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Connects to the target and forwards data until both directions end or one fails."""
@@ -109,6 +144,7 @@
                 pass
         finally:
             fill.cancel()
+            await asyncio.gather(fill, return_exceptions=True)
 
     async def _enqueue(self, reader: asyncio.StreamReader, queue: asyncio.Queue[Any]) -> None:
         chunk = b"-"
@@ -136,6 +172,13 @@
         return True
 
 
+async def _discard(reader: asyncio.StreamReader) -> None:
+    """Reads a stream to its end."""
+    with contextlib.suppress(OSError):
+        while await reader.read(CHUNK_BYTES):
+            pass
+
+
 class Relay:
     """Runs routes on an event loop of its own thread; use as a context manager.
 
@@ -181,6 +224,12 @@
         """Resumes forwarding data on a route."""
         self._call(self._routes[name].heal())
 
+    def drop(self, name: str, how: str) -> None:
+        """Ends the open connections of a route at the target's side; see `Route.drop`."""
+        if how not in DROP_MODES:
+            raise ValueError(f"how must be one of {', '.join(DROP_MODES)}")
+        self._call(self._routes[name].drop(how))
+
     def delay(self, name: str, delay_ms: float) -> None:
         """Sets the one-way delay of a route, in milliseconds."""
         self._routes[name].delay_ms = delay_ms
--- a/standins/workerhandler.py
+++ b/standins/workerhandler.py
@@ -2,6 +2,7 @@
 
 import threading
 import time
+from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -42,12 +43,18 @@
 
     Attributes:
         held_calls: calls that arrive while they are held are not carried out here.
+        is_listed: whether the registry may list the worker while it is up.
+        on_arrival: called with each call, also with those that are held.
+        on_execution: called with each call that the worker is about to carry out.
     """
 
     def __init__(self, *, worker: JobWorker) -> None:
         self.worker = worker
         self.lock = threading.RLock()
         self.held_calls = HeldCalls()
+        self.is_listed = True
+        self.on_arrival: Callable[[Request], None] = lambda req: None
+        self.on_execution: Callable[[Request], None] = lambda req: None
 
     def tick(self) -> None:
         """Ends all attempts that are due."""
@@ -72,6 +79,7 @@
 
     def handle(self, req: Request) -> Answer:
         """Answers one order; closes the connection without an answer if calls are held."""
+        self.on_arrival(req)
         if self.held_calls.hold(req):
             return Answer(abort=True)
         return self.carry_out(req)
@@ -82,6 +90,7 @@
             return Answer(abort=True)
         if req.headers.get("x-target-instance") != self.worker.info.id:
             return Answer(status=421, body={})
+        self.on_execution(req)
         raw = req.json()
         orders = {"/run-start": self._start, "/run-stop": self._stop, "/pace": self._pace}
         if req.path == "/hold":
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,17 +1,29 @@
 """A short seeded soak: nodes as processes, faults from outside them; and what its checks find."""
 
 import json
+import random
 import time
 from concurrent.futures import ThreadPoolExecutor
 
+import attrs
 import pytest
 
-from bench.soak import RESTARTS, Soak, Submission, _find_late_starts, _find_overlaps
+from bench._soakclaims import CHAIN_S, START_PATH, ClaimWatch, Term
+from bench._soaktakeovers import FATES, MAX_AGE_S, draw_chain, draw_delays
+from bench.soak import (
+    RESTARTS,
+    TAKEOVERS,
+    Soak,
+    Submission,
+    _find_late_starts,
+    _find_overlaps,
+)
 from fescuerudder.clock import ManualClock
 from fescuerudder.document import Size
 from fescuerudder.jobs.job import TaskId
 from fescuerudder.jobs.workerport import WorkerInfo
 from standins._http import Request
+from standins.heldcalls import HeldCalls
 from standins.jobworker import JobWorker
 from standins.workerhandler import WorkerHandler
 
@@ -49,6 +61,122 @@
     assert any(fault.startswith("restart ") for fault in verdict.faults)
 
 
+def test_no_promise_breaks_amid_chains_of_takeovers():
+    """Guards against calls that outlive the leader that sent them, and against a calm run."""
+    kind = attrs.evolve(TAKEOVERS, chains=1.0)
+    verdict = Soak(seed=2000, duration_s=6.0, kind=kind).run()
+    assert verdict.problems == [], verdict.faults
+    assert verdict.chains > 0
+    assert verdict.late.starts > 0
+    assert verdict.late.orphaned > 0
+
+
+class Process:
+    """Process of a leader in the tests of what is counted."""
+
+    def __init__(self, *, ended):
+        self.ended = ended
+
+    def poll(self):
+        return 0 if self.ended else None
+
+
+def watch_terms(*ended):
+    """Returns a watch that saw one term a second, of processes that have ended or not."""
+    watch = ClaimWatch(world=None)
+    watch._terms = [
+        Term(epoch=number, node=None, process=Process(ended=is_ended), at_s=float(number))
+        for number, is_ended in enumerate(ended, 1)
+    ]
+    return watch
+
+
+def make_call(*, path=START_PATH, epoch=1):
+    body = {"fencingToken": epoch * 1_000_000 + 3}
+    return Request(
+        method="POST",
+        path=path,
+        query={},
+        headers={},
+        body=json.dumps(body).encode(),
+        target=path,
+    )
+
+
+@pytest.mark.parametrize(
+    ("ended", "path", "counts"),
+    [
+        # The sender leads.
+        ((False,), START_PATH, (0, 0, 0, 0, 0)),
+        # It was killed, and nobody has claimed yet.
+        ((True,), START_PATH, (1, 1, 1, 1, 1)),
+        # It was paused, and another one has claimed.
+        ((False, False), START_PATH, (1, 0, 1, 1, 1)),
+        ((True, False), START_PATH, (1, 1, 1, 1, 1)),
+        ((True, False), "/hold", (1, 1, 0, 1, 0)),
+    ],
+)
+def test_late_calls_are_counted(ended, path, counts):
+    """Guards against a soak that passes because no call outlived its leader."""
+    watch = watch_terms(*ended)
+    call = make_call(path=path)
+    watch.note_execution(call)
+    watch.note_reborn(call)
+    watch.note_answer(call, 200)
+    watch.note_answer(call, 409)
+    assert attrs.astuple(watch.late) == counts
+
+
+def test_takeovers_are_counted_and_lost_leaders_are_not_lost_again():
+    """Guards against a chain that is counted without takeovers, or hits one leader twice."""
+    watch = watch_terms(True, True, False)
+    assert watch.takeovers() == 2
+    assert watch.takeovers(since_s=2.5) == 1
+    assert watch.wait_for_term(after=2, timeout_s=0.0).epoch == 3
+    assert watch.wait_for_term(after=3, timeout_s=0.0) is None
+    assert watch_terms(False, True).wait_for_term(after=0, timeout_s=0.0) is None
+
+
+def test_chains_lose_two_or_three_leaders_near_a_restart():
+    """Guards against chains that are too slow for the leaders' memory, or all of one kind."""
+    chains = [draw_chain(random.Random(seed)) for seed in range(300)]
+    for chain in chains:
+        assert 2 <= len(chain.losses) <= 3
+        assert chain.losses[0].waits_for_start
+        further_s = [loss.at_s for loss in chain.losses[1:]]
+        assert further_s == sorted(further_s)
+        assert max(further_s) < CHAIN_S / 2
+    assert {fate for chain in chains for fate in chain.fates} == set(FATES)
+    assert {loss.number.name for chain in chains for loss in chain.losses} == {
+        "SIGKILL",
+        "SIGSTOP",
+    }
+    assert {len(chain.losses) for chain in chains} == {2, 3}
+
+
+@pytest.mark.parametrize("in_order", [True, False])
+def test_held_calls_are_read_in_or_out_of_order(in_order):
+    """Guards against late calls that always keep their order, or come later than a worker may."""
+    delays_s = draw_delays(random.Random(1), number=50, in_order=in_order)
+    assert (delays_s == sorted(delays_s)) == in_order
+    assert 0.0 < min(delays_s) < 0.1
+    assert 1.0 < max(delays_s) < MAX_AGE_S
+
+
+def test_only_calls_of_the_path_are_held():
+    """Guards against a worker that answers no renewal while only its starts are held."""
+    held = HeldCalls()
+    held.begin(path=START_PATH)
+    assert not held.hold(make_call(path="/hold"))
+    with ThreadPoolExecutor(1) as pool:
+        answer = pool.submit(held.hold, make_call())
+        while not held.calls():
+            time.sleep(0.01)
+        assert [call.path for call in held.end()] == [START_PATH]
+        assert answer.result()
+    assert not held.hold(make_call())
+
+
 @pytest.mark.parametrize("clock_ms", [0.0, 2_000.0, 50_000.0])
 def test_a_held_renewal_acts_on_the_next_incarnation(clock_ms):
     """Guards against a soak whose held calls get lost, or still reach the last incarnation."""
@@ -80,7 +208,7 @@
     face.held_calls.begin()
     with ThreadPoolExecutor(1) as pool:
         answer = pool.submit(face.handle, req)
-        while not face.held_calls._calls:
+        while not face.held_calls.calls():
             time.sleep(0.01)
         worker.crash()
         worker.restart(clock_ms=clock_ms)
--- a/tests/test_standins_platform.py
+++ b/tests/test_standins_platform.py
@@ -199,6 +199,24 @@
                 assert client.recv(6) == b"answer"
 
 
+@pytest.mark.parametrize(
+    ("how", "error"), [("reset", ConnectionResetError), ("silent", TimeoutError)]
+)
+def test_dropped_connections_are_dead_and_new_ones_work(relayed, how, error):
+    """Guards against a worker with a fresh boot that still answers on old connections."""
+    relay, route = relayed
+    call = b"POST / HTTP/1.1\r\nHost: r\r\nContent-Length: 1\r\n\r\n1"
+    with socket.create_connection(("127.0.0.1", int(route.rpartition(":")[2])), 0.3) as kept:
+        kept.sendall(call)
+        assert kept.recv(12) == b"HTTP/1.1 200"
+        relay.drop("r", how)
+        with pytest.raises(error):
+            kept.sendall(call)
+            while kept.recv(1000):
+                pass
+        assert urllib3.request("POST", f"http://{route}/", body=b"3", retries=False).data == b"3"
+
+
 @pytest.mark.parametrize("body", [{"routes": ["none"]}, {"new": "maybe"}])
 def test_relay_rejects_an_invalid_command(relayed, body):
     """Guards against an experiment that runs without the cut it asked for."""
