Soak: cut workers of a chain may leave the registry too

A worker that returns while it is cut off was still listed, and a successor waits for listed workers. Half of the chains now cut a worker from the registry as well.

--- a/bench/_soaktakeovers.py
+++ b/bench/_soaktakeovers.py
@@ -22,7 +22,7 @@
 CUT_AFTER_S = (-1.5, 3.0)
 """Time from the return to the cut; it may also come before the return or the crash."""
 
-UNLISTED_S = (0.0, 0.0, 0.5, 2.0)
+UNLISTED_S = (0.0, 0.0, 0.5, 2.0, 5.0)
 """Times of which one is that from the return to when the registry may list the worker again."""
 
 CUT_S = (4.0, 8.0)
@@ -56,7 +56,7 @@
 DELAY_S = (0.01, 6.0)
 """Time from the return to when a held call is read; short ones are as frequent as long."""
 
-FATES = ("stays", "queue", "queue", "queue", "reset", "silent")
+FATES = ("stays", "queue", "queue", "queue", "queue", "reset", "silent")
 """What becomes of a worker and of the calls that it has not read.
 
 `stays`: it doesn't crash, and reads them late. `queue`: its next incarnation reads them. `reset`,
@@ -98,6 +98,7 @@
         down_s: time from the crash to the return.
         clock: how the first reading of the clock compares with the last one; of `CLOCKS`.
         unlisted_s: time from the return to when the registry may list the workers again.
+        is_isolated: whether a cut worker reaches the registry no more either.
         cut_after_s: time from the return to the cut, negative if the cut comes first.
         cut_s: length of the cut.
         in_order: whether held calls are read in the order in which they were sent.
@@ -110,6 +111,7 @@
     down_s: float
     clock: str
     unlisted_s: float
+    is_isolated: bool
     cut_after_s: float
     cut_s: float
     in_order: bool
@@ -157,6 +159,7 @@
         down_s=down_s,
         clock=rng.choice(CLOCKS),
         unlisted_s=rng.choice(UNLISTED_S),
+        is_isolated=rng.random() < 0.5,
         cut_after_s=cut_after_s,
         cut_s=rng.uniform(*CUT_S),
         in_order=rng.random() < 0.5,
@@ -256,7 +259,7 @@
         steps: list[tuple[float, Callable[[str, str], None]]] = [
             (chain.crash_s, self._crash),
             (return_s, lambda name, fate: self._return(name, fate, play)),
-            (return_s + chain.unlisted_s, lambda name, fate: self._list(name)),
+            (return_s + chain.unlisted_s, lambda name, fate: self._list(name, play)),
             (cut_s, lambda name, fate: self._cut(name)),
             (cut_s + chain.cut_s, lambda name, fate: self._heal(name)),
         ]
@@ -273,10 +276,12 @@
     def _heal(self, name: str) -> None:
         self._cut_off.discard(name)
         self._context.heal(name)
-
-    def _list(self, name: str) -> None:
         self._face(name).is_listed = True
 
+    def _list(self, name: str, play: _Play) -> None:
+        if name not in self._cut_off or not play.chain.is_isolated:
+            self._face(name).is_listed = True
+
     def _face(self, name: str) -> WorkerHandler:
         return self._world.workers[name]
 
