--- a/bench/_soaktakeovers.py
+++ b/bench/_soaktakeovers.py
@@ -22,6 +22,12 @@
 CUT_AFTER_S = (-1.5, 3.0)
 """Time from the return to the cut; it may also come before the return or the crash."""
 
+ISOLATED_SHARE = 0.5
+"""Share of the chains whose workers are cut off from everybody before a successor has claimed.
+
+Otherwise the successor's first call mostly comes before a late start, which the worker refuses.
+"""
+
 UNLISTED_S = (0.0, 0.0, 0.5, 2.0, 5.0)
 """Times of which one is that from the return to when the registry may list the worker again."""
 
@@ -98,7 +104,8 @@
         down_s: time from the crash to the return.
         clock: how the first reading of the clock compares with the last one; of `CLOCKS`.
         unlisted_s: time from the return to when the registry may list the workers again.
-        is_isolated: whether a cut worker reaches the registry no more either.
+        is_isolated: whether the cut begins with the first loss, and keeps the workers out of the
+            registry too once they have crashed.
         cut_after_s: time from the return to the cut, negative if the cut comes first.
         cut_s: length of the cut.
         in_order: whether held calls are read in the order in which they were sent.
@@ -147,7 +154,8 @@
 def draw_chain(rng: random.Random) -> Chain:
     """Returns a random chain."""
     crash_s, down_s = rng.uniform(*CRASH_S), rng.uniform(*DOWN_S)
-    cut_after_s = rng.uniform(*CUT_AFTER_S)
+    is_isolated = rng.random() < ISOLATED_SHARE
+    cut_after_s = -(crash_s + down_s) if is_isolated else rng.uniform(*CUT_AFTER_S)
     anchors_s = (crash_s, crash_s + down_s, crash_s + down_s + cut_after_s)
     further_s = sorted(
         max(0.0, rng.choice(anchors_s) + rng.uniform(*LOSS_OFFSET_S))
@@ -159,7 +167,7 @@
         down_s=down_s,
         clock=rng.choice(CLOCKS),
         unlisted_s=rng.choice(UNLISTED_S),
-        is_isolated=rng.random() < 0.5,
+        is_isolated=is_isolated,
         cut_after_s=cut_after_s,
         cut_s=rng.uniform(*CUT_S),
         in_order=rng.random() < 0.5,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -152,6 +152,9 @@
         "SIGSTOP",
     }
     assert {len(chain.losses) for chain in chains} == {2, 3}
+    isolated = [chain for chain in chains if chain.is_isolated]
+    assert 100 < len(isolated) < 200
+    assert all(chain.crash_s + chain.down_s + chain.cut_after_s <= 0.0 for chain in isolated)
 
 
 @pytest.mark.parametrize("in_order", [True, False])
