--- a/bench/_soaktakeovers.py
+++ b/bench/_soaktakeovers.py
@@ -31,7 +31,9 @@
 UNLISTED_S = (0.0, 0.0, 0.5, 2.0, 5.0)
 """Times of which one is that from the return to when the registry may list the worker again."""
 
-CUT_S = (4.0, 8.0)
+CUT_S = (4.0, 15.0)
+"""Length of the cut; a successor waits some 10 s for the leases of workers that it can't reach."""
+
 LOSS_OFFSET_S = (-0.5, 1.5)
 """Time from the crash, the return or the cut to a further loss of the leader."""
 
@@ -59,8 +61,12 @@
 TERM_TIMEOUT_S = 5.0
 """Longest wait for the next leader; losses that find none are left out."""
 
-DELAY_S = (0.01, 6.0)
-"""Time from the return to when a held call is read; short ones are as frequent as long."""
+DELAY_S = (0.01, 8.0)
+"""Time from the return to when a held call is read.
+
+In half of the chains short times are as frequent as long ones. In the others they are uniform, as a
+run that begins long after the loss is what a successor may not wait for.
+"""
 
 FATES = ("stays", "queue", "queue", "queue", "queue", "reset", "silent")
 """What becomes of a worker and of the calls that it has not read.
@@ -108,6 +114,7 @@
             registry too once they have crashed.
         cut_after_s: time from the return to the cut, negative if the cut comes first.
         cut_s: length of the cut.
+        delays_uniform: whether the delays of held calls are uniform, else their logarithms are.
         in_order: whether held calls are read in the order in which they were sent.
         losses: losses of leaders by their times.
         seed: seed of the delays of the held calls and of the clock's reading.
@@ -121,6 +128,7 @@
     is_isolated: bool
     cut_after_s: float
     cut_s: float
+    delays_uniform: bool
     in_order: bool
     losses: tuple[LeaderLoss, ...]
     seed: int
@@ -170,6 +178,7 @@
         is_isolated=is_isolated,
         cut_after_s=cut_after_s,
         cut_s=rng.uniform(*CUT_S),
+        delays_uniform=rng.random() < 0.5,
         in_order=rng.random() < 0.5,
         losses=tuple(
             LeaderLoss(
@@ -185,11 +194,14 @@
     )
 
 
-def draw_delays(rng: random.Random, *, number: int, in_order: bool) -> list[float]:
+def draw_delays(rng: random.Random, chain: Chain, *, number: int) -> list[float]:
     """Returns times in seconds after which held calls are read, in the order they were sent."""
     shortest_s, longest_s = DELAY_S
-    delays_s = [shortest_s * (longest_s / shortest_s) ** rng.random() for _ in range(number)]
-    return sorted(delays_s) if in_order else delays_s
+    if chain.delays_uniform:
+        delays_s = [rng.uniform(shortest_s, longest_s) for _ in range(number)]
+    else:
+        delays_s = [shortest_s * (longest_s / shortest_s) ** rng.random() for _ in range(number)]
+    return sorted(delays_s) if chain.in_order else delays_s
 
 
 class Takeovers:
@@ -319,7 +331,7 @@
         face = self._face(name)
         calls = face.held_calls.end()
         most_s = max(0.0, play.begin_s + MAX_AGE_S - time.monotonic())
-        delays_s = draw_delays(play.rng, number=len(calls), in_order=play.chain.in_order)
+        delays_s = draw_delays(play.rng, play.chain, number=len(calls))
         for req, delay_s in zip(calls, delays_s, strict=True):
             self._context.start(self._read_late, face, req, min(delay_s, most_s), is_reborn)
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -158,12 +158,14 @@
 
 
 @pytest.mark.parametrize("in_order", [True, False])
-def test_held_calls_are_read_in_or_out_of_order(in_order):
+@pytest.mark.parametrize("uniform", [True, False])
+def test_held_calls_are_read_in_or_out_of_order(uniform, in_order):
     """Guards against late calls that always keep their order, or come later than a worker may."""
-    delays_s = draw_delays(random.Random(1), number=50, in_order=in_order)
+    chain = attrs.evolve(draw_chain(random.Random(1)), delays_uniform=uniform, in_order=in_order)
+    delays_s = draw_delays(random.Random(1), chain, number=99)
     assert (delays_s == sorted(delays_s)) == in_order
-    assert 0.0 < min(delays_s) < 0.1
-    assert 1.0 < max(delays_s) < MAX_AGE_S
+    assert 0.0 < min(delays_s) < 0.3
+    assert 4.0 < max(delays_s) < MAX_AGE_S
 
 
 def test_only_calls_of_the_path_are_held():
