--- a/bench/_soaktakeovers.py
+++ b/bench/_soaktakeovers.py
@@ -31,8 +31,9 @@
 UNLISTED_S = (0.0, 0.0, 0.5, 2.0, 5.0)
 """Times of which one is that from the return to when the registry may list the worker again."""
 
-CUT_S = (4.0, 15.0)
-"""Length of the cut; a successor waits some 10 s for the leases of workers that it can't reach."""
+CUT_S = (4.0, 8.0)
+ISOLATED_CUT_S = (9.0, 16.0)
+"""Length of a cut from everybody; a successor waits some 10 s for the leases of such workers."""
 
 LOSS_OFFSET_S = (-0.5, 1.5)
 """Time from the crash, the return or the cut to a further loss of the leader."""
@@ -177,7 +178,7 @@
         unlisted_s=rng.choice(UNLISTED_S),
         is_isolated=is_isolated,
         cut_after_s=cut_after_s,
-        cut_s=rng.uniform(*CUT_S),
+        cut_s=rng.uniform(*(ISOLATED_CUT_S if is_isolated else CUT_S)),
         delays_uniform=rng.random() < 0.5,
         in_order=rng.random() < 0.5,
         losses=tuple(
