--- a/tests/test_standins_platform.py
+++ b/tests/test_standins_platform.py
@@ -1,6 +1,7 @@
 """Stand-ins for the table, the membership list and the relay; the launcher."""
 
 import contextlib
+import gc
 import json
 import socket
 
@@ -176,6 +177,46 @@
     assert urllib3.request("POST", url, body=b"4", retries=False).data == b"4"
 
 
+def test_relay_keeps_a_connection_that_is_half_closed():
+    """Guards against connections that a garbage collection ends while the target still answers."""
+    with (
+        socket.create_server(("127.0.0.1", 0)) as target,
+        Relay(listen="127.0.0.1:0") as relay,
+    ):
+        port = free_port("127.0.0.1")
+        relay.add(
+            name="r",
+            listen=f"127.0.0.1:{port}",
+            target=f"127.0.0.1:{target.getsockname()[1]}",
+        )
+        with socket.create_connection(("127.0.0.1", port), 2.0) as client:
+            client.shutdown(socket.SHUT_WR)
+            accepted, _ = target.accept()
+            with accepted:
+                assert accepted.recv(1) == b""
+                gc.collect()
+                accepted.sendall(b"answer")
+                assert client.recv(6) == b"answer"
+
+
+@pytest.mark.parametrize(
+    ("how", "error"), [("reset", ConnectionResetError), ("silent", TimeoutError)]
+)
+def test_dropped_connections_are_dead_and_new_ones_work(relayed, how, error):
+    """Guards against a worker with a fresh boot that still answers on old connections."""
+    relay, route = relayed
+    call = b"POST / HTTP/1.1\r\nHost: r\r\nContent-Length: 1\r\n\r\n1"
+    with socket.create_connection(("127.0.0.1", int(route.rpartition(":")[2])), 0.3) as kept:
+        kept.sendall(call)
+        assert kept.recv(12) == b"HTTP/1.1 200"
+        relay.drop("r", how)
+        with pytest.raises(error):
+            kept.sendall(call)
+            while kept.recv(1000):
+                pass
+        assert urllib3.request("POST", f"http://{route}/", body=b"3", retries=False).data == b"3"
+
+
 @pytest.mark.parametrize("body", [{"routes": ["none"]}, {"new": "maybe"}])
 def test_relay_rejects_an_invalid_command(relayed, body):
     """Guards against an experiment that runs without the cut it asked for."""
