--- a/tests/jobs/test_random_restarts.py
+++ b/tests/jobs/test_random_restarts.py
@@ -8,6 +8,7 @@
 from tests.jobs.test_scheduler import ONE
 
 SEEDS = range(60)
+TIME_CHANGE_SEEDS = range(20)
 EPISODES = 3
 OTHER_FAULTS = tuple(fault for fault in FAULTS if fault is not fault_partition)
 
@@ -103,3 +104,15 @@
     or replaced, while long tasks run; then all heal, and every job must end.
     """
     play_world(RestartSimulation(seed=seed), play_episode)
+
+
+@pytest.mark.parametrize("seed", TIME_CHANGE_SEEDS)
+def test_starts_at_another_time_of_day_break_no_promise(seed):
+    """Guards against the same where start times don't tell which incarnation is the later one."""
+    sim = RestartSimulation(seed=seed)
+    sim.time_change_share = 0.6
+    play_world(sim, play_episode)
+    records = sim.leaders[-1].scheduler.state.workers
+    for name, worker in sim.workers.items():
+        assert records[name].info.incarnation_ms == worker.info.incarnation_ms
+        assert records[name].is_fenced and records[name].on_roster, f"{name} gets no tasks"
