--- a/fescuerudder/jobs/reports.py
+++ b/fescuerudder/jobs/reports.py
@@ -14,6 +14,7 @@
     Phase,
     TaskRun,
 )
+from fescuerudder.jobs.runaudit import RunAudit
 from fescuerudder.jobs.schedulerstate import SchedulerState
 from fescuerudder.jobs.workerhealth import QUICK_FAILURE_S
 from fescuerudder.jobs.workerport import (
@@ -43,10 +44,14 @@
 
     Args:
         state: state of the term.
+
+    Attributes:
+        audit: logs the runs that should not be.
     """
 
     def __init__(self, *, state: SchedulerState) -> None:
         self._state = state
+        self.audit = RunAudit(state=state)
 
     def reconcile(
         self,
@@ -79,6 +84,7 @@
         self._process_ends(record, report, now_s)
         if not is_newest:
             return
+        self.audit.check(record, report, now_s=now_s)
         orphans = {
             (row.task, row.attempt)
             for row in report.running
@@ -125,6 +131,7 @@
             renewals_in_flight=record.renewals_in_flight,
             unanswered_renewals=record.unanswered_renewals,
         )
+        self.audit.remember(record)
         record_worker_end(self._state, record, open_starts_refused=False)
         self._state.set_orphans(record, set())
         for attempt in record.begin_incarnation(info, now_s=now_s):
@@ -173,6 +180,7 @@
             if end.serial > record.seen_serial:
                 record.seen_serial = end.serial
                 record.new_ends.setdefault(end.task.job, end.serial)
+                self.audit.check_end(record, end, now_s=now_s)
                 self._process_end(record, end, now_s)
 
     def _process_end(self, record: WorkerRecord, end: EndedAttempt, now_s: float) -> None:
@@ -282,6 +290,7 @@
         for older in dict.fromkeys((*unnumbered, *earlier)):
             # The earlier leader started this one because it knew that the older one had ended, or
             # could be carried out by a later incarnation of this worker only.
+            self.audit.remember_start(older)
             self._state.drop_attempt(older)
             if older.worker == record.id:
                 self._state.late_starts.add(older)
--- a/fescuerudder/jobs/scheduler.py
+++ b/fescuerudder/jobs/scheduler.py
@@ -400,7 +400,7 @@
         if self.is_superseded:
             return []
         now_s = self._clock.now_s()
-        expire_leases(self.state, self._leases, now_s=now_s)
+        expire_leases(self.state, self._leases, self._reconciler.audit, now_s=now_s)
         self._planner.update_margins(now_s)
         self._releaser.withdraw_overdue(now_s)
         orders: list[Order] = []
--- a/fescuerudder/jobs/schedulerstate.py
+++ b/fescuerudder/jobs/schedulerstate.py
@@ -267,7 +267,7 @@
         if attempt in attempt.task.attempts:
             attempt.task.attempts.remove(attempt)
         attempt.task.last_end_s = self.last_end_s = self.clock.now_s()
-        attempt.task.last_worker = attempt.worker
+        attempt.task.last_worker, attempt.task.last_ended = attempt.worker, attempt.number
         step = attempt.task.step
         if step.spec.gang:
             step.broken_attempt = max(step.broken_attempt, attempt.number)
--- a/fescuerudder/jobs/taskrun.py
+++ b/fescuerudder/jobs/taskrun.py
@@ -156,6 +156,7 @@
             None if it does not.
         last_end_s: when an attempt of it last ended, on this instance's clock.
         last_worker: id of the worker of that attempt, or empty.
+        last_ended: number of that attempt, 0 if none has ended.
         seen_running: a report to this leader listed an attempt, so the earlier leader had not found
             it ended, and had not started another one.
         done_in_term: an attempt completed the task of which no earlier leader can have learned.
@@ -179,6 +180,7 @@
     quiet_wait_since_s: float | None = None
     last_end_s: float = -math.inf
     last_worker: str = ""
+    last_ended: int = 0
     seen_running: bool = False
     done_in_term: bool = False
 
