Tell the orders of a repeated start apart in the log lines

Operators saw "start carried out by a later incarnation" for a run that the present incarnation was asked for: a late start had been sent again to it under its number, and the line still referred to the first order. A run elsewhere was also said to overlap with attempt 0, the earlier of the two orders, beside the alarm for the later one.

The token now tells whether a remembered start is the order that a report refers to, and orders without a number are no runs of their own. test_a_start_that_was_sent_again_to_the_next_incarnation_is_not_odd and test_an_order_that_was_sent_again_is_no_run_of_its_own failed before and pass.

The lost leader now stores a row leader/leader/unanswered that names nothing, so its successor believes that the starts were answered, as before; all checks are unchanged. A further case covers a start that the successor knows to be unanswered. In the case of a late start of the same leader the worker is not listed, as its start would else be sent again under its number.

--- a/fescuerudder/jobs/runaudit.py
+++ b/fescuerudder/jobs/runaudit.py
@@ -9,7 +9,7 @@
 import attrs
 import structlog
 
-from fescuerudder.jobs.jobrun import Attempt, Phase, TaskRun
+from fescuerudder.jobs.jobrun import UNKNOWN_NUMBER, Attempt, Phase, TaskRun
 from fescuerudder.jobs.schedulerstate import ATTEMPTS_PER_EPOCH, SchedulerState
 from fescuerudder.jobs.workerport import EndedAttempt, Report, RunningAttempt
 from fescuerudder.jobs.workerrecord import AttemptKey, WorkerRecord
@@ -36,6 +36,7 @@
 
     Args:
         incarnation_ms: start time of the incarnation that it was for.
+        token: fencing token of its order.
         known: how the leader knew it.
         lapsed_s: when its leases were taken for ended, None if they were not.
         sent_s: when this leader sent it, None if an earlier one did.
@@ -43,6 +44,7 @@
     """
 
     incarnation_ms: int
+    token: int
     known: str
     lapsed_s: float | None = None
     sent_s: float | None
@@ -98,6 +100,9 @@
     ) -> None:
         """Remembers a start that is about to be dropped; how it was known first counts.
 
+        An order that was sent again under its number replaces the earlier one, to which no report
+        refers any more.
+
         Args:
             attempt: the attempt.
             lapsed: its leases were taken for ended.
@@ -105,16 +110,13 @@
         """
         now_s = self._state.clock.now_s()
         self._forget_old(now_s)
-        start = _Start(
-            incarnation_ms=attempt.incarnation_ms,
-            known=_known(attempt, is_late=is_late),
-            lapsed_s=now_s if lapsed else None,
-            sent_s=None if attempt.adopted else attempt.sent_s,
-            remembered_s=now_s,
-        )
+        lapsed_s = now_s if lapsed else None
+        start = _to_start(attempt, known=_known(attempt, is_late=is_late), now_s=now_s)
+        start = attrs.evolve(start, lapsed_s=lapsed_s)
         key = (attempt.worker, (attempt.task.id, attempt.number))
         earlier = self._starts.get(key)
-        if earlier is None:
+        if earlier is None or _is_sent_again(attempt, earlier):
+            self._starts.pop(key, None)
             self._starts[key] = start
         elif lapsed:
             # A report may have shown since that it runs in a later incarnation than it was for, and
@@ -168,14 +170,9 @@
     ) -> _Start | None:
         """Returns what the leader knows of the start of a run, None if nothing."""
         start = self._starts.get((record.id, (row.task, row.attempt)))
-        if start is not None or attempt is None:
+        if attempt is None or (start is not None and not _is_sent_again(attempt, start)):
             return start
-        return _Start(
-            incarnation_ms=attempt.incarnation_ms,
-            known=_known(attempt),
-            sent_s=None if attempt.adopted else attempt.sent_s,
-            remembered_s=now_s,
-        )
+        return _to_start(attempt, known=_known(attempt), now_s=now_s)
 
     def _check_incarnation(
         self,
@@ -268,10 +265,11 @@
     def _live_elsewhere(self, task: TaskRun, record: WorkerRecord) -> Iterator[_OtherRun]:
         """Yields the live attempts of a task that have been ordered on other workers.
 
-        One that an earlier leader stored may have ended in its term.
+        One that an earlier leader stored may have ended in its term. What a worker runs of an order
+        that was sent again has the number of the later order, which has an attempt of its own.
         """
         for other in task.attempts:
-            is_sent = other.phase is not Phase.PLANNED
+            is_sent = other.phase is not Phase.PLANNED and other.number != UNKNOWN_NUMBER
             if other.worker != record.id and is_sent and not other.restored:
                 yield _OtherRun(
                     number=other.number,
@@ -353,6 +351,23 @@
     return "ended" if isinstance(row, EndedAttempt) else "running"
 
 
+def _to_start(attempt: Attempt, *, known: str, now_s: float) -> _Start:
+    """Returns what is remembered of the start of an attempt."""
+    return _Start(
+        incarnation_ms=attempt.incarnation_ms,
+        token=attempt.token,
+        known=known,
+        sent_s=None if attempt.adopted else attempt.sent_s,
+        remembered_s=now_s,
+    )
+
+
+def _is_sent_again(attempt: Attempt, earlier: _Start) -> bool:
+    """Returns whether the order of an attempt repeated an earlier one, under the same number."""
+    is_sent = attempt.phase is not Phase.PLANNED
+    return attempt.is_repeated and is_sent and attempt.token > earlier.token
+
+
 def _known(attempt: Attempt, *, is_late: bool = False) -> str:
     """Returns how the leader knows an attempt."""
     if attempt.restored:
--- a/tests/jobs/test_runaudit.py
+++ b/tests/jobs/test_runaudit.py
@@ -9,8 +9,12 @@
 from bench._jobsimulation import JobSimulation
 from fescuerudder.jobs.job import Step
 from fescuerudder.jobs.jobmetrics import JobMetrics
+from fescuerudder.jobs.jobrun import UNKNOWN_NUMBER, Phase
+from fescuerudder.jobs.latestarts import dump_late_starts
+from fescuerudder.jobs.rows import RowTransaction
 from fescuerudder.jobs.runaudit import RunAudit, epoch_of
 from fescuerudder.jobs.schedulerstate import ATTEMPTS_PER_EPOCH
+from fescuerudder.jobs.storage import UNANSWERED_KEY
 from fescuerudder.jobs.workerport import Report, RunningAttempt, StartOrder
 from tests.jobs.test_former_incarnation import delay, make_world, require, run_until
 from tests.jobs.test_scheduler import JOB, ONE, steps
@@ -57,17 +61,25 @@
     sim.add_worker(len(sim.workers), 6.0)
 
 
+def store_all_answered(sim):
+    """Stores, for a lost leader that wrongly believed it, that all its starts were answered."""
+    txn = RowTransaction(puts=((UNANSWERED_KEY, dump_late_starts(())),))
+    sim.store.write(txn, timeout_s=1)
+
+
 def run_twice(sim, leader, worker):
     """Lets a successor start tasks that the next incarnation of a worker it can't reach runs (H2).
 
-    The runs there last until the test has seen what is logged of them, whatever leases the leader
-    counts.
+    The lost leader stored that the starts there were answered, so the successor takes the runs for
+    ended by their leases. The runs there last until the test has seen what is logged of them,
+    whatever leases the leader counts.
     """
     sim.copies_allowed = True
     starts = lose_starts(sim, worker)
     run_until(sim, lambda: worker.runs)
     worker.lease_until_ms += LONG_LEASE_MS
     leader.alive = False
+    store_all_answered(sim)
     stay_cut_off(sim, "b")
     sim.run(0.4)
     sim.claim("b")
@@ -106,6 +118,7 @@
         (1.2, None, "live attempt", True),
         (10.0, None, "late start", True),
         (1.2, 0.2, "restored", False),
+        (1.2, 0.2, "restored late start", False),
         (10.0, 4.0, "restored late start", False),
     ],
 )
@@ -115,7 +128,8 @@
     """Guards against logs that don't tell which leader still knew of a start, and how.
 
     The worker restarts just before the order arrives. The leader has given the start up by then
-    (late start) or not, and it is the one that sent it or its successor.
+    (late start) or not, and it is the one that sent it or its successor. The registry doesn't list
+    the worker, so the start is not sent again under its number.
     """
     sim, leader, worker = make_world(tasks=0, workers=1)
     sim.run_s = LONG_RUN_S
@@ -123,10 +137,13 @@
     sim.submit(OTHER_JOB, steps=[Step(count=1, size=ONE)])
     run_until(sim, lambda: late)
     sent_s = sim.clock.now_s()
+    sim.unlisted.add("w0")
     sim.late_by_s = lambda order: NEVER_S if isinstance(order, StartOrder) else None
     if claims_after_s is not None:
         sim.run(claims_after_s)
         leader.alive = False
+        if result == "restored":
+            store_all_answered(sim)
         sim.cut.add(("b", "w0"))
         leader = sim.claim("b")
     with capture_logs() as lines:
@@ -134,6 +151,8 @@
         require(worker.runs)
         sim.late_by_s = lambda order: None
         sim.cut.clear()
+        sim.unlisted.clear()
+        sim.stale_entries.clear()
         sim.run(5.0)
     (line,) = named(lines, LATER)
     assert (line["job"], line["attempt"], line["worker"]) == (OTHER_JOB, 1, "w0")
@@ -144,6 +163,72 @@
     assert not is_timed or arrives_s < line["sent_ago_s"] < arrives_s + 5.0
 
 
+def lose_two_orders(sim, *, arrives_s):
+    """Loses a start, which arrives after `arrives_s`, and its repetition, which never does.
+
+    Returns the time at which the first one was sent.
+    """
+    sim.run_s = LONG_RUN_S
+    late = delay(sim, lambda order: arrives_s if isinstance(order, StartOrder) else None)
+    sim.submit(OTHER_JOB, steps=[Step(count=1, size=ONE)])
+    run_until(sim, lambda: late)
+    sent_s = sim.clock.now_s()
+    sim.late_by_s = lambda order: None
+    late = delay(sim, lambda order: NEVER_S if isinstance(order, StartOrder) else None)
+    run_until(sim, lambda: late)
+    require({order.attempt for order in late} == {1})
+    return sent_s
+
+
+def test_a_run_of_a_start_that_was_sent_again_is_logged_once():
+    """Guards against a line for each of several orders with the number of one run."""
+    sim, leader, worker = make_world(tasks=0, workers=1)
+    sent_s = lose_two_orders(sim, arrives_s=10.0)
+    late = leader.scheduler.state.late_starts
+    with capture_logs() as lines:
+        require(UNKNOWN_NUMBER in {attempt.number for attempt in late.attempts()})
+        restart_before(sim, sent_s + 10.0)
+        require(worker.runs)
+        sim.late_by_s = lambda order: None
+        sim.run(5.0)
+    (line,) = named(lines, LATER)
+    assert (line["attempt"], line["result"], line["lapsed"]) == (1, "live attempt", False)
+    assert (line["ordered_for_ms"], line["born_ms"]) == (1000, 1001)
+    assert line["sent_ago_s"] < 10.0
+    assert not named(lines, TWICE)
+
+
+def test_a_start_that_was_sent_again_to_the_next_incarnation_is_not_odd():
+    """Guards against lines for a run whose number was first sent to an earlier incarnation."""
+    sim, leader, worker = make_world(tasks=0, workers=1)
+    lose_two_orders(sim, arrives_s=NEVER_S)
+    with capture_logs() as lines:
+        sim.restart_worker("w0", registry_lag_s=0.3)
+        sim.late_by_s = lambda order: None
+        sim.run(5.0)
+    require({number for _, number in worker.runs} == {1})
+    require(worker.info.incarnation_ms == 1001)
+    assert not named(lines, LATER) + named(lines, TWICE)
+
+
+def test_an_order_that_was_sent_again_is_no_run_of_its_own():
+    """Guards against a second alarm, for number 0, about a run whose order was sent twice."""
+    sim, leader, _ = make_world(tasks=0)
+    sim.run_s = LONG_RUN_S
+    sim.submit(OTHER_JOB, steps=[Step(count=1, size=ONE)])
+    sim.run(1.0)
+    state = leader.scheduler.state
+    (attempt,) = state.jobs[OTHER_JOB].attempts()
+    (other,) = {"w0", "w1"} - {attempt.worker}
+    earlier = attrs.evolve(attempt, number=UNKNOWN_NUMBER, phase=Phase.UNCERTAIN, reported=False)
+    state.add_attempt(earlier)
+    row = RunningAttempt(attempt.task.id, 2, "", 0, 0.0, 0.0)
+    report = Report(incarnation_ms=1000, clock_ms=9000, running=(row,), ended=())
+    with capture_logs() as logged:
+        RunAudit(state=state).check(state.workers[other], report, now_s=sim.clock.now_s())
+    assert [line["other_attempt"] for line in named(logged, TWICE)] == [attempt.number]
+
+
 def test_a_run_that_has_ended_before_any_report_is_logged():
     """Guards against short runs of late orders that no log line tells of."""
     sim, leader, worker = make_world(tasks=0, workers=1)
