Remember what lapsed on a worker that a successor never reached

After a takeover no line "attempt outlived its leases" was logged for runs on a worker that the stored roster restricted: the successor forgot what had lapsed there at once, so these attempts were no suspects of a crash either. Such a worker counts as silent from the start, so contact with it is never lost, and the time for which it had been away was counted from the zero of the clock.

It now counts from the end of the leases if there was no contact. test_a_successor_remembers_what_it_takes_for_ended failed for the restricted worker that is back after 20 s, and passes.

--- a/fescuerudder/jobs/leaseexpiry.py
+++ b/fescuerudder/jobs/leaseexpiry.py
@@ -99,7 +99,7 @@
         _log_expiry(record, ended, now_s)
     for attempt in ended:
         if attempt.phase is not Phase.PLANNED:
-            record.add_lapsed(attempt)
+            record.add_lapsed(attempt, now_s=now_s)
             audit.remember_start(attempt, lapsed=True)
         state.requeue(attempt, checkpoint=attempt.checkpoint, reason="lease ended unseen")
     if not record.listed and state.may_forget(record):
--- a/fescuerudder/jobs/workerrecord.py
+++ b/fescuerudder/jobs/workerrecord.py
@@ -125,6 +125,7 @@
             None if the last renewal was answered.
         lapsed: attempts whose leases ended while the worker was silent; whether it had crashed is
             known once it answers again or another worker answers at its address.
+        lapsed_s: when the latest of them was added.
         last_start_s: when a start was last ordered there.
         probation_until_s: time before which nothing is started there, beside a task that is
             suspected to crash its workers.
@@ -173,6 +174,7 @@
     silent_since_s: float | None = None
     lost_contact_s: float | None = None
     lapsed: list[Attempt] = attrs.Factory(list)
+    lapsed_s: float = -math.inf
     last_start_s: float = -math.inf
     probation_until_s: float = 0.0
     report_clock_ms: float = -1.0
@@ -306,14 +308,20 @@
         """Returns whether nothing runs there and nothing is to be learned from its return."""
         return not (self.attempts or self.orphans or self.lapsed) and self.resolved
 
-    def add_lapsed(self, attempt: Attempt) -> None:
+    def add_lapsed(self, attempt: Attempt, *, now_s: float) -> None:
         """Adds an attempt whose lease ended while the worker was silent."""
         self.lapsed.append(attempt)
+        self.lapsed_s = now_s
         attempt.task.lapsed_count += 1
 
     def drop_old_lapsed(self, now_s: float) -> None:
-        """Forgets lapsed attempts once the worker has been away for LAPSED_KEPT_S."""
-        if self.lapsed and now_s - (self.lost_contact_s or 0.0) >= LAPSED_KEPT_S:
+        """Forgets lapsed attempts once the worker has been away for LAPSED_KEPT_S.
+
+        Of a worker that this leader never reached, only an earlier one may know when contact was
+        lost, so the time counts from the end of the leases.
+        """
+        since_s = self.lost_contact_s if self.lost_contact_s is not None else self.lapsed_s
+        if self.lapsed and now_s - since_s >= LAPSED_KEPT_S:
             self.take_lapsed()
 
     def take_lapsed(self) -> list[Attempt]:
--- a/tests/jobs/test_restarted_workers.py
+++ b/tests/jobs/test_restarted_workers.py
@@ -2,6 +2,7 @@
 
 import attrs
 import pytest
+from structlog.testing import capture_logs
 
 from bench._jobsimulation import JobSimulation
 from fescuerudder.jobs.job import Step
@@ -10,7 +11,7 @@
 from fescuerudder.jobs.workerrecord import longest_lease_s
 from standins.jobworker import JobWorker
 from tests.jobs.test_former_orders import MAX_LEASE_S, delay_next, is_lease, make_busy_world
-from tests.jobs.test_scheduler import ONE
+from tests.jobs.test_scheduler import JOB, ONE
 
 NEVER_S = 60.0
 
@@ -165,3 +166,49 @@
     sim.claim("b")
     sim.add_worker(3, 6.0)
     sim.run(16.0)
+
+
+AFTER_UPTIME_S = 40.0
+"""Time of the clock at which faults begin: a time that is missing must not count as its zero."""
+
+
+@pytest.mark.parametrize("is_restricted", [False, True])
+@pytest.mark.parametrize(("away_s", "is_logged"), [(20.0, True), (60.0, False)])
+def test_a_successor_remembers_what_it_takes_for_ended(is_restricted, away_s, is_logged):
+    """Guards against two runs of a task that leave no trace in the logs after a takeover.
+
+    The successor never reached the worker before its leases ended, by a roster that restricts it or
+    one that doesn't.
+    """
+    sim = JobSimulation(workers=2, capacity=6.0, max_lease_s=MAX_LEASE_S)
+    leader = sim.claim("a")
+    sim.run(AFTER_UPTIME_S)
+    sim.run_s = 2 * NEVER_S
+    sim.submit(JOB, steps=[Step(count=4, size=ONE)])
+    sim.run(2.0)
+    worker = sim.workers["w0"]
+    runs = {(task[1:], number) for task, number in worker.runs}
+    assert runs
+    sim.copies_allowed = True
+    worker.lease_until_ms += 1000 * 2 * NEVER_S
+    sim.cut |= {("a", "w0"), ("b", "w0")}
+    sim.run(4.0 if is_restricted else 0.1)
+    leader.alive = False
+    with capture_logs() as lines:
+        successor = sim.claim("b")
+        assert successor.scheduler.state.workers["w0"].is_restricted is is_restricted
+        run_until_lapsed(sim)
+        sim.run(away_s)
+        sim.cut.clear()
+        sim.run(3.0)
+    outlived = [line for line in lines if line["event"] == "attempt outlived its leases"]
+    assert {(line["task"], line["attempt"]) for line in outlived} == (runs if is_logged else set())
+
+
+def run_until_lapsed(sim):
+    """Advances the time until the latest leader takes the leases on the first worker for ended."""
+    record = sim.leaders[-1].scheduler.state.workers["w0"]
+    end_s = sim.clock.now_s() + NEVER_S
+    while record.attempts:
+        assert sim.clock.now_s() < end_s
+        sim.run(0.05)
