--- a/bench/_soaktakeovers.py
+++ b/bench/_soaktakeovers.py
@@ -4,6 +4,7 @@
 import signal
 import time
 from collections.abc import Callable
+from http import HTTPStatus
 
 import attrs
 
@@ -342,10 +343,10 @@
         """Has a worker read a call whose caller is gone, or waits no more."""
         time.sleep(delay_s)
         sender = self._watch.describe_sender(req)
-        if is_reborn:
-            self._watch.note_reborn(req)
+        is_late = self._watch.note_held(req, is_reborn=is_reborn)
         answer = self._context.carry_out(face, req, f"of {sender} after {delay_s:.2f} s")
-        self._watch.note_answer(req, answer.status)
+        if is_late and req.path == START_PATH and answer.status == HTTPStatus.OK:
+            self._watch.note_carried_out()
 
     def _lose_others(self, play: _Play, epoch: int) -> None:
         """Plays the losses after the first one, of the leader of term `epoch`."""
