--- a/bench/_soakcontext.py
+++ b/bench/_soakcontext.py
@@ -59,13 +59,19 @@
     def start(self, target: Callable[..., None], *args: object) -> None:
         """Runs `target` in a thread."""
         thread = threading.Thread(target=target, args=args, daemon=True)
-        self._threads.append(thread)
-        thread.start()
+        # A thread that is listed has been started, as another one may join it at any time.
+        with self._lock:
+            thread.start()
+            self._threads.append(thread)
 
     def join(self) -> None:
-        """Waits until all threads have ended."""
-        while self._threads:
-            self._threads.pop().join()
+        """Waits until all threads have ended, also those that these threads start."""
+        while True:
+            with self._lock:
+                if not self._threads:
+                    return
+                thread = self._threads.pop()
+            thread.join()
 
     def note(self, text: str) -> None:
         """Adds a line to the log of the series."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,11 +4,13 @@
 import random
 import time
 from concurrent.futures import ThreadPoolExecutor
+from types import SimpleNamespace
 
 import attrs
 import pytest
 
 from bench._soakclaims import CHAIN_S, START_PATH, ClaimWatch, Term
+from bench._soakcontext import SeriesContext
 from bench._soaktakeovers import FATES, MAX_AGE_S, draw_chain, draw_delays
 from bench.soak import (
     RESTARTS,
@@ -156,6 +158,22 @@
     assert all(chain.crash_s + chain.down_s + chain.cut_after_s <= 0.0 for chain in isolated)
 
 
+def test_threads_that_are_started_meanwhile_are_joined(tmp_path):
+    """Guards against a soak that ends by an error, or before all of its faults have ended."""
+    context = SeriesContext(world=SimpleNamespace(directory=tmp_path))
+    ended = []
+
+    def run(depth):
+        for _ in range(3 if depth else 0):
+            context.start(run, depth - 1)
+        ended.append(depth)
+
+    for _ in range(20):
+        context.start(run, 3)
+    context.join()
+    assert len(ended) == 20 * (1 + 3 + 9 + 27)
+
+
 @pytest.mark.parametrize("in_order", [True, False])
 @pytest.mark.parametrize("uniform", [True, False])
 def test_held_calls_are_read_in_or_out_of_order(uniform, in_order):
