--- a/fescuerudder/jobs/rosterkeeper.py
+++ b/fescuerudder/jobs/rosterkeeper.py
@@ -227,10 +227,7 @@
         *,
         is_answered: bool = False,
     ) -> None:
-        """Restores an attempt as uncertain, unless its task no longer needs it.
-
-        The order of one that wasn't answered may have been sent up to now.
-        """
+        """Restores an attempt as uncertain, unless its task no longer needs it."""
         if task.done or not task.step.job.is_live:
             if number and task.step.job.job.account:
                 # It may still run, and counts for its account until a report or its lease tells.
