--- a/review/common_2/worker.py
+++ b/review/common_2/worker.py
@@ -136,7 +136,8 @@
         if req.path == "/pace":
             return 200, {"clockMs": self._clock_ms()}
         if req.path == "/run-start" and self._holds_starts:
-            self._log("start order left unanswered", task=req.body["task"], run=req.body["run"])
+            run = req.body["run"]
+            self._log("start order left unanswered", task=req.body["task"], run=run, order=req.body)
             time.sleep(60)
             return None
         call = calls.get(req.path)
--- a/review/common_2/world.py
+++ b/review/common_2/world.py
@@ -172,6 +172,25 @@
         self.send_signal(name, signal.SIGKILL)
         self.processes[name].wait()
 
+    def deliver_late(self, worker: str, orders: list[dict[str, Any]], limit_s: float) -> None:
+        """Delivers start orders that the network has held up, as soon as the worker listens."""
+        address, end_s = self._configs[worker]["address"], time.monotonic() + limit_s
+        headers = {"Content-Type": "application/json", "X-Target-Instance": worker}
+        while time.monotonic() < end_s:
+            conn = http.client.HTTPConnection(address, timeout=2.0)
+            try:
+                for order in orders:
+                    conn.request("POST", "/run-start", json.dumps(order), headers)
+                    resp = conn.getresponse()
+                    answer = resp.status, json.loads(resp.read())
+                    self.note("late order", to=worker, run=order["run"], answer=answer)
+                return
+            except ConnectionRefusedError:
+                time.sleep(0.001)
+            finally:
+                conn.close()
+        raise CaseError("the late orders were not delivered")
+
     def node_log(self, name: str) -> str:
         """Returns what a node has logged."""
         return (Path(self._folder.name) / f"{name}.log").read_text()
