--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,5 +1,6 @@
-"""A worker returns with less room under its id, and a job is handed in just then."""
+"""A caller cancels a job whose submission got no certain answer, and the job runs later."""
 
+import json
 import sys
 import time
 from pathlib import Path
@@ -9,36 +10,40 @@
 from review.common_2.world import CaseError, World, run_case
 
 WORKERS = 8
-DOWN_S = 1.0
-AFTER_S = 0.1
-"""Time from the first heartbeat of the worker's next life until the job is handed in."""
-
 JOB = "5c0e7a21d94b36f8"
-SPEC = {"cpu": 6000, "memMb": 100, "workMs": 2000}
-STEPS = [{"count": 1, "cpu": 6000, "memMb": 100, "estimatedMs": 2000}]
+SPEC = {"cpu": 1000, "memMb": 100, "workMs": 1000}
+STEPS = [{"count": 1, "cpu": 1000, "memMb": 100, "estimatedMs": 1000}]
+CANCEL_S = 3.0
+"""`cancel_ms`: time after the acknowledgement within which tasks may still start."""
+
+WATCH_S = 10.0
 
 
 def case(record: Path, disrupts: bool) -> bool:
-    """Returns whether a start brought a worker over its capacity."""
-    with World(record, guards=False) as world:
-        world.start_worker("w0", cpu=8000)
-        for number in range(1, WORKERS):
+    """Returns whether the job starts later than CANCEL_S after its cancelling was acknowledged."""
+    with World(record) as world:
+        for number in range(WORKERS):
             world.start_worker(f"w{number}", cpu=4000)
         world.start_nodes()
         time.sleep(3.0)
+        leader = world.leader()
+        assert leader is not None
+        node = int(leader.rpartition("-")[2])
         if disrupts:
-            world.kill("w0")
-            time.sleep(DOWN_S)
-            world.start_worker("w0", cpu=4000)
-            if not world.wait_for(lambda: len(world.find("up", who="w0")) == 2, 5.0):
-                raise CaseError("the worker did not return")
-            time.sleep(AFTER_S)
-        world.submit(JOB, SPEC, STEPS)
-        world.wait_for(lambda: world.find("start"), 8.0)
-        starts = world.find("start")
-        if not disrupts and not starts:
-            raise CaseError("the job did not start")
-        return any(s["needed"]["cpu"] > s["capacity"]["cpu"] for s in starts)
+            world.store.delayed_writes = 1
+        body = {"spec": json.dumps(SPEC), "steps": STEPS}
+        status, _ = world.call(node, "POST", JOB, body)
+        if status not in ((0, 504) if disrupts else (200,)):
+            raise CaseError(f"the submission was answered {status}")
+        status, _ = world.call(node, "DELETE", JOB)
+        if status not in (200, 410):
+            raise CaseError(f"the cancelling was answered {status}")
+        acknowledged_s = world.now_s()
+        time.sleep(WATCH_S)
+        if disrupts and not world.store.applied_late:
+            raise CaseError("the delayed write was not done")
+        world.note("result", state=world.state(JOB))
+        return any(s["s"] > acknowledged_s + CANCEL_S for s in world.find("start"))
 
 
 if __name__ == "__main__":
