Cancellations: a job that is stored after its cancelling doesn't run

Cause: a cancellation that found no row of the job answered "no such job" and stored nothing, while the write of that row was still on its way. The log of a run shows it: 410, no "job cancelled", no row of the cancelling, then "job known" and "start ordered".

Change: such a cancellation is stored all the same, with its time on the store's clock, on the condition that neither the job nor an ended one is stored. The leader reads it before the job, and cancels the job as it comes; a claimant reads both. It holds for late writes of any instance, and over takeovers. The leader's removal of a cancellation now names the version that it read.

--- a/fescuerudder/jobs/endedjobs.py
+++ b/fescuerudder/jobs/endedjobs.py
@@ -10,6 +10,7 @@
 import attrs
 
 from fescuerudder import checked
+from fescuerudder.jobs.cancellations import Cancellation
 from fescuerudder.jobs.jobrun import JobState
 from fescuerudder.jobs.progress import StoredFormError
 from fescuerudder.jobs.rows import ABSENT, MAX_TXN_ROWS, Row, RowTransaction
@@ -116,9 +117,12 @@
     )
 
 
-def cancel_transaction(job_id: str) -> RowTransaction:
-    """Returns the transaction that removes the cancellation of a job that was moved."""
-    return RowTransaction(expects=((job_key(job_id), ABSENT),), deletes=(cancel_key(job_id),))
+def cancel_transaction(cancel: Cancellation) -> RowTransaction:
+    """Returns the transaction that removes a cancellation whose job was moved or has not come."""
+    key = cancel_key(cancel.job_id)
+    return RowTransaction(
+        expects=((job_key(cancel.job_id), ABSENT), (key, cancel.version)), deletes=(key,)
+    )
 
 
 def removal_transaction(rows: Sequence[Row]) -> RowTransaction:
--- a/fescuerudder/jobs/historymover.py
+++ b/fescuerudder/jobs/historymover.py
@@ -7,6 +7,7 @@
 
 from fescuerudder.clock import Clock
 from fescuerudder.errors import PlatformError, StoreOutcomeUnknownError, StoreUnavailableError
+from fescuerudder.jobs.cancellations import Cancellation
 from fescuerudder.jobs.endedjobs import (
     KEPT_S,
     ROWS_PER_REMOVAL,
@@ -112,8 +113,8 @@
         try:
             if batch.jobs:
                 self._move_jobs(list(batch.jobs))
-            for job_id in batch.cancels:
-                self._remove_cancel(job_id)
+            for cancel in batch.cancels:
+                self._remove_cancel(cancel)
         except PlatformError:
             # A move without an answer finds its rows gone when it is tried again.
             self._on_kept(batch)
@@ -135,11 +136,12 @@
                     raise StoreUnavailableError("conflict of unchanged rows") from exc
                 jobs = left
 
-    def _remove_cancel(self, job_id: str) -> None:
+    def _remove_cancel(self, cancel: Cancellation) -> None:
         try:
-            self._store.write(cancel_transaction(job_id), timeout_s=STORE_TIMEOUT_S)
+            self._store.write(cancel_transaction(cancel), timeout_s=STORE_TIMEOUT_S)
         except RowConflictError:
-            _log.debug("cancellation kept with its job", job=job_id)
+            # Removed by a transaction whose answer was lost, stored anew, or its job has come.
+            _log.debug("cancellation not removed", job=cancel.job_id)
 
     def _sweep_page(self) -> bool:
         """Removes the outdated rows of one page; returns whether there are further pages."""
--- a/fescuerudder/jobs/intake.py
+++ b/fescuerudder/jobs/intake.py
@@ -3,7 +3,7 @@
 import random
 import threading
 from collections.abc import Callable
-from typing import Protocol
+from typing import Any, Protocol
 
 import attrs
 import structlog
@@ -11,6 +11,7 @@
 
 from fescuerudder.clock import Clock
 from fescuerudder.errors import StoreOutcomeUnknownError, StoreUnavailableError
+from fescuerudder.jobs.cancellations import EarlyResult, store_early_cancellation
 from fescuerudder.jobs.claim import load_heartbeat
 from fescuerudder.jobs.endedjobs import load_ended
 from fescuerudder.jobs.job import Job
@@ -31,6 +32,7 @@
     CANCEL_SUFFIX,
     HEARTBEAT_KEY,
     JOBS_TABLE,
+    cancel_key,
     ended_key,
     job_key,
     partition_of,
@@ -73,6 +75,12 @@
 REFUSED = "refused"
 UNKNOWN = "unknown"
 
+_SETTLED = frozenset({STORED, EXISTED, *EarlyResult})
+"""Outcomes after which a write isn't tried again."""
+
+NO_SPACE_RETRY_S = 10.0
+"""Time after which a cancellation may be repeated that was refused for want of space."""
+
 _log = structlog.get_logger(__name__)
 
 
@@ -148,6 +156,8 @@
     def submit(self, job: Job, *, deadline_s: float) -> Result[None, Refusal]:
         """Stores a job once; Ok means that it is stored, by this call or an earlier one.
 
+        A job that was cancelled before it was stored is stored as well, and shown as cancelled.
+
         Args:
             job: the job.
             deadline_s: the caller's deadline, on this instance's clock.
@@ -166,28 +176,92 @@
         return stored.map(lambda _: None)
 
     def cancel(self, job_id: str, *, deadline_s: float) -> Result[bool, Refusal]:
-        """Stores the request to cancel a job; Ok(False) means that there is no such job."""
+        """Stores the request to cancel a job.
+
+        Ok(False) means that there is no such job. If a submission is still on its way, the job that
+        it stores is cancelled, too.
+        """
         known = self.state(job_id)
-        if known.is_err() or known.ok() is None:
-            return known.map(lambda _: False)
+        if known.is_err():
+            return known
+        if known.ok() is None:
+            return self._cancel_absent(job_id, deadline_s=deadline_s)
         if known.ok().is_final:
             return Ok(True)
+        return self._cancel_stored(job_id, deadline_s=deadline_s)
+
+    def _cancel_stored(self, job_id: str, *, deadline_s: float) -> Result[bool, Refusal]:
         row = StoreJob(key=job_id + CANCEL_SUFFIX, value=b"{}", creates=False)
         return self._write(row, job_id=job_id, deadline_s=deadline_s).map(lambda _: True)
 
+    def _cancel_absent(self, job_id: str, *, deadline_s: float) -> Result[bool, Refusal]:
+        """Cancels a job that wasn't found, but may be stored later; see `cancellations`."""
+        written = self._repeat(
+            lambda timeout_s: {self._try_early_cancellation(job_id, timeout_s=timeout_s)},
+            job_id=job_id,
+            row=cancel_key(job_id).key,
+            deadline_s=deadline_s,
+        )
+        if written.is_err():
+            return written
+        _log.info("job cancelled that isn't stored", job=job_id, result=written.ok().value)
+        match written.ok():
+            case EarlyResult.JOB_IS_STORED:
+                return self._cancel_stored(job_id, deadline_s=deadline_s)
+            case EarlyResult.NO_SPACE:
+                reason = "too many cancellations of jobs that aren't stored"
+                return Err(Refusal(reason=reason, retry_after_s=NO_SPACE_RETRY_S))
+            case result:
+                return Ok(result is EarlyResult.JOB_HAS_ENDED)
+
+    def _try_early_cancellation(self, job_id: str, *, timeout_s: float) -> EarlyResult | str:
+        """Tries to store an early cancellation; returns the result, REFUSED or UNKNOWN."""
+        try:
+            return store_early_cancellation(self._store, job_id, timeout_s=timeout_s)
+        except StoreUnavailableError as exc:
+            _log.info("store did not take a cancellation", job=job_id, reason=str(exc))
+            return REFUSED
+        except StoreOutcomeUnknownError as exc:
+            _log.info("store may have taken a cancellation", job=job_id, reason=str(exc))
+            return UNKNOWN
+
     def _write(self, row: StoreJob, *, job_id: str, deadline_s: float) -> Result[str, Refusal]:
         """Tries to write a row until it is stored or the time for attempts ends.
 
         Ok is STORED or EXISTED.
         """
+        return self._repeat(
+            lambda timeout_s: self._try_write(row, timeout_s=timeout_s),
+            job_id=job_id,
+            row=row.key,
+            deadline_s=deadline_s,
+        )
+
+    def _repeat(
+        self,
+        attempt: Callable[[float], set[Any]],
+        *,
+        job_id: str,
+        row: str,
+        deadline_s: float,
+    ) -> Result[Any, Refusal]:
+        """Repeats an attempt until its outcome is settled or the time for attempts ends.
+
+        Args:
+            attempt: takes its timeout in seconds, and returns its outcomes.
+            job_id: the job.
+            row: key of the row, for the log.
+            deadline_s: the caller's deadline, on this instance's clock.
+        """
         started_s = self._clock.now_s()
-        outcomes: set[str] = set()
+        outcomes: set[Any] = set()
         left_s = min(deadline_s - started_s, MAX_WRITE_S)
         while left_s > 0.0:
-            outcomes |= self._try_write(row, timeout_s=min(WRITE_TIMEOUT_S, left_s))
-            if outcomes & {STORED, EXISTED}:
-                return Ok(STORED if STORED in outcomes else EXISTED)
-            _log.warning("not stored yet", job=job_id, row=row.key, outcomes=sorted(outcomes))
+            outcomes |= attempt(min(WRITE_TIMEOUT_S, left_s))
+            settled = outcomes & _SETTLED
+            if settled:
+                return Ok(settled.pop())
+            _log.warning("not stored yet", job=job_id, row=row, outcomes=sorted(outcomes))
             until_s = min(deadline_s, self._retry_until_s(started_s, outcomes))
             left_s = until_s - self._clock.now_s() - WRITE_RETRY_S
             if left_s < self._min_attempt_s():
@@ -233,7 +307,7 @@
         outcomes = set()
         if not self._store_down_s():
             outcomes.add(store_row(self._store, row, timeout_s=timeout_s))
-        if not outcomes & {STORED, EXISTED} and self._leader.can_relay:
+        if not outcomes & _SETTLED and self._leader.can_relay:
             outcomes.add(self._leader.store(row, timeout_s=timeout_s))
         if not outcomes:
             self._probe()
--- a/fescuerudder/jobs/jobfeed.py
+++ b/fescuerudder/jobs/jobfeed.py
@@ -7,6 +7,7 @@
 
 from fescuerudder.clock import Clock
 from fescuerudder.errors import StoreUnavailableError
+from fescuerudder.jobs.cancellations import Cancellation
 from fescuerudder.jobs.leaderwriter import STORE_RETRY_S
 from fescuerudder.jobs.progress import StoredJob
 from fescuerudder.jobs.rows import HistoryLostError, RowStore
@@ -27,7 +28,7 @@
         stopping: set at the end of the term.
         claim_version: version of the claim of the term.
         read_all: reads all jobs, for when the store has lost the history of the feed.
-        on_jobs: called with the jobs and the ids of cancelled jobs that were stored.
+        on_jobs: called with the jobs and the cancellations that were stored.
         on_reloaded: called with all live jobs and cancellations after the history was lost.
         on_claimed: called when another instance has claimed.
     """
@@ -40,8 +41,8 @@
         stopping: threading.Event,
         claim_version: int,
         read_all: Callable[[], LoadedState],
-        on_jobs: Callable[[list[StoredJob], list[str]], None],
-        on_reloaded: Callable[[list[StoredJob], list[str]], None],
+        on_jobs: Callable[[list[StoredJob], list[Cancellation]], None],
+        on_reloaded: Callable[[list[StoredJob], list[Cancellation]], None],
         on_claimed: Callable[[], None],
     ) -> None:
         self._store = store
--- a/fescuerudder/jobs/jobhistory.py
+++ b/fescuerudder/jobs/jobhistory.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from fescuerudder.jobs.cancellations import EARLY_KEPT_S, Cancellation
 from fescuerudder.jobs.endedjobs import JOBS_PER_MOVE, STATUS_S, EndedJob
 from fescuerudder.jobs.jobrun import JobRun, JobState
 from fescuerudder.jobs.schedulerstate import SchedulerState
@@ -27,11 +28,11 @@
 
     Args:
         jobs: ended jobs of one partition to move.
-        cancels: ids of moved jobs whose cancellations are left over.
+        cancels: cancellations that are left over.
     """
 
     jobs: tuple[EndedJob, ...] = ()
-    cancels: tuple[str, ...] = ()
+    cancels: tuple[Cancellation, ...] = ()
 
 
 class JobHistory:
@@ -44,7 +45,8 @@
     def __init__(self, *, state: SchedulerState) -> None:
         self._state = state
         self._unmoved: dict[str, deque[tuple[float, EndedJob]]] = {}
-        self._cancels: dict[str, None] = {}
+        self._cancels: dict[str, Cancellation] = {}
+        self._early: dict[str, tuple[float, Cancellation]] = {}
         self._progress: dict[str, None] = {}
         self._forgettable: deque[tuple[float, str]] = deque()
         self._shown: deque[tuple[float, str]] = deque()
@@ -61,9 +63,26 @@
             self._unmoved.setdefault(partition_of(job.id), deque()).append((now_s, job))
             self._shown.append((now_s, job.id))
 
-    def add_cancel(self, job_id: str) -> None:
-        """Adds a cancellation of a job that has ended or is not known."""
-        self._cancels[job_id] = None
+    def add_cancel(self, cancel: Cancellation) -> None:
+        """Adds a cancellation that is of no more use: its job was moved, or is not known."""
+        self._cancels[cancel.job_id] = cancel
+
+    def add_early(self, cancel: Cancellation, *, age_s: float) -> None:
+        """Adds a cancellation that waits for its job, which may not come.
+
+        Args:
+            cancel: the cancellation.
+            age_s: time since it was stored.
+        """
+        _, known = self._early.get(cancel.job_id, (0.0, None))
+        if known is None or known.version != cancel.version:
+            end_s = self._state.clock.now_s() + EARLY_KEPT_S - age_s
+            self._early[cancel.job_id] = end_s, cancel
+            self._cancels.pop(cancel.job_id, None)
+
+    def take_early(self, job_id: str) -> bool:
+        """Returns whether a job that comes was cancelled before; its cancellation waits no more."""
+        return self._early.pop(job_id, None) is not None
 
     def add_progress(self, job_ids: Iterable[str]) -> None:
         """Adds jobs that were moved and whose progress is still stored."""
@@ -71,9 +90,9 @@
 
     def take_moves(self) -> MoveBatch:
         """Returns what to move next; `on_moved` or `on_kept` must follow."""
-        cancels = tuple(self._cancels)[:JOBS_PER_MOVE]
-        for job_id in cancels:
-            del self._cancels[job_id]
+        cancels = tuple(self._cancels.values())[:JOBS_PER_MOVE]
+        for cancel in cancels:
+            del self._cancels[cancel.job_id]
         waiting = max(self._unmoved.values(), key=len, default=None)
         jobs = self._take_movable(waiting) if waiting else ()
         return MoveBatch(jobs=jobs, cancels=cancels)
@@ -113,7 +132,9 @@
         now_s = self._state.clock.now_s()
         for job in batch.jobs:
             self._unmoved.setdefault(partition_of(job.id), deque()).append((now_s, job))
-        self._cancels.update(dict.fromkeys(batch.cancels))
+        for cancel in batch.cancels:
+            if cancel.job_id not in self._early:
+                self._cancels.setdefault(cancel.job_id, cancel)
 
     def take_progress(self, limit: int) -> list[str]:
         """Returns up to `limit` moved jobs whose progress is to be deleted."""
@@ -123,8 +144,13 @@
         return taken
 
     def forget(self) -> list[str]:
-        """Drops moved jobs from the state; returns the jobs whose state is shown no longer."""
+        """Drops moved jobs from the state; returns the jobs whose state is shown no longer.
+
+        Early cancellations whose jobs have not come are to be removed then, too.
+        """
         now_s, jobs = self._state.clock.now_s(), self._state.jobs
+        for job_id in [job_id for job_id, (end_s, _) in self._early.items() if end_s <= now_s]:
+            self.add_cancel(self._early.pop(job_id)[1])
         while self._forgettable and self._forgettable[0][0] <= now_s:
             _, job_id = self._forgettable.popleft()
             run = jobs.get(job_id)
--- a/fescuerudder/jobs/leader.py
+++ b/fescuerudder/jobs/leader.py
@@ -21,6 +21,7 @@
 from fescuerudder.jobs.advicecall import ask_advice
 from fescuerudder.jobs.adviceport import AdvicePort, AdviceQuery
 from fescuerudder.jobs.answertimes import AnswerTimes
+from fescuerudder.jobs.cancellations import Cancellation
 from fescuerudder.jobs.claim import Claim
 from fescuerudder.jobs.configview import ConfigView
 from fescuerudder.jobs.historymover import MAX_MOVE_UNCONFIRMED_S, HistoryMover
@@ -405,7 +406,7 @@
         """Returns whether every instance finds moved jobs, and the store takes running work."""
         return self._row_support.reads_ended and self.unconfirmed_s <= MAX_MOVE_UNCONFIRMED_S
 
-    def _take_jobs(self, jobs: list[StoredJob], cancels: list[str]) -> None:
+    def _take_jobs(self, jobs: list[StoredJob], cancels: list[Cancellation]) -> None:
         self._post_event(Submitted(jobs=jobs, cancels=cancels))
         self._publish({stored.job.id: JobState.QUEUED for stored in jobs}, None)
 
--- a/fescuerudder/jobs/scheduler.py
+++ b/fescuerudder/jobs/scheduler.py
@@ -9,6 +9,7 @@
 from fescuerudder.jobs.accountmonitor import AccountMonitor
 from fescuerudder.jobs.adviceport import Advice, AdviceQuery
 from fescuerudder.jobs.attemptstarter import AttemptStarter
+from fescuerudder.jobs.cancellations import Cancellation
 from fescuerudder.jobs.crashes import record_worker_end
 from fescuerudder.jobs.endedjobs import EndedJob
 from fescuerudder.jobs.job import Job
@@ -173,6 +174,8 @@
                 self.stored_states[stored.job.id] = JobState.QUEUED
                 account = {"account": stored.job.account} if stored.job.account else {}
                 _log.info("job known", job=stored.job.id, queue=stored.job.queue, **account)
+                if self.history.take_early(stored.job.id):
+                    self._cancel(run)
 
     def restore(self, run: JobRun) -> None:
         """Adds a job with the progress that an earlier leader stored."""
@@ -191,17 +194,30 @@
         self.history.add(ended)
         self.history.add_progress(moved)
 
-    def cancel(self, job_ids: Iterable[str]) -> None:
-        """Cancels jobs at the request of callers."""
-        for job_id in job_ids:
-            run = self.state.jobs.get(job_id)
-            if run.is_moved if run is not None else job_id not in self.stored_states:
-                self.history.add_cancel(job_id)
-            if run is None or run.cancel_requested or run.state.is_final:
-                continue
-            run.cancel()
-            self.state.mark_dirty(run)
-            _log.info("job cancelled", job=job_id, live=sum(1 for _ in run.attempts()))
+    def cancel(self, cancels: Iterable[Cancellation], *, store_ms: int | None = None) -> None:
+        """Cancels jobs at the request of callers.
+
+        Args:
+            cancels: the stored requests.
+            store_ms: reading of the store's clock; if None, they were stored just now.
+        """
+        for cancel in cancels:
+            run = self.state.jobs.get(cancel.job_id)
+            is_unknown = run is None and cancel.job_id not in self.stored_states
+            if is_unknown and cancel.early_ms is not None:
+                now_ms = store_ms if store_ms is not None else cancel.early_ms
+                self.history.add_early(cancel, age_s=max(0, now_ms - cancel.early_ms) / 1000)
+            elif is_unknown or (run is not None and run.is_moved):
+                self.history.add_cancel(cancel)
+            if run is not None:
+                self._cancel(run)
+
+    def _cancel(self, run: JobRun) -> None:
+        if run.cancel_requested or run.state.is_final:
+            return
+        run.cancel()
+        self.state.mark_dirty(run)
+        _log.info("job cancelled", job=run.job.id, live=sum(1 for _ in run.attempts()))
 
     # --- input from the workers
 
--- a/fescuerudder/jobs/storage.py
+++ b/fescuerudder/jobs/storage.py
@@ -18,6 +18,10 @@
 """Table of the final states of jobs that have left the other tables. A row is in the partition of
 its job, so that one transaction moves the job, and so that it can't be created again meanwhile."""
 
+CANCELLATIONS_TABLE = "cancellations"
+"""Table of the indexes of early cancellations, one row in each partition of submissions. The
+cancellations themselves are in JOBS_TABLE."""
+
 LEADER_TABLE = "leader"
 """Table of the leader's heartbeat, of what it learned about tasks and of its roster."""
 
@@ -83,6 +87,11 @@
     return RowKey(ENDED_TABLE, partition_of(job_id), job_id)
 
 
+def cancellation_index_key(job_id: str) -> RowKey:
+    """Returns the key of the index of early cancellations in the partition of a job."""
+    return RowKey(CANCELLATIONS_TABLE, partition_of(job_id), "early")
+
+
 def roster_key(number: int) -> RowKey:
     """Returns the key of a row of the roster; 0 is the first one."""
     return (
--- a/fescuerudder/jobs/takeover.py
+++ b/fescuerudder/jobs/takeover.py
@@ -7,6 +7,7 @@
 import structlog
 
 from fescuerudder.clock import Clock
+from fescuerudder.jobs.cancellations import Cancellation, load_cancellation
 from fescuerudder.jobs.claim import load_heartbeat, load_lease_bound
 from fescuerudder.jobs.endedjobs import EndedJob
 from fescuerudder.jobs.job import Job
@@ -64,7 +65,7 @@
         ended: the other jobs, which are to be moved.
         unused: rows of progress that belong to ended jobs and to nothing that is loaded.
         moved: ids of jobs that were moved and whose progress is still stored.
-        cancels: ids of jobs whose cancellation was requested.
+        cancels: the requested cancellations.
         ended_jobs: the ended jobs that belong to an account.
         version: version from which to follow the feed of jobs.
         knowledge: what earlier leaders learned about tasks, serialized; None if not stored.
@@ -79,7 +80,7 @@
 
     live: list[JobRun]
     ended: list[EndedJob]
-    cancels: list[str]
+    cancels: list[Cancellation]
     version: int
     moved: list[str] = attrs.Factory(list)
     unused: list[RowKey] = attrs.Factory(list)
@@ -316,14 +317,14 @@
     return max(0.0, wall_ms - job.submitted_ms) / 1000 if job.submitted_ms else 0.0
 
 
-def split_job_rows(rows: list[Row]) -> tuple[list[StoredJob], list[str]]:
-    """Splits rows of the table of jobs into jobs and ids of cancelled jobs."""
+def split_job_rows(rows: list[Row]) -> tuple[list[StoredJob], list[Cancellation]]:
+    """Splits rows of the table of jobs into jobs and cancellations."""
     jobs, cancels = [], []
     for row in rows:
         if row.key == CLAIM_KEY:
             continue
         if row.key.key.endswith(CANCEL_SUFFIX):
-            cancels.append(row.key.key.removesuffix(CANCEL_SUFFIX))
+            cancels.append(load_cancellation(row))
             continue
         job = _parse(load_job, row.value)
         if job is not None and job.id != row.key.key:
@@ -363,7 +364,8 @@
             scheduler.state.knowledge.restore(loaded.knowledge)
         except StoredFormError as exc:
             _log.error("knowledge can't be read", reason=str(exc))
-    scheduler.cancel(loaded.cancels)
+    store_ms = loaded.store_clock.reading_ms if loaded.store_clock is not None else None
+    scheduler.cancel(loaded.cancels, store_ms=store_ms)
     scheduler.restore_roster(
         loaded.roster,
         stored_rows=loaded.roster_rows,
--- a/fescuerudder/jobs/termevents.py
+++ b/fescuerudder/jobs/termevents.py
@@ -7,6 +7,7 @@
 import attrs
 
 from fescuerudder.jobs.adviceport import Advice, AdviceQuery
+from fescuerudder.jobs.cancellations import Cancellation
 from fescuerudder.jobs.configview import ConfigView
 from fescuerudder.jobs.jobhistory import MoveBatch
 from fescuerudder.jobs.progress import StoredJob
@@ -52,7 +53,7 @@
     """Jobs or cancellations were stored."""
 
     jobs: list[StoredJob]
-    cancels: list[str]
+    cancels: list[Cancellation]
 
 
 @attrs.frozen(kw_only=True)
