--- a/review/common-3/platform_standins.py
+++ b/review/common-3/platform_standins.py
@@ -374,6 +374,9 @@
         if delay_s is not None:
             self.world.record.add("unanswered", self.name, target, json.dumps(raw)[:200])
             await asyncio.sleep(delay_s)
+            if not self.is_up:
+                self.world.record.add("lost, as the worker is down", self.name, target)
+                return None
             answer = await self._carry_out(target, raw)
             self.world.record.add("carried out late", self.name, target, answer[0], answer[1])
             return None
